Give the generated messages a namespace of their own

Cause: the messages Error, Value and Outcome stood beside the library's types of the same names. Change: the schema's package is cyclamendrift.api, so that generated code lives in cyclamendrift::api. Conclusion: wire messages and library types cannot be mixed up.

--- a/include/cyclamendrift/proxy/fleet.h
+++ b/include/cyclamendrift/proxy/fleet.h
@@ -28,7 +28,7 @@
 /// The configuration in force at this VM; never changed, only replaced by one with a higher revision.
 struct ConfigurationSnapshot {
     std::uint64_t revision = 0;
-    Schema schema;
+    api::Schema schema;
 };
 
 /// What this VM knows and shares with all others: the configuration and its keys, the members, who is home of
@@ -63,11 +63,11 @@
         = 0;
 
     // What operators ask for. Each throws RequestError; a conflict carries its differences in the message.
-    [[nodiscard]] virtual asio::awaitable<ApplyResponse> apply(ApplyRequest request) = 0;
-    [[nodiscard]] virtual asio::awaitable<ApplyResponse> grant(GrantRequest request) = 0;
-    [[nodiscard]] virtual asio::awaitable<ApplyResponse> revoke(RevokeRequest request) = 0;
-    [[nodiscard]] virtual asio::awaitable<ApplyResponse> setLimits(SetLimitsRequest request) = 0;
-    [[nodiscard]] virtual asio::awaitable<StatusResponse> status() = 0;
+    [[nodiscard]] virtual asio::awaitable<api::ApplyResponse> apply(api::ApplyRequest request) = 0;
+    [[nodiscard]] virtual asio::awaitable<api::ApplyResponse> grant(api::GrantRequest request) = 0;
+    [[nodiscard]] virtual asio::awaitable<api::ApplyResponse> revoke(api::RevokeRequest request) = 0;
+    [[nodiscard]] virtual asio::awaitable<api::ApplyResponse> setLimits(api::SetLimitsRequest request) = 0;
+    [[nodiscard]] virtual asio::awaitable<api::StatusResponse> status() = 0;
 
     /// Hands over homes and grants and tells the siblings that this VM is leaving.
     [[nodiscard]] virtual asio::awaitable<void> leave() = 0;
