--- /dev/null
+++ b/standins/main_callers.cpp
@@ -0,0 +1,64 @@
+#include <standins/load_caller.h>
+
+#include <docopt/docopt.h>
+
+#include <curl/curl.h>
+
+#include <chrono>
+#include <iostream>
+
+namespace {
+
+constexpr auto usage = R"(Callers that write rows and read them back, for the quickstart.
+
+Usage:
+  standin_callers --key KEY --service NAME --database NAME [--threads N] [--seconds N] [--pause-ms N] [--prefix TEXT]
+                  [--check] ENDPOINT...
+
+Options:
+  --threads N    callers at once [default: 4]
+  --seconds N    how long they go on [default: 5]
+  --pause-ms N   pause of a caller between its requests [default: 5]
+  --prefix TEXT  beginning of the keys of the rows [default: bed]
+  --check        afterwards look for every acknowledged row
+
+Prints one line of JSON. Exit codes: 0 no request was cut, no read was stale and no acknowledged row is missing; 1 else.
+)";
+
+using cyclamendrift::standins::LoadOptions;
+using cyclamendrift::standins::LoadTally;
+
+void print(const LoadTally& tally, std::uint64_t present)
+{
+    const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(tally.longestGap);
+    std::cout << R"({"done":)" << tally.done << R"(,"not_run":)" << tally.notRun << R"(,"unknown":)"
+              << tally.unknown << R"(,"failed":)" << tally.failed << R"(,"cut":)" << tally.cut
+              << R"(,"refused_connections":)" << tally.refusedConnections << R"(,"stale_reads":)"
+              << tally.staleReads << R"(,"acknowledged":)" << tally.acknowledged.size() << R"(,"present":)"
+              << present << R"(,"longest_gap_ms":)" << gap.count() << "}\n";
+}
+
+} // namespace
+
+int main(int argc, const char* const* argv)
+{
+    auto arguments = docopt::docopt(usage, { argv + 1, argv + argc });
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    const LoadOptions options { .endpoints = arguments["ENDPOINT"].asStringList(),
+        .key = arguments["--key"].asString(),
+        .service = arguments["--service"].asString(),
+        .database = arguments["--database"].asString(),
+        .threads = static_cast<unsigned>(arguments["--threads"].asLong()),
+        .duration = std::chrono::seconds { arguments["--seconds"].asLong() },
+        .pause = std::chrono::milliseconds { arguments["--pause-ms"].asLong() },
+        .prefix = arguments["--prefix"].asString() };
+
+    const auto tally = cyclamendrift::standins::runLoad(options);
+    auto present = tally.acknowledged.size();
+    if (arguments["--check"].asBool())
+        present = cyclamendrift::standins::countPresent(options, tally.acknowledged);
+    print(tally, present);
+
+    const auto whole = tally.cut == 0 && tally.staleReads == 0 && present == tally.acknowledged.size();
+    return whole && tally.done > 0 ? 0 : 1;
+}
