--- a/include/cyclamendrift/cyclamendrift.h
+++ b/include/cyclamendrift/cyclamendrift.h
@@ -9,6 +9,8 @@
 #include <cyclamendrift/core/progress.h>
 #include <cyclamendrift/core/random_source.h>
 #include <cyclamendrift/core/request_error.h>
+#include <cyclamendrift/core/slot_status.h>
 #include <cyclamendrift/core/statement.h>
 #include <cyclamendrift/core/timer_service.h>
 #include <cyclamendrift/forward_declarations.h>
+#include <cyclamendrift/sessions/session_token.h>
--- a/include/cyclamendrift/upstreams/slot_control.h
+++ b/include/cyclamendrift/upstreams/slot_control.h
@@ -3,6 +3,7 @@
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
 #include <cyclamendrift/core/progress.h>
+#include <cyclamendrift/core/slot_status.h>
 #include <cyclamendrift/upstreams/connection.h>
 
 #include <asio/awaitable.hpp>
@@ -13,15 +14,6 @@
 
 namespace cyclamendrift {
 
-/// What one slot says of itself.
-struct SlotStatus {
-    /// Its term and how far its log has come in it.
-    Progress progress;
-    /// The highest term that it was fenced at; it confirms, follows and acts as primary in no lower one.
-    Term fenced {};
-    bool primary = false;
-};
-
 /// The few things that the system asks of a slot as a member of its group, in SQL over a connection. The SQL
 /// is given by options, so that a platform which offers terms, positions and promotion in another form needs
 /// no change here. Throws UpstreamError.
--- /dev/null
+++ b/tests/sessions/session_token_test.cpp
@@ -0,0 +1,98 @@
+#include <cyclamendrift/sessions/session_error.h>
+#include <cyclamendrift/sessions/session_token.h>
+
+#include <property.h>
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+#include <vector>
+
+using namespace cyclamendrift;
+
+namespace {
+
+DatabaseName databaseNumber(std::uint8_t number)
+{
+    return { ServiceName { number % 2 == 0 ? "register" : "orders" }, "d" + std::to_string(number % 8) };
+}
+
+using Observations = std::vector<std::tuple<std::uint8_t, std::uint32_t, std::uint64_t>>;
+
+SessionToken tokenOf(const Observations& observations)
+{
+    SessionToken token;
+    for (const auto& [database, term, position] : observations)
+        token.observe(databaseNumber(database), { Term { term }, LogPosition { position } });
+    return token;
+}
+
+SessionToken merged(SessionToken left, const SessionToken& right)
+{
+    left.merge(right);
+    return left;
+}
+
+} // namespace
+
+TEST_SUITE("session token")
+{
+    TEST_CASE("a token comes back whole from its text")
+    {
+        checkProperty("decode(encode) is the same", [](const Observations& observations) {
+            const auto token = tokenOf(observations);
+            RC_ASSERT(SessionToken::decode(token.encode()) == token);
+        });
+    }
+
+    TEST_CASE("merging takes the maximum in any order and never goes back")
+    {
+        checkProperty("commutative, associative, idempotent, monotonic",
+            [](const Observations& a, const Observations& b, const Observations& c) {
+                const auto x = tokenOf(a);
+                const auto y = tokenOf(b);
+                const auto z = tokenOf(c);
+                RC_ASSERT(merged(x, y) == merged(y, x));
+                RC_ASSERT(merged(merged(x, y), z) == merged(x, merged(y, z)));
+                RC_ASSERT(merged(x, x) == x);
+                for (std::uint8_t number = 0; number < 8; ++number) {
+                    const auto name = databaseNumber(number);
+                    RC_ASSERT(merged(x, y).progressOf(name) >= x.progressOf(name));
+                    RC_ASSERT(
+                        merged(x, y).progressOf(name) == std::max(x.progressOf(name), y.progressOf(name)));
+                }
+            });
+    }
+
+    // A caller sends a token that was cut short, mistyped or made up. Taken as an empty session it would
+    // lose read-your-writes without a sign, so the caller gets an error instead.
+    TEST_CASE("a text that no proxy made is refused")
+    {
+        CHECK(SessionToken::decode("") == SessionToken {});
+        CHECK_THROWS_AS(std::ignore = SessionToken::decode("!!"), SessionError);
+        CHECK_THROWS_AS(std::ignore = SessionToken::decode("AAAA"), SessionError);
+        CHECK_THROWS_AS(std::ignore = SessionToken::decode(std::string(20000, 'A')), SessionError);
+        checkProperty("garbage throws SessionError or decodes", [](const std::string& text) {
+            try {
+                const auto token = SessionToken::decode(text);
+                RC_ASSERT(SessionToken::decode(token.encode()) == token);
+            } catch (const SessionError&) {
+            }
+        });
+    }
+
+    // A session that goes over very many databases would carry an ever longer token. It is told so before
+    // its statement runs; what the token holds already stays whole.
+    TEST_CASE("a token has room for a bounded number of databases")
+    {
+        SessionToken token;
+        const Progress progress { Term { 1 }, LogPosition { 1 } };
+        for (std::size_t number = 0; number < SessionToken::maxDatabases; ++number)
+            token.observe({ ServiceName { "s" }, std::to_string(number) }, progress);
+        const DatabaseName another { ServiceName { "s" }, "another" };
+        CHECK_FALSE(token.hasRoomFor(another));
+        CHECK(token.hasRoomFor({ ServiceName { "s" }, "0" }));
+        CHECK_THROWS_AS(token.observe(another, progress), SessionError);
+        CHECK(SessionToken::decode(token.encode()) == token);
+    }
+}
