--- a/include/cyclamendrift/sessions/session_token.h
+++ b/include/cyclamendrift/sessions/session_token.h
@@ -22,7 +22,7 @@
     /// read-your-writes without a sign.
     static constexpr std::size_t maxDatabases = 64;
     /// Characters that a token may have as text.
-    static constexpr std::size_t maxTextLength = 16 * 1024;
+    static constexpr std::size_t maxTextLength = 16384;
 
     /// The token that a text stands for; the empty text is the start of a session. Throws SessionError when
     /// the text is not one that encode() gave.
