--- /dev/null
+++ b/include/cyclamendrift/membership/home_map.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cyclamendrift/core/identifier.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace cyclamendrift {
+
+/// A VM as a candidate to be home of something.
+struct HomeCandidate {
+    VmName vm;
+    ZoneName zone;
+};
+
+/// The rendezvous weight of a VM for a subject; the same in every process.
+[[nodiscard]] std::uint64_t rendezvousWeight(const VmName& vm, std::string_view subject);
+
+/// The first `count` candidates for a subject by rendezvous hashing, best first. The second is in another
+/// availability zone than the first wherever there is one. Removing a VM changes nothing for a subject that
+/// it was not chosen for.
+///
+///     const auto homes = chooseHomes(candidates, "database/register/beds", 2);
+[[nodiscard]] std::vector<HomeCandidate> chooseHomes(
+    std::span<const HomeCandidate> candidates, std::string_view subject, std::size_t count);
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/tests/membership/home_map_test.cpp
@@ -0,0 +1,64 @@
+#include <cyclamendrift/membership/home_map.h>
+
+#include <property.h>
+
+#include <algorithm>
+#include <string>
+
+using namespace cyclamendrift;
+
+namespace {
+
+std::vector<HomeCandidate> makeCandidates(std::size_t count, std::size_t zones)
+{
+    std::vector<HomeCandidate> candidates;
+    for (std::size_t i = 0; i < count; ++i)
+        candidates.push_back({ VmName { "vm" + std::to_string(i) }, ZoneName { std::to_string(i % zones) } });
+    return candidates;
+}
+
+} // namespace
+
+TEST_SUITE("home map")
+{
+    TEST_CASE("the second home is in another availability zone")
+    {
+        checkProperty("zones differ", [](std::uint32_t subject) {
+            const auto count = *rc::gen::inRange<std::size_t>(2, 30);
+            const auto zones = *rc::gen::inRange<std::size_t>(2, 5);
+            const auto homes = chooseHomes(makeCandidates(count, zones), std::to_string(subject), 2);
+            RC_ASSERT(homes.size() == 2U);
+            RC_ASSERT(homes[0].zone != homes[1].zone);
+        });
+    }
+
+    // A VM dies. If databases that it had nothing to do with changed home as well, their connections would
+    // all be opened anew at once.
+    TEST_CASE("removing a VM moves only what it was home of")
+    {
+        checkProperty("stable first home", [](std::uint32_t subject) {
+            const auto count = *rc::gen::inRange<std::size_t>(2, 30);
+            auto candidates = makeCandidates(count, 3);
+            const auto before = chooseHomes(candidates, std::to_string(subject), 1).front().vm;
+            const auto removed = *rc::gen::inRange<std::size_t>(0, count);
+            const auto gone = candidates[removed].vm;
+            candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(removed));
+            const auto after = chooseHomes(candidates, std::to_string(subject), 1).front().vm;
+            RC_ASSERT(before == gone || after == before);
+        });
+    }
+
+    TEST_CASE("subjects spread evenly over VMs")
+    {
+        constexpr int subjects = 9000;
+        const auto candidates = makeCandidates(9, 3);
+        std::vector<int> counts(9);
+        for (int i = 0; i < subjects; ++i) {
+            const auto home = chooseHomes(candidates, std::to_string(i), 1).front().vm;
+            ++counts[std::stoul(home.string().substr(2))];
+        }
+        const auto [least, most] = std::minmax_element(counts.begin(), counts.end());
+        CHECK(*least > 850);
+        CHECK(*most < 1150);
+    }
+}
