--- a/src/schema/schema_difference.cpp
+++ b/src/schema/schema_difference.cpp
@@ -4,7 +4,9 @@
 #include <google/protobuf/message.h>
 #include <google/protobuf/text_format.h>
 
+#include <initializer_list>
 #include <map>
+#include <string_view>
 
 namespace cyclamendrift {
 
@@ -13,6 +15,14 @@
 using google::protobuf::FieldDescriptor;
 using google::protobuf::Message;
 
+std::string join(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const auto part : parts)
+        text += part;
+    return text;
+}
+
 std::string valueOf(const Message& message, const FieldDescriptor* field)
 {
     std::string text;
@@ -40,7 +50,7 @@
         auto old = valueOf(before, field);
         auto now = valueOf(after, field);
         if (old != now)
-            lines.push_back(subject + ": " + field->name() + ' ' + old + " -> " + now);
+            lines.push_back(join({ subject, ": ", field->name(), " ", old, " -> ", now }));
     }
 }
 
@@ -53,13 +63,13 @@
     for (const auto& [name, entry] : before) {
         const auto match = after.find(name);
         if (match == after.end())
-            lines.push_back(kind + ' ' + name + ": removed");
+            lines.push_back(join({ kind, " ", name, ": removed" }));
         else
-            compareFields(kind + ' ' + name, *entry, *match->second, lines);
+            compareFields(join({ kind, " ", name }), *entry, *match->second, lines);
     }
     for (const auto& [name, entry] : after) {
         if (!before.contains(name))
-            lines.push_back(kind + ' ' + name + ": added");
+            lines.push_back(join({ kind, " ", name, ": added" }));
     }
 }
 
