--- a/include/cyclamendrift/upstreams/connection.h
+++ b/include/cyclamendrift/upstreams/connection.h
@@ -15,7 +15,8 @@
 namespace cyclamendrift {
 
 /// One connection to an upstream through libpq's non-blocking calls. Used by one coroutine at a time, on the
-/// executor that it was opened with; every failure is an UpstreamError.
+/// executor that it was opened with, which must run one handler at a time (a strand or a context with one
+/// thread); every failure is an UpstreamError.
 class Connection {
 public:
     struct Options {
@@ -24,9 +25,13 @@
         std::string user;
         std::string password;
         std::string databaseName;
+        /// Closes the connection when it was not used for so long; zero for never.
+        Duration idleTimeout {};
+        /// As libpq's sslmode, for example "require" or "verify-full".
+        std::string sslMode = "prefer";
     };
 
-    /// Opens a connection, or throws UpstreamError with ConnectFailed or TooManyConnections.
+    /// Opens a connection to an IP address, or throws UpstreamError with ConnectFailed or TooManyConnections.
     ///
     ///     auto connection = co_await Connection::open(executor, options, now + std::chrono::seconds { 1 });
     [[nodiscard]] static asio::awaitable<std::unique_ptr<Connection>> open(
@@ -36,6 +41,8 @@
 
     /// Sends the statements in one pipeline, in order, and returns one whole answer for each. Throws at the
     /// first that fails; after TimedOut or ConnectionLost the connection is closed and not to be used again.
+    /// After StatementFailed it can be used on. ConnectFailed says that nothing was sent, because the
+    /// connection was closed already or the deadline had passed.
     ///
     ///     auto answers = co_await connection->execute(statements, deadline);
     [[nodiscard]] virtual asio::awaitable<std::vector<RowSet>> execute(
