Hold answers until confirmed and pick slots that cover the session

Asynchronous replication may lose what only a primary has. Acknowledgements holds commits, and reads at the primary, until a replica of the same term, not fenced since, covers them: one of three slots, or the in-sync set of two. A view needs no expiry, because the in-sync set of a term only shrinks and growing it takes a new term. ReplicaTracker sends reads to replicas that are known to cover the session; the age of a replica counts from when a covered status of the primary was asked for.

--- /dev/null
+++ b/src/commits/acknowledgements.cpp
@@ -0,0 +1,102 @@
+#include <cyclamendrift/commits/acknowledgements.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamendrift {
+
+ConfirmationTicket Acknowledgements::add(Options options)
+{
+    const ConfirmationTicket ticket { ++this->lastTicket };
+    this->pending.emplace(ticket, options);
+    return ticket;
+}
+
+void Acknowledgements::cancel(ConfirmationTicket ticket) noexcept { this->pending.erase(ticket); }
+
+void Acknowledgements::observe(const StatusSample& sample)
+{
+    auto& known = this->latest[sample.slot];
+    // Samples come over several connections and through siblings, so an old one may arrive late; it would
+    // hide a fence that was seen since.
+    if (sample.askedAt >= known.askedAt)
+        known = sample;
+}
+
+void Acknowledgements::setView(GroupView view)
+{
+    if (view.term >= this->view.term)
+        this->view = std::move(view);
+}
+
+Acknowledgements::Settled Acknowledgements::take(Instant now)
+{
+    Settled settled;
+    for (auto& [ticket, options] : this->pending) {
+        if (this->isLost(options))
+            settled.givenUp.push_back(ticket);
+        else if (this->isConfirmed(options))
+            settled.confirmed.push_back(ticket);
+        else if (options.deadline <= now)
+            settled.givenUp.push_back(ticket);
+    }
+    for (const auto ticket : settled.confirmed)
+        this->pending.erase(ticket);
+    for (const auto ticket : settled.givenUp)
+        this->pending.erase(ticket);
+    return settled;
+}
+
+std::optional<Instant> Acknowledgements::nextDeadline() const noexcept
+{
+    std::optional<Instant> next;
+    for (const auto& [ticket, options] : this->pending) {
+        if (!next || options.deadline < *next)
+            next = options.deadline;
+    }
+    return next;
+}
+
+bool Acknowledgements::isConfirmed(const Options& options) const
+{
+    if (options.progress.term != this->view.term)
+        return false;
+    if (this->view.slots.size() < majorityGroupSize) {
+        return std::all_of(this->view.inSync.begin(), this->view.inSync.end(), [&](const SlotName& slot) {
+            return slot == this->view.primary || this->confirms(slot, options);
+        });
+    }
+    const auto replicas = std::count_if(this->view.slots.begin(), this->view.slots.end(),
+        [&](const SlotName& slot) { return this->confirms(slot, options); });
+    constexpr std::size_t primaryItself = 1;
+    return static_cast<std::size_t>(replicas) + primaryItself >= majorityOf(this->view.slots.size());
+}
+
+/// A replica that has been fenced since is not counted: the primary of this term is being superseded, and the
+/// next view says whether the commit was kept. Nor is one in another term: its log at that position may hold
+/// something else.
+bool Acknowledgements::confirms(const SlotName& slot, const Options& options) const
+{
+    const auto found = this->latest.find(slot);
+    if (found == this->latest.end() || slot == this->view.primary)
+        return false;
+    const auto& [name, status, askedAt, receivedAt] = found->second;
+    return status.progress.term == options.progress.term && status.fenced <= options.progress.term
+        && status.progress.position >= options.progress.position && askedAt >= options.notBefore;
+}
+
+/// After a promotion a commit of the term before is kept if the promoted log reached it. It is not safe yet:
+/// until a replica holds the beginning of the new term, the next promotion may choose a log without it. So it
+/// waits on, as if it had been made in the new term.
+bool Acknowledgements::isLost(Options& options) const
+{
+    if (options.progress.term >= this->view.term)
+        return false;
+    const auto& base = this->view.base;
+    if (base.term != options.progress.term || base.position < options.progress.position)
+        return true;
+    options.progress = { .term = this->view.term, .position = LogPosition {} };
+    return false;
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/sessions/replica_tracker.cpp
@@ -0,0 +1,173 @@
+#include <cyclamendrift/sessions/replica_tracker.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+/// Points of the primary's log that are kept to tell ages by; with a sample every 100 ms about 25 s.
+constexpr std::size_t historyLength = 256;
+
+/// A slot that has been fenced above its term may hold records that the next primary will make it drop, and a
+/// primary may hold records that no other slot has. Neither proves anything to a reader.
+bool isReadable(const SlotStatus& status) { return !status.primary && status.fenced <= status.progress.term; }
+
+bool goesToPrimary(const Access& access)
+{
+    return std::holds_alternative<PrimaryRead>(access) || std::holds_alternative<Write>(access);
+}
+
+} // namespace
+
+ReplicaTracker::ReplicaTracker(Options options)
+    : options(options)
+{
+}
+
+void ReplicaTracker::setView(GroupView view)
+{
+    if (view.term < this->view.term)
+        return;
+    this->view = std::move(view);
+    std::erase_if(this->slots, [&](const auto& entry) {
+        return std::find(this->view.slots.begin(), this->view.slots.end(), entry.first)
+            == this->view.slots.end();
+    });
+}
+
+void ReplicaTracker::observe(const StatusSample& sample)
+{
+    if (sample.status.primary)
+        this->rememberPrimary(sample);
+    auto& slot = this->slots[sample.slot];
+    if (sample.askedAt < slot.sample.askedAt)
+        return;
+    slot.sample = sample;
+    slot.usable = true;
+}
+
+void ReplicaTracker::rememberPrimary(const StatusSample& sample)
+{
+    // A primary that has been fenced is superseded: commits that it does not know of may exist by now.
+    if (sample.status.fenced > sample.status.progress.term)
+        return;
+    const auto behind = std::find_if(this->primaryHistory.begin(), this->primaryHistory.end(),
+        [&](const PrimaryPoint& point) { return point.askedAt > sample.askedAt; });
+    this->primaryHistory.insert(behind, { .progress = sample.status.progress, .askedAt = sample.askedAt });
+    if (this->primaryHistory.size() > historyLength)
+        this->primaryHistory.pop_front();
+}
+
+void ReplicaTracker::started(const SlotName& slot) { ++this->slots[slot].outstanding; }
+
+void ReplicaTracker::finished(const SlotName& slot) noexcept
+{
+    const auto found = this->slots.find(slot);
+    if (found != this->slots.end() && found->second.outstanding > 0)
+        --found->second.outstanding;
+}
+
+void ReplicaTracker::failed(const SlotName& slot) noexcept
+{
+    const auto found = this->slots.find(slot);
+    if (found != this->slots.end())
+        found->second.usable = false;
+}
+
+SlotChoice ReplicaTracker::choose(const Request& request, Instant now, RandomSource& random) const
+{
+    if (goesToPrimary(request.access))
+        return this->primaryChoice();
+    const auto candidates = this->readableReplicas(request, now);
+    if (!candidates.empty())
+        return ReadFromReplica { this->leastLoaded(candidates, random) };
+    const auto until = request.arrivedAt + this->options.patience;
+    if (now < until && this->mayCatchUp(request, now))
+        return WaitForReplica { until };
+    return this->primaryChoice();
+}
+
+bool ReplicaTracker::proves(
+    const Request& request, const SlotStatus& before, const SlotStatus& after, Instant now) const
+{
+    // A replica that was made to follow another primary in between has dropped the end of its log, so the
+    // first status says nothing of what the statement saw.
+    const bool sameLog = before.progress.term == after.progress.term && before.progress <= after.progress
+        && isReadable(after);
+    return sameLog && isReadable(before) && this->isFresh(request, before, now);
+}
+
+std::optional<Duration> ReplicaTracker::ageOf(const SlotStatus& replica, Instant now) const
+{
+    if (!isReadable(replica))
+        return std::nullopt;
+    // Terms have to match: a replica in another term does not prove that this primary was in force when it
+    // gave its position.
+    const auto covered = std::find_if(
+        this->primaryHistory.rbegin(), this->primaryHistory.rend(), [&](const PrimaryPoint& point) {
+            return point.progress.term == replica.progress.term && point.progress <= replica.progress;
+        });
+    if (covered == this->primaryHistory.rend())
+        return std::nullopt;
+    return now - covered->askedAt;
+}
+
+bool ReplicaTracker::isFresh(const Request& request, const SlotStatus& status, Instant now) const
+{
+    if (status.progress < request.seen)
+        return false;
+    const auto* bounded = std::get_if<BoundedRead>(&request.access);
+    if (bounded == nullptr)
+        return true;
+    const auto age = this->ageOf(status, now);
+    return age && *age <= bounded->maxStaleness;
+}
+
+bool ReplicaTracker::mayRead(const SlotName& name, const Slot& slot, Instant now) const
+{
+    const bool leaving
+        = std::find(this->view.leaving.begin(), this->view.leaving.end(), name) != this->view.leaving.end();
+    return slot.usable && !leaving && name != this->view.primary && isReadable(slot.sample.status)
+        && now - slot.sample.receivedAt <= this->options.silentAfter;
+}
+
+std::vector<SlotName> ReplicaTracker::readableReplicas(const Request& request, Instant now) const
+{
+    std::vector<SlotName> readable;
+    for (const auto& [name, slot] : this->slots) {
+        if (this->mayRead(name, slot, now) && this->isFresh(request, slot.sample.status, now))
+            readable.push_back(name);
+    }
+    return readable;
+}
+
+/// The better of two drawn at random: always taking the least loaded would send every home's reads to one
+/// replica as soon as the others look alike.
+const SlotName& ReplicaTracker::leastLoaded(
+    const std::vector<SlotName>& candidates, RandomSource& random) const
+{
+    std::uniform_int_distribution<std::size_t> draw { 0, candidates.size() - 1 };
+    const auto& first = candidates[draw(random)];
+    const auto& second = candidates[draw(random)];
+    return this->slots.at(second).outstanding < this->slots.at(first).outstanding ? second : first;
+}
+
+/// Waiting helps only while some replica of the same term still answers; the next sample may then cover it.
+bool ReplicaTracker::mayCatchUp(const Request& request, Instant now) const
+{
+    return std::any_of(this->slots.begin(), this->slots.end(), [&](const auto& entry) {
+        const auto& [name, slot] = entry;
+        return this->mayRead(name, slot, now) && slot.sample.status.progress.term >= request.seen.term;
+    });
+}
+
+SlotChoice ReplicaTracker::primaryChoice() const
+{
+    if (this->view.phase != GroupView::Phase::Serving)
+        return NoSlot {};
+    return UsePrimary { this->view.primary };
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/tests/commits/acknowledgements_test.cpp
@@ -0,0 +1,138 @@
+#include <cyclamendrift/commits/acknowledgements.h>
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace cyclamendrift;
+
+namespace {
+
+const SlotName a { "a" };
+const SlotName b { "b" };
+const SlotName c { "c" };
+const Instant start { std::chrono::seconds { 100 } };
+
+Progress at(std::uint64_t term, std::uint64_t position)
+{
+    return { .term = Term { term }, .position = LogPosition { position } };
+}
+
+StatusSample replica(const SlotName& slot, Progress progress, Instant when = start)
+{
+    return { .slot = slot,
+        .status = { .progress = progress, .fenced = progress.term },
+        .askedAt = when,
+        .receivedAt = when };
+}
+
+GroupView viewOf(std::uint64_t term, const SlotName& primary, std::vector<SlotName> slots,
+    std::vector<SlotName> inSync = {}, Progress base = {})
+{
+    return { .phase = GroupView::Phase::Serving,
+        .term = Term { term },
+        .primary = primary,
+        .slots = std::move(slots),
+        .inSync = std::move(inSync),
+        .base = base };
+}
+
+} // namespace
+
+TEST_SUITE("acknowledgements")
+{
+    // A primary commits and dies before any replica has the commit. A caller who had been told "done" would
+    // find the order gone after the promotion.
+    TEST_CASE("a commit of three slots waits for one replica")
+    {
+        Acknowledgements acknowledgements;
+        acknowledgements.setView(viewOf(1, a, { a, b, c }));
+        const auto ticket = acknowledgements.add({ .progress = at(1, 10) });
+        CHECK(acknowledgements.take(start).confirmed.empty());
+        acknowledgements.observe(replica(b, at(1, 9)));
+        CHECK(acknowledgements.take(start).confirmed.empty());
+        acknowledgements.observe(replica(c, at(1, 10)));
+        CHECK(acknowledgements.take(start).confirmed == std::vector { ticket });
+    }
+
+    // After a promotion a replica stands at a far position of the new term. Counted for a commit of the old
+    // primary it would acknowledge what the new log does not hold.
+    TEST_CASE("a replica of another term confirms nothing")
+    {
+        Acknowledgements acknowledgements;
+        acknowledgements.setView(viewOf(1, a, { a, b, c }));
+        std::ignore = acknowledgements.add({ .progress = at(1, 10) });
+        acknowledgements.observe(replica(b, at(2, 50)));
+        CHECK(acknowledgements.take(start).confirmed.empty());
+    }
+
+    // A replica is fenced for the next term while its earlier answer is still on the way, and the late one
+    // arrives after it. The superseded primary must not be believed because of it.
+    TEST_CASE("a fenced replica confirms nothing, also when an older sample comes late")
+    {
+        Acknowledgements acknowledgements;
+        acknowledgements.setView(viewOf(1, a, { a, b, c }));
+        std::ignore = acknowledgements.add({ .progress = at(1, 10) });
+        auto fenced = replica(b, at(1, 10), start + std::chrono::milliseconds { 5 });
+        fenced.status.fenced = Term { 2 };
+        acknowledgements.observe(fenced);
+        acknowledgements.observe(replica(b, at(1, 10)));
+        CHECK(acknowledgements.take(start).confirmed.empty());
+    }
+
+    // Of two slots the replica is dead. Acknowledging without it before the record says so would lose the
+    // commit if it were promoted.
+    TEST_CASE("two slots need their in-sync set, and a lone primary nothing more")
+    {
+        Acknowledgements acknowledgements;
+        acknowledgements.setView(viewOf(1, a, { a, b }, { a, b }));
+        const auto ticket = acknowledgements.add({ .progress = at(1, 10) });
+        CHECK(acknowledgements.take(start).confirmed.empty());
+        acknowledgements.setView(viewOf(1, a, { a, b }, { a }));
+        CHECK(acknowledgements.take(start).confirmed == std::vector { ticket });
+        std::ignore = acknowledgements.add({ .progress = at(2, 10) });
+        CHECK(acknowledgements.take(start).confirmed.empty());
+    }
+
+    // The primary fails with commits waiting. Those that the promoted replica holds are answered "done" once
+    // another slot has them too; the others are told at once that their outcome is unknown.
+    TEST_CASE("commits are carried over a promotion that kept them")
+    {
+        Acknowledgements acknowledgements;
+        acknowledgements.setView(viewOf(1, a, { a, b, c }));
+        const auto kept = acknowledgements.add({ .progress = at(1, 10) });
+        const auto dropped = acknowledgements.add({ .progress = at(1, 11) });
+        acknowledgements.setView(viewOf(2, b, { a, b, c }, {}, at(1, 10)));
+        const auto first = acknowledgements.take(start);
+        CHECK(first.confirmed.empty());
+        CHECK(first.givenUp == std::vector { dropped });
+        acknowledgements.observe(replica(c, at(2, 12)));
+        CHECK(acknowledgements.take(start).confirmed == std::vector { kept });
+    }
+
+    // A cut-off primary answers a read after another was promoted elsewhere. Replicas that agreed before the
+    // read do not prove that it was still in force.
+    TEST_CASE("a read of the primary needs a confirmation asked for after it was sent")
+    {
+        Acknowledgements acknowledgements;
+        acknowledgements.setView(viewOf(1, a, { a, b, c }));
+        acknowledgements.observe(replica(b, at(1, 10), start));
+        const auto later = start + std::chrono::milliseconds { 1 };
+        const auto ticket = acknowledgements.add({ .progress = at(1, 10), .notBefore = later });
+        CHECK(acknowledgements.take(later).confirmed.empty());
+        acknowledgements.observe(replica(b, at(1, 10), later));
+        CHECK(acknowledgements.take(later).confirmed == std::vector { ticket });
+    }
+
+    // No replica answers. The caller gets the truth at its deadline and not later.
+    TEST_CASE("an unconfirmed commit is given up at its deadline")
+    {
+        Acknowledgements acknowledgements;
+        acknowledgements.setView(viewOf(1, a, { a, b, c }));
+        const auto deadline = start + std::chrono::seconds { 1 };
+        const auto ticket = acknowledgements.add({ .progress = at(1, 10), .deadline = deadline });
+        CHECK(acknowledgements.nextDeadline() == deadline);
+        CHECK(acknowledgements.take(start).givenUp.empty());
+        CHECK(acknowledgements.take(deadline).givenUp == std::vector { ticket });
+    }
+}
--- /dev/null
+++ b/tests/sessions/replica_tracker_test.cpp
@@ -0,0 +1,132 @@
+#include <cyclamendrift/sessions/replica_tracker.h>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+const SlotName a { "a" };
+const SlotName b { "b" };
+const Instant start { 100s };
+
+Progress at(std::uint64_t term, std::uint64_t position)
+{
+    return { .term = Term { term }, .position = LogPosition { position } };
+}
+
+SlotStatus statusOf(Progress progress, bool primary = false)
+{
+    return { .progress = progress, .fenced = progress.term, .primary = primary };
+}
+
+StatusSample sample(const SlotName& slot, SlotStatus status, Instant asked, Instant received)
+{
+    return { .slot = slot, .status = status, .askedAt = asked, .receivedAt = received };
+}
+
+ReplicaTracker trackerOfTwo()
+{
+    ReplicaTracker tracker { {} };
+    tracker.setView({ .phase = GroupView::Phase::Serving,
+        .term = Term { 1 },
+        .primary = a,
+        .slots = { a, b },
+        .inSync = { a, b } });
+    return tracker;
+}
+
+ReplicaTracker::Request request(Access access, Progress seen = {})
+{
+    return { .access = access, .seen = seen, .arrivedAt = start };
+}
+
+} // namespace
+
+TEST_SUITE("replica tracker")
+{
+    // A shop places an order and looks it up while the replica lags. Read there, the order would seem lost.
+    TEST_CASE("a session read goes only to a replica that covers the session")
+    {
+        RandomSource random { 1 };
+        auto tracker = trackerOfTwo();
+        tracker.observe(sample(b, statusOf(at(1, 10)), start, start));
+        const auto covered = tracker.choose(request(SessionRead {}, at(1, 10)), start, random);
+        CHECK(std::holds_alternative<ReadFromReplica>(covered));
+        const auto ahead = request(SessionRead {}, at(1, 11));
+        CHECK(std::holds_alternative<WaitForReplica>(tracker.choose(ahead, start, random)));
+        CHECK(std::holds_alternative<UsePrimary>(tracker.choose(ahead, start + 5ms, random)));
+        CHECK_FALSE(tracker.proves(ahead, statusOf(at(1, 10)), statusOf(at(1, 11)), start));
+        CHECK(tracker.proves(ahead, statusOf(at(1, 11)), statusOf(at(1, 11)), start));
+    }
+
+    // The primary is out of reach and its last known position was covered long ago. The replica's data age
+    // although its own answers are fresh; a listing marked "at most 2 s old" would be a false promise.
+    TEST_CASE("the age of a replica grows while the primary is silent, from when it was asked")
+    {
+        RandomSource random { 1 };
+        auto tracker = trackerOfTwo();
+        tracker.observe(sample(a, statusOf(at(1, 10), true), start, start + 300ms));
+        const auto later = start + 2100ms;
+        tracker.observe(sample(b, statusOf(at(1, 10)), later, later));
+        CHECK(tracker.ageOf(statusOf(at(1, 10)), later) == Duration { 2100ms });
+        CHECK_FALSE(tracker.ageOf(statusOf(at(1, 9)), later).has_value());
+        const BoundedRead twoSeconds { .maxStaleness = 2s };
+        CHECK_FALSE(tracker.proves(request(twoSeconds), statusOf(at(1, 10)), statusOf(at(1, 10)), later));
+        CHECK(std::holds_alternative<UsePrimary>(tracker.choose(request(twoSeconds), later, random)));
+        CHECK(std::holds_alternative<ReadFromReplica>(
+            tracker.choose(request(BoundedRead { .maxStaleness = 3s }), later, random)));
+    }
+
+    // A deposed primary still holds records that were never confirmed, until it follows the new one. A read
+    // from it would show what is about to vanish.
+    TEST_CASE("a fenced slot and a second primary are no replicas")
+    {
+        RandomSource random { 1 };
+        auto tracker = trackerOfTwo();
+        auto fenced = statusOf(at(1, 20));
+        fenced.fenced = Term { 2 };
+        tracker.observe(sample(b, fenced, start, start));
+        CHECK(std::holds_alternative<UsePrimary>(tracker.choose(request(SessionRead {}), start, random)));
+        CHECK_FALSE(tracker.proves(request(SessionRead {}), fenced, fenced, start));
+        CHECK_FALSE(tracker.proves(
+            request(SessionRead {}), statusOf(at(1, 20), true), statusOf(at(1, 20), true), start));
+        // It was made to follow another primary between the two statuses and dropped its tail.
+        CHECK_FALSE(tracker.proves(
+            request(SessionRead {}, at(1, 15)), statusOf(at(1, 20)), statusOf(at(2, 14)), start));
+    }
+
+    // A replica stops answering; its last status still looks good for a while.
+    TEST_CASE("a silent, failed or leaving replica gets no reads")
+    {
+        RandomSource random { 1 };
+        auto tracker = trackerOfTwo();
+        tracker.observe(sample(b, statusOf(at(1, 10)), start, start));
+        CHECK(std::holds_alternative<UsePrimary>(
+            tracker.choose(request(SessionRead {}), start + 2001ms, random)));
+        tracker.failed(b);
+        CHECK(std::holds_alternative<UsePrimary>(tracker.choose(request(SessionRead {}), start, random)));
+        tracker.observe(sample(b, statusOf(at(1, 10)), start + 1ms, start + 1ms));
+        tracker.setView({ .phase = GroupView::Phase::Serving,
+            .term = Term { 1 },
+            .primary = a,
+            .slots = { a, b },
+            .leaving = { b } });
+        CHECK(std::holds_alternative<UsePrimary>(tracker.choose(request(SessionRead {}), start, random)));
+    }
+
+    TEST_CASE("without a primary a read goes to a covering replica and a write is held")
+    {
+        RandomSource random { 1 };
+        auto tracker = trackerOfTwo();
+        tracker.setView(
+            { .phase = GroupView::Phase::FailingOver, .term = Term { 1 }, .primary = a, .slots = { a, b } });
+        tracker.observe(sample(b, statusOf(at(1, 10)), start, start));
+        CHECK(std::holds_alternative<ReadFromReplica>(
+            tracker.choose(request(SessionRead {}, at(1, 9)), start, random)));
+        CHECK(std::holds_alternative<NoSlot>(tracker.choose(request(Write {}), start, random)));
+    }
+}
