--- a/src/commits/acknowledgements.cpp
+++ b/src/commits/acknowledgements.cpp
@@ -49,12 +49,11 @@
 
 std::optional<Instant> Acknowledgements::nextDeadline() const noexcept
 {
-    std::optional<Instant> next;
-    for (const auto& [ticket, options] : this->pending) {
-        if (!next || options.deadline < *next)
-            next = options.deadline;
-    }
-    return next;
+    const auto soonest = std::min_element(this->pending.begin(), this->pending.end(),
+        [](const auto& left, const auto& right) { return left.second.deadline < right.second.deadline; });
+    if (soonest == this->pending.end())
+        return std::nullopt;
+    return soonest->second.deadline;
 }
 
 bool Acknowledgements::isConfirmed(const Options& options) const
@@ -80,9 +79,10 @@
     const auto found = this->latest.find(slot);
     if (found == this->latest.end() || slot == this->view.primary)
         return false;
-    const auto& [name, status, askedAt, receivedAt] = found->second;
+    const auto& sample = found->second;
+    const auto& status = sample.status;
     return status.progress.term == options.progress.term && status.fenced <= options.progress.term
-        && status.progress.position >= options.progress.position && askedAt >= options.notBefore;
+        && status.progress.position >= options.progress.position && sample.askedAt >= options.notBefore;
 }
 
 /// After a promotion a commit of the term before is kept if the promoted log reached it. It is not safe yet:
