--- a/src/commits/acknowledgements.cpp
+++ b/src/commits/acknowledgements.cpp
@@ -33,11 +33,10 @@
 {
     Settled settled;
     for (auto& [ticket, options] : this->pending) {
-        if (this->isLost(options))
-            settled.givenUp.push_back(ticket);
-        else if (this->isConfirmed(options))
+        const bool lost = this->isLost(options);
+        if (!lost && this->isConfirmed(options))
             settled.confirmed.push_back(ticket);
-        else if (options.deadline <= now)
+        else if (lost || options.deadline <= now)
             settled.givenUp.push_back(ticket);
     }
     for (const auto ticket : settled.confirmed)
