--- a/standins/postgres_group.cpp
+++ b/standins/postgres_group.cpp
@@ -132,6 +132,15 @@
     State(const State&) = delete;
     State& operator=(const State&) = delete;
 
+    [[nodiscard]] Listener& listener(std::string_view slot)
+    {
+        return *this->listeners.at(this->model.slot(slot).name);
+    }
+    [[nodiscard]] SlotSessions& sessionsOf(std::string_view slot)
+    {
+        return this->sessions.at(this->model.slot(slot).name);
+    }
+
     template <class Action> auto run(Action&& action)
     {
         std::packaged_task<decltype(action())()> task { std::forward<Action>(action) };
@@ -175,10 +184,7 @@
 
 PostgresGroup::~PostgresGroup() = default;
 
-std::uint16_t PostgresGroup::port(std::string_view slot) const
-{
-    return this->state->listeners.find(slot)->second->port();
-}
+std::uint16_t PostgresGroup::port(std::string_view slot) const { return this->state->listener(slot).port(); }
 
 SlotStatus PostgresGroup::status(std::string_view slot) const
 {
@@ -187,7 +193,7 @@
 
 std::size_t PostgresGroup::connections(std::string_view slot) const
 {
-    return this->state->run([this, slot] { return this->state->sessions.find(slot)->second.open.size(); });
+    return this->state->run([this, slot] { return this->state->sessionsOf(slot).open.size(); });
 }
 
 std::string PostgresGroup::received() const
@@ -204,8 +210,8 @@
 {
     this->state->run([this, slot] {
         this->state->model.slot(slot).alive = false;
-        this->state->listeners.find(slot)->second->refuse();
-        this->state->closeAll(this->state->sessions.find(slot)->second);
+        this->state->listener(slot).refuse();
+        this->state->closeAll(this->state->sessionsOf(slot));
     });
 }
 
@@ -213,7 +219,7 @@
 {
     this->state->run([this, slot] {
         this->state->model.slot(slot).alive = true;
-        this->state->listeners.find(slot)->second->listen();
+        this->state->listener(slot).listen();
         this->state->replicate();
     });
 }
@@ -234,14 +240,14 @@
 void PostgresGroup::silence(std::string_view slot)
 {
     this->state->run([this, slot] {
-        for (const auto& [number, session] : this->state->sessions.find(slot)->second.open)
+        for (const auto& [number, session] : this->state->sessionsOf(slot).open)
             session->silence();
     });
 }
 
 void PostgresGroup::refuse(std::string_view slot)
 {
-    this->state->run([this, slot] { this->state->listeners.find(slot)->second->refuse(); });
+    this->state->run([this, slot] { this->state->listener(slot).refuse(); });
 }
 
 void PostgresGroup::lag(std::string_view slot, Duration lag)
@@ -254,8 +260,7 @@
 
 void PostgresGroup::slow(std::string_view slot, Duration delay)
 {
-    this->state->run(
-        [this, slot, delay] { this->state->sessions.find(slot)->second.statementDelay = delay; });
+    this->state->run([this, slot, delay] { this->state->sessionsOf(slot).statementDelay = delay; });
 }
 
 } // namespace cyclamendrift::standins
