--- /dev/null
+++ b/include/cyclamendrift/commits/ledger.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cyclamendrift/core/identifier.h>
+#include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/core/statement.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace cyclamendrift {
+
+/// Time of day, as rows that outlive a process have to carry it.
+using WallClockTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+
+/// One write in the ledger: whose request it is and what it asked for.
+struct LedgerKey {
+    TeamName team;
+    RequestId request;
+    /// From Ledger::hashOf().
+    std::string statementHash;
+};
+
+/// The request has not committed.
+struct NotInLedger { };
+/// It committed; this was its answer.
+struct CommittedBefore {
+    RowSet answer;
+};
+/// It was given up before it committed and cannot commit any more.
+struct CancelledBefore { };
+/// The id belongs to another statement of the same team.
+struct DifferentStatement { };
+/// What the ledger says about a request.
+using LedgerFinding = std::variant<NotInLedger, CommittedBefore, CancelledBefore, DifferentStatement>;
+
+/// SQL of the table that keeps the outcome of each write in the database that it wrote to. The row is
+/// inserted in the write's own transaction, before its statement: it commits when the write commits, and a
+/// second attempt with the same id fails on the primary key before its statement runs.
+///
+///     Ledger ledger { {} };
+///     pipeline = { begin, ledger.insert(key, now), statement };
+///     pipeline = { ledger.recordAnswer(key, answer), commit, status };
+class Ledger {
+public:
+    struct Options {
+        std::string table = "cyclamendrift_ledger";
+        /// For this long a request id is remembered.
+        std::chrono::milliseconds retention = std::chrono::hours { 1 };
+        /// Rows of a larger answer are not kept, only the number of affected rows.
+        std::size_t maxAnswerBytes = 65536;
+    };
+
+    explicit Ledger(Options options);
+
+    /// Hash of a statement with its parameters.
+    [[nodiscard]] static std::string hashOf(const Statement& statement);
+
+    /// Creates the table if it is missing.
+    [[nodiscard]] Statement createTable() const;
+
+    /// Claims the request id; fails with a unique violation when it is taken.
+    [[nodiscard]] Statement insert(const LedgerKey& key, WallClockTime now) const;
+
+    /// Adds the answer, in the same transaction.
+    [[nodiscard]] Statement recordAnswer(const LedgerKey& key, const RowSet& answer) const;
+
+    /// Claims the request id for nothing if it is free, so that an attempt whose fate is unknown cannot
+    /// commit any more.
+    [[nodiscard]] Statement cancel(const LedgerKey& key, WallClockTime now) const;
+
+    /// Reads what became of a request.
+    [[nodiscard]] Statement lookUp(const LedgerKey& key) const;
+
+    /// What the answer to lookUp() says.
+    [[nodiscard]] static LedgerFinding findingIn(const RowSet& lookUpAnswer, const LedgerKey& key);
+
+    /// Deletes what is older than the retention.
+    [[nodiscard]] Statement prune(WallClockTime now) const;
+
+private:
+    Options options;
+};
+
+/// SQLSTATE of a unique violation, by which a taken request id shows.
+inline constexpr auto uniqueViolationState = "23505";
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/connections/connection_pool.cpp
@@ -0,0 +1,226 @@
+#include <cyclamendrift/connections/connection_pool.h>
+
+#include <algorithm>
+
+namespace cyclamendrift {
+
+ConnectionPool::ConnectionPool(Options options) noexcept
+    : options(options)
+{
+}
+
+std::vector<PoolAction> ConnectionPool::update(Instant now, std::size_t waiting)
+{
+    std::vector<PoolAction> actions;
+    for (const auto id : this->toClose)
+        actions.emplace_back(CloseConnection { id });
+    this->toClose.clear();
+    if (this->retired)
+        return actions;
+    this->closeSilentProbes(now, actions);
+    this->sacrificeOne(now, actions);
+    this->probeIdle(now, actions);
+    this->openMissing(now, waiting, actions);
+    return actions;
+}
+
+bool ConnectionPool::isSuspect(const Entry& entry, Instant now) const noexcept
+{
+    return entry.outstanding && now - *entry.outstanding >= this->options.suspectAfter;
+}
+
+void ConnectionPool::closeSilentProbes(Instant now, std::vector<PoolAction>& actions)
+{
+    // Something between the two ends may have lost track of a connection: it stays open and never answers. A
+    // probe has next to no work, so one that is not answered while the slot answers elsewhere is that, and
+    // not a slow answer. When nothing is answered, the slot is slow or gone, and closing would only add
+    // connects to its troubles.
+    for (auto entry = this->connections.begin(); entry != this->connections.end();) {
+        const bool silent = entry->second.phase == Phase::Probing && this->isSuspect(entry->second, now)
+            && this->lastSlotAnswer > *entry->second.outstanding;
+        if (!silent) {
+            ++entry;
+            continue;
+        }
+        actions.emplace_back(CloseConnection { entry->first });
+        entry = this->connections.erase(entry);
+    }
+}
+
+void ConnectionPool::sacrificeOne(Instant now, std::vector<PoolAction>& actions)
+{
+    // A statement may take long for good reasons, and an unanswered one cannot be told from a silent
+    // connection. So suspects keep their connections until their deadline as long as any other is left. Only
+    // when all of the budget is suspect and the slot answers elsewhere is the oldest given up, one at a time:
+    // otherwise a wave of silent connections would stop everything until the last deadline.
+    const bool full = this->connections.size() >= this->options.budget;
+    if (!full || now - this->lastSacrifice < this->options.sacrificeInterval)
+        return;
+    auto oldest = this->connections.end();
+    for (auto entry = this->connections.begin(); entry != this->connections.end(); ++entry) {
+        if (!this->isSuspect(entry->second, now))
+            return;
+        if (oldest == this->connections.end() || *entry->second.outstanding < *oldest->second.outstanding)
+            oldest = entry;
+    }
+    if (oldest == this->connections.end() || this->lastSlotAnswer <= *oldest->second.outstanding)
+        return;
+    this->lastSacrifice = now;
+    actions.emplace_back(CloseConnection { oldest->first });
+    this->connections.erase(oldest);
+}
+
+void ConnectionPool::probeIdle(Instant now, std::vector<PoolAction>& actions)
+{
+    for (auto& [id, entry] : this->connections) {
+        if (entry.phase != Phase::Idle || now - entry.lastAnswer < this->options.probeAfter)
+            continue;
+        entry.phase = Phase::Probing;
+        entry.since = now;
+        entry.outstanding = now;
+        actions.emplace_back(ProbeConnection { id });
+    }
+}
+
+void ConnectionPool::openMissing(Instant now, std::size_t waiting, std::vector<PoolAction>& actions)
+{
+    if (now < this->openAgainAt)
+        return;
+    std::size_t opening = 0;
+    std::size_t usable = 0;
+    for (const auto& [id, entry] : this->connections) {
+        opening += entry.phase == Phase::Opening ? 1 : 0;
+        usable += entry.phase == Phase::Opening || entry.phase == Phase::Idle ? 1 : 0;
+    }
+    // After a failure a single attempt shows whether the slot takes connections again; a full set of them
+    // would be a stampede on one that is just coming back.
+    const auto maxOpening = this->failures > 0 ? std::size_t { 1 } : this->options.maxOpening;
+    while (this->connections.size() < this->options.budget && opening < maxOpening) {
+        const bool wanted = usable < waiting || this->connections.size() < this->options.warm;
+        const bool nothingProven = usable == 0 && this->connections.size() < this->options.budget;
+        if (!wanted && !nothingProven)
+            return;
+        const auto id = ConnectionId { ++this->lastId };
+        this->connections.emplace(id, Entry { .phase = Phase::Opening, .since = now });
+        actions.emplace_back(OpenConnection { id });
+        ++opening;
+        ++usable;
+    }
+}
+
+std::optional<ConnectionId> ConnectionPool::acquire(Instant now)
+{
+    auto chosen = this->connections.end();
+    for (auto entry = this->connections.begin(); entry != this->connections.end(); ++entry) {
+        if (entry->second.phase != Phase::Idle)
+            continue;
+        if (chosen == this->connections.end() || entry->second.lastAnswer > chosen->second.lastAnswer)
+            chosen = entry;
+    }
+    if (chosen == this->connections.end())
+        return std::nullopt;
+    chosen->second.phase = Phase::InUse;
+    chosen->second.since = now;
+    return chosen->first;
+}
+
+bool ConnectionPool::isProven(ConnectionId id, Instant now) const
+{
+    const auto entry = this->connections.find(id);
+    return entry != this->connections.end() && now - entry->second.lastAnswer < this->options.probeAfter / 2;
+}
+
+void ConnectionPool::sent(ConnectionId id, Instant now)
+{
+    const auto entry = this->connections.find(id);
+    if (entry != this->connections.end())
+        entry->second.outstanding = now;
+}
+
+void ConnectionPool::answered(ConnectionId id, Instant now)
+{
+    this->slotAnswered(now);
+    const auto entry = this->connections.find(id);
+    if (entry == this->connections.end())
+        return;
+    entry->second.outstanding.reset();
+    entry->second.lastAnswer = now;
+    if (entry->second.phase == Phase::Probing)
+        entry->second.phase = Phase::Idle;
+}
+
+void ConnectionPool::release(ConnectionId id, ReleaseState state, Instant now)
+{
+    const auto entry = this->connections.find(id);
+    if (entry == this->connections.end() || entry->second.phase != Phase::InUse)
+        return;
+    // A transaction left open, or an answer still to come, would reach the next user of the connection.
+    if (state != ReleaseState::Clean || entry->second.outstanding || this->retired) {
+        this->toClose.push_back(id);
+        this->connections.erase(entry);
+        return;
+    }
+    entry->second.phase = Phase::Idle;
+    entry->second.since = now;
+}
+
+void ConnectionPool::lost(ConnectionId id) { this->connections.erase(id); }
+
+void ConnectionPool::opened(ConnectionId id, Instant now)
+{
+    this->failures = 0;
+    this->slotAnswered(now);
+    const auto entry = this->connections.find(id);
+    if (entry == this->connections.end() || this->retired) {
+        this->toClose.push_back(id);
+        this->connections.erase(id);
+        return;
+    }
+    entry->second = Entry { .phase = Phase::Idle, .since = now, .lastAnswer = now };
+}
+
+void ConnectionPool::openFailed(ConnectionId id, OpenFailure failure, Instant now)
+{
+    this->connections.erase(id);
+    // A home that disagrees about who the homes are may hold the connections; it will find out, so this one
+    // comes back soon and not at once.
+    if (failure == OpenFailure::CapReached)
+        this->slotAnswered(now);
+    constexpr std::size_t maxDoublings = 10;
+    const Duration delay = this->options.firstBackOff * (1LL << std::min(this->failures, maxDoublings));
+    this->openAgainAt = now + std::min(delay, this->options.maxBackOff);
+    ++this->failures;
+}
+
+void ConnectionPool::retire()
+{
+    this->retired = true;
+    for (auto entry = this->connections.begin(); entry != this->connections.end();) {
+        if (entry->second.phase == Phase::InUse) {
+            ++entry;
+            continue;
+        }
+        if (entry->second.phase != Phase::Opening)
+            this->toClose.push_back(entry->first);
+        entry = this->connections.erase(entry);
+    }
+}
+
+void ConnectionPool::slotAnswered(Instant now) noexcept
+{
+    this->lastSlotAnswer = std::max(this->lastSlotAnswer, now);
+}
+
+std::size_t ConnectionPool::idle() const noexcept
+{
+    return static_cast<std::size_t>(std::count_if(this->connections.begin(), this->connections.end(),
+        [](const auto& entry) { return entry.second.phase == Phase::Idle; }));
+}
+
+std::size_t ConnectionPool::inUse() const noexcept
+{
+    return static_cast<std::size_t>(std::count_if(this->connections.begin(), this->connections.end(),
+        [](const auto& entry) { return entry.second.phase == Phase::InUse; }));
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/connections/fair_queue.cpp
@@ -0,0 +1,267 @@
+#include <cyclamendrift/connections/fair_queue.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+/// Share of a new measurement in the mean of hold times: about the last twenty requests count.
+constexpr double smoothing = 0.05;
+/// Teams that are remembered while idle, so that one cannot shed its past use by pausing for a moment.
+constexpr std::size_t maxIdleTeams = 64;
+
+double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+Duration duration(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+template <class Requests> void moveExpired(Requests& requests, Instant now, std::vector<QueuedRequest>& into)
+{
+    auto kept = requests.begin();
+    for (auto& request : requests) {
+        if (request.deadline <= now)
+            into.push_back(std::move(request));
+        else
+            *kept++ = std::move(request);
+    }
+    requests.erase(kept, requests.end());
+}
+
+} // namespace
+
+FairQueue::FairQueue(Options options)
+    : options(options)
+    , expectedHold(seconds(options.expectedHold))
+{
+}
+
+FairQueue::Team& FairQueue::teamOf(const QueuedRequest& request)
+{
+    auto [entry, isNew] = this->teams.try_emplace(request.team);
+    auto& team = entry->second;
+    if (isNew)
+        team.expectedHold = this->expectedHold;
+    team.weight = std::max<std::uint32_t>(request.weight, 1);
+    if (team.size() == 0)
+        team.virtualTime = std::max(team.virtualTime, this->virtualNow);
+    return team;
+}
+
+double FairQueue::backlogSeconds(const QueuedRequest& request) const
+{
+    double total = 0;
+    double activeWeight = std::max<std::uint32_t>(request.weight, 1);
+    double ownAhead = 0;
+    const double ownWeight = activeWeight;
+    for (const auto& [name, team] : this->teams) {
+        if (team.size() == 0)
+            continue;
+        total += static_cast<double>(team.size()) * team.expectedHold;
+        if (name != request.team) {
+            activeWeight += team.weight;
+            continue;
+        }
+        const auto ahead = request.priority == Priority::High ? team.high.size() : team.size();
+        ownAhead = static_cast<double>(ahead) * team.expectedHold;
+    }
+    // The team's own queue drains at its share of the connections at least; the whole queue is the other
+    // bound, as nothing else can be served before the request.
+    return std::min(total, ownAhead * activeWeight / ownWeight);
+}
+
+Duration FairQueue::expectedWait(const QueuedRequest& request, Instant now) const
+{
+    const auto connections = static_cast<double>(std::max<std::size_t>(this->options.connections, 1));
+    const auto queueing = duration(this->backlogSeconds(request) / connections);
+    const auto unavailable = std::max(this->availableFrom - now, Duration {});
+    return queueing + unavailable;
+}
+
+Admission FairQueue::push(QueuedRequest request, Instant now)
+{
+    const auto ownTeam = this->teams.find(request.team);
+    const auto ownQueued = ownTeam == this->teams.end() ? 0 : ownTeam->second.size();
+    const auto hold
+        = duration(ownTeam == this->teams.end() ? this->expectedHold : ownTeam->second.expectedHold);
+    const auto wait = this->expectedWait(request, now);
+    const auto lateBy = now + wait + hold - request.deadline;
+    if (lateBy > Duration {}) {
+        const bool unavailable = this->availableFrom + hold > request.deadline;
+        return QueueRefusal { unavailable ? this->unavailableReason : RefusalReason::Overloaded, lateBy };
+    }
+    Queued result;
+    if (ownQueued >= this->options.maxQueuedPerTeam || this->queued >= this->options.maxQueued) {
+        result.evicted = this->makeRoomFor(request);
+        if (!result.evicted)
+            return QueueRefusal { RefusalReason::Overloaded, std::max(wait, hold) };
+    }
+    auto& team = this->teamOf(request);
+    auto& line = request.priority == Priority::High ? team.high : team.normal;
+    line.push_back(std::move(request));
+    ++this->queued;
+    return result;
+}
+
+std::optional<QueuedRequest> FairQueue::makeRoomFor(const QueuedRequest& request)
+{
+    const auto own = this->teams.find(request.team);
+    const bool ownLookupsWait = own != this->teams.end() && !own->second.normal.empty();
+    if (request.priority == Priority::High && ownLookupsWait) {
+        auto& lookups = own->second.normal;
+        auto evicted = std::move(lookups.back());
+        lookups.pop_back();
+        --this->queued;
+        return evicted;
+    }
+    if (own != this->teams.end() && own->second.size() >= this->options.maxQueuedPerTeam)
+        return std::nullopt;
+    return this->evictFor(request);
+}
+
+std::optional<QueuedRequest> FairQueue::evictFor(const QueuedRequest& request)
+{
+    // A full queue would otherwise refuse whoever comes next, so that one team's flood would take the places
+    // of all others: the request to go is the newest of the team that holds most places for its weight.
+    const auto load = [](const Teams::value_type& entry) {
+        return static_cast<double>(entry.second.size()) / entry.second.weight;
+    };
+    const auto longest = std::max_element(this->teams.begin(), this->teams.end(),
+        [&](const auto& left, const auto& right) { return load(left) < load(right); });
+    if (longest == this->teams.end() || longest->first == request.team)
+        return std::nullopt;
+    const auto own = this->teams.find(request.team);
+    const double ownLoad = (own == this->teams.end() ? 1.0 : static_cast<double>(own->second.size()) + 1)
+        / std::max(request.weight, 1U);
+    if (ownLoad >= load(*longest))
+        return std::nullopt;
+    auto& line = longest->second.normal.empty() ? longest->second.high : longest->second.normal;
+    auto evicted = std::move(line.back());
+    line.pop_back();
+    --this->queued;
+    return evicted;
+}
+
+FairQueue::Teams::iterator FairQueue::pickHighPriority(const Team& leastServed)
+{
+    // Unbounded, a team that marks everything as high would starve the lookups of all others; the lead is
+    // measured in connection time, so it is used up by serving.
+    const double limit = leastServed.virtualTime + seconds(this->options.priorityLead);
+    auto chosen = this->teams.end();
+    for (auto entry = this->teams.begin(); entry != this->teams.end(); ++entry) {
+        const auto& team = entry->second;
+        if (team.high.empty() || team.virtualTime > limit)
+            continue;
+        if (chosen == this->teams.end() || team.virtualTime < chosen->second.virtualTime)
+            chosen = entry;
+    }
+    return chosen;
+}
+
+FairQueue::Teams::iterator FairQueue::pickNext()
+{
+    auto leastServed = this->teams.end();
+    for (auto entry = this->teams.begin(); entry != this->teams.end(); ++entry) {
+        if (entry->second.size() == 0)
+            continue;
+        if (leastServed == this->teams.end() || entry->second.virtualTime < leastServed->second.virtualTime)
+            leastServed = entry;
+    }
+    if (leastServed == this->teams.end())
+        return leastServed;
+    this->virtualNow = std::max(this->virtualNow, leastServed->second.virtualTime);
+    const auto preferred = this->pickHighPriority(leastServed->second);
+    return preferred == this->teams.end() ? leastServed : preferred;
+}
+
+QueuedRequest FairQueue::popFrom(Team& team)
+{
+    auto& line = team.high.empty() ? team.normal : team.high;
+    auto request = std::move(line.front());
+    line.pop_front();
+    --this->queued;
+    return request;
+}
+
+std::optional<QueuedRequest> FairQueue::pop()
+{
+    const auto next = this->pickNext();
+    if (next == this->teams.end())
+        return std::nullopt;
+    auto& team = next->second;
+    auto request = this->popFrom(team);
+    // Charged by expectation now and corrected in finished(): otherwise all free connections would go to the
+    // same team before any of them has come back.
+    team.virtualTime += team.expectedHold / team.weight;
+    request.charged = duration(team.expectedHold);
+    return request;
+}
+
+void FairQueue::finished(const QueuedRequest& request, Duration held)
+{
+    const double actual = seconds(held);
+    this->expectedHold += smoothing * (actual - this->expectedHold);
+    const auto entry = this->teams.find(request.team);
+    if (entry == this->teams.end())
+        return;
+    auto& team = entry->second;
+    team.virtualTime += (actual - seconds(request.charged)) / team.weight;
+    team.expectedHold += smoothing * (actual - team.expectedHold);
+    this->dropIdleTeams();
+}
+
+void FairQueue::dropIdleTeams()
+{
+    if (this->teams.size() <= maxIdleTeams)
+        return;
+    std::erase_if(this->teams, [&](const auto& entry) {
+        return entry.second.size() == 0 && entry.second.virtualTime <= this->virtualNow;
+    });
+}
+
+std::vector<QueuedRequest> FairQueue::expire(Instant now)
+{
+    std::vector<QueuedRequest> expired;
+    for (auto& [name, team] : this->teams) {
+        moveExpired(team.high, now, expired);
+        moveExpired(team.normal, now, expired);
+    }
+    this->queued -= expired.size();
+    return expired;
+}
+
+std::vector<QueuedRequest> FairQueue::clear(Instant now)
+{
+    auto all = this->expire(now);
+    while (auto request = this->pop())
+        all.push_back(std::move(*request));
+    return all;
+}
+
+void FairQueue::setConnections(std::size_t connections) noexcept { this->options.connections = connections; }
+
+void FairQueue::setAvailableFrom(Instant instant, RefusalReason reason) noexcept
+{
+    this->availableFrom = instant;
+    this->unavailableReason = reason;
+}
+
+std::optional<Instant> FairQueue::nextDeadline() const
+{
+    std::optional<Instant> earliest;
+    const auto consider = [&](const std::deque<QueuedRequest>& line) {
+        for (const auto& request : line)
+            earliest = earliest ? std::min(*earliest, request.deadline) : request.deadline;
+    };
+    for (const auto& [name, team] : this->teams) {
+        consider(team.high);
+        consider(team.normal);
+    }
+    return earliest;
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/transactions/transaction_table.cpp
@@ -0,0 +1,168 @@
+#include <cyclamendrift/transactions/transaction_table.h>
+
+#include <cyclamendrift/core/request_error.h>
+
+#include <sstream>
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+constexpr char homeSeparator = '/';
+
+RequestError notRun(RefusalReason reason, std::string message, Duration retryAfter = {})
+{
+    return RequestError { { Outcome::NotRun, reason, std::move(message), retryAfter } };
+}
+
+} // namespace
+
+TransactionTable::TransactionTable(Options options, RandomSource& random)
+    : options(std::move(options))
+    , random(random)
+{
+}
+
+std::size_t TransactionTable::openOf(const TeamName& team) const
+{
+    const auto entry = this->places.find(team);
+    return entry == this->places.end() ? 0 : entry->second;
+}
+
+bool TransactionTable::mayOpen(const TeamName& team) const
+{
+    return this->totalPlaces < this->options.maxOpen && this->openOf(team) < this->options.maxOpenPerTeam;
+}
+
+void TransactionTable::reserve(const TeamName& team)
+{
+    // Each open transaction keeps a connection from everybody else, so a team that opens many would starve
+    // the others however fair the queue is.
+    if (!this->mayOpen(team))
+        throw notRun(
+            RefusalReason::Overloaded, "too many transactions are open", this->options.idleTimeout / 10);
+    ++this->places[team];
+    ++this->totalPlaces;
+}
+
+void TransactionTable::unreserve(const TeamName& team)
+{
+    const auto entry = this->places.find(team);
+    if (entry == this->places.end())
+        return;
+    --this->totalPlaces;
+    if (--entry->second == 0)
+        this->places.erase(entry);
+}
+
+TransactionId TransactionTable::newId()
+{
+    std::ostringstream text;
+    text << this->options.vm.view() << homeSeparator << ++this->lastTransaction << '-' << std::hex
+         << this->random();
+    return TransactionId { text.str() };
+}
+
+VmName TransactionTable::homeOf(const TransactionId& id)
+{
+    const auto end = id.view().rfind(homeSeparator);
+    return end == std::string_view::npos ? VmName {} : VmName { std::string { id.view().substr(0, end) } };
+}
+
+TransactionId TransactionTable::open(Owner owner, Instant now)
+{
+    auto id = this->newId();
+    this->transactions.emplace(
+        id, Transaction { .owner = std::move(owner), .openedAt = now, .lastUsed = now });
+    return id;
+}
+
+TransactionLease TransactionTable::enter(
+    const TransactionId& id, const TeamName& team, const KeyId& key, Instant now)
+{
+    const auto entry = this->transactions.find(id);
+    const bool known = entry != this->transactions.end() && !entry->second.ending;
+    // A foreign transaction is answered like one that does not exist, so that ids cannot be probed for.
+    if (!known || entry->second.owner.team != team || entry->second.owner.key != key)
+        throw notRun(RefusalReason::UnknownTransaction,
+            "no such transaction is open; it was rolled back if it ever was");
+    auto& transaction = entry->second;
+    if (transaction.running)
+        throw notRun(RefusalReason::Conflict, "another statement of the transaction is running");
+    transaction.running = ExchangeNumber { ++this->lastExchange };
+    transaction.lastUsed = now;
+    return { transaction.owner.connection, *transaction.running, transaction.failed };
+}
+
+AfterExchange TransactionTable::leave(
+    const TransactionId& id, ExchangeNumber exchange, ExchangeResult result, Instant now)
+{
+    const auto entry = this->transactions.find(id);
+    if (entry == this->transactions.end() || entry->second.running != exchange)
+        return AfterExchange::Late;
+    auto& transaction = entry->second;
+    transaction.running.reset();
+    transaction.lastUsed = now;
+    if (result == ExchangeResult::ConnectionLost || transaction.ending) {
+        this->unreserve(transaction.owner.team);
+        this->transactions.erase(entry);
+        return AfterExchange::RollBack;
+    }
+    // The database ends an aborted transaction with a rollback also when told to commit, and reports success:
+    // the caller would take its writes for kept. So the failure is remembered here.
+    transaction.failed = transaction.failed || result == ExchangeResult::StatementFailed;
+    return AfterExchange::KeepOpen;
+}
+
+bool TransactionTable::close(const TransactionId& id, ExchangeNumber exchange)
+{
+    const auto entry = this->transactions.find(id);
+    if (entry == this->transactions.end() || entry->second.running != exchange)
+        return false;
+    this->unreserve(entry->second.owner.team);
+    this->transactions.erase(entry);
+    return true;
+}
+
+std::vector<TransactionTable::Ended> TransactionTable::expire(Instant now)
+{
+    std::vector<Ended> ended;
+    for (auto entry = this->transactions.begin(); entry != this->transactions.end();) {
+        auto& transaction = entry->second;
+        const bool tooOld = now - transaction.openedAt >= this->options.maxAge;
+        const bool idle = !transaction.running && now - transaction.lastUsed >= this->options.idleTimeout;
+        if (!tooOld && !idle) {
+            ++entry;
+            continue;
+        }
+        if (transaction.running) {
+            transaction.ending = true;
+            ++entry;
+            continue;
+        }
+        ended.push_back({ entry->first, transaction.owner.connection });
+        this->unreserve(transaction.owner.team);
+        entry = this->transactions.erase(entry);
+    }
+    return ended;
+}
+
+std::vector<TransactionTable::Ended> TransactionTable::withdrawKey(const KeyId& key)
+{
+    // A withdrawn key must stop working within seconds, also for a statement that has been sent: its answer
+    // finds no transaction then, and its connection is discarded.
+    std::vector<Ended> ended;
+    for (auto entry = this->transactions.begin(); entry != this->transactions.end();) {
+        if (entry->second.owner.key != key) {
+            ++entry;
+            continue;
+        }
+        ended.push_back({ entry->first, entry->second.owner.connection });
+        this->unreserve(entry->second.owner.team);
+        entry = this->transactions.erase(entry);
+    }
+    return ended;
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/tests/commits/ledger_test.cpp
@@ -0,0 +1,85 @@
+#include <cyclamendrift/commits/ledger.h>
+
+#include <property.h>
+
+using namespace cyclamendrift;
+
+namespace {
+
+LedgerKey keyFor(const Statement& statement, const char* request = "r1")
+{
+    return { .team = TeamName { "hospitals" },
+        .request = RequestId { request },
+        .statementHash = Ledger::hashOf(statement) };
+}
+
+RowSet lookUpAnswer(const LedgerKey& key, const char* state, Value answer)
+{
+    return { .columns = { "statement_hash", "state", "answer" },
+        .rows = { { key.statementHash, state, std::move(answer) } } };
+}
+
+} // namespace
+
+TEST_SUITE("ledger")
+{
+    TEST_CASE("a second attempt gets the whole first answer")
+    {
+        checkProperty("answers survive the ledger",
+            [](const std::vector<std::string>& columns, const std::vector<std::string>& texts,
+                std::uint64_t affected) {
+                RowSet answer { .columns = columns, .rows = {}, .affectedRows = affected };
+                for (const auto& text : texts)
+                    answer.rows.push_back({ text, std::nullopt });
+                const Ledger ledger { {} };
+                const auto key = keyFor({ .text = "UPDATE beds", .parameters = {} });
+                const auto recorded = ledger.recordAnswer(key, answer).parameters.at(1);
+                const auto finding = Ledger::findingIn(lookUpAnswer(key, "committed", recorded), key);
+                const auto& found = std::get<CommittedBefore>(finding).answer;
+                RC_ASSERT(found.columns == answer.columns);
+                RC_ASSERT(found.rows == answer.rows);
+                RC_ASSERT(found.affectedRows == affected);
+            });
+    }
+
+    TEST_CASE("the same id with another statement is noticed")
+    {
+        const auto first = keyFor({ .text = "UPDATE beds SET free = $1", .parameters = { "a" } });
+        const auto second = keyFor({ .text = "UPDATE beds SET free = $1", .parameters = { "b" } });
+        const auto finding = Ledger::findingIn(lookUpAnswer(first, "committed", {}), second);
+        CHECK(std::holds_alternative<DifferentStatement>(finding));
+        CHECK(std::holds_alternative<CancelledBefore>(
+            Ledger::findingIn(lookUpAnswer(first, "cancelled", {}), first)));
+        CHECK(std::holds_alternative<NotInLedger>(Ledger::findingIn({}, first)));
+    }
+
+    TEST_CASE("parameters that run together have different hashes")
+    {
+        const auto hash = [](std::vector<Value> parameters) {
+            return Ledger::hashOf({ .text = "s", .parameters = parameters });
+        };
+        CHECK(hash({ "ab", "c" }) != hash({ "a", "bc" }));
+        CHECK(hash({ std::nullopt }) != hash({ "" }));
+        CHECK(hash({ "a" }) == hash({ "a" }));
+    }
+
+    TEST_CASE("teams that choose the same id do not meet")
+    {
+        const Ledger ledger { {} };
+        auto other = keyFor({ .text = "s", .parameters = {} });
+        const auto own = ledger.lookUp(other).parameters;
+        other.team = TeamName { "families" };
+        CHECK(ledger.lookUp(other).parameters != own);
+    }
+
+    TEST_CASE("an answer too large keeps its number of rows")
+    {
+        const Ledger ledger { { .maxAnswerBytes = 10 } };
+        const auto key = keyFor({ .text = "s", .parameters = {} });
+        const RowSet answer { .columns = { "c" }, .rows = { { std::string(100, 'x') } }, .affectedRows = 1 };
+        const auto recorded = ledger.recordAnswer(key, answer).parameters.at(1);
+        const auto finding = Ledger::findingIn(lookUpAnswer(key, "committed", recorded), key);
+        CHECK(std::get<CommittedBefore>(finding).answer.affectedRows == 1);
+        CHECK(std::get<CommittedBefore>(finding).answer.rows.empty());
+    }
+}
--- /dev/null
+++ b/tests/connections/connection_pool_test.cpp
@@ -0,0 +1,290 @@
+#include <cyclamendrift/connections/connection_budget.h>
+#include <cyclamendrift/connections/connection_pool.h>
+#include <cyclamendrift/connections/outlier_detector.h>
+#include <cyclamendrift/connections/retry_budget.h>
+
+#include <property.h>
+
+#include <map>
+#include <set>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Acts on what a pool asks for: opens take one step, probes are answered unless the connection is silent.
+class FakeSlot {
+public:
+    explicit FakeSlot(ConnectionPool::Options options)
+        : pool(options)
+    {
+    }
+
+    void update(Instant now, std::size_t waiting = 0)
+    {
+        for (const auto& action : this->pool.update(now, waiting)) {
+            if (const auto* open = std::get_if<OpenConnection>(&action)) {
+                if (this->reachable)
+                    this->pool.opened(open->id, now);
+                else
+                    this->pool.openFailed(open->id, OpenFailure::Unreachable, now);
+                this->opens += 1;
+            } else if (const auto* close = std::get_if<CloseConnection>(&action))
+                this->closed.insert(close->id);
+            else if (const auto* probe = std::get_if<ProbeConnection>(&action)) {
+                if (this->answering && !this->silent.contains(probe->id))
+                    this->pool.answered(probe->id, now);
+            }
+        }
+    }
+
+    ConnectionId use(Instant now)
+    {
+        const auto id = this->pool.acquire(now).value();
+        this->pool.sent(id, now);
+        return id;
+    }
+
+    ConnectionPool pool;
+    std::set<ConnectionId> silent;
+    std::set<ConnectionId> closed;
+    int opens = 0;
+    bool reachable = true;
+    bool answering = true;
+};
+
+} // namespace
+
+TEST_SUITE("connection pool")
+{
+    TEST_CASE("two homes stay within the cap of a slot")
+    {
+        CHECK(connectionBudget(20).traffic == 9);
+        CHECK(connectionBudget(35).traffic == 16);
+        for (std::size_t cap = 4; cap < 200; ++cap)
+            CHECK(homesPerDatabase * connectionBudget(cap).total() <= cap);
+    }
+
+    TEST_CASE("a connection that did not end clean is never used again")
+    {
+        // A caller goes away in the middle of a transaction, or an answer is still under way. The next user
+        // of the connection would run inside that transaction, or read that answer as its own.
+        checkProperty("dirty connections are closed", [] {
+            FakeSlot slot { { .budget = 4, .warm = 1 } };
+            Instant now {};
+            std::set<ConnectionId> dirty;
+            std::set<ConnectionId> used;
+            const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
+            for (const auto step : steps) {
+                now += 10ms;
+                slot.update(now, 3);
+                RC_ASSERT(slot.pool.size() <= 4U);
+                if (step < 2) {
+                    if (const auto id = slot.pool.acquire(now)) {
+                        RC_ASSERT(!dirty.contains(*id));
+                        RC_ASSERT(used.insert(*id).second);
+                        slot.pool.sent(*id, now);
+                    }
+                } else if (!used.empty()) {
+                    const auto id = *used.begin();
+                    used.erase(id);
+                    const bool answered = *rc::gen::arbitrary<bool>();
+                    const bool clean = *rc::gen::arbitrary<bool>();
+                    if (answered)
+                        slot.pool.answered(id, now);
+                    slot.pool.release(id, clean ? ReleaseState::Clean : ReleaseState::Dirty, now);
+                    if (!answered || !clean)
+                        dirty.insert(id);
+                }
+            }
+            slot.update(now);
+            for (const auto id : dirty)
+                RC_ASSERT(slot.closed.contains(id));
+        });
+    }
+
+    TEST_CASE("idle connections that went silent are closed within seconds while new ones work")
+    {
+        // A box on the way has forgotten the connections: they look open and never answer, but new ones work.
+        // Requests sent on them would hang until their deadline.
+        FakeSlot slot { { .budget = 4, .warm = 2 } };
+        Instant now {};
+        slot.update(now, 4);
+        REQUIRE(slot.pool.idle() == 4);
+        for (std::uint64_t id = 1; id <= 4; ++id)
+            slot.silent.insert(ConnectionId { id });
+        const auto wave = now;
+        while (slot.closed.size() < 3 && now < wave + 20s) {
+            now += 100ms;
+            slot.pool.slotAnswered(now);
+            slot.update(now);
+        }
+        CHECK(now - wave <= 3s);
+        CHECK(slot.pool.acquire(now).has_value());
+    }
+
+    TEST_CASE("a slow slot loses no connection")
+    {
+        // Every answer takes long because the slot is overloaded. Closing the connections would add connects
+        // to its load and give up work that is about to finish.
+        FakeSlot slot { { .budget = 3, .warm = 3 } };
+        Instant now {};
+        slot.update(now, 3);
+        (void)slot.use(now);
+        slot.answering = false;
+        slot.reachable = false;
+        for (int step = 0; step < 100; ++step) {
+            now += 100ms;
+            slot.update(now, 2);
+        }
+        CHECK(slot.closed.empty());
+        CHECK(slot.pool.size() == 3);
+    }
+
+    TEST_CASE("a long statement keeps its connection while others are left")
+    {
+        // A report takes minutes on one connection while the slot answers everything else at once. Taking it
+        // for a dead peer would mean that it can never finish.
+        FakeSlot slot { { .budget = 3, .warm = 1 } };
+        Instant now {};
+        slot.update(now, 1);
+        const auto report = slot.use(now);
+        for (int step = 0; step < 600; ++step) {
+            now += 100ms;
+            slot.update(now, 1);
+            const auto id = slot.use(now);
+            slot.pool.answered(id, now);
+            slot.pool.release(id, ReleaseState::Clean, now);
+        }
+        CHECK_FALSE(slot.closed.contains(report));
+    }
+
+    TEST_CASE("when every connection is silent they are given up one by one")
+    {
+        // All connections carry a statement when the path forgets them. Waiting for each deadline would stop
+        // the database for as long, although new connections work.
+        FakeSlot slot { { .budget = 3, .warm = 3 } };
+        Instant now {};
+        slot.update(now, 3);
+        for (int index = 0; index < 3; ++index)
+            (void)slot.use(now);
+        std::vector<Instant> closedAt;
+        for (int step = 0; step < 40; ++step) {
+            now += 100ms;
+            const auto before = slot.closed.size();
+            slot.pool.slotAnswered(now);
+            slot.update(now, 0);
+            if (slot.closed.size() > before)
+                closedAt.push_back(now);
+        }
+        REQUIRE(closedAt.size() == 1);
+        CHECK(closedAt.front() - Instant {} <= 2s);
+        CHECK(slot.pool.idle() == 1);
+    }
+
+    TEST_CASE("a home whose connections another one holds backs off")
+    {
+        // Two proxies disagree about who serves the database, and the other holds the connections. Trying
+        // again at once would hammer the slot with connects that it has to refuse.
+        ConnectionPool pool { { .budget = 9, .warm = 2 } };
+        Instant now {};
+        int attempts = 0;
+        for (int step = 0; step < 1000; ++step) {
+            now += 10ms;
+            for (const auto& action : pool.update(now, 5)) {
+                ++attempts;
+                pool.openFailed(std::get<OpenConnection>(action).id, OpenFailure::CapReached, now);
+            }
+        }
+        CHECK(attempts < 20);
+        CHECK(pool.size() == 0);
+    }
+
+    TEST_CASE("the most recently proven connection goes first")
+    {
+        FakeSlot slot { { .budget = 2, .warm = 2 } };
+        Instant now {};
+        slot.update(now);
+        now += 100ms;
+        const auto id = slot.use(now);
+        slot.pool.answered(id, now);
+        slot.pool.release(id, ReleaseState::Clean, now);
+        CHECK(slot.pool.acquire(now) == id);
+        CHECK(slot.pool.isProven(id, now));
+        CHECK_FALSE(slot.pool.isProven(id, now + 600ms));
+    }
+
+    TEST_CASE("a retired pool hands back everything")
+    {
+        FakeSlot slot { { .budget = 3, .warm = 3 } };
+        Instant now {};
+        slot.update(now);
+        const auto id = slot.use(now);
+        slot.pool.retire();
+        slot.update(now, 5);
+        CHECK(slot.closed.size() == 2);
+        slot.pool.answered(id, now);
+        slot.pool.release(id, ReleaseState::Clean, now);
+        slot.update(now, 5);
+        CHECK(slot.closed.size() == 3);
+        CHECK(slot.pool.size() == 0);
+    }
+}
+
+TEST_SUITE("retries")
+{
+    TEST_CASE("retries stay a small share of the requests in a brown-out")
+    {
+        // The upstream fails every request because it is overloaded. If each were retried, the load would
+        // multiply just then, and it would never recover.
+        RetryBudget budget { {} };
+        RandomSource random { 1 };
+        constexpr int requests = 10000;
+        int retries = 0;
+        for (int request = 0; request < requests; ++request) {
+            budget.requested();
+            for (std::size_t attempt = 0; budget.retry(attempt, random); ++attempt)
+                ++retries;
+        }
+        CHECK(retries <= requests / 10 + 10);
+    }
+
+    TEST_CASE("delays are spread and bounded")
+    {
+        RetryBudget budget { { .maxSaved = 1000, .maxRetriesPerRequest = 8, .maxDelay = 100ms } };
+        RandomSource random { 1 };
+        std::set<Duration> delays;
+        for (int index = 0; index < 100; ++index) {
+            const auto delay = budget.retry(7, random);
+            REQUIRE(delay);
+            CHECK(*delay <= 100ms);
+            delays.insert(*delay);
+        }
+        CHECK(delays.size() > 90);
+    }
+}
+
+TEST_SUITE("outliers")
+{
+    TEST_CASE("reads go round a slow slot and come back to it")
+    {
+        // One replica answers, but a hundred times slower than the others. Its share of the reads would wait
+        // that long although another replica could answer at once.
+        OutlierDetector detector { {} };
+        const SlotName slow { "slow" };
+        const SlotName fast { "fast" };
+        Instant now {};
+        for (int index = 0; index < 20; ++index) {
+            detector.answered(fast, 2ms, now);
+            detector.answered(slow, 200ms, now);
+        }
+        CHECK(detector.isOutlier(slow, now));
+        CHECK_FALSE(detector.isOutlier(fast, now));
+        now += 2s;
+        CHECK_FALSE(detector.isOutlier(slow, now));
+        detector.answered(slow, 2ms, now);
+        detector.answered(fast, 2ms, now);
+        CHECK_FALSE(detector.isOutlier(slow, now));
+    }
+}
--- /dev/null
+++ b/tests/connections/fair_queue_test.cpp
@@ -0,0 +1,262 @@
+#include <cyclamendrift/connections/fair_queue.h>
+
+#include <property.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TeamName small { "small" };
+const TeamName large { "large" };
+
+/// Requests with tickets of their own.
+class Requests {
+public:
+    QueuedRequest next(TeamName team, Instant deadline, Priority priority = Priority::Normal)
+    {
+        return { .ticket = QueueTicket { ++this->lastTicket },
+            .team = std::move(team),
+            .priority = priority,
+            .deadline = deadline };
+    }
+
+private:
+    std::uint64_t lastTicket = 0;
+};
+
+bool isTaken(const Admission& admission) { return std::holds_alternative<Queued>(admission); }
+
+/// Share of served requests that team `small` gets while both teams always wait.
+double servedShareOfSmall(std::uint32_t weight, int perRound, int rounds)
+{
+    FairQueue queue { { .connections = 4, .expectedHold = 1ms } };
+    Requests requests;
+    const Instant start {};
+    int servedOfSmall = 0;
+    for (int round = 0; round < rounds; ++round) {
+        auto own = requests.next(small, start + 1h);
+        own.weight = weight;
+        (void)queue.push(own, start);
+        for (int copy = 0; copy < perRound; ++copy)
+            (void)queue.push(requests.next(large, start + 1h), start);
+        const auto served = queue.pop();
+        servedOfSmall += served->team == small ? 1 : 0;
+        queue.finished(*served, 1ms);
+    }
+    return static_cast<double>(servedOfSmall) / rounds;
+}
+
+} // namespace
+
+TEST_SUITE("fair queue")
+{
+    TEST_CASE("a flooding team does not push another under its share")
+    {
+        // One team sends several times its rate, so that its requests fill the queue. A user of another team
+        // would see its own requests wait behind all of them.
+        CHECK(servedShareOfSmall(1, 5, 400) == doctest::Approx(0.5).epsilon(0.02));
+        CHECK(servedShareOfSmall(3, 8, 100) == doctest::Approx(0.75).epsilon(0.05));
+    }
+
+    TEST_CASE("every team gets its share of connection time whatever the others send")
+    {
+        checkProperty("share of connection time", []() {
+            constexpr int teamCount = 4;
+            constexpr int rounds = 600;
+            FairQueue queue { { .connections = 1, .expectedHold = 2ms } };
+            Requests requests;
+            const Instant start {};
+            std::map<TeamName, std::uint32_t> weights;
+            std::map<TeamName, Duration> holds;
+            std::map<TeamName, Duration> used;
+            for (int index = 0; index < teamCount; ++index) {
+                const TeamName team { "team" + std::to_string(index) };
+                weights[team] = *rc::gen::inRange<std::uint32_t>(1, 5);
+                holds[team] = std::chrono::milliseconds { *rc::gen::inRange(1, 9) };
+            }
+            double totalWeight = 0;
+            for (const auto& [team, weight] : weights)
+                totalWeight += weight;
+            Duration total {};
+            for (int round = 0; round < rounds; ++round) {
+                // Each team always has something waiting; how much more is of no account.
+                for (const auto& [team, weight] : weights) {
+                    auto request = requests.next(team, start + 10h);
+                    request.weight = weight;
+                    (void)queue.push(request, start);
+                }
+                const auto served = queue.pop();
+                used[served->team] += holds[served->team];
+                total += holds[served->team];
+                queue.finished(*served, holds[served->team]);
+            }
+            for (const auto& [team, weight] : weights) {
+                const double share
+                    = std::chrono::duration<double>(used[team]) / std::chrono::duration<double>(total);
+                RC_ASSERT(share > 0.9 * weight / totalWeight);
+            }
+        });
+    }
+
+    TEST_CASE("a request waits no longer than its turn")
+    {
+        checkProperty("bound on the requests served before it", []() {
+            const int others = *rc::gen::inRange(1, 8);
+            const int backlog = *rc::gen::inRange(1, 60);
+            FairQueue queue { { .connections = 1, .expectedHold = 1ms } };
+            Requests requests;
+            const Instant start {};
+            for (int index = 0; index < others; ++index) {
+                for (int copy = 0; copy < backlog; ++copy)
+                    (void)queue.push(
+                        requests.next(TeamName { "other" + std::to_string(index) }, start + 1h), start);
+            }
+            const int servedBefore = *rc::gen::inRange(0, others * backlog);
+            for (int index = 0; index < servedBefore; ++index)
+                queue.finished(*queue.pop(), 1ms);
+            (void)queue.push(requests.next(small, start + 1h), start);
+            int waited = 0;
+            while (queue.pop()->team != small)
+                ++waited;
+            RC_ASSERT(waited <= others);
+        });
+    }
+
+    TEST_CASE("orders go before lookups within a team")
+    {
+        FairQueue queue { { .connections = 1 } };
+        Requests requests;
+        const Instant start {};
+        CHECK(isTaken(queue.push(requests.next(small, start + 1s), start)));
+        CHECK(isTaken(queue.push(requests.next(small, start + 1s, Priority::High), start)));
+        CHECK(queue.pop()->priority == Priority::High);
+        CHECK(queue.pop()->priority == Priority::Normal);
+    }
+
+    TEST_CASE("orders of one team do not starve the lookups of another")
+    {
+        // A team marks everything it sends as high priority. Without a bound on the lead that this gives, the
+        // lookups of the other team would never be served.
+        FairQueue queue { { .connections = 1, .priorityLead = 20ms, .expectedHold = 2ms } };
+        Requests requests;
+        const Instant start {};
+        constexpr int served = 400;
+        int lookups = 0;
+        for (int round = 0; round < served; ++round) {
+            (void)queue.push(requests.next(large, start + 1h, Priority::High), start);
+            (void)queue.push(requests.next(small, start + 1h), start);
+            const auto next = queue.pop();
+            lookups += next->team == small ? 1 : 0;
+            CHECK((round >= 8 || next->priority == Priority::High));
+            queue.finished(*next, 2ms);
+        }
+        CHECK(lookups > served * 45 / 100);
+    }
+
+    TEST_CASE("what cannot be served before its deadline is refused at once")
+    {
+        // The upstream has become slow, and the queue is longer than a request can wait. If it were taken,
+        // its caller would hear only at the deadline that it was in vain.
+        FairQueue queue { { .connections = 2, .expectedHold = 10ms } };
+        Requests requests;
+        const Instant start {};
+        for (int index = 0; index < 20; ++index)
+            REQUIRE(isTaken(queue.push(requests.next(large, start + 1s), start)));
+        const auto refused = queue.push(requests.next(large, start + 50ms), start);
+        REQUIRE(std::holds_alternative<QueueRefusal>(refused));
+        const auto& refusal = std::get<QueueRefusal>(refused);
+        CHECK(refusal.reason == RefusalReason::Overloaded);
+        CHECK(refusal.retryAfter == 60ms);
+        CHECK(isTaken(queue.push(requests.next(large, start + 111ms), start)));
+        CHECK(isTaken(queue.push(requests.next(small, start + 50ms), start)));
+    }
+
+    TEST_CASE("what is taken while service is constant is served in time")
+    {
+        checkProperty("no admitted request is late while nothing more important comes", [] {
+            FairQueue queue { { .connections = 1, .expectedHold = 2ms } };
+            Requests requests;
+            Instant now {};
+            const auto pushes = *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 120));
+            for (const auto milliseconds : pushes)
+                (void)queue.push(requests.next(small, now + std::chrono::milliseconds { milliseconds }), now);
+            std::size_t late = 0;
+            while (auto next = queue.pop()) {
+                now += 2ms;
+                late += now > next->deadline ? 1 : 0;
+                queue.finished(*next, 2ms);
+            }
+            RC_ASSERT(late == 0U);
+        });
+    }
+
+    TEST_CASE("during an outage what can wait is held and the rest refused")
+    {
+        FairQueue queue { { .connections = 1 } };
+        Requests requests;
+        const Instant start {};
+        queue.setAvailableFrom(start + 3s, RefusalReason::NoPrimary);
+        CHECK(isTaken(queue.push(requests.next(small, start + 5s), start)));
+        const auto refused = queue.push(requests.next(small, start + 1s), start);
+        REQUIRE(std::holds_alternative<QueueRefusal>(refused));
+        CHECK(std::get<QueueRefusal>(refused).reason == RefusalReason::NoPrimary);
+        CHECK(std::get<QueueRefusal>(refused).retryAfter >= 2s);
+    }
+
+    TEST_CASE("a full queue makes room for the team that holds less than its share")
+    {
+        // One team has filled every place. Without pushing out, the next to come would be refused whoever it
+        // is, and the flooding team would keep all places as long as it sends faster.
+        FairQueue queue { { .connections = 100, .maxQueued = 10, .maxQueuedPerTeam = 10 } };
+        Requests requests;
+        const Instant start {};
+        for (int index = 0; index < 10; ++index)
+            REQUIRE(isTaken(queue.push(requests.next(large, start + 1h), start)));
+        CHECK_FALSE(isTaken(queue.push(requests.next(large, start + 1h), start)));
+        const auto admission = queue.push(requests.next(small, start + 1h), start);
+        REQUIRE(isTaken(admission));
+        CHECK(std::get<Queued>(admission).evicted->ticket == QueueTicket { 10 });
+        CHECK(queue.size() == 10);
+        CHECK(queue.pop()->team == large);
+    }
+
+    TEST_CASE("every request leaves the queue exactly once")
+    {
+        checkProperty("popped, evicted, expired or still there", [] {
+            FairQueue queue { { .connections = 2, .maxQueued = 8, .maxQueuedPerTeam = 6 } };
+            Requests requests;
+            Instant now {};
+            std::set<QueueTicket> waiting;
+            const auto leave
+                = [&](const QueuedRequest& request) { RC_ASSERT(waiting.erase(request.ticket) == 1U); };
+            const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
+            for (const auto step : steps) {
+                now += 1ms;
+                if (step < 5) {
+                    const auto priority = step == 4 ? Priority::High : Priority::Normal;
+                    const auto request = requests.next(step < 3 ? large : small, now + 20ms, priority);
+                    const auto admission = queue.push(request, now);
+                    if (!isTaken(admission))
+                        continue;
+                    waiting.insert(request.ticket);
+                    if (const auto& evicted = std::get<Queued>(admission).evicted)
+                        leave(*evicted);
+                } else if (step == 5) {
+                    for (const auto& request : queue.expire(now)) {
+                        RC_ASSERT(request.deadline <= now);
+                        leave(request);
+                    }
+                } else if (const auto request = queue.pop()) {
+                    leave(*request);
+                    queue.finished(*request, 3ms);
+                }
+                RC_ASSERT(queue.size() == waiting.size());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/tests/transactions/transaction_table_test.cpp
@@ -0,0 +1,214 @@
+#include <cyclamendrift/core/request_error.h>
+#include <cyclamendrift/transactions/transaction_table.h>
+
+#include <property.h>
+
+#include <map>
+#include <optional>
+#include <set>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TeamName team { "hospitals" };
+const KeyId key { "k1" };
+
+struct Fixture {
+    RandomSource random { 1 };
+    TransactionTable table { { .vm = VmName { "vm/1" } }, random };
+    Instant now {};
+
+    TransactionId open(std::uint64_t connection = 1)
+    {
+        this->table.reserve(team);
+        return this->table.open(
+            { .team = team, .key = key, .connection = PinnedConnection { connection } }, this->now);
+    }
+};
+
+template <class Call> std::optional<RefusalReason> refusalOf(Call&& call)
+{
+    try {
+        call();
+    } catch (const RequestError& error) {
+        CHECK(error.outcome() == Outcome::NotRun);
+        return error.reason();
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+TEST_SUITE("transactions")
+{
+    TEST_CASE("an id carries the name of its home")
+    {
+        Fixture fixture;
+        CHECK(TransactionTable::homeOf(fixture.open()) == VmName { "vm/1" });
+        CHECK(TransactionTable::homeOf(TransactionId { "nonsense" }).empty());
+    }
+
+    TEST_CASE("only the team and key that opened a transaction can use it")
+    {
+        Fixture fixture;
+        const auto id = fixture.open();
+        const auto enter = [&](const TeamName& otherTeam, const KeyId& otherKey) {
+            return refusalOf([&] { (void)fixture.table.enter(id, otherTeam, otherKey, fixture.now); });
+        };
+        CHECK(enter(TeamName { "other" }, key) == RefusalReason::UnknownTransaction);
+        CHECK(enter(team, KeyId { "k2" }) == RefusalReason::UnknownTransaction);
+        CHECK(enter(team, key) == std::nullopt);
+    }
+
+    TEST_CASE("two statements of a transaction never run at once")
+    {
+        Fixture fixture;
+        const auto id = fixture.open();
+        const auto lease = fixture.table.enter(id, team, key, fixture.now);
+        CHECK(refusalOf([&] { (void)fixture.table.enter(id, team, key, fixture.now); })
+            == RefusalReason::Conflict);
+        CHECK(fixture.table.leave(id, lease.exchange, ExchangeResult::Answered, fixture.now)
+            == AfterExchange::KeepOpen);
+        CHECK_FALSE(refusalOf([&] { (void)fixture.table.enter(id, team, key, fixture.now); }));
+    }
+
+    TEST_CASE("an answer that comes after the end of its transaction belongs to nobody")
+    {
+        // A key is withdrawn while a statement runs. Its answer arrives later and must reach neither the
+        // caller with the withdrawn key nor the next transaction.
+        Fixture fixture;
+        const auto id = fixture.open();
+        const auto lease = fixture.table.enter(id, team, key, fixture.now);
+        REQUIRE(fixture.table.withdrawKey(key).size() == 1);
+        CHECK(fixture.table.leave(id, lease.exchange, ExchangeResult::Answered, fixture.now)
+            == AfterExchange::Late);
+        CHECK(refusalOf([&] { (void)fixture.table.enter(id, team, key, fixture.now); })
+            == RefusalReason::UnknownTransaction);
+    }
+
+    TEST_CASE("an idle transaction is rolled back")
+    {
+        // The caller has gone away without a word. Its locks would hold up all who need the same rows.
+        Fixture fixture;
+        const auto id = fixture.open(7);
+        CHECK(fixture.table.expire(fixture.now + 9s).empty());
+        const auto ended = fixture.table.expire(fixture.now + 10s);
+        REQUIRE(ended.size() == 1);
+        CHECK(ended.front().id == id);
+        CHECK(ended.front().connection == PinnedConnection { 7 });
+        CHECK(fixture.table.size() == 0);
+    }
+
+    TEST_CASE("a transaction too old is rolled back after the exchange that runs")
+    {
+        Fixture fixture;
+        const auto id = fixture.open();
+        const auto lease = fixture.table.enter(id, team, key, fixture.now);
+        CHECK(fixture.table.expire(fixture.now + 60s).empty());
+        CHECK(fixture.table.leave(id, lease.exchange, ExchangeResult::Answered, fixture.now + 61s)
+            == AfterExchange::RollBack);
+        CHECK(fixture.table.size() == 0);
+    }
+
+    TEST_CASE("a failed statement is remembered until the end")
+    {
+        // The database answers COMMIT of an aborted transaction with success and rolls back. A caller would
+        // take its reservation for kept.
+        Fixture fixture;
+        const auto id = fixture.open();
+        auto lease = fixture.table.enter(id, team, key, fixture.now);
+        (void)fixture.table.leave(id, lease.exchange, ExchangeResult::StatementFailed, fixture.now);
+        lease = fixture.table.enter(id, team, key, fixture.now);
+        CHECK(lease.failed);
+        (void)fixture.table.leave(id, lease.exchange, ExchangeResult::Answered, fixture.now);
+        CHECK(fixture.table.enter(id, team, key, fixture.now).failed);
+    }
+
+    TEST_CASE("one team cannot pin all connections")
+    {
+        Fixture fixture;
+        (void)fixture.open();
+        (void)fixture.open();
+        CHECK(refusalOf([&] { fixture.table.reserve(team); }) == RefusalReason::Overloaded);
+        CHECK(fixture.table.mayOpen(TeamName { "other" }));
+    }
+
+    TEST_CASE("statements of two transactions are never mixed")
+    {
+        // Whatever comes when: begins, statements, ends, late answers, time-outs and withdrawn keys. A user
+        // would see a bed reserved by somebody else's transaction, or read somebody else's answer.
+        checkProperty("one connection serves one transaction, one exchange at a time", [] {
+            struct Model {
+                PinnedConnection connection {};
+                KeyId key;
+                std::optional<ExchangeNumber> running;
+            };
+            struct Sent {
+                TransactionId id;
+                ExchangeNumber exchange {};
+            };
+            RandomSource random { 1 };
+            TransactionTable table { { .vm = VmName { "vm" }, .maxOpen = 4, .maxOpenPerTeam = 4 }, random };
+            std::map<TransactionId, Model> open;
+            std::vector<TransactionId> everOpened;
+            std::vector<Sent> sent;
+            std::uint64_t lastConnection = 0;
+            Instant now {};
+            const auto forget = [&](const std::vector<TransactionTable::Ended>& ended) {
+                for (const auto& entry : ended) {
+                    RC_ASSERT(open.at(entry.id).connection == entry.connection);
+                    open.erase(entry.id);
+                }
+            };
+            const int steps = *rc::gen::inRange(0, 80);
+            for (int step = 0; step < steps; ++step) {
+                now += std::chrono::milliseconds { *rc::gen::inRange(0, 3000) };
+                const int what = *rc::gen::inRange(0, 10);
+                if (what < 2 && table.mayOpen(team)) {
+                    const KeyId owner { what == 0 ? "k0" : "k1" };
+                    table.reserve(team);
+                    const auto id = table.open(
+                        { .team = team, .key = owner, .connection = PinnedConnection { ++lastConnection } },
+                        now);
+                    RC_ASSERT(
+                        open.emplace(id, Model { PinnedConnection { lastConnection }, owner, {} }).second);
+                    everOpened.push_back(id);
+                } else if (what < 6 && !everOpened.empty()) {
+                    const auto id = everOpened[*rc::gen::inRange<std::size_t>(0, everOpened.size())];
+                    const KeyId caller { *rc::gen::arbitrary<bool>() ? "k0" : "k1" };
+                    try {
+                        const auto lease = table.enter(id, team, caller, now);
+                        auto& model = open.at(id);
+                        RC_ASSERT(model.key == caller);
+                        RC_ASSERT(!model.running);
+                        RC_ASSERT(lease.connection == model.connection);
+                        model.running = lease.exchange;
+                        sent.push_back({ id, lease.exchange });
+                    } catch (const RequestError& error) {
+                        RC_ASSERT(error.outcome() == Outcome::NotRun);
+                    }
+                } else if (what < 8 && !sent.empty()) {
+                    // Answers come in any order, and some twice.
+                    const auto answer = sent[*rc::gen::inRange<std::size_t>(0, sent.size())];
+                    const auto model = open.find(answer.id);
+                    const bool due = model != open.end() && model->second.running == answer.exchange;
+                    const auto after = table.leave(answer.id, answer.exchange, ExchangeResult::Answered, now);
+                    RC_ASSERT((after == AfterExchange::Late) == !due);
+                    if (after == AfterExchange::KeepOpen)
+                        model->second.running.reset();
+                    if (after == AfterExchange::RollBack)
+                        open.erase(answer.id);
+                } else if (what == 8) {
+                    forget(table.expire(now));
+                } else {
+                    forget(table.withdrawKey(KeyId { "k0" }));
+                    for (const auto& [id, model] : open)
+                        RC_ASSERT(model.key != KeyId { "k0" });
+                }
+                RC_ASSERT(table.size() == open.size());
+            }
+        });
+    }
+}
