Make the pool's books readable for the linter

Change: the time of an exchange without answer is a plain instant with a named value for none; an unused query is gone.

--- a/include/cyclamendrift/connections/connection_pool.h
+++ b/include/cyclamendrift/connections/connection_pool.h
@@ -110,13 +110,14 @@
     [[nodiscard]] bool isBackingOff(Instant now) const noexcept { return now < this->openAgainAt; }
 
 private:
+    static constexpr Instant noExchange = Instant::max();
     enum class Phase : std::uint8_t { Opening, Idle, Probing, InUse };
     struct Entry {
         Phase phase = Phase::Opening;
         Instant since;
         Instant lastAnswer;
-        /// Time of the exchange that has no answer yet.
-        std::optional<Instant> outstanding;
+        /// When what has no answer yet was sent; noExchange when nothing is outstanding.
+        Instant sentAt = noExchange;
     };
 
     void closeSilentProbes(Instant now, std::vector<PoolAction>& actions);
--- a/include/cyclamendrift/connections/fair_queue.h
+++ b/include/cyclamendrift/connections/fair_queue.h
@@ -99,9 +99,6 @@
     /// Requests that wait.
     [[nodiscard]] std::size_t size() const noexcept { return this->queued; }
 
-    /// Earliest deadline of those that wait.
-    [[nodiscard]] std::optional<Instant> nextDeadline() const;
-
 private:
     struct Team {
         std::deque<QueuedRequest> high;
--- a/src/connections/connection_pool.cpp
+++ b/src/connections/connection_pool.cpp
@@ -12,6 +12,7 @@
 std::vector<PoolAction> ConnectionPool::update(Instant now, std::size_t waiting)
 {
     std::vector<PoolAction> actions;
+    actions.reserve(this->toClose.size());
     for (const auto id : this->toClose)
         actions.emplace_back(CloseConnection { id });
     this->toClose.clear();
@@ -26,7 +27,7 @@
 
 bool ConnectionPool::isSuspect(const Entry& entry, Instant now) const noexcept
 {
-    return entry.outstanding && now - *entry.outstanding >= this->options.suspectAfter;
+    return entry.sentAt != noExchange && now - entry.sentAt >= this->options.suspectAfter;
 }
 
 void ConnectionPool::closeSilentProbes(Instant now, std::vector<PoolAction>& actions)
@@ -37,7 +38,7 @@
     // connects to its troubles.
     for (auto entry = this->connections.begin(); entry != this->connections.end();) {
         const bool silent = entry->second.phase == Phase::Probing && this->isSuspect(entry->second, now)
-            && this->lastSlotAnswer > *entry->second.outstanding;
+            && this->lastSlotAnswer > entry->second.sentAt;
         if (!silent) {
             ++entry;
             continue;
@@ -60,10 +61,10 @@
     for (auto entry = this->connections.begin(); entry != this->connections.end(); ++entry) {
         if (!this->isSuspect(entry->second, now))
             return;
-        if (oldest == this->connections.end() || *entry->second.outstanding < *oldest->second.outstanding)
+        if (oldest == this->connections.end() || entry->second.sentAt < oldest->second.sentAt)
             oldest = entry;
     }
-    if (oldest == this->connections.end() || this->lastSlotAnswer <= *oldest->second.outstanding)
+    if (oldest == this->connections.end() || this->lastSlotAnswer <= oldest->second.sentAt)
         return;
     this->lastSacrifice = now;
     actions.emplace_back(CloseConnection { oldest->first });
@@ -72,13 +73,14 @@
 
 void ConnectionPool::probeIdle(Instant now, std::vector<PoolAction>& actions)
 {
-    for (auto& [id, entry] : this->connections) {
+    for (auto& item : this->connections) {
+        auto& entry = item.second;
         if (entry.phase != Phase::Idle || now - entry.lastAnswer < this->options.probeAfter)
             continue;
         entry.phase = Phase::Probing;
         entry.since = now;
-        entry.outstanding = now;
-        actions.emplace_back(ProbeConnection { id });
+        entry.sentAt = now;
+        actions.emplace_back(ProbeConnection { item.first });
     }
 }
 
@@ -134,7 +136,7 @@
 {
     const auto entry = this->connections.find(id);
     if (entry != this->connections.end())
-        entry->second.outstanding = now;
+        entry->second.sentAt = now;
 }
 
 void ConnectionPool::answered(ConnectionId id, Instant now)
@@ -143,7 +145,7 @@
     const auto entry = this->connections.find(id);
     if (entry == this->connections.end())
         return;
-    entry->second.outstanding.reset();
+    entry->second.sentAt = noExchange;
     entry->second.lastAnswer = now;
     if (entry->second.phase == Phase::Probing)
         entry->second.phase = Phase::Idle;
@@ -155,7 +157,7 @@
     if (entry == this->connections.end() || entry->second.phase != Phase::InUse)
         return;
     // A transaction left open, or an answer still to come, would reach the next user of the connection.
-    if (state != ReleaseState::Clean || entry->second.outstanding || this->retired) {
+    if (state != ReleaseState::Clean || entry->second.sentAt != noExchange || this->retired) {
         this->toClose.push_back(id);
         this->connections.erase(entry);
         return;
--- a/src/connections/fair_queue.cpp
+++ b/src/connections/fair_queue.cpp
@@ -250,18 +250,4 @@
     this->unavailableReason = reason;
 }
 
-std::optional<Instant> FairQueue::nextDeadline() const
-{
-    std::optional<Instant> earliest;
-    const auto consider = [&](const std::deque<QueuedRequest>& line) {
-        for (const auto& request : line)
-            earliest = earliest ? std::min(*earliest, request.deadline) : request.deadline;
-    };
-    for (const auto& [name, team] : this->teams) {
-        consider(team.high);
-        consider(team.normal);
-    }
-    return earliest;
-}
-
 } // namespace cyclamendrift
