--- a/src/connections/fair_queue.cpp
+++ b/src/connections/fair_queue.cpp
@@ -237,8 +237,8 @@
 std::vector<QueuedRequest> FairQueue::clear(Instant now)
 {
     auto all = this->expire(now);
-    while (auto request = this->pop())
-        all.push_back(std::move(*request));
+    for (auto request = this->pop(); request.has_value(); request = this->pop())
+        all.push_back(request.value());
     return all;
 }
 
