Empty the queue by its own picking rule

Cause: the linter cannot follow an optional through a loop. Change: clear() and pop() share the step that takes a request out of its team.

--- a/src/connections/fair_queue.cpp
+++ b/src/connections/fair_queue.cpp
@@ -184,6 +184,10 @@
     auto request = std::move(line.front());
     line.pop_front();
     --this->queued;
+    // Charged by expectation now and corrected in finished(): otherwise all free connections would go to the
+    // same team before any of them has come back.
+    team.virtualTime += team.expectedHold / team.weight;
+    request.charged = duration(team.expectedHold);
     return request;
 }
 
@@ -192,13 +196,7 @@
     const auto next = this->pickNext();
     if (next == this->teams.end())
         return std::nullopt;
-    auto& team = next->second;
-    auto request = this->popFrom(team);
-    // Charged by expectation now and corrected in finished(): otherwise all free connections would go to the
-    // same team before any of them has come back.
-    team.virtualTime += team.expectedHold / team.weight;
-    request.charged = duration(team.expectedHold);
-    return request;
+    return this->popFrom(next->second);
 }
 
 void FairQueue::finished(const QueuedRequest& request, Duration held)
@@ -237,8 +235,8 @@
 std::vector<QueuedRequest> FairQueue::clear(Instant now)
 {
     auto all = this->expire(now);
-    for (auto request = this->pop(); request.has_value(); request = this->pop())
-        all.push_back(request.value());
+    while (this->queued > 0)
+        all.push_back(this->popFrom(this->pickNext()->second));
     return all;
 }
 
