--- a/src/callers/http_server.cpp
+++ b/src/callers/http_server.cpp
@@ -25,11 +25,11 @@
 constexpr auto comeBackToFullServer = std::chrono::seconds { 1 };
 constexpr std::size_t readBufferBytes = 16384;
 
-HttpRequest convert(restinio::request_t& request)
+HttpRequest convert(const restinio::request_t& request)
 {
     HttpRequest converted { .method = request.header().method().c_str(),
         .path = std::string { request.header().path() },
-        .body = std::move(request.body()) };
+        .body = request.body() };
     request.header().for_each_field([&converted](const restinio::http_header_field_t& field) {
         converted.headers.push_back({ field.name(), field.value() });
     });
@@ -95,6 +95,8 @@
     {
     }
 
+    // RESTinio asks for this name.
+    // NOLINTNEXTLINE(readability-identifier-naming)
     void state_changed(const restinio::connection_state::notice_t& notice) noexcept
     {
         const auto& cause = notice.cause();
@@ -122,6 +124,7 @@
     using logger_t = ConnectionErrorLogger;
     using stream_socket_t = AnsweringSocket;
     using connection_state_listener_t = ConnectionWatcher;
+    // NOLINTNEXTLINE(readability-identifier-naming)
     static constexpr bool use_connection_count_limiter = true;
 };
 
--- a/src/proxy/home_registry.cpp
+++ b/src/proxy/home_registry.cpp
@@ -96,8 +96,10 @@
 
 asio::awaitable<HomeAnswer> HomeRegistry::execute(HomeRequest request)
 {
-    if (!request.transaction)
-        co_return co_await this->homeFor(request.database)->execute(std::move(request));
+    if (!request.transaction) {
+        const auto home = this->homeFor(request.database);
+        co_return co_await home->execute(std::move(request));
+    }
     co_return co_await askEach<HomeAnswer>(
         this->allOf(request.database), [&request](DatabaseHome& home) { return home.execute(request); });
 }
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -198,7 +198,7 @@
         .fleet = this->fleet,
         .makeHome = [this](const auto& name, const auto& database) { return this->makeHome(name, database); },
         .drainHome =
-            [this](std::shared_ptr<DatabaseHome> home) {
+            [this](const std::shared_ptr<DatabaseHome>& home) {
                 asio::co_spawn(this->control.executor(), home->drain(), [home](const std::exception_ptr&) {});
             } });
     this->forwards.store(std::make_shared<ForwardService>(
