--- a/standins/load_caller.cpp
+++ b/standins/load_caller.cpp
@@ -153,17 +153,27 @@
 
     bool write(const std::string& row)
     {
+        const auto begin = Clock::now();
         if (!this->send(this->request(row, "write")))
             return false;
-        this->tally.change([&](LoadTally& shared) { shared.acknowledged.push_back(row); });
+        this->tally.change([&](LoadTally& shared) {
+            shared.acknowledged.push_back(row);
+            shared.writes.push_back(Clock::now() - begin);
+        });
         return true;
     }
 
     void readBack(const std::string& row)
     {
+        const auto begin = Clock::now();
         const auto answer = this->send(this->request(row, "read"));
-        if (answer && answer->rows_size() != 1)
-            this->tally.change([](LoadTally& shared) { ++shared.staleReads; });
+        if (!answer)
+            return;
+        this->tally.change([&](LoadTally& shared) {
+            shared.reads.push_back(Clock::now() - begin);
+            if (answer->rows_size() != 1)
+                ++shared.staleReads;
+        });
     }
 
     /// Sends to the next VM; one that refuses connections is passed over, as a balancer would.
--- a/standins/load_caller.h
+++ b/standins/load_caller.h
@@ -24,6 +24,9 @@
     std::vector<std::string> acknowledged;
     /// Longest time between one success and the next.
     Duration longestGap {};
+    /// How long each request that succeeded took.
+    std::vector<Duration> writes;
+    std::vector<Duration> reads;
 };
 
 /// Callers that reserve beds: each writes a row with a key of its own, then reads it back in the same session
