Call siblings over HTTP/2 streams that both ends authenticate

Entry proxies and homes need one connection with many calls whose fate is known. A call is Unreachable (not run) until its end was handed to the socket, Lost afterwards; an answer counts only when its stream ended whole and its code fits.

--- a/include/cyclamendrift/siblings/sibling_client.h
+++ b/include/cyclamendrift/siblings/sibling_client.h
@@ -6,6 +6,8 @@
 #include <asio/any_io_executor.hpp>
 #include <asio/awaitable.hpp>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -31,15 +33,28 @@
 };
 
 /// Calls sibling proxies over HTTP/2 streams, with one connection to each that is opened when first needed.
+/// Both ends prove that they know the secret; it is never sent itself. May be destroyed on any thread; calls
+/// still open then end with SiblingError.
 class SiblingClient {
 public:
     struct Options {
         VmName self;
         /// Shared secret of all proxies, from the settings.
         std::string secret;
+        Duration connectTimeout = std::chrono::seconds { 1 };
+        /// While calls are open, a PING frame goes out this often.
+        Duration pingInterval = std::chrono::milliseconds { 500 };
+        /// A connection that sends nothing for so long after a PING is taken for silent and closed.
+        Duration pingTimeout = std::chrono::seconds { 2 };
+        /// A connection without calls is closed after this time.
+        Duration idleTimeout = std::chrono::minutes { 1 };
+        /// Longest body of a call or an answer.
+        std::size_t maxMessageBytes = std::size_t { 32 } << 20U;
+        /// Calls that may be open to one sibling at a time; further ones end with Unreachable.
+        std::size_t maxCalls = 4096;
     };
 
-    SiblingClient(asio::any_io_executor executor, Options options);
+    SiblingClient(const asio::any_io_executor& executor, Options options);
     ~SiblingClient();
     SiblingClient(const SiblingClient&) = delete;
     SiblingClient& operator=(const SiblingClient&) = delete;
--- a/include/cyclamendrift/siblings/sibling_server.h
+++ b/include/cyclamendrift/siblings/sibling_server.h
@@ -6,6 +6,8 @@
 #include <asio/any_io_executor.hpp>
 #include <asio/awaitable.hpp>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -22,8 +24,9 @@
     std::string traceparent;
 };
 
-/// Serves calls of sibling proxies over HTTP/2 streams. Calls that do not carry the shared secret are
-/// refused.
+/// Serves calls of sibling proxies over HTTP/2 streams. Calls of those that do not know the shared secret are
+/// refused. A handler runs on the executor once its call has arrived whole; when the caller goes away
+/// meanwhile it runs on and its answer is dropped. May be destroyed on any thread.
 class SiblingServer {
 public:
     /// Answers a call with the body to return; a RequestError that it throws reaches the calling sibling.
@@ -31,13 +34,21 @@
 
     struct Options {
         std::string host;
-        /// 0 for any free port.
+        /// Port on that IP address; 0 for any free one.
         std::uint16_t port = 0;
         std::string secret;
         Handler handler;
+        Duration pingInterval = std::chrono::seconds { 5 };
+        /// A connection that sends nothing for so long after a PING is taken for silent and closed.
+        Duration pingTimeout = std::chrono::seconds { 10 };
+        /// Longest body of a call or an answer.
+        std::size_t maxMessageBytes = std::size_t { 32 } << 20U;
+        /// Calls that one sibling may have open at a time; its further ones wait at its side.
+        std::uint32_t maxStreams = 256;
+        std::size_t maxConnections = 8192;
     };
 
-    SiblingServer(asio::any_io_executor executor, Options options);
+    SiblingServer(const asio::any_io_executor& executor, Options options);
     ~SiblingServer();
     SiblingServer(const SiblingServer&) = delete;
     SiblingServer& operator=(const SiblingServer&) = delete;
--- /dev/null
+++ b/src/siblings/client_link.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "http2_link.h"
+#include "message_key.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cyclamendrift {
+
+/// One call on its way, and what has come back of it.
+struct ClientStream {
+    explicit ClientStream(const asio::any_io_executor& executor)
+        : finished(executor)
+    {
+    }
+
+    StreamId id = 0;
+    std::string status;
+    std::string result;
+    std::string nonce;
+    std::string code;
+    std::string body;
+    std::uint32_t errorCode = 0;
+    /// The other end may have got the whole call.
+    bool sent = false;
+    /// The answer has come to its end.
+    bool ended = false;
+    bool closed = false;
+    bool tooLong = false;
+    asio::steady_timer finished;
+};
+
+/// The calling end of a connection.
+class ClientLink final : public Http2Link {
+public:
+    struct Options {
+        Http2Link::Options link;
+        std::size_t maxMessageBytes = 0;
+        std::size_t maxCalls = 0;
+        std::function<void()> onClosed;
+    };
+    struct Message {
+        std::string method;
+        std::vector<HeaderField> fields;
+        std::string body;
+    };
+
+    ClientLink(asio::ip::tcp::socket socket, Options options);
+
+    /// Has the other end prove that it knows the secret; throws SiblingError.
+    [[nodiscard]] asio::awaitable<void> authenticate(MessageKey secretKey, Instant deadline);
+
+    /// Sends a message and waits until its stream has closed; throws SiblingError unless the answer is whole.
+    [[nodiscard]] asio::awaitable<std::shared_ptr<ClientStream>> exchange(Message message, Instant deadline);
+
+    /// The number that the next message will get.
+    [[nodiscard]] StreamId upcoming() const { return this->nextStream(); }
+    [[nodiscard]] const MessageKey& key() const noexcept { return this->connectionKey; }
+
+private:
+    void onHeader(StreamId stream, std::string_view name, std::string_view value) override;
+    void onData(StreamId stream, std::string_view data) override;
+    void onEnd(StreamId stream) override;
+    void onSent(StreamId stream) override;
+    void onStreamClosed(StreamId stream, std::uint32_t errorCode) override;
+    void onLinkClosed() override;
+
+    [[nodiscard]] std::shared_ptr<ClientStream> find(StreamId stream) const;
+    [[nodiscard]] std::shared_ptr<ClientStream> submit(Message message);
+    void finish(ClientStream& stream, std::uint32_t errorCode);
+
+    Options options;
+    MessageKey connectionKey;
+    std::map<StreamId, std::shared_ptr<ClientStream>> streams;
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/siblings/http2_link.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <cyclamendrift/core/instant.h>
+
+#include <asio/any_io_executor.hpp>
+#include <asio/awaitable.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <nghttp2/nghttp2.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamendrift {
+
+/// One field of a head of a message.
+struct HeaderField {
+    std::string name;
+    std::string value;
+};
+
+using StreamId = std::int32_t;
+
+/// One HTTP/2 connection between siblings. Used on one strand.
+class Http2Link : public std::enable_shared_from_this<Http2Link> {
+public:
+    enum class Side : std::uint8_t { Client, Server };
+    struct Options {
+        Side side = Side::Client;
+        std::uint32_t maxStreams = 0;
+        Duration pingInterval {};
+        Duration pingTimeout {};
+        /// Closes the link when no stream was open for so long; zero for never.
+        Duration idleTimeout {};
+    };
+
+    virtual ~Http2Link();
+    Http2Link(const Http2Link&) = delete;
+    Http2Link& operator=(const Http2Link&) = delete;
+
+    /// Begins to read and to watch the other end.
+    void start();
+    /// Ends the connection at once.
+    void close();
+    /// Tells the other end to open no further streams; the link closes when the last one has ended.
+    void drain();
+    [[nodiscard]] bool isClosed() const noexcept { return this->closed; }
+    [[nodiscard]] bool takesStreams() const;
+
+protected:
+    Http2Link(asio::ip::tcp::socket socket, const Options& options);
+
+    // What happens on the link. A stream's end says that the other end has sent all of it.
+    virtual void onHeader(StreamId stream, std::string_view name, std::string_view value) = 0;
+    virtual void onData(StreamId stream, std::string_view data) = 0;
+    virtual void onEnd(StreamId stream) = 0;
+    /// All of an outgoing message went to the socket's buffer.
+    virtual void onSent(StreamId stream) = 0;
+    virtual void onStreamClosed(StreamId stream, std::uint32_t errorCode) = 0;
+    virtual void onLinkClosed() = 0;
+
+    [[nodiscard]] StreamId nextStream() const;
+    /// Begins a stream; returns its number or a negative error of nghttp2.
+    StreamId submitRequest(std::span<const HeaderField> fields, std::string body);
+    void submitResponse(StreamId stream, std::span<const HeaderField> fields, std::string body);
+    void reset(StreamId stream, std::uint32_t errorCode);
+    /// Sends what is waiting to be sent.
+    void flush();
+    [[nodiscard]] asio::any_io_executor executor() { return this->socket.get_executor(); }
+
+private:
+    struct OutgoingBody {
+        std::string data;
+        std::size_t offset = 0;
+    };
+    struct Callbacks;
+
+    static asio::awaitable<void> readAll(std::shared_ptr<Http2Link> self);
+    void receive(std::string_view bytes);
+    void write();
+    void watch();
+    void checkPing();
+    [[nodiscard]] bool hasStreams() const noexcept { return this->openStreams > 0; }
+    [[nodiscard]] nghttp2_data_provider keepBody(StreamId stream, std::string body);
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    Options options;
+    nghttp2_session* session = nullptr;
+    std::map<StreamId, OutgoingBody> bodies;
+    std::vector<std::uint8_t> writing;
+    std::size_t openStreams = 0;
+    Duration sincePing {};
+    Duration idleFor {};
+    bool pingOutstanding = false;
+    bool insideSession = false;
+    bool isWriting = false;
+    bool draining = false;
+    bool closed = false;
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/siblings/message_key.cpp
@@ -0,0 +1,83 @@
+#include "message_key.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <stdexcept>
+
+namespace cyclamendrift {
+
+namespace {
+
+void initialiseSodium()
+{
+    if (sodium_init() < 0)
+        throw std::runtime_error { "libsodium cannot be initialised" };
+}
+
+template <std::size_t size> std::string hexOf(const std::array<unsigned char, size>& bytes)
+{
+    std::string text(2 * size + 1, '\0');
+    sodium_bin2hex(text.data(), text.size(), bytes.data(), bytes.size());
+    text.pop_back();
+    return text;
+}
+
+} // namespace
+
+MessageKey MessageKey::fromSecret(std::string_view secret)
+{
+    initialiseSodium();
+    MessageKey result;
+    result.key = result.digest({ "cyclamendrift sibling", secret });
+    return result;
+}
+
+MessageKey MessageKey::derive(std::string_view clientNonce, std::string_view serverNonce) const
+{
+    MessageKey result;
+    result.key = this->digest({ "connection", clientNonce, serverNonce });
+    return result;
+}
+
+std::string MessageKey::codeOf(std::initializer_list<std::string_view> fields) const
+{
+    return hexOf(this->digest(fields));
+}
+
+bool MessageKey::verify(std::string_view code, std::initializer_list<std::string_view> fields) const
+{
+    const auto expected = this->codeOf(fields);
+    return code.size() == expected.size()
+        && sodium_memcmp(code.data(), expected.data(), expected.size()) == 0;
+}
+
+/// Each field goes in with its length before it; otherwise "ab" + "c" and "a" + "bc" would have one code, and
+/// a method's name could be stretched into its body.
+MessageKey::Bytes MessageKey::digest(std::initializer_list<std::string_view> fields) const
+{
+    crypto_generichash_state state;
+    Bytes result {};
+    crypto_generichash_init(&state, this->key.data(), this->key.size(), result.size());
+    for (const auto field : fields) {
+        const std::uint64_t size = field.size();
+        std::array<unsigned char, sizeof(size)> sizeBytes {};
+        for (std::size_t index = 0; index < sizeBytes.size(); ++index)
+            sizeBytes[index] = static_cast<unsigned char>(size >> (8 * index));
+        crypto_generichash_update(&state, sizeBytes.data(), sizeBytes.size());
+        const auto* bytes = reinterpret_cast<const unsigned char*>(field.data());
+        crypto_generichash_update(&state, bytes, field.size());
+    }
+    crypto_generichash_final(&state, result.data(), result.size());
+    return result;
+}
+
+std::string makeNonce()
+{
+    initialiseSodium();
+    constexpr std::size_t nonceSize = 32;
+    std::array<unsigned char, nonceSize> bytes {};
+    randombytes_buf(bytes.data(), bytes.size());
+    return hexOf(bytes);
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/siblings/sibling_client.cpp
@@ -0,0 +1,276 @@
+#include "client_link.h"
+#include "message_key.h"
+#include "sibling_protocol.h"
+
+#include <cyclamendrift/siblings/sibling_client.h>
+#include <cyclamendrift/siblings/sibling_error.h>
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/ip/address.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/strand.hpp>
+#include <asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <compare>
+#include <exception>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace cyclamendrift {
+
+namespace protocol = sibling_protocol;
+using asio::ip::tcp;
+
+namespace {
+
+using LinkPointer = std::shared_ptr<ClientLink>;
+
+[[noreturn]] void fail(SiblingError::Kind kind, const std::string& message)
+{
+    throw SiblingError { kind, message };
+}
+
+/// Which connection a call goes over. A VM that came back at another address gets another one.
+struct PeerKey {
+    std::string vm;
+    std::string host;
+    std::uint16_t port = 0;
+
+    friend auto operator<=>(const PeerKey&, const PeerKey&) = default;
+};
+
+/// One attempt to connect, that every call which needs the connection waits for.
+struct ConnectAttempt {
+    bool done = false;
+    LinkPointer link;
+    std::exception_ptr failure;
+    std::vector<std::shared_ptr<asio::steady_timer>> waiting;
+
+    void finish()
+    {
+        this->done = true;
+        for (const auto& timer : this->waiting)
+            timer->cancel();
+    }
+};
+
+struct Peer {
+    LinkPointer link;
+    std::shared_ptr<ConnectAttempt> attempt;
+};
+
+asio::awaitable<tcp::socket> connectSocket(
+    asio::any_io_executor executor, std::string host, std::uint16_t port, Instant deadline)
+{
+    std::error_code error;
+    const tcp::endpoint endpoint { asio::ip::make_address(host, error), port };
+    if (error)
+        fail(SiblingError::Kind::Unreachable, "not an IP address: " + host);
+    auto socket = std::make_shared<tcp::socket>(executor);
+    asio::steady_timer timer { executor, deadline };
+    timer.async_wait([socket](const std::error_code& cancelled) {
+        std::error_code ignored;
+        if (!cancelled)
+            socket->close(ignored);
+    });
+    co_await socket->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+    if (error || !socket->is_open())
+        fail(SiblingError::Kind::Unreachable, "cannot connect to " + host + ':' + std::to_string(port));
+    co_return std::move(*socket);
+}
+
+} // namespace
+
+struct SiblingClient::State : std::enable_shared_from_this<State> {
+    State(const asio::any_io_executor& executor, Options options)
+        : strand(asio::make_strand(executor))
+        , options(std::move(options))
+        , secretKey(MessageKey::fromSecret(this->options.secret))
+    {
+    }
+
+    static asio::awaitable<std::string> call(
+        std::shared_ptr<State> self, SiblingAddress address, SiblingCall call);
+    static asio::awaitable<LinkPointer> linkTo(
+        std::shared_ptr<State> self, SiblingAddress address, Instant deadline);
+    static asio::awaitable<void> connect(
+        std::shared_ptr<State> self, PeerKey key, std::shared_ptr<ConnectAttempt> attempt);
+    static asio::awaitable<LinkPointer> open(std::shared_ptr<State> self, PeerKey key);
+
+    [[nodiscard]] ClientLink::Message messageOf(const ClientLink& link, SiblingCall& call) const;
+    void forget(const PeerKey& key);
+    void closeAll();
+
+    asio::any_io_executor strand;
+    Options options;
+    MessageKey secretKey;
+    std::map<PeerKey, Peer> peers;
+    bool stopped = false;
+};
+
+ClientLink::Message SiblingClient::State::messageOf(const ClientLink& link, SiblingCall& call) const
+{
+    const auto remaining = call.deadline - std::chrono::steady_clock::now();
+    const auto timeout = std::chrono::duration_cast<std::chrono::microseconds>(remaining);
+    if (timeout <= timeout.zero())
+        fail(SiblingError::Kind::Unreachable, "the deadline had passed; nothing was sent");
+    const auto timeoutText = std::to_string(timeout.count());
+    const auto number = std::to_string(link.upcoming());
+    ClientLink::Message message;
+    message.method = '/' + call.method;
+    const auto code = link.key().codeOf({ protocol::callLabel, number, this->options.self.view(),
+        message.method, timeoutText, call.traceparent, call.body });
+    message.fields = {
+        { std::string { protocol::fromField }, this->options.self.string() },
+        { std::string { protocol::timeoutField }, timeoutText },
+        { std::string { protocol::codeField }, code },
+    };
+    if (!call.traceparent.empty())
+        message.fields.push_back({ std::string { protocol::traceField }, call.traceparent });
+    message.body = std::move(call.body);
+    return message;
+}
+
+asio::awaitable<std::string> SiblingClient::State::call(
+    std::shared_ptr<State> self, SiblingAddress address, SiblingCall call)
+{
+    const auto link = co_await linkTo(self, std::move(address), call.deadline);
+    auto message = self->messageOf(*link, call);
+    const auto answer = co_await link->exchange(std::move(message), call.deadline);
+    if (answer->status == "401")
+        fail(SiblingError::Kind::NotAuthenticated, "the sibling did not accept the call's code");
+    const auto number = std::to_string(answer->id);
+    if (!link->key().verify(answer->code, { protocol::answerLabel, number, answer->result, answer->body }))
+        fail(SiblingError::Kind::BadAnswer, "the answer's code is wrong");
+    if (answer->result == protocol::refusedResult)
+        throw protocol::decodeRefusal(answer->body);
+    if (answer->result != protocol::answeredResult)
+        fail(SiblingError::Kind::BadAnswer, "the sibling's answer is of no known kind");
+    co_return std::move(answer->body);
+}
+
+asio::awaitable<LinkPointer> SiblingClient::State::linkTo(
+    std::shared_ptr<State> self, SiblingAddress address, Instant deadline)
+{
+    const PeerKey key { .vm = address.vm.string(), .host = address.host, .port = address.port };
+    if (self->stopped)
+        fail(SiblingError::Kind::Unreachable, "the client is being closed");
+    auto& peer = self->peers[key];
+    if (peer.link && peer.link->takesStreams())
+        co_return peer.link;
+    if (!peer.attempt) {
+        peer.attempt = std::make_shared<ConnectAttempt>();
+        asio::co_spawn(self->strand, connect(self, key, peer.attempt), asio::detached);
+    }
+    const auto attempt = peer.attempt;
+    const auto timer = std::make_shared<asio::steady_timer>(self->strand, deadline);
+    attempt->waiting.push_back(timer);
+    std::error_code ignored;
+    co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    std::erase(attempt->waiting, timer);
+    if (!attempt->done)
+        fail(SiblingError::Kind::Unreachable, "no connection to the sibling before the deadline");
+    if (attempt->failure)
+        std::rethrow_exception(attempt->failure);
+    co_return attempt->link;
+}
+
+asio::awaitable<void> SiblingClient::State::connect(
+    std::shared_ptr<State> self, PeerKey key, std::shared_ptr<ConnectAttempt> attempt)
+{
+    try {
+        attempt->link = co_await open(self, key);
+    } catch (const SiblingError&) {
+        attempt->failure = std::current_exception();
+    } catch (const std::exception& error) {
+        attempt->failure
+            = std::make_exception_ptr(SiblingError { SiblingError::Kind::Unreachable, error.what() });
+    }
+    auto& peer = self->peers[key];
+    peer.attempt = nullptr;
+    peer.link = attempt->link;
+    if (attempt->failure)
+        self->forget(key);
+    attempt->finish();
+    if (self->stopped)
+        self->closeAll();
+}
+
+asio::awaitable<LinkPointer> SiblingClient::State::open(std::shared_ptr<State> self, PeerKey key)
+{
+    const auto deadline = std::chrono::steady_clock::now() + self->options.connectTimeout;
+    auto socket = co_await connectSocket(self->strand, key.host, key.port, deadline);
+    ClientLink::Options linkOptions;
+    linkOptions.link.side = Http2Link::Side::Client;
+    linkOptions.link.pingInterval = self->options.pingInterval;
+    linkOptions.link.pingTimeout = self->options.pingTimeout;
+    linkOptions.link.idleTimeout = self->options.idleTimeout;
+    linkOptions.maxMessageBytes = self->options.maxMessageBytes;
+    linkOptions.maxCalls = self->options.maxCalls;
+    linkOptions.onClosed = [weak = self->weak_from_this(), key] {
+        if (const auto state = weak.lock())
+            state->forget(key);
+    };
+    auto link = std::make_shared<ClientLink>(std::move(socket), std::move(linkOptions));
+    link->start();
+    std::exception_ptr failure;
+    try {
+        co_await link->authenticate(self->secretKey, deadline);
+    } catch (const SiblingError& error) {
+        // Nothing but the greeting was sent, so for the calls that wait the sibling is just out of reach.
+        const bool cut = error.kind() == SiblingError::Kind::Lost;
+        const auto kind = cut ? SiblingError::Kind::Unreachable : error.kind();
+        failure = std::make_exception_ptr(SiblingError { kind, error.what() });
+    }
+    if (failure) {
+        link->close();
+        std::rethrow_exception(failure);
+    }
+    co_return link;
+}
+
+/// Siblings come and go; what is kept of one that has gone would only grow.
+void SiblingClient::State::forget(const PeerKey& key)
+{
+    const auto found = this->peers.find(key);
+    if (found == this->peers.end() || found->second.attempt)
+        return;
+    if (!found->second.link || found->second.link->isClosed())
+        this->peers.erase(found);
+}
+
+void SiblingClient::State::closeAll()
+{
+    this->stopped = true;
+    const auto open = this->peers;
+    for (const auto& [key, peer] : open) {
+        if (peer.link)
+            peer.link->close();
+    }
+}
+
+SiblingClient::SiblingClient(const asio::any_io_executor& executor, Options options)
+    : state(std::make_shared<State>(executor, std::move(options)))
+{
+}
+
+SiblingClient::~SiblingClient()
+{
+    asio::post(this->state->strand, [state = this->state] { state->closeAll(); });
+}
+
+asio::awaitable<std::string> SiblingClient::call(SiblingAddress address, SiblingCall call)
+{
+    const auto state = this->state;
+    co_return co_await asio::co_spawn(
+        state->strand, State::call(state, std::move(address), std::move(call)), asio::use_awaitable);
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/tests/siblings/sibling_test.cpp
@@ -0,0 +1,427 @@
+#include "../coroutine.h"
+#include "relay.h"
+
+#include <cyclamendrift/core/request_error.h>
+#include <cyclamendrift/siblings/sibling_client.h>
+#include <cyclamendrift/siblings/sibling_error.h>
+#include <cyclamendrift/siblings/sibling_server.h>
+
+#include <asio/steady_timer.hpp>
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto secret = "the secret that all siblings know";
+
+/// A sibling that serves and one that calls it, on one thread.
+struct Pair {
+    explicit Pair(SiblingServer::Handler handler, const char* serverSecret = secret)
+        : server(std::in_place, context.get_executor(),
+            SiblingServer::Options { .host = "127.0.0.1",
+                .secret = serverSecret,
+                .handler = std::move(handler),
+                .pingInterval = 1h,
+                .pingTimeout = 10h,
+                .maxMessageBytes = maxBytes })
+        , relay(context, server->port())
+        , client(std::in_place, context.get_executor(),
+              SiblingClient::Options { .self = VmName { "vm-1" },
+                  .secret = secret,
+                  .connectTimeout = 20s,
+                  .pingInterval = 50ms,
+                  .pingTimeout = 200ms,
+                  .maxMessageBytes = maxBytes })
+    {
+    }
+
+    std::string call(SiblingCall call)
+    {
+        const SiblingAddress address {
+            .vm = VmName { "vm-2" }, .host = "127.0.0.1", .port = this->relay.port()
+        };
+        return runCoroutine(this->context, this->client->call(address, std::move(call)));
+    }
+
+    std::string call(std::string body)
+    {
+        return this->call(
+            SiblingCall { .method = "Echo", .body = std::move(body), .deadline = soon(), .traceparent = "" });
+    }
+
+    static Instant soon() { return std::chrono::steady_clock::now() + 60s; }
+    static constexpr std::size_t maxBytes = std::size_t { 8 } << 20U;
+
+    asio::io_context context;
+    std::optional<SiblingServer> server;
+    Relay relay;
+    std::optional<SiblingClient> client;
+};
+
+asio::awaitable<std::string> echo(IncomingSiblingCall call) { co_return std::move(call.body); }
+
+template <class Action> SiblingError::Kind kindOf(Action&& action)
+{
+    try {
+        action();
+    } catch (const SiblingError& error) {
+        return error.kind();
+    }
+    FAIL("no SiblingError was thrown");
+    throw std::logic_error { "not reached" };
+}
+
+/// Ends when the flag is set, so that a test decides when a handler answers.
+asio::awaitable<void> waitFor(const bool& flag)
+{
+    asio::steady_timer timer { co_await asio::this_coro::executor };
+    while (!flag) {
+        timer.expires_after(1ms);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<void> readToEnd(asio::ip::tcp::socket& socket)
+{
+    std::string chunk(4096, '\0');
+    std::error_code error;
+    while (!error)
+        co_await socket.async_read_some(
+            asio::buffer(chunk), asio::redirect_error(asio::use_awaitable, error));
+}
+
+} // namespace
+
+TEST_SUITE("calls between siblings")
+{
+    TEST_CASE("a call arrives with its caller, method, time left and trace, and its answer comes back")
+    {
+        std::optional<IncomingSiblingCall> seen;
+        Pair pair { [&](IncomingSiblingCall call) -> asio::awaitable<std::string> {
+            seen = call;
+            co_return "done";
+        } };
+        const auto deadline = Pair::soon();
+        const auto answer = pair.call(
+            { .method = "Execute", .body = "order", .deadline = deadline, .traceparent = "00-ab-cd-01" });
+        CHECK(answer == "done");
+        REQUIRE(seen.has_value());
+        CHECK(seen->from == VmName { "vm-1" });
+        CHECK(seen->method == "Execute");
+        CHECK(seen->body == "order");
+        CHECK(seen->traceparent == "00-ab-cd-01");
+        CHECK(seen->deadline > deadline - 30s);
+    }
+
+    TEST_CASE("a body of many windows of flow control comes back whole, and small calls pass it")
+    {
+        Pair pair { echo };
+        std::string large(Pair::maxBytes, 'x');
+        large.back() = 'y';
+        std::vector<std::string> order;
+        const SiblingAddress address {
+            .vm = VmName { "vm-2" }, .host = "127.0.0.1", .port = pair.relay.port()
+        };
+        const auto spawn = [&](std::string name, std::string body) {
+            asio::co_spawn(pair.context,
+                pair.client->call(
+                    address, { .method = "Echo", .body = body, .deadline = Pair::soon(), .traceparent = "" }),
+                [&order, name, body](std::exception_ptr error, const std::string& answer) {
+                    CHECK_FALSE(error);
+                    CHECK(answer == body);
+                    order.push_back(name);
+                });
+        };
+        pair.call("first, so that the connection is open");
+        spawn("large", large);
+        spawn("small", "s");
+        pair.context.restart();
+        while (order.size() < 2)
+            pair.context.run_one();
+        CHECK(order == std::vector<std::string> { "small", "large" });
+    }
+
+    TEST_CASE("a refusal of the sibling reaches the caller as the same refusal")
+    {
+        // The home refuses for one of its reasons. Turned into a lost call on the way, a request that did not
+        // run would be reported as one whose outcome is unknown.
+        Pair pair { [](IncomingSiblingCall) -> asio::awaitable<std::string> {
+            throw RequestError { { .outcome = Outcome::NotRun,
+                .reason = RefusalReason::Overloaded,
+                .message = "queue is full",
+                .retryAfter = 120ms } };
+            co_return "";
+        } };
+        try {
+            pair.call("order");
+            FAIL("the refusal was lost");
+        } catch (const RequestError& error) {
+            CHECK(error.outcome() == Outcome::NotRun);
+            CHECK(error.reason() == RefusalReason::Overloaded);
+            CHECK(error.retryAfter() == 120ms);
+            CHECK(std::string { error.what() } == "queue is full");
+        }
+    }
+
+    TEST_CASE("a handler that fails leaves the outcome unknown")
+    {
+        // A bug or a full memory in the home after the statement was sent. "Not run" would be a guess.
+        Pair pair { [](IncomingSiblingCall) -> asio::awaitable<std::string> {
+            throw std::runtime_error { "out of luck" };
+            co_return "";
+        } };
+        try {
+            pair.call("order");
+            FAIL("the failure was lost");
+        } catch (const RequestError& error) {
+            CHECK(error.outcome() == Outcome::Unknown);
+        }
+    }
+
+    TEST_CASE("a call whose deadline has passed is not sent, one that is not answered in time is lost")
+    {
+        // A home that is overloaded answers too late. The caller is told at its deadline, truly.
+        int handled = 0;
+        const bool never = false;
+        Pair pair { [&](IncomingSiblingCall) -> asio::awaitable<std::string> {
+            ++handled;
+            co_await waitFor(never);
+            co_return "";
+        } };
+        const auto call = [&](Instant deadline) {
+            return kindOf([&] {
+                pair.call({ .method = "Execute", .body = "x", .deadline = deadline, .traceparent = "" });
+            });
+        };
+        CHECK(call(std::chrono::steady_clock::now() - 1ms) == SiblingError::Kind::Unreachable);
+        CHECK(handled == 0);
+        auto deadline = std::chrono::steady_clock::now();
+        auto result = SiblingError::Kind::Unreachable;
+        // On a machine under load a short deadline may pass before the call was sent; then nothing ran.
+        for (auto wait = 50ms; result == SiblingError::Kind::Unreachable; wait *= 2) {
+            CHECK(handled == 0);
+            deadline = std::chrono::steady_clock::now() + wait;
+            result = call(deadline);
+        }
+        CHECK(result == SiblingError::Kind::Lost);
+        CHECK(std::chrono::steady_clock::now() >= deadline);
+    }
+
+    TEST_CASE("a call or an answer over the bound is refused and harms no other call")
+    {
+        // A sibling of another version, or a caller that asks for a whole table. Without a bound one message
+        // could take the memory of the process.
+        Pair pair { [](IncomingSiblingCall call) -> asio::awaitable<std::string> {
+            co_return std::string(call.body == "much" ? Pair::maxBytes + 1 : 1, 'x');
+        } };
+        CHECK(kindOf([&] { pair.call(std::string(Pair::maxBytes + 1, 'x')); })
+            == SiblingError::Kind::Unreachable);
+        CHECK_THROWS_AS(pair.call("much"), RequestError);
+        CHECK(pair.call("little") == "x");
+    }
+}
+
+TEST_SUITE("connections between siblings that fail")
+{
+    TEST_CASE("nobody listens: the call was not sent")
+    {
+        Pair pair { echo };
+        std::uint16_t free = 0;
+        {
+            const asio::ip::tcp::acceptor acceptor { pair.context, { asio::ip::address_v4::loopback(), 0 } };
+            free = acceptor.local_endpoint().port();
+        }
+        const SiblingAddress address { .vm = VmName { "gone" }, .host = "127.0.0.1", .port = free };
+        CHECK(kindOf([&] {
+            runCoroutine(pair.context,
+                pair.client->call(
+                    address, { .method = "Echo", .body = "", .deadline = Pair::soon(), .traceparent = "" }));
+        }) == SiblingError::Kind::Unreachable);
+    }
+
+    TEST_CASE("an answer cut in the middle is lost and never taken for a whole one")
+    {
+        // The home dies while its answer is under way. The first half of a list of beds looks like a list of
+        // beds; shown to a coordinator, half of the beds would not exist.
+        Pair pair { [](IncomingSiblingCall) -> asio::awaitable<std::string> {
+            co_return std::string(100'000, 'x');
+        } };
+        std::size_t passed = 0;
+        pair.relay.toClient = [&](std::string& bytes) {
+            passed += bytes.size();
+            return passed < 50'000;
+        };
+        CHECK(kindOf([&] { pair.call("list"); }) == SiblingError::Kind::Lost);
+        passed = 0;
+        pair.relay.toClient = [](std::string&) { return true; };
+        CHECK(pair.call("list").size() == 100'000);
+    }
+
+    TEST_CASE("a call cut before its end was never run, and the caller is told so")
+    {
+        // The connection breaks while a large call is being sent. The home runs only what arrived whole, so
+        // the caller may safely send it to another home.
+        int handled = 0;
+        Pair pair { [&](IncomingSiblingCall) -> asio::awaitable<std::string> {
+            ++handled;
+            co_return "";
+        } };
+        pair.call("first, so that the connection is open");
+        std::size_t passed = 0;
+        pair.relay.toServer = [&](std::string& bytes) {
+            passed += bytes.size();
+            return passed < 100'000;
+        };
+        CHECK(
+            kindOf([&] { pair.call(std::string(Pair::maxBytes, 'x')); }) == SiblingError::Kind::Unreachable);
+        CHECK(handled == 1);
+    }
+
+    TEST_CASE("a connection that went silent is found by PING, long before the deadline")
+    {
+        // Something between two siblings has lost track of their connection. Without a probe every call over
+        // it would wait for its own deadline, one after the other.
+        Pair pair { echo };
+        pair.call("first");
+        pair.relay.silence();
+        const auto deadline = std::chrono::steady_clock::now() + 1h;
+        CHECK(kindOf([&] {
+            pair.call({ .method = "Echo", .body = "x", .deadline = deadline, .traceparent = "" });
+        }) == SiblingError::Kind::Lost);
+        CHECK(pair.call("over a new connection") == "over a new connection");
+    }
+
+    TEST_CASE("a slow answer is not taken for a dead sibling")
+    {
+        // The home waits for a connection to its upstream for longer than any ping timeout. Were the
+        // connection closed for it, all other calls over it would be lost as well.
+        int pongs = 0;
+        bool mayAnswer = false;
+        Pair pair { [&](IncomingSiblingCall) -> asio::awaitable<std::string> {
+            co_await waitFor(mayAnswer);
+            co_return "late";
+        } };
+        pair.relay.toClient = [&](std::string& bytes) {
+            constexpr std::size_t pingFrameSize = 17;
+            constexpr char pingType = 6;
+            if (bytes.size() == pingFrameSize && bytes[3] == pingType)
+                ++pongs;
+            mayAnswer = pongs >= 8;
+            return true;
+        };
+        CHECK(pair.call("slow") == "late");
+    }
+
+    TEST_CASE("a server that drains ends what it has and refuses what comes after, without losing any")
+    {
+        // A planned stop. What is under way is answered; what comes later was not run and may go elsewhere.
+        bool mayAnswer = false;
+        bool started = false;
+        Pair pair { [&](IncomingSiblingCall) -> asio::awaitable<std::string> {
+            started = true;
+            co_await waitFor(mayAnswer);
+            co_return "finished";
+        } };
+        std::optional<std::string> first;
+        const SiblingAddress address {
+            .vm = VmName { "vm-2" }, .host = "127.0.0.1", .port = pair.relay.port()
+        };
+        asio::co_spawn(pair.context,
+            pair.client->call(
+                address, { .method = "Echo", .body = "", .deadline = Pair::soon(), .traceparent = "" }),
+            [&](std::exception_ptr error, std::string answer) {
+                CHECK_FALSE(error);
+                first = std::move(answer);
+            });
+        while (!started)
+            pair.context.run_one();
+        pair.server->drain();
+        CHECK(kindOf([&] { pair.call("too late"); }) == SiblingError::Kind::Unreachable);
+        mayAnswer = true;
+        pair.context.restart();
+        while (!first)
+            pair.context.run_one();
+        CHECK(first == "finished");
+    }
+}
+
+TEST_SUITE("who is a sibling")
+{
+    TEST_CASE("an end that does not know the secret is refused, and neither secret nor call reaches it")
+    {
+        // Another process listens at the address of a sibling that is gone. Sent the secret or a call, it
+        // could act as any proxy of the fleet.
+        int handled = 0;
+        std::string sent;
+        Pair pair { [&](IncomingSiblingCall) -> asio::awaitable<std::string> {
+                       ++handled;
+                       co_return "";
+                   },
+            "another secret" };
+        pair.relay.toServer = [&](std::string& bytes) {
+            sent += bytes;
+            return true;
+        };
+        CHECK(kindOf([&] { pair.call("an order"); }) == SiblingError::Kind::NotAuthenticated);
+        CHECK(handled == 0);
+        CHECK(sent.find(secret) == std::string::npos);
+        CHECK(sent.find("an order") == std::string::npos);
+    }
+
+    TEST_CASE("recorded bytes of a sibling run nothing when they are sent again")
+    {
+        // Somebody on the network records a call and sends it once more. A reservation would be made twice.
+        int handled = 0;
+        Pair pair { [&](IncomingSiblingCall) -> asio::awaitable<std::string> {
+            ++handled;
+            co_return "";
+        } };
+        std::string recorded;
+        pair.relay.toServer = [&](std::string& bytes) {
+            recorded += bytes;
+            return true;
+        };
+        pair.call("reserve");
+        REQUIRE(handled == 1);
+        asio::ip::tcp::socket socket { pair.context };
+        socket.connect({ asio::ip::address_v4::loopback(), pair.server->port() });
+        asio::write(socket, asio::buffer(recorded));
+        socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+        // The server closes its end once it has read all of it.
+        runCoroutine(pair.context, readToEnd(socket));
+        pair.context.restart();
+        pair.context.poll();
+        CHECK(handled == 1);
+    }
+
+    TEST_CASE("an answer that was changed under way is not believed")
+    {
+        // A middlebox or an attacker rewrites an answer; HTTP/2 alone would not notice.
+        Pair pair { [](IncomingSiblingCall) -> asio::awaitable<std::string> { co_return "bed 12 is free"; } };
+        pair.relay.toClient = [](std::string& bytes) {
+            if (const auto at = bytes.find("bed 12"); at != std::string::npos)
+                bytes[at + 4] = '9';
+            return true;
+        };
+        CHECK(kindOf([&] { pair.call("list"); }) == SiblingError::Kind::BadAnswer);
+    }
+
+    TEST_CASE("what is no HTTP/2 ends its own connection only")
+    {
+        // A port scanner, or a browser on the wrong port.
+        Pair pair { echo };
+        asio::ip::tcp::socket socket { pair.context };
+        socket.connect({ asio::ip::address_v4::loopback(), pair.server->port() });
+        asio::write(socket, asio::buffer(std::string { "GET / HTTP/1.1\r\nHost: sibling\r\n\r\n" }));
+        runCoroutine(pair.context, readToEnd(socket));
+        CHECK(pair.call("still there") == "still there");
+    }
+}
