--- a/include/cyclamendrift/proxy/settings.h
+++ b/include/cyclamendrift/proxy/settings.h
@@ -3,6 +3,7 @@
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
 #include <cyclamendrift/proxy/settings_error.h>
+#include <cyclamendrift/telemetry/event_log.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -63,16 +64,6 @@
     Duration deadAfter = std::chrono::seconds { 3 };
 };
 
-/// Severity from which on lines are logged.
-enum class LogLevel : std::uint8_t { Debug, Info, Warn, Error };
-
-/// `[log]`: where lines go.
-struct LogSettings {
-    LogLevel level = LogLevel::Info;
-    /// A path, or "-" for standard error.
-    std::string file = "-";
-};
-
 /// Everything that a daemon reads from its settings file.
 ///
 ///     const auto settings = parseSettings(text, "proxy.toml");
@@ -87,7 +78,8 @@
     Duration drainTimeout = std::chrono::seconds { 30 };
     /// `[threads] traffic`
     std::size_t trafficThreads = 2;
-    LogSettings log;
+    /// `[log]`
+    LogOptions log;
     /// `[traces] destination`: "none", "stderr" or host:port.
     std::string traces = "none";
 };
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -100,7 +100,7 @@
     return name == "error" ? LogLevel::Error : LogLevel::Info;
 }
 
-void readLog(SettingsReader& reader, LogSettings& log)
+void readLog(SettingsReader& reader, LogOptions& log)
 {
     std::string level = "info";
     reader.enter("log");
