--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -6,6 +6,7 @@
 #include <cyclamendrift/callers/http_server.h>
 #include <cyclamendrift/callers/rpc_dispatcher.h>
 #include <cyclamendrift/core/request_error.h>
+#include <cyclamendrift/operators/operators_service.h>
 #include <cyclamendrift/proxy/asio_timer_service.h>
 #include <cyclamendrift/proxy/forward_service.h>
 #include <cyclamendrift/proxy/home_registry.h>
@@ -103,6 +104,7 @@
     std::shared_ptr<HomeRegistry> homes;
     std::atomic<std::shared_ptr<ForwardService>> forwards;
     std::unique_ptr<SiblingServer> siblingServer;
+    std::unique_ptr<OperatorsService> operators;
     RpcDispatcher operatorDispatcher;
     std::unique_ptr<HttpServer> operatorServer;
     std::unique_ptr<TimerService::Subscription> homeRefresh;
@@ -258,6 +260,9 @@
 void Proxy::State::makeOperatorServer()
 {
     const auto& settings = this->options.settings.operators;
+    this->operators = std::make_unique<OperatorsService>(
+        OperatorsService::Options { .fleet = this->fleet, .secret = settings.secret });
+    this->operators->addTo(this->operatorDispatcher);
     this->operatorServer = std::make_unique<HttpServer>(this->control.io(),
         HttpServer::Options { .host = settings.listen.address,
             .port = settings.listen.port,
