--- a/src/operators/operator_profile.cpp
+++ b/src/operators/operator_profile.cpp
@@ -5,15 +5,14 @@
 #include <toml++/toml.h>
 
 #include <fstream>
-#include <utility>
 
 namespace cyclamendrift {
 
 namespace {
 
-[[noreturn]] void refuse(std::string message)
+[[noreturn]] void refuse(const std::string& message)
 {
-    throw OperatorError(OperatorError::Kind::Usage, std::move(message));
+    throw OperatorError(OperatorError::Kind::Usage, message);
 }
 
 std::vector<std::string> endpointsOf(const toml::table& table, const std::string& path)
