Serve a database from its upstreams

Cause: the thin home had no queue, pool, transactions, ledger or acknowledgement. A commit without an answer is resolved by claiming its ledger row at the primary in force. A write without an answer is asked after in the same way, which tells a silent connection from a slow statement. DatabaseHome gets setView() and observe(), with empty defaults.

--- a/include/cyclamendrift/commits/ledger.h
+++ b/include/cyclamendrift/commits/ledger.h
@@ -29,12 +29,10 @@
 struct CommittedBefore {
     RowSet answer;
 };
-/// It was given up before it committed and cannot commit any more.
-struct CancelledBefore { };
 /// The id belongs to another statement of the same team.
 struct DifferentStatement { };
 /// What the ledger says about a request.
-using LedgerFinding = std::variant<NotInLedger, CommittedBefore, CancelledBefore, DifferentStatement>;
+using LedgerFinding = std::variant<NotInLedger, CommittedBefore, DifferentStatement>;
 
 /// SQL of the table that keeps the outcome of each write in the database that it wrote to. The row is
 /// inserted in the write's own transaction, before its statement: it commits when the write commits, and a
@@ -67,9 +65,9 @@
     /// Adds the answer, in the same transaction.
     [[nodiscard]] Statement recordAnswer(const LedgerKey& key, const RowSet& answer) const;
 
-    /// Claims the request id for nothing if it is free, so that an attempt whose fate is unknown cannot
-    /// commit any more.
-    [[nodiscard]] Statement cancel(const LedgerKey& key, WallClockTime now) const;
+    /// Claims the request id if it is free. Waits until an attempt that is still open has ended, and affects
+    /// one row when no attempt has committed and none that was open can any more. Roll it back afterwards.
+    [[nodiscard]] Statement claim(const LedgerKey& key, WallClockTime now) const;
 
     /// Reads what became of a request.
     [[nodiscard]] Statement lookUp(const LedgerKey& key) const;
--- a/include/cyclamendrift/connections/retry_budget.h
+++ b/include/cyclamendrift/connections/retry_budget.h
@@ -35,6 +35,9 @@
     /// `attempt` counts the retries that this request has had.
     [[nodiscard]] std::optional<Duration> retry(std::size_t attempt, RandomSource& random);
 
+    /// True when there is a retry to take.
+    [[nodiscard]] bool available() const noexcept { return this->saved >= 1; }
+
 private:
     Options options;
     double saved;
--- a/include/cyclamendrift/proxy/database_home.h
+++ b/include/cyclamendrift/proxy/database_home.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cyclamendrift/commits/group_view.h>
+#include <cyclamendrift/commits/status_sample.h>
 #include <cyclamendrift/core/database_name.h>
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
@@ -9,6 +11,7 @@
 #include <asio/awaitable.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -65,6 +68,25 @@
     std::string traceparent;
 };
 
+/// What a home has done since it started.
+struct HomeCounters {
+    std::uint64_t replicaReads = 0;
+    std::uint64_t primaryReads = 0;
+    std::uint64_t writes = 0;
+    /// Writes answered from the ledger.
+    std::uint64_t replays = 0;
+    std::uint64_t retries = 0;
+    /// Writes whose COMMIT got no answer, and those of them whose fate the ledger then told.
+    std::uint64_t lostCommits = 0;
+    std::uint64_t resolvedCommits = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t ranAndFailed = 0;
+    std::uint64_t transactions = 0;
+    /// Transactions that timed out or whose key was withdrawn.
+    std::uint64_t transactionsEnded = 0;
+};
+
 /// How a database fares, for `status` and `/metrics`.
 struct HomeStatus {
     Term term {};
@@ -73,6 +95,8 @@
     std::string state;
     std::uint64_t queued = 0;
     std::uint64_t connections = 0;
+    std::uint64_t openTransactions = 0;
+    HomeCounters counters;
 };
 
 /// Serves one database at one of its home proxies: holds its connections, queue and transactions, and keeps
@@ -98,6 +122,12 @@
 
     /// How the database fares now.
     [[nodiscard]] virtual HomeStatus status() const = 0;
+
+    /// Takes in what the driver of the group knows of it; any thread may call.
+    virtual void setView(const std::shared_ptr<const GroupView>& view) { (void)view; }
+
+    /// Takes in what a slot said of itself; any thread may call.
+    virtual void observe(const StatusSample& sample) { (void)sample; }
 };
 
 } // namespace cyclamendrift
--- a/src/commits/ledger.cpp
+++ b/src/commits/ledger.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr auto committedState = "committed";
-constexpr auto cancelledState = "cancelled";
 constexpr auto base64Variant = sodium_base64_VARIANT_ORIGINAL;
 
 /// Hash over parts with their lengths, so that no two lists of parts run together into one text.
@@ -127,16 +125,16 @@
 Statement Ledger::createTable() const
 {
     return { .text = "CREATE TABLE IF NOT EXISTS " + this->options.table
-            + " (id text PRIMARY KEY, statement_hash text NOT NULL, state text NOT NULL, answer text,"
-              " recorded_at bigint NOT NULL)",
+            + " (id text PRIMARY KEY, statement_hash text NOT NULL, answer text, recorded_at bigint NOT "
+              "NULL)",
         .parameters = {} };
 }
 
 Statement Ledger::insert(const LedgerKey& key, WallClockTime now) const
 {
-    return { .text = "INSERT INTO " + this->options.table
-            + " (id, statement_hash, state, recorded_at) VALUES ($1, $2, $3, $4)",
-        .parameters = { rowIdOf(key), key.statementHash, committedState, millisecondsOf(now) } };
+    return { .text
+        = "INSERT INTO " + this->options.table + " (id, statement_hash, recorded_at) VALUES ($1, $2, $3)",
+        .parameters = { rowIdOf(key), key.statementHash, millisecondsOf(now) } };
 }
 
 Statement Ledger::recordAnswer(const LedgerKey& key, const RowSet& answer) const
@@ -148,16 +146,16 @@
         .parameters = { rowIdOf(key), encode(bytes) } };
 }
 
-Statement Ledger::cancel(const LedgerKey& key, WallClockTime now) const
+Statement Ledger::claim(const LedgerKey& key, WallClockTime now) const
 {
-    return { .text = "INSERT INTO " + this->options.table
-            + " (id, statement_hash, state, recorded_at) VALUES ($1, $2, $3, $4) ON CONFLICT DO NOTHING",
-        .parameters = { rowIdOf(key), key.statementHash, cancelledState, millisecondsOf(now) } };
+    auto statement = this->insert(key, now);
+    statement.text += " ON CONFLICT DO NOTHING";
+    return statement;
 }
 
 Statement Ledger::lookUp(const LedgerKey& key) const
 {
-    return { .text = "SELECT statement_hash, state, answer FROM " + this->options.table + " WHERE id = $1",
+    return { .text = "SELECT statement_hash, answer FROM " + this->options.table + " WHERE id = $1",
         .parameters = { rowIdOf(key) } };
 }
 
@@ -168,10 +166,8 @@
     const auto& row = lookUpAnswer.rows.front();
     if (row.at(0).value_or(std::string {}) != key.statementHash)
         return DifferentStatement {};
-    if (row.at(1).value_or(std::string {}) == cancelledState)
-        return CancelledBefore {};
     wire::LedgerAnswer message;
-    if (!message.ParseFromString(decode(row.at(2).value_or(std::string {}))))
+    if (!message.ParseFromString(decode(row.at(1).value_or(std::string {}))))
         message.Clear();
     return CommittedBefore { answerFrom(message) };
 }
--- a/src/connections/connection_pool.cpp
+++ b/src/connections/connection_pool.cpp
@@ -59,6 +59,9 @@
         return;
     auto oldest = this->connections.end();
     for (auto entry = this->connections.begin(); entry != this->connections.end(); ++entry) {
+        const bool pinned = entry->second.phase == Phase::InUse && entry->second.sentAt == noExchange;
+        if (pinned)
+            continue;
         if (!this->isSuspect(entry->second, now))
             return;
         if (oldest == this->connections.end() || entry->second.sentAt < oldest->second.sentAt)
