Reach the platform's store and list of VMs, and stand in for both

The fleet needs get, compare-and-swap, leases and watches with failures whose effect is told truly. Sent over a kept connection that dies before its answer, libcurl repeats a POST by itself; a body that cannot be rewound prevents it (with one that can, the test of the lost answer saw two writes; tried by hand).

--- /dev/null
+++ b/src/platform/curl_client.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cyclamendrift/core/instant.h>
+
+#include <asio/any_io_executor.hpp>
+#include <asio/awaitable.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cyclamendrift {
+
+struct CurlRequest {
+    std::string url;
+    /// Set for a POST.
+    std::optional<std::string> body;
+    /// Longest time for the whole exchange.
+    Duration timeout {};
+};
+
+struct CurlResponse {
+    long status = 0;
+    std::string body;
+};
+
+/// HTTP requests through libcurl's multi interface on Asio. Used on one thread.
+class CurlClient {
+public:
+    struct Options {
+        Duration connectTimeout {};
+        std::size_t maxAnswerBytes = 0;
+    };
+    /// Is handed pieces of an answer's body as they arrive.
+    using PieceHandler = std::function<void(std::string_view)>;
+
+    CurlClient(const asio::any_io_executor& executor, const Options& options);
+
+    /// Sends a request once and returns its whole answer; throws StoreError with Unreachable when nothing was
+    /// sent, NoAnswer when no whole answer came.
+    [[nodiscard]] asio::awaitable<CurlResponse> perform(CurlRequest request);
+
+    /// As perform(), but hands over the body of an answer with status 200 as it arrives.
+    [[nodiscard]] asio::awaitable<CurlResponse> stream(CurlRequest request, PieceHandler onPiece);
+
+private:
+    class Engine;
+    class Transfer;
+
+    std::shared_ptr<Engine> engine;
+};
+
+} // namespace cyclamendrift
