--- /dev/null
+++ b/src/configuration/configuration_trust.cpp
@@ -0,0 +1,101 @@
+#include <cyclamendrift/configuration/configuration_trust.h>
+
+#include <cyclamendrift/membership/home_map.h>
+
+#include <algorithm>
+
+namespace cyclamendrift {
+
+std::size_t quorumOf(std::size_t count) noexcept
+{
+    constexpr std::size_t smallFleet = 4;
+    if (count < smallFleet)
+        return count / 2 + 1;
+    return (count + 1) / 2 + 1;
+}
+
+std::vector<VmName> chooseWitnesses(std::span<const VmName> listed)
+{
+    std::vector<HomeCandidate> candidates;
+    candidates.reserve(listed.size());
+    // One zone for all: witnesses are chosen by weight alone, so that a change of the list moves at most one.
+    for (const auto& vm : listed)
+        candidates.push_back({ .vm = vm, .zone = ZoneName {} });
+    std::vector<VmName> names;
+    for (auto& chosen : chooseHomes(candidates, "witness", maxWitnesses))
+        names.push_back(std::move(chosen.vm));
+    return names;
+}
+
+void ConfigurationTrust::setWitnesses(std::vector<VmName> witnesses)
+{
+    this->names = std::move(witnesses);
+    std::erase_if(this->heard, [this](const auto& entry) { return !this->isWitness(entry.first); });
+}
+
+void ConfigurationTrust::onStoreRead(std::uint64_t sequence, Instant asked)
+{
+    if (this->storeRead && this->storeRead->asked >= asked)
+        return;
+    this->storeRead = { .sequence = sequence, .asked = asked };
+}
+
+void ConfigurationTrust::onStatement(const Heard& statement)
+{
+    if (!this->isWitness(statement.witness))
+        return;
+    auto& known = this->heard[statement.witness];
+    if (known.witness.empty()) {
+        known = statement;
+        return;
+    }
+    // A higher sequence is newer whatever the ages say; ages that passed through several processes are only
+    // upper bounds.
+    const bool newer = statement.sequence > known.sequence
+        || (statement.sequence == known.sequence && statement.madeAt > known.madeAt);
+    if (newer)
+        known = statement;
+}
+
+Instant ConfigurationTrust::trustedUntil(std::uint64_t sequence) const
+{
+    auto confirmed = Instant::min();
+    if (this->storeRead && this->storeRead->sequence <= sequence)
+        confirmed = this->storeRead->asked;
+    std::vector<Instant> times;
+    for (const auto& [vm, statement] : this->heard) {
+        if (statement.sequence <= sequence)
+            times.push_back(statement.madeAt);
+    }
+    const auto quorum = quorumOf(this->names.size());
+    if (!this->names.empty() && times.size() >= quorum) {
+        // The oldest of the freshest quorum decides: the quorum stands only as long as all of it does.
+        const auto last = times.begin() + static_cast<std::ptrdiff_t>(quorum - 1);
+        std::nth_element(times.begin(), last, times.end(), std::greater<> {});
+        confirmed = std::max(confirmed, *last);
+    }
+    return confirmed == Instant::min() ? confirmed : confirmed + this->options.window;
+}
+
+bool ConfigurationTrust::isAccepted(std::uint64_t sequence) const
+{
+    const auto holders = std::count_if(this->heard.begin(), this->heard.end(),
+        [sequence](const auto& entry) { return entry.second.sequence >= sequence; });
+    return !this->names.empty() && static_cast<std::size_t>(holders) >= quorumOf(this->names.size());
+}
+
+std::vector<ConfigurationTrust::Heard> ConfigurationTrust::statements() const
+{
+    std::vector<Heard> all;
+    all.reserve(this->heard.size());
+    for (const auto& [vm, statement] : this->heard)
+        all.push_back(statement);
+    return all;
+}
+
+bool ConfigurationTrust::isWitness(const VmName& vm) const
+{
+    return std::find(this->names.begin(), this->names.end(), vm) != this->names.end();
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/configuration/configuration_writer.cpp
@@ -0,0 +1,109 @@
+#include <cyclamendrift/configuration/configuration_writer.h>
+
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+ChangeFailed::Kind kindFrom(EditError::Kind kind) noexcept
+{
+    return kind == EditError::Kind::Conflict ? ChangeFailed::Kind::Conflict : ChangeFailed::Kind::Invalid;
+}
+
+void remember(wire::ConfigurationDocument& document, const std::string& changeId)
+{
+    auto& changes = *document.mutable_recent_changes();
+    auto* change = changes.Add();
+    change->set_change_id(changeId);
+    change->set_revision(document.revision());
+    if (changes.size() > rememberedChanges)
+        changes.DeleteSubrange(0, changes.size() - rememberedChanges);
+}
+
+} // namespace
+
+ConfigurationWriter::ConfigurationWriter(Options options)
+    : options(std::move(options))
+{
+}
+
+WriterAction ConfigurationWriter::start() const { return ReadDocument {}; }
+
+std::optional<ChangeDone> ConfigurationWriter::findApplied(const DocumentPointer& document) const
+{
+    if (this->options.changeId.empty())
+        return std::nullopt;
+    for (const auto& change : document->recent_changes()) {
+        if (change.change_id() == this->options.changeId)
+            return ChangeDone { .sequence = document->sequence(),
+                .revision = change.revision(),
+                .alreadyApplied = true,
+                .document = document };
+    }
+    return std::nullopt;
+}
+
+WriterAction ConfigurationWriter::onRead(const std::optional<StoredDocument>& stored)
+{
+    this->swapInFlight = false;
+    // After a lost answer the operator saw no result, and the swap may have taken effect all the same. The id
+    // in the document tells; without looking for it the change would be made twice.
+    if (stored) {
+        if (auto done = this->findApplied(stored->document))
+            return *std::move(done);
+    }
+    try {
+        return this->prepareSwap(stored);
+    } catch (const EditError& error) {
+        // A swap that is still under way somewhere can no longer take effect once the store has moved on, but
+        // this process cannot tell that from a store that has not moved yet.
+        const auto outcome = this->swapUnknown ? Outcome::Unknown : Outcome::NotRun;
+        return ChangeFailed { .kind = kindFrom(error.kind()), .outcome = outcome, .message = error.what() };
+    }
+}
+
+WriterAction ConfigurationWriter::prepareSwap(const std::optional<StoredDocument>& stored)
+{
+    auto next = stored ? std::make_shared<wire::ConfigurationDocument>(*stored->document)
+                       : std::make_shared<wire::ConfigurationDocument>();
+    if (!applyEdit(this->options.edit, *next)) {
+        return ChangeDone { .sequence = next->sequence(),
+            .revision = next->revision(),
+            .alreadyApplied = true,
+            .document = stored ? stored->document : next };
+    }
+    next->set_sequence(next->sequence() + 1);
+    next->set_author(this->options.author);
+    next->set_change_id(this->options.changeId);
+    if (!std::holds_alternative<MoveShards>(this->options.edit)) {
+        next->set_revision(next->revision() + 1);
+        remember(*next, this->options.changeId);
+    }
+    if (this->options.finish)
+        this->options.finish(*next);
+    this->written = std::move(next);
+    this->swapInFlight = true;
+    return SwapDocument { .expectedStoreRevision = stored ? stored->storeRevision : 0,
+        .document = this->written };
+}
+
+WriterAction ConfigurationWriter::onSwapped() const
+{
+    return ChangeDone { .sequence = this->written->sequence(),
+        .revision = this->written->revision(),
+        .document = this->written };
+}
+
+WriterAction ConfigurationWriter::onStoreFailure(bool sent, bool mayRetry)
+{
+    this->swapUnknown = this->swapUnknown || (this->swapInFlight && sent);
+    this->swapInFlight = false;
+    if (mayRetry)
+        return ReadDocument {};
+    return ChangeFailed { .kind = ChangeFailed::Kind::StoreUnavailable,
+        .outcome = this->swapUnknown ? Outcome::Unknown : Outcome::NotRun,
+        .message = "the configuration store did not answer" };
+}
+
+} // namespace cyclamendrift
