Split each team's bucket into shards that hand out short-lived grants

A limit has to hold over the whole fleet. A shard's level and its unlapsed grants never exceed its burst together; proxies spend grants within a second of asking, return what they do not use and ask ahead of need. Amounts are integers in millionths, so shards add up exactly.

--- /dev/null
+++ b/src/limits/limit_client.cpp
@@ -0,0 +1,270 @@
+#include <cyclamendrift/limits/limit_client.h>
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+/// Over this time the demand seen here is averaged.
+constexpr double demandSeconds = 0.5;
+/// A proxy holds at most this part of a team's burst ahead of need, so that the rest is there for the others.
+constexpr std::int64_t burstParts = 16;
+/// A grant with less time left than this is returned rather than kept.
+constexpr auto returnBefore = std::chrono::milliseconds { 200 };
+
+double secondsOf(Duration duration) { return std::chrono::duration<double> { duration }.count(); }
+
+} // namespace
+
+void LimitClient::setShards(const LimitRule& wholeRule, std::span<const ShardPlace> places)
+{
+    this->rule = wholeRule;
+    std::vector<Shard> next;
+    for (const auto& place : places) {
+        if (auto* known = this->find(place))
+            next.push_back(std::move(*known));
+        else
+            next.push_back({ .place = place });
+    }
+    this->shards = std::move(next);
+}
+
+LimitClient::Shard* LimitClient::find(const ShardPlace& place)
+{
+    for (auto& shard : this->shards) {
+        if (shard.place.index == place.index && shard.place.epoch == place.epoch)
+            return &shard;
+    }
+    return nullptr;
+}
+
+void LimitClient::noteDemand(Instant now)
+{
+    const auto elapsed = std::max(secondsOf(now - this->demandAt), 0.0);
+    this->demand = this->demand * std::exp(-elapsed / demandSeconds) + 1 / demandSeconds;
+    this->demandAt = now;
+}
+
+bool LimitClient::isIdle(Instant now) const noexcept
+{
+    return this->waiters.empty() && now - this->demandAt > this->options.idleTime;
+}
+
+Tokens LimitClient::atHand(Instant now) const
+{
+    Tokens total;
+    for (const auto& batch : this->batches) {
+        if (now < batch.spendUntil)
+            total += batch.left;
+    }
+    return total;
+}
+
+bool LimitClient::spendOne(Instant now)
+{
+    this->dropBatches(now);
+    if (this->atHand(now) < oneRequest)
+        return false;
+    auto needed = oneRequest;
+    while (needed.millionths > 0) {
+        auto& batch = this->batches.front();
+        const auto taken = std::min(needed, batch.left);
+        batch.left -= taken;
+        needed -= taken;
+        if (batch.left.millionths == 0) {
+            this->settle(batch);
+            this->batches.pop_front();
+        }
+    }
+    return true;
+}
+
+void LimitClient::settle(const Batch& batch)
+{
+    if (auto* shard = this->find(batch.shard))
+        shard->settlements.push_back({ .grant = batch.grant, .unspent = batch.left });
+}
+
+void LimitClient::dropBatches(Instant now)
+{
+    // A proxy that was paused finds grants whose time is over. The owner has counted them as spent and may
+    // have granted the same tokens again; spending them now would pass the team's rate and burst.
+    std::erase_if(this->batches, [now](const Batch& batch) { return batch.spendUntil <= now; });
+}
+
+bool LimitClient::tryTake(Instant now)
+{
+    this->noteDemand(now);
+    return this->waiters.empty() && this->spendOne(now);
+}
+
+AdmissionTicket LimitClient::wait(Instant now, Instant deadline)
+{
+    const AdmissionTicket ticket { ++this->lastTicket };
+    const auto until = std::min(deadline, now + this->options.maxWait);
+    this->waiters.push_back({ .ticket = ticket, .since = now, .until = until });
+    return ticket;
+}
+
+Tokens LimitClient::target(Instant now) const
+{
+    if (this->isIdle(now))
+        return {};
+    const auto expected = this->demand * secondsOf(this->options.batchTime);
+    const Tokens wanted { static_cast<std::int64_t>(expected) * oneRequest.millionths };
+    const Tokens most { this->rule.burst.millionths / burstParts };
+    return std::max(std::min(wanted, most), oneRequest);
+}
+
+Tokens LimitClient::deficit(Instant now) const
+{
+    const auto ahead = this->target(now);
+    auto have = this->atHand(now);
+    for (const auto& shard : this->shards)
+        have += shard.asked.value_or(Tokens {});
+    const bool low = have + have < ahead;
+    if (this->waiters.empty() && !low)
+        return {};
+    const Tokens waiting { static_cast<std::int64_t>(this->waiters.size()) * oneRequest.millionths };
+    return std::max(waiting + ahead - have, Tokens {});
+}
+
+bool LimitClient::wantsToAsk(Instant now) const
+{
+    const auto canBeAsked = [now](const Shard& shard) { return !shard.asked && shard.askFrom <= now; };
+    if (this->deficit(now).millionths > 0)
+        return std::any_of(this->shards.begin(), this->shards.end(), canBeAsked);
+    return this->isIdle(now) && !this->batches.empty();
+}
+
+std::vector<ShardAsk> LimitClient::asks(Instant now)
+{
+    this->dropBatches(now);
+    if (this->isIdle(now))
+        return this->returnAll(now);
+    // Returned in good time a token goes back into the bucket; left to lapse it would be lost to the team.
+    for (const auto& batch : this->batches) {
+        if (batch.spendUntil - now < returnBefore && this->waiters.empty())
+            this->settle(batch);
+    }
+    if (this->waiters.empty())
+        std::erase_if(
+            this->batches, [now](const Batch& batch) { return batch.spendUntil - now < returnBefore; });
+
+    std::vector<Shard*> ready;
+    for (std::size_t i = 0; i < this->shards.size(); ++i) {
+        auto& shard = this->shards[(this->nextShard + i) % this->shards.size()];
+        if (!shard.asked && shard.askFrom <= now)
+            ready.push_back(&shard);
+    }
+    const auto missing = this->deficit(now);
+    if (ready.empty() || missing.millionths <= 0)
+        return {};
+    // One whole request at least from each: a single missing one is not asked for in three places.
+    const auto requests = (missing.millionths + oneRequest.millionths - 1) / oneRequest.millionths;
+    const auto count = std::min<std::int64_t>(requests, static_cast<std::int64_t>(ready.size()));
+    std::vector<ShardAsk> messages;
+    for (std::int64_t i = 0; i < count; ++i) {
+        auto& shard = *ready[static_cast<std::size_t>(i)];
+        const Tokens want { (requests / count + (i < requests % count ? 1 : 0)) * oneRequest.millionths };
+        shard.asked = want;
+        messages.push_back(
+            { .shard = shard.place, .want = want, .settlements = std::exchange(shard.settlements, {}) });
+    }
+    this->nextShard = (this->nextShard + static_cast<std::size_t>(count)) % this->shards.size();
+    return messages;
+}
+
+void LimitClient::onAnswer(const ShardAnswer& answer, Instant now)
+{
+    if (answer.grant.amount.millionths > 0) {
+        // Counted from the question: the owner granted after it, so this proxy stops before the owner lets
+        // go.
+        this->batches.push_back({ .shard = answer.shard,
+            .grant = answer.grant.id,
+            .left = answer.grant.amount,
+            .spendUntil = answer.askedAt + grantLifetime });
+    }
+    auto* shard = this->find(answer.shard);
+    if (!shard)
+        return;
+    const auto want = std::exchange(shard->asked, std::nullopt).value_or(Tokens {});
+    shard->failed = false;
+    if (answer.grant.amount < want)
+        shard->askFrom = now + std::max(answer.grant.retryAfter, this->options.askPause);
+}
+
+void LimitClient::onFailure(const ShardPlace& place, Instant now)
+{
+    auto* shard = this->find(place);
+    if (!shard)
+        return;
+    shard->asked.reset();
+    shard->failed = true;
+    shard->askFrom = now + this->options.failurePause;
+}
+
+Instant LimitClient::nextChance() const
+{
+    auto next = Instant::max();
+    for (const auto& shard : this->shards)
+        next = std::min(next, shard.askFrom);
+    return next;
+}
+
+std::vector<AdmissionVerdict> LimitClient::verdicts(Instant now)
+{
+    std::vector<AdmissionVerdict> over;
+    while (!this->waiters.empty() && this->spendOne(now)) {
+        over.push_back({ .ticket = this->waiters.front().ticket, .admitted = true });
+        this->waiters.pop_front();
+    }
+    if (this->waiters.empty())
+        return over;
+    const bool asking = std::any_of(
+        this->shards.begin(), this->shards.end(), [](const Shard& shard) { return shard.asked.has_value(); });
+    const bool noOwner = std::all_of(
+        this->shards.begin(), this->shards.end(), [](const Shard& shard) { return shard.failed; });
+    // While an answer is under way a request may still be lucky. Otherwise it is told at once when it could
+    // not be served in time, with the time at which those before it will have been.
+    const auto chance = asking ? now : std::max(this->nextChance(), now);
+    std::int64_t place = 0;
+    std::deque<Waiter> staying;
+    for (const auto& waiter : this->waiters) {
+        const Tokens before { place * oneRequest.millionths };
+        const bool shardsKnown = !this->shards.empty();
+        const auto served
+            = shardsKnown ? chance + timeToAccrue(this->rule.ratePerSecond, before) : Instant::max();
+        if (served < waiter.until && now < waiter.until) {
+            staying.push_back(waiter);
+            ++place;
+            continue;
+        }
+        const auto wait = shardsKnown ? served - now : Duration { std::chrono::seconds { 1 } };
+        over.push_back({ .ticket = waiter.ticket,
+            .retryAfter = std::max<Duration>(wait, this->options.askPause),
+            .noOwner = noOwner });
+    }
+    this->waiters = std::move(staying);
+    return over;
+}
+
+std::vector<ShardAsk> LimitClient::returnAll(Instant now)
+{
+    this->dropBatches(now);
+    for (const auto& batch : this->batches)
+        this->settle(batch);
+    this->batches.clear();
+    std::vector<ShardAsk> messages;
+    for (auto& shard : this->shards) {
+        if (!shard.settlements.empty())
+            messages.push_back({ .shard = shard.place, .settlements = std::exchange(shard.settlements, {}) });
+    }
+    return messages;
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/limits/limit_shard_home.cpp
@@ -0,0 +1,103 @@
+#include <cyclamendrift/limits/limit_shard_home.h>
+
+#include <cyclamendrift/core/clock_drift.h>
+
+#include <algorithm>
+
+namespace cyclamendrift {
+
+LimitShardHome::LimitShardHome(const Options& options)
+    : rule(options.rule)
+    , bucket(std::min(options.level, options.rule.burst))
+    , refilledAt(options.now)
+{
+    if (options.outstanding.millionths > 0)
+        this->addOutstanding(options.outstanding, options.now);
+}
+
+void LimitShardHome::addOutstanding(Tokens amount, Instant now)
+{
+    const auto id = ++this->lastGrant;
+    this->grants.emplace(id, amount);
+    this->outstanding += amount;
+    // The proxy counts the lifetime from when it asked, on a clock that may run slower than this one.
+    // Counting exactly as long here would refill the bucket while the proxy still spends, and both together
+    // would pass the burst.
+    this->lapses.push_back({ .id = id, .at = now + coveringDrift(grantLifetime) });
+}
+
+void LimitShardHome::advance(Instant now)
+{
+    const auto gain = accrued(this->rule.ratePerSecond, now - this->refilledAt);
+    // Without a gain the time is left standing, or frequent calls would round every gain down to nothing.
+    if (gain.millionths > 0) {
+        // Room is what the bucket may hold beside the grants that can still be spent. It is measured before
+        // lapsed grants are dropped: tokens accrued while a grant stood had no room beside it.
+        const auto room = this->rule.burst - this->outstanding - this->bucket;
+        this->bucket += std::clamp(gain, Tokens {}, std::max(room, Tokens {}));
+        this->refilledAt = now;
+    }
+    while (!this->lapses.empty() && this->lapses.front().at <= now) {
+        const auto grant = this->grants.find(this->lapses.front().id);
+        if (grant != this->grants.end()) {
+            this->outstanding -= grant->second;
+            this->grants.erase(grant);
+        }
+        this->lapses.pop_front();
+    }
+}
+
+void LimitShardHome::setRule(const LimitRule& changed, Instant now)
+{
+    this->advance(now);
+    this->rule = changed;
+    // A smaller burst holds at once; a larger one is filled by time alone, or each change back and forth
+    // would hand out another burst.
+    const auto room = std::max(changed.burst - this->outstanding, Tokens {});
+    this->bucket = std::min(this->bucket, room);
+}
+
+LimitGrant LimitShardHome::grant(Tokens want, Instant now)
+{
+    this->advance(now);
+    LimitGrant given;
+    given.amount = std::clamp(want, Tokens {}, this->bucket);
+    if (given.amount < want)
+        given.retryAfter = timeToAccrue(this->rule.ratePerSecond, std::min(want, oneRequest) - given.amount);
+    if (given.amount.millionths <= 0)
+        return given;
+    this->bucket -= given.amount;
+    this->addOutstanding(given.amount, now);
+    given.id = this->lastGrant;
+    return given;
+}
+
+void LimitShardHome::settle(std::uint64_t id, Tokens unspent, Instant now)
+{
+    this->advance(now);
+    const auto grant = this->grants.find(id);
+    if (grant == this->grants.end())
+        return;
+    const auto returned = std::clamp(unspent, Tokens {}, grant->second);
+    this->outstanding -= grant->second;
+    this->grants.erase(grant);
+    this->bucket
+        = std::min(this->bucket + returned, std::max(this->rule.burst - this->outstanding, Tokens {}));
+}
+
+ReleasedShard LimitShardHome::release(Instant now)
+{
+    this->advance(now);
+    const ReleasedShard left { .level = this->bucket, .outstanding = this->outstanding };
+    this->bucket = Tokens {};
+    this->rule = LimitRule {};
+    return left;
+}
+
+Tokens LimitShardHome::level(Instant now)
+{
+    this->advance(now);
+    return this->bucket;
+}
+
+} // namespace cyclamendrift
