--- /dev/null
+++ b/include/cyclamendrift/membership/home_cache.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cyclamendrift/membership/home_map.h>
+
+#include <mutex>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cyclamendrift {
+
+/// Remembers the homes of subjects until a change of members touches them; safe to call from any thread.
+/// Ranking thousands of VMs for each request would cost more than the request.
+///
+///     cache.setCandidates(view.candidates());
+///     const auto homes = cache.homes("database/register/beds", 2);
+class HomeCache {
+public:
+    /// Replaces the candidates and forgets only those subjects whose homes may change by it.
+    void setCandidates(std::vector<HomeCandidate> next);
+
+    /// The first `count` homes of a subject, best first; always asked with the same count for one subject.
+    [[nodiscard]] std::vector<HomeCandidate> homes(const std::string& subject, std::size_t count);
+
+private:
+    [[nodiscard]] static bool mayChange(const std::string& subject, std::span<const HomeCandidate> homes,
+        std::span<const HomeCandidate> added, std::span<const HomeCandidate> removed);
+
+    std::mutex mutex;
+    std::vector<HomeCandidate> candidates;
+    std::unordered_map<std::string, std::vector<HomeCandidate>> known;
+};
+
+} // namespace cyclamendrift
