--- a/include/cyclamendrift/proxy/fleet_factory.h
+++ b/include/cyclamendrift/proxy/fleet_factory.h
@@ -36,6 +36,8 @@
     TimerService& timers;
     /// Seed of every random choice; from the system in daemons.
     std::uint64_t randomSeed = 0;
+    /// Orders the processes of this VM in time; from the wall clock when it is empty.
+    std::optional<std::uint64_t> incarnation;
     /// Time limit of a call to the store or to a sibling.
     Duration callTimeout = std::chrono::seconds { 1 };
     /// A schema to start with in tests that have no store.
