--- a/src/membership/membership_view.cpp
+++ b/src/membership/membership_view.cpp
@@ -182,11 +182,14 @@
     std::vector<VmName> remaining;
     for (const auto& vm : std::exchange(this->suspects, {})) {
         const auto match = this->entries.find(vm);
-        if (match == this->entries.end() || !match->second.suspectedAt)
+        if (match == this->entries.end())
+            continue;
+        auto& suspectedAt = match->second.suspectedAt;
+        if (!suspectedAt)
             continue;
         if (paused)
-            match->second.suspectedAt = now;
-        if (now - *match->second.suspectedAt < this->options.suspicionTime) {
+            suspectedAt = now;
+        if (now - *suspectedAt < this->options.suspicionTime) {
             remaining.push_back(vm);
             continue;
         }
@@ -233,6 +236,7 @@
     std::vector<const MemberRecord*> chosen;
     std::sample(possible.begin(), possible.end(), std::back_inserter(chosen), count, this->random);
     std::vector<MemberRecord> helpers;
+    helpers.reserve(chosen.size());
     for (const auto* record : chosen)
         helpers.push_back(*record);
     return helpers;
