--- a/include/cyclamendrift/configuration/configuration_trust.h
+++ b/include/cyclamendrift/configuration/configuration_trust.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <span>
 #include <vector>
 
@@ -75,13 +74,14 @@
 private:
     struct StoreRead {
         std::uint64_t sequence = 0;
-        Instant asked;
+        Instant asked = Instant::min();
     };
 
     Options options;
     std::vector<VmName> names;
     std::map<VmName, Heard> heard;
-    std::optional<StoreRead> storeRead;
+    /// Asked at the least of times until the store was read.
+    StoreRead storeRead;
 };
 
 } // namespace cyclamendrift
--- a/src/configuration/configuration_trust.cpp
+++ b/src/configuration/configuration_trust.cpp
@@ -35,7 +35,7 @@
 
 void ConfigurationTrust::onStoreRead(std::uint64_t sequence, Instant asked)
 {
-    if (this->storeRead && this->storeRead->asked >= asked)
+    if (this->storeRead.asked >= asked)
         return;
     this->storeRead = { .sequence = sequence, .asked = asked };
 }
@@ -60,8 +60,8 @@
 Instant ConfigurationTrust::trustedUntil(std::uint64_t sequence) const
 {
     auto confirmed = Instant::min();
-    if (this->storeRead && this->storeRead->sequence <= sequence)
-        confirmed = this->storeRead->asked;
+    if (this->storeRead.sequence <= sequence)
+        confirmed = this->storeRead.asked;
     std::vector<Instant> times;
     for (const auto& [vm, statement] : this->heard) {
         if (statement.sequence <= sequence)
--- a/src/proxy/fleet_limits.cpp
+++ b/src/proxy/fleet_limits.cpp
@@ -127,10 +127,11 @@
         auto& fresh = next[id];
         fresh.epoch = shard.epoch();
         if (shard.released()) {
-            fresh.bucket.emplace(LimitShardHome::Options { .rule = rule,
+            const LimitShardHome::Options handedOver { .rule = rule,
                 .level = Tokens { shard.released_level() },
                 .outstanding = Tokens { shard.released_outstanding() },
-                .now = now });
+                .now = now };
+            fresh.bucket = std::make_unique<LimitShardHome>(handedOver);
         }
     }
     this->owned = std::move(next);
@@ -145,12 +146,14 @@
         // the new one it loses trust within the window, and its last grants lapse after that. Starting
         // sooner, two owners would hand out of one bucket and the team would get more than its rate and
         // burst.
-        if (!shard.startAt && this->configuration.isAccepted(shard.epoch))
+        const bool isScheduled = shard.startAt != Instant::max();
+        if (!isScheduled && this->configuration.isAccepted(shard.epoch))
             shard.startAt = now + coveringDrift(ConfigurationTrust::Options {}.window + grantLifetime);
-        if (!shard.startAt || now < *shard.startAt)
+        if (now < shard.startAt)
             continue;
         const auto rule = shardOf(this->ruleOf(id.team), id.index, this->shardCounts[id.team]);
-        shard.bucket.emplace(LimitShardHome::Options { .rule = rule, .now = now });
+        const LimitShardHome::Options empty { .rule = rule, .now = now };
+        shard.bucket = std::make_unique<LimitShardHome>(empty);
     }
 }
 
@@ -408,15 +411,14 @@
         moves.push_back(std::move(move));
     }
     if (moves.empty()) {
-        this->goneSince.reset();
+        this->goneSince = Instant::max();
         return;
     }
-    if (!this->goneSince)
-        this->goneSince = now;
+    this->goneSince = std::min(this->goneSince, now);
     // One mover after another, so that they do not all write at once; the first is enough unless it is gone.
     const auto movers = chooseHomes(this->membership.view().candidates(), "limits", moverCount);
     for (std::size_t rank = 0; rank < movers.size(); ++rank) {
-        const auto due = *this->goneSince + moveAfter + moverStep * static_cast<int>(rank);
+        const auto due = this->goneSince + moveAfter + moverStep * static_cast<int>(rank);
         if (movers[rank].vm == this->context->options.self.vm && now >= due) {
             this->moving = true;
             this->context->spawn(moveShards(this->context->hold(this), std::move(moves)));
--- a/src/proxy/fleet_limits.h
+++ b/src/proxy/fleet_limits.h
@@ -54,8 +54,8 @@
     /// still hand out of it.
     struct OwnedShard {
         std::uint64_t epoch = 0;
-        std::optional<Instant> startAt;
-        std::optional<LimitShardHome> bucket;
+        Instant startAt = Instant::max();
+        std::unique_ptr<LimitShardHome> bucket;
     };
 
     struct PendingAdmission {
@@ -109,7 +109,8 @@
     std::map<std::string, LimitRule> rules;
     std::map<std::string, std::uint32_t> shardCounts;
     std::map<ShardId, OwnedShard> owned;
-    std::optional<Instant> goneSince;
+    /// Since when some owner is gone; the greatest of times while none is.
+    Instant goneSince = Instant::max();
     bool moving = false;
     bool leaving = false;
 };
--- a/src/proxy/fleet_node.cpp
+++ b/src/proxy/fleet_node.cpp
@@ -74,11 +74,11 @@
 void FleetNode::start()
 {
     this->context->owner = this->weak_from_this();
-    if (this->context->options.initialSchema) {
+    if (const auto& schema = this->context->options.initialSchema) {
         auto document = std::make_shared<wire::ConfigurationDocument>();
         document->set_sequence(1);
         document->set_revision(1);
-        *document->mutable_schema() = *this->context->options.initialSchema;
+        *document->mutable_schema() = *schema;
         this->limitsPart->assignNewTeams(*document);
         this->configurationPart->adoptInitial(std::move(document));
     }
--- a/standins/virtual_platform.cpp
+++ b/standins/virtual_platform.cpp
@@ -33,17 +33,34 @@
 
 } // namespace
 
+std::optional<StoreEntry> VirtualPlatform::find(const std::string& key) const
+{
+    const auto match = this->entries.find(key);
+    if (match == this->entries.end())
+        return std::nullopt;
+    return match->second;
+}
+
 SwapOutcome VirtualPlatform::swap(const SwapOptions& options)
 {
     const auto match = this->entries.find(options.key);
     const auto current = match == this->entries.end() ? 0 : match->second.revision;
-    if (current != options.expectedRevision) {
-        SwapConflict conflict;
-        if (match != this->entries.end())
-            conflict.current = match->second;
-        return conflict;
-    }
+    if (current != options.expectedRevision)
+        return this->conflictOn(options.key);
     ++this->revision;
+    this->record(options);
+    return Swapped { .revision = this->revision };
+}
+
+SwapConflict VirtualPlatform::conflictOn(const std::string& key) const
+{
+    SwapConflict conflict;
+    conflict.current = this->find(key);
+    return conflict;
+}
+
+void VirtualPlatform::record(const SwapOptions& options)
+{
     StoreEntry entry { .key = options.key, .value = options.value.value_or(""), .revision = this->revision };
     this->entries[options.key] = entry;
     this->history.push_back(entry);
@@ -54,7 +71,6 @@
         watcher.process->deliverAfter(
             this->latency, [onChange = watcher.onChange, change] { onChange(change); });
     }
-    return Swapped { .revision = this->revision };
 }
 
 void VirtualPlatform::breakWatches()
@@ -86,10 +102,7 @@
 {
     using Result = std::optional<StoreEntry>;
     auto& world = this->platform;
-    return this->perform<Result>([&world, key = std::move(key)]() -> Result {
-        const auto match = world.entries.find(key);
-        return match == world.entries.end() ? Result {} : Result { match->second };
-    });
+    return this->perform<Result>([&world, key = std::move(key)] { return world.find(key); });
 }
 
 asio::awaitable<std::vector<StoreEntry>> VirtualStore::list(std::string /*prefix*/)
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -61,9 +61,14 @@
     std::map<std::uint64_t, Watcher> watchers;
     std::uint64_t lastWatcher = 0;
 
+    [[nodiscard]] std::optional<StoreEntry> find(const std::string& key) const;
     [[nodiscard]] SwapOutcome swap(const SwapOptions& options);
     /// Ends every watch, as an outage does.
     void breakWatches();
+
+private:
+    [[nodiscard]] SwapConflict conflictOn(const std::string& key) const;
+    void record(const SwapOptions& options);
 };
 
 /// The store as one process reaches it.
--- a/standins/virtual_reply.h
+++ b/standins/virtual_reply.h
@@ -9,6 +9,7 @@
 #include <exception>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <utility>
 
 namespace cyclamendrift::standins {
@@ -29,11 +30,11 @@
         this->wake.cancel();
     }
 
-    void fail(std::exception_ptr error)
+    void fail(const std::exception_ptr& cause)
     {
         if (this->isDone())
             return;
-        this->error = std::move(error);
+        this->error = cause;
         this->wake.cancel();
     }
 
@@ -57,7 +58,10 @@
     }
     if (reply->error)
         std::rethrow_exception(reply->error);
-    co_return *std::move(reply->result);
+    auto& result = reply->result;
+    if (!result)
+        throw std::logic_error { "a reply that is done has neither result nor error" };
+    co_return *std::move(result);
 }
 
 } // namespace cyclamendrift::standins
