--- a/standins/virtual_platform.cpp
+++ b/standins/virtual_platform.cpp
@@ -16,6 +16,11 @@
     return std::bernoulli_distribution { probability }(random);
 }
 
+StoreChange changeFrom(const StoreEntry& entry)
+{
+    return { .key = entry.key, .value = entry.value, .revision = entry.revision };
+}
+
 /// Ends a watch however its coroutine ends.
 struct WatchGuard {
     VirtualPlatform& platform;
@@ -48,7 +53,7 @@
     if (current != options.expectedRevision)
         return this->conflictOn(options.key);
     ++this->revision;
-    this->record(options);
+    this->record(options.key, options.value.value_or(""));
     return Swapped { .revision = this->revision };
 }
 
@@ -59,17 +64,15 @@
     return conflict;
 }
 
-void VirtualPlatform::record(const SwapOptions& options)
+void VirtualPlatform::record(const std::string& key, const std::string& value)
 {
-    StoreEntry entry { .key = options.key, .value = options.value.value_or(""), .revision = this->revision };
-    this->entries[options.key] = entry;
+    const StoreEntry entry { .key = key, .value = value, .revision = this->revision };
+    this->entries[key] = entry;
     this->history.push_back(entry);
     for (const auto& [id, watcher] : this->watchers) {
-        if (!options.key.starts_with(watcher.prefix) || watcher.link->cut)
-            continue;
-        const StoreChange change { .key = options.key, .value = options.value, .revision = this->revision };
-        watcher.process->deliverAfter(
-            this->latency, [onChange = watcher.onChange, change] { onChange(change); });
+        if (key.starts_with(watcher.prefix) && !watcher.link->cut)
+            watcher.process->deliverAfter(
+                this->latency, [onChange = watcher.onChange, entry] { onChange(changeFrom(entry)); });
     }
 }
 
@@ -139,7 +142,7 @@
           });
     for (const auto& entry : missed) {
         if (entry.key.starts_with(prefix))
-            onChange({ .key = entry.key, .value = entry.value, .revision = entry.revision });
+            onChange(changeFrom(entry));
     }
     auto ended = std::make_shared<VirtualReply<bool>>(this->platform.clock.context());
     const WatchGuard guard { this->platform, ++this->platform.lastWatcher };
--- a/standins/virtual_platform.h
+++ b/standins/virtual_platform.h
@@ -68,7 +68,7 @@
 
 private:
     [[nodiscard]] SwapConflict conflictOn(const std::string& key) const;
-    void record(const SwapOptions& options);
+    void record(const std::string& key, const std::string& value);
 };
 
 /// The store as one process reaches it.
