--- /dev/null
+++ b/tests/membership/membership_view_test.cpp
@@ -0,0 +1,142 @@
+#include <cyclamendrift/membership/home_cache.h>
+#include <cyclamendrift/membership/membership_view.h>
+
+#include <property.h>
+
+#include <algorithm>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start { 100s };
+
+MemberRecord record(
+    const std::string& name, std::uint64_t incarnation = 1, MemberState state = MemberState::Live)
+{
+    return { .vm = VmName { name },
+        .zone = ZoneName { "z" },
+        .host = "h",
+        .port = 1,
+        .process = 7,
+        .incarnation = incarnation,
+        .state = state };
+}
+
+MembershipView makeView()
+{
+    MembershipView view { { .self = record("a") } };
+    view.onContact(record("b"), {}, start);
+    view.onContact(record("c"), {}, start);
+    return view;
+}
+
+bool isCandidate(const MembershipView& view, const std::string& name)
+{
+    const auto all = view.candidates();
+    return std::any_of(all.begin(), all.end(),
+        [&](const HomeCandidate& candidate) { return candidate.vm.string() == name; });
+}
+
+} // namespace
+
+TEST_SUITE("membership")
+{
+    // The link from this VM to another breaks while everybody else reaches it. Taking it for dead at once
+    // would move its databases for one broken cable.
+    TEST_CASE("a VM that cannot be reached is suspected first and may refute")
+    {
+        auto view = makeView();
+        view.onUnreachable(VmName { "b" }, start);
+        CHECK(isCandidate(view, "b"));
+        CHECK(view.find(VmName { "b" })->state == MemberState::Suspect);
+        view.onContact(record("c"), std::vector { record("b", 2) }, start + 1s);
+        view.tick(start + 1s);
+        view.tick(start + 2s);
+        view.tick(start + 3s);
+        CHECK(view.find(VmName { "b" })->state == MemberState::Live);
+    }
+
+    TEST_CASE("a suspicion that nobody refutes becomes a death")
+    {
+        auto view = makeView();
+        view.onUnreachable(VmName { "b" }, start);
+        for (auto now = start; now <= start + 3s; now += 500ms)
+            view.tick(now);
+        CHECK(!isCandidate(view, "b"));
+    }
+
+    // A VM was paused for a minute. All its suspicions look old to it, though nobody could refute them.
+    TEST_CASE("a VM that was paused gives others the time to refute")
+    {
+        auto view = makeView();
+        view.tick(start);
+        view.onUnreachable(VmName { "b" }, start);
+        view.tick(start + 60s);
+        CHECK(isCandidate(view, "b"));
+    }
+
+    TEST_CASE("a VM refutes what is said of it with a higher incarnation")
+    {
+        auto view = makeView();
+        view.onContact(record("b"), std::vector { record("a", 5, MemberState::Dead) }, start);
+        CHECK(view.self().incarnation == 6);
+        CHECK(view.self().state == MemberState::Live);
+    }
+
+    // A late rumour of a death arrives after the VM came back.
+    TEST_CASE("older news do not replace newer")
+    {
+        auto view = makeView();
+        view.onContact(record("b", 3), {}, start);
+        view.onContact(record("c"), std::vector { record("b", 2, MemberState::Dead) }, start);
+        CHECK(isCandidate(view, "b"));
+    }
+
+    TEST_CASE("a VM on the list as leaving is no candidate")
+    {
+        auto view = makeView();
+        view.onList(
+            std::vector { ListedVm { .vm = VmName { "b" }, .zone = ZoneName { "z" }, .leaving = true } });
+        CHECK(!isCandidate(view, "b"));
+        CHECK(isCandidate(view, "c"));
+    }
+
+    TEST_CASE("the messages of an interval do not grow with the fleet")
+    {
+        for (const std::size_t count : { 10U, 1000U }) {
+            MembershipView view { { .self = record("a") } };
+            std::vector<ListedVm> listed;
+            for (std::size_t i = 0; i < count; ++i)
+                listed.push_back({ .vm = VmName { std::to_string(i) }, .zone = ZoneName { "z" } });
+            view.onList(listed);
+            CHECK(view.pickProbes().size() == 2);
+            CHECK(view.takeRumours(VmName { "0" }).size() <= 8);
+        }
+    }
+
+    TEST_CASE("cached homes are those that ranking anew gives")
+    {
+        checkProperty("cache", [] {
+            std::vector<HomeCandidate> all;
+            for (int i = 0; i < 90; ++i)
+                all.push_back({ VmName { std::to_string(i) }, ZoneName { std::to_string(i % 4) } });
+            HomeCache cache;
+            for (int round = 0; round < 4; ++round) {
+                auto some = all;
+                const auto cut = *rc::gen::inRange(0, 20);
+                for (int i = 0; i < cut; ++i)
+                    some.erase(some.begin()
+                        + *rc::gen::inRange<std::ptrdiff_t>(0, static_cast<std::ptrdiff_t>(some.size())));
+                cache.setCandidates(some);
+                for (int subject = 0; subject < 30; ++subject) {
+                    const auto cached = cache.homes(std::to_string(subject), 2);
+                    const auto ranked = chooseHomes(some, std::to_string(subject), 2);
+                    RC_ASSERT(cached[0].vm == ranked[0].vm);
+                    RC_ASSERT(cached[1].vm == ranked[1].vm);
+                }
+            }
+        });
+    }
+}
