--- a/include/cyclamendrift/limits/tokens.h
+++ b/include/cyclamendrift/limits/tokens.h
@@ -55,7 +55,7 @@
 /// The rule of one of `count` shards; all of them together add up to the whole exactly.
 [[nodiscard]] LimitRule shardOf(const LimitRule& whole, std::uint32_t index, std::uint32_t count) noexcept;
 
-/// How many shards a team of this burst gets: as many as leave each a few requests, at most three.
+/// How many shards a team of this burst gets: as many as leave each a few requests, at most eight.
 [[nodiscard]] std::uint32_t shardCountFor(std::uint32_t burst) noexcept;
 
 } // namespace cyclamendrift
--- a/src/limits/tokens.cpp
+++ b/src/limits/tokens.cpp
@@ -9,9 +9,11 @@
 __extension__ using Wide = __int128;
 
 constexpr Wide nanosecondsPerSecond = 1000000000;
-constexpr std::uint32_t maxShards = 3;
+/// More shards lose less with one owner, and cost a request more messages when each holds only a part of a
+/// token.
+constexpr std::uint32_t maxShards = 8;
 /// Less than this in a shard and a short burst would have to be gathered from everywhere.
-constexpr std::uint32_t minBurstOfShard = 4;
+constexpr std::uint32_t minBurstOfShard = 3;
 
 Tokens partOf(Tokens whole, std::uint32_t index, std::uint32_t count) noexcept
 {
--- a/src/proxy/fleet_configuration.cpp
+++ b/src/proxy/fleet_configuration.cpp
@@ -5,6 +5,7 @@
 
 #include <asio/bind_cancellation_slot.hpp>
 
+#include <random>
 #include <utility>
 
 namespace cyclamendrift {
@@ -15,15 +16,19 @@
 constexpr Duration longestBackoff = std::chrono::seconds { 8 };
 /// A process without a document asks its siblings for so long before it asks the store.
 constexpr Duration siblingsFirst = std::chrono::milliseconds { 1200 };
+/// Processes that start together ask the store spread over a time in which no more than these ask in a
+/// second.
+constexpr double startersPerSecond = 50;
 /// How often a witness reads the store although it watches it: a watch that went silent shows no error.
 constexpr Duration witnessReadInterval = std::chrono::seconds { 10 };
 /// How often any other process does, at least; all of them together read a few times per second at most.
 constexpr Duration readInterval = std::chrono::seconds { 60 };
-constexpr std::size_t readersPerSecond = 20;
+constexpr std::size_t readersPerSecond = 2;
 /// The store is asked when trust lasts no longer than this.
 constexpr Duration trustReserve = std::chrono::seconds { 3 };
 constexpr Duration changeTimeout = std::chrono::seconds { 10 };
 constexpr Duration acceptancePause = std::chrono::milliseconds { 200 };
+constexpr Duration acceptanceLook = std::chrono::milliseconds { 10 };
 
 DocumentPointer parseDocument(const std::string& value)
 {
@@ -46,6 +51,7 @@
     , startedAt(this->context->now())
     , backoff(firstBackoff)
 {
+    this->startShare = std::uniform_real_distribution<double> {}(this->context->random);
     this->nextPeriodicRead = this->startedAt + this->context->jittered(readInterval);
 }
 
@@ -91,8 +97,9 @@
     const auto& self = this->context->options.self.vm;
     if (this->storeConfirmed && this->trust.isWitness(self))
         this->trust.onStatement({ .witness = self, .sequence = this->sequence(), .madeAt = now });
-    const bool hasDocument = this->state.document() != nullptr;
-    auto until = hasDocument ? this->trust.trustedUntil(this->sequence()) : Instant::min();
+    // Also without a document: a quorum that says "there is none yet" spares the store the question.
+    this->confirmedUntil = this->trust.trustedUntil(this->sequence());
+    auto until = this->state.document() ? this->confirmedUntil : Instant::min();
     if (this->hasInitial && !this->storeConfirmed)
         until = Instant::max();
     this->trustedUntil.store(until);
@@ -113,9 +120,11 @@
         return;
     // Siblings are asked first: thousands of processes that start together must not all ask the store.
     const bool alone = this->listedCount < 2;
-    const bool siblingsHadTime = now - this->startedAt > siblingsFirst;
+    const std::chrono::duration<double> spread { this->startShare * static_cast<double>(this->listedCount)
+        / startersPerSecond };
+    const bool siblingsHadTime = now - this->startedAt > siblingsFirst + spread;
     const bool first = !this->storeConfirmed && (alone || this->isWitness());
-    const bool lapsing = (alone || siblingsHadTime) && this->trustedUntil.load() < now + trustReserve;
+    const bool lapsing = (alone || siblingsHadTime) && this->confirmedUntil < now + trustReserve;
     const bool periodic = now >= this->nextPeriodicRead;
     if (!first && !lapsing && !periodic)
         return;
@@ -137,7 +146,9 @@
         self->nextRead = self->context->now() + self->context->jittered(trustReserve / 2);
         self->nextPeriodicRead = self->context->now() + self->context->jittered(self->periodicInterval());
     } catch (const std::exception&) {
+        // Who can wait is not among those who ask a store that comes back.
         self->nextRead = self->context->now() + self->context->jittered(self->backoff);
+        self->nextPeriodicRead = self->context->now() + self->context->jittered(self->periodicInterval());
     }
     self->reading = false;
 }
@@ -309,12 +320,17 @@
 
 asio::awaitable<bool> FleetConfiguration::awaitAcceptance(DocumentPointer document, Instant deadline)
 {
+    Instant nextPush;
     // A platform that gives no list has nobody else who could act on an older document.
     while (!this->trust.witnesses().empty() && !this->trust.isAccepted(document->sequence())) {
-        if (this->context->now() >= deadline)
+        const auto now = this->context->now();
+        if (now >= deadline)
             co_return false;
-        this->pushToWitnesses(this->document());
-        co_await this->context->sleep(acceptancePause);
+        if (now >= nextPush) {
+            this->pushToWitnesses(this->document());
+            nextPush = now + acceptancePause;
+        }
+        co_await this->context->sleep(acceptanceLook);
     }
     co_return true;
 }
--- a/src/proxy/fleet_configuration.h
+++ b/src/proxy/fleet_configuration.h
@@ -104,7 +104,11 @@
     ConfigurationTrust trust { {} };
     std::atomic<std::shared_ptr<const PublishedConfiguration>> visible;
     std::atomic<Instant> trustedUntil { Instant::min() };
+    /// Until when this process can be sure that there is nothing newer than what it has.
+    Instant confirmedUntil = Instant::min();
     Instant startedAt;
+    /// This process's place, 0 to 1, among those that start together.
+    double startShare = 0;
     /// True once this process has read the store itself: only then may it be a witness.
     bool storeConfirmed = false;
     bool storeReachable = false;
