--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -76,7 +76,8 @@
     for (auto [key, url] :
         { std::pair { "store_url", &platform.storeUrl }, { "vm_list_url", &platform.vmListUrl } }) {
         reader.text(key, *url, 1);
-        if (!url->empty() && !url->starts_with("http://") && !url->starts_with("https://"))
+        if (!url->empty() && !url->starts_with("http://") && !url->starts_with("https://")
+            && !url->starts_with("file://"))
             reader.report(key, "must begin with http:// or https://");
     }
     reader.milliseconds("call_timeout_ms", platform.callTimeout);
