--- a/src/proxy/daemon_dependencies.cpp
+++ b/src/proxy/daemon_dependencies.cpp
@@ -1,5 +1,6 @@
 #include <cyclamendrift/proxy/proxy_dependencies.h>
 
+#include <cyclamendrift/commits/group_view.h>
 #include <cyclamendrift/platform/store_error.h>
 #include <cyclamendrift/schema/schema_file.h>
 
@@ -62,6 +63,19 @@
     asio::awaitable<std::vector<VmEntry>> fetch() override { co_return std::vector<VmEntry> {}; }
 };
 
+/// First step: the first slot is primary for good. The driver of the group takes over this task.
+std::shared_ptr<DatabaseHome> makeHomeWithFixedPrimary(DatabaseHomeOptions options)
+{
+    GroupView view { .phase = GroupView::Phase::Serving, .term = Term { 1 } };
+    for (const auto& slot : options.description.slots())
+        view.slots.emplace_back(slot.name());
+    view.primary = view.slots.front();
+    view.inSync = view.slots;
+    auto home = makeDatabaseHome(std::move(options));
+    home->setView(std::make_shared<const GroupView>(std::move(view)));
+    return home;
+}
+
 constexpr std::string_view fileScheme = "file://";
 
 api::Schema readSchema(const std::string& path)
@@ -84,6 +98,7 @@
     dependencies.makeStore = [](const auto&) { return std::make_shared<NoStore>(); };
     dependencies.makeVmList = [](const auto&) { return std::make_shared<NoVmList>(); };
     dependencies.connector = &Connection::open;
+    dependencies.makeHome = &makeHomeWithFixedPrimary;
     const auto& url = settings.platform.storeUrl;
     if (url.starts_with(fileScheme)) {
         dependencies.makeFleet = [schema = readSchema(url.substr(fileScheme.size()))](FleetOptions options) {
--- a/tests/proxy/proxy_fixture.h
+++ b/tests/proxy/proxy_fixture.h
@@ -114,6 +114,21 @@
     return settings;
 }
 
+/// First step: the first slot is primary for good. The driver of the group takes over this task.
+inline std::shared_ptr<cyclamendrift::DatabaseHome> makeHomeWithFixedPrimary(
+    cyclamendrift::DatabaseHomeOptions options)
+{
+    using namespace cyclamendrift;
+    GroupView view { .phase = GroupView::Phase::Serving, .term = Term { 1 } };
+    for (const auto& slot : options.description.slots())
+        view.slots.emplace_back(slot.name());
+    view.primary = view.slots.front();
+    view.inSync = view.slots;
+    auto home = makeDatabaseHome(std::move(options));
+    home->setView(std::make_shared<const GroupView>(std::move(view)));
+    return home;
+}
+
 /// A proxy that is alone in its fleet, before a stand-in.
 inline cyclamendrift::Proxy::Options aloneWith(cyclamendrift::api::Schema schema)
 {
@@ -126,5 +141,6 @@
                     options.initialSchema = schema;
                     return makeFleet(std::move(options));
                 },
+            .makeHome = &makeHomeWithFixedPrimary,
             .connector = &Connection::open } };
 }
