--- a/include/cyclamendrift/upstreams/connection.h
+++ b/include/cyclamendrift/upstreams/connection.h
@@ -29,6 +29,9 @@
         Duration idleTimeout {};
         /// As libpq's sslmode, for example "require" or "verify-full".
         std::string sslMode = "prefer";
+        /// As libpq's options. A query that was given up on runs on at the database until it notices that the
+        /// connection is gone; on PostgreSQL 14 and later "-c client_connection_check_interval=1s" makes it.
+        std::string startupOptions;
     };
 
     /// Opens a connection to an IP address, or throws UpstreamError with ConnectFailed or TooManyConnections.
--- a/src/upstreams/connection.cpp
+++ b/src/upstreams/connection.cpp
@@ -39,10 +39,11 @@
 {
     const std::string port = std::to_string(options.port);
     const std::array keywords { "hostaddr", "port", "user", "password", "dbname", "client_encoding",
-        "sslmode", "gssencmode", "application_name", "tcp_user_timeout", static_cast<const char*>(nullptr) };
+        "sslmode", "gssencmode", "application_name", "tcp_user_timeout", "options",
+        static_cast<const char*>(nullptr) };
     const std::array values { options.host.c_str(), port.c_str(), options.user.c_str(),
         options.password.c_str(), options.databaseName.c_str(), "UTF8", options.sslMode.c_str(), "disable",
-        "cyclamendrift", "10000", static_cast<const char*>(nullptr) };
+        "cyclamendrift", "10000", options.startupOptions.c_str(), static_cast<const char*>(nullptr) };
     constexpr int expandNoNames = 0;
     return PQconnectStartParams(keywords.data(), values.data(), expandNoNames);
 }
