Drive the group of each database from its homes, on the platform's real services

Cause: homes need a view of their group, and a failover decision needs the opinions of siblings. The daemon uses the etcd store and the HTTP list of VMs; the schema file in store_url and the fixed primary are gone.

--- a/include/cyclamendrift/proxy/forward_service.h
+++ b/include/cyclamendrift/proxy/forward_service.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -20,6 +21,8 @@
     struct Options {
         std::shared_ptr<Fleet> fleet;
         std::shared_ptr<HomeRegistry> homes;
+        /// Answers siblings that ask for this VM's opinion of a slot.
+        std::function<asio::awaitable<std::string>(IncomingSiblingCall)> slotOpinion;
     };
 
     explicit ForwardService(Options options);
--- a/include/cyclamendrift/proxy/settings.h
+++ b/include/cyclamendrift/proxy/settings.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/failover/failover_settings.h>
 #include <cyclamendrift/proxy/settings_error.h>
 #include <cyclamendrift/telemetry/event_log.h>
 
@@ -60,8 +61,8 @@
     std::string user;
     std::string password;
     Duration connectTimeout = std::chrono::seconds { 1 };
-    /// A primary that has answered nothing for so long is taken for dead.
-    Duration deadAfter = std::chrono::seconds { 3 };
+    /// A primary that has answered nothing for so long is suspected, and siblings are asked about it.
+    Duration deadAfter = FailoverSettings {}.suspectAfter;
 };
 
 /// Everything that a daemon reads from its settings file.
--- a/src/proxy/forward_service.cpp
+++ b/src/proxy/forward_service.cpp
@@ -1,6 +1,7 @@
 #include <cyclamendrift/proxy/forward_service.h>
 
 #include "forward_codec.h"
+#include "group_service.h"
 
 #include <cyclamendrift/core/request_error.h>
 
@@ -62,6 +63,8 @@
         co_return co_await this->begin(std::move(call));
     if (call.method == forward_method::end)
         co_return co_await this->end(std::move(call));
+    if (call.method == slotOpinionMethod)
+        co_return co_await this->options.slotOpinion(std::move(call));
     auto answer = co_await this->options.fleet->handle(call.from, call.method, std::move(call.body));
     if (!answer)
         throw badRequest("siblings have no method " + call.method);
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -1,5 +1,6 @@
 #include <cyclamendrift/proxy/proxy.h>
 
+#include "group_service.h"
 #include "health.h"
 #include "proxy_context.h"
 
@@ -61,6 +62,19 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+/// Weight of a team as the configuration gives it.
+std::uint32_t weightOf(const Fleet& fleet, const TeamName& team)
+{
+    const auto snapshot = fleet.configuration();
+    if (!snapshot)
+        return 1;
+    for (const auto& entry : snapshot->schema.teams()) {
+        if (entry.name() == team.view())
+            return std::max<std::uint32_t>(1, entry.weight());
+    }
+    return 1;
+}
+
 /// A traffic thread with its own door for callers, so that a request is not handed from thread to thread.
 struct TrafficThread {
     ProxyContext context;
@@ -101,6 +115,7 @@
     std::shared_ptr<VmList> vmList;
     std::unique_ptr<SiblingClient> siblings;
     std::shared_ptr<Fleet> fleet;
+    std::shared_ptr<GroupService> groups;
     std::shared_ptr<HomeRegistry> homes;
     std::atomic<std::shared_ptr<ForwardService>> forwards;
     std::unique_ptr<SiblingServer> siblingServer;
@@ -195,6 +210,16 @@
 
 void Proxy::State::makeHomes()
 {
+    const auto& settings = this->options.settings;
+    this->groups = std::make_shared<GroupService>(GroupService::Options { .control = this->control.executor(),
+        .self = settings.vm.name,
+        .fleet = this->fleet,
+        .store = this->store,
+        .credentials = { .user = settings.upstreams.user, .password = settings.upstreams.password },
+        .connector = this->options.dependencies.connector,
+        .callSibling = [this](SiblingAddress to,
+                           SiblingCall call) { return this->siblings->call(std::move(to), std::move(call)); },
+        .failover = { .suspectAfter = settings.upstreams.deadAfter } });
     this->homes = std::make_shared<HomeRegistry>(HomeRegistry::Options {
         .self = this->options.settings.vm.name,
         .fleet = this->fleet,
@@ -203,8 +228,10 @@
             [this](const std::shared_ptr<DatabaseHome>& home) {
                 asio::co_spawn(this->control.executor(), home->drain(), [home](const std::exception_ptr&) {});
             } });
-    this->forwards.store(std::make_shared<ForwardService>(
-        ForwardService::Options { .fleet = this->fleet, .homes = this->homes }));
+    this->forwards.store(std::make_shared<ForwardService>(ForwardService::Options { .fleet = this->fleet,
+        .homes = this->homes,
+        .slotOpinion = [groups = this->groups](
+                           IncomingSiblingCall call) { return groups->opinionFor(std::move(call)); } }));
     this->fleet->onKeyWithdrawn([homes = this->homes](const KeyId& key) { homes->withdrawKey(key); });
     this->homeRefresh = this->timers.every(homeRefreshInterval, [this](Instant) {
         if (!this->draining)
@@ -217,15 +244,17 @@
 {
     const auto& upstreams = this->options.settings.upstreams;
     const auto thread = std::hash<std::string> {}(name.path()) % this->traffic.size();
-    return this->options.dependencies.makeHome({ .executor = this->traffic[thread]->context.executor(),
+    auto home = this->options.dependencies.makeHome({ .executor = this->traffic[thread]->context.executor(),
         .vm = this->options.settings.vm.name,
         .name = name,
         .description = description,
         .credentials = { .user = upstreams.user, .password = upstreams.password },
         .connector = this->options.dependencies.connector,
-        .isLeaving = [fleet = this->fleet](std::string_view address, std::uint16_t port) {
-            return fleet->isLeaving(address, port);
-        } });
+        .isLeaving = [fleet = this->fleet](std::string_view address,
+                         std::uint16_t port) { return fleet->isLeaving(address, port); },
+        .weightOf = [fleet = this->fleet](const TeamName& team) { return weightOf(*fleet, team); },
+        .seed = std::random_device {}() });
+    return this->groups->drive(std::move(home), name, description);
 }
 
 void Proxy::State::makeTrafficThread(TrafficThread& thread, std::uint16_t port)
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -76,8 +76,7 @@
     for (auto [key, url] :
         { std::pair { "store_url", &platform.storeUrl }, { "vm_list_url", &platform.vmListUrl } }) {
         reader.text(key, *url, 1);
-        if (!url->empty() && !url->starts_with("http://") && !url->starts_with("https://")
-            && !url->starts_with("file://"))
+        if (!url->empty() && !url->starts_with("http://") && !url->starts_with("https://"))
             reader.report(key, "must begin with http:// or https://");
     }
     reader.milliseconds("call_timeout_ms", platform.callTimeout);
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -7,6 +7,7 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/nullappender.h>
 
 #include <algorithm>
 #include <memory>
@@ -20,7 +21,13 @@
 log4cplus::Logger eventLogger()
 {
     static const log4cplus::Initializer initializer;
-    static const auto logger = log4cplus::Logger::getInstance("cyclamendrift");
+    static const auto logger = [] {
+        auto made = log4cplus::Logger::getInstance("cyclamendrift");
+        // Without any appender log4cplus would write a complaint of its own.
+        made.addAppender(log4cplus::SharedAppenderPtr { new log4cplus::NullAppender });
+        made.setAdditivity(false);
+        return made;
+    }();
     return logger;
 }
 
--- a/tests/proxy/proxy_fixture.h
+++ b/tests/proxy/proxy_fixture.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <cyclamendrift/platform/store_error.h>
 #include <cyclamendrift/proxy/proxy.h>
 #include <cyclamendrift/schema/key_hash.h>
 
+#include <standins/memory_store.h>
 #include <standins/postgres_group.h>
 
 #include <google/protobuf/util/json_util.h>
@@ -15,53 +15,6 @@
 #include <string>
 #include <utility>
 
-/// A store that is never there; the fleet lives on its initial schema.
-class AbsentStore final : public cyclamendrift::Store {
-public:
-    asio::awaitable<std::optional<cyclamendrift::StoreEntry>> get(std::string) override
-    {
-        fail();
-        co_return std::nullopt;
-    }
-    asio::awaitable<std::vector<cyclamendrift::StoreEntry>> list(std::string) override
-    {
-        fail();
-        co_return std::vector<cyclamendrift::StoreEntry> {};
-    }
-    asio::awaitable<cyclamendrift::SwapOutcome> compareAndSwap(cyclamendrift::SwapOptions) override
-    {
-        fail();
-        co_return cyclamendrift::SwapConflict {};
-    }
-    asio::awaitable<cyclamendrift::LeaseId> grantLease(cyclamendrift::Duration) override
-    {
-        fail();
-        co_return cyclamendrift::LeaseId::None;
-    }
-    asio::awaitable<void> keepAlive(cyclamendrift::LeaseId) override
-    {
-        fail();
-        co_return;
-    }
-    asio::awaitable<void> revokeLease(cyclamendrift::LeaseId) override
-    {
-        fail();
-        co_return;
-    }
-    asio::awaitable<void> watch(
-        std::string, std::uint64_t, std::function<void(const cyclamendrift::StoreChange&)>) override
-    {
-        fail();
-        co_return;
-    }
-
-private:
-    static void fail()
-    {
-        throw cyclamendrift::StoreError(cyclamendrift::StoreError::Kind::Unreachable, "there is no store");
-    }
-};
-
 /// A list without any other VM.
 class EmptyVmList final : public cyclamendrift::VmList {
 public:
@@ -101,46 +54,25 @@
     return schema;
 }
 
-/// Settings with free ports.
-inline cyclamendrift::Settings testSettings()
+/// A proxy of its own fleet, alone with a store in memory, before a stand-in.
+inline cyclamendrift::Proxy::Options aloneWith(cyclamendrift::api::Schema schema)
 {
-    cyclamendrift::Settings settings;
-    settings.vm = { .name = cyclamendrift::VmName { "vm1" }, .zone = cyclamendrift::ZoneName { "palermo" } };
+    using namespace cyclamendrift;
+    Settings settings;
+    settings.vm = { .name = VmName { "vm1" }, .zone = ZoneName { "palermo" } };
     settings.operators.secret = "operators' secret";
     settings.siblings.secret = "siblings' secret";
     settings.upstreams.user = "cyclamendrift";
-    settings.callers.requestTimeout = std::chrono::seconds { 5 };
-    settings.drainTimeout = std::chrono::seconds { 5 };
-    return settings;
-}
-
-/// First step: the first slot is primary for good. The driver of the group takes over this task.
-inline std::shared_ptr<cyclamendrift::DatabaseHome> makeHomeWithFixedPrimary(
-    cyclamendrift::DatabaseHomeOptions options)
-{
-    using namespace cyclamendrift;
-    GroupView view { .phase = GroupView::Phase::Serving, .term = Term { 1 } };
-    for (const auto& slot : options.description.slots())
-        view.slots.emplace_back(slot.name());
-    view.primary = view.slots.front();
-    view.inSync = view.slots;
-    auto home = makeDatabaseHome(std::move(options));
-    home->setView(std::make_shared<const GroupView>(std::move(view)));
-    return home;
-}
-
-/// A proxy that is alone in its fleet, before a stand-in.
-inline cyclamendrift::Proxy::Options aloneWith(cyclamendrift::api::Schema schema)
-{
-    using namespace cyclamendrift;
-    return { .settings = testSettings(),
-        .dependencies = { .makeStore = [](const auto&) { return std::make_shared<AbsentStore>(); },
+    settings.callers.requestTimeout = std::chrono::seconds { 10 };
+    settings.drainTimeout = std::chrono::seconds { 10 };
+    return { .settings = settings,
+        .dependencies = { .makeStore
+            = [](const auto& executor) { return std::make_shared<standins::MemoryStore>(executor); },
             .makeVmList = [](const auto&) { return std::make_shared<EmptyVmList>(); },
             .makeFleet =
                 [schema = std::move(schema)](FleetOptions options) {
                     options.initialSchema = schema;
                     return makeFleet(std::move(options));
                 },
-            .makeHome = &makeHomeWithFixedPrimary,
             .connector = &Connection::open } };
 }
