Queue rumours in constant time and doubt an empty list

Each piece of news searched all others that were waiting, so a large fleet spent time in proportion to its size while it started. And an empty list from the platform left no witnesses, so that every change counted as accepted; the last list now stays in use.

--- a/include/cyclamendrift/membership/membership_view.h
+++ b/include/cyclamendrift/membership/membership_view.h
@@ -123,11 +123,6 @@
         std::optional<Instant> suspectedAt;
     };
 
-    struct Rumour {
-        VmName vm;
-        std::size_t sendsLeft = 0;
-    };
-
     void takeListed(const ListedVm& line);
     void absorb(const MemberRecord& record, Instant now);
     void refute(const MemberRecord& claim);
@@ -139,7 +134,9 @@
     Options options;
     RandomSource random;
     std::map<VmName, Entry> entries;
-    std::deque<Rumour> rumours;
+    /// VMs that there is news of, those to be told of next first.
+    std::deque<VmName> rumours;
+    std::map<VmName, std::size_t> sendsLeft;
     std::vector<VmName> probeOrder;
     std::vector<VmName> suspects;
     std::optional<Instant> lastTick;
--- a/src/membership/membership_view.cpp
+++ b/src/membership/membership_view.cpp
@@ -49,8 +49,10 @@
 
 void MembershipView::spread(const VmName& vm)
 {
-    std::erase_if(this->rumours, [&vm](const Rumour& rumour) { return rumour.vm == vm; });
-    this->rumours.push_front({ .vm = vm, .sendsLeft = this->sendsPerRumour() });
+    auto& sendsLeft = this->sendsLeft[vm];
+    if (sendsLeft == 0)
+        this->rumours.push_front(vm);
+    sendsLeft = this->sendsPerRumour();
 }
 
 bool MembershipView::isCandidate(const Entry& entry) const noexcept
@@ -250,12 +252,15 @@
         taken.push_back(about->second.record);
     const auto most = std::min(this->options.rumoursPerMessage, this->rumours.size());
     for (std::size_t i = 0; i < most; ++i) {
-        auto rumour = this->rumours.front();
+        auto vm = std::move(this->rumours.front());
         this->rumours.pop_front();
-        if (const auto record = this->find(rumour.vm); record && rumour.vm != receiver)
+        if (const auto record = this->find(vm); record && vm != receiver)
             taken.push_back(*record);
-        if (--rumour.sendsLeft > 0)
-            this->rumours.push_back(std::move(rumour));
+        const auto sends = this->sendsLeft.find(vm);
+        if (--sends->second > 0)
+            this->rumours.push_back(std::move(vm));
+        else
+            this->sendsLeft.erase(sends);
     }
     return taken;
 }
--- a/src/proxy/fleet_membership.cpp
+++ b/src/proxy/fleet_membership.cpp
@@ -223,7 +223,10 @@
             staying.push_back(entry.name);
     }
     this->members.onList(listed);
-    this->callbacks.onListed(staying);
+    // An empty list is a fault of the platform, not a fleet without VMs. Without witnesses every change would
+    // count as accepted by all.
+    if (!staying.empty())
+        this->callbacks.onListed(staying);
     {
         const std::scoped_lock lock { this->mutex };
         this->leavingUpstreams = std::move(leaving);
