Give up what a former primary said, and fresh reads over a promotion

Looking for its kin by hand showed another: the status read after a commit may be that of a slot which was fenced and made to follow another primary in between; its new position would have been confirmed for a commit that is gone. Acknowledgements::afterCommit gives it up, and the home uses it for writes, transactions and replays, and confirmationOfPrimaryRead for reads at the primary, so that a bounded one is given up at its bound.

--- a/include/cyclamendrift/commits/acknowledgements.h
+++ b/include/cyclamendrift/commits/acknowledgements.h
@@ -44,6 +44,12 @@
         std::vector<ConfirmationTicket> givenUp;
     };
 
+    /// What a commit waits for, by the status that was read after it on the same connection. A status of a
+    /// slot that is no primary any more proves nothing, so the commit is given up at once.
+    ///
+    ///     acknowledgements.add(Acknowledgements::afterCommit(status, deadline));
+    [[nodiscard]] static Options afterCommit(const SlotStatus& status, Instant deadline) noexcept;
+
     /// Begins to wait. A ticket that needs no wait is in the next take().
     [[nodiscard]] ConfirmationTicket add(Options options);
 
--- a/include/cyclamendrift/sessions/primary_read.h
+++ b/include/cyclamendrift/sessions/primary_read.h
@@ -2,7 +2,7 @@
 
 #include <cyclamendrift/commits/acknowledgements.h>
 #include <cyclamendrift/core/instant.h>
-#include <cyclamendrift/core/progress.h>
+#include <cyclamendrift/core/slot_status.h>
 #include <cyclamendrift/core/statement.h>
 
 namespace cyclamendrift {
@@ -11,8 +11,8 @@
 /// or bounded read that this slot was still the primary when the read was sent. A bounded read is given up
 /// when its rows have grown too old. A read that is given up has had no effect and may be sent again.
 ///
-///     acknowledgements.add(confirmationOfPrimaryRead(access, status.progress, sentAt, deadline));
+///     acknowledgements.add(confirmationOfPrimaryRead(access, after, sentAt, deadline));
 [[nodiscard]] Acknowledgements::Options confirmationOfPrimaryRead(
-    const Access& access, Progress progress, Instant sentAt, Instant deadline);
+    const Access& access, const SlotStatus& after, Instant sentAt, Instant deadline);
 
 } // namespace cyclamendrift
--- a/src/commits/acknowledgements.cpp
+++ b/src/commits/acknowledgements.cpp
@@ -5,6 +5,16 @@
 
 namespace cyclamendrift {
 
+/// Between the commit and its status the slot may have been fenced and made to follow another primary, which
+/// dropped the commit. Its new position would be confirmed by every replica of the new term, and the caller
+/// would be told of a commit that is gone.
+Acknowledgements::Options Acknowledgements::afterCommit(const SlotStatus& status, Instant deadline) noexcept
+{
+    if (!status.primary)
+        return { .progress = status.progress, .notBefore = Instant::max(), .deadline = Instant::min() };
+    return { .progress = status.progress, .deadline = deadline };
+}
+
 ConfirmationTicket Acknowledgements::add(Options options)
 {
     const ConfirmationTicket ticket { ++this->lastTicket };
@@ -86,13 +96,15 @@
 
 /// After a promotion a commit of the term before is kept if the promoted log reached it. It is not safe yet:
 /// until a replica holds the beginning of the new term, the next promotion may choose a log without it. So it
-/// waits on, as if it had been made in the new term.
+/// waits on, as if it had been made in the new term. A read that had to come from the primary in force is not
+/// carried over: when it was sent, the new primary may have been acknowledging commits already.
 bool Acknowledgements::isLost(Options& options) const
 {
     if (options.progress.term >= this->view.term)
         return false;
     const auto& base = this->view.base;
-    if (base.term != options.progress.term || base.position < options.progress.position)
+    const bool mustBeFresh = options.notBefore > Instant::min();
+    if (mustBeFresh || base.term != options.progress.term || base.position < options.progress.position)
         return true;
     options.progress = { .term = this->view.term, .position = LogPosition {} };
     return false;
--- a/src/proxy/home_reads.cpp
+++ b/src/proxy/home_reads.cpp
@@ -1,5 +1,7 @@
 #include "refusals.h"
+
 #include "upstream_home.h"
+#include <cyclamendrift/sessions/primary_read.h>
 
 #include <algorithm>
 #include <array>
@@ -167,11 +169,8 @@
         && answer.before.progress >= request.seen;
     if (!usable)
         co_return std::nullopt;
-    Acknowledgements::Options what { .progress = answer.after.progress, .deadline = request.deadline };
-    if (std::holds_alternative<PrimaryRead>(request.access))
-        what.notBefore = answer.sentAt;
-    if (const auto* bounded = std::get_if<BoundedRead>(&request.access))
-        what.notBefore = answer.sentAt - bounded->maxStaleness;
+    const auto what
+        = confirmationOfPrimaryRead(request.access, answer.after, answer.sentAt, request.deadline);
     if (!co_await this->confirmations->confirm(what)) {
         if (this->now() < request.deadline)
             co_return std::nullopt;
--- a/src/proxy/home_transactions.cpp
+++ b/src/proxy/home_transactions.cpp
@@ -178,8 +178,7 @@
         throw rolledBack(failure->what());
     if (!failure) {
         this->takeSample({ slot, status, sentAt, this->now() });
-        if (co_await this->confirmations->confirm(
-                { .progress = status.progress, .deadline = request.deadline }))
+        if (co_await this->confirmations->confirm(Acknowledgements::afterCommit(status, request.deadline)))
             co_return status.progress;
     }
     ++this->counters.lostCommits;
--- a/src/proxy/home_writes.cpp
+++ b/src/proxy/home_writes.cpp
@@ -184,7 +184,7 @@
     if (failure)
         co_return this->failedCommit(*failure);
     this->takeSample({ slot, status, sentAt, this->now() });
-    if (!co_await this->confirmations->confirm({ .progress = status.progress, .deadline = request.deadline }))
+    if (!co_await this->confirmations->confirm(Acknowledgements::afterCommit(status, request.deadline)))
         co_return FailedWrite { WriteFailure::LostCommit,
             outcomeUnknown(RefusalReason::NotConfirmed, "no replica confirmed the write") };
     ++this->counters.writes;
@@ -237,7 +237,7 @@
         throw ranAndFailed(error);
     if (std::holds_alternative<DifferentStatement>(finding))
         throw differentStatement();
-    if (!co_await this->confirmations->confirm({ .progress = status.progress, .deadline = request.deadline }))
+    if (!co_await this->confirmations->confirm(Acknowledgements::afterCommit(status, request.deadline)))
         co_return FailedWrite { WriteFailure::LostCommit,
             outcomeUnknown(RefusalReason::NotConfirmed, "not confirmed") };
     ++this->counters.replays;
--- a/tests/commits/acknowledgements_test.cpp
+++ b/tests/commits/acknowledgements_test.cpp
@@ -124,6 +124,33 @@
         CHECK(acknowledgements.take(later).confirmed == std::vector { ticket });
     }
 
+    // A deposed primary comes back and answers a read while its proxy still believes in it; then the proxy
+    // learns of the promotion. All that the read saw was kept, but newer orders are missing from it.
+    TEST_CASE("a read that must be fresh is not carried over a promotion")
+    {
+        Acknowledgements acknowledgements;
+        acknowledgements.setView(viewOf(1, a, { a, b }, { a, b }));
+        const auto ticket = acknowledgements.add({ .progress = at(1, 10), .notBefore = start });
+        acknowledgements.setView(viewOf(2, b, { a, b }, { b }, at(1, 10)));
+        const auto settled = acknowledgements.take(start);
+        CHECK(settled.confirmed.empty());
+        CHECK(settled.givenUp == std::vector { ticket });
+    }
+
+    // Right after a commit its slot was fenced and made to follow another primary, which lacks the commit.
+    // The status read next stands at a position that every replica will confirm, for another log.
+    TEST_CASE("a commit whose slot is no primary any more is given up at once")
+    {
+        Acknowledgements acknowledgements;
+        acknowledgements.setView(viewOf(2, b, { a, b, c }));
+        acknowledgements.observe(replica(c, at(2, 30)));
+        const auto status = replica(a, at(2, 20)).status;
+        const auto ticket = acknowledgements.add(Acknowledgements::afterCommit(status, Instant::max()));
+        const auto settled = acknowledgements.take(start);
+        CHECK(settled.confirmed.empty());
+        CHECK(settled.givenUp == std::vector { ticket });
+    }
+
     // No replica answers. The caller gets the truth at its deadline and not later.
     TEST_CASE("an unconfirmed commit is given up at its deadline")
     {
--- a/tests/sessions/replica_tracker_test.cpp
+++ b/tests/sessions/replica_tracker_test.cpp
@@ -1,3 +1,4 @@
+#include <cyclamendrift/sessions/primary_read.h>
 #include <cyclamendrift/sessions/replica_tracker.h>
 
 #include <doctest/doctest.h>
@@ -81,6 +82,22 @@
             tracker.choose(request(BoundedRead { .maxStaleness = 3s }), later, random)));
     }
 
+    // The replicas fall silent for a while after the primary answered a read. When they confirm it at last,
+    // its rows are older than the caller allows.
+    TEST_CASE("a bounded read at the primary is given up when its rows have grown too old")
+    {
+        const auto acting = statusOf(at(1, 10), true);
+        const auto deadline = start + 8s;
+        const auto bounded
+            = confirmationOfPrimaryRead(BoundedRead { .maxStaleness = 1s }, acting, start, deadline);
+        CHECK(bounded.deadline == start + 1s);
+        CHECK(bounded.notBefore == start);
+        CHECK(confirmationOfPrimaryRead(PrimaryRead {}, acting, start, deadline).notBefore == start);
+        CHECK(confirmationOfPrimaryRead(SessionRead {}, acting, start, deadline).deadline == deadline);
+        CHECK(
+            confirmationOfPrimaryRead(PrimaryRead {}, statusOf(at(1, 10)), start, deadline).deadline < start);
+    }
+
     // A deposed primary still holds records that were never confirmed, until it follows the new one. A read
     // from it would show what is about to vanish.
     TEST_CASE("a fenced slot and a second primary are no replicas")
