--- a/tests/failover/group_world.cpp
+++ b/tests/failover/group_world.cpp
@@ -11,7 +11,6 @@
 constexpr Duration callTimeout = 300ms;
 constexpr Duration storeTimeout = 500ms;
 constexpr Duration tickInterval = 50ms;
-constexpr std::size_t sessionCount = 4;
 
 SlotName slotName(std::size_t index) { return SlotName { "slot" + std::to_string(index) }; }
 
@@ -22,7 +21,7 @@
     , random(this->options.seed)
     , slots(this->options.slots)
     , proxies(this->options.homes + this->options.observers)
-    , sessions(sessionCount)
+    , sessions(this->options.sessions)
 {
     for (auto& slot : this->slots)
         slot.lag = this->options.replicaLag;
@@ -90,8 +89,10 @@
     this->proxies[proxyIndex].alive = false;
     // Their connections break, so these sessions know that they must not wait.
     for (auto& session : this->sessions) {
-        if (session.home == proxyIndex)
-            session.busy = false;
+        if (session.home != proxyIndex)
+            continue;
+        session.busy = false;
+        ++session.operation;
     }
 }
 
@@ -296,6 +297,7 @@
     proxy.acknowledgements = {};
     proxy.waiting.clear();
     proxy.held.clear();
+    proxy.polling = false;
     proxy.tracker
         = std::make_unique<ReplicaTracker>(ReplicaTracker::Options { .patience = this->options.patience });
     proxy.coordinator = std::make_unique<FailoverCoordinator>(FailoverCoordinator::Options {
--- a/tests/failover/group_world.h
+++ b/tests/failover/group_world.h
@@ -35,6 +35,9 @@
         /// Each event reaches a coordinator a second time, later, with this chance in 100.
         unsigned duplicatesInHundred = 0;
         bool readsFromPrimaryOnly = false;
+        std::size_t sessions = 16;
+        /// How long a caller waits, and its request may be held.
+        cyclamendrift::Duration callerTimeout = std::chrono::seconds { 1 };
         cyclamendrift::FailoverSettings settings;
     };
     /// An end of a link.
@@ -119,6 +122,12 @@
         /// It does one thing after the other, at this home.
         bool busy = false;
         std::size_t home = 0;
+        std::uint64_t operation = 0;
+    };
+    /// Who waits for an answer; one who has given up is not told any more.
+    struct Caller {
+        std::size_t session = 0;
+        std::uint64_t operation = 0;
     };
     struct Waiting {
         std::function<void()> onConfirmed;
@@ -132,6 +141,7 @@
         std::deque<Task> held;
         cyclamendrift::Instant pausedUntil;
         cyclamendrift::Duration pauseAtOrder {};
+        bool polling = false;
         bool alive = true;
         unsigned life = 0;
     };
@@ -172,22 +182,23 @@
     // The sessions.
     void writeLoop();
     void readLoop();
-    void poll(std::size_t proxyIndex, cyclamendrift::ConfirmationTicket ticket);
+    void poll(std::size_t proxyIndex);
     void pollReplicas(std::size_t proxyIndex);
     void awaitConfirmation(
         std::size_t proxyIndex, const cyclamendrift::Acknowledgements::Options& options, Waiting waiting);
-    void write(std::size_t proxyIndex, std::size_t sessionIndex);
-    void writeUntil(std::size_t proxyIndex, std::size_t sessionIndex, cyclamendrift::Instant sentAt,
+    void write(std::size_t proxyIndex, Caller caller);
+    void writeUntil(std::size_t proxyIndex, Caller caller, cyclamendrift::Instant sentAt,
         cyclamendrift::Instant deadline);
-    void read(std::size_t proxyIndex, std::size_t sessionIndex, const cyclamendrift::Access& access,
+    void read(std::size_t proxyIndex, Caller caller, const cyclamendrift::Access& access,
         cyclamendrift::Instant begunAt);
-    void readAt(std::size_t proxyIndex, std::size_t sessionIndex,
-        const cyclamendrift::ReplicaTracker::Request& request, const cyclamendrift::SlotName& name,
-        bool onPrimary);
-    void noteAcknowledged(std::size_t sessionIndex, std::uint64_t write, cyclamendrift::Instant sentAt,
-        cyclamendrift::Progress progress);
-    void noteRead(std::size_t sessionIndex, const cyclamendrift::Access& access,
-        cyclamendrift::Instant sentAt, const std::set<std::uint64_t>& rows, cyclamendrift::Progress seen);
+    void readAt(std::size_t proxyIndex, Caller caller, const cyclamendrift::ReplicaTracker::Request& request,
+        const cyclamendrift::SlotName& name, bool onPrimary);
+    std::optional<Caller> beginOperation(std::size_t home);
+    void endOperation(Caller caller);
+    void noteAcknowledged(
+        Caller caller, std::uint64_t write, cyclamendrift::Instant sentAt, cyclamendrift::Progress progress);
+    void noteRead(Caller caller, const cyclamendrift::Access& access, cyclamendrift::Instant sentAt,
+        const std::set<std::uint64_t>& rows, cyclamendrift::Progress seen);
     void notePromotion(std::size_t slotIndex, cyclamendrift::Term term);
     void breach(std::string what);
 
--- a/tests/failover/group_world_sessions.cpp
+++ b/tests/failover/group_world_sessions.cpp
@@ -11,8 +11,7 @@
 namespace {
 
 constexpr Duration pollInterval = 2ms;
-constexpr Duration requestDeadline = 8s;
-constexpr Duration confirmationDeadline = 3s;
+constexpr Duration confirmationDeadline = 1s;
 constexpr Duration staleness = 1s;
 
 std::set<std::uint64_t> rowsOf(const ModelSlot& slot)
@@ -27,42 +26,57 @@
 
 } // namespace
 
+std::optional<GroupWorld::Caller> GroupWorld::beginOperation(std::size_t home)
+{
+    const auto index = this->random() % this->sessions.size();
+    auto& session = this->sessions[index];
+    if (!this->workload || !this->proxies[home].alive || session.busy)
+        return std::nullopt;
+    session.busy = true;
+    session.home = home;
+    const Caller caller { .session = index, .operation = ++session.operation };
+    this->at(this->clock + this->options.callerTimeout, [this, caller] { this->endOperation(caller); });
+    return caller;
+}
+
+void GroupWorld::endOperation(Caller caller)
+{
+    auto& session = this->sessions[caller.session];
+    if (session.operation != caller.operation)
+        return;
+    session.busy = false;
+    ++session.operation;
+}
+
 void GroupWorld::writeLoop()
 {
-    const auto session = this->random() % this->sessions.size();
     const auto home = this->random() % this->options.homes;
-    if (this->workload && this->proxies[home].alive && !this->sessions[session].busy) {
-        this->sessions[session].busy = true;
-        this->sessions[session].home = home;
-        this->atProxy(home, [this, home, session] { this->write(home, session); });
-    }
+    if (const auto caller = this->beginOperation(home))
+        this->atProxy(home, [this, home, caller] { this->write(home, *caller); });
     this->at(this->clock + this->options.writeInterval, [this] { this->writeLoop(); });
 }
 
 void GroupWorld::readLoop()
 {
-    const auto session = this->random() % this->sessions.size();
     const auto home = this->random() % this->options.homes;
-    if (this->workload && this->proxies[home].alive && !this->sessions[session].busy) {
-        this->sessions[session].busy = true;
-        this->sessions[session].home = home;
-        const std::array<Access, 4> kinds { SessionRead {}, SessionRead {}, BoundedRead { staleness },
-            PrimaryRead {} };
-        const auto access = kinds[this->random() % kinds.size()];
-        this->atProxy(
-            home, [this, home, session, access] { this->read(home, session, access, this->clock); });
+    const std::array<Access, 4> kinds { SessionRead {}, SessionRead {}, BoundedRead { staleness },
+        PrimaryRead {} };
+    const auto access = kinds[this->random() % kinds.size()];
+    if (const auto caller = this->beginOperation(home)) {
+        this->atProxy(home, [this, home, caller, access] { this->read(home, *caller, access, this->clock); });
     }
     this->at(this->clock + this->options.readInterval, [this] { this->readLoop(); });
 }
 
-void GroupWorld::poll(std::size_t proxyIndex, ConfirmationTicket ticket)
+void GroupWorld::poll(std::size_t proxyIndex)
 {
-    if (!this->proxies[proxyIndex].waiting.contains(ticket))
+    auto& proxy = this->proxies[proxyIndex];
+    proxy.polling = !proxy.waiting.empty();
+    if (!proxy.polling)
         return;
     this->pollReplicas(proxyIndex);
-    this->at(this->clock + pollInterval, [this, proxyIndex, ticket] {
-        this->atProxy(proxyIndex, [this, proxyIndex, ticket] { this->poll(proxyIndex, ticket); });
-    });
+    this->at(this->clock + pollInterval,
+        [this, proxyIndex] { this->atProxy(proxyIndex, [this, proxyIndex] { this->poll(proxyIndex); }); });
 }
 
 void GroupWorld::pollReplicas(std::size_t proxyIndex)
@@ -87,23 +101,23 @@
     const auto ticket = proxy.acknowledgements.add(options);
     proxy.waiting.emplace(ticket, std::move(waiting));
     this->settle(proxyIndex);
-    this->poll(proxyIndex, ticket);
+    if (!proxy.polling)
+        this->poll(proxyIndex);
 }
 
-void GroupWorld::write(std::size_t proxyIndex, std::size_t sessionIndex)
+void GroupWorld::write(std::size_t proxyIndex, Caller caller)
 {
-    this->writeUntil(proxyIndex, sessionIndex, this->clock, this->clock + requestDeadline);
+    this->writeUntil(proxyIndex, caller, this->clock, this->clock + this->options.callerTimeout);
 }
 
-void GroupWorld::writeUntil(
-    std::size_t proxyIndex, std::size_t sessionIndex, Instant sentAt, Instant deadline)
+void GroupWorld::writeUntil(std::size_t proxyIndex, Caller caller, Instant sentAt, Instant deadline)
 {
     auto& proxy = this->proxies[proxyIndex];
-    const auto again = [this, proxyIndex, sessionIndex, sentAt, deadline] {
-        this->writeUntil(proxyIndex, sessionIndex, sentAt, deadline);
+    const auto again = [this, proxyIndex, caller, sentAt, deadline] {
+        this->writeUntil(proxyIndex, caller, sentAt, deadline);
     };
     if (this->clock >= deadline) {
-        this->sessions[sessionIndex].busy = false;
+        this->endOperation(caller);
         return;
     }
     if (this->viewOf(proxyIndex).phase != GroupView::Phase::Serving) {
@@ -120,10 +134,10 @@
                 this->replicateAll();
             return done;
         },
-        [this, proxyIndex, sessionIndex, write, sentAt, again](
+        [this, proxyIndex, caller, write, sentAt, again](
             const std::optional<StatusSample>& sample, bool done) {
             if (!sample) {
-                this->sessions[sessionIndex].busy = false;
+                this->endOperation(caller);
                 return;
             }
             this->observe(proxyIndex, *sample);
@@ -133,33 +147,31 @@
             }
             const auto progress = sample->status.progress;
             const auto until = this->clock + confirmationDeadline;
-            this->awaitConfirmation(proxyIndex, { .progress = progress, .deadline = until },
-                { .onConfirmed
-                    = [this, sessionIndex, write, sentAt,
-                          progress] { this->noteAcknowledged(sessionIndex, write, sentAt, progress); },
-                    .onGivenUp = [this, sessionIndex] { this->sessions[sessionIndex].busy = false; } });
+            this->awaitConfirmation(proxyIndex, Acknowledgements::afterCommit(sample->status, until),
+                { .onConfirmed = [this, caller, write, sentAt,
+                                     progress] { this->noteAcknowledged(caller, write, sentAt, progress); },
+                    .onGivenUp = [this, caller] { this->endOperation(caller); } });
         });
 }
 
-void GroupWorld::read(std::size_t proxyIndex, std::size_t sessionIndex, const Access& access, Instant begunAt)
+void GroupWorld::read(std::size_t proxyIndex, Caller caller, const Access& access, Instant begunAt)
 {
     const ReplicaTracker::Request request {
-        .access = access, .seen = this->sessions[sessionIndex].seen, .arrivedAt = begunAt
+        .access = access, .seen = this->sessions[caller.session].seen, .arrivedAt = begunAt
     };
     auto& tracker = *this->proxies[proxyIndex].tracker;
     auto choice = tracker.choose(request, this->clock, this->random);
     if (this->options.readsFromPrimaryOnly)
         choice = tracker.choose({ .access = PrimaryRead {}, .seen = request.seen, .arrivedAt = begunAt },
             this->clock, this->random);
-    const auto again = [this, proxyIndex, sessionIndex, access, begunAt] {
-        this->read(proxyIndex, sessionIndex, access, begunAt);
-    };
-    if (this->clock - begunAt >= requestDeadline) {
-        this->sessions[sessionIndex].busy = false;
+    const auto again
+        = [this, proxyIndex, caller, access, begunAt] { this->read(proxyIndex, caller, access, begunAt); };
+    if (this->clock - begunAt >= this->options.callerTimeout) {
+        this->endOperation(caller);
     } else if (const auto* replica = std::get_if<ReadFromReplica>(&choice)) {
-        this->readAt(proxyIndex, sessionIndex, request, replica->slot, false);
+        this->readAt(proxyIndex, caller, request, replica->slot, false);
     } else if (const auto* primary = std::get_if<UsePrimary>(&choice)) {
-        this->readAt(proxyIndex, sessionIndex, request, primary->slot, true);
+        this->readAt(proxyIndex, caller, request, primary->slot, true);
     } else if (std::holds_alternative<WaitForReplica>(choice)) {
         this->pollReplicas(proxyIndex);
         this->at(this->clock + 1ms, [this, proxyIndex, again] { this->atProxy(proxyIndex, again); });
@@ -168,13 +180,13 @@
     }
 }
 
-void GroupWorld::readAt(std::size_t proxyIndex, std::size_t sessionIndex,
-    const ReplicaTracker::Request& request, const SlotName& name, bool onPrimary)
+void GroupWorld::readAt(std::size_t proxyIndex, Caller caller, const ReplicaTracker::Request& request,
+    const SlotName& name, bool onPrimary)
 {
     const auto sentAt = this->clock;
     const auto rows = std::make_shared<std::set<std::uint64_t>>();
     const auto before = std::make_shared<SlotStatus>();
-    const auto fail = [this, sessionIndex] { this->sessions[sessionIndex].busy = false; };
+    const auto fail = [this, caller] { this->endOperation(caller); };
     this->callSlot(
         proxyIndex, this->indexOf(name), false,
         [rows, before](ModelSlot& slot) {
@@ -193,21 +205,20 @@
             const auto done = [=, this] {
                 ++(onPrimary ? this->readCounts.primary : this->readCounts.replica);
                 this->readCounts.took.push_back(this->clock - request.arrivedAt);
-                this->noteRead(sessionIndex, request.access, sentAt, *rows, progress);
+                this->noteRead(caller, request.access, sentAt, *rows, progress);
             };
-            if (onPrimary && progress >= request.seen) {
+            if (onPrimary && before->progress >= request.seen) {
                 this->awaitConfirmation(proxyIndex,
                     confirmationOfPrimaryRead(
-                        request.access, progress, sentAt, sentAt + confirmationDeadline),
+                        request.access, sample->status, sentAt, sentAt + confirmationDeadline),
                     { .onConfirmed = done, .onGivenUp = fail });
             } else if (!onPrimary
                 && this->proxies[proxyIndex].tracker->proves(request, *before, sample->status, this->clock)) {
                 done();
             } else {
                 this->at(this->clock + 1ms, [=, this] {
-                    this->atProxy(proxyIndex, [=, this] {
-                        this->read(proxyIndex, sessionIndex, request.access, request.arrivedAt);
-                    });
+                    this->atProxy(proxyIndex,
+                        [=, this] { this->read(proxyIndex, caller, request.access, request.arrivedAt); });
                 });
             }
         });
@@ -215,24 +226,27 @@
 
 // The account
 
-void GroupWorld::noteAcknowledged(
-    std::size_t sessionIndex, std::uint64_t write, Instant sentAt, Progress progress)
+void GroupWorld::noteAcknowledged(Caller caller, std::uint64_t write, Instant sentAt, Progress progress)
 {
-    auto& session = this->sessions[sessionIndex];
-    session.busy = false;
-    session.seen = std::max(session.seen, progress);
-    session.known.insert(write);
+    auto& session = this->sessions[caller.session];
+    if (session.operation == caller.operation) {
+        session.seen = std::max(session.seen, progress);
+        session.known.insert(write);
+        this->endOperation(caller);
+    }
     this->acks.push_back({ .write = write, .sentAt = sentAt, .at = this->clock });
     if (!this->slots[this->primaryIndex()].holds(write))
         this->breach(
             "write " + std::to_string(write) + " was acknowledged although a later primary lacks it");
 }
 
-void GroupWorld::noteRead(std::size_t sessionIndex, const Access& access, Instant sentAt,
-    const std::set<std::uint64_t>& rows, Progress seen)
+void GroupWorld::noteRead(
+    Caller caller, const Access& access, Instant sentAt, const std::set<std::uint64_t>& rows, Progress seen)
 {
-    auto& session = this->sessions[sessionIndex];
-    session.busy = false;
+    auto& session = this->sessions[caller.session];
+    if (session.operation != caller.operation)
+        return;
+    this->endOperation(caller);
     session.seen = std::max(session.seen, seen);
     if (!std::includes(rows.begin(), rows.end(), session.known.begin(), session.known.end()))
         this->breach("a session did not read what it had written or read before");
