--- a/bench/bench_consistency.cpp
+++ b/bench/bench_consistency.cpp
@@ -143,7 +143,7 @@
 void killPromoterHalfWay(GroupWorld& world)
 {
     world.kill(0);
-    while (world.record()->isSettled())
+    while (world.record().value_or(GroupRecord {}).isSettled())
         world.runFor(1ms);
     world.killProxy(0);
 }
