Publish the views of a group in the order in which they came about

Cause: a store that answers at once was handled while the actions of an earlier event were still being performed; the older view, 'failing over', was then published last and stayed in force, so homes would have held all work for good. Change: the driver queues events and handles one after the other.

--- a/src/proxy/group_driver.cpp
+++ b/src/proxy/group_driver.cpp
@@ -12,6 +12,7 @@
 #include <asio/use_awaitable.hpp>
 
 #include <chrono>
+#include <deque>
 #include <optional>
 #include <utility>
 
@@ -65,7 +66,8 @@
     [[nodiscard]] std::shared_ptr<ControlSlot> find(const SlotName& slot) const;
     void tick(Instant now);
     void noteLeaving(Instant now);
-    void give(const FailoverEvent& event);
+    void give(FailoverEvent event);
+    void work();
     void perform(const FailoverActions& actions);
     void call(const SlotName& slot, SlotOrder order);
     void finished(const SlotName& slot, const SlotResult& result);
@@ -82,6 +84,8 @@
     std::optional<FailoverCoordinator> coordinator;
     std::optional<Instant> leavingAt;
     std::vector<SlotName> leaving;
+    std::deque<FailoverEvent> events;
+    bool working = false;
     GroupCounters counts;
     bool stopped = false;
 };
@@ -128,8 +132,11 @@
 void AsioGroupDriver::tick(Instant now)
 {
     this->noteLeaving(now);
+    this->working = true;
     if (this->coordinator)
         this->perform(this->coordinator->tick(now));
+    this->working = false;
+    this->work();
 }
 
 void AsioGroupDriver::noteLeaving(Instant now)
@@ -148,10 +155,26 @@
     this->give(LeavingChanged { std::move(found) });
 }
 
-void AsioGroupDriver::give(const FailoverEvent& event)
+void AsioGroupDriver::give(FailoverEvent event)
 {
-    if (!this->stopped && this->coordinator)
+    this->events.push_back(std::move(event));
+    this->work();
+}
+
+void AsioGroupDriver::work()
+{
+    // A store or slot may answer while the actions of an earlier event are still being performed. Handled at
+    // once, its view would be published before the older one of that event, which would then stay in force:
+    // homes would hold all writes although the primary serves.
+    if (this->working)
+        return;
+    this->working = true;
+    while (!this->events.empty() && !this->stopped && this->coordinator) {
+        const auto event = std::move(this->events.front());
+        this->events.pop_front();
         this->perform(this->coordinator->handle(event, steadyNow()));
+    }
+    this->working = false;
 }
 
 struct AsioGroupDriver::Performer {
@@ -262,7 +285,7 @@
     } catch (const std::exception&) {
         co_return; // the coordinator asks again
     }
-    this->give(answer);
+    this->give(std::move(answer));
 }
 
 asio::awaitable<void> AsioGroupDriver::readRecord()
@@ -277,7 +300,7 @@
         this->give(RecordUnavailable {});
         co_return;
     }
-    this->give(read);
+    this->give(std::move(read));
 }
 
 asio::awaitable<void> AsioGroupDriver::swapRecord(SwapRecord swap)
@@ -302,7 +325,7 @@
     } catch (const Error&) {
         event = RecordSwapUnanswered { id };
     }
-    this->give(event);
+    this->give(std::move(event));
 }
 
 asio::awaitable<SlotOpinion> AsioGroupDriver::opinionOf(SlotName slot)
