Describe the load caller's options as docopt reads them

Cause: docopt takes an option without a description for a flag, so the key was read as an endpoint and the load caller ended with an exception; two steps of the quickstart failed for it. Change: each option is described with its argument.

--- a/standins/main_callers.cpp
+++ b/standins/main_callers.cpp
@@ -16,17 +16,19 @@
 constexpr auto usage = R"(Callers that write rows and read them back, for the quickstart.
 
 Usage:
-  standin_callers --key KEY --service NAME --database NAME [--threads N] [--seconds N] [--pause-ms N] [--prefix TEXT]
-                  [--check] ENDPOINT...
-  standin_callers --direct PORT [--threads N] [--seconds N] [--prefix TEXT]
+  standin_callers --key=KEY --service=NAME --database=NAME [options] ENDPOINT...
+  standin_callers --direct=PORT [options]
 
 Options:
-  --threads N    callers at once [default: 4]
-  --seconds N    how long they go on [default: 5]
-  --pause-ms N   pause of a caller between its requests [default: 5]
-  --prefix TEXT  beginning of the keys of the rows [default: bed]
-  --direct PORT  talk to the primary on this port instead, to compare with
-  --check        afterwards look for every acknowledged row
+  --key=KEY        the callers' key
+  --service=NAME   service of the database
+  --database=NAME  database that has a table reservations (bed text PRIMARY KEY)
+  --direct=PORT    talk to the primary on this port instead, to compare with
+  --threads=N      callers at once [default: 4]
+  --seconds=N      how long they go on [default: 5]
+  --pause-ms=N     pause of a caller between its requests [default: 5]
+  --prefix=TEXT    beginning of the keys of the rows [default: bed]
+  --check          afterwards look for every acknowledged row
 
 Prints one line of JSON. Exit codes: 0 no request was cut, no read was stale and no acknowledged row is missing; 1 else.
 )";
