Print the times of callers through the proxy as well

Cause: tools/overhead showed 0.00 for every ratio of times; the formatter had moved the line that the change looked for. Change: the times are printed for both ways.

--- a/standins/main_callers.cpp
+++ b/standins/main_callers.cpp
@@ -75,7 +75,9 @@
               << tally.unknown << R"(,"failed":)" << tally.failed << R"(,"cut":)" << tally.cut
               << R"(,"refused_connections":)" << tally.refusedConnections << R"(,"stale_reads":)"
               << tally.staleReads << R"(,"acknowledged":)" << tally.acknowledged.size() << R"(,"present":)"
-              << present << R"(,"longest_gap_ms":)" << gap.count() << "}\n";
+              << present << R"(,"longest_gap_ms":)" << gap.count() << ',';
+    printTimes(tally.writes, tally.reads);
+    std::cout << "}\n";
 }
 
 } // namespace
