--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -3,6 +3,7 @@
 #include "group_service.h"
 #include "health.h"
 #include "proxy_context.h"
+#include "proxy_metrics.h"
 
 #include <cyclamendrift/callers/http_server.h>
 #include <cyclamendrift/callers/rpc_dispatcher.h>
@@ -16,6 +17,8 @@
 #include <cyclamendrift/siblings/sibling_client.h>
 #include <cyclamendrift/siblings/sibling_server.h>
 
+#include <cyclamendrift/telemetry/tracing.h>
+
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <asio/post.hpp>
@@ -100,6 +103,7 @@
     asio::awaitable<HttpResponse> answerCaller(const RpcDispatcher& dispatcher, HttpRequest request);
     asio::awaitable<HttpResponse> answerOperator(HttpRequest request);
     std::string whyNotReady() const;
+    ProxyFigures figures() const;
     asio::awaitable<void> drain();
     asio::awaitable<void> settle(Instant deadline);
     std::size_t inFlight() const;
@@ -108,6 +112,8 @@
 
     Options options;
     HealthPages health;
+    ProxyMetrics metrics;
+    std::shared_ptr<opentracing::Tracer> tracer;
     ProxyContext control;
     std::vector<std::unique_ptr<TrafficThread>> traffic;
     AsioTimerService timers;
@@ -134,6 +140,8 @@
 Proxy::State::State(Options given)
     : options(std::move(given))
     , health({ .whyNotReady = [this] { return this->whyNotReady(); } })
+    , tracer(makeTracer(
+          { .vm = this->options.settings.vm.name.string(), .destination = this->options.settings.traces }))
     , timers(this->control.executor())
 {
     const auto& settings = this->options.settings;
@@ -182,6 +190,8 @@
                     throw RequestError { { .outcome = Outcome::NotRun,
                         .reason = RefusalReason::ShuttingDown,
                         .message = "this proxy is starting" } };
+                const auto span = startSpan(*this->tracer, "home " + call.method, call.traceparent);
+                call.traceparent = traceparentOf(*span);
                 co_return co_await service->handle(std::move(call));
             } });
 }
@@ -302,13 +312,31 @@
 {
     if (auto page = this->health.answer(request))
         co_return std::move(*page);
-    co_return co_await dispatcher.dispatch(std::move(request));
+    const auto begin = std::chrono::steady_clock::now();
+    const auto span = startSpan(*this->tracer, "entry", request.header("traceparent"));
+    std::erase_if(request.headers, [](const HttpHeader& header) { return header.name == "traceparent"; });
+    request.headers.insert(request.headers.begin(), { "traceparent", traceparentOf(*span) });
+    auto response = co_await dispatcher.dispatch(request);
+    this->metrics.answered(request, response, std::chrono::steady_clock::now() - begin);
+    co_return response;
+}
+
+ProxyFigures Proxy::State::figures() const
+{
+    const auto snapshot = this->fleet->configuration();
+    return { .connections = this->openConnections(),
+        .inFlight = this->inFlight(),
+        .revision = snapshot ? snapshot->revision : 0,
+        .ready = this->whyNotReady().empty(),
+        .homes = this->homes->status() };
 }
 
 asio::awaitable<HttpResponse> Proxy::State::answerOperator(HttpRequest request)
 {
     if (auto page = this->health.answer(request))
         co_return std::move(*page);
+    if (request.path == "/metrics")
+        co_return this->metrics.page(this->figures());
     co_return co_await this->operatorDispatcher.dispatch(std::move(request));
 }
 
