--- a/include/cyclamendrift/operators/operators_service.h
+++ b/include/cyclamendrift/operators/operators_service.h
@@ -3,6 +3,7 @@
 #include <cyclamendrift/callers/rpc_dispatcher.h>
 #include <cyclamendrift/proxy/fleet.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -16,6 +17,8 @@
         std::shared_ptr<Fleet> fleet;
         /// The secret that operators send as `Authorization: Bearer`.
         std::string secret;
+        /// Answers Status; the fleet's own answer when unset.
+        std::function<asio::awaitable<api::StatusResponse>()> status;
     };
 
     explicit OperatorsService(Options options);
--- a/include/cyclamendrift/proxy/forward_service.h
+++ b/include/cyclamendrift/proxy/forward_service.h
@@ -37,6 +37,7 @@
     [[nodiscard]] asio::awaitable<std::string> execute(IncomingSiblingCall call);
     [[nodiscard]] asio::awaitable<std::string> begin(IncomingSiblingCall call);
     [[nodiscard]] asio::awaitable<std::string> end(IncomingSiblingCall call);
+    [[nodiscard]] std::string homeStatus(const IncomingSiblingCall& call) const;
 
     Options options;
     std::atomic<std::size_t> calls { 0 };
--- a/include/cyclamendrift/proxy/home_registry.h
+++ b/include/cyclamendrift/proxy/home_registry.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,9 @@
     /// Takes nothing new; returns when all homes have answered what they accepted.
     [[nodiscard]] asio::awaitable<void> drain();
 
+    /// How one database fares, empty when this VM is not home of it.
+    [[nodiscard]] std::optional<HomeStatus> statusOf(const DatabaseName& database) const;
+
     /// How the databases fare whose home this VM is.
     [[nodiscard]] std::vector<RegisteredHomeStatus> status() const;
 
--- a/src/operators/operators_service.cpp
+++ b/src/operators/operators_service.cpp
@@ -81,7 +81,9 @@
     this->add<api::SetLimitsRequest, api::ApplyResponse>(dispatcher, "SetLimits",
         [](Fleet& fleet, auto request) { return fleet.setLimits(std::move(request)); });
     this->add<api::StatusRequest, api::StatusResponse>(
-        dispatcher, "Status", [](Fleet& fleet, const auto&) { return fleet.status(); });
+        dispatcher, "Status", [status = this->options.status](Fleet& fleet, const auto&) {
+            return status ? status() : fleet.status();
+        });
 }
 
 // Comparing hashes takes the same time whatever was sent, its length included.
--- a/src/proxy/forward_codec.cpp
+++ b/src/proxy/forward_codec.cpp
@@ -207,4 +207,11 @@
     }
 }
 
+void fillStatus(const HomeStatus& status, api::DatabaseStatus& message)
+{
+    message.set_term(static_cast<std::uint64_t>(status.term));
+    message.set_primary(status.primary.string());
+    message.set_state(status.state);
+}
+
 } // namespace cyclamendrift
--- a/src/proxy/forward_codec.h
+++ b/src/proxy/forward_codec.h
@@ -14,6 +14,7 @@
 inline constexpr auto execute = "Execute";
 inline constexpr auto begin = "Begin";
 inline constexpr auto end = "End";
+inline constexpr auto homeStatus = "HomeStatus";
 } // namespace forward_method
 
 /// What a call between siblings carries beside its body.
@@ -42,4 +43,7 @@
 /// Puts rows, slot and outcome of an answer into the caller's response.
 void fillResponse(const HomeAnswer& answer, api::ExecuteResponse& response);
 
+/// Puts term, primary and state of a home into the status that operators see.
+void fillStatus(const HomeStatus& status, api::DatabaseStatus& message);
+
 } // namespace cyclamendrift
--- a/src/proxy/forward_service.cpp
+++ b/src/proxy/forward_service.cpp
@@ -63,6 +63,8 @@
         co_return co_await this->begin(std::move(call));
     if (call.method == forward_method::end)
         co_return co_await this->end(std::move(call));
+    if (call.method == forward_method::homeStatus)
+        co_return this->homeStatus(call);
     if (call.method == slotOpinionMethod)
         co_return co_await this->options.slotOpinion(std::move(call));
     auto answer = co_await this->options.fleet->handle(call.from, call.method, std::move(call.body));
@@ -97,4 +99,13 @@
     co_return answer.SerializeAsString();
 }
 
+std::string ForwardService::homeStatus(const IncomingSiblingCall& call) const
+{
+    auto message = parsed<api::DatabaseStatus>(call.body);
+    const DatabaseName database { ServiceName { message.service() }, message.database() };
+    if (const auto status = this->options.homes->statusOf(database))
+        fillStatus(*status, message);
+    return message.SerializeAsString();
+}
+
 } // namespace cyclamendrift
--- a/src/proxy/home_registry.cpp
+++ b/src/proxy/home_registry.cpp
@@ -175,6 +175,15 @@
         co_await done->async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
 }
 
+std::optional<HomeStatus> HomeRegistry::statusOf(const DatabaseName& database) const
+{
+    const std::scoped_lock lock { this->mutex };
+    const auto entry = this->entries.find(database);
+    if (entry == this->entries.end() || !entry->second.current)
+        return std::nullopt;
+    return entry->second.current->status();
+}
+
 std::vector<RegisteredHomeStatus> HomeRegistry::status() const
 {
     std::vector<RegisteredHomeStatus> result;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -1,5 +1,6 @@
 #include <cyclamendrift/proxy/proxy.h>
 
+#include "fleet_status.h"
 #include "group_service.h"
 #include "health.h"
 #include "proxy_context.h"
@@ -104,6 +105,7 @@
     asio::awaitable<HttpResponse> answerOperator(HttpRequest request);
     std::string whyNotReady() const;
     ProxyFigures figures() const;
+    FleetStatusSources statusSources();
     asio::awaitable<void> drain();
     asio::awaitable<void> settle(Instant deadline);
     std::size_t inFlight() const;
@@ -299,8 +301,9 @@
 void Proxy::State::makeOperatorServer()
 {
     const auto& settings = this->options.settings.operators;
-    this->operators = std::make_unique<OperatorsService>(
-        OperatorsService::Options { .fleet = this->fleet, .secret = settings.secret });
+    this->operators = std::make_unique<OperatorsService>(OperatorsService::Options { .fleet = this->fleet,
+        .secret = settings.secret,
+        .status = [this] { return gatherStatus(this->statusSources()); } });
     this->operators->addTo(this->operatorDispatcher);
     this->operatorServer = std::make_unique<HttpServer>(this->control.io(),
         HttpServer::Options { .host = settings.listen.address,
@@ -321,6 +324,16 @@
     co_return response;
 }
 
+FleetStatusSources Proxy::State::statusSources()
+{
+    return { .self = this->options.settings.vm.name,
+        .fleet = this->fleet,
+        .homes = this->homes,
+        .callSibling = [this](SiblingAddress to, SiblingCall call) {
+            return this->siblings->call(std::move(to), std::move(call));
+        } };
+}
+
 ProxyFigures Proxy::State::figures() const
 {
     const auto snapshot = this->fleet->configuration();
