--- a/standins/postgres_session.cpp
+++ b/standins/postgres_session.cpp
@@ -24,24 +24,9 @@
 constexpr std::size_t maxMessageSize = 16U << 20U;
 constexpr std::uint32_t cancelKey = 4711;
 
-Instant now() { return std::chrono::steady_clock::now(); }
-
 /// Thrown when the connection has ended.
 struct Disconnected { };
 
-StatementResult statusResult(const SlotStatus& status)
-{
-    StatementResult result { .rows = {}, .hasRows = true, .tag = "SELECT 1" };
-    result.rows.columns = { "term", "position", "fenced", "is_primary" };
-    result.rows.rows.push_back({
-        std::to_string(static_cast<std::uint64_t>(status.progress.term)),
-        std::to_string(static_cast<std::uint64_t>(status.progress.position)),
-        std::to_string(static_cast<std::uint64_t>(status.fenced)),
-        status.primary ? "t" : "f",
-    });
-    return result;
-}
-
 } // namespace
 
 PostgresSession::PostgresSession(asio::ip::tcp::socket socket, SlotSessions& slot)
@@ -49,6 +34,11 @@
     , timer(this->socket.get_executor())
     , slot(slot)
     , number(++slot.lastSession)
+    , transaction({ .model = *slot.model,
+          .group = *slot.group,
+          .owner = this->number,
+          .onChange = slot.onChange,
+          .onRelease = [this] { this->wakeOthers(); } })
 {
 }
 
@@ -76,7 +66,7 @@
     if (this->closed)
         return;
     this->closed = true;
-    this->rollBack();
+    this->transaction.rollBack();
     std::error_code ignored;
     this->socket.close(ignored);
     this->timer.cancel();
@@ -90,6 +80,14 @@
         this->timer.cancel();
 }
 
+void PostgresSession::wakeOthers()
+{
+    for (const auto& [other, session] : this->slot.open) {
+        if (other != this->number)
+            session->wake();
+    }
+}
+
 asio::awaitable<bool> PostgresSession::startUp()
 {
     while (true) {
@@ -255,7 +253,7 @@
         const auto statement = parseSql(text);
         const std::vector<Value> noParameters;
         const auto result = co_await this->execute(statement, noParameters);
-        this->commitImplicit();
+        this->transaction.commitImplicit();
         this->sendRows(result, true);
     } catch (const SqlError& error) {
         state = error.sqlState();
@@ -321,7 +319,7 @@
 {
     if (!this->skipToSync) {
         try {
-            this->commitImplicit();
+            this->transaction.commitImplicit();
         } catch (const SqlError& error) {
             this->sendError(error.sqlState(), error.what());
         }
@@ -340,7 +338,7 @@
         if (this->cancelled)
             throw SqlError { "57014", "canceling statement due to user request" };
         try {
-            co_return this->executeOnce(statement, parameters);
+            co_return this->transaction.execute(statement, parameters);
         } catch (const LockBusy&) {
             // Another transaction holds a row; its end wakes this session up.
         }
@@ -350,128 +348,6 @@
     }
 }
 
-StatementResult PostgresSession::executeOnce(
-    const SqlStatement& statement, const std::vector<Value>& parameters)
-{
-    if (const auto* control = std::get_if<ControlCall>(&statement))
-        return this->runControl(*control, parameters);
-    if (std::holds_alternative<Empty>(statement))
-        return {};
-    if (const auto* ignored = std::get_if<Ignored>(&statement))
-        return { .rows = {}, .tag = ignored->tag };
-    if (std::holds_alternative<Commit>(statement))
-        return this->commit();
-    if (std::holds_alternative<Rollback>(statement)) {
-        this->rollBack();
-        return { .rows = {}, .tag = "ROLLBACK" };
-    }
-    if (this->state == TransactionState::Failed)
-        throw SqlError { "25P02", "current transaction is aborted" };
-    if (const auto* begin = std::get_if<Begin>(&statement))
-        return this->begin(*begin);
-    if (this->state == TransactionState::None) {
-        this->state = TransactionState::Implicit;
-        this->begunIn = this->slot.model->progress().term;
-    }
-    Execution execution { {
-        .tables = this->slot.model->tables,
-        .buffer = this->buffer,
-        .locks = this->slot.model->locks,
-        .owner = this->number,
-        .parameters = parameters,
-        .checkWritable =
-            [this] {
-                if (this->readOnly || !this->slot.model->writable())
-                    throw SqlError { "25006", "cannot execute this in a read-only transaction" };
-            },
-    } };
-    return std::visit(
-        [&execution](const auto& form) -> StatementResult {
-            if constexpr (requires { execution(form); })
-                return execution(form);
-            else
-                throw SqlError { "0A000", "not a statement on tables" };
-        },
-        statement);
-}
-
-StatementResult PostgresSession::runControl(const ControlCall& call, const std::vector<Value>& parameters)
-{
-    std::vector<std::string> arguments;
-    for (const auto& operand : call.arguments) {
-        if (const auto* parameter = std::get_if<Parameter>(&operand))
-            arguments.push_back(parameters.at(parameter->index - 1).value_or(""));
-        else if (const auto* literal = std::get_if<Literal>(&operand))
-            arguments.push_back(literal->value.value_or(""));
-    }
-    auto& model = *this->slot.model;
-    const bool isStatus = call.function == "cyclamendrift_status" && arguments.empty();
-    if (isStatus)
-        return statusResult(model.status());
-    if (arguments.empty())
-        throw SqlError { "42883", "function " + call.function + " does not exist" };
-    const Term term { std::stoull(arguments.front()) };
-    SlotStatus status;
-    if (call.function == "cyclamendrift_fence")
-        status = this->slot.group->fence(model, term);
-    else if (call.function == "cyclamendrift_promote")
-        status = this->slot.group->promote(model, term, now());
-    else if (call.function == "cyclamendrift_follow" && arguments.size() == 2)
-        status = this->slot.group->follow(model, term, arguments[1], now());
-    else
-        throw SqlError { "42883", "function " + call.function + " does not exist" };
-    this->slot.onChange();
-    return statusResult(status);
-}
-
-StatementResult PostgresSession::begin(const Begin& begin)
-{
-    if (this->state == TransactionState::None)
-        this->begunIn = this->slot.model->progress().term;
-    this->state = TransactionState::Open;
-    this->readOnly = begin.readOnly;
-    return { .rows = {}, .tag = "BEGIN" };
-}
-
-StatementResult PostgresSession::commit()
-{
-    if (this->state == TransactionState::Failed) {
-        this->rollBack();
-        return { .rows = {}, .tag = "ROLLBACK" };
-    }
-    // Rolled back first, so that a refused commit leaves no transaction open either.
-    const auto changes = std::move(this->buffer);
-    const auto begunIn = this->begunIn;
-    this->state = TransactionState::None;
-    try {
-        this->slot.group->commit(*this->slot.model, changes, begunIn, now());
-    } catch (const SqlError&) {
-        this->rollBack();
-        throw;
-    }
-    this->rollBack();
-    this->slot.onChange();
-    return { .rows = {}, .tag = "COMMIT" };
-}
-
-void PostgresSession::rollBack()
-{
-    this->buffer = {};
-    this->state = TransactionState::None;
-    this->readOnly = false;
-    this->slot.model->locks.release(this->number);
-    for (const auto& [number, session] : this->slot.open) {
-        if (number != this->number)
-            session->wake();
-    }
-}
-
-void PostgresSession::commitImplicit()
-{
-    if (this->state == TransactionState::Implicit)
-        (void)this->commit();
-}
-
 void PostgresSession::sendRows(const StatementResult& result, bool withDescription)
 {
     if (withDescription && result.hasRows) {
@@ -513,18 +389,14 @@
     error.raw("S").text(severity).raw("V").text(severity).raw("C").text(sqlState).raw("M").text(message).text(
         "");
     this->output += error.str();
-    const bool explicitTransaction
-        = this->state == TransactionState::Open || this->state == TransactionState::Failed;
-    this->rollBack();
-    if (explicitTransaction)
-        this->state = TransactionState::Failed;
+    this->transaction.fail();
 }
 
 void PostgresSession::sendReady()
 {
-    const bool open = this->state == TransactionState::Open;
-    const char* status = open ? "T" : "I";
-    if (this->state == TransactionState::Failed)
+    const auto state = this->transaction.state();
+    const char* status = state == SlotTransaction::State::Open ? "T" : "I";
+    if (state == SlotTransaction::State::Failed)
         status = "E";
     this->output += WireMessage { 'Z' }.raw(status).str();
 }
--- a/standins/postgres_session.h
+++ b/standins/postgres_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "group_model.h"
+#include "slot_transaction.h"
 #include "sql_statement.h"
 
 #include <asio/awaitable.hpp>
@@ -49,8 +50,6 @@
     void wake(bool cancelled = false);
 
 private:
-    enum class TransactionState : std::uint8_t { None, Implicit, Open, Failed };
-
     struct Message {
         char type = 0;
         std::string payload;
@@ -61,6 +60,7 @@
         bool described = false;
     };
 
+    void wakeOthers();
     asio::awaitable<bool> startUp();
     asio::awaitable<std::string> read(std::size_t count);
     asio::awaitable<Message> readMessage();
@@ -78,13 +78,6 @@
 
     asio::awaitable<StatementResult> execute(
         const SqlStatement& statement, const std::vector<Value>& parameters);
-    StatementResult executeOnce(const SqlStatement& statement, const std::vector<Value>& parameters);
-    StatementResult runControl(const ControlCall& call, const std::vector<Value>& parameters);
-    StatementResult begin(const Begin& begin);
-    StatementResult commit();
-    void rollBack();
-    void commitImplicit();
-
     void sendRows(const StatementResult& result, bool withDescription);
     void sendError(const std::string& sqlState, const std::string& message);
     void sendReady();
@@ -97,10 +90,7 @@
     std::string output;
     std::map<std::string, SqlStatement> prepared;
     std::map<std::string, Portal> portals;
-    TransactionBuffer buffer;
-    TransactionState state = TransactionState::None;
-    Term begunIn {};
-    bool readOnly = false;
+    SlotTransaction transaction;
     bool skipToSync = false;
     bool silent = false;
     bool closed = false;
--- a/tests/proxy/fake_group.h
+++ b/tests/proxy/fake_group.h
@@ -2,6 +2,7 @@
 
 #include <proxy/virtual_time.h>
 
+#include <standins/execution.h>
 #include <standins/group_model.h>
 
 #include <cyclamendrift/upstreams/connection.h>
