Fail at once when a sibling's address is none

An attempt to connect that failed before it had to wait ended while its call was still being set up: the call then used a forgotten peer and waited for its deadline. The call keeps the attempt itself now and looks whether it is done. A test with a host name for an address and a deadline of an hour passes at once. 17 tests in test_siblings pass.

--- a/src/siblings/sibling_client.cpp
+++ b/src/siblings/sibling_client.cpp
@@ -165,16 +165,20 @@
     auto& peer = self->peers[key];
     if (peer.link && peer.link->takesStreams())
         co_return peer.link;
-    if (!peer.attempt) {
-        peer.attempt = std::make_shared<ConnectAttempt>();
-        asio::co_spawn(self->strand, connect(self, key, peer.attempt), asio::detached);
+    // An attempt that fails before it has to wait ends within co_spawn, and its peer is forgotten then.
+    auto attempt = peer.attempt;
+    if (!attempt) {
+        attempt = std::make_shared<ConnectAttempt>();
+        peer.attempt = attempt;
+        asio::co_spawn(self->strand, connect(self, key, attempt), asio::detached);
     }
-    const auto attempt = peer.attempt;
     const auto timer = std::make_shared<asio::steady_timer>(self->strand, deadline);
-    attempt->waiting.push_back(timer);
     std::error_code ignored;
-    co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    std::erase(attempt->waiting, timer);
+    if (!attempt->done) {
+        attempt->waiting.push_back(timer);
+        co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        std::erase(attempt->waiting, timer);
+    }
     if (!attempt->done)
         fail(SiblingError::Kind::Unreachable, "no connection to the sibling before the deadline");
     if (attempt->failure)
--- a/tests/siblings/sibling_test.cpp
+++ b/tests/siblings/sibling_test.cpp
@@ -247,6 +247,21 @@
         }) == SiblingError::Kind::Unreachable);
     }
 
+    TEST_CASE("an address that is none fails at once and not at the deadline")
+    {
+        // The platform's list gives a host name where an address belongs. The caller must not wait for it.
+        Pair pair { echo };
+        const SiblingAddress address { .vm = VmName { "odd" }, .host = "vm.example", .port = 1 };
+        const auto deadline = std::chrono::steady_clock::now() + 1h;
+        for (int attempt = 0; attempt < 2; ++attempt) {
+            CHECK(kindOf([&] {
+                runCoroutine(pair.context,
+                    pair.client->call(
+                        address, { .method = "Echo", .body = "", .deadline = deadline, .traceparent = "" }));
+            }) == SiblingError::Kind::Unreachable);
+        }
+    }
+
     TEST_CASE("an answer cut in the middle is lost and never taken for a whole one")
     {
         // The home dies while its answer is under way. The first half of a list of beds looks like a list of
