--- a/src/proxy/fleet_configuration.h
+++ b/src/proxy/fleet_configuration.h
@@ -78,6 +78,8 @@
     void adoptInitial(DocumentPointer document);
 
 private:
+    /// Throws StoreError when the store holds something else.
+    [[nodiscard]] static DocumentPointer parseDocument(const std::string& value);
     void adopt(DocumentPointer document);
     void updateTrust();
     void readStoreIfDue(Instant now);
--- a/src/proxy/fleet_limits.h
+++ b/src/proxy/fleet_limits.h
@@ -81,6 +81,7 @@
     using GatePointer = std::shared_ptr<TeamGate>;
 
     [[nodiscard]] GatePointer findGate(const TeamName& team) const;
+    [[nodiscard]] static LimitRule ruleFrom(const api::Team& team);
     [[nodiscard]] LimitRule ruleOf(const std::string& team) const;
     void updateGates(const wire::ConfigurationDocument& document);
     void updateOwned(const wire::ConfigurationDocument& document);
