--- a/bench/bench_home.cpp
+++ b/bench/bench_home.cpp
@@ -92,7 +92,7 @@
 /// The queue of this project.
 class FairPolicy {
 public:
-    static constexpr std::string_view name = "fair";
+    static constexpr std::string_view name = "ours";
 
     explicit FairPolicy(std::size_t connections)
         : queue({ .connections = connections,
--- a/bench/report/bounds.cpp
+++ b/bench/report/bounds.cpp
@@ -28,7 +28,7 @@
     }
     Bound bound { .site = table["site"].value_or(std::string {}),
         .fault = table["fault"].value_or(std::string {}),
-        .policy = table["policy"].value_or(std::string { "cyclamendrift" }),
+        .policy = table["policy"].value_or(std::string { "ours" }),
         .measure = table["measure"].value_or(std::string {}),
         .atMost = table["at_most"].value<double>(),
         .atLeast = table["at_least"].value<double>(),
