Ask listed siblings when none seems alive, and pass on two settings

Cause: a VM cut off from all its siblings soon takes them for dead; its list of siblings to ask was then empty, which counts as "alone" and agreed with its own broken network. It could have replaced a primary that served everybody else (no data would have been lost). Change: the siblings to ask are chosen by a function of its own, from the homes and then from the platform's list, other availability zones first; before the list was read nobody counts as alone.

--- a/include/cyclamendrift/proxy/database_home_factory.h
+++ b/include/cyclamendrift/proxy/database_home_factory.h
@@ -38,6 +38,8 @@
     /// User and password of the upstreams; host, port and database name come from the description.
     Connection::Options credentials;
     Connector connector;
+    /// How long a new connection may take.
+    Duration connectTimeout = std::chrono::seconds { 1 };
     /// True when the platform's list gives a slot's VM as leaving; it gets no new work then.
     std::function<bool(std::string_view address, std::uint16_t port)> isLeaving;
     /// Weight of a team in the sharing of connections; every team counts 1 when unset.
--- a/include/cyclamendrift/proxy/fleet.h
+++ b/include/cyclamendrift/proxy/fleet.h
@@ -31,6 +31,12 @@
     api::Schema schema;
 };
 
+/// A VM of the system on the platform's list.
+struct ListedSibling {
+    SiblingAddress address;
+    ZoneName zone;
+};
+
 /// What this VM knows and shares with all others: the configuration and its keys, the members, who is home of
 /// what, and the limits of teams. Safe to call from any thread; a call resumes on its caller's executor.
 class Fleet {
@@ -51,6 +57,10 @@
     /// Home proxies of a database, best first; the address with the own name stands for this VM.
     [[nodiscard]] virtual std::vector<SiblingAddress> homesOf(const DatabaseName& database) const = 0;
 
+    /// The VMs of the system that the platform's last list gave, alive or not, this one among them. Empty
+    /// before a list was read.
+    [[nodiscard]] virtual std::vector<ListedSibling> listedSiblings() const = 0;
+
     /// True when a slot is on a VM that the platform's list gives as leaving.
     [[nodiscard]] virtual bool isLeaving(std::string_view address, std::uint16_t port) const = 0;
 
--- a/src/proxy/fleet_membership.cpp
+++ b/src/proxy/fleet_membership.cpp
@@ -212,6 +212,7 @@
     std::vector<ListedVm> listed;
     std::vector<VmName> staying;
     std::set<std::string> leaving;
+    std::vector<ListedSibling> siblings;
     for (const auto& entry : entries) {
         if (entry.upstream) {
             if (entry.leaving)
@@ -219,6 +220,8 @@
             continue;
         }
         listed.push_back({ entry.name, entry.zone, entry.address, entry.port, entry.leaving });
+        siblings.push_back({ .address = { .vm = entry.name, .host = entry.address, .port = entry.port },
+            .zone = entry.zone });
         if (!entry.leaving)
             staying.push_back(entry.name);
     }
@@ -230,6 +233,8 @@
     {
         const std::scoped_lock lock { this->mutex };
         this->leavingUpstreams = std::move(leaving);
+        if (!siblings.empty())
+            this->siblingsOnList = std::move(siblings);
     }
     this->publish();
 }
@@ -249,6 +254,12 @@
     return reachable;
 }
 
+std::vector<ListedSibling> FleetMembership::listedSiblings() const
+{
+    const std::scoped_lock lock { this->mutex };
+    return this->siblingsOnList;
+}
+
 bool FleetMembership::isLeavingUpstream(std::string_view address, std::uint16_t port) const
 {
     const std::scoped_lock lock { this->mutex };
--- a/src/proxy/fleet_membership.h
+++ b/src/proxy/fleet_membership.h
@@ -47,6 +47,8 @@
 
     /// Any thread: the homes of a subject, those that this process cannot reach last.
     [[nodiscard]] std::vector<SiblingAddress> homesOf(const std::string& subject, std::size_t count) const;
+    /// Any thread: the VMs of the platform's last list.
+    [[nodiscard]] std::vector<ListedSibling> listedSiblings() const;
     /// Any thread: true when the platform's list gives an upstream as leaving.
     [[nodiscard]] bool isLeavingUpstream(std::string_view address, std::uint16_t port) const;
 
@@ -80,6 +82,7 @@
     mutable std::mutex mutex;
     std::map<VmName, Reachable> addresses;
     std::set<std::string> leavingUpstreams;
+    std::vector<ListedSibling> siblingsOnList;
 };
 
 } // namespace cyclamendrift
--- a/src/proxy/fleet_node.cpp
+++ b/src/proxy/fleet_node.cpp
@@ -157,6 +157,11 @@
     return this->membershipPart->homesOf("database/" + database.path(), homesPerDatabase);
 }
 
+std::vector<ListedSibling> FleetNode::listedSiblings() const
+{
+    return this->membershipPart->listedSiblings();
+}
+
 bool FleetNode::isLeaving(std::string_view address, std::uint16_t port) const
 {
     return this->membershipPart->isLeavingUpstream(address, port);
--- a/src/proxy/fleet_node.h
+++ b/src/proxy/fleet_node.h
@@ -26,6 +26,7 @@
     [[nodiscard]] CallerIdentity authenticate(std::string_view secret) const override;
     [[nodiscard]] asio::awaitable<void> admit(TeamName team, Instant deadline) override;
     [[nodiscard]] std::vector<SiblingAddress> homesOf(const DatabaseName& database) const override;
+    [[nodiscard]] std::vector<ListedSibling> listedSiblings() const override;
     [[nodiscard]] bool isLeaving(std::string_view address, std::uint16_t port) const override;
     void onKeyWithdrawn(std::function<void(const KeyId&)> callback) override;
     [[nodiscard]] asio::awaitable<std::optional<std::string>> handle(
--- a/src/proxy/group_service.cpp
+++ b/src/proxy/group_service.cpp
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/core/error.h>
 #include <cyclamendrift/core/request_error.h>
+#include <cyclamendrift/proxy/sibling_choice.h>
 #include <cyclamendrift/telemetry/event_log.h>
 
 #include <group.pb.h>
@@ -22,6 +23,8 @@
 
 /// More opinions cost time and messages and change few decisions.
 constexpr std::size_t maxSiblingsAsked = 3;
+/// Enough to find that many among the homes of other databases, several of which are on the same VMs.
+constexpr std::size_t homesLookedAt = 16;
 
 /// A home with the driver that keeps its primary alive.
 class DrivenHome final : public DatabaseHome {
@@ -179,27 +182,27 @@
 /// of other databases follow.
 std::vector<SiblingAddress> GroupService::siblingsFor(const DatabaseName& name) const
 {
-    std::vector<SiblingAddress> siblings;
+    std::vector<SiblingAddress> reachable;
     const auto addHomes = [&](const DatabaseName& database) {
-        for (auto& home : this->options.fleet->homesOf(database)) {
-            const bool known = std::any_of(siblings.begin(), siblings.end(),
-                [&home](const SiblingAddress& other) { return other.vm == home.vm; });
-            if (!known && home.vm != this->options.self && siblings.size() < maxSiblingsAsked)
-                siblings.push_back(std::move(home));
-        }
+        for (auto& home : this->options.fleet->homesOf(database))
+            reachable.push_back(std::move(home));
     };
     addHomes(name);
     const auto snapshot = this->options.fleet->configuration();
-    if (!snapshot)
-        return siblings;
-    for (const auto& service : snapshot->schema.services()) {
-        for (const auto& database : service.databases()) {
-            if (siblings.size() == maxSiblingsAsked)
-                return siblings;
-            addHomes({ ServiceName { service.name() }, database.name() });
+    if (snapshot) {
+        for (const auto& service : snapshot->schema.services()) {
+            for (const auto& database : service.databases()) {
+                if (reachable.size() < homesLookedAt)
+                    addHomes({ ServiceName { service.name() }, database.name() });
+            }
         }
     }
-    return siblings;
+    const auto listed = this->options.fleet->listedSiblings();
+    return chooseSiblings({ .self = this->options.self,
+        .zone = this->options.zone,
+        .reachable = reachable,
+        .listed = listed,
+        .most = maxSiblingsAsked });
 }
 
 asio::awaitable<SiblingOpinions> GroupService::askSiblings(
@@ -211,7 +214,9 @@
     request.set_slot(slot.string());
     const auto siblings = this->siblingsFor(name);
     const auto round = std::make_shared<OpinionRound>(this->options.control, deadline);
-    round->result.asked = siblings.size();
+    // Before the list was read nobody knows who could be asked, and nobody's silence is no agreement.
+    const bool mayBeAlone = !this->options.fleet->listedSiblings().empty();
+    round->result.asked = mayBeAlone ? siblings.size() : std::max<std::size_t>(1, siblings.size());
     round->left = siblings.size();
     for (const auto& sibling : siblings) {
         SiblingCall call {
--- a/src/proxy/group_service.h
+++ b/src/proxy/group_service.h
@@ -27,6 +27,7 @@
     struct Options {
         asio::any_io_executor control;
         VmName self;
+        ZoneName zone;
         std::shared_ptr<Fleet> fleet;
         std::shared_ptr<Store> store;
         Connection::Options credentials;
--- a/src/proxy/home_slots.cpp
+++ b/src/proxy/home_slots.cpp
@@ -36,6 +36,7 @@
         .name = SlotName { slot.name() },
         .target = std::move(target),
         .connector = this->options.connector,
+        .connectTimeout = this->options.connectTimeout,
         .slotControl = this->options.slotControl,
         .pool = { .budget = leaving ? 1 : this->trafficBudget() },
         .onChange =
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -41,6 +41,8 @@
 namespace {
 
 constexpr auto homeRefreshInterval = std::chrono::milliseconds { 500 };
+/// Quantiles on the metrics page are of the last whole one of these.
+constexpr auto metricsWindow = std::chrono::minutes { 1 };
 /// Beyond a request's own deadline, so that a handler which keeps it answers first.
 constexpr auto handlerSlack = std::chrono::seconds { 2 };
 constexpr auto drainPollInterval = std::chrono::milliseconds { 10 };
@@ -131,6 +133,7 @@
     RpcDispatcher operatorDispatcher;
     std::unique_ptr<HttpServer> operatorServer;
     std::unique_ptr<TimerService::Subscription> homeRefresh;
+    std::unique_ptr<TimerService::Subscription> metricsRotation;
     std::atomic<bool> draining { false };
 
     std::mutex mutex;
@@ -169,6 +172,7 @@
     for (const auto& thread : this->traffic)
         thread->context.join();
     this->homeRefresh.reset();
+    this->metricsRotation.reset();
     this->operatorServer.reset();
     this->siblingServer.reset();
     for (const auto& thread : this->traffic)
@@ -225,6 +229,7 @@
     const auto& settings = this->options.settings;
     this->groups = std::make_shared<GroupService>(GroupService::Options { .control = this->control.executor(),
         .self = settings.vm.name,
+        .zone = settings.vm.zone,
         .fleet = this->fleet,
         .store = this->store,
         .credentials = { .user = settings.upstreams.user, .password = settings.upstreams.password },
@@ -245,6 +250,7 @@
         .slotOpinion = [groups = this->groups](
                            IncomingSiblingCall call) { return groups->opinionFor(std::move(call)); } }));
     this->fleet->onKeyWithdrawn([homes = this->homes](const KeyId& key) { homes->withdrawKey(key); });
+    this->metricsRotation = this->timers.every(metricsWindow, [this](Instant) { this->metrics.rotate(); });
     this->homeRefresh = this->timers.every(homeRefreshInterval, [this](Instant) {
         if (!this->draining)
             this->homes->refresh();
@@ -262,6 +268,7 @@
         .description = description,
         .credentials = { .user = upstreams.user, .password = upstreams.password },
         .connector = this->options.dependencies.connector,
+        .connectTimeout = upstreams.connectTimeout,
         .isLeaving = [fleet = this->fleet](std::string_view address,
                          std::uint16_t port) { return fleet->isLeaving(address, port); },
         .weightOf = [fleet = this->fleet](const TeamName& team) { return weightOf(*fleet, team); },
--- a/src/proxy/slot_connections.cpp
+++ b/src/proxy/slot_connections.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr Duration openTimeout = std::chrono::seconds { 2 };
 /// Longer than the pool's patience: whether an unanswered probe is a silent connection or a slow slot is for
 /// the pool to say.
 constexpr Duration probeTimeout = std::chrono::seconds { 10 };
@@ -121,7 +120,7 @@
 {
     const auto self = this->shared_from_this();
     try {
-        const auto deadline = this->now() + openTimeout;
+        const auto deadline = this->now() + this->options.connectTimeout;
         auto connection
             = co_await this->options.connector(this->options.executor, this->options.target, deadline);
         this->connections.emplace(id, std::move(connection));
--- a/src/proxy/slot_connections.h
+++ b/src/proxy/slot_connections.h
@@ -70,6 +70,7 @@
         SlotName name;
         Connection::Options target;
         Connector connector;
+        Duration connectTimeout {};
         SlotControl::Options slotControl;
         ConnectionPool::Options pool;
         /// Called when a connection may have become free.
--- a/tests/proxy/home_router_test.cpp
+++ b/tests/proxy/home_router_test.cpp
@@ -23,6 +23,7 @@
     {
         return { { VmName { "first" }, "10.0.0.1", 1 }, { VmName { "second" }, "10.0.0.2", 1 } };
     }
+    std::vector<ListedSibling> listedSiblings() const override { return {}; }
     bool isLeaving(std::string_view, std::uint16_t) const override { return false; }
     void onKeyWithdrawn(std::function<void(const KeyId&)>) override { }
     asio::awaitable<std::optional<std::string>> handle(VmName, std::string, std::string) override
