Keep one codec of outcomes and one look-up of a database

Cause: callers and siblings each turned outcomes to the wire and back, and two sources searched the schema for a database. Conclusion: a new outcome or a new way to hold databases has one place.

--- a/include/cyclamendrift/callers/error_response.h
+++ b/include/cyclamendrift/callers/error_response.h
@@ -11,12 +11,6 @@
 
 namespace cyclamendrift {
 
-/// The outcome on the wire.
-[[nodiscard]] api::Outcome wireOutcome(Outcome outcome) noexcept;
-
-/// The outcome that the wire gives; Unknown for one that is not a failure.
-[[nodiscard]] Outcome outcomeFrom(api::Outcome outcome) noexcept;
-
 /// The HTTP status of a reason.
 [[nodiscard]] int httpStatus(RefusalReason reason) noexcept;
 
--- a/src/callers/error_response.cpp
+++ b/src/callers/error_response.cpp
@@ -1,5 +1,7 @@
 #include <cyclamendrift/callers/error_response.h>
 
+#include <cyclamendrift/schema/outcome_codec.h>
+
 #include <google/protobuf/util/json_util.h>
 
 #include <algorithm>
@@ -31,28 +33,6 @@
 
 } // namespace
 
-api::Outcome wireOutcome(Outcome outcome) noexcept
-{
-    switch (outcome) {
-    case Outcome::NotRun:
-        return api::OUTCOME_NOT_RUN;
-    case Outcome::Unknown:
-        return api::OUTCOME_UNKNOWN;
-    case Outcome::RanAndFailed:
-        return api::OUTCOME_RAN_AND_FAILED;
-    }
-    return api::OUTCOME_UNKNOWN;
-}
-
-Outcome outcomeFrom(api::Outcome outcome) noexcept
-{
-    if (outcome == api::OUTCOME_NOT_RUN)
-        return Outcome::NotRun;
-    if (outcome == api::OUTCOME_RAN_AND_FAILED)
-        return Outcome::RanAndFailed;
-    return Outcome::Unknown;
-}
-
 int httpStatus(RefusalReason reason) noexcept
 {
     switch (reason) {
--- a/src/proxy/group_service.cpp
+++ b/src/proxy/group_service.cpp
@@ -3,6 +3,7 @@
 #include <cyclamendrift/core/error.h>
 #include <cyclamendrift/core/request_error.h>
 #include <cyclamendrift/proxy/sibling_choice.h>
+#include <cyclamendrift/schema/schema_lookup.h>
 #include <cyclamendrift/telemetry/event_log.h>
 
 #include <group.pb.h>
@@ -80,17 +81,6 @@
     asio::steady_timer done;
 };
 
-const api::Database* findDatabase(const api::Schema& schema, const DatabaseName& name)
-{
-    for (const auto& service : schema.services()) {
-        for (const auto& database : service.databases()) {
-            if (service.name() == name.service.view() && database.name() == name.name)
-                return &database;
-        }
-    }
-    return nullptr;
-}
-
 /// Holds the options for as long as the probe takes.
 asio::awaitable<SlotOpinion> probe(GroupDriver::Options options, SlotName slot)
 {
--- a/src/proxy/home_registry.cpp
+++ b/src/proxy/home_registry.cpp
@@ -2,6 +2,8 @@
 
 #include <cyclamendrift/core/request_error.h>
 
+#include <cyclamendrift/schema/schema_lookup.h>
+
 #include <asio/co_spawn.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/steady_timer.hpp>
@@ -37,19 +39,6 @@
     return databases;
 }
 
-const api::Database* find(const api::Schema& schema, const DatabaseName& name)
-{
-    for (const auto& service : schema.services()) {
-        if (service.name() != name.service.view())
-            continue;
-        for (const auto& database : service.databases()) {
-            if (database.name() == name.name)
-                return &database;
-        }
-    }
-    return nullptr;
-}
-
 RequestError unknownDatabase(const DatabaseName& name)
 {
     return RequestError { { .outcome = Outcome::NotRun,
@@ -209,7 +198,7 @@
             .reason = RefusalReason::StoreUnavailable,
             .message = "this proxy has no configuration yet",
             .retryAfter = comeBackForConfiguration } };
-    const auto* description = find(snapshot->schema, database);
+    const auto* description = findDatabase(snapshot->schema, database);
     if (description == nullptr)
         throw unknownDatabase(database);
     const std::scoped_lock lock { this->mutex };
@@ -255,7 +244,7 @@
 {
     const std::scoped_lock lock { this->mutex };
     for (auto& [name, entry] : this->entries) {
-        if (entry.current && find(snapshot.schema, name) == nullptr)
+        if (entry.current && findDatabase(snapshot.schema, name) == nullptr)
             this->retire(entry);
     }
 }
