--- a/src/upstreams/pq_link.cpp
+++ b/src/upstreams/pq_link.cpp
@@ -5,6 +5,7 @@
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -12,6 +13,21 @@
 
 namespace cyclamendrift {
 
+namespace {
+
+/// True when both numbers stand for one socket: a number alone says little, as libpq may close one socket and
+/// be given the same number for the next.
+bool isSameSocket(int left, int right) noexcept
+{
+    struct stat one { };
+    struct stat other { };
+    if (fstat(left, &one) != 0 || fstat(right, &other) != 0)
+        return false;
+    return one.st_dev == other.st_dev && one.st_ino == other.st_ino;
+}
+
+} // namespace
+
 PqLink::PqLink(const asio::any_io_executor& executor, PGconn* connection)
     : descriptor(executor)
     , timer(executor)
@@ -24,11 +40,15 @@
 void PqLink::attach()
 {
     const int current = PQsocket(this->connection.get());
-    if (current == this->socket && this->descriptor.is_open())
+    if (this->descriptor.is_open() && isSameSocket(current, this->descriptor.native_handle()))
         return;
     std::error_code ignored;
     this->descriptor.close(ignored);
-    this->socket = current;
+    // Waits on the socket before are over, though their handlers still have to run; were they counted as
+    // pending, nobody would wait on the new one and the connect would stand still until its deadline.
+    ++this->attachment;
+    this->readPending = false;
+    this->writePending = false;
     const int duplicate = dup(current);
     if (duplicate < 0)
         throw UpstreamError { UpstreamError::Kind::ConnectFailed, std::generic_category().message(errno) };
@@ -95,7 +115,9 @@
         return;
     this->readPending = true;
     this->descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
-        [self = this->shared_from_this()](const std::error_code& error) {
+        [self = this->shared_from_this(), attachment = this->attachment](const std::error_code& error) {
+            if (attachment != self->attachment)
+                return;
             self->readPending = false;
             if (error)
                 return;
@@ -113,7 +135,9 @@
         return;
     this->writePending = true;
     this->descriptor.async_wait(asio::posix::stream_descriptor::wait_write,
-        [self = this->shared_from_this()](const std::error_code& error) {
+        [self = this->shared_from_this(), attachment = this->attachment](const std::error_code& error) {
+            if (attachment != self->attachment)
+                return;
             self->writePending = false;
             if (error)
                 return;
--- a/src/upstreams/pq_link.h
+++ b/src/upstreams/pq_link.h
@@ -62,7 +62,8 @@
     asio::posix::stream_descriptor descriptor;
     asio::steady_timer timer;
     std::unique_ptr<PGconn, PqDeleter> connection;
-    int socket = -1;
+    /// Counts the sockets that were followed.
+    unsigned attachment = 0;
     bool readPending = false;
     bool writePending = false;
     bool ready = false;
