Log when the store, the list of VMs or the trust in keys changes

Cause: a list in the wrong format was refused in silence: the quickstart's first run waited 10 s for a quorum of nobody and no line told why. Change: FleetCondition; a line for each change of store_reachable, vm_list_readable, keys_trusted and the revision in force.

--- a/include/cyclamendrift/proxy/fleet_factory.h
+++ b/include/cyclamendrift/proxy/fleet_factory.h
@@ -5,6 +5,7 @@
 #include <cyclamendrift/platform/store.h>
 #include <cyclamendrift/platform/vm_list.h>
 #include <cyclamendrift/proxy/fleet.h>
+#include <cyclamendrift/proxy/fleet_condition.h>
 #include <cyclamendrift/siblings/sibling_client.h>
 
 #include <cyclamendrift.pb.h>
@@ -40,6 +41,8 @@
     std::optional<std::uint64_t> incarnation;
     /// Time limit of a call to the store or to a sibling.
     Duration callTimeout = std::chrono::seconds { 1 };
+    /// Called on the control thread with each change, for the log.
+    std::function<void(const FleetCondition& before, const FleetCondition& after)> onCondition;
     /// A schema to start with in tests that have no store.
     std::optional<api::Schema> initialSchema;
 };
--- a/src/proxy/fleet_membership.cpp
+++ b/src/proxy/fleet_membership.cpp
@@ -197,10 +197,12 @@
     try {
         const auto entries = co_await self->context->options.vmList.fetch();
         self->takeList(entries);
+        self->listReadable = true;
         const Duration crowd = std::chrono::seconds { entries.size() / fetchesPerSecond };
         pause = std::max(pause, crowd);
     } catch (const std::exception&) {
         // The last list stays in use: an outage of the platform is no death of any VM.
+        self->listReadable = false;
         pause = 2 * fetchInterval;
     }
     self->nextFetch = self->context->now() + self->context->jittered(pause);
--- a/src/proxy/fleet_membership.h
+++ b/src/proxy/fleet_membership.h
@@ -40,6 +40,9 @@
     /// Declares that this VM leaves and tells a few members at once.
     void leave();
 
+    /// False when the last try to read the platform's list failed, and before the first.
+    [[nodiscard]] bool isListReadable() const noexcept { return this->listReadable; }
+
     [[nodiscard]] const MembershipView& view() const noexcept { return this->members; }
 
     [[nodiscard]] wire::HeartbeatAnswer handleHeartbeat(const wire::Heartbeat& request);
@@ -76,6 +79,7 @@
     MembershipView members;
     Instant nextFetch;
     bool fetching = false;
+    bool listReadable = false;
     std::uint64_t publishedVersion = 0;
 
     mutable HomeCache homes;
--- a/src/proxy/fleet_node.cpp
+++ b/src/proxy/fleet_node.cpp
@@ -90,6 +90,7 @@
         self->membershipPart->tick(now);
         self->configurationPart->tick(now);
         self->limitsPart->tick(now);
+        self->reportCondition();
     };
     auto& timers = this->context->options.timers;
     this->fleetTicks = timers.every(fleetInterval, fleetTick);
@@ -254,6 +255,20 @@
             .team = request.team(), .ratePerSecond = request.rate_per_second(), .burst = request.burst() });
 }
 
+void FleetNode::reportCondition()
+{
+    const auto status = this->ownStatus();
+    const FleetCondition now { .revision = status.revision(),
+        .keysTrusted = status.keys_trusted(),
+        .storeReachable = status.store_reachable(),
+        .listReadable = this->membershipPart->isListReadable() };
+    if (now == this->condition)
+        return;
+    const auto before = std::exchange(this->condition, now);
+    if (this->context->options.onCondition)
+        this->context->options.onCondition(before, now);
+}
+
 api::VmStatus FleetNode::ownStatus() const
 {
     const auto& self = this->membershipPart->view().self();
--- a/src/proxy/fleet_node.h
+++ b/src/proxy/fleet_node.h
@@ -42,6 +42,7 @@
     struct StatusRound;
 
     void onDocument(const DocumentPointer& before, const DocumentPointer& after);
+    void reportCondition();
     [[nodiscard]] api::VmStatus ownStatus() const;
     [[nodiscard]] asio::awaitable<api::ApplyResponse> change(std::string changeId, ConfigurationEdit edit);
     [[nodiscard]] asio::awaitable<std::optional<std::string>> handleHere(
@@ -58,6 +59,7 @@
     std::vector<std::function<void(const KeyId&)>> keyCallbacks;
     std::unique_ptr<TimerService::Subscription> fleetTicks;
     std::unique_ptr<TimerService::Subscription> limitTicks;
+    FleetCondition condition;
 };
 
 } // namespace cyclamendrift
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -17,6 +17,7 @@
 #include <cyclamendrift/proxy/statements_service.h>
 #include <cyclamendrift/siblings/sibling_client.h>
 #include <cyclamendrift/siblings/sibling_server.h>
+#include <cyclamendrift/telemetry/event_log.h>
 
 #include <cyclamendrift/telemetry/tracing.h>
 
@@ -68,6 +69,22 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+void logSwitch(std::string_view event, bool before, bool after)
+{
+    if (before != after)
+        logEvent(after ? LogLevel::Info : LogLevel::Warn, event, { { "now", after ? "true" : "false" } });
+}
+
+void logCondition(const FleetCondition& before, const FleetCondition& after)
+{
+    logSwitch("store_reachable", before.storeReachable, after.storeReachable);
+    logSwitch("vm_list_readable", before.listReadable, after.listReadable);
+    logSwitch("keys_trusted", before.keysTrusted, after.keysTrusted);
+    if (before.revision != after.revision)
+        logEvent(
+            LogLevel::Info, "configuration_in_force", { { "revision", std::to_string(after.revision) } });
+}
+
 /// Weight of a team as the configuration gives it.
 std::uint32_t weightOf(const Fleet& fleet, const TeamName& team)
 {
@@ -221,7 +238,8 @@
                            SiblingCall call) { return this->siblings->call(std::move(to), std::move(call)); },
         .timers = this->timers,
         .randomSeed = std::random_device {}(),
-        .callTimeout = settings.platform.callTimeout });
+        .callTimeout = settings.platform.callTimeout,
+        .onCondition = &logCondition });
 }
 
 void Proxy::State::makeHomes()
