Keep one check of an acting primary for reads, writes and transactions

Cause: home_reads, home_writes and home_transactions each had the same check of a slot's status and the same pause; a change to the rule of fencing would have had to be made three times, and a miss would answer from a superseded primary. Change: primary_check.h holds both; behaviour stays as it is. Conclusion: the rule has one place.

--- a/src/proxy/home_reads.cpp
+++ b/src/proxy/home_reads.cpp
@@ -1,3 +1,4 @@
+#include "primary_check.h"
 #include "refusals.h"
 
 #include "upstream_home.h"
@@ -11,20 +12,12 @@
 
 namespace {
 
-/// How soon a read is tried again after its slot turned out not to be what the view says.
-constexpr Duration viewLag = std::chrono::milliseconds { 20 };
-
 constexpr Duration firstAttemptTimeout = std::chrono::milliseconds { 2500 };
 
 /// A read that is no read must not change anything, as it may be sent again.
 const Statement beginReadOnly { .text = "BEGIN READ ONLY", .parameters = {} };
 const Statement commit { .text = "COMMIT", .parameters = {} };
 
-bool actsAsPrimary(const SlotStatus& status)
-{
-    return status.primary && status.fenced <= status.progress.term;
-}
-
 } // namespace
 
 asio::awaitable<HomeAnswer> UpstreamHome::read(HomeRequest request)
--- a/src/proxy/home_transactions.cpp
+++ b/src/proxy/home_transactions.cpp
@@ -1,3 +1,4 @@
+#include "primary_check.h"
 #include "refusals.h"
 #include "upstream_home.h"
 
@@ -9,16 +10,9 @@
 
 namespace {
 
-constexpr Duration viewLag = std::chrono::milliseconds { 20 };
-
 const Statement beginStatement { .text = "BEGIN", .parameters = {} };
 const Statement commitStatement { .text = "COMMIT", .parameters = {} };
 
-bool actsAsPrimary(const SlotStatus& status)
-{
-    return status.primary && status.fenced <= status.progress.term;
-}
-
 RequestError rolledBack(const std::string& why)
 {
     return notRun(RefusalReason::UpstreamLost, "the transaction was rolled back: " + why, comeBackSoon);
--- a/src/proxy/home_writes.cpp
+++ b/src/proxy/home_writes.cpp
@@ -1,3 +1,4 @@
+#include "primary_check.h"
 #include "refusals.h"
 #include "upstream_home.h"
 
@@ -12,7 +13,6 @@
 
 namespace {
 
-constexpr Duration viewLag = std::chrono::milliseconds { 20 };
 constexpr Duration maxResolvePause = std::chrono::milliseconds { 320 };
 /// When a write without an answer is asked after, and how long that may take.
 constexpr Duration suspectAfter = std::chrono::milliseconds { 1500 };
@@ -24,11 +24,6 @@
 const Statement rollbackStatement { .text = "ROLLBACK", .parameters = {} };
 const Statement beginReadOnly { .text = "BEGIN READ ONLY", .parameters = {} };
 
-bool actsAsPrimary(const SlotStatus& status)
-{
-    return status.primary && status.fenced <= status.progress.term;
-}
-
 RequestError differentStatement()
 {
     return notRun(RefusalReason::Conflict, "the request id belongs to another statement of the team");
