--- a/daemons/cyclamendriftd.cpp
+++ b/daemons/cyclamendriftd.cpp
@@ -1,5 +1,5 @@
 #include <cyclamendrift/proxy/daemon.h>
-#include <cyclamendrift/proxy/settings.h>
+#include <cyclamendrift/settings/settings.h>
 
 #include <docopt/docopt.h>
 
--- /dev/null
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include <cyclamendrift/leadership/leadership_events.h>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace cyclamendrift {
+
+/// Times that a LeaderCoordinator goes by.
+struct LeadershipSettings {
+    /// How long a VM may act on a view after the moment it was taken. A promoter waits it out before a new primary
+    /// leads, so it is part of every failover's gap; it must cover two reads of the store and one slow answer.
+    Duration viewLifetime = std::chrono::milliseconds { 1000 };
+    /// Added by the promoter for differences between clocks' rates and for statements on their way.
+    Duration viewMargin = std::chrono::milliseconds { 100 };
+    /// A view of the store that is older than this is renewed by asking a replica.
+    Duration storeSilence = std::chrono::milliseconds { 550 };
+    /// Between two questions to the same upstream.
+    Duration askInterval = std::chrono::milliseconds { 150 };
+    /// Between two questions to a replica while the store is silent.
+    Duration confirmInterval = std::chrono::milliseconds { 350 };
+    /// Between two tries to bring an upstream behind the primary that leads now.
+    Duration settleInterval = std::chrono::milliseconds { 400 };
+    /// The duty's holder asks a primary that no traffic has reached for so long.
+    Duration quietTime = std::chrono::milliseconds { 500 };
+    /// A primary that has answered nothing for so long, though asked, is replaced.
+    Duration deadAfter = std::chrono::milliseconds { 700 };
+    /// Replicas' logs are compared over this time: one that grows shows that the primary lives.
+    Duration growthTime = std::chrono::milliseconds { 200 };
+    /// How long a promoter waits for replicas that do not answer.
+    Duration pauseGrace = std::chrono::milliseconds { 600 };
+    /// In a planned change, how long replicas may take to receive what the old primary has.
+    Duration catchUpTime = std::chrono::milliseconds { 800 };
+    /// Between two tries of a promotion that has not shown an effect.
+    Duration promoteInterval = std::chrono::milliseconds { 500 };
+    /// Another replica is tried when the one that was named does not lead after this.
+    Duration promoteTimeout = std::chrono::milliseconds { 2500 };
+    /// A VM that gave up the duty does not take it again for so long.
+    Duration yieldPause = std::chrono::seconds { 4 };
+    /// Between two tries to take a free duty or to write the record.
+    Duration storeRetry = std::chrono::milliseconds { 300 };
+    /// Each VM waits for its rank times this before it takes a free duty, so that two seldom try at once.
+    Duration rankDelay = std::chrono::milliseconds { 60 };
+};
+
+/// Keeps a primary for one group, as seen from one VM. Every VM runs one for each group: it says whom to send writes
+/// to and until when that holds. The VM that holds the group's duty also replaces a primary that died or leaves.
+///
+/// Safety: a new primary leads only after every view of the old one has lapsed. A view comes either from the store,
+/// where a promoter claims the next term first, or from a replica, which the promoter pauses first; from both steps on
+/// it waits for the lifetime of views.
+///
+///     coordinator.onSnapshot(snapshot, now);
+///     for (const auto& action : coordinator.tick(now)) begin(action);
+class LeaderCoordinator {
+public:
+    struct Options {
+        VmName vm;
+        LeadershipSettings settings;
+        /// Makes change ids unique to this process.
+        std::uint64_t seed = 0;
+    };
+
+    explicit LeaderCoordinator(Options options);
+
+    /// This VM's place among all, which orders their tries.
+    void setRank(std::size_t rank) noexcept { this->rank = rank; }
+    /// Until when this VM's own lease is sure to hold; its duties lapse with it.
+    void setLeaseUntil(Instant until) noexcept { this->leaseUntil = until; }
+
+    /// The store was read.
+    void onSnapshot(const LeadershipSnapshot& snapshot, Instant now);
+    /// The upstreams of the group that are there.
+    void onDirectory(UpstreamDirectory members);
+    /// Traffic got an answer from an upstream, or has been failing to since some time.
+    void onTraffic(const UpstreamName& upstream, Instant lastAnswer, std::optional<Instant> failingSince,
+        bool contradictsView);
+    /// An upstream answered a question, pause, resume or demotion that was sent at `askedAt`.
+    void onStatus(const UpstreamName& upstream, const UpstreamStatus& status, Instant askedAt, Instant now);
+    /// An upstream did not answer, or refused.
+    void onSilence(const UpstreamName& upstream, Instant now);
+    /// The record was changed as asked.
+    void onWritten(const LeadershipRecord& record, std::uint64_t revision, Instant now);
+    /// The platform answered that the upstream that was named is not running.
+    void onPromotionRefused(const UpstreamName& upstream, Instant now);
+
+    /// To be called every 50 ms or so.
+    [[nodiscard]] std::vector<LeadershipAction> tick(Instant now);
+
+    /// Whom to send writes to, and until when.
+    [[nodiscard]] LeaderView view(Instant now) const;
+
+    /// The store should be read soon: what it says is doubted.
+    [[nodiscard]] bool wantsSnapshot() const noexcept { return this->doubted; }
+
+private:
+    struct Member {
+        UpstreamEntry entry;
+        std::optional<UpstreamStatus> status;
+        Instant statusAt = Instant::min();
+        Instant lastAnswer = Instant::min();
+        Instant lastAsked = Instant::min();
+        std::optional<Instant> failingSince;
+    };
+    /// How far a replacement of the primary has come.
+    struct Replacement {
+        Term term {};
+        bool planned = false;
+        /// When the record was seen to hold the claim.
+        Instant claimedAt;
+        std::map<UpstreamName, Progress> paused;
+        std::optional<Instant> lastPausedAt;
+        std::optional<Progress> demotedAt;
+        UpstreamName chosen;
+        Instant chosenAt;
+        Instant lastPromote = Instant::min();
+        std::vector<UpstreamName> refused;
+    };
+    /// A first look at the replicas' logs while the primary is silent.
+    struct Growth {
+        Instant since;
+        std::map<UpstreamName, Progress> received;
+    };
+
+    [[nodiscard]] bool holdsDuty(Instant now) const noexcept;
+    void takeDutyIfFree(Instant now);
+    void renewFromReplica(Instant now);
+    void bootstrap(Instant now);
+    void watchPrimary(Instant now);
+    [[nodiscard]] bool primaryIsSilent(Instant now);
+    [[nodiscard]] bool logGrows(Instant now);
+    void claim(bool planned, std::string_view reason, Instant now);
+    void carryOn(Instant now);
+    void standDown(Instant now);
+    void demoteFirst(Instant now);
+    void pauseReplicas(Instant now);
+    [[nodiscard]] bool pausedEnough(Instant now) const;
+    void choose(Instant now);
+    void promote(Instant now);
+    void finish(const Member& member, Instant now);
+    void settleOthers(Instant now);
+    void write(LeadershipRecord record, Instant now);
+    void ask(Member& member, Instant now);
+    void publishIfChanged(Instant now);
+    void note(std::string_view event, std::vector<std::pair<std::string, std::string>> fields);
+    [[nodiscard]] Member* find(const UpstreamName& name);
+
+    Options options;
+    std::size_t rank = 0;
+    Instant leaseUntil = Instant::min();
+    LeadershipSnapshot known;
+    bool readOnce = false;
+    bool doubted = false;
+    std::map<UpstreamName, Member> members;
+    /// When a replica confirmed the record's term last.
+    Instant confirmedAt = Instant::min();
+    Instant lastConfirmAsked = Instant::min();
+    std::optional<Replacement> replacement;
+    std::optional<Growth> growth;
+    std::optional<Instant> dutyFreeSince;
+    Instant noDutyBefore = Instant::min();
+    Instant lastDutyTry = Instant::min();
+    Instant lastWrite = Instant::min();
+    std::uint64_t changes = 0;
+    LeaderView published;
+    Instant lastPublished = Instant::min();
+    std::vector<LeadershipAction> actions;
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/include/cyclamendrift/limits/demand_shares.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cyclamendrift/core/identifier.h>
+#include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/limits/team_share.h>
+#include <cyclamendrift/pooling/route_table.h>
+
+#include <deque>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace cyclamendrift {
+
+/// Operations per second that a VM was asked for lately, by team.
+using DemandByTeam = std::map<TeamName, double>;
+
+/// Splits teams' limits over the VMs in proportion to what each was asked for, as all of them read it in the store.
+/// Every VM works out its own part from the same list, so the parts add up to the whole without a message between VMs.
+///
+///     shares.update(limits, self, listed, now);
+///     engine.setShares(shares.current(now), now);
+class DemandShares {
+public:
+    /// A part that grows does so only after this time: VMs read the list at different moments, and one that still
+    /// holds its larger, older part must have read the new list before another uses what it gave up.
+    static constexpr Duration growthDelay = std::chrono::milliseconds { 2000 };
+
+    /// Takes the list in; a VM that is not on it keeps a small part of every limit.
+    void update(const std::map<TeamName, TeamLimit>& limits, const VmName& self,
+        const std::map<VmName, DemandByTeam>& listed, Instant now);
+
+    /// The parts that this VM may use now.
+    [[nodiscard]] std::map<TeamName, TeamShare::Rule> current(Instant now);
+
+private:
+    struct Part {
+        Instant since;
+        TeamShare::Rule rule;
+    };
+    /// What was worked out lately, oldest first; the least of them counts.
+    std::map<TeamName, std::deque<Part>> parts;
+};
+
+/// Measures what a VM is asked for, as a decaying mean over a few seconds.
+class DemandMeter {
+public:
+    /// Takes in what was asked since the last call.
+    void note(const std::map<TeamName, std::uint64_t>& asked, Instant now);
+
+    [[nodiscard]] const DemandByTeam& rates() const noexcept { return this->perSecond; }
+
+    /// True when what was told last differs enough that others should know.
+    [[nodiscard]] static bool differs(const DemandByTeam& told, const DemandByTeam& now);
+
+private:
+    DemandByTeam perSecond;
+    Instant notedAt;
+    bool started = false;
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/include/cyclamendrift/limits/team_share.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cyclamendrift/core/instant.h>
+
+namespace cyclamendrift {
+
+/// The part of a team's rate and burst that this VM may use; the parts of all VMs add up to no more than the whole.
+///
+///     TeamShare share;
+///     share.setRule({ .ratePerSecond = 12.5, .burst = 12.5 }, now);
+///     if (!share.tryTake(now))
+///         refuse(share.timeToNext(now));
+class TeamShare {
+public:
+    struct Rule {
+        double ratePerSecond = 0;
+        double burst = 0;
+    };
+
+    /// Puts another part in force. What has accrued never grows by it, and is cut to the new burst.
+    void setRule(const Rule& rule, Instant now);
+
+    /// Takes one operation out; false when nothing is left.
+    [[nodiscard]] bool tryTake(Instant now);
+
+    /// Operations per second that it lets in.
+    [[nodiscard]] double rate() const noexcept { return this->rule.ratePerSecond; }
+
+    /// When an operation may be taken again.
+    [[nodiscard]] Duration timeToNext(Instant now);
+
+private:
+    void accrue(Instant now);
+
+    Rule rule;
+    double level = 0;
+    bool started = false;
+    Instant accruedAt;
+};
+
+} // namespace cyclamendrift
--- a/src/platform/curl_client.h
+++ b/include/cyclamendrift/platform/curl_client.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cyclamendrift {
 
@@ -18,6 +19,10 @@
     std::string url;
     /// Set for a POST.
     std::optional<std::string> body;
+    /// Another method than GET without a body and POST with one; empty for these.
+    std::string method;
+    /// Whole header lines, as in "Content-Type: application/json".
+    std::vector<std::string> headers;
     /// Longest time for the whole exchange.
     Duration timeout {};
 };
--- a/include/cyclamendrift/platform/store.h
+++ b/include/cyclamendrift/platform/store.h
@@ -31,6 +31,26 @@
     std::uint64_t revision = 0;
 };
 
+/// All entries under a prefix, with the revision of the store as of which they stand.
+struct StoreListing {
+    std::vector<StoreEntry> entries;
+    std::uint64_t revision = 0;
+};
+
+/// How fresh a listing must be.
+enum class ReadFreshness : std::uint8_t {
+    /// It holds everything that was acknowledged before the call.
+    Linearizable,
+    /// It may be seconds old, and costs less.
+    MayLag,
+};
+
+/// A further key that must stand at a revision for a compare-and-swap to take place; 0 when it must not exist.
+struct KeyGuard {
+    std::string key;
+    std::uint64_t revision = 0;
+};
+
 /// What a compare-and-swap is to do.
 struct SwapOptions {
     std::string key;
@@ -39,6 +59,8 @@
     /// Empty to delete the key.
     std::optional<std::string> value;
     LeaseId lease = LeaseId::None;
+    /// Empty for none. When one of them does not hold, the outcome is a conflict.
+    std::vector<KeyGuard> guards;
 };
 
 /// The swap took place, at this revision.
@@ -64,6 +86,9 @@
     /// All entries whose keys begin with a prefix.
     [[nodiscard]] virtual asio::awaitable<std::vector<StoreEntry>> list(std::string prefix) = 0;
 
+    /// All entries under a prefix as of one revision of the store. A store that knows neither takes list().
+    [[nodiscard]] virtual asio::awaitable<StoreListing> listing(std::string prefix, ReadFreshness freshness);
+
     /// Changes a key if it stands at the expected revision. After StoreError with NoAnswer read the key to
     /// learn whether the change took effect: the value must therefore name its author and change.
     [[nodiscard]] virtual asio::awaitable<SwapOutcome> compareAndSwap(SwapOptions options) = 0;
--- /dev/null
+++ b/include/cyclamendrift/pooling/engine_actions.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cyclamendrift/core/identifier.h>
+#include <cyclamendrift/core/progress.h>
+#include <cyclamendrift/pooling/reply.h>
+#include <cyclamendrift/pooling/session_state.h>
+#include <cyclamendrift/pooling/upstream_directory.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+/// What a SessionEngine wants done.
+namespace cyclamendrift {
+
+/// One caller's session.
+enum class CallerId : std::uint64_t {};
+/// One connection to an upstream.
+enum class ConnectionId : std::uint64_t {};
+
+/// Opens a transaction on a connection.
+struct OpenTransaction {
+    bool readOnly = false;
+    /// The position that the upstream must have.
+    std::optional<Progress> after;
+};
+/// Ends a transaction on a connection without keeping anything.
+struct DropTransaction { };
+/// A caller's statement, passed on under its id and with its text.
+struct PassStatement {
+    std::string id;
+    std::string text;
+    std::optional<Progress> after;
+    /// Set when the statement runs a prepared one: the connection's name for it, and the arguments.
+    std::optional<ExecutePrepared> execute;
+};
+/// What goes to an upstream over a connection.
+using UpstreamStatement = std::variant<ResetConnection, ApplyValue, ApplyPrepared, OpenTransaction, DropTransaction,
+    PassStatement>;
+
+/// Open a connection on behalf of a team; the upstream is to confirm its name.
+struct OpenConnection {
+    ConnectionId connection {};
+    UpstreamEntry upstream;
+    TeamName team;
+};
+/// Send a statement.
+struct SendStatement {
+    ConnectionId connection {};
+    UpstreamStatement statement;
+};
+/// Close a connection.
+struct CloseConnection {
+    ConnectionId connection {};
+};
+/// Tell a caller that its session is open.
+struct AcceptCaller {
+    CallerId caller {};
+};
+/// Answer a caller's statement.
+struct AnswerCaller {
+    CallerId caller {};
+    Reply reply;
+};
+/// End a caller's session, after an error when one is given.
+struct CloseCaller {
+    CallerId caller {};
+    std::optional<StatementFailure> failure;
+};
+/// A decision that the log should hold.
+struct LogDecision {
+    std::string event;
+    std::vector<std::pair<std::string, std::string>> fields;
+};
+/// Anything that an engine wants done.
+using EngineAction = std::variant<OpenConnection, SendStatement, CloseConnection, AcceptCaller, AnswerCaller,
+    CloseCaller, LogDecision>;
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cyclamendrift/core/instant.h>
+
+#include <cstddef>
+
+namespace cyclamendrift {
+
+/// Times and bounds that a SessionEngine goes by.
+struct EngineSettings {
+    /// A connection that is not open after this is given up: a dark host never answers, and opening takes some 12 ms
+    /// plus a round trip below 5 ms on a healthy one.
+    Duration openTimeout = std::chrono::milliseconds { 300 };
+    /// Setting values and names takes no slot of the upstream, so an answer that takes longer means silence.
+    Duration setupTimeout = std::chrono::milliseconds { 400 };
+    /// After a failed connection an upstream is left alone for this long, doubling up to the second figure. It
+    /// bounds how long a healed upstream goes unused.
+    Duration downPause = std::chrono::milliseconds { 100 };
+    Duration downPauseAtMost = std::chrono::milliseconds { 1000 };
+    /// Pause after an upstream said that it is full; about the time in which one of its slots comes free.
+    Duration busyPause = std::chrono::milliseconds { 10 };
+    /// Pause after a replica said that it lags; doubles up to the second figure while it goes on.
+    Duration laggingPause = std::chrono::milliseconds { 40 };
+    Duration laggingPauseAtMost = std::chrono::milliseconds { 640 };
+    /// After an upstream had no connection left, this VM keeps to its own share for this long.
+    Duration borrowPause = std::chrono::milliseconds { 500 };
+    /// Idle connections beyond the share are closed after this.
+    Duration borrowedIdleTime = std::chrono::milliseconds { 200 };
+    /// Subtracted from the staleness that a route allows, for the way of the statement to the upstream.
+    Duration stalenessMargin = std::chrono::milliseconds { 100 };
+    /// Work that waits for a view of the primary is refused after this part of its target latency; by then the view
+    /// is not late but lost, and the caller does better elsewhere.
+    int leaderlessWaitDivisor = 4;
+    /// Retry advice while a primary is being replaced; the change takes about so long.
+    Duration changeAdvice = std::chrono::milliseconds { 1000 };
+    /// Retry advice when all connections are taken.
+    Duration overloadAdvice = std::chrono::milliseconds { 100 };
+    /// Tries of one statement that was not run, the first included.
+    std::size_t attempts = 6;
+    /// Statements that a caller may have sent ahead of their answers.
+    std::size_t pipelined = 64;
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/include/cyclamendrift/pooling/progress_history.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/core/progress.h>
+
+#include <deque>
+#include <optional>
+
+namespace cyclamendrift {
+
+/// How far the primary's log had come at known times, taken from the answers it gives anyway. It lets a read on a
+/// replica name the position that it needs: everything acknowledged before `seenAt` is covered by `progress`.
+///
+///     history.note({ .progress = reply.progress, .seenAt = sentAt });
+///     history.covering(now - maxStaleness); // the oldest position that is fresh enough
+class ProgressHistory {
+public:
+    struct Observation {
+        Progress progress;
+        /// When the statement was sent whose answer told the position.
+        Instant seenAt;
+    };
+
+    /// Takes an observation in. One of a higher term drops those of lower terms, whose log may have been cut.
+    void note(const Observation& observation);
+
+    /// The oldest position that covers every commit acknowledged before `instant`; it is the one that a lagging
+    /// replica most likely has. Empty when nothing was observed since.
+    [[nodiscard]] std::optional<Progress> covering(Instant instant) const;
+
+    /// Any position of the newest term, or empty.
+    [[nodiscard]] std::optional<Progress> earliest() const;
+
+    /// Drops everything.
+    void clear() noexcept { this->observations.clear(); }
+
+private:
+    std::deque<Observation> observations;
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <cyclamendrift/core/identifier.h>
+#include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/limits/team_share.h>
+#include <cyclamendrift/pooling/caller_statement.h>
+#include <cyclamendrift/pooling/engine_actions.h>
+#include <cyclamendrift/pooling/engine_settings.h>
+#include <cyclamendrift/pooling/leader_view.h>
+#include <cyclamendrift/pooling/route_table.h>
+#include <cyclamendrift/pooling/upstream_directory.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace cyclamendrift {
+
+/// What this VM saw of an upstream through the work it sent there.
+struct UpstreamEvidence {
+    ServiceName service;
+    UpstreamName upstream;
+    /// When it last answered anything.
+    Instant lastAnswer = Instant::min();
+    /// Since when every try to reach it has failed; empty when the last one did not.
+    std::optional<Instant> failingSince;
+    /// A term above that of the view, or a refusal to act as primary, was seen.
+    bool contradictsView = false;
+};
+
+/// This VM among those that share the connections of upstreams.
+struct FleetPlace {
+    std::size_t vms = 1;
+    std::size_t rank = 0;
+};
+
+/// What an engine has counted since it was made.
+struct EngineCounters {
+    std::uint64_t answered = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t inDoubt = 0;
+    std::uint64_t retried = 0;
+    std::uint64_t connectionsOpened = 0;
+    std::uint64_t readsOnReplicas = 0;
+    std::uint64_t readsOnPrimary = 0;
+};
+
+/// Serves callers' sessions from a pool of upstream connections: checks keys and limits, keeps each session's values,
+/// names and transaction, chooses an upstream whose log is known to cover what a read must see, and never sends a
+/// write twice. Does no I/O: its owner reports what happens and carries out what takeActions() returns.
+///
+///     engine.callerStarted(caller, start, now);
+///     engine.callerAsked(caller, query, now);
+///     for (const auto& action : engine.takeActions()) perform(action);
+class SessionEngine {
+public:
+    struct Options {
+        ZoneName zone;
+        EngineSettings settings;
+    };
+
+    explicit SessionEngine(Options options);
+    ~SessionEngine();
+    SessionEngine(const SessionEngine&) = delete;
+    SessionEngine& operator=(const SessionEngine&) = delete;
+
+    // What callers do.
+    void callerStarted(CallerId caller, const SessionStart& start, Instant now);
+    void callerAsked(CallerId caller, CallerQuery query, Instant now);
+    void callerLeft(CallerId caller, Instant now);
+
+    // What happens to connections.
+    void connectionOpened(ConnectionId connection, std::optional<Progress> progress, Instant now);
+    void connectionRefused(ConnectionId connection, StatementError error, Instant now);
+    void connectionLost(ConnectionId connection, Instant now);
+    void upstreamReplied(ConnectionId connection, Reply reply, Instant now);
+
+    // What the control side knows.
+    void setRoutes(std::shared_ptr<const RouteTable> routes, Instant now);
+    void setDirectory(const UpstreamDirectory& directory, Instant now);
+    void setLeader(const ServiceName& service, const LeaderView& view, Instant now);
+    void setPlace(const FleetPlace& place, Instant now);
+    void setShares(const std::map<TeamName, TeamShare::Rule>& shares, Instant now);
+
+    /// Begins a planned stop: sessions are closed when they are idle, open transactions may go on until `abortAt`.
+    void drain(Instant closeIdleFrom, Instant abortAt);
+
+    /// To be called every 20 ms or so: timeouts, refusals of what waited too long, idle connections.
+    void tick(Instant now);
+
+    /// Everything to be done now, in order.
+    [[nodiscard]] std::vector<EngineAction> takeActions();
+
+    /// What was seen of upstreams; for the control side, which decides about primaries.
+    [[nodiscard]] std::vector<UpstreamEvidence> evidence() const;
+
+    /// Operations that each team asked for since the last call, admitted or not.
+    [[nodiscard]] std::map<TeamName, std::uint64_t> takeDemand();
+
+    [[nodiscard]] const EngineCounters& counters() const noexcept;
+    [[nodiscard]] std::size_t callers() const noexcept;
+    [[nodiscard]] std::size_t connections() const noexcept;
+
+private:
+    class State;
+    std::unique_ptr<State> state;
+};
+
+} // namespace cyclamendrift
--- a/include/cyclamendrift/proxy/proxy.h
+++ b/include/cyclamendrift/proxy/proxy.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cyclamendrift/proxy/proxy_dependencies.h>
-#include <cyclamendrift/proxy/settings.h>
+#include <cyclamendrift/settings/settings.h>
 
 #include <cstdint>
 #include <memory>
--- a/include/cyclamendrift/proxy/proxy_dependencies.h
+++ b/include/cyclamendrift/proxy/proxy_dependencies.h
@@ -4,7 +4,7 @@
 #include <cyclamendrift/platform/vm_list.h>
 #include <cyclamendrift/proxy/database_home_factory.h>
 #include <cyclamendrift/proxy/fleet_factory.h>
-#include <cyclamendrift/proxy/settings.h>
+#include <cyclamendrift/settings/settings.h>
 
 #include <asio/any_io_executor.hpp>
 
--- /dev/null
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cyclamendrift/core/identifier.h>
+#include <cyclamendrift/leadership/leader_coordinator.h>
+#include <cyclamendrift/limits/demand_shares.h>
+#include <cyclamendrift/platform/store.h>
+#include <cyclamendrift/session_proxy/ports.h>
+#include <cyclamendrift/session_proxy/session_traffic.h>
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace cyclamendrift {
+
+/// How often the control side does what.
+struct ControlSettings {
+    /// Between two reads of who leads; a view must outlive two of them.
+    Duration leadershipInterval = std::chrono::milliseconds { 400 };
+    /// While what is known is doubted.
+    Duration doubtedInterval = std::chrono::milliseconds { 60 };
+    /// Between two looks at the list of upstreams; with a listing that may be some seconds old a leaving upstream is
+    /// known before it ends.
+    Duration directoryInterval = std::chrono::milliseconds { 1000 };
+    /// Entries of live upstreams lapse while the store is away and come back within two seconds of its return.
+    Duration missingEntryKept = std::chrono::milliseconds { 2500 };
+    /// Between two reads of the list of VMs.
+    Duration vmListInterval = std::chrono::milliseconds { 1500 };
+    /// Time to live of this VM's lease, and the pause between renewals; two may fail before it lapses.
+    Duration leaseTime = std::chrono::milliseconds { 1800 };
+    Duration leaseRenewal = std::chrono::milliseconds { 500 };
+    /// How soon this VM stops to trust its lease, before the store would drop it.
+    Duration leaseMargin = std::chrono::milliseconds { 150 };
+    /// First and longest pause after the store failed.
+    Duration firstBackoff = std::chrono::milliseconds { 100 };
+    Duration longestBackoff = std::chrono::milliseconds { 800 };
+    /// Ticks of the coordinators.
+    Duration tickInterval = std::chrono::milliseconds { 50 };
+};
+
+/// Everything that this VM knows and agrees on with others, on the control thread: the operators' configuration, the
+/// upstreams, who leads each group, the VMs and their shares of limits. Hands what it learns to the traffic side.
+class SessionControl {
+public:
+    struct Options {
+        asio::io_context& context;
+        VmName vm;
+        ZoneName zone;
+        /// Unique to this process.
+        std::uint64_t process = 0;
+        ControlSettings settings;
+        Store& store;
+        LeadershipPort& leadership;
+        const PlatformFormat& format;
+        SessionTraffic& traffic;
+    };
+
+    explicit SessionControl(Options options);
+    ~SessionControl();
+    SessionControl(const SessionControl&) = delete;
+    SessionControl& operator=(const SessionControl&) = delete;
+
+    /// Begins its work.
+    void start();
+    /// Gives up duties and the lease, then calls `done`; for a planned stop.
+    void leave(std::function<void()> done);
+    /// Ends its work at once.
+    void stop();
+
+    /// True once callers can be served: routes, upstreams and leaders were read. On the control thread.
+    [[nodiscard]] bool isReady() const;
+    /// The figures for the metrics page. On the control thread.
+    [[nodiscard]] std::string metricsText() const;
+
+private:
+    class State;
+    std::shared_ptr<State> state;
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/include/cyclamendrift/session_proxy/session_daemon.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cyclamendrift/platform/store.h>
+#include <cyclamendrift/proxy/daemon.h>
+#include <cyclamendrift/session_proxy/ports.h>
+#include <cyclamendrift/settings/session_settings.h>
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace cyclamendrift {
+
+/// What an adapter provides.
+struct SessionPorts {
+    std::unique_ptr<CallerPort> callers;
+    std::unique_ptr<UpstreamPort> upstreams;
+    std::unique_ptr<Store> store;
+    std::unique_ptr<LeadershipPort> leadership;
+    std::unique_ptr<PlatformFormat> format;
+};
+
+/// How a session proxy is run.
+struct SessionDaemonOptions {
+    SessionSettings settings;
+    /// Reads the settings again; throws SettingsError.
+    std::function<SessionSettings()> reload;
+    /// Makes the ports: callers and upstreams on the first context, the rest on the second.
+    std::function<SessionPorts(asio::io_context& traffic, asio::io_context& control, const SessionSettings&)> makePorts;
+};
+
+/// Runs a session proxy until SIGTERM or SIGINT, which drain it; a second one ends it at once. SIGHUP reads the
+/// settings again.
+[[nodiscard]] DaemonExit runSessionDaemon(SessionDaemonOptions options);
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cyclamendrift/pooling/session_engine.h>
+#include <cyclamendrift/session_proxy/ports.h>
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cyclamendrift {
+
+/// What the control side wants to know of the traffic.
+struct TrafficReport {
+    std::vector<UpstreamEvidence> evidence;
+    std::map<TeamName, std::uint64_t> demand;
+    EngineCounters counters;
+    std::size_t callers = 0;
+    std::size_t connections = 0;
+};
+
+/// Drives one SessionEngine on the traffic thread: hands it what callers and upstreams send, carries out what it
+/// wants, and takes in what the control side knows. The public functions may be called from any thread.
+class SessionTraffic final : private CallerEvents, private UpstreamEvents {
+public:
+    struct Options {
+        asio::io_context& context;
+        ZoneName zone;
+        CallerPort& callers;
+        UpstreamPort& upstreams;
+        /// Called on the traffic thread once a stop has let go of every caller.
+        std::function<void()> onDrained;
+    };
+
+    explicit SessionTraffic(Options options);
+    ~SessionTraffic() override;
+    SessionTraffic(const SessionTraffic&) = delete;
+    SessionTraffic& operator=(const SessionTraffic&) = delete;
+
+    void start();
+    void setRoutes(std::shared_ptr<const RouteTable> routes);
+    void setDirectory(UpstreamDirectory directory);
+    void setLeader(ServiceName service, LeaderView view);
+    void setPlace(FleetPlace place);
+    void setShares(std::map<TeamName, TeamShare::Rule> shares);
+    /// Asks for a report; `take` is called on the traffic thread.
+    void report(std::function<void(TrafficReport)> take);
+    /// Begins a planned stop.
+    void drain(Instant stopListeningAt, Instant abortAt, Instant endAt);
+
+private:
+    struct DrainTimes {
+        Instant stopListeningAt;
+        Instant endAt;
+    };
+
+    void started(CallerId caller, SessionStart start) override;
+    void asked(CallerId caller, CallerQuery query) override;
+    void left(CallerId caller) override;
+    void opened(ConnectionId connection, std::optional<Progress> progress) override;
+    void refused(ConnectionId connection, StatementError error) override;
+    void lost(ConnectionId connection) override;
+    void replied(ConnectionId connection, Reply reply) override;
+
+    void performAll();
+    void tick();
+    void drainTick(Instant now);
+
+    struct State;
+    std::unique_ptr<State> state;
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/include/cyclamendrift/settings/session_settings.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cyclamendrift/core/identifier.h>
+#include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/settings/settings.h>
+#include <cyclamendrift/telemetry/event_log.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cyclamendrift {
+
+/// Everything that a session proxy reads from its settings file.
+struct SessionSettings {
+    /// `[vm]`
+    VmSettings vm;
+    /// `[callers]`: where sessions come in.
+    ListenSettings callers;
+    /// `[readiness]`: where the balancer asks, and the path it asks for.
+    ListenSettings readiness;
+    std::string readinessPath;
+    /// `[metrics]`
+    ListenSettings metrics;
+    /// `[store] address`: host and port of the platform's store.
+    std::string storeAddress;
+    /// `[promotion] address`: host and port at which primaries are named.
+    std::string promotionAddress;
+    /// `[shutdown] grace_ms`: from SIGTERM to the end at the latest.
+    Duration grace = std::chrono::seconds { 6 };
+    /// `[log]`
+    LogOptions log;
+};
+
+/// Reads settings in TOML; a key that is not known is an error. Throws SettingsError with all problems at once.
+[[nodiscard]] SessionSettings parseSessionSettings(std::string_view text, std::string_view fileName);
+
+/// Reads a settings file; throws SettingsError.
+[[nodiscard]] SessionSettings readSessionSettings(const std::string& path);
+
+} // namespace cyclamendrift
--- a/include/cyclamendrift/proxy/settings.h
+++ b/include/cyclamendrift/settings/settings.h
@@ -3,7 +3,7 @@
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
 #include <cyclamendrift/failover/failover_settings.h>
-#include <cyclamendrift/proxy/settings_error.h>
+#include <cyclamendrift/settings/settings_error.h>
 #include <cyclamendrift/telemetry/event_log.h>
 
 #include <cstddef>
--- /dev/null
+++ b/src/leadership/leader_coordinator.cpp
@@ -0,0 +1,520 @@
+#include <cyclamendrift/leadership/leader_coordinator.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+// How often a view that did not change is handed on again with its new end.
+constexpr Duration publishInterval = std::chrono::milliseconds { 150 };
+
+std::string text(Term term) { return std::to_string(static_cast<std::uint64_t>(term)); }
+
+std::string text(const Progress& progress)
+{
+    return text(progress.term) + '.' + std::to_string(static_cast<std::uint64_t>(progress.position));
+}
+
+Term next(Term term) { return Term { static_cast<std::uint64_t>(term) + 1 }; }
+
+} // namespace
+
+LeaderCoordinator::LeaderCoordinator(Options options)
+    : options(std::move(options))
+{
+}
+
+LeaderCoordinator::Member* LeaderCoordinator::find(const UpstreamName& name)
+{
+    const auto match = this->members.find(name);
+    return match == this->members.end() ? nullptr : &match->second;
+}
+
+bool LeaderCoordinator::holdsDuty(Instant now) const noexcept
+{
+    return this->known.duty && this->known.duty->holder == this->options.vm && now < this->leaseUntil;
+}
+
+void LeaderCoordinator::onSnapshot(const LeadershipSnapshot& snapshot, Instant now)
+{
+    // An answer that was on its way while this VM wrote the record may still hold the one before.
+    const bool older = snapshot.askedAt < this->known.askedAt || snapshot.recordRevision < this->known.recordRevision;
+    if (this->readOnce && older)
+        return;
+    const bool sameRecord = this->readOnce && this->known.record == snapshot.record;
+    this->known = snapshot;
+    this->readOnce = true;
+    this->doubted = false;
+    if (!sameRecord) {
+        // What replicas confirmed was the record before.
+        this->confirmedAt = Instant::min();
+        if (const auto& record = snapshot.record)
+            this->note("leadership_read",
+                { { "primary", record->primary.string() }, { "term", text(record->term) },
+                    { "claimed_term", text(record->claimedTerm) }, { "author", record->author.string() } });
+    }
+    if (!snapshot.duty || snapshot.duty->holder != this->options.vm) {
+        this->replacement.reset();
+        this->growth.reset();
+    }
+    if (snapshot.duty)
+        this->dutyFreeSince.reset();
+    else if (!this->dutyFreeSince)
+        this->dutyFreeSince = now;
+}
+
+void LeaderCoordinator::onDirectory(UpstreamDirectory entries)
+{
+    for (const auto& entry : entries)
+        this->members[entry.name].entry = entry;
+    std::erase_if(this->members, [&entries](const auto& item) {
+        return std::none_of(entries.begin(), entries.end(),
+            [&item](const UpstreamEntry& entry) { return entry.name == item.first; });
+    });
+}
+
+void LeaderCoordinator::onTraffic(const UpstreamName& upstream, Instant lastAnswer,
+    std::optional<Instant> failingSince, bool contradictsView)
+{
+    auto* member = this->find(upstream);
+    if (member == nullptr)
+        return;
+    member->lastAnswer = std::max(member->lastAnswer, lastAnswer);
+    member->failingSince = failingSince;
+    if (contradictsView)
+        this->doubted = true;
+}
+
+void LeaderCoordinator::onStatus(
+    const UpstreamName& upstream, const UpstreamStatus& status, Instant askedAt, Instant now)
+{
+    auto* member = this->find(upstream);
+    if (member == nullptr)
+        return;
+    member->lastAnswer = std::max(member->lastAnswer, now);
+    if (askedAt < member->statusAt)
+        return;
+    member->status = status;
+    member->statusAt = askedAt;
+    const auto& record = this->known.record;
+    if (!record)
+        return;
+    if (status.term > record->term)
+        this->doubted = true;
+    const bool confirms = !status.isPrimary && status.term == record->term && status.heldTerm <= record->term
+        && upstream != record->primary && record->isSettled();
+    if (confirms)
+        this->confirmedAt = std::max(this->confirmedAt, askedAt);
+    if (this->replacement && status.heldTerm >= this->replacement->term && !status.isPrimary) {
+        const bool first = this->replacement->paused.insert_or_assign(upstream, status.received).second;
+        if (first)
+            this->replacement->lastPausedAt = now;
+    }
+    if (this->replacement && this->replacement->planned && upstream == record->primary && !status.isPrimary)
+        this->replacement->demotedAt = status.received;
+}
+
+void LeaderCoordinator::onSilence(const UpstreamName& upstream, Instant now)
+{
+    auto* member = this->find(upstream);
+    if (member != nullptr && !member->failingSince)
+        member->failingSince = now;
+}
+
+void LeaderCoordinator::onWritten(const LeadershipRecord& record, std::uint64_t revision, Instant now)
+{
+    this->known.record = record;
+    this->known.recordRevision = revision;
+    this->confirmedAt = Instant::min();
+    if (record.isSettled()) {
+        this->replacement.reset();
+        // The swap itself read the store at a moment after it was sent; the next snapshot renews the view.
+        this->doubted = true;
+    } else if (this->replacement) {
+        this->replacement->claimedAt = now;
+    }
+    this->publishIfChanged(now);
+}
+
+void LeaderCoordinator::onPromotionRefused(const UpstreamName& upstream, Instant /*now*/)
+{
+    if (this->replacement && this->replacement->chosen == upstream) {
+        this->replacement->refused.push_back(upstream);
+        this->replacement->chosen = UpstreamName {};
+    }
+}
+
+LeaderView LeaderCoordinator::view(Instant /*now*/) const
+{
+    LeaderView view;
+    if (!this->readOnce || !this->known.record)
+        return view;
+    const auto& record = *this->known.record;
+    view.phase = record.isSettled() ? LeaderView::Phase::Led : LeaderView::Phase::Changing;
+    view.primary = record.primary;
+    view.term = record.term;
+    view.validUntil = std::max(this->known.askedAt, this->confirmedAt) + this->options.settings.viewLifetime;
+    return view;
+}
+
+std::vector<LeadershipAction> LeaderCoordinator::tick(Instant now)
+{
+    if (this->readOnce) {
+        this->takeDutyIfFree(now);
+        this->renewFromReplica(now);
+        if (this->holdsDuty(now)) {
+            if (!this->known.record)
+                this->bootstrap(now);
+            else if (this->known.record->isSettled())
+                this->watchPrimary(now);
+            else
+                this->carryOn(now);
+            this->settleOthers(now);
+        }
+    }
+    this->publishIfChanged(now);
+    return std::exchange(this->actions, {});
+}
+
+void LeaderCoordinator::publishIfChanged(Instant now)
+{
+    const auto next = this->view(now);
+    const bool changed = next.phase != this->published.phase || next.primary != this->published.primary
+        || next.term != this->published.term;
+    const bool renewed = next.validUntil > this->published.validUntil && now >= this->lastPublished + publishInterval;
+    if (!changed && !renewed)
+        return;
+    if (changed)
+        this->note("leader_view",
+            { { "primary", next.primary.string() }, { "term", text(next.term) },
+                { "phase", next.phase == LeaderView::Phase::Led ? "led" : "changing" } });
+    this->published = next;
+    this->lastPublished = now;
+    this->actions.emplace_back(PublishLeader { next });
+}
+
+void LeaderCoordinator::takeDutyIfFree(Instant now)
+{
+    if (this->known.duty || !this->dutyFreeSince || now >= this->leaseUntil || now < this->noDutyBefore)
+        return;
+    const auto turn = *this->dutyFreeSince + this->options.settings.rankDelay * static_cast<int>(this->rank);
+    if (now < turn || now < this->lastDutyTry + this->options.settings.storeRetry)
+        return;
+    this->lastDutyTry = now;
+    this->actions.emplace_back(TakeDuty {});
+}
+
+void LeaderCoordinator::renewFromReplica(Instant now)
+{
+    const auto& settings = this->options.settings;
+    if (!this->known.record || !this->known.record->isSettled())
+        return;
+    const bool storeSilent = now >= this->known.askedAt + settings.storeSilence;
+    if (!storeSilent || now < this->lastConfirmAsked + settings.confirmInterval)
+        return;
+    this->lastConfirmAsked = now;
+    for (auto& [name, member] : this->members) {
+        if (name != this->known.record->primary && !member.entry.draining)
+            this->ask(member, now);
+    }
+}
+
+void LeaderCoordinator::ask(Member& member, Instant now)
+{
+    if (now < member.lastAsked + this->options.settings.askInterval)
+        return;
+    member.lastAsked = now;
+    this->actions.emplace_back(AskStatus { member.entry.name });
+}
+
+void LeaderCoordinator::bootstrap(Instant now)
+{
+    for (auto& [name, member] : this->members) {
+        if (member.status && member.status->isPrimary && member.statusAt + this->options.settings.viewLifetime > now) {
+            this->write({ .term = member.status->term, .primary = name, .claimedTerm = member.status->term }, now);
+            return;
+        }
+        if (member.entry.claimsPrimary)
+            this->ask(member, now);
+    }
+}
+
+void LeaderCoordinator::write(LeadershipRecord record, Instant now)
+{
+    if (now < this->lastWrite + this->options.settings.storeRetry)
+        return;
+    this->lastWrite = now;
+    record.author = this->options.vm;
+    record.changeId = this->options.vm.string() + '/' + std::to_string(this->options.seed) + '/'
+        + std::to_string(++this->changes);
+    this->actions.emplace_back(WriteLeadership { .record = std::move(record),
+        .expectedRevision = this->known.recordRevision,
+        .dutyRevision = this->known.duty->revision });
+}
+
+void LeaderCoordinator::watchPrimary(Instant now)
+{
+    const auto& record = *this->known.record;
+    auto* primary = this->find(record.primary);
+    for (const auto& [name, member] : this->members) {
+        // A promotion whose outcome nobody wrote down has shown its effect.
+        const bool leads = member.status && member.status->isPrimary && member.status->term > record.term;
+        if (leads) {
+            this->write({ .term = member.status->term, .primary = name, .claimedTerm = member.status->term }, now);
+            return;
+        }
+    }
+    if (primary == nullptr)
+        return this->claim(false, "the primary is gone from the directory", now);
+    if (primary->entry.draining)
+        return this->claim(true, "the primary is leaving", now);
+    const bool resigned = primary->status && !primary->status->isPrimary && primary->status->term <= record.term;
+    if (resigned && primary->statusAt > this->known.askedAt - this->options.settings.viewLifetime)
+        return this->claim(false, "the primary says that it is a replica", now);
+    if (!this->primaryIsSilent(now)) {
+        this->growth.reset();
+        return;
+    }
+    if (this->logGrows(now)) {
+        // Replicas receive what the primary writes, so it serves others and only this VM is cut off from it.
+        this->note("duty_yielded", { { "primary", record.primary.string() }, { "reason", "its log grows elsewhere" } });
+        this->noDutyBefore = now + this->options.settings.yieldPause;
+        this->growth.reset();
+        this->actions.emplace_back(YieldDuty { this->known.duty->revision });
+        this->known.duty.reset();
+        return;
+    }
+    const bool compared = this->growth && now >= this->growth->since + this->options.settings.growthTime * 2;
+    if (compared && now >= primary->lastAnswer + this->options.settings.deadAfter)
+        this->claim(false, "the primary does not answer", now);
+}
+
+bool LeaderCoordinator::primaryIsSilent(Instant now)
+{
+    auto& primary = *this->find(this->known.record->primary);
+    const bool quiet = now >= primary.lastAnswer + this->options.settings.quietTime;
+    const bool failing = primary.failingSince && *primary.failingSince > primary.lastAnswer;
+    if (quiet || failing)
+        this->ask(primary, now);
+    return failing && now >= primary.lastAnswer + this->options.settings.askInterval * 2;
+}
+
+bool LeaderCoordinator::logGrows(Instant now)
+{
+    if (!this->growth)
+        this->growth = Growth { .since = now };
+    bool grows = false;
+    for (auto& [name, member] : this->members) {
+        if (name == this->known.record->primary)
+            continue;
+        this->ask(member, now);
+        if (!member.status || member.statusAt < this->growth->since)
+            continue;
+        const auto first = this->growth->received.try_emplace(name, member.status->received).first;
+        grows = grows || member.status->received > first->second;
+    }
+    return grows;
+}
+
+void LeaderCoordinator::claim(bool planned, std::string_view reason, Instant now)
+{
+    const auto& record = *this->known.record;
+    const bool someoneElse = std::any_of(this->members.begin(), this->members.end(), [&record](const auto& item) {
+        return item.first != record.primary && !item.second.entry.draining;
+    });
+    if (!someoneElse)
+        return;
+    if (now < this->lastWrite + this->options.settings.storeRetry)
+        return;
+    const auto term = next(record.term);
+    this->note("replacing_primary",
+        { { "primary", record.primary.string() }, { "term", text(term) }, { "reason", std::string { reason } } });
+    this->replacement = Replacement { .term = term, .planned = planned, .claimedAt = Instant::max() };
+    this->growth.reset();
+    this->write({ .term = record.term, .primary = record.primary, .claimedTerm = term }, now);
+}
+
+void LeaderCoordinator::carryOn(Instant now)
+{
+    const auto& record = *this->known.record;
+    // Another VM's claim is taken over by writing it anew: from then on its author cannot change the record.
+    if (record.author != this->options.vm || !this->replacement) {
+        const auto* primary = this->find(record.primary);
+        if (!this->replacement)
+            this->replacement = Replacement { .term = record.claimedTerm,
+                .planned = primary != nullptr && primary->entry.draining,
+                .claimedAt = Instant::max() };
+        this->write({ .term = record.term, .primary = record.primary, .claimedTerm = record.claimedTerm }, now);
+        return;
+    }
+    for (auto& [name, member] : this->members) {
+        const bool leads = member.status && member.status->isPrimary && member.status->term >= record.claimedTerm;
+        if (leads) {
+            this->finish(member, now);
+            return;
+        }
+    }
+    if (this->replacement->claimedAt == Instant::max())
+        this->replacement->claimedAt = now;
+    this->standDown(now);
+    if (this->replacement->planned)
+        this->demoteFirst(now);
+    this->pauseReplicas(now);
+    if (this->replacement->chosen.empty())
+        this->choose(now);
+    else
+        this->promote(now);
+}
+
+void LeaderCoordinator::standDown(Instant now)
+{
+    const auto& record = *this->known.record;
+    auto* primary = this->find(record.primary);
+    const bool begun = !this->replacement->chosen.empty() || this->replacement->lastPromote != Instant::min();
+    if (primary == nullptr || this->replacement->planned || begun)
+        return;
+    this->ask(*primary, now);
+    const bool back = primary->status && primary->status->isPrimary && primary->statusAt > this->replacement->claimedAt;
+    if (!back)
+        return;
+    // Nobody was promoted under this claim, and the old primary is there with its whole log: keeping it loses nothing.
+    this->note("primary_is_back", { { "primary", record.primary.string() } });
+    for (const auto& [name, member] : this->members) {
+        if (name != record.primary)
+            this->actions.emplace_back(ResumeReplica { name });
+    }
+    this->write({ .term = record.term, .primary = record.primary, .claimedTerm = record.term }, now);
+}
+
+void LeaderCoordinator::demoteFirst(Instant now)
+{
+    auto* primary = this->find(this->known.record->primary);
+    if (primary == nullptr || this->replacement->demotedAt)
+        return;
+    if (now < primary->lastAsked + this->options.settings.askInterval)
+        return;
+    primary->lastAsked = now;
+    this->actions.emplace_back(DemotePrimary { .upstream = primary->entry.name, .term = this->replacement->term });
+}
+
+void LeaderCoordinator::pauseReplicas(Instant now)
+{
+    const auto& settings = this->options.settings;
+    for (auto& [name, member] : this->members) {
+        if (name == this->known.record->primary || this->replacement->paused.contains(name))
+            continue;
+        if (now < member.lastAsked + settings.askInterval)
+            continue;
+        // A replica that still receives what the demoted primary has written is left to it for a moment.
+        const auto& demoted = this->replacement->demotedAt;
+        const bool waits = this->replacement->planned && now < this->replacement->claimedAt + settings.catchUpTime;
+        const bool caughtUp = demoted && member.status && member.status->received >= *demoted;
+        member.lastAsked = now;
+        if (waits && !caughtUp)
+            this->actions.emplace_back(AskStatus { name });
+        else
+            this->actions.emplace_back(PauseReplica { .upstream = name, .term = this->replacement->term });
+    }
+}
+
+bool LeaderCoordinator::pausedEnough(Instant now) const
+{
+    const auto& replacement = *this->replacement;
+    if (replacement.paused.empty() || !replacement.lastPausedAt)
+        return false;
+    for (const auto& [name, member] : this->members) {
+        const bool open = name != this->known.record->primary && !replacement.paused.contains(name);
+        if (open && now < replacement.claimedAt + this->options.settings.pauseGrace + this->options.settings.catchUpTime)
+            return false;
+    }
+    return true;
+}
+
+void LeaderCoordinator::choose(Instant now)
+{
+    const auto& settings = this->options.settings;
+    auto& replacement = *this->replacement;
+    if (!this->pausedEnough(now))
+        return;
+    const auto lapsed = std::max(replacement.claimedAt, *replacement.lastPausedAt) + settings.viewLifetime
+        + settings.viewMargin;
+    if (now < lapsed)
+        return;
+    const Member* best = nullptr;
+    Progress bestProgress;
+    for (const auto& [name, progress] : replacement.paused) {
+        const auto* member = this->find(name);
+        const bool refused
+            = std::find(replacement.refused.begin(), replacement.refused.end(), name) != replacement.refused.end();
+        if (member == nullptr || refused || member->entry.draining)
+            continue;
+        if (best == nullptr || progress > bestProgress) {
+            best = member;
+            bestProgress = progress;
+        }
+    }
+    if (best == nullptr) {
+        // Every one was refused; they may be running again by now.
+        replacement.refused.clear();
+        return;
+    }
+    replacement.chosen = best->entry.name;
+    replacement.chosenAt = now;
+    this->note("primary_chosen", { { "upstream", best->entry.name.string() }, { "received", text(bestProgress) } });
+    this->promote(now);
+}
+
+void LeaderCoordinator::promote(Instant now)
+{
+    const auto& settings = this->options.settings;
+    auto& replacement = *this->replacement;
+    auto* chosen = this->find(replacement.chosen);
+    if (chosen == nullptr || now >= replacement.chosenAt + settings.promoteTimeout) {
+        replacement.refused.push_back(std::exchange(replacement.chosen, UpstreamName {}));
+        return;
+    }
+    if (now >= replacement.lastPromote + settings.promoteInterval) {
+        replacement.lastPromote = now;
+        this->actions.emplace_back(
+            PromoteUpstream { .upstream = replacement.chosen, .token = this->known.duty->token });
+    }
+    this->ask(*chosen, now);
+}
+
+void LeaderCoordinator::finish(const Member& member, Instant now)
+{
+    const auto term = member.status->term;
+    this->note("primary_replaced", { { "primary", member.entry.name.string() }, { "term", text(term) } });
+    this->write({ .term = term, .primary = member.entry.name, .claimedTerm = term }, now);
+}
+
+void LeaderCoordinator::settleOthers(Instant now)
+{
+    const auto& record = this->known.record;
+    if (!record || !record->isSettled())
+        return;
+    for (auto& [name, member] : this->members) {
+        if (name == record->primary || now < member.lastAsked + this->options.settings.settleInterval)
+            continue;
+        const bool oldPrimary = member.status && member.status->isPrimary && member.status->term < record->term;
+        const bool leftPaused = member.status && !member.status->isPrimary && member.status->heldTerm > Term {};
+        if (member.status && !oldPrimary && !leftPaused)
+            continue;
+        member.lastAsked = now;
+        if (!member.status)
+            this->actions.emplace_back(AskStatus { name });
+        else if (oldPrimary)
+            this->actions.emplace_back(DemotePrimary { .upstream = name, .term = record->term });
+        else
+            this->actions.emplace_back(ResumeReplica { name });
+    }
+}
+
+void LeaderCoordinator::note(std::string_view event, std::vector<std::pair<std::string, std::string>> fields)
+{
+    this->actions.emplace_back(LeadershipNote { .event = std::string { event }, .fields = std::move(fields) });
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/limits/demand_shares.cpp
@@ -0,0 +1,106 @@
+#include <cyclamendrift/limits/demand_shares.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace cyclamendrift {
+
+namespace {
+
+// A VM that a team has not asked yet gets this part of an even share, so that its first callers are let in before the
+// next list shows them. The price is that at most this part of a limit lies idle at VMs that nobody asks.
+constexpr double idlePart = 0.25;
+// For a VM that is not on the list the others have divided everything; what it still lets in comes on top and must
+// stay within the limit's tolerance of a tenth.
+constexpr double unlistedPart = 0.02;
+// Half-life of the measured demand; about the time of a list's round through the store.
+constexpr double meanSeconds = 2.0;
+// Changes of demand below this are not worth a write.
+constexpr double relativeChange = 0.2;
+constexpr double absoluteChange = 1.5;
+
+double valueAt(const DemandByTeam& demand, const TeamName& team)
+{
+    const auto match = demand.find(team);
+    return match == demand.end() ? 0 : match->second;
+}
+
+double partOf(const TeamName& team, const VmName& self, const std::map<VmName, DemandByTeam>& listed)
+{
+    const auto own = listed.find(self);
+    if (own == listed.end())
+        return unlistedPart;
+    const auto vms = static_cast<double>(listed.size());
+    double total = 0;
+    for (const auto& [vm, demand] : listed)
+        total += valueAt(demand, team);
+    if (total <= 0)
+        return 1 / vms;
+    const double floor = idlePart * total / vms;
+    return (valueAt(own->second, team) + floor) / (total + floor * vms);
+}
+
+} // namespace
+
+void DemandShares::update(const std::map<TeamName, TeamLimit>& limits, const VmName& self,
+    const std::map<VmName, DemandByTeam>& listed, Instant now)
+{
+    std::erase_if(this->parts, [&limits](const auto& item) { return !limits.contains(item.first); });
+    for (const auto& [team, limit] : limits) {
+        const auto part = partOf(team, self, listed);
+        const TeamShare::Rule rule { .ratePerSecond = limit.ratePerSecond * part, .burst = limit.burst * part };
+        auto& history = this->parts[team];
+        history.push_back({ .since = now, .rule = rule });
+        while (history.size() > 1 && history[1].since + growthDelay <= now)
+            history.pop_front();
+    }
+}
+
+std::map<TeamName, TeamShare::Rule> DemandShares::current(Instant /*now*/)
+{
+    std::map<TeamName, TeamShare::Rule> rules;
+    for (const auto& [team, history] : this->parts) {
+        auto rule = history.front().rule;
+        for (const auto& part : history) {
+            rule.ratePerSecond = std::min(rule.ratePerSecond, part.rule.ratePerSecond);
+            rule.burst = std::min(rule.burst, part.rule.burst);
+        }
+        rules.emplace(team, rule);
+    }
+    return rules;
+}
+
+void DemandMeter::note(const std::map<TeamName, std::uint64_t>& asked, Instant now)
+{
+    if (!this->started) {
+        this->started = true;
+        this->notedAt = now;
+        return;
+    }
+    const std::chrono::duration<double> elapsed = now - this->notedAt;
+    if (elapsed.count() <= 0)
+        return;
+    this->notedAt = now;
+    const double kept = std::exp2(-elapsed.count() / meanSeconds);
+    for (auto& [team, rate] : this->perSecond)
+        rate *= kept;
+    for (const auto& [team, count] : asked)
+        this->perSecond[team] += (1 - kept) * static_cast<double>(count) / elapsed.count();
+}
+
+bool DemandMeter::differs(const DemandByTeam& told, const DemandByTeam& now)
+{
+    std::set<TeamName> teams;
+    for (const auto& [team, rate] : told)
+        teams.insert(team);
+    for (const auto& [team, rate] : now)
+        teams.insert(team);
+    return std::any_of(teams.begin(), teams.end(), [&](const TeamName& team) {
+        const auto before = valueAt(told, team);
+        const auto after = valueAt(now, team);
+        return std::abs(after - before) > std::max(absoluteChange, relativeChange * std::max(before, after));
+    });
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/limits/team_share.cpp
@@ -0,0 +1,58 @@
+#include <cyclamendrift/limits/team_share.h>
+
+#include <algorithm>
+
+namespace cyclamendrift {
+
+namespace {
+
+// A process that restarts must not hand out a whole burst again, as the one before it may just have done. What a
+// quarter of a second accrues lets callers in at once and stays far below the tolerance of the limit.
+constexpr double firstSeconds = 0.25;
+
+} // namespace
+
+void TeamShare::setRule(const Rule& wanted, Instant now)
+{
+    if (this->started)
+        this->accrue(now);
+    else
+        this->level = std::min(wanted.burst, wanted.ratePerSecond * firstSeconds);
+    this->started = true;
+    this->accruedAt = now;
+    this->rule = wanted;
+    this->level = std::min(this->level, wanted.burst);
+}
+
+bool TeamShare::tryTake(Instant now)
+{
+    this->accrue(now);
+    if (this->level < 1)
+        return false;
+    this->level -= 1;
+    return true;
+}
+
+Duration TeamShare::timeToNext(Instant now)
+{
+    this->accrue(now);
+    if (this->level >= 1)
+        return {};
+    // A team without any rate here should try elsewhere, and not at once.
+    constexpr std::chrono::duration<double> longest { 1.0 };
+    if (this->rule.ratePerSecond <= 0)
+        return std::chrono::duration_cast<Duration>(longest);
+    const std::chrono::duration<double> wait { (1 - this->level) / this->rule.ratePerSecond };
+    return std::chrono::duration_cast<Duration>(std::min(wait, longest));
+}
+
+void TeamShare::accrue(Instant now)
+{
+    if (now <= this->accruedAt)
+        return;
+    const std::chrono::duration<double> elapsed = now - this->accruedAt;
+    this->level = std::min(this->rule.burst, this->level + elapsed.count() * this->rule.ratePerSecond);
+    this->accruedAt = now;
+}
+
+} // namespace cyclamendrift
--- a/src/platform/curl_client.cpp
+++ b/src/platform/curl_client.cpp
@@ -1,4 +1,4 @@
-#include "curl_client.h"
+#include <cyclamendrift/platform/curl_client.h>
 
 #include <cyclamendrift/platform/store_error.h>
 
@@ -60,6 +60,10 @@
         if (!this->handle)
             throw std::bad_alloc {};
         this->headers.reset(curl_slist_append(nullptr, "Expect:"));
+        for (const auto& line : this->request.headers)
+            curl_slist_append(this->headers.get(), line.c_str());
+        if (!this->request.method.empty())
+            this->set(CURLOPT_CUSTOMREQUEST, this->request.method.c_str());
         this->set(CURLOPT_HTTPHEADER, this->headers.get());
         this->set(CURLOPT_URL, this->request.url.c_str());
         this->set(CURLOPT_PRIVATE, this);
--- a/src/platform/etcd_store.cpp
+++ b/src/platform/etcd_store.cpp
@@ -1,4 +1,4 @@
-#include "curl_client.h"
+#include <cyclamendrift/platform/curl_client.h>
 #include "json.h"
 
 #include <cyclamendrift/platform/etcd_store.h>
@@ -83,10 +83,15 @@
 wire::EtcdTxnRequest transactionOf(const SwapOptions& options)
 {
     wire::EtcdTxnRequest request;
-    auto* compare = request.add_compare();
-    compare->set_target(wire::EtcdCompare::MOD);
-    compare->set_key(options.key);
-    compare->set_mod_revision(static_cast<std::int64_t>(options.expectedRevision));
+    const auto mustStandAt = [&request](const std::string& key, std::uint64_t revision) {
+        auto* compare = request.add_compare();
+        compare->set_target(wire::EtcdCompare::MOD);
+        compare->set_key(key);
+        compare->set_mod_revision(static_cast<std::int64_t>(revision));
+    };
+    mustStandAt(options.key, options.expectedRevision);
+    for (const auto& guard : options.guards)
+        mustStandAt(guard.key, guard.revision);
     if (options.value) {
         auto* put = request.add_success()->mutable_request_put();
         put->set_key(options.key);
--- a/src/platform/http_vm_list.cpp
+++ b/src/platform/http_vm_list.cpp
@@ -1,4 +1,4 @@
-#include "curl_client.h"
+#include <cyclamendrift/platform/curl_client.h>
 #include "json.h"
 
 #include <cyclamendrift/platform/http_vm_list.h>
--- /dev/null
+++ b/src/pooling/caller_session.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cyclamendrift/core/identifier.h>
+#include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/core/progress.h>
+#include <cyclamendrift/pooling/caller_statement.h>
+#include <cyclamendrift/pooling/engine_actions.h>
+#include <cyclamendrift/pooling/reply.h>
+#include <cyclamendrift/pooling/route_table.h>
+#include <cyclamendrift/pooling/session_state.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace cyclamendrift {
+
+/// What a statement does to the data, which decides what may be said when its answer does not come.
+enum class WorkKind : std::uint8_t { Read, Write, Commit };
+
+/// A statement that an upstream has to run.
+struct Work {
+    CallerQuery query;
+    WorkKind kind = WorkKind::Read;
+    /// Only the primary will do.
+    bool needsPrimary = false;
+    /// The statement is the first of its transaction, which is opened on the upstream along with it.
+    bool opensTransaction = false;
+    Instant arrivedAt;
+    /// Refused when no upstream has got it by then.
+    Instant offerBy;
+    /// Given up when it is not answered by then.
+    Instant deadline;
+    std::size_t attempts = 0;
+    /// The connection that is being opened for it, or that serves it.
+    std::optional<ConnectionId> connection;
+    /// The prepared statement that it runs, if it runs one.
+    std::optional<PreparedShape> shape;
+    std::string arguments;
+    /// When to send it again on the connection that holds its transaction.
+    std::optional<Instant> resumeAt;
+    /// Upstreams that could not run it, until when they are passed over.
+    std::map<UpstreamName, Instant> avoided;
+};
+
+/// An answer that is ready but may only be given once the view of the primary is known to have held.
+struct HeldReply {
+    Reply reply;
+    UpstreamName upstream;
+    Term term {};
+    /// The answer becomes "in doubt" at this time.
+    Instant until;
+};
+
+/// One caller's session.
+struct CallerSession {
+    CallerId id {};
+    bool started = false;
+    std::string database;
+    std::string key;
+    TeamName team;
+    SessionState state;
+    SessionPhase phase = SessionPhase::Idle;
+    /// Statements that came in ahead of their turn.
+    std::deque<CallerQuery> pending;
+    std::optional<Work> work;
+    std::optional<HeldReply> held;
+
+    /// The route of the operation under way; a change of it counts from the next operation on.
+    Route route;
+    /// The connection that holds the open transaction.
+    std::optional<ConnectionId> pinned;
+    bool transactionReadOnly = false;
+    bool transactionWrote = false;
+    /// The transaction was dropped between two statements; the next one is told so.
+    bool abortUntold = false;
+
+    /// What the session has written, and where.
+    std::optional<Progress> floor;
+    ServiceName floorService;
+    Instant lastActive;
+
+    [[nodiscard]] bool isIdle() const noexcept
+    {
+        return !this->work && !this->held && this->pending.empty() && this->phase == SessionPhase::Idle;
+    }
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/pooling/engine_callers.cpp
@@ -0,0 +1,314 @@
+#include "engine_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+constexpr auto ownProof = "-";
+
+Reply ownReply() { return { .proof = ownProof }; }
+
+/// Teams of callers that need no key.
+const TeamName& publicTeam()
+{
+    static const TeamName team { "-" };
+    return team;
+}
+
+} // namespace
+
+Reply failureReply(StatementError error, std::string text)
+{
+    return { .failure = StatementFailure { .error = error, .text = std::move(text) } };
+}
+
+std::string adviceText(std::string_view reason, Duration retryAfter)
+{
+    const auto count = std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
+    return std::string { reason } + ", retry after " + std::to_string(count) + " ms";
+}
+
+void SessionEngine::State::startCaller(CallerId id, const SessionStart& start)
+{
+    auto& session = this->callers[static_cast<std::uint64_t>(id)];
+    session.id = id;
+    session.lastActive = this->now;
+    const auto* route = this->routes->findRoute(start.database);
+    if (route == nullptr) {
+        this->endCaller(id, StatementFailure { StatementError::UnknownDatabase, "there is no such database" });
+        return;
+    }
+    const auto* team = this->routes->findTeam(start.key);
+    if (team == nullptr && !route->isPublic) {
+        this->endCaller(id, StatementFailure { StatementError::UnknownKey, "the key is not known" });
+        return;
+    }
+    session.started = true;
+    session.database = start.database;
+    session.key = start.key;
+    session.team = team == nullptr ? publicTeam() : *team;
+    session.route = *route;
+    this->actions.emplace_back(AcceptCaller { id });
+}
+
+void SessionEngine::State::ask(CallerId id, CallerQuery query)
+{
+    auto* session = this->findCaller(id);
+    if (session == nullptr)
+        return;
+    session->lastActive = this->now;
+    if (!session->started || session->pending.size() >= this->options.settings.pipelined) {
+        this->endCaller(id,
+            StatementFailure { StatementError::Malformed,
+                session->started ? "too many statements ahead of their answers" : "the session was not started" });
+        return;
+    }
+    session->pending.push_back(std::move(query));
+    this->takeNext(*session);
+}
+
+void SessionEngine::State::takeNext(CallerSession& session)
+{
+    // Answering may end the session, so it is looked up anew each time.
+    const auto id = session.id;
+    for (auto* current = &session; current != nullptr; current = this->findCaller(id)) {
+        if (current->work || current->held || current->pending.empty())
+            return;
+        auto query = std::move(current->pending.front());
+        current->pending.pop_front();
+        this->run(*current, std::move(query));
+    }
+}
+
+void SessionEngine::State::run(CallerSession& session, CallerQuery query)
+{
+    const bool ends = std::holds_alternative<CommitTransaction>(query.statement)
+        || std::holds_alternative<RollbackTransaction>(query.statement);
+    if (session.phase == SessionPhase::FailedTransaction) {
+        const bool untold = std::exchange(session.abortUntold, false);
+        if (ends) {
+            session.phase = SessionPhase::Idle;
+            const bool commit = std::holds_alternative<CommitTransaction>(query.statement);
+            this->answer(session, commit ? failureReply(StatementError::Aborted, "the transaction had failed") : ownReply());
+        } else if (untold) {
+            this->answer(session, failureReply(StatementError::Aborted, "the transaction was dropped"));
+        } else {
+            this->answer(session, failureReply(StatementError::Malformed, "the transaction has failed"));
+        }
+        return;
+    }
+    if (const auto* wanted = std::get_if<BeginTransaction>(&query.statement))
+        return this->begin(session, *wanted);
+    if (ends && session.phase == SessionPhase::Idle)
+        return this->answer(session, failureReply(StatementError::Malformed, "there is no open transaction"));
+    if (std::holds_alternative<RollbackTransaction>(query.statement))
+        return this->rollback(session);
+    if (std::holds_alternative<CommitTransaction>(query.statement))
+        return this->runData(session, std::move(query), WorkKind::Commit, nullptr);
+    if (std::holds_alternative<ReadItem>(query.statement))
+        return this->runData(session, std::move(query), WorkKind::Read, nullptr);
+    if (std::holds_alternative<WriteItem>(query.statement))
+        return this->runData(session, std::move(query), WorkKind::Write, nullptr);
+    if (std::holds_alternative<ExecutePrepared>(query.statement))
+        return this->runExecute(session, std::move(query));
+    if (auto* value = std::get_if<SetSessionValue>(&query.statement)) {
+        session.state.values[value->name] = std::move(value->value);
+        return this->answer(session, ownReply());
+    }
+    if (auto* prepare = std::get_if<PrepareStatement>(&query.statement)) {
+        session.state.prepared[prepare->name] = std::move(prepare->shape);
+        return this->answer(session, ownReply());
+    }
+    if (const auto* deallocate = std::get_if<DeallocateStatement>(&query.statement)) {
+        const bool known = session.state.prepared.erase(deallocate->name) > 0;
+        return this->answer(session,
+            known ? ownReply() : failureReply(StatementError::UnknownStatement, "no statement has that name"));
+    }
+    this->answer(session, failureReply(StatementError::Malformed, "the statement cannot be read"));
+}
+
+bool SessionEngine::State::admitOperation(CallerSession& session)
+{
+    const auto* route = this->routes->findRoute(session.database);
+    if (route == nullptr) {
+        this->refuse(session, StatementError::UnknownDatabase, "there is no such database any more");
+        return false;
+    }
+    const auto* team = this->routes->findTeam(session.key);
+    if (!route->isPublic && (team == nullptr || *team != session.team)) {
+        this->refuse(session, StatementError::UnknownKey, "the key was withdrawn");
+        return false;
+    }
+    if (route->service != session.route.service)
+        session.floor.reset();
+    session.route = *route;
+    ++this->demand[session.team];
+    const auto share = this->shares.find(session.team);
+    const bool limited = this->routes->limits.contains(session.team);
+    if (limited && (share == this->shares.end() || !share->second.tryTake(this->now))) {
+        const auto limit = this->routes->limits.at(session.team);
+        this->log("over_share",
+            { { "team", session.team.string() }, { "limit_per_s", std::to_string(limit.ratePerSecond) },
+                { "share_per_s", std::to_string(share == this->shares.end() ? 0 : share->second.rate()) } });
+        const auto wait = share == this->shares.end() ? this->options.settings.overloadAdvice
+                                                      : share->second.timeToNext(this->now);
+        this->refuse(session, StatementError::Busy, adviceText("the team is over its rate", wait));
+        return false;
+    }
+    return true;
+}
+
+void SessionEngine::State::begin(CallerSession& session, const BeginTransaction& wanted)
+{
+    if (session.phase != SessionPhase::Idle)
+        return this->answer(session, failureReply(StatementError::Malformed, "a transaction is open"));
+    if (!this->admitOperation(session))
+        return;
+    // The transaction is opened on an upstream with its first statement: until then the caller may pause, and a
+    // connection would be held for nothing.
+    session.phase = SessionPhase::InTransaction;
+    session.transactionReadOnly = wanted.readOnly;
+    session.transactionWrote = false;
+    this->answer(session, ownReply());
+}
+
+void SessionEngine::State::rollback(CallerSession& session)
+{
+    this->endTransaction(session);
+    session.phase = SessionPhase::Idle;
+    this->answer(session, ownReply());
+}
+
+void SessionEngine::State::runExecute(CallerSession& session, CallerQuery query)
+{
+    const auto execute = std::get<ExecutePrepared>(query.statement);
+    const auto known = session.state.prepared.find(execute.name);
+    if (known == session.state.prepared.end())
+        return this->answer(session, failureReply(StatementError::UnknownStatement, "no statement has that name"));
+    const auto kind = known->second.writes ? WorkKind::Write : WorkKind::Read;
+    this->runData(session, std::move(query), kind, &execute);
+}
+
+void SessionEngine::State::runData(
+    CallerSession& session, CallerQuery query, WorkKind kind, const ExecutePrepared* execute)
+{
+    const bool inTransaction = session.phase == SessionPhase::InTransaction;
+    if (!inTransaction && !this->admitOperation(session))
+        return;
+    const bool primaryRoute = std::holds_alternative<PrimaryRoute>(session.route.freshness);
+    const bool plainTransaction = inTransaction && !session.transactionReadOnly;
+    Work work { .query = std::move(query),
+        .kind = kind,
+        .needsPrimary = primaryRoute || plainTransaction || kind == WorkKind::Write,
+        .opensTransaction = inTransaction && !session.pinned,
+        .arrivedAt = this->now,
+        .offerBy = this->now + std::min(session.route.targetLatency, session.route.statementTimeout),
+        .deadline = this->now + session.route.statementTimeout };
+    if (execute != nullptr) {
+        work.shape = session.state.prepared.at(execute->name);
+        work.arguments = execute->arguments;
+    }
+    session.work = std::move(work);
+    if (session.pinned)
+        this->runPinned(session);
+    else
+        this->enqueue(session);
+}
+
+void SessionEngine::State::endTransaction(CallerSession& session)
+{
+    if (!session.pinned)
+        return;
+    auto* connection = this->findConnection(*session.pinned);
+    session.pinned.reset();
+    if (connection == nullptr)
+        return;
+    connection->user.reset();
+    connection->steps.clear();
+    connection->steps.push_back({ .kind = StepKind::Drop, .statement = DropTransaction {} });
+    if (connection->sent.empty())
+        this->sendNext(*connection);
+}
+
+void SessionEngine::State::abortTransaction(CallerSession& session, const char* reason)
+{
+    this->endTransaction(session);
+    session.phase = SessionPhase::FailedTransaction;
+    session.abortUntold = true;
+    this->log("transaction_aborted", { { "database", session.database }, { "reason", reason } });
+}
+
+void SessionEngine::State::refuse(CallerSession& session, StatementError error, std::string text)
+{
+    ++this->counters.refused;
+    if (session.work) {
+        this->log("refused",
+            { { "id", session.work->query.id }, { "service", session.route.service.string() }, { "reason", text },
+                { "attempts", std::to_string(session.work->attempts) },
+                { "waited_ms",
+                    std::to_string(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(this->now - session.work->arrivedAt)
+                            .count()) } });
+    } else {
+        this->log("refused", { { "team", session.team.string() }, { "database", session.database }, { "reason", text } });
+    }
+    if (session.phase == SessionPhase::InTransaction) {
+        this->endTransaction(session);
+        session.phase = SessionPhase::FailedTransaction;
+    }
+    this->answer(session, failureReply(error, std::move(text)));
+}
+
+void SessionEngine::State::answer(CallerSession& session, Reply reply)
+{
+    session.work.reset();
+    session.held.reset();
+    session.lastActive = this->now;
+    reply.phase = session.phase;
+    ++this->counters.answered;
+    this->actions.emplace_back(AnswerCaller { .caller = session.id, .reply = std::move(reply) });
+    if (!this->closeIfDraining(session))
+        this->takeNext(session);
+}
+
+bool SessionEngine::State::closeIfDraining(CallerSession& session)
+{
+    if (!this->closeIdleFrom || this->now < *this->closeIdleFrom || !session.isIdle())
+        return false;
+    this->endCaller(session.id, std::nullopt);
+    return true;
+}
+
+void SessionEngine::State::endCaller(CallerId id, std::optional<StatementFailure> failure)
+{
+    this->actions.emplace_back(CloseCaller { .caller = id, .failure = std::move(failure) });
+    this->leave(id);
+}
+
+void SessionEngine::State::leave(CallerId id)
+{
+    auto* session = this->findCaller(id);
+    if (session == nullptr)
+        return;
+    const auto connectionId = session->pinned ? session->pinned
+        : session->work                       ? session->work->connection
+                                              : std::optional<ConnectionId> {};
+    if (auto* connection = connectionId ? this->findConnection(*connectionId) : nullptr) {
+        connection->user.reset();
+        // What runs goes on to its end, as a statement that is cut off in the middle costs the upstream the same; its
+        // transaction is dropped then.
+        connection->steps.clear();
+        if (connection->inTransaction)
+            connection->steps.push_back({ .kind = StepKind::Drop, .statement = DropTransaction {} });
+        if (connection->sent.empty() && connection->phase == PooledConnection::Phase::Working)
+            this->sendNext(*connection);
+    }
+    if (const auto group = this->groups.find(session->route.service); group != this->groups.end())
+        std::erase(group->second.waiting, id);
+    this->callers.erase(static_cast<std::uint64_t>(id));
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/pooling/engine_connections.cpp
@@ -0,0 +1,522 @@
+#include "engine_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+// Weight of the newest answer in the moving mean of an upstream's time for a read.
+constexpr double newestWeight = 0.1;
+// An answer that is ready waits no longer than this to learn that the view held; renewals come twice a second.
+constexpr Duration longestHold = std::chrono::milliseconds { 800 };
+
+double toMilliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+Duration doubled(Duration first, int times, Duration most)
+{
+    return std::min(first * (1 << std::min(times, 10)), most);
+}
+
+} // namespace
+
+void SessionEngine::State::opened(ConnectionId id, std::optional<Progress> progress)
+{
+    auto* connection = this->findConnection(id);
+    if (connection == nullptr)
+        return;
+    Reply greeting;
+    greeting.progress = progress;
+    this->noteAnswer(*connection, greeting);
+    auto* session = connection->user ? this->findCaller(*connection->user) : nullptr;
+    if (session == nullptr) {
+        this->release(*connection);
+        return;
+    }
+    connection->phase = PooledConnection::Phase::Working;
+    this->serveOn(*connection, *session);
+}
+
+void SessionEngine::State::refusedToOpen(ConnectionId id, StatementError error)
+{
+    auto* connection = this->findConnection(id);
+    if (connection == nullptr)
+        return;
+    auto& upstream = this->upstreamOf(*connection);
+    upstream.lastAnswer = this->now;
+    upstream.failingSince.reset();
+    if (error == StatementError::TooManyConnections)
+        upstream.keepToShareUntil = this->now + this->options.settings.borrowPause;
+    if (error == StatementError::WrongInstance)
+        this->noteFailure(upstream);
+    auto* session = connection->user ? this->findCaller(*connection->user) : nullptr;
+    const auto name = connection->upstream;
+    this->erase(id);
+    if (session != nullptr)
+        this->retry(*session, name, this->options.settings.busyPause, error);
+}
+
+void SessionEngine::State::lost(ConnectionId id)
+{
+    auto* connection = this->findConnection(id);
+    if (connection == nullptr)
+        return;
+    auto& upstream = this->upstreamOf(*connection);
+    const bool idle = connection->phase == PooledConnection::Phase::Idle;
+    if (!idle)
+        this->noteFailure(upstream);
+    const auto name = connection->upstream;
+    const auto user = connection->user;
+    const auto step = connection->sent.empty() ? StepKind::Setup : connection->sent.front();
+    this->erase(id);
+    auto* session = user ? this->findCaller(*user) : nullptr;
+    if (session == nullptr)
+        return;
+    if (session->pinned == id) {
+        session->pinned.reset();
+        if (!session->work) {
+            this->abortTransaction(*session, "the upstream's connection was lost");
+            return;
+        }
+    }
+    if (!session->work)
+        return;
+    session->work->connection.reset();
+    if (session->phase == SessionPhase::InTransaction && !session->work->opensTransaction && step != StepKind::Main) {
+        // The statement itself had not gone out, but its transaction is gone with the connection.
+        this->log("transaction_lost", { { "id", session->work->query.id }, { "upstream", name.string() } });
+        session->phase = session->work->kind == WorkKind::Commit ? SessionPhase::Idle : SessionPhase::FailedTransaction;
+        this->answer(*session, failureReply(StatementError::Aborted, "the transaction's connection was lost"));
+        return;
+    }
+    if (step == StepKind::Main)
+        this->loseWork(*session, step, "the connection was lost");
+    else
+        this->retry(*session, name, this->options.settings.downPause, StatementError::Busy);
+}
+
+void SessionEngine::State::loseWork(CallerSession& session, StepKind step, const char* reason)
+{
+    const auto& work = *session.work;
+    this->log("answer_lost",
+        { { "id", work.query.id }, { "service", session.route.service.string() }, { "reason", reason },
+            { "sent", step == StepKind::Main ? "yes" : "no" } });
+    const bool inTransaction = session.phase == SessionPhase::InTransaction;
+    const bool mayHaveWritten = work.kind == WorkKind::Write || session.transactionWrote;
+    if (work.kind == WorkKind::Commit) {
+        session.phase = SessionPhase::Idle;
+        // Without a write there was nothing to keep, whatever became of the commit.
+        if (!mayHaveWritten)
+            return this->answer(session, failureReply(StatementError::Aborted, reason));
+        ++this->counters.inDoubt;
+        return this->answer(session, failureReply(StatementError::InDoubt, "the commit may have taken effect"));
+    }
+    if (inTransaction) {
+        session.phase = SessionPhase::FailedTransaction;
+        return this->answer(session, failureReply(StatementError::Aborted, reason));
+    }
+    if (work.kind == WorkKind::Write) {
+        ++this->counters.inDoubt;
+        return this->answer(session, failureReply(StatementError::InDoubt, "the write may have taken effect"));
+    }
+    // A read leaves nothing behind and may run again.
+    if (this->now < work.deadline && work.attempts < this->options.settings.attempts)
+        return this->retry(session, UpstreamName {}, Duration {}, StatementError::Busy);
+    this->refuse(session, StatementError::Busy, adviceText(reason, this->options.settings.overloadAdvice));
+}
+
+void SessionEngine::State::retry(
+    CallerSession& session, const UpstreamName& avoided, Duration pause, StatementError reason)
+{
+    auto& work = *session.work;
+    work.connection.reset();
+    ++work.attempts;
+    ++this->counters.retried;
+    if (!avoided.empty())
+        work.avoided[avoided] = this->now + pause;
+    if (work.attempts >= this->options.settings.attempts || this->now >= work.deadline) {
+        this->log("given_up",
+            { { "id", work.query.id }, { "upstream", avoided.string() }, { "error", std::to_string(static_cast<int>(reason)) } });
+        this->refuse(session, StatementError::Busy,
+            adviceText("no upstream could run it", this->options.settings.overloadAdvice));
+        return;
+    }
+    this->enqueue(session);
+}
+
+void SessionEngine::State::sendNext(PooledConnection& connection)
+{
+    if (!connection.sent.empty())
+        return;
+    if (connection.steps.empty()) {
+        if (!connection.inTransaction)
+            this->release(connection);
+        return;
+    }
+    const bool hasUser = connection.user.has_value();
+    auto* session = hasUser ? this->findCaller(*connection.user) : nullptr;
+    connection.sentAt = this->now;
+    connection.answerBy = this->now + this->options.settings.setupTimeout;
+    while (!connection.steps.empty()) {
+        auto& step = connection.steps.front();
+        if (step.kind != StepKind::Setup) {
+            if (!connection.sent.empty())
+                break;
+            if (session != nullptr && step.kind != StepKind::Drop) {
+                if (!this->mayStillSend(connection, *session) && session->pinned) {
+                    session->phase = session->work->kind == WorkKind::Commit ? SessionPhase::Idle
+                                                                             : SessionPhase::FailedTransaction;
+                    this->endTransaction(*session);
+                    this->answer(*session, failureReply(StatementError::Aborted, "the primary no longer leads"));
+                    return;
+                }
+                if (!this->mayStillSend(connection, *session)) {
+                    const auto name = connection.upstream;
+                    connection.steps.clear();
+                    connection.user.reset();
+                    this->release(connection);
+                    this->retry(*session, name, this->options.settings.busyPause, StatementError::Busy);
+                    return;
+                }
+                const bool leads = this->group(connection.service).isLedBy(connection.upstream, this->now);
+                const auto after = leads || (session->pinned && step.kind == StepKind::Main)
+                    ? std::nullopt
+                    : this->neededProgress(this->group(connection.service), *session);
+                if (auto* open = std::get_if<OpenTransaction>(&step.statement))
+                    open->after = after;
+                if (auto* pass = std::get_if<PassStatement>(&step.statement); pass != nullptr && !session->pinned)
+                    pass->after = after;
+                connection.answerBy = std::max(session->work->deadline, this->now);
+            }
+        }
+        connection.sent.push_back(step.kind);
+        this->actions.emplace_back(SendStatement { .connection = connection.id, .statement = std::move(step.statement) });
+        const auto kind = step.kind;
+        connection.steps.pop_front();
+        if (kind != StepKind::Setup)
+            break;
+    }
+}
+
+bool SessionEngine::State::mayStillSend(const PooledConnection& connection, const CallerSession& session)
+{
+    const auto& group = this->group(connection.service);
+    // Inside an open transaction the upstream itself refuses what its lost lead forbids, and a read sees what the
+    // transaction saw when it was opened.
+    if (session.pinned)
+        return session.work->kind == WorkKind::Read || group.isLedBy(connection.upstream, this->now)
+            || session.transactionReadOnly;
+    if (group.isLedBy(connection.upstream, this->now))
+        return true;
+    return !session.work->needsPrimary && this->neededProgress(group, session).has_value();
+}
+
+void SessionEngine::State::replied(ConnectionId id, Reply reply)
+{
+    auto* connection = this->findConnection(id);
+    if (connection == nullptr)
+        return;
+    if (connection->sent.empty()) {
+        this->log("unasked_answer", { { "upstream", connection->upstream.string() } });
+        this->actions.emplace_back(CloseConnection { id });
+        this->lost(id);
+        return;
+    }
+    this->noteAnswer(*connection, reply);
+    const auto kind = connection->sent.front();
+    if (kind == StepKind::Setup && reply.failure) {
+        // What is in place on the connection is not known any more; a statement must not run there.
+        this->log("setup_failed",
+            { { "upstream", connection->upstream.string() }, { "reason", reply.failure->text } });
+        connection->sent.assign(1, StepKind::Setup);
+        this->actions.emplace_back(CloseConnection { id });
+        this->lost(id);
+        return;
+    }
+    connection->sent.pop_front();
+    switch (kind) {
+    case StepKind::Setup:
+        break;
+    case StepKind::Open:
+        this->finishOpen(*connection, reply);
+        return;
+    case StepKind::Drop:
+        connection->inTransaction = false;
+        if (reply.failure || reply.phase != SessionPhase::Idle) {
+            this->close(*connection);
+            return;
+        }
+        break;
+    case StepKind::Main:
+        this->finishMain(*connection, std::move(reply));
+        return;
+    }
+    this->sendNext(*connection);
+}
+
+void SessionEngine::State::finishOpen(PooledConnection& connection, const Reply& reply)
+{
+    auto* session = connection.user ? this->findCaller(*connection.user) : nullptr;
+    if (reply.failure) {
+        this->noteNotRun(connection, reply.failure->error);
+        const auto name = connection.upstream;
+        const auto error = reply.failure->error;
+        const bool clean = reply.phase == SessionPhase::Idle;
+        connection.steps.clear();
+        connection.user.reset();
+        if (clean)
+            this->release(connection);
+        else
+            this->close(connection);
+        if (session != nullptr)
+            this->retry(*session, name, this->options.settings.busyPause, error);
+        return;
+    }
+    connection.inTransaction = true;
+    if (session == nullptr) {
+        connection.steps.assign(1, { .kind = StepKind::Drop, .statement = DropTransaction {} });
+    } else {
+        session->pinned = connection.id;
+    }
+    this->sendNext(connection);
+}
+
+void SessionEngine::State::finishMain(PooledConnection& connection, Reply reply)
+{
+    auto* session = connection.user ? this->findCaller(*connection.user) : nullptr;
+    if (session == nullptr || !session->work) {
+        // The caller is gone; what its transaction did is dropped.
+        connection.inTransaction = reply.phase != SessionPhase::Idle;
+        if (connection.inTransaction && connection.steps.empty())
+            connection.steps.push_back({ .kind = StepKind::Drop, .statement = DropTransaction {} });
+        if (!connection.inTransaction)
+            connection.steps.clear();
+        this->sendNext(connection);
+        return;
+    }
+    const auto& work = *session->work;
+    const bool notRun = reply.failure && meansNotRun(reply.failure->error);
+    const auto upstreamName = connection.upstream;
+    if (!session->pinned) {
+        connection.user.reset();
+        if (notRun)
+            this->noteNotRun(connection, reply.failure->error);
+        if (reply.phase == SessionPhase::Idle)
+            this->release(connection);
+        else
+            this->close(connection);
+        if (notRun) {
+            const auto pause = reply.failure->error == StatementError::Lagging ? this->options.settings.laggingPause
+                                                                               : this->options.settings.busyPause;
+            this->retry(*session, upstreamName, pause, reply.failure->error);
+            return;
+        }
+    } else if (notRun && reply.phase == SessionPhase::InTransaction && reply.failure->error == StatementError::Busy
+        && work.attempts + 1 < this->options.settings.attempts && this->now < work.deadline) {
+        // The upstream was full and the transaction stands as before.
+        ++session->work->attempts;
+        session->work->resumeAt = this->now + this->options.settings.busyPause;
+        return;
+    } else if (reply.failure) {
+        // What failed inside a transaction takes all of it along.
+        const bool commit = work.kind == WorkKind::Commit;
+        const bool dropped = notRun || reply.phase == SessionPhase::FailedTransaction;
+        connection.inTransaction = reply.phase != SessionPhase::Idle;
+        if (connection.inTransaction) {
+            this->endTransaction(*session);
+        } else {
+            session->pinned.reset();
+            connection.user.reset();
+            this->release(connection);
+        }
+        session->phase = commit ? SessionPhase::Idle : SessionPhase::FailedTransaction;
+        ++this->counters.failed;
+        this->log("failed",
+            { { "id", work.query.id }, { "upstream", upstreamName.string() }, { "reason", reply.failure->text },
+                { "error", std::to_string(static_cast<int>(reply.failure->error)) } });
+        if (notRun && (!commit || dropped))
+            reply.failure->error = StatementError::Aborted;
+        this->answer(*session, std::move(reply));
+        return;
+    } else if (work.kind == WorkKind::Commit) {
+        session->pinned.reset();
+        session->phase = SessionPhase::Idle;
+        connection.inTransaction = false;
+        connection.user.reset();
+        this->release(connection);
+    } else {
+        session->transactionWrote = session->transactionWrote || work.kind == WorkKind::Write;
+        connection.inTransaction = true;
+    }
+    const bool keeps = work.kind == WorkKind::Commit ? session->transactionWrote
+                                                     : work.kind == WorkKind::Write && !session->pinned;
+    if (reply.failure) {
+        ++this->counters.failed;
+        this->log("failed",
+            { { "id", work.query.id }, { "upstream", upstreamName.string() }, { "reason", reply.failure->text },
+                { "error", std::to_string(static_cast<int>(reply.failure->error)) } });
+        this->answer(*session, std::move(reply));
+        return;
+    }
+    if (work.kind == WorkKind::Read)
+        ++(this->group(session->route.service).view.primary == upstreamName ? this->counters.readsOnPrimary
+                                                                            : this->counters.readsOnReplicas);
+    if (keeps && reply.progress) {
+        session->floor = reply.progress;
+        session->floorService = session->route.service;
+        auto& group = this->group(session->route.service);
+        if (!group.isLedBy(upstreamName, this->now)) {
+            // The commit is there, but a new primary may have been promoted meanwhile, with a log that lacks it.
+            // The caller is told of success only once it is known that this was not so.
+            session->held = HeldReply { .reply = std::move(reply),
+                .upstream = upstreamName,
+                .term = session->floor->term,
+                .until = this->now + longestHold };
+            session->work.reset();
+            return;
+        }
+    }
+    this->answer(*session, std::move(reply));
+}
+
+void SessionEngine::State::releaseHeld(CallerSession& session)
+{
+    const auto& group = this->group(session.route.service);
+    const bool confirmed
+        = group.isLedBy(session.held->upstream, this->now) && group.view.term == session.held->term;
+    if (!confirmed && this->now < session.held->until && group.view.phase != LeaderView::Phase::Changing)
+        return;
+    auto reply = std::move(session.held->reply);
+    if (!confirmed) {
+        ++this->counters.inDoubt;
+        this->log("commit_unconfirmed",
+            { { "database", session.database }, { "upstream", session.held->upstream.string() } });
+        reply = failureReply(StatementError::InDoubt, "the primary may have been replaced meanwhile");
+    }
+    this->answer(session, std::move(reply));
+}
+
+void SessionEngine::State::release(PooledConnection& connection)
+{
+    if (connection.phase != PooledConnection::Phase::Idle)
+        --this->upstreamOf(connection).working;
+    connection.phase = PooledConnection::Phase::Idle;
+    connection.idleSince = this->now;
+    connection.user.reset();
+    connection.inTransaction = false;
+    const auto id = connection.id;
+    auto& upstream = this->upstreamOf(connection);
+    const bool beyondShare = upstream.connections.size() > this->shareOf(upstream);
+    const bool mustShrink = beyondShare && this->now < upstream.keepToShareUntil;
+    const bool unusable = !upstream.listed || upstream.entry.draining;
+    const auto service = connection.service;
+    if (mustShrink || unusable) {
+        if (auto* still = this->findConnection(id))
+            this->close(*still);
+    }
+    this->pump(this->group(service));
+}
+
+void SessionEngine::State::close(PooledConnection& connection)
+{
+    this->actions.emplace_back(CloseConnection { connection.id });
+    this->erase(connection.id);
+}
+
+void SessionEngine::State::erase(ConnectionId id)
+{
+    auto* connection = this->findConnection(id);
+    auto& group = this->group(connection->service);
+    auto& upstream = this->upstreamOf(*connection);
+    if (connection->phase != PooledConnection::Phase::Idle)
+        --upstream.working;
+    std::erase(upstream.connections, id);
+    if (!upstream.listed && upstream.connections.empty())
+        group.upstreams.erase(connection->upstream);
+    this->connections.erase(static_cast<std::uint64_t>(id));
+}
+
+void SessionEngine::State::noteFailure(UpstreamState& upstream)
+{
+    upstream.downUntil = this->now
+        + doubled(this->options.settings.downPause, upstream.failures, this->options.settings.downPauseAtMost);
+    ++upstream.failures;
+    if (!upstream.failingSince)
+        upstream.failingSince = this->now;
+}
+
+void SessionEngine::State::noteAnswer(PooledConnection& connection, const Reply& reply)
+{
+    auto& group = this->group(connection.service);
+    auto& upstream = this->upstreamOf(connection);
+    upstream.lastAnswer = this->now;
+    upstream.failures = 0;
+    upstream.failingSince.reset();
+    if (!connection.sent.empty() && connection.sent.front() == StepKind::Main && !reply.failure) {
+        const auto taken = toMilliseconds(this->now - connection.sentAt);
+        upstream.readMilliseconds += newestWeight * (taken - upstream.readMilliseconds);
+    }
+    if (!reply.progress)
+        return;
+    upstream.known = std::max(upstream.known, *reply.progress);
+    if (group.view.phase == LeaderView::Phase::Led && reply.progress->term > group.view.term)
+        upstream.contradictsView = true;
+    // The position speaks for the time at which the statement went out, if the view held then.
+    if (group.isLedBy(connection.upstream, connection.sentAt) && reply.progress->term == group.view.term)
+        group.history.note({ .progress = *reply.progress, .seenAt = connection.sentAt });
+}
+
+void SessionEngine::State::noteNotRun(PooledConnection& connection, StatementError error)
+{
+    auto& upstream = this->upstreamOf(connection);
+    if (error == StatementError::Busy)
+        upstream.busyUntil = this->now + this->options.settings.busyPause;
+    if (error == StatementError::Lagging) {
+        upstream.laggingUntil = this->now
+            + doubled(this->options.settings.laggingPause, upstream.laggingTimes,
+                this->options.settings.laggingPauseAtMost);
+        ++upstream.laggingTimes;
+    }
+    if (error == StatementError::ReadOnly && this->group(connection.service).view.primary == connection.upstream)
+        upstream.contradictsView = true;
+}
+
+void SessionEngine::State::checkTimeouts()
+{
+    std::vector<ConnectionId> overdue;
+    for (const auto& [key, connection] : this->connections) {
+        const bool waits = connection.phase == PooledConnection::Phase::Opening || !connection.sent.empty();
+        if (waits && this->now >= connection.answerBy)
+            overdue.push_back(connection.id);
+    }
+    for (const auto id : overdue) {
+        if (this->findConnection(id) == nullptr)
+            continue;
+        this->actions.emplace_back(CloseConnection { id });
+        this->lost(id);
+    }
+}
+
+void SessionEngine::State::closeSpareConnections()
+{
+    std::vector<ConnectionId> spare;
+    for (const auto& [key, connection] : this->connections) {
+        if (connection.phase != PooledConnection::Phase::Idle)
+            continue;
+        auto& upstream = this->group(connection.service).upstreams.at(connection.upstream);
+        const bool borrowed = upstream.connections.size() > this->shareOf(upstream)
+            && this->now >= connection.idleSince + this->options.settings.borrowedIdleTime;
+        if (borrowed || !upstream.listed || upstream.entry.draining)
+            spare.push_back(connection.id);
+    }
+    for (const auto id : spare) {
+        if (auto* connection = this->findConnection(id))
+            this->close(*connection);
+    }
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/pooling/engine_dispatch.cpp
@@ -0,0 +1,254 @@
+#include "engine_state.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+// Costs of serving a read at an upstream, in statements that this VM already has there. Opening a connection takes
+// about half of a short statement's time at the upstream and a round trip more.
+constexpr double openingCost = 0.6;
+// The primary alone can take writes, so reads go elsewhere while the difference is small.
+constexpr double primaryCost = 0.8;
+// Another availability zone adds a round trip of 2 ms, small against a statement's 10 to 40 ms.
+constexpr double otherZoneCost = 0.1;
+// How much an upstream's usual time for a read counts, per millisecond; 50 ms of difference weigh as one statement.
+constexpr double perMillisecond = 0.02;
+
+} // namespace
+
+void SessionEngine::State::enqueue(CallerSession& session)
+{
+    auto& group = this->group(session.route.service);
+    if (session.work->needsPrimary && group.view.phase == LeaderView::Phase::Changing) {
+        this->refuse(session, StatementError::Busy,
+            adviceText("the primary is being replaced", this->options.settings.changeAdvice));
+        return;
+    }
+    group.waiting.push_back(session.id);
+    this->pump(group);
+}
+
+void SessionEngine::State::pump(GroupState& group)
+{
+    if (group.waiting.empty())
+        return;
+    std::stable_sort(group.waiting.begin(), group.waiting.end(), [this](CallerId left, CallerId right) {
+        const auto* one = this->findCaller(left);
+        const auto* other = this->findCaller(right);
+        if (one->route.priority != other->route.priority)
+            return one->route.priority < other->route.priority;
+        return one->work->arrivedAt < other->work->arrivedAt;
+    });
+    // Serving may end sessions and make new work wait, so each pass goes over a copy.
+    const auto waiting = group.waiting;
+    for (const auto id : waiting) {
+        auto* session = this->findCaller(id);
+        if (session == nullptr || !session->work || session->work->connection)
+            continue;
+        this->assign(group, *session);
+    }
+}
+
+bool SessionEngine::State::assign(GroupState& group, CallerSession& session)
+{
+    UpstreamState* best = nullptr;
+    double bestCost = std::numeric_limits<double>::infinity();
+    for (auto& [name, upstream] : group.upstreams) {
+        if (!this->canServe(group, upstream, session))
+            continue;
+        const bool idle = this->idleConnection(upstream, session.team) != nullptr;
+        if (!idle && !this->makeRoom(upstream))
+            continue;
+        const auto cost = this->costOf(group, upstream, session) + (idle ? 0 : openingCost);
+        if (cost < bestCost) {
+            best = &upstream;
+            bestCost = cost;
+        }
+    }
+    if (best == nullptr)
+        return false;
+    std::erase(group.waiting, session.id);
+    if (auto* connection = this->idleConnection(*best, session.team))
+        this->serveOn(*connection, session);
+    else
+        this->openFor(group, *best, session);
+    return true;
+}
+
+bool SessionEngine::State::canServe(
+    const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const
+{
+    if (!upstream.listed || upstream.entry.draining)
+        return false;
+    if (this->now < upstream.downUntil || this->now < upstream.busyUntil)
+        return false;
+    const auto avoided = session.work->avoided.find(upstream.entry.name);
+    if (avoided != session.work->avoided.end() && this->now < avoided->second)
+        return false;
+    if (group.isLedBy(upstream.entry.name, this->now))
+        return true;
+    if (session.work->needsPrimary || this->now < upstream.laggingUntil)
+        return false;
+    return this->neededProgress(group, session).has_value();
+}
+
+std::optional<Progress> SessionEngine::State::neededProgress(
+    const GroupState& group, const CallerSession& session) const
+{
+    const auto staleness = maxStalenessOf(session.route.freshness) - this->options.settings.stalenessMargin;
+    if (staleness <= Duration {})
+        return std::nullopt;
+    auto needed = group.history.covering(this->now - staleness);
+    if (!needed)
+        return std::nullopt;
+    const bool ownWrites = std::holds_alternative<ReadOwnWritesRoute>(session.route.freshness);
+    if (!ownWrites || !session.floor || session.floorService != session.route.service)
+        return needed;
+    // A write of an earlier term is either in the log of every upstream of the newer term or was dropped by the
+    // promotion, so the position of the newer term stands for it.
+    if (session.floor->term < needed->term)
+        return needed;
+    return std::max(*needed, *session.floor);
+}
+
+double SessionEngine::State::costOf(
+    const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const
+{
+    double cost = upstream.working + upstream.readMilliseconds * perMillisecond;
+    if (upstream.entry.zone != this->options.zone)
+        cost += otherZoneCost;
+    if (!session.work->needsPrimary && group.view.primary == upstream.entry.name)
+        cost += primaryCost;
+    // A replica that is behind as far as known is asked last: it would only say so.
+    const auto needed = session.work->needsPrimary ? std::nullopt : this->neededProgress(group, session);
+    if (needed && group.view.primary != upstream.entry.name && upstream.known < *needed)
+        cost += openingCost;
+    return cost;
+}
+
+PooledConnection* SessionEngine::State::idleConnection(UpstreamState& upstream, const TeamName& team)
+{
+    for (const auto id : upstream.connections) {
+        auto* connection = this->findConnection(id);
+        if (connection != nullptr && connection->phase == PooledConnection::Phase::Idle && connection->team == team)
+            return connection;
+    }
+    return nullptr;
+}
+
+bool SessionEngine::State::makeRoom(UpstreamState& upstream)
+{
+    const auto share = this->shareOf(upstream);
+    const bool borrows = this->now >= upstream.keepToShareUntil;
+    if (upstream.connections.size() < (borrows ? 2 * share : share))
+        return true;
+    return std::any_of(upstream.connections.begin(), upstream.connections.end(), [this](ConnectionId id) {
+        const auto* connection = this->findConnection(id);
+        return connection != nullptr && connection->phase == PooledConnection::Phase::Idle;
+    });
+}
+
+std::size_t SessionEngine::State::shareOf(const UpstreamState& upstream) const
+{
+    const auto cap = this->routes->connectionCaps.find(upstream.entry.service);
+    const std::size_t all = cap == this->routes->connectionCaps.end() ? 1 : cap->second;
+    // One connection stays free for asking after the upstream's status.
+    const auto usable = all > 1 ? all - 1 : all;
+    const auto vms = std::max<std::size_t>(this->place.vms, 1);
+    // What does not divide evenly goes to other VMs at each upstream.
+    const auto turn = std::hash<std::string_view> {}(upstream.entry.name.view());
+    const bool extra = (this->place.rank + turn) % vms < usable % vms;
+    return std::max<std::size_t>(usable / vms + (extra ? 1 : 0), 1);
+}
+
+void SessionEngine::State::openFor(GroupState& group, UpstreamState& upstream, CallerSession& session)
+{
+    const auto share = this->shareOf(upstream);
+    const bool borrows = this->now >= upstream.keepToShareUntil;
+    if (upstream.connections.size() >= (borrows ? 2 * share : share)) {
+        PooledConnection* oldest = nullptr;
+        for (const auto id : upstream.connections) {
+            auto* candidate = this->findConnection(id);
+            const bool idle = candidate != nullptr && candidate->phase == PooledConnection::Phase::Idle;
+            if (idle && (oldest == nullptr || candidate->idleSince < oldest->idleSince))
+                oldest = candidate;
+        }
+        if (oldest != nullptr)
+            this->close(*oldest);
+    }
+    const ConnectionId id { ++this->lastConnection };
+    auto& connection = this->connections[static_cast<std::uint64_t>(id)];
+    connection.id = id;
+    connection.upstream = upstream.entry.name;
+    connection.service = group.name;
+    connection.team = session.team;
+    connection.user = session.id;
+    connection.openedAt = this->now;
+    connection.sentAt = this->now;
+    connection.answerBy = this->now + this->options.settings.openTimeout;
+    upstream.connections.push_back(id);
+    ++upstream.working;
+    session.work->connection = id;
+    ++this->counters.connectionsOpened;
+    this->actions.emplace_back(
+        OpenConnection { .connection = id, .upstream = upstream.entry, .team = session.team });
+}
+
+void SessionEngine::State::serveOn(PooledConnection& connection, CallerSession& session)
+{
+    auto& work = *session.work;
+    if (connection.phase == PooledConnection::Phase::Idle)
+        ++this->upstreamOf(connection).working;
+    connection.phase = PooledConnection::Phase::Working;
+    connection.user = session.id;
+    work.connection = connection.id;
+    for (auto& step : connection.state.match(session.state, work.shape ? &*work.shape : nullptr)) {
+        auto statement = std::visit([](auto& what) { return UpstreamStatement { std::move(what) }; }, step);
+        connection.steps.push_back({ .kind = StepKind::Setup, .statement = std::move(statement) });
+    }
+    if (work.opensTransaction)
+        connection.steps.push_back(
+            { .kind = StepKind::Open, .statement = OpenTransaction { .readOnly = session.transactionReadOnly } });
+    PassStatement main { .id = work.query.id, .text = work.query.text };
+    if (work.shape)
+        main.execute = ExecutePrepared { .name = connection.state.nameOf(*work.shape), .arguments = work.arguments };
+    connection.steps.push_back({ .kind = StepKind::Main, .statement = std::move(main) });
+    this->sendNext(connection);
+}
+
+void SessionEngine::State::runPinned(CallerSession& session)
+{
+    auto* connection = this->findConnection(*session.pinned);
+    session.work->connection = session.pinned;
+    this->serveOn(*connection, session);
+}
+
+void SessionEngine::State::refuseOverdue(GroupState& group)
+{
+    const auto waiting = group.waiting;
+    for (const auto id : waiting) {
+        auto* session = this->findCaller(id);
+        if (session == nullptr || !session->work || session->work->connection)
+            continue;
+        const auto& work = *session->work;
+        const bool leaderless = work.needsPrimary && !group.view.holds(this->now);
+        const auto patience = (work.offerBy - work.arrivedAt) / this->options.settings.leaderlessWaitDivisor;
+        const bool hopeless = leaderless
+            && (group.view.phase == LeaderView::Phase::Changing || this->now >= work.arrivedAt + patience);
+        if (!hopeless && this->now < work.offerBy)
+            continue;
+        std::erase(group.waiting, id);
+        if (leaderless)
+            this->refuse(*session, StatementError::Busy,
+                adviceText("no primary is known to lead", this->options.settings.changeAdvice));
+        else
+            this->refuse(*session, StatementError::Busy,
+                adviceText("all connections are taken", this->options.settings.overloadAdvice));
+    }
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/pooling/engine_state.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "caller_session.h"
+#include "pooled_connection.h"
+
+#include <cyclamendrift/pooling/session_engine.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace cyclamendrift {
+
+/// Everything that a SessionEngine holds. Sources: engine_callers (statements of callers), engine_dispatch (which
+/// upstream gets which work), engine_connections (answers and losses), session_engine (knowledge and time).
+class SessionEngine::State {
+public:
+    explicit State(Options options)
+        : options(std::move(options))
+    {
+    }
+
+    // engine_callers
+    void startCaller(CallerId id, const SessionStart& start);
+    void ask(CallerId id, CallerQuery query);
+    void leave(CallerId id);
+    void answer(CallerSession& session, Reply reply);
+    void refuse(CallerSession& session, StatementError error, std::string text);
+    void endCaller(CallerId id, std::optional<StatementFailure> failure);
+    /// Closes the session when it is idle and this VM is stopping; true when it did.
+    bool closeIfDraining(CallerSession& session);
+
+    // engine_dispatch
+    void enqueue(CallerSession& session);
+    void pump(GroupState& group);
+    void runPinned(CallerSession& session);
+    void refuseOverdue(GroupState& group);
+
+    // engine_connections
+    void opened(ConnectionId id, std::optional<Progress> progress);
+    void refusedToOpen(ConnectionId id, StatementError error);
+    void lost(ConnectionId id);
+    void replied(ConnectionId id, Reply reply);
+    void checkTimeouts();
+    void closeSpareConnections();
+    void abortTransaction(CallerSession& session, const char* reason);
+    void releaseHeld(CallerSession& session);
+
+    [[nodiscard]] CallerSession* findCaller(CallerId id);
+    [[nodiscard]] PooledConnection* findConnection(ConnectionId id);
+    [[nodiscard]] GroupState& group(const ServiceName& name);
+    [[nodiscard]] UpstreamState& upstreamOf(const PooledConnection& connection);
+    [[nodiscard]] std::size_t shareOf(const UpstreamState& upstream) const;
+    void log(std::string_view event, std::vector<std::pair<std::string, std::string>> fields);
+
+    Options options;
+    Instant now;
+    std::shared_ptr<const RouteTable> routes = std::make_shared<const RouteTable>();
+    std::map<ServiceName, GroupState> groups;
+    std::unordered_map<std::uint64_t, CallerSession> callers;
+    std::unordered_map<std::uint64_t, PooledConnection> connections;
+    std::map<TeamName, TeamShare> shares;
+    std::map<TeamName, std::uint64_t> demand;
+    FleetPlace place;
+    EngineCounters counters;
+    std::uint64_t lastConnection = 0;
+    std::optional<Instant> closeIdleFrom;
+    std::optional<Instant> abortAt;
+    std::vector<EngineAction> actions;
+
+private:
+    // engine_callers
+    void takeNext(CallerSession& session);
+    void run(CallerSession& session, CallerQuery query);
+    [[nodiscard]] bool admitOperation(CallerSession& session);
+    void begin(CallerSession& session, const BeginTransaction& wanted);
+    void rollback(CallerSession& session);
+    void runData(CallerSession& session, CallerQuery query, WorkKind kind, const ExecutePrepared* execute);
+    void runExecute(CallerSession& session, CallerQuery query);
+    void endTransaction(CallerSession& session);
+
+    // engine_dispatch
+    bool assign(GroupState& group, CallerSession& session);
+    [[nodiscard]] bool canServe(const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const;
+    [[nodiscard]] std::optional<Progress> neededProgress(const GroupState& group, const CallerSession& session) const;
+    [[nodiscard]] double costOf(const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const;
+    [[nodiscard]] PooledConnection* idleConnection(UpstreamState& upstream, const TeamName& team);
+    [[nodiscard]] bool makeRoom(UpstreamState& upstream);
+    void openFor(GroupState& group, UpstreamState& upstream, CallerSession& session);
+    void serveOn(PooledConnection& connection, CallerSession& session);
+
+    // engine_connections
+    void sendNext(PooledConnection& connection);
+    [[nodiscard]] bool mayStillSend(const PooledConnection& connection, const CallerSession& session);
+    void finishMain(PooledConnection& connection, Reply reply);
+    void finishOpen(PooledConnection& connection, const Reply& reply);
+    void retry(CallerSession& session, const UpstreamName& avoided, Duration pause, StatementError reason);
+    void release(PooledConnection& connection);
+    void close(PooledConnection& connection);
+    void erase(ConnectionId id);
+    void noteFailure(UpstreamState& upstream);
+    void noteAnswer(PooledConnection& connection, const Reply& reply);
+    void noteNotRun(PooledConnection& connection, StatementError error);
+    void loseWork(CallerSession& session, StepKind step, const char* reason);
+};
+
+/// A reply with a failure alone.
+[[nodiscard]] Reply failureReply(StatementError error, std::string text);
+
+/// "retry after 100 ms", as the text of a refusal.
+[[nodiscard]] std::string adviceText(std::string_view reason, Duration retryAfter);
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/pooling/pooled_connection.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/core/progress.h>
+#include <cyclamendrift/pooling/engine_actions.h>
+#include <cyclamendrift/pooling/leader_view.h>
+#include <cyclamendrift/pooling/progress_history.h>
+#include <cyclamendrift/pooling/session_state.h>
+#include <cyclamendrift/pooling/upstream_directory.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace cyclamendrift {
+
+/// What a statement on a connection is for.
+enum class StepKind : std::uint8_t {
+    /// Puts the session's values and names in place.
+    Setup,
+    /// Opens the session's transaction.
+    Open,
+    /// The caller's own statement.
+    Main,
+    /// Drops a transaction that nobody waits for.
+    Drop,
+};
+
+struct Step {
+    StepKind kind = StepKind::Main;
+    UpstreamStatement statement;
+};
+
+/// One connection to an upstream, opened on behalf of one team.
+struct PooledConnection {
+    enum class Phase : std::uint8_t { Opening, Idle, Working };
+
+    ConnectionId id {};
+    UpstreamName upstream;
+    ServiceName service;
+    TeamName team;
+    Phase phase = Phase::Opening;
+    /// The session that it works for or whose transaction it holds; empty when that caller is gone.
+    std::optional<CallerId> user;
+    ConnectionState state;
+    std::deque<Step> steps;
+    std::deque<StepKind> sent;
+    bool inTransaction = false;
+    Instant openedAt;
+    Instant sentAt;
+    Instant idleSince;
+    /// The answer to what was sent last is due by then.
+    Instant answerBy;
+};
+
+/// One upstream with what this VM has seen of it.
+struct UpstreamState {
+    UpstreamEntry entry;
+    /// False once it has left the directory; its open transactions may still end.
+    bool listed = true;
+    std::vector<ConnectionId> connections;
+    /// Statements that it works on for this VM.
+    int working = 0;
+    Instant downUntil = Instant::min();
+    int failures = 0;
+    Instant busyUntil = Instant::min();
+    Instant laggingUntil = Instant::min();
+    int laggingTimes = 0;
+    Instant keepToShareUntil = Instant::min();
+    Instant lastAnswer = Instant::min();
+    std::optional<Instant> failingSince;
+    bool contradictsView = false;
+    /// Moving mean of its time for a read, in milliseconds.
+    double readMilliseconds = 0;
+    /// How far its log was known to be, and when.
+    Progress known;
+};
+
+/// The upstreams of one service.
+struct GroupState {
+    ServiceName name;
+    LeaderView view;
+    ProgressHistory history;
+    std::map<UpstreamName, UpstreamState> upstreams;
+    /// Sessions whose work waits for a connection.
+    std::vector<CallerId> waiting;
+
+    /// True when the view holds and names this upstream.
+    [[nodiscard]] bool isLedBy(const UpstreamName& upstream, Instant now) const noexcept
+    {
+        return this->view.holds(now) && this->view.primary == upstream;
+    }
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/pooling/progress_history.cpp
@@ -0,0 +1,41 @@
+#include <cyclamendrift/pooling/progress_history.h>
+
+#include <algorithm>
+
+namespace cyclamendrift {
+
+namespace {
+
+// Routes allow staleness of a few seconds; older observations are of no use to any.
+constexpr Duration kept = std::chrono::seconds { 10 };
+// Observations closer together than this change little in what a replica must have.
+constexpr Duration resolution = std::chrono::milliseconds { 20 };
+
+} // namespace
+
+void ProgressHistory::note(const Observation& observation)
+{
+    if (!this->observations.empty() && observation.progress.term < this->observations.back().progress.term)
+        return;
+    if (!this->observations.empty() && observation.progress.term > this->observations.back().progress.term)
+        this->observations.clear();
+    if (!this->observations.empty() && observation.seenAt < this->observations.back().seenAt + resolution)
+        return;
+    this->observations.push_back(observation);
+    while (this->observations.front().seenAt + kept < observation.seenAt)
+        this->observations.pop_front();
+}
+
+std::optional<Progress> ProgressHistory::covering(Instant instant) const
+{
+    const auto fresh = std::find_if(this->observations.begin(), this->observations.end(),
+        [instant](const Observation& observation) { return observation.seenAt >= instant; });
+    return fresh == this->observations.end() ? std::nullopt : std::optional { fresh->progress };
+}
+
+std::optional<Progress> ProgressHistory::earliest() const
+{
+    return this->observations.empty() ? std::nullopt : std::optional { this->observations.front().progress };
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/pooling/session_engine.cpp
@@ -0,0 +1,220 @@
+#include "engine_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamendrift {
+
+SessionEngine::SessionEngine(Options options)
+    : state(std::make_unique<State>(std::move(options)))
+{
+}
+
+SessionEngine::~SessionEngine() = default;
+
+CallerSession* SessionEngine::State::findCaller(CallerId id)
+{
+    const auto match = this->callers.find(static_cast<std::uint64_t>(id));
+    return match == this->callers.end() ? nullptr : &match->second;
+}
+
+PooledConnection* SessionEngine::State::findConnection(ConnectionId id)
+{
+    const auto match = this->connections.find(static_cast<std::uint64_t>(id));
+    return match == this->connections.end() ? nullptr : &match->second;
+}
+
+GroupState& SessionEngine::State::group(const ServiceName& name)
+{
+    auto& group = this->groups[name];
+    group.name = name;
+    return group;
+}
+
+UpstreamState& SessionEngine::State::upstreamOf(const PooledConnection& connection)
+{
+    return this->group(connection.service).upstreams.at(connection.upstream);
+}
+
+void SessionEngine::State::log(std::string_view event, std::vector<std::pair<std::string, std::string>> fields)
+{
+    this->actions.emplace_back(LogDecision { .event = std::string { event }, .fields = std::move(fields) });
+}
+
+void SessionEngine::callerStarted(CallerId caller, const SessionStart& start, Instant now)
+{
+    this->state->now = now;
+    this->state->startCaller(caller, start);
+}
+
+void SessionEngine::callerAsked(CallerId caller, CallerQuery query, Instant now)
+{
+    this->state->now = now;
+    this->state->ask(caller, std::move(query));
+}
+
+void SessionEngine::callerLeft(CallerId caller, Instant now)
+{
+    this->state->now = now;
+    this->state->leave(caller);
+}
+
+void SessionEngine::connectionOpened(ConnectionId connection, std::optional<Progress> progress, Instant now)
+{
+    this->state->now = now;
+    this->state->opened(connection, progress);
+}
+
+void SessionEngine::connectionRefused(ConnectionId connection, StatementError error, Instant now)
+{
+    this->state->now = now;
+    this->state->refusedToOpen(connection, error);
+}
+
+void SessionEngine::connectionLost(ConnectionId connection, Instant now)
+{
+    this->state->now = now;
+    this->state->lost(connection);
+}
+
+void SessionEngine::upstreamReplied(ConnectionId connection, Reply reply, Instant now)
+{
+    this->state->now = now;
+    this->state->replied(connection, std::move(reply));
+}
+
+void SessionEngine::setRoutes(std::shared_ptr<const RouteTable> routes, Instant now)
+{
+    this->state->now = now;
+    if (routes->version <= this->state->routes->version)
+        return;
+    this->state->routes = std::move(routes);
+}
+
+void SessionEngine::setDirectory(const UpstreamDirectory& directory, Instant now)
+{
+    auto& own = *this->state;
+    own.now = now;
+    for (auto& [service, group] : own.groups) {
+        for (auto& [name, upstream] : group.upstreams)
+            upstream.listed = false;
+    }
+    for (const auto& entry : directory) {
+        auto& upstream = own.group(entry.service).upstreams[entry.name];
+        upstream.listed = true;
+        upstream.entry = entry;
+    }
+    for (auto& [service, group] : own.groups) {
+        std::erase_if(group.upstreams,
+            [](const auto& item) { return !item.second.listed && item.second.connections.empty(); });
+        own.pump(group);
+    }
+}
+
+void SessionEngine::setLeader(const ServiceName& service, const LeaderView& view, Instant now)
+{
+    auto& own = *this->state;
+    own.now = now;
+    auto& group = own.group(service);
+    const bool changed = view.primary != group.view.primary || view.term != group.view.term;
+    if (changed) {
+        // Positions that were seen under another primary say nothing of this one's log.
+        group.history.clear();
+        for (auto& [name, upstream] : group.upstreams)
+            upstream.contradictsView = false;
+    }
+    group.view = view;
+    std::vector<CallerId> held;
+    for (const auto& [id, session] : own.callers) {
+        if (session.held && session.route.service == service)
+            held.push_back(session.id);
+    }
+    for (const auto id : held) {
+        if (auto* session = own.findCaller(id); session != nullptr && session->held)
+            own.releaseHeld(*session);
+    }
+    own.pump(group);
+}
+
+void SessionEngine::setPlace(const FleetPlace& place, Instant now)
+{
+    this->state->now = now;
+    this->state->place = place;
+}
+
+void SessionEngine::setShares(const std::map<TeamName, TeamShare::Rule>& shares, Instant now)
+{
+    auto& own = *this->state;
+    own.now = now;
+    std::erase_if(own.shares, [&shares](const auto& item) { return !shares.contains(item.first); });
+    for (const auto& [team, rule] : shares)
+        own.shares[team].setRule(rule, now);
+}
+
+void SessionEngine::drain(Instant closeIdleFrom, Instant abortAt)
+{
+    this->state->closeIdleFrom = closeIdleFrom;
+    this->state->abortAt = abortAt;
+}
+
+void SessionEngine::tick(Instant now)
+{
+    auto& own = *this->state;
+    own.now = now;
+    own.checkTimeouts();
+    for (auto& [service, group] : own.groups) {
+        own.pump(group);
+        own.refuseOverdue(group);
+    }
+    own.closeSpareConnections();
+    std::vector<CallerId> ids;
+    for (const auto& [key, session] : own.callers)
+        ids.push_back(session.id);
+    for (const auto id : ids) {
+        auto* session = own.findCaller(id);
+        if (session == nullptr)
+            continue;
+        if (session->held) {
+            own.releaseHeld(*session);
+            continue;
+        }
+        if (session->pinned && session->work && session->work->resumeAt && now >= *session->work->resumeAt) {
+            session->work->resumeAt.reset();
+            own.runPinned(*session);
+            continue;
+        }
+        const bool resting = session->phase == SessionPhase::InTransaction && !session->work;
+        const bool tooLong = now >= session->lastActive + own.routes->transactionIdleTime;
+        const bool stopping = own.abortAt && now >= *own.abortAt;
+        if (resting && (tooLong || stopping))
+            own.abortTransaction(*session, tooLong ? "the caller rested too long" : "this VM stops");
+        static_cast<void>(own.closeIfDraining(*session));
+    }
+}
+
+std::vector<EngineAction> SessionEngine::takeActions() { return std::exchange(this->state->actions, {}); }
+
+std::vector<UpstreamEvidence> SessionEngine::evidence() const
+{
+    std::vector<UpstreamEvidence> all;
+    for (const auto& [service, group] : this->state->groups) {
+        for (const auto& [name, upstream] : group.upstreams) {
+            all.push_back({ .service = service,
+                .upstream = name,
+                .lastAnswer = upstream.lastAnswer,
+                .failingSince = upstream.failingSince,
+                .contradictsView = upstream.contradictsView });
+        }
+    }
+    return all;
+}
+
+std::map<TeamName, std::uint64_t> SessionEngine::takeDemand() { return std::exchange(this->state->demand, {}); }
+
+const EngineCounters& SessionEngine::counters() const noexcept { return this->state->counters; }
+
+std::size_t SessionEngine::callers() const noexcept { return this->state->callers.size(); }
+
+std::size_t SessionEngine::connections() const noexcept { return this->state->connections.size(); }
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/pooling/session_state.cpp
@@ -0,0 +1,41 @@
+#include <cyclamendrift/pooling/session_state.h>
+
+namespace cyclamendrift {
+
+std::vector<SetupStep> ConnectionState::match(const SessionState& session, const PreparedShape* needed)
+{
+    std::vector<SetupStep> steps;
+    // There is no way to unset one value, and a value left over from another session would change what this one's
+    // statements do without anybody noticing; so everything is dropped.
+    if (this->holdsForeignValue(session)) {
+        this->values.clear();
+        this->names.clear();
+        steps.emplace_back(ResetConnection {});
+    }
+    for (const auto& [name, value] : session.values) {
+        const auto present = this->values.find(name);
+        if (present != this->values.end() && present->second == value)
+            continue;
+        this->values[name] = value;
+        steps.emplace_back(ApplyValue { .name = name, .value = value });
+    }
+    if (needed != nullptr && !this->names.contains(*needed)) {
+        const auto name = "p" + std::to_string(this->names.size() + 1);
+        this->names.emplace(*needed, name);
+        steps.emplace_back(ApplyPrepared { .name = name, .shape = *needed });
+    }
+    return steps;
+}
+
+const std::string& ConnectionState::nameOf(const PreparedShape& shape) const { return this->names.at(shape); }
+
+bool ConnectionState::holdsForeignValue(const SessionState& session) const
+{
+    for (const auto& [name, value] : this->values) {
+        if (!session.values.contains(name))
+            return true;
+    }
+    return false;
+}
+
+} // namespace cyclamendrift
--- a/src/proxy/group_driver.cpp
+++ b/src/proxy/group_driver.cpp
@@ -5,7 +5,7 @@
 #include <cyclamendrift/failover/failover_coordinator.h>
 #include <cyclamendrift/failover/failover_error.h>
 #include <cyclamendrift/platform/store_error.h>
-#include <cyclamendrift/proxy/asio_timer_service.h>
+#include <cyclamendrift/runtime/asio_timer_service.h>
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -10,7 +10,7 @@
 #include <cyclamendrift/callers/rpc_dispatcher.h>
 #include <cyclamendrift/core/request_error.h>
 #include <cyclamendrift/operators/operators_service.h>
-#include <cyclamendrift/proxy/asio_timer_service.h>
+#include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/proxy/forward_service.h>
 #include <cyclamendrift/proxy/home_registry.h>
 #include <cyclamendrift/proxy/home_router.h>
--- a/src/proxy/upstream_home.cpp
+++ b/src/proxy/upstream_home.cpp
@@ -3,7 +3,7 @@
 #include "refusals.h"
 
 #include <cyclamendrift/connections/connection_budget.h>
-#include <cyclamendrift/proxy/asio_timer_service.h>
+#include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/transactions/statement_guard.h>
 
 #include <asio/co_spawn.hpp>
--- a/src/proxy/asio_timer_service.cpp
+++ b/src/runtime/asio_timer_service.cpp
@@ -1,4 +1,4 @@
-#include <cyclamendrift/proxy/asio_timer_service.h>
+#include <cyclamendrift/runtime/asio_timer_service.h>
 
 #include <asio/steady_timer.hpp>
 
--- /dev/null
+++ b/src/session_proxy/control_configuration.cpp
@@ -0,0 +1,145 @@
+#include "control_state.h"
+
+#include <cyclamendrift/platform/store_error.h>
+#include <cyclamendrift/runtime/boot_clock.h>
+#include <cyclamendrift/telemetry/event_log.h>
+
+#include <algorithm>
+#include <set>
+
+namespace cyclamendrift {
+
+void SessionControl::State::takeConfiguration(const std::string& value, std::uint64_t revision)
+{
+    if (revision <= this->configurationRevision)
+        return;
+    this->configurationRevision = revision;
+    try {
+        auto table = std::make_shared<const RouteTable>(this->options.format.readRoutes(value));
+        if (this->routes && table->version <= this->routes->version)
+            return;
+        logEvent(LogLevel::Info, "configuration_taken",
+            { { "version", std::to_string(table->version) }, { "revision", std::to_string(revision) },
+                { "routes", std::to_string(table->routes.size()) }, { "keys", std::to_string(table->keys.size()) } });
+        this->routes = std::move(table);
+        this->options.traffic.setRoutes(this->routes);
+        this->divideLimits();
+    } catch (const FormatError& error) {
+        logEvent(LogLevel::Error, "configuration_unreadable",
+            { { "revision", std::to_string(revision) }, { "reason", error.what() } });
+    }
+}
+
+asio::awaitable<void> SessionControl::State::followConfiguration(std::shared_ptr<State> self)
+{
+    const auto key = self->options.format.configurationKey();
+    while (!self->stopped) {
+        Duration pause {};
+        try {
+            const auto entry = co_await self->options.store.get(key);
+            ++self->storeCalls["configuration"];
+            self->configurationSource.succeeded();
+            if (entry)
+                self->takeConfiguration(entry->value, entry->revision);
+            // Without a configuration there is nothing to watch from; operators write the first one soon.
+            if (entry) {
+                const auto onChange = [&self](const StoreChange& change) {
+                    if (change.value)
+                        self->takeConfiguration(*change.value, change.revision);
+                };
+                co_await self->options.store.watch(key, entry->revision + 1, onChange);
+            }
+            pause = self->options.settings.firstBackoff;
+        } catch (const StoreError& error) {
+            // A watch whose history is gone, or that fell silent, is begun anew from a fresh read at once.
+            const bool compacted = error.kind() == StoreError::Kind::Compacted;
+            pause = compacted ? Duration {} : self->configurationSource.failed(error.what());
+        }
+        co_await self->sleep(pause);
+    }
+}
+
+asio::awaitable<void> SessionControl::State::followDirectory(std::shared_ptr<State> self)
+{
+    while (!self->stopped) {
+        auto pause = self->options.settings.directoryInterval;
+        try {
+            // The first reading must not miss anything; later ones may lag, as an upstream announces its end early.
+            const auto freshness = self->directoryRead ? ReadFreshness::MayLag : ReadFreshness::Linearizable;
+            const auto listing = co_await self->options.store.listing(self->options.format.upstreamPrefix(), freshness);
+            ++self->storeCalls["directory"];
+            self->directorySource.succeeded();
+            self->takeDirectory(listing);
+        } catch (const StoreError& error) {
+            pause = self->directorySource.failed(error.what());
+        }
+        co_await self->sleep(pause);
+    }
+}
+
+void SessionControl::State::takeDirectory(const StoreListing& listing)
+{
+    // A listing that may lag can be older than the one before.
+    if (this->directoryRead && listing.revision < this->directoryRevision)
+        return;
+    this->directoryRevision = listing.revision;
+    const auto now = bootNow();
+    UpstreamDirectory next;
+    std::set<UpstreamName> present;
+    for (const auto& entry : listing.entries) {
+        try {
+            auto upstream = this->options.format.readUpstream(entry.key, entry.value);
+            present.insert(upstream.name);
+            next.push_back(std::move(upstream));
+            this->unreadable.erase(entry.key);
+        } catch (const FormatError& error) {
+            // Told once for each content, as the listing comes back every second.
+            if (std::exchange(this->unreadable[entry.key], entry.value) != entry.value)
+                logEvent(LogLevel::Warn, "upstream_entry_set_aside", { { "key", entry.key }, { "reason", error.what() } });
+        }
+    }
+    for (const auto& known : this->directory) {
+        if (present.contains(known.name)) {
+            this->missingSince.erase(known.name);
+            continue;
+        }
+        const auto since = this->missingSince.try_emplace(known.name, now).first->second;
+        if (now < since + this->options.settings.missingEntryKept)
+            next.push_back(known);
+        else
+            this->missingSince.erase(known.name);
+    }
+    std::sort(next.begin(), next.end(),
+        [](const UpstreamEntry& left, const UpstreamEntry& right) { return left.name < right.name; });
+    this->directoryRead = true;
+    if (next == this->directory)
+        return;
+    this->directory = std::move(next);
+    this->handOnDirectory();
+}
+
+void SessionControl::State::handOnDirectory()
+{
+    std::map<ServiceName, UpstreamDirectory> groups;
+    for (const auto& entry : this->directory)
+        groups[entry.service].push_back(entry);
+    std::string leaving;
+    for (const auto& entry : this->directory) {
+        if (entry.draining)
+            leaving += (leaving.empty() ? "" : ",") + entry.name.string();
+    }
+    logEvent(LogLevel::Info, "directory_taken",
+        { { "upstreams", std::to_string(this->directory.size()) }, { "leaving", leaving },
+            { "revision", std::to_string(this->directoryRevision) } });
+    for (const auto& [service, members] : groups) {
+        if (!this->coordinators.contains(service)) {
+            this->coordinators.emplace(
+                service, LeaderCoordinator { { .vm = this->options.vm, .seed = this->options.process } });
+        }
+    }
+    for (auto& [service, coordinator] : this->coordinators)
+        coordinator.onDirectory(groups[service]);
+    this->options.traffic.setDirectory(this->directory);
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/session_proxy/control_leadership.cpp
@@ -0,0 +1,237 @@
+#include "control_state.h"
+
+#include <cyclamendrift/platform/store_error.h>
+#include <cyclamendrift/runtime/boot_clock.h>
+#include <cyclamendrift/telemetry/event_log.h>
+
+#include <algorithm>
+#include <string_view>
+
+namespace cyclamendrift {
+
+namespace {
+
+void logNote(const ServiceName& service, const LeadershipNote& note)
+{
+    std::vector<LogField> fields { { "service", service.string() } };
+    for (const auto& [key, value] : note.fields)
+        fields.push_back({ key, value });
+    logEvent(LogLevel::Info, note.event, fields);
+}
+
+} // namespace
+
+asio::awaitable<void> SessionControl::State::followLeadership(std::shared_ptr<State> self)
+{
+    const auto& settings = self->options.settings;
+    while (!self->stopped) {
+        const auto askedAt = bootNow();
+        Duration pause = settings.leadershipInterval;
+        try {
+            const auto listing
+                = co_await self->options.store.listing(store_key::leadershipPrefix, ReadFreshness::Linearizable);
+            ++self->storeCalls["leadership"];
+            self->leadershipSource.succeeded();
+            self->takeLeadership(listing, askedAt);
+        } catch (const StoreError& error) {
+            pause = self->leadershipSource.failed(error.what());
+        }
+        // What is doubted, such as a record this VM has just changed, is read again soon.
+        const auto next = askedAt + pause;
+        co_await self->sleep(settings.doubtedInterval);
+        const auto doubted = [&self] {
+            return std::any_of(self->coordinators.begin(), self->coordinators.end(),
+                [](const auto& item) { return item.second.wantsSnapshot(); });
+        };
+        while (!self->stopped && bootNow() < next && !(doubted() && !self->leadershipSource.isLost()))
+            co_await self->sleep(settings.doubtedInterval);
+    }
+}
+
+void SessionControl::State::takeLeadership(const StoreListing& listing, Instant askedAt)
+{
+    std::map<ServiceName, LeadershipSnapshot> snapshots;
+    for (auto& [service, coordinator] : this->coordinators)
+        snapshots[service].askedAt = askedAt;
+    for (const auto& entry : listing.entries) {
+        const std::string_view key { entry.key };
+        if (key.starts_with(store_key::recordPrefix)) {
+            const ServiceName service { entry.key.substr(std::string_view { store_key::recordPrefix }.size()) };
+            try {
+                snapshots[service].record = LeadershipRecord::decode(entry.value);
+                snapshots[service].recordRevision = entry.revision;
+            } catch (const LeadershipError& error) {
+                logEvent(LogLevel::Error, "record_unreadable", { { "key", entry.key }, { "reason", error.what() } });
+            }
+        } else if (key.starts_with(store_key::dutyPrefix)) {
+            const ServiceName service { entry.key.substr(std::string_view { store_key::dutyPrefix }.size()) };
+            // The key is never rewritten, so its revision is that of its creation and grows with each holder.
+            snapshots[service].duty = LeadershipDuty { .holder = VmName { entry.value },
+                .token = entry.revision,
+                .revision = entry.revision };
+        }
+    }
+    const auto now = bootNow();
+    for (auto& [service, coordinator] : this->coordinators)
+        coordinator.onSnapshot(snapshots[service], now);
+    this->leadershipRead = !this->coordinators.empty();
+    this->tick();
+}
+
+void SessionControl::State::tick()
+{
+    const auto now = bootNow();
+    std::size_t index = 0;
+    for (auto& [service, coordinator] : this->coordinators) {
+        // Each group begins with another VM, so that the duties spread.
+        coordinator.setRank((this->place.rank + index++) % std::max<std::size_t>(this->place.vms, 1));
+        coordinator.setLeaseUntil(this->leaseUntil);
+        for (const auto& action : coordinator.tick(now))
+            this->perform(service, action);
+    }
+}
+
+void SessionControl::State::takeReport(TrafficReport report)
+{
+    for (const auto& evidence : report.evidence) {
+        const auto coordinator = this->coordinators.find(evidence.service);
+        if (coordinator != this->coordinators.end())
+            coordinator->second.onTraffic(
+                evidence.upstream, evidence.lastAnswer, evidence.failingSince, evidence.contradictsView);
+    }
+    this->demand.note(report.demand, bootNow());
+    this->counters = report.counters;
+    this->callers = report.callers;
+    this->connections = report.connections;
+    this->options.traffic.setShares(this->shares.current(bootNow()));
+}
+
+void SessionControl::State::perform(const ServiceName& service, const LeadershipAction& action)
+{
+    const auto self = this->shared_from_this();
+    struct Visitor {
+        State& control;
+        const std::shared_ptr<State>& self;
+        const ServiceName& service;
+
+        void operator()(const AskStatus& ask) const { this->send(ask.upstream, ReportStatus {}); }
+        void operator()(const PauseReplica& pause) const { this->send(pause.upstream, PauseReplication { pause.term }); }
+        void operator()(const ResumeReplica& resume) const { this->send(resume.upstream, ResumeReplication {}); }
+        void operator()(const DemotePrimary& demote) const { this->send(demote.upstream, StepDown { demote.term }); }
+        void operator()(const TakeDuty&) const { this->control.spawn(State::takeDuty(this->self, this->service)); }
+        void operator()(const YieldDuty& duty) const
+        {
+            this->control.spawn(State::yieldDuty(this->self, this->service, duty.revision));
+        }
+        void operator()(const WriteLeadership& change) const
+        {
+            this->control.spawn(State::writeRecord(this->self, this->service, change));
+        }
+        void operator()(const PromoteUpstream& change) const
+        {
+            this->control.spawn(State::promote(this->self, this->service, change));
+        }
+        void operator()(const PublishLeader& leader) const
+        {
+            this->control.options.traffic.setLeader(this->service, leader.view);
+        }
+        void operator()(const LeadershipNote& note) const { logNote(this->service, note); }
+
+        void send(const UpstreamName& upstream, UpstreamOrder order) const
+        {
+            this->control.spawn(State::order(this->self, this->service, upstream, std::move(order)));
+        }
+    };
+    std::visit(Visitor { *this, self, service }, action);
+}
+
+asio::awaitable<void> SessionControl::State::order(
+    std::shared_ptr<State> self, ServiceName service, UpstreamName upstream, UpstreamOrder order)
+{
+    const auto entry = std::find_if(self->directory.begin(), self->directory.end(),
+        [&upstream](const UpstreamEntry& candidate) { return candidate.name == upstream; });
+    if (entry == self->directory.end())
+        co_return;
+    const auto askedAt = bootNow();
+    const auto status = co_await self->options.leadership.order(*entry, order);
+    auto& coordinator = self->coordinators.at(service);
+    if (status)
+        coordinator.onStatus(upstream, *status, askedAt, bootNow());
+    else
+        coordinator.onSilence(upstream, bootNow());
+}
+
+asio::awaitable<void> SessionControl::State::takeDuty(std::shared_ptr<State> self, ServiceName service)
+{
+    if (!self->lease)
+        co_return;
+    try {
+        SwapOptions swap { .key = store_key::dutyPrefix + service.string(),
+            .expectedRevision = 0,
+            .value = self->options.vm.string(),
+            .lease = *self->lease };
+        const auto outcome = co_await self->options.store.compareAndSwap(std::move(swap));
+        ++self->storeCalls["duty"];
+        const bool taken = std::holds_alternative<Swapped>(outcome);
+        logEvent(LogLevel::Info, "duty_tried", { { "service", service.string() }, { "taken", taken ? "yes" : "no" } });
+    } catch (const StoreError& error) {
+        // Whether it took effect shows in the next reading.
+        logEvent(LogLevel::Warn, "duty_unknown", { { "service", service.string() }, { "reason", error.what() } });
+    }
+}
+
+asio::awaitable<void> SessionControl::State::yieldDuty(
+    std::shared_ptr<State> self, ServiceName service, std::uint64_t revision)
+{
+    try {
+        SwapOptions swap { .key = store_key::dutyPrefix + service.string(), .expectedRevision = revision };
+        static_cast<void>(co_await self->options.store.compareAndSwap(std::move(swap)));
+    } catch (const StoreError& error) {
+        logEvent(LogLevel::Warn, "duty_not_yielded", { { "service", service.string() }, { "reason", error.what() } });
+    }
+}
+
+asio::awaitable<void> SessionControl::State::writeRecord(
+    std::shared_ptr<State> self, ServiceName service, WriteLeadership change)
+{
+    try {
+        SwapOptions swap { .key = store_key::recordPrefix + service.string(),
+            .expectedRevision = change.expectedRevision,
+            .value = change.record.encode() };
+        // A VM whose duty has passed to another must not change the record any more.
+        swap.guards.push_back({ .key = store_key::dutyPrefix + service.string(), .revision = change.dutyRevision });
+        const auto outcome = co_await self->options.store.compareAndSwap(std::move(swap));
+        ++self->storeCalls["record"];
+        const auto* swapped = std::get_if<Swapped>(&outcome);
+        logEvent(LogLevel::Info, "record_written",
+            { { "service", service.string() }, { "change", change.record.changeId },
+                { "outcome", swapped != nullptr ? "done" : "conflict" } });
+        if (swapped != nullptr)
+            self->coordinators.at(service).onWritten(change.record, swapped->revision, bootNow());
+    } catch (const StoreError& error) {
+        // The next reading shows whether it took effect.
+        logEvent(LogLevel::Warn, "record_unknown",
+            { { "service", service.string() }, { "change", change.record.changeId }, { "reason", error.what() } });
+    }
+    self->tick();
+}
+
+asio::awaitable<void> SessionControl::State::promote(
+    std::shared_ptr<State> self, ServiceName service, PromoteUpstream change)
+{
+    // The lease may have lapsed, or this VM been suspended, since the coordinator decided.
+    if (bootNow() >= self->leaseUntil)
+        co_return;
+    using Answer = LeadershipPort::PromotionAnswer;
+    const auto answer
+        = co_await self->options.leadership.promote(service, change.upstream, self->options.vm, change.token);
+    ++self->storeCalls["promotion"];
+    logEvent(LogLevel::Info, "promotion_sent",
+        { { "service", service.string() }, { "upstream", change.upstream.string() },
+            { "token", std::to_string(change.token) },
+            { "answer", answer == Answer::Accepted ? "accepted" : answer == Answer::NotRunning ? "not running" : "none" } });
+    if (answer == Answer::NotRunning)
+        self->coordinators.at(service).onPromotionRefused(change.upstream, bootNow());
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/session_proxy/control_state.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <cyclamendrift/runtime/asio_timer_service.h>
+#include <cyclamendrift/session_proxy/session_control.h>
+
+#include <asio/awaitable.hpp>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace cyclamendrift {
+
+/// Keys under which the VMs keep what they share.
+namespace store_key {
+inline constexpr auto leadershipPrefix = "cyclamendrift/leadership/";
+inline constexpr auto recordPrefix = "cyclamendrift/leadership/record/";
+inline constexpr auto dutyPrefix = "cyclamendrift/leadership/duty/";
+inline constexpr auto vmPrefix = "cyclamendrift/vms/";
+} // namespace store_key
+
+/// One dependency and how calls to it fare; logs when it is lost and when it is back.
+class Dependency {
+public:
+    Dependency(std::string name, const ControlSettings& settings);
+
+    void succeeded();
+    /// Returns how long to wait before the next try.
+    [[nodiscard]] Duration failed(const char* reason);
+    [[nodiscard]] bool isLost() const noexcept { return this->lost; }
+
+private:
+    std::string name;
+    const ControlSettings& settings;
+    Duration backoff {};
+    bool lost = false;
+};
+
+/// Sources: control_configuration (routes and upstreams), control_leadership (who leads), control_membership (lease,
+/// VMs, limits), session_control (start and stop).
+class SessionControl::State : public std::enable_shared_from_this<State> {
+public:
+    explicit State(Options options);
+
+    void start();
+    void stop();
+    [[nodiscard]] asio::awaitable<void> leave();
+
+    Options options;
+    AsioTimerService timers;
+    bool stopped = false;
+
+    // Configuration and upstreams.
+    std::shared_ptr<const RouteTable> routes;
+    UpstreamDirectory directory;
+    bool directoryRead = false;
+    // Leadership.
+    std::map<ServiceName, LeaderCoordinator> coordinators;
+    bool leadershipRead = false;
+    // Membership and limits.
+    std::optional<LeaseId> lease;
+    Instant leaseUntil = Instant::min();
+    DemandShares shares;
+    DemandMeter demand;
+    DemandByTeam toldDemand;
+    std::map<VmName, DemandByTeam> listedVms;
+    EngineCounters counters;
+    std::size_t callers = 0;
+    std::size_t connections = 0;
+    std::map<std::string, std::uint64_t> storeCalls;
+
+private:
+    template <class Work> void spawn(Work work)
+    {
+        asio::co_spawn(this->options.context, std::move(work), asio::detached);
+    }
+    [[nodiscard]] asio::awaitable<void> sleep(Duration duration);
+
+    // control_configuration
+    [[nodiscard]] static asio::awaitable<void> followConfiguration(std::shared_ptr<State> self);
+    [[nodiscard]] static asio::awaitable<void> followDirectory(std::shared_ptr<State> self);
+    void takeConfiguration(const std::string& value, std::uint64_t revision);
+    void takeDirectory(const StoreListing& listing);
+    void handOnDirectory();
+
+    // control_leadership
+    [[nodiscard]] static asio::awaitable<void> followLeadership(std::shared_ptr<State> self);
+    void takeLeadership(const StoreListing& listing, Instant askedAt);
+    void tick();
+    void perform(const ServiceName& service, const LeadershipAction& action);
+    [[nodiscard]] static asio::awaitable<void> order(
+        std::shared_ptr<State> self, ServiceName service, UpstreamName upstream, UpstreamOrder order);
+    [[nodiscard]] static asio::awaitable<void> takeDuty(std::shared_ptr<State> self, ServiceName service);
+    [[nodiscard]] static asio::awaitable<void> yieldDuty(
+        std::shared_ptr<State> self, ServiceName service, std::uint64_t revision);
+    [[nodiscard]] static asio::awaitable<void> writeRecord(
+        std::shared_ptr<State> self, ServiceName service, WriteLeadership change);
+    [[nodiscard]] static asio::awaitable<void> promote(
+        std::shared_ptr<State> self, ServiceName service, PromoteUpstream change);
+    void takeReport(TrafficReport report);
+
+    // control_membership
+    [[nodiscard]] static asio::awaitable<void> keepLease(std::shared_ptr<State> self);
+    [[nodiscard]] static asio::awaitable<void> followVms(std::shared_ptr<State> self);
+    [[nodiscard]] asio::awaitable<void> tellOwnRecord();
+    void takeVms(const StoreListing& listing);
+    void divideLimits();
+
+    std::unique_ptr<TimerService::Subscription> ticks;
+    std::unique_ptr<TimerService::Subscription> reports;
+    std::uint64_t configurationRevision = 0;
+    std::uint64_t directoryRevision = 0;
+    std::map<UpstreamName, Instant> missingSince;
+    std::map<std::string, std::string> unreadable;
+    FleetPlace place;
+    Dependency configurationSource;
+    Dependency directorySource;
+    Dependency leadershipSource;
+    Dependency leaseSource;
+    Dependency vmSource;
+    std::uint64_t ownRecordRevision = 0;
+    std::optional<LeaseId> recordLease;
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/session_proxy/session_control.cpp
@@ -0,0 +1,167 @@
+#include <cyclamendrift/session_proxy/session_control.h>
+
+#include "control_state.h"
+
+#include <cyclamendrift/platform/store_error.h>
+#include <cyclamendrift/runtime/boot_clock.h>
+#include <cyclamendrift/telemetry/event_log.h>
+
+#include <asio/post.hpp>
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace cyclamendrift {
+
+namespace {
+
+// How often the control side looks at what traffic saw; a failing primary is noticed this much later.
+constexpr Duration reportInterval = std::chrono::milliseconds { 100 };
+
+} // namespace
+
+Dependency::Dependency(std::string name, const ControlSettings& settings)
+    : name(std::move(name))
+    , settings(settings)
+{
+}
+
+void Dependency::succeeded()
+{
+    if (std::exchange(this->lost, false))
+        logEvent(LogLevel::Info, "dependency_back", { { "dependency", this->name } });
+    this->backoff = Duration {};
+}
+
+Duration Dependency::failed(const char* reason)
+{
+    if (!std::exchange(this->lost, true))
+        logEvent(LogLevel::Warn, "dependency_lost", { { "dependency", this->name }, { "reason", reason } });
+    this->backoff = this->backoff == Duration {} ? this->settings.firstBackoff
+                                                 : std::min(this->backoff * 2, this->settings.longestBackoff);
+    return this->backoff;
+}
+
+SessionControl::State::State(Options given)
+    : options(std::move(given))
+    , timers(options.context.get_executor())
+    , configurationSource("configuration", options.settings)
+    , directorySource("directory", options.settings)
+    , leadershipSource("leadership", options.settings)
+    , leaseSource("lease", options.settings)
+    , vmSource("vms", options.settings)
+{
+}
+
+asio::awaitable<void> SessionControl::State::sleep(Duration duration)
+{
+    if (duration <= Duration {})
+        co_return;
+    asio::steady_timer timer { this->options.context, duration };
+    asio::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void SessionControl::State::start()
+{
+    const auto self = this->shared_from_this();
+    this->spawn(followConfiguration(self));
+    this->spawn(followDirectory(self));
+    this->spawn(followLeadership(self));
+    this->spawn(keepLease(self));
+    this->spawn(followVms(self));
+    const std::weak_ptr<State> weak = self;
+    this->ticks = this->timers.every(this->options.settings.tickInterval, [weak](Instant) {
+        if (const auto alive = weak.lock())
+            alive->tick();
+    });
+    this->reports = this->timers.every(reportInterval, [weak](Instant) {
+        const auto alive = weak.lock();
+        if (!alive)
+            return;
+        alive->options.traffic.report([weak](TrafficReport report) {
+            const auto control = weak.lock();
+            if (!control)
+                return;
+            asio::post(control->options.context,
+                [control, report = std::move(report)]() mutable { control->takeReport(std::move(report)); });
+        });
+    });
+}
+
+void SessionControl::State::stop()
+{
+    this->stopped = true;
+    this->ticks.reset();
+    this->reports.reset();
+}
+
+asio::awaitable<void> SessionControl::State::leave()
+{
+    const auto lease = std::exchange(this->lease, std::nullopt);
+    this->leaseUntil = Instant::min();
+    this->stop();
+    if (!lease)
+        co_return;
+    try {
+        co_await this->options.store.revokeLease(*lease);
+    } catch (const StoreError& error) {
+        logEvent(LogLevel::Warn, "lease_not_ended", { { "reason", error.what() } });
+    }
+}
+
+SessionControl::SessionControl(Options options)
+    : state(std::make_shared<State>(std::move(options)))
+{
+}
+
+SessionControl::~SessionControl() = default;
+
+void SessionControl::start() { this->state->start(); }
+
+void SessionControl::stop() { this->state->stop(); }
+
+void SessionControl::leave(std::function<void()> done)
+{
+    auto work = [](std::shared_ptr<State> self, std::function<void()> then) -> asio::awaitable<void> {
+        co_await self->leave();
+        then();
+    };
+    asio::co_spawn(this->state->options.context, work(this->state, std::move(done)), asio::detached);
+}
+
+bool SessionControl::isReady() const
+{
+    const auto& own = *this->state;
+    return own.routes && own.directoryRead && own.leadershipRead;
+}
+
+std::string SessionControl::metricsText() const
+{
+    const auto& own = *this->state;
+    std::string text;
+    const auto line = [&text](std::string_view name, std::uint64_t value, std::string_view labels = {}) {
+        text.append("cyclamendrift_").append(name);
+        if (!labels.empty())
+            text.append("{").append(labels).append("}");
+        text.append(" ").append(std::to_string(value)).append("\n");
+    };
+    line("answered_total", own.counters.answered);
+    line("refused_total", own.counters.refused);
+    line("failed_total", own.counters.failed);
+    line("in_doubt_total", own.counters.inDoubt);
+    line("retried_total", own.counters.retried);
+    line("connections_opened_total", own.counters.connectionsOpened);
+    line("reads_total", own.counters.readsOnReplicas, "at=\"replica\"");
+    line("reads_total", own.counters.readsOnPrimary, "at=\"primary\"");
+    line("sessions", own.callers);
+    line("upstream_connections", own.connections);
+    line("configuration_version", own.routes ? own.routes->version : 0);
+    for (const auto& [kind, count] : own.storeCalls)
+        line("store_calls_total", count, "kind=\"" + kind + "\"");
+    return text;
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/session_proxy/session_daemon.cpp
@@ -0,0 +1,182 @@
+#include <cyclamendrift/session_proxy/session_daemon.h>
+
+#include <cyclamendrift/callers/http_server.h>
+#include <cyclamendrift/runtime/boot_clock.h>
+#include <cyclamendrift/session_proxy/session_control.h>
+#include <cyclamendrift/session_proxy/session_traffic.h>
+#include <cyclamendrift/telemetry/event_log.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <csignal>
+#include <random>
+#include <thread>
+
+namespace cyclamendrift {
+
+namespace {
+
+constexpr int serviceUnavailable = 503;
+constexpr int notFound = 404;
+// The balancer takes a VM out after two misses of a question a second; sessions that come in until then are served.
+constexpr Duration balancerNotice = std::chrono::milliseconds { 2300 };
+// Left of the grace period when the last sessions are cut, so that the process itself ends in time.
+constexpr Duration endReserve = std::chrono::milliseconds { 500 };
+
+using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+/// One running session proxy with its two threads.
+class SessionDaemon {
+public:
+    explicit SessionDaemon(SessionDaemonOptions given)
+        : options(std::move(given))
+        , trafficGuard(trafficContext.get_executor())
+        , controlGuard(controlContext.get_executor())
+        , ports(options.makePorts(trafficContext, controlContext, options.settings))
+        , traffic({ .context = trafficContext,
+              .zone = options.settings.vm.zone,
+              .callers = *ports.callers,
+              .upstreams = *ports.upstreams,
+              .onDrained = [this] { asio::post(this->controlContext, [this] { this->onDrained(); }); } })
+        , control({ .context = controlContext,
+              .vm = options.settings.vm.name,
+              .zone = options.settings.vm.zone,
+              .process = std::random_device {}(),
+              .store = *ports.store,
+              .leadership = *ports.leadership,
+              .format = *ports.format,
+              .traffic = traffic })
+        , signals(controlContext, SIGTERM, SIGINT, SIGHUP)
+        , readiness(controlContext, this->serverOptions(options.settings.readiness))
+        , metrics(controlContext, this->serverOptions(options.settings.metrics))
+    {
+    }
+
+    DaemonExit run()
+    {
+        this->waitForSignal();
+        this->traffic.start();
+        this->control.start();
+        std::thread trafficThread { [this] { this->trafficContext.run(); } };
+        this->controlContext.run();
+        this->trafficContext.stop();
+        trafficThread.join();
+        return this->exit;
+    }
+
+private:
+    HttpServer::Options serverOptions(const ListenSettings& listen)
+    {
+        return { .host = listen.address,
+            .port = listen.port,
+            .maxConnections = 32,
+            .handler = [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
+                return SessionDaemon::respond(this, std::move(request));
+            } };
+    }
+
+    static asio::awaitable<HttpResponse> respond(SessionDaemon* self, HttpRequest request)
+    {
+        if (request.path == "/metrics")
+            co_return HttpResponse { .body = self->control.metricsText() };
+        if (request.path != self->options.settings.readinessPath)
+            co_return HttpResponse { .status = notFound, .body = "there is no such page\n" };
+        if (self->draining)
+            co_return HttpResponse { .status = serviceUnavailable, .body = "this VM stops\n" };
+        if (!self->control.isReady())
+            co_return HttpResponse { .status = serviceUnavailable, .body = "configuration or upstreams not read yet\n" };
+        co_return HttpResponse { .body = "ready\n" };
+    }
+
+    void waitForSignal()
+    {
+        this->signals.async_wait([this](const asio::error_code& error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                this->reload();
+            else
+                this->drain();
+            this->waitForSignal();
+        });
+    }
+
+    void reload()
+    {
+        try {
+            const auto settings = this->options.reload();
+            openLog(settings.log);
+            this->options.settings.grace = settings.grace;
+            this->options.settings.log = settings.log;
+            logEvent(LogLevel::Info, "settings_reloaded");
+        } catch (const Error& error) {
+            // What runs stays in force: a mistake in the file must not end what serves.
+            logEvent(LogLevel::Error, "settings_not_reloaded", { { "reason", error.what() } });
+        }
+    }
+
+    void drain()
+    {
+        if (this->draining) {
+            logEvent(LogLevel::Warn, "stopping_at_once");
+            this->exit = DaemonExit::Cut;
+            this->controlContext.stop();
+            return;
+        }
+        this->draining = true;
+        const auto now = bootNow();
+        const auto grace = this->options.settings.grace;
+        logEvent(LogLevel::Info, "draining");
+        this->traffic.drain(now + std::min(balancerNotice, grace / 2), now + grace / 2, now + grace - endReserve);
+    }
+
+    void onDrained()
+    {
+        this->control.leave([this] {
+            logEvent(LogLevel::Info, "ended");
+            this->controlContext.stop();
+        });
+        // The store may be away; its answer is not worth being killed for.
+        this->leaveTimer.expires_after(endReserve / 2);
+        this->leaveTimer.async_wait([this](const asio::error_code&) { this->controlContext.stop(); });
+    }
+
+    SessionDaemonOptions options;
+    asio::io_context trafficContext { 1 };
+    asio::io_context controlContext { 1 };
+    WorkGuard trafficGuard;
+    WorkGuard controlGuard;
+    SessionPorts ports;
+    SessionTraffic traffic;
+    SessionControl control;
+    asio::signal_set signals;
+    HttpServer readiness;
+    HttpServer metrics;
+    asio::steady_timer leaveTimer { controlContext };
+    bool draining = false;
+    DaemonExit exit = DaemonExit::Graceful;
+};
+
+} // namespace
+
+DaemonExit runSessionDaemon(SessionDaemonOptions options)
+{
+    // A peer that closes its end must end one write with an error, not this process with a signal.
+    std::signal(SIGPIPE, SIG_IGN);
+    openLog(options.settings.log);
+    try {
+        const auto vm = options.settings.vm;
+        SessionDaemon daemon { std::move(options) };
+        logEvent(LogLevel::Info, "started",
+            { { "vm", vm.name.string() }, { "availability_zone", vm.zone.string() } });
+        return daemon.run();
+    } catch (const std::exception& error) {
+        logEvent(LogLevel::Error, "not_started", { { "reason", error.what() } });
+        return DaemonExit::NotStarted;
+    }
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/settings/session_settings.cpp
@@ -0,0 +1,73 @@
+#include <cyclamendrift/settings/session_settings.h>
+
+#include "settings_sections.h"
+
+#include <asio/ip/address.hpp>
+
+#include <charconv>
+
+namespace cyclamendrift {
+
+namespace {
+
+constexpr int mostPort = 65535;
+
+/// Reads `listen`, an IP number and a port.
+void readEndpoint(SettingsReader& reader, ListenSettings& listen)
+{
+    std::string text;
+    reader.text("listen", text, 1);
+    const auto colon = text.rfind(':');
+    listen.address = text.substr(0, colon);
+    asio::error_code invalid;
+    static_cast<void>(asio::ip::make_address(listen.address, invalid));
+    int port = -1;
+    if (colon != std::string::npos)
+        std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    if (invalid || port < 0 || port > mostPort)
+        reader.report("listen", "must be an IP number and a port, as in \"10.0.0.7:8465\"");
+    else
+        listen.port = static_cast<std::uint16_t>(port);
+}
+
+void readAddress(SettingsReader& reader, std::string_view section, std::string& address)
+{
+    reader.enter(section);
+    reader.text("address", address, 1);
+    if (address.find(':') == std::string::npos)
+        reader.report("address", "must be an IP number and a port, as in \"10.0.0.7:8466\"");
+}
+
+SessionSettings readAll(SettingsReader& reader)
+{
+    SessionSettings settings;
+    readVm(reader, settings.vm);
+    reader.enter("callers");
+    readEndpoint(reader, settings.callers);
+    reader.enter("readiness");
+    readEndpoint(reader, settings.readiness);
+    reader.text("path", settings.readinessPath, 1);
+    reader.enter("metrics");
+    readEndpoint(reader, settings.metrics);
+    readAddress(reader, "store", settings.storeAddress);
+    readAddress(reader, "promotion", settings.promotionAddress);
+    reader.enter("shutdown");
+    reader.milliseconds("grace_ms", settings.grace);
+    readLog(reader, settings.log);
+    reader.finish();
+    return settings;
+}
+
+} // namespace
+
+SessionSettings parseSessionSettings(std::string_view text, std::string_view fileName)
+{
+    return parseSections<SessionSettings>(text, fileName, readAll);
+}
+
+SessionSettings readSessionSettings(const std::string& path)
+{
+    return parseSessionSettings(readSettingsFile(path), path);
+}
+
+} // namespace cyclamendrift
--- a/src/proxy/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,6 +1,6 @@
-#include <cyclamendrift/proxy/settings.h>
+#include <cyclamendrift/settings/settings.h>
 
-#include "settings_reader.h"
+#include "settings_sections.h"
 
 #include <asio/ip/address.hpp>
 
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::size_t leastSecretLength = 16;
-constexpr std::int64_t mostPort = 65535;
 constexpr std::int64_t mostConnections = 1'000'000;
 constexpr std::int64_t leastBodyBytes = 1024;
 constexpr std::int64_t mostBodyBytes = std::int64_t { 64 } << 20;
@@ -21,27 +20,6 @@
 constexpr std::int64_t mostHeaderBytes = 65536;
 constexpr std::int64_t mostThreads = 256;
 
-void readListen(SettingsReader& reader, ListenSettings& listen)
-{
-    reader.text("address", listen.address);
-    asio::error_code invalid;
-    const auto address = asio::ip::make_address(listen.address, invalid);
-    static_cast<void>(address);
-    if (invalid)
-        reader.report("address", "must be an IP number, as in \"10.0.0.7\"");
-    reader.number("port", listen.port, { 0, mostPort });
-}
-
-void readVm(SettingsReader& reader, VmSettings& vm)
-{
-    std::string name;
-    std::string zone;
-    reader.enter("vm");
-    reader.text("name", name, 1);
-    reader.text("availability_zone", zone, 1);
-    vm = { .name = VmName { std::move(name) }, .zone = ZoneName { std::move(zone) } };
-}
-
 void readCallers(SettingsReader& reader, CallerSettings& callers)
 {
     reader.enter("callers");
@@ -91,24 +69,6 @@
     reader.milliseconds("dead_after_ms", upstreams.deadAfter);
 }
 
-LogLevel levelNamed(std::string_view name) noexcept
-{
-    if (name == "debug")
-        return LogLevel::Debug;
-    if (name == "warn")
-        return LogLevel::Warn;
-    return name == "error" ? LogLevel::Error : LogLevel::Info;
-}
-
-void readLog(SettingsReader& reader, LogOptions& log)
-{
-    std::string level = "info";
-    reader.enter("log");
-    reader.word("level", level, { "debug", "info", "warn", "error" });
-    reader.text("file", log.file, 1);
-    log.level = levelNamed(level);
-}
-
 bool isTraceDestination(std::string_view text)
 {
     if (text == "none" || text == "stderr")
@@ -149,42 +109,11 @@
 
 } // namespace
 
-std::string SettingsProblem::text() const
-{
-    if (this->line == 0)
-        return this->file + ": " + this->message;
-    return this->file + ':' + std::to_string(this->line) + ':' + std::to_string(this->column) + ": "
-        + this->message;
-}
-
-SettingsError::SettingsError(std::vector<SettingsProblem> problems)
-    : Error(problems.empty() ? "invalid settings" : problems.front().text())
-    , found(std::move(problems))
-{
-}
-
 Settings parseSettings(std::string_view text, std::string_view fileName)
 {
-    try {
-        const auto table = toml::parse(text);
-        SettingsReader reader { table, std::string { fileName } };
-        return readAll(reader);
-    } catch (const toml::parse_error& error) {
-        const auto place = error.source().begin;
-        throw SettingsError({ { .file = std::string { fileName },
-            .line = place.line,
-            .column = place.column,
-            .message = "this is not TOML: " + std::string { error.description() } } });
-    }
+    return parseSections<Settings>(text, fileName, readAll);
 }
 
-Settings readSettings(const std::string& path)
-{
-    std::ifstream file { path, std::ios::binary };
-    std::ostringstream text;
-    if (!file || !(text << file.rdbuf()))
-        throw SettingsError({ { .file = path, .message = "this file can't be read, or is empty" } });
-    return parseSettings(text.str(), path);
-}
+Settings readSettings(const std::string& path) { return parseSettings(readSettingsFile(path), path); }
 
 } // namespace cyclamendrift
--- a/src/proxy/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cyclamendrift/core/instant.h>
-#include <cyclamendrift/proxy/settings_error.h>
+#include <cyclamendrift/settings/settings_error.h>
 
 #include <toml++/toml.h>
 
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -48,7 +48,7 @@
 
 log4cplus::SharedAppenderPtr makeAppender(const std::string& file)
 {
-    constexpr bool toStandardError = true;
+    constexpr bool toStandardError = false;
     constexpr bool flushEachLine = true;
     if (file == "-")
         return log4cplus::SharedAppenderPtr { new log4cplus::ConsoleAppender(
--- a/standins/store_server.cpp
+++ b/standins/store_server.cpp
@@ -148,12 +148,16 @@
 asio::awaitable<HttpResponse> StoreServer::transaction(const HttpRequest& request)
 {
     const auto message = parse<wire::EtcdTxnRequest>(request.body);
-    if (message.compare_size() != 1 || message.success_size() != 1)
-        throw std::invalid_argument { "the stand-in takes one comparison and one change" };
+    if (message.compare_size() < 1 || message.success_size() != 1)
+        throw std::invalid_argument { "the stand-in takes at least one comparison, and one change" };
     const auto& put = message.success(0).request_put();
     SwapOptions options;
     options.key = message.compare(0).key();
     options.expectedRevision = static_cast<std::uint64_t>(message.compare(0).mod_revision());
+    for (int index = 1; index < message.compare_size(); ++index) {
+        const auto& compare = message.compare(index);
+        options.guards.push_back({ compare.key(), static_cast<std::uint64_t>(compare.mod_revision()) });
+    }
     if (message.success(0).has_request_put()) {
         options.value = put.value();
         options.lease = LeaseId { static_cast<std::uint64_t>(put.lease()) };
--- a/tests/proxy/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -1,4 +1,4 @@
-#include <cyclamendrift/proxy/settings.h>
+#include <cyclamendrift/settings/settings.h>
 
 #include <doctest/doctest.h>
 
