Let siblings give parts of their shares, and one VM read the store for all

Change: a VM whose part is used up asks up to three siblings over streams to give some of theirs for good, so the sum never grows; one VM in 24 reads the store, the others ask it, and fall back to the store when it does not answer. EXECUTE read its name after it had been moved away; mended.

--- /dev/null
+++ b/include/cyclamendrift/limits/donor_choice.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cyclamendrift/core/identifier.h>
+#include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/limits/demand_shares.h>
+
+#include <cstddef>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace cyclamendrift {
+
+/// Chooses whom to ask for part of their share of a team's limit: those whose share is largest, without those that
+/// had too little just now.
+class DonorChoice {
+public:
+    /// A VM that gave less than it was asked for is passed over for this long; about the time in which a share of a
+    /// few operations a second grows by one.
+    static constexpr Duration pause = std::chrono::milliseconds { 150 };
+
+    /// Up to `count` VMs, the most promising first.
+    [[nodiscard]] std::vector<VmName> choose(const TeamName& team, const VmName& self,
+        const std::map<VmName, DemandByTeam>& listed, std::size_t count, Instant now) const;
+
+    /// A VM gave less than it was asked for, or did not answer.
+    void gaveTooLittle(const TeamName& team, const VmName& vm, Instant now);
+
+private:
+    std::map<std::pair<TeamName, VmName>, Instant> passedOverUntil;
+};
+
+} // namespace cyclamendrift
--- a/include/cyclamendrift/limits/team_share.h
+++ b/include/cyclamendrift/limits/team_share.h
@@ -2,6 +2,8 @@
 
 #include <cyclamendrift/core/instant.h>
 
+#include <cstdint>
+
 namespace cyclamendrift {
 
 /// The part of a team's rate and burst that this VM may use; the parts of all VMs add up to no more than the whole.
@@ -23,6 +25,15 @@
     /// Takes one operation out; false when nothing is left.
     [[nodiscard]] bool tryTake(Instant now);
 
+    /// Takes up to `wanted` operations out for another VM; half of what is there stays.
+    [[nodiscard]] std::uint32_t give(std::uint32_t wanted, Instant now);
+
+    /// Puts in what another VM gave. It may go beyond this part's burst, as it was taken out of the other's.
+    void receive(std::uint32_t given, Instant now);
+
+    /// Operations that may be let in at once.
+    [[nodiscard]] double atHand(Instant now);
+
     /// Operations per second that it lets in.
     [[nodiscard]] double rate() const noexcept { return this->rule.ratePerSecond; }
 
--- a/include/cyclamendrift/pooling/engine_actions.h
+++ b/include/cyclamendrift/pooling/engine_actions.h
@@ -70,6 +70,11 @@
     CallerId caller {};
     std::optional<StatementFailure> failure;
 };
+/// Ask siblings for part of their share of a team's limit; the answer comes through tokensReceived().
+struct AskForTokens {
+    TeamName team;
+    std::uint32_t wanted = 0;
+};
 /// A decision that the log should hold.
 struct LogDecision {
     std::string event;
@@ -77,6 +82,6 @@
 };
 /// Anything that an engine wants done.
 using EngineAction = std::variant<OpenConnection, SendStatement, CloseConnection, AcceptCaller, AnswerCaller,
-    CloseCaller, LogDecision>;
+    CloseCaller, AskForTokens, LogDecision>;
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -35,6 +35,11 @@
     Duration changeAdvice = std::chrono::milliseconds { 1000 };
     /// Retry advice when all connections are taken.
     Duration overloadAdvice = std::chrono::milliseconds { 100 };
+    /// An operation beyond this VM's share of its team's limit waits this part of its target latency for siblings to
+    /// give some of theirs; a round trip to them takes 2 to 4 ms.
+    int admissionWaitDivisor = 4;
+    /// Pause after siblings had nothing to give.
+    Duration askPause = std::chrono::milliseconds { 60 };
     /// Tries of one statement that was not run, the first included.
     std::size_t attempts = 6;
     /// Statements that a caller may have sent ahead of their answers.
--- a/include/cyclamendrift/pooling/session_engine.h
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -87,6 +87,11 @@
     void setPlace(const FleetPlace& place, Instant now);
     void setShares(const std::map<TeamName, TeamShare::Rule>& shares, Instant now);
 
+    /// Siblings gave this VM part of their shares, or nothing.
+    void tokensReceived(const TeamName& team, std::uint32_t given, Instant now);
+    /// Takes up to `wanted` operations out of this VM's share, for a sibling.
+    [[nodiscard]] std::uint32_t giveTokens(const TeamName& team, std::uint32_t wanted, Instant now);
+
     /// Begins a planned stop: sessions are closed when they are idle, open transactions may go on until `abortAt`.
     void drain(Instant closeIdleFrom, Instant abortAt);
 
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace cyclamendrift {
 
@@ -36,6 +37,13 @@
     /// First and longest pause after the store failed.
     Duration firstBackoff = std::chrono::milliseconds { 100 };
     Duration longestBackoff = std::chrono::milliseconds { 800 };
+    /// One VM for so many reads who leads from the store, and the others ask it: each call to the store is paid for,
+    /// and its rates grow more slowly than the fleet.
+    std::size_t vmsPerReader = 24;
+    /// What a sibling read longer ago than this is no use; the store is read instead.
+    Duration readingsUsable = std::chrono::milliseconds { 550 };
+    /// A reader that failed to answer is not asked again for so long.
+    Duration readerPause = std::chrono::milliseconds { 1000 };
     /// Ticks of the coordinators.
     Duration tickInterval = std::chrono::milliseconds { 50 };
 };
@@ -50,6 +58,9 @@
         ZoneName zone;
         /// Unique to this process.
         std::uint64_t process = 0;
+        /// Where siblings reach this VM; told in its record.
+        std::string siblingHost;
+        std::uint16_t siblingPort = 0;
         ControlSettings settings;
         Store& store;
         LeadershipPort& leadership;
@@ -71,6 +82,8 @@
 
     /// True once callers can be served: routes, upstreams and leaders were read. On the control thread.
     [[nodiscard]] bool isReady() const;
+    /// Answers a sibling that asks for what was read from the store; may be called on any thread.
+    [[nodiscard]] asio::awaitable<std::string> shareReadings(std::string request);
     /// The figures for the metrics page. On the control thread.
     [[nodiscard]] std::string metricsText() const;
 
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/pooling/session_engine.h>
 #include <cyclamendrift/session_proxy/ports.h>
+#include <cyclamendrift/session_proxy/sibling_exchange.h>
 
 #include <asio/io_context.hpp>
 
@@ -29,11 +30,17 @@
 public:
     struct Options {
         asio::io_context& context;
+        VmName vm;
         ZoneName zone;
+        /// Where siblings reach this VM.
+        std::string siblingHost;
+        std::uint16_t siblingPort = 0;
         CallerPort& callers;
         UpstreamPort& upstreams;
         /// Called on the traffic thread once a stop has let go of every caller.
         std::function<void()> onDrained;
+        /// Answers a sibling that asks for what was read from the store.
+        std::function<asio::awaitable<std::string>(std::string)> shareReadings;
     };
 
     explicit SessionTraffic(Options options);
@@ -47,6 +54,11 @@
     void setLeader(ServiceName service, LeaderView view);
     void setPlace(FleetPlace place);
     void setShares(std::map<TeamName, TeamShare::Rule> shares);
+    /// Begins to serve siblings that know the secret.
+    void openSiblings(std::string secret);
+    void setSiblings(SiblingList siblings);
+    /// Asks a sibling for what it read from the store; throws SiblingError or RequestError.
+    [[nodiscard]] asio::awaitable<std::string> askForReadings(SiblingAddress sibling, std::string request);
     /// Asks for a report; `take` is called on the traffic thread.
     void report(std::function<void(TrafficReport)> take);
     /// Begins a planned stop.
--- /dev/null
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cyclamendrift/limits/donor_choice.h>
+#include <cyclamendrift/siblings/sibling_client.h>
+#include <cyclamendrift/siblings/sibling_server.h>
+
+#include <asio/awaitable.hpp>
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cyclamendrift {
+
+/// Another VM of the system, as its record in the store describes it.
+struct SiblingInfo {
+    SiblingAddress address;
+    ZoneName zone;
+    DemandByTeam demand;
+};
+using SiblingList = std::map<VmName, SiblingInfo>;
+
+/// What session proxies ask each other: parts of their shares of limits, and what they read from the store. Lives on
+/// the traffic thread; call() may be used on any.
+class SiblingExchange {
+public:
+    struct Options {
+        asio::io_context& context;
+        VmName self;
+        std::string listenHost;
+        std::uint16_t listenPort = 0;
+        /// Takes operations out of this VM's share for a sibling; on the traffic thread.
+        std::function<std::uint32_t(const TeamName&, std::uint32_t)> giveTokens;
+        /// Answers a sibling that asks for what was read from the store; may resume on any thread.
+        std::function<asio::awaitable<std::string>(std::string)> shareReadings;
+    };
+
+    explicit SiblingExchange(Options options);
+    ~SiblingExchange();
+
+    /// Begins to listen; before that no sibling is reached and nothing is given.
+    void open(const std::string& secret);
+    [[nodiscard]] bool isOpen() const noexcept;
+    void setSiblings(SiblingList siblings);
+
+    /// Asks siblings for operations, one after the other, and reports what all of them gave; on the traffic thread.
+    void askForTokens(const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done);
+
+    /// Asks a sibling for what it read from the store; throws SiblingError or RequestError.
+    [[nodiscard]] asio::awaitable<std::string> askForReadings(SiblingAddress sibling, std::string request);
+
+    /// Takes no further calls.
+    void close();
+
+private:
+    struct State;
+    std::shared_ptr<State> state;
+};
+
+} // namespace cyclamendrift
--- a/include/cyclamendrift/settings/session_settings.h
+++ b/include/cyclamendrift/settings/session_settings.h
@@ -22,6 +22,8 @@
     std::string readinessPath;
     /// `[metrics]`
     ListenSettings metrics;
+    /// `[siblings]`: where the other VMs reach this one.
+    ListenSettings siblings;
     /// `[store] address`: host and port of the platform's store.
     std::string storeAddress;
     /// `[promotion] address`: host and port at which primaries are named.
--- a/src/limits/team_share.cpp
+++ b/src/limits/team_share.cpp
@@ -21,7 +21,7 @@
     this->started = true;
     this->accruedAt = now;
     this->rule = wanted;
-    this->level = std::min(this->level, wanted.burst);
+    this->level = std::min(this->level, std::max(wanted.burst, 0.0));
 }
 
 bool TeamShare::tryTake(Instant now)
@@ -33,6 +33,27 @@
     return true;
 }
 
+std::uint32_t TeamShare::give(std::uint32_t wanted, Instant now)
+{
+    this->accrue(now);
+    const auto spare = static_cast<std::uint32_t>(std::max(this->level / 2, 0.0));
+    const auto given = std::min(wanted, spare);
+    this->level -= given;
+    return given;
+}
+
+void TeamShare::receive(std::uint32_t given, Instant now)
+{
+    this->accrue(now);
+    this->level += given;
+}
+
+double TeamShare::atHand(Instant now)
+{
+    this->accrue(now);
+    return this->level;
+}
+
 Duration TeamShare::timeToNext(Instant now)
 {
     this->accrue(now);
@@ -51,8 +72,10 @@
     if (now <= this->accruedAt)
         return;
     const std::chrono::duration<double> elapsed = now - this->accruedAt;
-    this->level = std::min(this->rule.burst, this->level + elapsed.count() * this->rule.ratePerSecond);
     this->accruedAt = now;
+    // What was received beyond the burst stays until it is used.
+    if (this->level < this->rule.burst)
+        this->level = std::min(this->rule.burst, this->level + elapsed.count() * this->rule.ratePerSecond);
 }
 
 } // namespace cyclamendrift
--- a/src/pooling/caller_session.h
+++ b/src/pooling/caller_session.h
@@ -46,6 +46,12 @@
     std::map<UpstreamName, Instant> avoided;
 };
 
+/// An operation that waits for its team's limit to let it in.
+struct WaitingOperation {
+    CallerQuery query;
+    Instant until;
+};
+
 /// An answer that is ready but may only be given once the view of the primary is known to have held.
 struct HeldReply {
     Reply reply;
@@ -68,6 +74,9 @@
     std::deque<CallerQuery> pending;
     std::optional<Work> work;
     std::optional<HeldReply> held;
+    std::optional<WaitingOperation> waiting;
+    /// When the statement under way came in.
+    Instant arrivedAt;
 
     /// The route of the operation under way; a change of it counts from the next operation on.
     Route route;
@@ -85,7 +94,7 @@
 
     [[nodiscard]] bool isIdle() const noexcept
     {
-        return !this->work && !this->held && this->pending.empty() && this->phase == SessionPhase::Idle;
+        return !this->work && !this->held && !this->waiting && this->pending.empty() && this->phase == SessionPhase::Idle;
     }
 };
 
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -75,7 +75,7 @@
     // Answering may end the session, so it is looked up anew each time.
     const auto id = session.id;
     for (auto* current = &session; current != nullptr; current = this->findCaller(id)) {
-        if (current->work || current->held || current->pending.empty())
+        if (current->work || current->held || current->waiting || current->pending.empty())
             return;
         auto query = std::move(current->pending.front());
         current->pending.pop_front();
@@ -100,20 +100,28 @@
         }
         return;
     }
-    if (const auto* wanted = std::get_if<BeginTransaction>(&query.statement))
-        return this->begin(session, *wanted);
     if (ends && session.phase == SessionPhase::Idle)
         return this->answer(session, failureReply(StatementError::Malformed, "there is no open transaction"));
     if (std::holds_alternative<RollbackTransaction>(query.statement))
         return this->rollback(session);
-    if (std::holds_alternative<CommitTransaction>(query.statement))
+    if (std::holds_alternative<CommitTransaction>(query.statement)) {
+        session.arrivedAt = this->now;
         return this->runData(session, std::move(query), WorkKind::Commit, nullptr);
-    if (std::holds_alternative<ReadItem>(query.statement))
-        return this->runData(session, std::move(query), WorkKind::Read, nullptr);
-    if (std::holds_alternative<WriteItem>(query.statement))
-        return this->runData(session, std::move(query), WorkKind::Write, nullptr);
-    if (std::holds_alternative<ExecutePrepared>(query.statement))
-        return this->runExecute(session, std::move(query));
+    }
+    const bool begins = std::holds_alternative<BeginTransaction>(query.statement);
+    const auto* execute = std::get_if<ExecutePrepared>(&query.statement);
+    const bool touchesData = std::holds_alternative<ReadItem>(query.statement)
+        || std::holds_alternative<WriteItem>(query.statement) || execute != nullptr;
+    if (begins && session.phase != SessionPhase::Idle)
+        return this->answer(session, failureReply(StatementError::Malformed, "a transaction is open"));
+    if (execute != nullptr && !session.state.prepared.contains(execute->name))
+        return this->answer(session, failureReply(StatementError::UnknownStatement, "no statement has that name"));
+    if (begins || (touchesData && session.phase == SessionPhase::Idle))
+        return this->startOperation(session, std::move(query));
+    if (touchesData) {
+        session.arrivedAt = this->now;
+        return this->runOperation(session, std::move(query));
+    }
     if (auto* value = std::get_if<SetSessionValue>(&query.statement)) {
         session.state.values[value->name] = std::move(value->value);
         return this->answer(session, ownReply());
@@ -130,7 +138,7 @@
     this->answer(session, failureReply(StatementError::Malformed, "the statement cannot be read"));
 }
 
-bool SessionEngine::State::admitOperation(CallerSession& session)
+bool SessionEngine::State::checkPermission(CallerSession& session)
 {
     const auto* route = this->routes->findRoute(session.database);
     if (route == nullptr) {
@@ -145,28 +153,81 @@
     if (route->service != session.route.service)
         session.floor.reset();
     session.route = *route;
+    return true;
+}
+
+void SessionEngine::State::startOperation(CallerSession& session, CallerQuery query)
+{
+    session.arrivedAt = this->now;
+    if (!this->checkPermission(session))
+        return;
     ++this->demand[session.team];
-    const auto share = this->shares.find(session.team);
-    const bool limited = this->routes->limits.contains(session.team);
-    if (limited && (share == this->shares.end() || !share->second.tryTake(this->now))) {
-        const auto limit = this->routes->limits.at(session.team);
-        this->log("over_share",
-            { { "team", session.team.string() }, { "limit_per_s", std::to_string(limit.ratePerSecond) },
-                { "share_per_s", std::to_string(share == this->shares.end() ? 0 : share->second.rate()) } });
-        const auto wait = share == this->shares.end() ? this->options.settings.overloadAdvice
-                                                      : share->second.timeToNext(this->now);
-        this->refuse(session, StatementError::Busy, adviceText("the team is over its rate", wait));
-        return false;
+    if (!this->routes->limits.contains(session.team))
+        return this->runOperation(session, std::move(query));
+    auto& budget = this->budgets[session.team];
+    if (budget.waiting.empty() && budget.share.tryTake(this->now))
+        return this->runOperation(session, std::move(query));
+    this->waitForBudget(session, budget, std::move(query));
+}
+
+void SessionEngine::State::waitForBudget(CallerSession& session, Budget& budget, CallerQuery query)
+{
+    const auto patience = session.route.targetLatency / this->options.settings.admissionWaitDivisor;
+    // Siblings that had nothing a moment ago have nothing now: what this VM's own share will not let in soon enough is
+    // refused at once.
+    const auto ownTime = budget.share.timeToNext(this->now) * static_cast<int>(budget.waiting.size() + 1);
+    const bool siblingsSpent = !budget.asking && this->now < budget.askAgainAt;
+    if (siblingsSpent && ownTime > patience) {
+        this->refuse(session, StatementError::Busy, adviceText("the team is over its rate", ownTime));
+        return;
     }
-    return true;
+    session.waiting = WaitingOperation { .query = std::move(query), .until = this->now + patience };
+    budget.waiting.push_back(session.id);
+    this->admitWaiting(session.team, budget);
 }
 
-void SessionEngine::State::begin(CallerSession& session, const BeginTransaction& wanted)
+void SessionEngine::State::admitWaiting(const TeamName& team, Budget& budget)
 {
-    if (session.phase != SessionPhase::Idle)
-        return this->answer(session, failureReply(StatementError::Malformed, "a transaction is open"));
-    if (!this->admitOperation(session))
+    while (!budget.waiting.empty()) {
+        auto* session = this->findCaller(budget.waiting.front());
+        if (session == nullptr || !session->waiting) {
+            budget.waiting.pop_front();
+            continue;
+        }
+        if (budget.share.tryTake(this->now)) {
+            budget.waiting.pop_front();
+            auto query = std::move(session->waiting->query);
+            session->waiting.reset();
+            this->runOperation(*session, std::move(query));
+            continue;
+        }
+        if (this->now < session->waiting->until)
+            break;
+        budget.waiting.pop_front();
+        session->waiting.reset();
+        this->refuse(*session, StatementError::Busy,
+            adviceText("the team is over its rate", budget.share.timeToNext(this->now)));
+    }
+    if (budget.waiting.empty() || budget.asking || this->now < budget.askAgainAt)
         return;
+    budget.asking = true;
+    // A few more than wait now spare the next callers the round trip.
+    const auto wanted = static_cast<std::uint32_t>(budget.waiting.size() + 1);
+    this->actions.emplace_back(AskForTokens { .team = team, .wanted = wanted });
+}
+
+void SessionEngine::State::runOperation(CallerSession& session, CallerQuery query)
+{
+    if (const auto* wanted = std::get_if<BeginTransaction>(&query.statement))
+        return this->begin(session, *wanted);
+    if (std::holds_alternative<ExecutePrepared>(query.statement))
+        return this->runExecute(session, std::move(query));
+    const auto kind = std::holds_alternative<WriteItem>(query.statement) ? WorkKind::Write : WorkKind::Read;
+    this->runData(session, std::move(query), kind, nullptr);
+}
+
+void SessionEngine::State::begin(CallerSession& session, const BeginTransaction& wanted)
+{
     // The transaction is opened on an upstream with its first statement: until then the caller may pause, and a
     // connection would be held for nothing.
     session.phase = SessionPhase::InTransaction;
@@ -184,29 +245,24 @@
 
 void SessionEngine::State::runExecute(CallerSession& session, CallerQuery query)
 {
-    const auto execute = std::get<ExecutePrepared>(query.statement);
-    const auto known = session.state.prepared.find(execute.name);
-    if (known == session.state.prepared.end())
-        return this->answer(session, failureReply(StatementError::UnknownStatement, "no statement has that name"));
-    const auto kind = known->second.writes ? WorkKind::Write : WorkKind::Read;
-    this->runData(session, std::move(query), kind, &execute);
+    const auto wanted = std::get<ExecutePrepared>(query.statement);
+    const auto& shape = session.state.prepared.at(wanted.name);
+    this->runData(session, std::move(query), shape.writes ? WorkKind::Write : WorkKind::Read, &wanted);
 }
 
 void SessionEngine::State::runData(
     CallerSession& session, CallerQuery query, WorkKind kind, const ExecutePrepared* execute)
 {
     const bool inTransaction = session.phase == SessionPhase::InTransaction;
-    if (!inTransaction && !this->admitOperation(session))
-        return;
     const bool primaryRoute = std::holds_alternative<PrimaryRoute>(session.route.freshness);
     const bool plainTransaction = inTransaction && !session.transactionReadOnly;
     Work work { .query = std::move(query),
         .kind = kind,
         .needsPrimary = primaryRoute || plainTransaction || kind == WorkKind::Write,
         .opensTransaction = inTransaction && !session.pinned,
-        .arrivedAt = this->now,
-        .offerBy = this->now + std::min(session.route.targetLatency, session.route.statementTimeout),
-        .deadline = this->now + session.route.statementTimeout };
+        .arrivedAt = session.arrivedAt,
+        .offerBy = session.arrivedAt + std::min(session.route.targetLatency, session.route.statementTimeout),
+        .deadline = session.arrivedAt + session.route.statementTimeout };
     if (execute != nullptr) {
         work.shape = session.state.prepared.at(execute->name);
         work.arguments = execute->arguments;
@@ -266,6 +322,7 @@
 {
     session.work.reset();
     session.held.reset();
+    session.waiting.reset();
     session.lastActive = this->now;
     reply.phase = session.phase;
     ++this->counters.answered;
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -6,6 +6,7 @@
 #include <cyclamendrift/pooling/session_engine.h>
 
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -13,6 +14,15 @@
 
 namespace cyclamendrift {
 
+/// A team's limit at this VM.
+struct Budget {
+    TeamShare share;
+    /// Sessions whose operation waits to be let in.
+    std::deque<CallerId> waiting;
+    bool asking = false;
+    Instant askAgainAt = Instant::min();
+};
+
 /// Everything that a SessionEngine holds. Sources: engine_callers (statements of callers), engine_dispatch (which
 /// upstream gets which work), engine_connections (answers and losses), session_engine (knowledge and time).
 class SessionEngine::State {
@@ -29,6 +39,8 @@
     void answer(CallerSession& session, Reply reply);
     void refuse(CallerSession& session, StatementError error, std::string text);
     void endCaller(CallerId id, std::optional<StatementFailure> failure);
+    /// Lets waiting operations in as far as the budget goes, and asks siblings for what is missing.
+    void admitWaiting(const TeamName& team, Budget& budget);
     /// Closes the session when it is idle and this VM is stopping; true when it did.
     bool closeIfDraining(CallerSession& session);
 
@@ -61,7 +73,7 @@
     std::map<ServiceName, GroupState> groups;
     std::unordered_map<std::uint64_t, CallerSession> callers;
     std::unordered_map<std::uint64_t, PooledConnection> connections;
-    std::map<TeamName, TeamShare> shares;
+    std::map<TeamName, Budget> budgets;
     std::map<TeamName, std::uint64_t> demand;
     FleetPlace place;
     EngineCounters counters;
@@ -74,7 +86,10 @@
     // engine_callers
     void takeNext(CallerSession& session);
     void run(CallerSession& session, CallerQuery query);
-    [[nodiscard]] bool admitOperation(CallerSession& session);
+    void startOperation(CallerSession& session, CallerQuery query);
+    [[nodiscard]] bool checkPermission(CallerSession& session);
+    void waitForBudget(CallerSession& session, Budget& budget, CallerQuery query);
+    void runOperation(CallerSession& session, CallerQuery query);
     void begin(CallerSession& session, const BeginTransaction& wanted);
     void rollback(CallerSession& session);
     void runData(CallerSession& session, CallerQuery query, WorkKind kind, const ExecutePrepared* execute);
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -146,9 +146,30 @@
 {
     auto& own = *this->state;
     own.now = now;
-    std::erase_if(own.shares, [&shares](const auto& item) { return !shares.contains(item.first); });
     for (const auto& [team, rule] : shares)
-        own.shares[team].setRule(rule, now);
+        own.budgets[team].share.setRule(rule, now);
+}
+
+void SessionEngine::tokensReceived(const TeamName& team, std::uint32_t given, Instant now)
+{
+    auto& own = *this->state;
+    own.now = now;
+    auto& budget = own.budgets[team];
+    budget.asking = false;
+    budget.share.receive(given, now);
+    if (given == 0)
+        budget.askAgainAt = now + own.options.settings.askPause;
+    own.admitWaiting(team, budget);
+}
+
+std::uint32_t SessionEngine::giveTokens(const TeamName& team, std::uint32_t wanted, Instant now)
+{
+    auto& own = *this->state;
+    own.now = now;
+    const auto budget = own.budgets.find(team);
+    if (budget == own.budgets.end() || !budget->second.waiting.empty())
+        return 0;
+    return budget->second.share.give(wanted, now);
 }
 
 void SessionEngine::drain(Instant closeIdleFrom, Instant abortAt)
@@ -166,6 +187,8 @@
         own.pump(group);
         own.refuseOverdue(group);
     }
+    for (auto& [team, budget] : own.budgets)
+        own.admitWaiting(team, budget);
     own.closeSpareConnections();
     std::vector<CallerId> ids;
     for (const auto& [key, session] : own.callers)
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -4,6 +4,9 @@
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/telemetry/event_log.h>
 
+#include <asio/bind_cancellation_slot.hpp>
+#include <asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <set>
 
@@ -14,6 +17,7 @@
     if (revision <= this->configurationRevision)
         return;
     this->configurationRevision = revision;
+    this->configurationValue = value;
     try {
         auto table = std::make_shared<const RouteTable>(this->options.format.readRoutes(value));
         if (this->routes && table->version <= this->routes->version)
@@ -30,32 +34,51 @@
     }
 }
 
+asio::awaitable<bool> SessionControl::State::readConfiguration()
+{
+    const auto key = this->options.format.configurationKey();
+    try {
+        const auto entry = co_await this->options.store.get(key);
+        ++this->storeCalls["configuration"];
+        this->configurationSource.succeeded();
+        if (entry)
+            this->takeConfiguration(entry->value, entry->revision);
+        this->configurationWanted = false;
+        co_return entry.has_value();
+    } catch (const StoreError& error) {
+        static_cast<void>(this->configurationSource.failed(error.what()));
+        co_return false;
+    }
+}
+
+asio::awaitable<void> SessionControl::State::watchConfiguration()
+{
+    const auto onChange = [this](const StoreChange& change) {
+        if (change.value)
+            this->takeConfiguration(*change.value, change.revision);
+    };
+    const auto key = this->options.format.configurationKey();
+    try {
+        auto watch = this->options.store.watch(key, this->configurationRevision + 1, onChange);
+        co_await asio::co_spawn(this->options.context, std::move(watch),
+            asio::bind_cancellation_slot(this->configurationWatch.slot(), asio::use_awaitable));
+    } catch (const StoreError& error) {
+        // What was missed is read again before the next watch, whatever the reason for the break.
+        logEvent(LogLevel::Debug, "configuration_watch_ended", { { "reason", error.what() } });
+    }
+}
+
 asio::awaitable<void> SessionControl::State::followConfiguration(std::shared_ptr<State> self)
 {
-    const auto key = self->options.format.configurationKey();
+    const auto& settings = self->options.settings;
     while (!self->stopped) {
-        Duration pause {};
-        try {
-            const auto entry = co_await self->options.store.get(key);
-            ++self->storeCalls["configuration"];
-            self->configurationSource.succeeded();
-            if (entry)
-                self->takeConfiguration(entry->value, entry->revision);
-            // Without a configuration there is nothing to watch from; operators write the first one soon.
-            if (entry) {
-                const auto onChange = [&self](const StoreChange& change) {
-                    if (change.value)
-                        self->takeConfiguration(*change.value, change.revision);
-                };
-                co_await self->options.store.watch(key, entry->revision + 1, onChange);
-            }
-            pause = self->options.settings.firstBackoff;
-        } catch (const StoreError& error) {
-            // A watch whose history is gone, or that fell silent, is begun anew from a fresh read at once.
-            const bool compacted = error.kind() == StoreError::Kind::Compacted;
-            pause = compacted ? Duration {} : self->configurationSource.failed(error.what());
-        }
-        co_await self->sleep(pause);
+        bool current = false;
+        if (self->isReader() || self->configurationWanted || !self->routes)
+            current = co_await self->readConfiguration();
+        if (current && self->isReader())
+            co_await self->watchConfiguration();
+        else
+            co_await self->sleep(self->configurationSource.isLost() ? settings.longestBackoff / 2 : settings.doubtedInterval);
     }
 }
 
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -21,20 +21,32 @@
 
 } // namespace
 
+asio::awaitable<std::optional<Duration>> SessionControl::State::readLeadership()
+{
+    const auto askedAt = bootNow();
+    try {
+        auto listing = co_await this->options.store.listing(store_key::leadershipPrefix, ReadFreshness::Linearizable);
+        ++this->storeCalls["leadership"];
+        this->leadershipSource.succeeded();
+        this->leadershipListing = std::move(listing);
+        this->leadershipAskedAt = askedAt;
+        this->takeLeadership(this->leadershipListing, askedAt);
+        co_return std::nullopt;
+    } catch (const StoreError& error) {
+        co_return this->leadershipSource.failed(error.what());
+    }
+}
+
 asio::awaitable<void> SessionControl::State::followLeadership(std::shared_ptr<State> self)
 {
     const auto& settings = self->options.settings;
     while (!self->stopped) {
         const auto askedAt = bootNow();
         Duration pause = settings.leadershipInterval;
-        try {
-            const auto listing
-                = co_await self->options.store.listing(store_key::leadershipPrefix, ReadFreshness::Linearizable);
-            ++self->storeCalls["leadership"];
-            self->leadershipSource.succeeded();
-            self->takeLeadership(listing, askedAt);
-        } catch (const StoreError& error) {
-            pause = self->leadershipSource.failed(error.what());
+        const bool told = !self->isReader() && co_await self->askReader();
+        if (!told) {
+            if (const auto failed = co_await self->readLeadership())
+                pause = *failed;
         }
         // What is doubted, such as a record this VM has just changed, is read again soon.
         const auto next = askedAt + pause;
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -7,9 +7,25 @@
 #include <leadership.pb.h>
 
 #include <algorithm>
+#include <random>
 
 namespace cyclamendrift {
 
+namespace {
+
+/// A secret that only those can know who may read the store.
+std::string newSecret()
+{
+    constexpr std::size_t words = 8;
+    std::random_device source;
+    std::string secret;
+    for (std::size_t index = 0; index < words; ++index)
+        secret += std::to_string(source()) + '.';
+    return secret;
+}
+
+} // namespace
+
 asio::awaitable<void> SessionControl::State::keepLease(std::shared_ptr<State> self)
 {
     const auto& settings = self->options.settings;
@@ -28,6 +44,7 @@
             self->leaseUntil = askedAt + settings.leaseTime - settings.leaseMargin;
             self->leaseSource.succeeded();
             co_await self->tellOwnRecord();
+            co_await self->learnSecret();
         } catch (const StoreError& error) {
             if (error.kind() == StoreError::Kind::LeaseGone) {
                 logEvent(LogLevel::Warn, "lease_lapsed");
@@ -51,6 +68,8 @@
     wire::VmRecord record;
     record.set_name(this->options.vm.string());
     record.set_availability_zone(this->options.zone.string());
+    record.set_sibling_host(this->options.siblingHost);
+    record.set_sibling_port(this->options.siblingPort);
     for (const auto& [team, rate] : told) {
         auto& entry = *record.add_demand();
         entry.set_team(team.string());
@@ -75,15 +94,41 @@
     this->ownRecordRevision = current ? current->revision : 0;
 }
 
+asio::awaitable<void> SessionControl::State::learnSecret()
+{
+    if (this->siblingsOpen)
+        co_return;
+    auto entry = co_await this->options.store.get(store_key::siblingSecret);
+    ++this->storeCalls["secret"];
+    if (!entry) {
+        SwapOptions swap { .key = store_key::siblingSecret, .expectedRevision = 0, .value = newSecret() };
+        const auto outcome = co_await this->options.store.compareAndSwap(std::move(swap));
+        if (std::holds_alternative<SwapConflict>(outcome))
+            entry = std::get<SwapConflict>(outcome).current;
+        else
+            entry = co_await this->options.store.get(store_key::siblingSecret);
+    }
+    if (!entry)
+        co_return;
+    this->siblingsOpen = true;
+    this->options.traffic.openSiblings(entry->value);
+}
+
 asio::awaitable<void> SessionControl::State::followVms(std::shared_ptr<State> self)
 {
+    const auto& settings = self->options.settings;
     while (!self->stopped) {
-        auto pause = self->options.settings.vmListInterval;
+        auto pause = settings.vmListInterval;
+        const bool told = !self->isReader() && bootNow() < self->vmsConfirmedAt + 2 * settings.vmListInterval;
         try {
-            const auto listing = co_await self->options.store.listing(store_key::vmPrefix, ReadFreshness::Linearizable);
-            ++self->storeCalls["vms"];
-            self->vmSource.succeeded();
-            self->takeVms(listing);
+            if (!told) {
+                const auto listing
+                    = co_await self->options.store.listing(store_key::vmPrefix, ReadFreshness::Linearizable);
+                ++self->storeCalls["vms"];
+                self->vmSource.succeeded();
+                self->vmsConfirmedAt = bootNow();
+                self->takeVms(listing);
+            }
         } catch (const StoreError& error) {
             pause = std::max(pause, self->vmSource.failed(error.what()));
         }
@@ -93,26 +138,37 @@
 
 void SessionControl::State::takeVms(const StoreListing& listing)
 {
-    std::map<VmName, DemandByTeam> next;
+    if (listing.revision < this->vmListing.revision)
+        return;
+    this->vmListing = listing;
+    SiblingList next;
     for (const auto& entry : listing.entries) {
         wire::VmRecord record;
         if (!record.ParseFromString(entry.value) || record.name().empty()) {
             logEvent(LogLevel::Error, "vm_record_unreadable", { { "key", entry.key } });
             continue;
         }
-        auto& demandOfVm = next[VmName { record.name() }];
+        const VmName vm { record.name() };
+        auto& sibling = next[vm];
+        sibling.address = { .vm = vm,
+            .host = record.sibling_host(),
+            .port = static_cast<std::uint16_t>(record.sibling_port()) };
+        sibling.zone = ZoneName { record.availability_zone() };
         for (const auto& team : record.demand())
-            demandOfVm[TeamName { team.team() }] = team.operations_per_second();
+            sibling.demand[TeamName { team.team() }] = team.operations_per_second();
     }
-    if (next.size() != this->listedVms.size())
+    if (next.size() != this->siblings.size())
         logEvent(LogLevel::Info, "vms_changed", { { "vms", std::to_string(next.size()) } });
-    this->listedVms = std::move(next);
-    const auto own = this->listedVms.find(this->options.vm);
-    const bool listed = own != this->listedVms.end();
+    this->siblings = std::move(next);
+    const auto own = this->siblings.find(this->options.vm);
+    const bool listed = own != this->siblings.end();
     this->place.rank
-        = listed ? static_cast<std::size_t>(std::distance(this->listedVms.begin(), own)) : this->listedVms.size();
-    this->place.vms = this->listedVms.size() + (listed ? 0 : 1);
+        = listed ? static_cast<std::size_t>(std::distance(this->siblings.begin(), own)) : this->siblings.size();
+    this->place.vms = this->siblings.size() + (listed ? 0 : 1);
     this->options.traffic.setPlace(this->place);
+    this->options.traffic.setSiblings(this->siblings);
+    if (!this->isReader())
+        this->configurationWatch.emit(asio::cancellation_type::all);
     this->divideLimits();
 }
 
@@ -121,7 +177,10 @@
     if (!this->routes)
         return;
     const auto now = bootNow();
-    this->shares.update(this->routes->limits, this->options.vm, this->listedVms, now);
+    std::map<VmName, DemandByTeam> listed;
+    for (const auto& [vm, sibling] : this->siblings)
+        listed[vm] = sibling.demand;
+    this->shares.update(this->routes->limits, this->options.vm, listed, now);
     this->options.traffic.setShares(this->shares.current(now));
 }
 
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -4,6 +4,7 @@
 #include <cyclamendrift/session_proxy/session_control.h>
 
 #include <asio/awaitable.hpp>
+#include <asio/cancellation_signal.hpp>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 
@@ -13,6 +14,10 @@
 #include <string>
 #include <utility>
 
+namespace cyclamendrift::wire {
+class ReadingsAnswer;
+}
+
 namespace cyclamendrift {
 
 /// Keys under which the VMs keep what they share.
@@ -21,6 +26,7 @@
 inline constexpr auto recordPrefix = "cyclamendrift/leadership/record/";
 inline constexpr auto dutyPrefix = "cyclamendrift/leadership/duty/";
 inline constexpr auto vmPrefix = "cyclamendrift/vms/";
+inline constexpr auto siblingSecret = "cyclamendrift/sibling-secret";
 } // namespace store_key
 
 /// One dependency and how calls to it fare; logs when it is lost and when it is back.
@@ -49,6 +55,7 @@
     void start();
     void stop();
     [[nodiscard]] asio::awaitable<void> leave();
+    [[nodiscard]] static asio::awaitable<std::string> shareReadings(std::shared_ptr<State> self, std::string request);
 
     Options options;
     AsioTimerService timers;
@@ -67,7 +74,7 @@
     DemandShares shares;
     DemandMeter demand;
     DemandByTeam toldDemand;
-    std::map<VmName, DemandByTeam> listedVms;
+    SiblingList siblings;
     EngineCounters counters;
     std::size_t callers = 0;
     std::size_t connections = 0;
@@ -81,13 +88,24 @@
     [[nodiscard]] asio::awaitable<void> sleep(Duration duration);
 
     // control_configuration
+    [[nodiscard]] asio::awaitable<bool> readConfiguration();
+    [[nodiscard]] asio::awaitable<void> watchConfiguration();
     [[nodiscard]] static asio::awaitable<void> followConfiguration(std::shared_ptr<State> self);
     [[nodiscard]] static asio::awaitable<void> followDirectory(std::shared_ptr<State> self);
     void takeConfiguration(const std::string& value, std::uint64_t revision);
     void takeDirectory(const StoreListing& listing);
     void handOnDirectory();
 
+    // control_readings
+    [[nodiscard]] bool isReader() const;
+    [[nodiscard]] std::size_t readers() const;
+    [[nodiscard]] const SiblingInfo* readerToAsk() const;
+    [[nodiscard]] asio::awaitable<bool> askReader();
+    void takeReadings(const wire::ReadingsAnswer& answer, Instant readAt);
+
     // control_leadership
+    /// Returns how long to wait before the next try, when it failed.
+    [[nodiscard]] asio::awaitable<std::optional<Duration>> readLeadership();
     [[nodiscard]] static asio::awaitable<void> followLeadership(std::shared_ptr<State> self);
     void takeLeadership(const StoreListing& listing, Instant askedAt);
     void tick();
@@ -107,6 +125,7 @@
     [[nodiscard]] static asio::awaitable<void> keepLease(std::shared_ptr<State> self);
     [[nodiscard]] static asio::awaitable<void> followVms(std::shared_ptr<State> self);
     [[nodiscard]] asio::awaitable<void> tellOwnRecord();
+    [[nodiscard]] asio::awaitable<void> learnSecret();
     void takeVms(const StoreListing& listing);
     void divideLimits();
 
@@ -122,6 +141,18 @@
     Dependency leadershipSource;
     Dependency leaseSource;
     Dependency vmSource;
+    bool siblingsOpen = false;
+    /// What was read from the store, here or by a sibling, for siblings that ask.
+    StoreListing leadershipListing;
+    Instant leadershipAskedAt = Instant::min();
+    StoreListing vmListing;
+    std::string configurationValue;
+    Instant vmsConfirmedAt = Instant::min();
+    /// A sibling has a newer configuration than this VM.
+    bool configurationWanted = false;
+    /// Ends the watch of the configuration.
+    asio::cancellation_signal configurationWatch;
+    std::map<VmName, Instant> readerFailedUntil;
     std::uint64_t ownRecordRevision = 0;
     std::optional<LeaseId> recordLease;
 };
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -132,6 +132,15 @@
     asio::co_spawn(this->state->options.context, work(this->state, std::move(done)), asio::detached);
 }
 
+asio::awaitable<std::string> SessionControl::shareReadings(std::string request)
+{
+    auto work = [](std::shared_ptr<State> self, std::string body) -> asio::awaitable<std::string> {
+        co_return co_await State::shareReadings(self, std::move(body));
+    };
+    auto started = work(this->state, std::move(request));
+    co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
+}
+
 bool SessionControl::isReady() const
 {
     const auto& own = *this->state;
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -37,14 +37,20 @@
         , controlGuard(controlContext.get_executor())
         , ports(options.makePorts(trafficContext, controlContext, options.settings))
         , traffic({ .context = trafficContext,
+              .vm = options.settings.vm.name,
               .zone = options.settings.vm.zone,
+              .siblingHost = options.settings.siblings.address,
+              .siblingPort = options.settings.siblings.port,
               .callers = *ports.callers,
               .upstreams = *ports.upstreams,
-              .onDrained = [this] { asio::post(this->controlContext, [this] { this->onDrained(); }); } })
+              .onDrained = [this] { asio::post(this->controlContext, [this] { this->onDrained(); }); },
+              .shareReadings = [this](std::string request) { return this->control.shareReadings(std::move(request)); } })
         , control({ .context = controlContext,
               .vm = options.settings.vm.name,
               .zone = options.settings.vm.zone,
               .process = std::random_device {}(),
+              .siblingHost = options.settings.siblings.address,
+              .siblingPort = options.settings.siblings.port,
               .store = *ports.store,
               .leadership = *ports.leadership,
               .format = *ports.format,
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -4,7 +4,9 @@
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/telemetry/event_log.h>
 
+#include <asio/co_spawn.hpp>
 #include <asio/post.hpp>
+#include <asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <optional>
@@ -19,9 +21,10 @@
 /// Carries one action out.
 class Performer {
 public:
-    Performer(CallerPort& callers, UpstreamPort& upstreams)
+    Performer(CallerPort& callers, UpstreamPort& upstreams, std::function<void(const AskForTokens&)> askForTokens)
         : callers(callers)
         , upstreams(upstreams)
+        , askForTokens(std::move(askForTokens))
     {
     }
 
@@ -34,6 +37,7 @@
     void operator()(const AcceptCaller& action) { this->callers.accept(action.caller); }
     void operator()(const AnswerCaller& action) { this->callers.answer(action.caller, action.reply); }
     void operator()(const CloseCaller& action) { this->callers.close(action.caller, action.failure); }
+    void operator()(const AskForTokens& action) { this->askForTokens(action); }
     void operator()(const LogDecision& action)
     {
         std::vector<LogField> fields;
@@ -45,6 +49,7 @@
 private:
     CallerPort& callers;
     UpstreamPort& upstreams;
+    std::function<void(const AskForTokens&)> askForTokens;
 };
 
 } // namespace
@@ -54,12 +59,20 @@
         : options(std::move(given))
         , engine({ .zone = options.zone })
         , timers(options.context.get_executor())
+        , exchange({ .context = options.context,
+              .self = options.vm,
+              .listenHost = options.siblingHost,
+              .listenPort = options.siblingPort,
+              .giveTokens = [this](const TeamName& team,
+                                std::uint32_t wanted) { return this->engine.giveTokens(team, wanted, bootNow()); },
+              .shareReadings = options.shareReadings })
     {
     }
 
     Options options;
     SessionEngine engine;
     AsioTimerService timers;
+    SiblingExchange exchange;
     std::unique_ptr<TimerService::Subscription> ticks;
     std::optional<DrainTimes> drain;
     bool listening = true;
@@ -94,6 +107,7 @@
     if (this->state->listening && now >= this->state->drain->stopListeningAt) {
         this->state->listening = false;
         this->state->options.callers.stopListening();
+        this->state->exchange.close();
     }
     const bool done = !this->state->listening && this->state->engine.callers() == 0;
     if (!done && now < this->state->drain->endAt)
@@ -112,7 +126,13 @@
     if (this->state->performing)
         return;
     this->state->performing = true;
-    Performer performer { this->state->options.callers, this->state->options.upstreams };
+    const auto askForTokens = [this](const AskForTokens& ask) {
+        this->state->exchange.askForTokens(ask.team, ask.wanted, [this, team = ask.team](std::uint32_t given) {
+            this->state->engine.tokensReceived(team, given, bootNow());
+            this->performAll();
+        });
+    };
+    Performer performer { this->state->options.callers, this->state->options.upstreams, askForTokens };
     for (auto actions = this->state->engine.takeActions(); !actions.empty(); actions = this->state->engine.takeActions()) {
         for (const auto& action : actions)
             std::visit(performer, action);
@@ -197,6 +217,29 @@
         [this, shares = std::move(shares)] { this->state->engine.setShares(shares, bootNow()); });
 }
 
+void SessionTraffic::openSiblings(std::string secret)
+{
+    asio::post(this->state->options.context,
+        [this, secret = std::move(secret)] { this->state->exchange.open(secret); });
+}
+
+void SessionTraffic::setSiblings(SiblingList siblings)
+{
+    asio::post(this->state->options.context, [this, siblings = std::move(siblings)]() mutable {
+        this->state->exchange.setSiblings(std::move(siblings));
+    });
+}
+
+asio::awaitable<std::string> SessionTraffic::askForReadings(SiblingAddress sibling, std::string request)
+{
+    // The exchange lives on the traffic thread.
+    auto work = [](State& own, SiblingAddress to, std::string body) -> asio::awaitable<std::string> {
+        co_return co_await own.exchange.askForReadings(std::move(to), std::move(body));
+    };
+    auto started = work(*this->state, std::move(sibling), std::move(request));
+    co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
+}
+
 void SessionTraffic::report(std::function<void(TrafficReport)> take)
 {
     asio::post(this->state->options.context, [this, take = std::move(take)] {
--- /dev/null
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -0,0 +1,168 @@
+#include <cyclamendrift/session_proxy/sibling_exchange.h>
+
+#include <cyclamendrift/core/request_error.h>
+#include <cyclamendrift/runtime/boot_clock.h>
+#include <cyclamendrift/siblings/sibling_error.h>
+#include <cyclamendrift/telemetry/event_log.h>
+
+#include <sharing.pb.h>
+
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace cyclamendrift {
+
+namespace {
+
+constexpr auto giveTokensMethod = "GiveTokens";
+constexpr auto shareReadingsMethod = "ShareReadings";
+// A sibling in another availability zone answers in 3 ms; the operation that waits has some 50 ms.
+constexpr Duration tokenTimeout = std::chrono::milliseconds { 25 };
+constexpr Duration readingsTimeout = std::chrono::milliseconds { 120 };
+// Each further question costs the waiting operation a round trip.
+constexpr std::size_t siblingsAsked = 3;
+
+[[noreturn]] void refuse(const char* message)
+{
+    throw RequestError { { .outcome = Outcome::NotRun, .reason = RefusalReason::BadRequest, .message = message } };
+}
+
+} // namespace
+
+struct SiblingExchange::State : std::enable_shared_from_this<State> {
+    explicit State(Options given)
+        : options(std::move(given))
+    {
+    }
+
+    [[nodiscard]] asio::awaitable<std::string> handle(IncomingSiblingCall call)
+    {
+        if (call.method == shareReadingsMethod)
+            co_return co_await this->options.shareReadings(std::move(call.body));
+        if (call.method != giveTokensMethod)
+            refuse("the method is not known");
+        wire::TokenRequest request;
+        if (!request.ParseFromString(call.body))
+            refuse("the message cannot be read");
+        wire::TokenAnswer answer;
+        answer.set_given(this->options.giveTokens(TeamName { request.team() }, request.wanted()));
+        co_return answer.SerializeAsString();
+    }
+
+    [[nodiscard]] asio::awaitable<std::uint32_t> askOne(TeamName team, VmName vm, std::uint32_t wanted)
+    {
+        const auto sibling = this->siblings.find(vm);
+        if (sibling == this->siblings.end())
+            co_return 0;
+        wire::TokenRequest request;
+        request.set_team(team.string());
+        request.set_wanted(wanted);
+        SiblingCall call { .method = giveTokensMethod,
+            .body = request.SerializeAsString(),
+            .deadline = std::chrono::steady_clock::now() + tokenTimeout };
+        std::uint32_t given = 0;
+        try {
+            const auto body = co_await this->client->call(sibling->second.address, std::move(call));
+            wire::TokenAnswer answer;
+            if (answer.ParseFromString(body))
+                given = answer.given();
+        } catch (const Error&) {
+            // A sibling that cannot be asked gives nothing; if its answer was lost, what it took out is lost with it.
+            given = 0;
+        }
+        if (given < wanted)
+            this->donors.gaveTooLittle(team, vm, bootNow());
+        co_return given;
+    }
+
+    [[nodiscard]] static asio::awaitable<void> askAround(
+        std::shared_ptr<State> self, TeamName team, std::uint32_t wanted, std::function<void(std::uint32_t)> done)
+    {
+        std::map<VmName, DemandByTeam> listed;
+        for (const auto& [vm, sibling] : self->siblings)
+            listed[vm] = sibling.demand;
+        const auto chosen = self->donors.choose(team, self->options.self, listed, siblingsAsked, bootNow());
+        std::uint32_t given = 0;
+        for (const auto& vm : chosen) {
+            if (given < wanted)
+                given += co_await self->askOne(team, vm, wanted - given);
+        }
+        done(given);
+    }
+
+    Options options;
+    SiblingList siblings;
+    DonorChoice donors;
+    std::unique_ptr<SiblingClient> client;
+    std::unique_ptr<SiblingServer> server;
+};
+
+SiblingExchange::SiblingExchange(Options options)
+    : state(std::make_shared<State>(std::move(options)))
+{
+}
+
+SiblingExchange::~SiblingExchange() = default;
+
+void SiblingExchange::open(const std::string& secret)
+{
+    auto& own = *this->state;
+    if (own.server)
+        return;
+    const auto executor = own.options.context.get_executor();
+    SiblingServer::Options server;
+    server.host = own.options.listenHost;
+    server.port = own.options.listenPort;
+    server.secret = secret;
+    const std::weak_ptr<State> weak = this->state;
+    server.handler = [weak](IncomingSiblingCall call) -> asio::awaitable<std::string> {
+        const auto alive = weak.lock();
+        if (!alive)
+            refuse("this VM stops");
+        return alive->handle(std::move(call));
+    };
+    try {
+        own.server = std::make_unique<SiblingServer>(executor, std::move(server));
+    } catch (const Error& error) {
+        logEvent(LogLevel::Error, "siblings_not_served", { { "reason", error.what() } });
+        return;
+    }
+    own.client = std::make_unique<SiblingClient>(executor,
+        SiblingClient::Options {
+            .self = own.options.self, .secret = secret, .connectTimeout = readingsTimeout });
+    logEvent(LogLevel::Info, "siblings_served", { { "port", std::to_string(own.server->port()) } });
+}
+
+bool SiblingExchange::isOpen() const noexcept { return this->state->client != nullptr; }
+
+void SiblingExchange::setSiblings(SiblingList siblings) { this->state->siblings = std::move(siblings); }
+
+void SiblingExchange::askForTokens(
+    const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done)
+{
+    if (!this->isOpen())
+        return done(0);
+    asio::co_spawn(this->state->options.context, State::askAround(this->state, team, wanted, std::move(done)),
+        asio::detached);
+}
+
+asio::awaitable<std::string> SiblingExchange::askForReadings(SiblingAddress sibling, std::string request)
+{
+    if (!this->isOpen())
+        throw SiblingError { SiblingError::Kind::Unreachable, "siblings are not served yet" };
+    SiblingCall call { .method = shareReadingsMethod,
+        .body = std::move(request),
+        .deadline = std::chrono::steady_clock::now() + readingsTimeout };
+    co_return co_await this->state->client->call(std::move(sibling), std::move(call));
+}
+
+void SiblingExchange::close()
+{
+    if (this->state->server)
+        this->state->server->drain();
+}
+
+} // namespace cyclamendrift
--- a/src/settings/session_settings.cpp
+++ b/src/settings/session_settings.cpp
@@ -49,6 +49,8 @@
     reader.text("path", settings.readinessPath, 1);
     reader.enter("metrics");
     readEndpoint(reader, settings.metrics);
+    reader.enter("siblings");
+    readEndpoint(reader, settings.siblings);
     readAddress(reader, "store", settings.storeAddress);
     readAddress(reader, "promotion", settings.promotionAddress);
     reader.enter("shutdown");
