Keep connections with their team and do not take a sibling's view for silent

Change: one borrowed connection at most, kept half a second; a free connection serves its own team first unless another waits 80 ms longer; who leads is read every 300 ms and replicas are asked after 680 ms.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -17,8 +17,9 @@
     Duration viewLifetime = std::chrono::milliseconds { 1000 };
     /// Added by the promoter for differences between clocks' rates and for statements on their way.
     Duration viewMargin = std::chrono::milliseconds { 100 };
-    /// A view of the store that is older than this is renewed by asking a replica.
-    Duration storeSilence = std::chrono::milliseconds { 550 };
+    /// A view of the store that is older than this is renewed by asking a replica. Above what a view that came by a
+    /// sibling is old at most while all is well: two intervals of reading and a round trip.
+    Duration storeSilence = std::chrono::milliseconds { 680 };
     /// Between two questions to the same upstream.
     Duration askInterval = std::chrono::milliseconds { 150 };
     /// Between two questions to a replica while the store is silent.
--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -22,15 +22,21 @@
     /// Pause after a replica said that it lags; doubles up to the second figure while it goes on.
     Duration laggingPause = std::chrono::milliseconds { 40 };
     Duration laggingPauseAtMost = std::chrono::milliseconds { 640 };
+    /// Connections beyond its share that a VM may take of an upstream while nobody misses them.
+    std::size_t borrowed = 1;
     /// After an upstream had no connection left, this VM keeps to its own share for this long.
     Duration borrowPause = std::chrono::milliseconds { 500 };
     /// Idle connections beyond the share are closed after this.
-    Duration borrowedIdleTime = std::chrono::milliseconds { 200 };
+    Duration borrowedIdleTime = std::chrono::milliseconds { 500 };
     /// Subtracted from the staleness that a route allows, for the way of the statement to the upstream.
     Duration stalenessMargin = std::chrono::milliseconds { 100 };
     /// Work that waits for a view of the primary is refused after this part of its target latency; by then the view
     /// is not late but lost, and the caller does better elsewhere.
     int leaderlessWaitDivisor = 4;
+    /// A connection that comes free goes to waiting work of its own team rather than to work of another team that came
+    /// up to so much earlier: a connection is bound to its team, and opening one for another takes the upstream as long
+    /// as a short statement.
+    Duration teamAffinity = std::chrono::milliseconds { 80 };
     /// Retry advice while a primary is being replaced; the change takes about so long.
     Duration changeAdvice = std::chrono::milliseconds { 1000 };
     /// Retry advice when all connections are taken.
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -19,7 +19,7 @@
 /// How often the control side does what.
 struct ControlSettings {
     /// Between two reads of who leads; a view must outlive two of them.
-    Duration leadershipInterval = std::chrono::milliseconds { 400 };
+    Duration leadershipInterval = std::chrono::milliseconds { 300 };
     /// While what is known is doubted.
     Duration doubtedInterval = std::chrono::milliseconds { 60 };
     /// Between two looks at the list of upstreams; with a listing that may be some seconds old a leaving upstream is
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -408,16 +408,15 @@
     connection.idleSince = this->now;
     connection.user.reset();
     connection.inTransaction = false;
-    const auto id = connection.id;
     auto& upstream = this->upstreamOf(connection);
     const bool beyondShare = upstream.connections.size() > this->shareOf(upstream);
     const bool mustShrink = beyondShare && this->now < upstream.keepToShareUntil;
     const bool unusable = !upstream.listed || upstream.entry.draining;
     const auto service = connection.service;
-    if (mustShrink || unusable) {
-        if (auto* still = this->findConnection(id))
-            this->close(*still);
-    }
+    if (mustShrink || unusable)
+        this->close(connection);
+    else
+        this->serveOwnTeam(connection);
     this->pump(this->group(service));
 }
 
@@ -460,6 +459,9 @@
         const auto taken = toMilliseconds(this->now - connection.sentAt);
         upstream.readMilliseconds += newestWeight * (taken - upstream.readMilliseconds);
     }
+    // Only a statement that named a position shows that the replica has caught up.
+    if (!connection.sent.empty() && connection.sent.front() != StepKind::Setup && !reply.failure)
+        upstream.laggingTimes = 0;
     if (!reply.progress)
         return;
     upstream.known = std::max(upstream.known, *reply.progress);
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -53,6 +53,30 @@
     }
 }
 
+void SessionEngine::State::serveOwnTeam(PooledConnection& connection)
+{
+    auto& group = this->group(connection.service);
+    const auto& upstream = this->upstreamOf(connection);
+    const CallerSession* first = nullptr;
+    CallerSession* own = nullptr;
+    for (const auto id : group.waiting) {
+        auto* session = this->findCaller(id);
+        if (session == nullptr || !session->work || session->work->connection
+            || !this->canServe(group, upstream, *session))
+            continue;
+        if (first == nullptr)
+            first = session;
+        if (own == nullptr && session->team == connection.team)
+            own = session;
+    }
+    if (own == nullptr || first->route.priority < own->route.priority)
+        return;
+    if (own->work->arrivedAt > first->work->arrivedAt + this->options.settings.teamAffinity)
+        return;
+    std::erase(group.waiting, own->id);
+    this->serveOn(connection, *own);
+}
+
 bool SessionEngine::State::assign(GroupState& group, CallerSession& session)
 {
     UpstreamState* best = nullptr;
@@ -144,7 +168,7 @@
 {
     const auto share = this->shareOf(upstream);
     const bool borrows = this->now >= upstream.keepToShareUntil;
-    if (upstream.connections.size() < (borrows ? 2 * share : share))
+    if (upstream.connections.size() < share + (borrows ? this->options.settings.borrowed : 0))
         return true;
     return std::any_of(upstream.connections.begin(), upstream.connections.end(), [this](ConnectionId id) {
         const auto* connection = this->findConnection(id);
@@ -169,7 +193,7 @@
 {
     const auto share = this->shareOf(upstream);
     const bool borrows = this->now >= upstream.keepToShareUntil;
-    if (upstream.connections.size() >= (borrows ? 2 * share : share)) {
+    if (upstream.connections.size() >= share + (borrows ? this->options.settings.borrowed : 0)) {
         PooledConnection* oldest = nullptr;
         for (const auto id : upstream.connections) {
             auto* candidate = this->findConnection(id);
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -48,6 +48,7 @@
     void enqueue(CallerSession& session);
     void pump(GroupState& group);
     void runPinned(CallerSession& session);
+    void serveOwnTeam(PooledConnection& connection);
     void refuseOverdue(GroupState& group);
 
     // engine_connections
