Read the configuration anew when no sibling has confirmed it

The one VM that reads the store for all was itself turned away by it; the others went on to ask it and took its old configuration for the newest.

Change: a sibling tells with everything how long ago it was known to be current; what nobody has confirmed for 1.4 s is read from the store. Upstreams are shared too, for a VM that the store turns away.

--- a/include/cyclamendrift/platform/store.h
+++ b/include/cyclamendrift/platform/store.h
@@ -24,7 +24,8 @@
 /// A lease of the store; keys written under it vanish when it lapses.
 enum class LeaseId : std::uint64_t { None = 0 };
 
-/// One change to the store; `value` is empty when the key was deleted.
+/// One change to the store; `value` is empty when the key was deleted. An empty key tells that nothing under the prefix
+/// has changed up to `revision`; not every store tells so.
 struct StoreChange {
     std::string key;
     std::optional<std::string> value;
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -27,6 +27,9 @@
     Duration directoryInterval = std::chrono::milliseconds { 1000 };
     /// Entries of live upstreams lapse while the store is away and come back within two seconds of its return.
     Duration missingEntryKept = std::chrono::milliseconds { 2500 };
+    /// A configuration that nobody has confirmed for so long is read from the store again; operators are promised three
+    /// seconds.
+    Duration configurationUnconfirmed = std::chrono::milliseconds { 1400 };
     /// Between two reads of the list of VMs.
     Duration vmListInterval = std::chrono::milliseconds { 1500 };
     /// Time to live of this VM's lease, and the pause between renewals; two may fail before it lapses.
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -37,8 +37,10 @@
 asio::awaitable<bool> SessionControl::State::readConfiguration()
 {
     const auto key = this->options.format.configurationKey();
+    const auto askedAt = bootNow();
     try {
         const auto entry = co_await this->options.store.get(key);
+        this->configurationConfirmedAt = askedAt;
         ++this->storeCalls["configuration"];
         this->configurationSource.succeeded();
         if (entry)
@@ -54,6 +56,7 @@
 asio::awaitable<void> SessionControl::State::watchConfiguration()
 {
     const auto onChange = [this](const StoreChange& change) {
+        this->configurationConfirmedAt = bootNow();
         if (change.value)
             this->takeConfiguration(*change.value, change.revision);
     };
@@ -73,7 +76,9 @@
     const auto& settings = self->options.settings;
     while (!self->stopped) {
         bool current = false;
-        if (self->isReader() || self->configurationWanted || !self->routes)
+        // A sibling that reads the store may have lost it itself; what nobody has confirmed lately is read here.
+        const bool unconfirmed = bootNow() >= self->configurationConfirmedAt + settings.configurationUnconfirmed;
+        if (self->isReader() || self->configurationWanted || unconfirmed)
             current = co_await self->readConfiguration();
         if (current && self->isReader())
             co_await self->watchConfiguration();
@@ -92,6 +97,7 @@
             const auto listing = co_await self->options.store.listing(self->options.format.upstreamPrefix(), freshness);
             ++self->storeCalls["directory"];
             self->directorySource.succeeded();
+            self->directoryConfirmedAt = bootNow();
             self->takeDirectory(listing);
         } catch (const StoreError& error) {
             pause = self->directorySource.failed(error.what());
@@ -103,9 +109,9 @@
 void SessionControl::State::takeDirectory(const StoreListing& listing)
 {
     // A listing that may lag can be older than the one before.
-    if (this->directoryRead && listing.revision < this->directoryRevision)
+    if (this->directoryRead && listing.revision < this->directoryListing.revision)
         return;
-    this->directoryRevision = listing.revision;
+    this->directoryListing = listing;
     const auto now = bootNow();
     UpstreamDirectory next;
     std::set<UpstreamName> present;
@@ -153,7 +159,7 @@
     }
     logEvent(LogLevel::Info, "directory_taken",
         { { "upstreams", std::to_string(this->directory.size()) }, { "leaving", leaving },
-            { "revision", std::to_string(this->directoryRevision) } });
+            { "revision", std::to_string(this->directoryListing.revision) } });
     for (const auto& [service, members] : groups) {
         if (!this->coordinators.contains(service)) {
             this->coordinators.emplace(
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -12,7 +12,19 @@
 
 namespace {
 
-using Entries = google::protobuf::RepeatedPtrField<wire::StoredEntry>;
+std::uint64_t microsecondsSince(Instant instant)
+{
+    // What was never read is older than anything that is of use.
+    constexpr Duration never = std::chrono::hours { 1 };
+    const auto age = instant == Instant::min() ? never : bootNow() - instant;
+    const auto count = std::chrono::ceil<std::chrono::microseconds>(age).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(count, 0));
+}
+
+Duration ageOf(const wire::StoredListing& message)
+{
+    return std::chrono::microseconds { static_cast<std::int64_t>(message.age_us()) };
+}
 
 void write(const StoreEntry& entry, wire::StoredEntry& message)
 {
@@ -21,11 +33,22 @@
     message.set_revision(entry.revision);
 }
 
-StoreListing listingFrom(const Entries& entries, std::uint64_t revision)
+/// Writes a listing; its entries only when they are wanted.
+void write(const StoreListing& listing, Instant confirmedAt, bool withEntries, wire::StoredListing& message)
+{
+    message.set_age_us(microsecondsSince(confirmedAt));
+    message.set_revision(listing.revision);
+    if (!withEntries)
+        return;
+    for (const auto& entry : listing.entries)
+        write(entry, *message.add_entries());
+}
+
+StoreListing listingFrom(const wire::StoredListing& message)
 {
     StoreListing listing;
-    listing.revision = revision;
-    for (const auto& entry : entries)
+    listing.revision = message.revision();
+    for (const auto& entry : message.entries())
         listing.entries.push_back({ .key = entry.key(), .value = entry.value(), .revision = entry.revision() });
     return listing;
 }
@@ -70,7 +93,9 @@
     wire::ReadingsRequest request;
     request.set_configuration_revision(this->configurationRevision);
     request.set_vms_revision(this->vmListing.revision);
+    request.set_directory_revision(this->directoryListing.revision);
     request.set_wants_configuration(this->configurationSource.isLost());
+    request.set_wants_directory(this->directorySource.isLost());
     const auto askedAt = bootNow();
     wire::ReadingsAnswer answer;
     try {
@@ -83,28 +108,33 @@
         this->readerFailedUntil[address.vm] = bootNow() + this->options.settings.readerPause;
         co_return false;
     }
-    const Duration age = std::chrono::microseconds { static_cast<std::int64_t>(answer.leadership_age_us()) };
-    // The reader reckoned the age after this VM had asked, so the reading is no older than this.
-    this->takeReadings(answer, askedAt - age);
-    co_return age < this->options.settings.readingsUsable;
+    this->takeReadings(answer, askedAt);
+    co_return ageOf(answer.leadership()) < this->options.settings.readingsUsable;
 }
 
-void SessionControl::State::takeReadings(const wire::ReadingsAnswer& answer, Instant readAt)
+void SessionControl::State::takeReadings(const wire::ReadingsAnswer& answer, Instant askedAt)
 {
-    if (readAt > this->leadershipAskedAt) {
-        this->leadershipListing = listingFrom(answer.leadership(), answer.leadership_revision());
-        this->leadershipAskedAt = readAt;
-        this->takeLeadership(this->leadershipListing, readAt);
-    }
-    if (answer.vms_revision() == this->vmListing.revision) {
-        this->vmsConfirmedAt = bootNow();
-    } else if (answer.vms_size() > 0 && answer.vms_revision() > this->vmListing.revision) {
-        this->vmsConfirmedAt = bootNow();
-        this->takeVms(listingFrom(answer.vms(), answer.vms_revision()));
+    // The sibling reckoned each age after this VM had asked, so nothing is older than these instants say.
+    const auto leadershipAt = askedAt - ageOf(answer.leadership());
+    if (leadershipAt > this->leadershipAskedAt) {
+        this->leadershipListing = listingFrom(answer.leadership());
+        this->leadershipAskedAt = leadershipAt;
+        this->takeLeadership(this->leadershipListing, leadershipAt);
     }
-    if (answer.has_configuration())
-        this->takeConfiguration(answer.configuration().value(), answer.configuration().revision());
-    this->configurationWanted = answer.configuration_revision() > this->configurationRevision;
+    const auto& vms = answer.vms();
+    if (vms.entries_size() > 0 && vms.revision() > this->vmListing.revision)
+        this->takeVms(listingFrom(vms));
+    if (vms.revision() == this->vmListing.revision)
+        this->vmsConfirmedAt = std::max(this->vmsConfirmedAt, askedAt - ageOf(vms));
+    const auto& configuration = answer.configuration();
+    if (configuration.entries_size() > 0)
+        this->takeConfiguration(configuration.entries(0).value(), configuration.revision());
+    if (configuration.revision() == this->configurationRevision)
+        this->configurationConfirmedAt = std::max(this->configurationConfirmedAt, askedAt - ageOf(configuration));
+    this->configurationWanted = configuration.revision() > this->configurationRevision;
+    const auto& directory = answer.directory();
+    if (directory.entries_size() > 0 && directory.revision() > this->directoryListing.revision)
+        this->takeDirectory(listingFrom(directory));
 }
 
 asio::awaitable<std::string> SessionControl::State::shareReadings(std::shared_ptr<State> self, std::string body)
@@ -116,22 +146,21 @@
             .message = "nothing was read here yet" } };
     }
     wire::ReadingsAnswer answer;
-    const auto age = std::chrono::ceil<std::chrono::microseconds>(bootNow() - self->leadershipAskedAt);
-    answer.set_leadership_age_us(static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0)));
-    answer.set_leadership_revision(self->leadershipListing.revision);
-    for (const auto& entry : self->leadershipListing.entries)
-        write(entry, *answer.add_leadership());
-    answer.set_configuration_revision(self->configurationRevision);
+    write(self->leadershipListing, self->leadershipAskedAt, true, *answer.mutable_leadership());
+    StoreListing configuration;
+    configuration.revision = self->configurationRevision;
+    StoreEntry document;
+    document.value = self->configurationValue;
+    document.revision = self->configurationRevision;
+    configuration.entries.push_back(std::move(document));
     const bool newer = self->configurationRevision > request.configuration_revision();
-    if (newer && request.wants_configuration()) {
-        write({ .key = {}, .value = self->configurationValue, .revision = self->configurationRevision },
-            *answer.mutable_configuration());
-    }
-    answer.set_vms_revision(self->vmListing.revision);
-    if (self->vmListing.revision > request.vms_revision()) {
-        for (const auto& entry : self->vmListing.entries)
-            write(entry, *answer.add_vms());
-    }
+    write(configuration, self->configurationConfirmedAt, newer && request.wants_configuration(),
+        *answer.mutable_configuration());
+    write(self->vmListing, self->vmsConfirmedAt, self->vmListing.revision > request.vms_revision(),
+        *answer.mutable_vms());
+    const bool newerDirectory = self->directoryListing.revision > request.directory_revision();
+    write(self->directoryListing, self->directoryConfirmedAt, newerDirectory && request.wants_directory(),
+        *answer.mutable_directory());
     co_return answer.SerializeAsString();
 }
 
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -101,7 +101,7 @@
     [[nodiscard]] std::size_t readers() const;
     [[nodiscard]] const SiblingInfo* readerToAsk() const;
     [[nodiscard]] asio::awaitable<bool> askReader();
-    void takeReadings(const wire::ReadingsAnswer& answer, Instant readAt);
+    void takeReadings(const wire::ReadingsAnswer& answer, Instant askedAt);
 
     // control_leadership
     /// Returns how long to wait before the next try, when it failed.
@@ -132,7 +132,6 @@
     std::unique_ptr<TimerService::Subscription> ticks;
     std::unique_ptr<TimerService::Subscription> reports;
     std::uint64_t configurationRevision = 0;
-    std::uint64_t directoryRevision = 0;
     std::map<UpstreamName, Instant> missingSince;
     std::map<std::string, std::string> unreadable;
     FleetPlace place;
@@ -146,8 +145,12 @@
     StoreListing leadershipListing;
     Instant leadershipAskedAt = Instant::min();
     StoreListing vmListing;
+    StoreListing directoryListing;
     std::string configurationValue;
+    /// When these were known to be current.
     Instant vmsConfirmedAt = Instant::min();
+    Instant configurationConfirmedAt = Instant::min();
+    Instant directoryConfirmedAt = Instant::min();
     /// A sibling has a newer configuration than this VM.
     bool configurationWanted = false;
     /// Ends the watch of the configuration.
