Let records outlive short faults of the store, and wait for full upstreams

Change: the record has a lease of 12 s of its own, the duty keeps 1.8 s; a restarted VM goes on from its record; callers come in once routes, upstreams and leaders are known; an upstream without a free connection is waited for and does not count as a try; without a list a VM opens one connection to each upstream.

--- a/include/cyclamendrift/limits/demand_shares.h
+++ b/include/cyclamendrift/limits/demand_shares.h
@@ -24,9 +24,9 @@
 public:
     /// A part that grows does so only after this time: VMs read the list at different moments, and one that still
     /// holds its larger, older part must have read the new list before another uses what it gave up.
-    static constexpr Duration growthDelay = std::chrono::milliseconds { 2000 };
+    static constexpr Duration growthDelay = std::chrono::milliseconds { 1300 };
 
-    /// Takes the list in; a VM that is not on it keeps a small part of every limit.
+    /// Takes the list in; a VM that is not on it yet counts as one more that nobody asks.
     void update(const std::map<TeamName, TeamLimit>& limits, const VmName& self,
         const std::map<VmName, DemandByTeam>& listed, Instant now);
 
@@ -48,6 +48,9 @@
     /// Takes in what was asked since the last call.
     void note(const std::map<TeamName, std::uint64_t>& asked, Instant now);
 
+    /// Goes on from what an earlier process of this VM had measured.
+    void begin(const DemandByTeam& measured) { this->perSecond = measured; }
+
     [[nodiscard]] const DemandByTeam& rates() const noexcept { return this->perSecond; }
 
     /// True when what was told last differs enough that others should know.
--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -19,6 +19,8 @@
     Duration downPauseAtMost = std::chrono::milliseconds { 1000 };
     /// Pause after an upstream said that it is full; about the time in which one of its slots comes free.
     Duration busyPause = std::chrono::milliseconds { 10 };
+    /// Pause of one piece of work after an upstream had no connection left; others close borrowed ones meanwhile.
+    Duration fullPause = std::chrono::milliseconds { 40 };
     /// Pause after a replica said that it lags; doubles up to the second figure while it goes on.
     Duration laggingPause = std::chrono::milliseconds { 40 };
     Duration laggingPauseAtMost = std::chrono::milliseconds { 640 };
--- a/include/cyclamendrift/pooling/session_engine.h
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -34,7 +34,8 @@
 
 /// This VM among those that share the connections of upstreams.
 struct FleetPlace {
-    std::size_t vms = 1;
+    /// 0 while nothing is known of the others; one connection to each upstream is all that is safe then.
+    std::size_t vms = 0;
     std::size_t rank = 0;
 };
 
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -30,11 +30,17 @@
     /// A configuration that nobody has confirmed for so long is read from the store again; operators are promised three
     /// seconds.
     Duration configurationUnconfirmed = std::chrono::milliseconds { 1400 };
-    /// Between two reads of the list of VMs.
-    Duration vmListInterval = std::chrono::milliseconds { 1500 };
-    /// Time to live of this VM's lease, and the pause between renewals; two may fail before it lapses.
+    /// Between two reads of the list of VMs; it bounds for how long two VMs may use the same part of a limit.
+    Duration vmListInterval = std::chrono::milliseconds { 800 };
+    /// Time to live of the lease under which duties are held, and the pause between renewals; two may fail before it
+    /// lapses. It is how long a dead holder's duty stays taken.
     Duration leaseTime = std::chrono::milliseconds { 1800 };
     Duration leaseRenewal = std::chrono::milliseconds { 500 };
+    /// Time to live of the lease of this VM's record, and the pause between renewals. A VM that the store turns away
+    /// goes on serving: were it taken off the list at once, the others would use its connections and its part of
+    /// limits a second time. Store faults last up to some ten seconds.
+    Duration recordTime = std::chrono::seconds { 12 };
+    Duration recordRenewal = std::chrono::seconds { 3 };
     /// How soon this VM stops to trust its lease, before the store would drop it.
     Duration leaseMargin = std::chrono::milliseconds { 150 };
     /// First and longest pause after the store failed.
@@ -76,8 +82,8 @@
     SessionControl(const SessionControl&) = delete;
     SessionControl& operator=(const SessionControl&) = delete;
 
-    /// Begins its work.
-    void start();
+    /// Begins its work; `ready` is called once callers can be served.
+    void start(std::function<void()> ready);
     /// Gives up duties and the lease, then calls `done`; for a planned stop.
     void leave(std::function<void()> done);
     /// Ends its work at once.
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -49,6 +49,8 @@
     SessionTraffic& operator=(const SessionTraffic&) = delete;
 
     void start();
+    /// Begins to take callers.
+    void listen();
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     void setDirectory(UpstreamDirectory directory);
     void setLeader(ServiceName service, LeaderView view);
--- a/src/limits/demand_shares.cpp
+++ b/src/limits/demand_shares.cpp
@@ -11,9 +11,6 @@
 // A VM that a team has not asked yet gets this part of an even share, so that its first callers are let in before the
 // next list shows them. The price is that at most this part of a limit lies idle at VMs that nobody asks.
 constexpr double idlePart = 0.25;
-// For a VM that is not on the list the others have divided everything; what it still lets in comes on top and must
-// stay within the limit's tolerance of a tenth.
-constexpr double unlistedPart = 0.02;
 // Half-life of the measured demand; about the time of a list's round through the store.
 constexpr double meanSeconds = 2.0;
 // Changes of demand below this are not worth a write.
@@ -29,16 +26,15 @@
 double partOf(const TeamName& team, const VmName& self, const std::map<VmName, DemandByTeam>& listed)
 {
     const auto own = listed.find(self);
-    if (own == listed.end())
-        return unlistedPart;
-    const auto vms = static_cast<double>(listed.size());
+    const bool isListed = own != listed.end();
+    const auto vms = static_cast<double>(listed.size() + (isListed ? 0 : 1));
     double total = 0;
     for (const auto& [vm, demand] : listed)
         total += valueAt(demand, team);
     if (total <= 0)
         return 1 / vms;
     const double floor = idlePart * total / vms;
-    return (valueAt(own->second, team) + floor) / (total + floor * vms);
+    return ((isListed ? valueAt(own->second, team) : 0) + floor) / (total + floor * vms);
 }
 
 } // namespace
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -57,7 +57,7 @@
     const auto name = connection->upstream;
     this->erase(id);
     if (session != nullptr)
-        this->retry(*session, name, this->options.settings.busyPause, error);
+        this->retry(*session, name, this->options.settings.fullPause, error);
 }
 
 void SessionEngine::State::lost(ConnectionId id)
@@ -137,7 +137,10 @@
 {
     auto& work = *session.work;
     work.connection.reset();
-    ++work.attempts;
+    // An upstream without a free connection has not looked at the statement; the work waits on like work that this VM
+    // has no connection for.
+    if (reason != StatementError::TooManyConnections)
+        ++work.attempts;
     ++this->counters.retried;
     if (!avoided.empty())
         work.avoided[avoided] = this->now + pause;
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -183,7 +183,9 @@
     const std::size_t all = cap == this->routes->connectionCaps.end() ? 1 : cap->second;
     // One connection stays free for asking after the upstream's status.
     const auto usable = all > 1 ? all - 1 : all;
-    const auto vms = std::max<std::size_t>(this->place.vms, 1);
+    if (this->place.vms == 0)
+        return 1;
+    const auto vms = this->place.vms;
     // What does not divide evenly goes to other VMs at each upstream.
     const auto turn = std::hash<std::string_view> {}(upstream.entry.name.view());
     const bool extra = (this->place.rank + turn) % vms < usable % vms;
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -92,6 +92,8 @@
 
 void SessionControl::State::tick()
 {
+    if (this->whenReady && this->isReady())
+        std::exchange(this->whenReady, nullptr)();
     const auto now = bootNow();
     std::size_t index = 0;
     for (auto& [service, coordinator] : this->coordinators) {
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -43,8 +43,6 @@
             ++self->storeCalls["lease"];
             self->leaseUntil = askedAt + settings.leaseTime - settings.leaseMargin;
             self->leaseSource.succeeded();
-            co_await self->tellOwnRecord();
-            co_await self->learnSecret();
         } catch (const StoreError& error) {
             if (error.kind() == StoreError::Kind::LeaseGone) {
                 logEvent(LogLevel::Warn, "lease_lapsed");
@@ -59,25 +57,63 @@
     }
 }
 
+asio::awaitable<void> SessionControl::State::keepRecord(std::shared_ptr<State> self)
+{
+    const auto& settings = self->options.settings;
+    Instant renewAt = Instant::min();
+    while (!self->stopped) {
+        auto pause = settings.leaseRenewal;
+        try {
+            if (!self->recordLease) {
+                self->recordLease = co_await self->options.store.grantLease(settings.recordTime);
+                renewAt = bootNow() + settings.recordRenewal;
+            } else if (bootNow() >= renewAt) {
+                co_await self->options.store.keepAlive(*self->recordLease);
+                renewAt = bootNow() + settings.recordRenewal;
+            }
+            co_await self->tellOwnRecord();
+            co_await self->learnSecret();
+            self->recordSource.succeeded();
+        } catch (const StoreError& error) {
+            pause = self->recordSource.failed(error.what());
+            if (error.kind() == StoreError::Kind::LeaseGone) {
+                self->recordLease.reset();
+                pause = settings.firstBackoff;
+            }
+        }
+        co_await self->sleep(pause);
+    }
+}
+
 asio::awaitable<void> SessionControl::State::tellOwnRecord()
 {
-    const bool known = this->recordLease == this->lease;
-    if (known && !DemandMeter::differs(this->toldDemand, this->demand.rates()))
+    // The list is read first: it may hold what an earlier process of this VM had measured.
+    if (this->vmListing.revision == 0)
+        co_return;
+    const bool told = this->toldUnder == this->recordLease;
+    if (told && !DemandMeter::differs(this->toldDemand, this->demand.rates()))
         co_return;
-    const auto told = this->demand.rates();
+    const auto rates = this->demand.rates();
+    co_await this->writeOwnRecord(rates);
+    // The first try may meet the record of an earlier process, or a write of this one whose answer was lost.
+    if (this->toldUnder != this->recordLease)
+        co_await this->writeOwnRecord(rates);
+}
+
+asio::awaitable<void> SessionControl::State::writeOwnRecord(const DemandByTeam& rates)
+{
     wire::VmRecord record;
     record.set_name(this->options.vm.string());
     record.set_availability_zone(this->options.zone.string());
     record.set_sibling_host(this->options.siblingHost);
     record.set_sibling_port(this->options.siblingPort);
-    for (const auto& [team, rate] : told) {
+    for (const auto& [team, rate] : rates) {
         auto& entry = *record.add_demand();
         entry.set_team(team.string());
         entry.set_operations_per_second(rate);
     }
-    const auto key = store_key::vmPrefix + this->options.vm.string();
-    const auto lease = *this->lease;
-    SwapOptions swap { .key = key,
+    const auto lease = *this->recordLease;
+    SwapOptions swap { .key = store_key::vmPrefix + this->options.vm.string(),
         .expectedRevision = this->ownRecordRevision,
         .value = record.SerializeAsString(),
         .lease = lease };
@@ -85,11 +121,10 @@
     ++this->storeCalls["vm_record"];
     if (const auto* swapped = std::get_if<Swapped>(&outcome)) {
         this->ownRecordRevision = swapped->revision;
-        this->recordLease = lease;
-        this->toldDemand = told;
+        this->toldUnder = lease;
+        this->toldDemand = rates;
         co_return;
     }
-    // The record of an earlier process of this VM, or a write of this one whose answer was lost: next time.
     const auto& current = std::get<SwapConflict>(outcome).current;
     this->ownRecordRevision = current ? current->revision : 0;
 }
@@ -162,6 +197,8 @@
     this->siblings = std::move(next);
     const auto own = this->siblings.find(this->options.vm);
     const bool listed = own != this->siblings.end();
+    if (listed && !this->toldUnder)
+        this->demand.begin(own->second.demand);
     this->place.rank
         = listed ? static_cast<std::size_t>(std::distance(this->siblings.begin(), own)) : this->siblings.size();
     this->place.vms = this->siblings.size() + (listed ? 0 : 1);
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -57,9 +57,11 @@
 
 bool SessionControl::State::isReader() const
 {
-    const auto own = this->siblings.find(this->options.vm);
-    if (!this->siblingsOpen || own == this->siblings.end())
+    if (!this->siblingsOpen || this->siblings.empty())
         return true;
+    const auto own = this->siblings.find(this->options.vm);
+    if (own == this->siblings.end())
+        return false;
     const auto rank = static_cast<std::size_t>(std::distance(this->siblings.begin(), own));
     return rank < this->readers();
 }
@@ -73,12 +75,12 @@
 {
     const auto now = bootNow();
     std::vector<const SiblingInfo*> usable;
-    auto sibling = this->siblings.begin();
-    for (std::size_t rank = 0; rank < this->readers() && sibling != this->siblings.end(); ++rank, ++sibling) {
-        const auto failed = this->readerFailedUntil.find(sibling->first);
+    // In the place of readers that failed come the next ones: they read the store as well when no reader answers them.
+    for (const auto& [vm, sibling] : this->siblings) {
+        const auto failed = this->readerFailedUntil.find(vm);
         const bool paused = failed != this->readerFailedUntil.end() && now < failed->second;
-        if (sibling->first != this->options.vm && !paused)
-            usable.push_back(&sibling->second);
+        if (vm != this->options.vm && !paused && usable.size() < this->readers())
+            usable.push_back(&sibling);
     }
     // The VMs spread over the readers.
     return usable.empty() ? nullptr : usable[this->place.rank % usable.size()];
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -8,6 +8,7 @@
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -52,8 +53,9 @@
 public:
     explicit State(Options options);
 
-    void start();
+    void start(std::function<void()> ready);
     void stop();
+    [[nodiscard]] bool isReady() const;
     [[nodiscard]] asio::awaitable<void> leave();
     [[nodiscard]] static asio::awaitable<std::string> shareReadings(std::shared_ptr<State> self, std::string request);
 
@@ -69,7 +71,9 @@
     std::map<ServiceName, LeaderCoordinator> coordinators;
     bool leadershipRead = false;
     // Membership and limits.
+    /// The lease of duties, and the longer one of this VM's record.
     std::optional<LeaseId> lease;
+    std::optional<LeaseId> recordLease;
     Instant leaseUntil = Instant::min();
     DemandShares shares;
     DemandMeter demand;
@@ -123,6 +127,8 @@
 
     // control_membership
     [[nodiscard]] static asio::awaitable<void> keepLease(std::shared_ptr<State> self);
+    [[nodiscard]] static asio::awaitable<void> keepRecord(std::shared_ptr<State> self);
+    [[nodiscard]] asio::awaitable<void> writeOwnRecord(const DemandByTeam& told);
     [[nodiscard]] static asio::awaitable<void> followVms(std::shared_ptr<State> self);
     [[nodiscard]] asio::awaitable<void> tellOwnRecord();
     [[nodiscard]] asio::awaitable<void> learnSecret();
@@ -140,6 +146,7 @@
     Dependency leadershipSource;
     Dependency leaseSource;
     Dependency vmSource;
+    Dependency recordSource;
     bool siblingsOpen = false;
     /// What was read from the store, here or by a sibling, for siblings that ask.
     StoreListing leadershipListing;
@@ -157,7 +164,8 @@
     asio::cancellation_signal configurationWatch;
     std::map<VmName, Instant> readerFailedUntil;
     std::uint64_t ownRecordRevision = 0;
-    std::optional<LeaseId> recordLease;
+    std::optional<LeaseId> toldUnder;
+    std::function<void()> whenReady;
 };
 
 } // namespace cyclamendrift
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -52,6 +52,7 @@
     , leadershipSource("leadership", options.settings)
     , leaseSource("lease", options.settings)
     , vmSource("vms", options.settings)
+    , recordSource("record", options.settings)
 {
 }
 
@@ -64,13 +65,15 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-void SessionControl::State::start()
+void SessionControl::State::start(std::function<void()> ready)
 {
     const auto self = this->shared_from_this();
+    this->whenReady = std::move(ready);
     this->spawn(followConfiguration(self));
     this->spawn(followDirectory(self));
     this->spawn(followLeadership(self));
     this->spawn(keepLease(self));
+    this->spawn(keepRecord(self));
     this->spawn(followVms(self));
     const std::weak_ptr<State> weak = self;
     this->ticks = this->timers.every(this->options.settings.tickInterval, [weak](Instant) {
@@ -91,6 +94,8 @@
     });
 }
 
+bool SessionControl::State::isReady() const { return this->routes && this->directoryRead && this->leadershipRead; }
+
 void SessionControl::State::stop()
 {
     this->stopped = true;
@@ -100,15 +105,17 @@
 
 asio::awaitable<void> SessionControl::State::leave()
 {
-    const auto lease = std::exchange(this->lease, std::nullopt);
+    const auto held = { std::exchange(this->lease, std::nullopt), std::exchange(this->recordLease, std::nullopt) };
     this->leaseUntil = Instant::min();
     this->stop();
-    if (!lease)
-        co_return;
-    try {
-        co_await this->options.store.revokeLease(*lease);
-    } catch (const StoreError& error) {
-        logEvent(LogLevel::Warn, "lease_not_ended", { { "reason", error.what() } });
+    for (const auto& one : held) {
+        if (!one)
+            continue;
+        try {
+            co_await this->options.store.revokeLease(*one);
+        } catch (const StoreError& error) {
+            logEvent(LogLevel::Warn, "lease_not_ended", { { "reason", error.what() } });
+        }
     }
 }
 
@@ -119,7 +126,7 @@
 
 SessionControl::~SessionControl() = default;
 
-void SessionControl::start() { this->state->start(); }
+void SessionControl::start(std::function<void()> ready) { this->state->start(std::move(ready)); }
 
 void SessionControl::stop() { this->state->stop(); }
 
@@ -141,11 +148,7 @@
     co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
 }
 
-bool SessionControl::isReady() const
-{
-    const auto& own = *this->state;
-    return own.routes && own.directoryRead && own.leadershipRead;
-}
+bool SessionControl::isReady() const { return this->state->isReady(); }
 
 std::string SessionControl::metricsText() const
 {
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -65,7 +65,11 @@
     {
         this->waitForSignal();
         this->traffic.start();
-        this->control.start();
+        // A caller that came before the routes are known would be told that its database does not exist.
+        this->control.start([this] {
+            logEvent(LogLevel::Info, "ready");
+            this->traffic.listen();
+        });
         std::thread trafficThread { [this] { this->trafficContext.run(); } };
         this->controlContext.run();
         this->trafficContext.stop();
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -89,10 +89,14 @@
 void SessionTraffic::start()
 {
     this->state->options.upstreams.use(*this);
-    this->state->options.callers.listen(*this);
     this->state->ticks = this->state->timers.every(tickInterval, [this](Instant) { this->tick(); });
 }
 
+void SessionTraffic::listen()
+{
+    asio::post(this->state->options.context, [this] { this->state->options.callers.listen(*this); });
+}
+
 void SessionTraffic::tick()
 {
     const auto now = bootNow();
--- a/tests/pooling/pool_world.cpp
+++ b/tests/pooling/pool_world.cpp
@@ -72,6 +72,7 @@
     this->routes->limits = options.limits;
     this->routes->connectionCaps[service] = options.connectionCap;
     this->engine.setRoutes(std::make_shared<RouteTable>(*this->routes), this->now);
+    this->engine.setPlace({ .vms = 1, .rank = 0 }, this->now);
     this->publishDirectory();
     this->lead("primary", 1);
 }
