End a stopped process at once, count callers from their connection on, and test whole proxies over sockets

Change: callers count from their connection on, and get 300 ms to begin; the process ends without static destructors once its work is done. Readiness waits for the first leaders. Tests run whole proxies against stand-ins that speak the platform's protocols on loopback: statements, stop, failover, withdrawn keys, a store that refuses.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -93,7 +93,7 @@
     [[nodiscard]] std::vector<LeadershipAction> tick(Instant now);
 
     /// Whom to send writes to, and until when.
-    [[nodiscard]] LeaderView view(Instant now) const;
+    [[nodiscard]] LeaderView view() const;
 
     /// The store should be read soon: what it says is doubted.
     [[nodiscard]] bool wantsSnapshot() const noexcept { return this->doubted; }
--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -50,6 +50,8 @@
     Duration askPause = std::chrono::milliseconds { 60 };
     /// Tries of one statement that was not run, the first included.
     std::size_t attempts = 6;
+    /// While this VM stops, a caller that has connected but not begun its session gets this much time for it.
+    Duration startPatience = std::chrono::milliseconds { 300 };
     /// Statements that a caller may have sent ahead of their answers.
     std::size_t pipelined = 64;
 };
--- a/include/cyclamendrift/pooling/session_engine.h
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -71,6 +71,7 @@
     SessionEngine& operator=(const SessionEngine&) = delete;
 
     // What callers do.
+    void callerConnected(CallerId caller, Instant now);
     void callerStarted(CallerId caller, const SessionStart& start, Instant now);
     void callerAsked(CallerId caller, CallerQuery query, Instant now);
     void callerLeft(CallerId caller, Instant now);
--- a/include/cyclamendrift/session_proxy/ports.h
+++ b/include/cyclamendrift/session_proxy/ports.h
@@ -22,6 +22,7 @@
 class CallerEvents {
 public:
     virtual ~CallerEvents() = default;
+    virtual void connected(CallerId caller) = 0;
     virtual void started(CallerId caller, SessionStart start) = 0;
     virtual void asked(CallerId caller, CallerQuery query) = 0;
     virtual void left(CallerId caller) = 0;
--- a/include/cyclamendrift/session_proxy/session_daemon.h
+++ b/include/cyclamendrift/session_proxy/session_daemon.h
@@ -30,6 +30,27 @@
     std::function<SessionPorts(asio::io_context& traffic, asio::io_context& control, const SessionSettings&)> makePorts;
 };
 
+/// A session proxy with its two threads.
+class SessionDaemon {
+public:
+    /// Binds its ports; throws Error when one can't be had.
+    explicit SessionDaemon(SessionDaemonOptions options);
+    ~SessionDaemon();
+    SessionDaemon(const SessionDaemon&) = delete;
+    SessionDaemon& operator=(const SessionDaemon&) = delete;
+
+    /// Serves until drain() has ended, or stop() is called.
+    [[nodiscard]] DaemonExit run();
+    /// Begins a graceful shutdown; a second call ends it at once. May be called from any thread.
+    void drain();
+    /// Reads the settings again. May be called from any thread.
+    void reload();
+
+private:
+    struct State;
+    std::unique_ptr<State> state;
+};
+
 /// Runs a session proxy until SIGTERM or SIGINT, which drain it; a second one ends it at once. SIGHUP reads the
 /// settings again.
 [[nodiscard]] DaemonExit runSessionDaemon(SessionDaemonOptions options);
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -72,6 +72,7 @@
         Instant endAt;
     };
 
+    void connected(CallerId caller) override;
     void started(CallerId caller, SessionStart start) override;
     void asked(CallerId caller, CallerQuery query) override;
     void left(CallerId caller) override;
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -146,7 +146,7 @@
     }
 }
 
-LeaderView LeaderCoordinator::view(Instant /*now*/) const
+LeaderView LeaderCoordinator::view() const
 {
     LeaderView view;
     if (!this->readOnce || !this->known.record)
@@ -180,7 +180,7 @@
 
 void LeaderCoordinator::publishIfChanged(Instant now)
 {
-    const auto next = this->view(now);
+    const auto next = this->view();
     const bool changed = next.phase != this->published.phase || next.primary != this->published.primary
         || next.term != this->published.term;
     const bool renewed = next.validUntil > this->published.validUntil && now >= this->lastPublished + publishInterval;
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -335,6 +335,9 @@
 {
     if (!this->closeIdleFrom || this->now < *this->closeIdleFrom || !session.isIdle())
         return false;
+    // A caller that has just connected is about to ask; it would take the end of its session for a failure.
+    if (!session.started && this->now < session.lastActive + this->options.settings.startPatience)
+        return false;
     this->endCaller(session.id, std::nullopt);
     return true;
 }
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -41,6 +41,14 @@
     this->actions.emplace_back(LogDecision { .event = std::string { event }, .fields = std::move(fields) });
 }
 
+void SessionEngine::callerConnected(CallerId caller, Instant now)
+{
+    this->state->now = now;
+    auto& session = this->state->callers[static_cast<std::uint64_t>(caller)];
+    session.id = caller;
+    session.lastActive = now;
+}
+
 void SessionEngine::callerStarted(CallerId caller, const SessionStart& start, Instant now)
 {
     this->state->now = now;
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -166,6 +166,7 @@
     std::uint64_t ownRecordRevision = 0;
     std::optional<LeaseId> toldUnder;
     std::function<void()> whenReady;
+    Instant startedAt = Instant::min();
 };
 
 } // namespace cyclamendrift
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -19,6 +19,8 @@
 
 // How often the control side looks at what traffic saw; a failing primary is noticed this much later.
 constexpr Duration reportInterval = std::chrono::milliseconds { 100 };
+// Two rounds of duty, status and record, which take half a second each on a new system.
+constexpr Duration leaderPatience = std::chrono::seconds { 3 };
 
 } // namespace
 
@@ -69,6 +71,7 @@
 {
     const auto self = this->shared_from_this();
     this->whenReady = std::move(ready);
+    this->startedAt = bootNow();
     this->spawn(followConfiguration(self));
     this->spawn(followDirectory(self));
     this->spawn(followLeadership(self));
@@ -94,7 +97,17 @@
     });
 }
 
-bool SessionControl::State::isReady() const { return this->routes && this->directoryRead && this->leadershipRead; }
+bool SessionControl::State::isReady() const
+{
+    if (!this->routes || !this->directoryRead || !this->leadershipRead)
+        return false;
+    // When the whole system starts for the first time nobody leads yet for a moment. A group that goes on without a
+    // primary must not keep the others from being served.
+    const bool patient = bootNow() < this->startedAt + leaderPatience;
+    return !patient || std::all_of(this->coordinators.begin(), this->coordinators.end(), [](const auto& item) {
+        return item.second.view().phase != LeaderView::Phase::Unknown;
+    });
+}
 
 void SessionControl::State::stop()
 {
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -28,10 +28,10 @@
 
 using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
 
-/// One running session proxy with its two threads.
-class SessionDaemon {
-public:
-    explicit SessionDaemon(SessionDaemonOptions given)
+} // namespace
+
+struct SessionDaemon::State {
+    explicit State(SessionDaemonOptions given)
         : options(std::move(given))
         , trafficGuard(trafficContext.get_executor())
         , controlGuard(controlContext.get_executor())
@@ -55,7 +55,6 @@
               .leadership = *ports.leadership,
               .format = *ports.format,
               .traffic = traffic })
-        , signals(controlContext, SIGTERM, SIGINT, SIGHUP)
         , readiness(controlContext, this->serverOptions(options.settings.readiness))
         , metrics(controlContext, this->serverOptions(options.settings.metrics))
     {
@@ -63,7 +62,6 @@
 
     DaemonExit run()
     {
-        this->waitForSignal();
         this->traffic.start();
         // A caller that came before the routes are known would be told that its database does not exist.
         this->control.start([this] {
@@ -77,18 +75,17 @@
         return this->exit;
     }
 
-private:
     HttpServer::Options serverOptions(const ListenSettings& listen)
     {
         return { .host = listen.address,
             .port = listen.port,
             .maxConnections = 32,
             .handler = [this](HttpRequest request) -> asio::awaitable<HttpResponse> {
-                return SessionDaemon::respond(this, std::move(request));
+                return State::respond(this, std::move(request));
             } };
     }
 
-    static asio::awaitable<HttpResponse> respond(SessionDaemon* self, HttpRequest request)
+    static asio::awaitable<HttpResponse> respond(State* self, HttpRequest request)
     {
         if (request.path == "/metrics")
             co_return HttpResponse { .body = self->control.metricsText() };
@@ -101,19 +98,6 @@
         co_return HttpResponse { .body = "ready\n" };
     }
 
-    void waitForSignal()
-    {
-        this->signals.async_wait([this](const asio::error_code& error, int signal) {
-            if (error)
-                return;
-            if (signal == SIGHUP)
-                this->reload();
-            else
-                this->drain();
-            this->waitForSignal();
-        });
-    }
-
     void reload()
     {
         try {
@@ -162,7 +146,6 @@
     SessionPorts ports;
     SessionTraffic traffic;
     SessionControl control;
-    asio::signal_set signals;
     HttpServer readiness;
     HttpServer metrics;
     asio::steady_timer leaveTimer { controlContext };
@@ -170,6 +153,65 @@
     DaemonExit exit = DaemonExit::Graceful;
 };
 
+SessionDaemon::SessionDaemon(SessionDaemonOptions options)
+    : state(std::make_unique<State>(std::move(options)))
+{
+}
+
+SessionDaemon::~SessionDaemon() = default;
+
+DaemonExit SessionDaemon::run() { return this->state->run(); }
+
+void SessionDaemon::drain()
+{
+    asio::post(this->state->controlContext, [this] { this->state->drain(); });
+}
+
+void SessionDaemon::reload()
+{
+    asio::post(this->state->controlContext, [this] { this->state->reload(); });
+}
+
+namespace {
+
+/// Hands signals on, on a thread of its own that outlives both contexts of the daemon.
+class SignalThread {
+public:
+    explicit SignalThread(SessionDaemon& daemon)
+        : daemon(daemon)
+        , signals(context, SIGTERM, SIGINT, SIGHUP)
+    {
+        this->wait();
+        this->thread = std::thread { [this] { this->context.run(); } };
+    }
+    ~SignalThread()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+    SignalThread(const SignalThread&) = delete;
+    SignalThread& operator=(const SignalThread&) = delete;
+
+private:
+    void wait()
+    {
+        this->signals.async_wait([this](const asio::error_code& error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                this->daemon.reload();
+            else
+                this->daemon.drain();
+            this->wait();
+        });
+    }
+
+    SessionDaemon& daemon;
+    asio::io_context context { 1 };
+    asio::signal_set signals;
+    std::thread thread;
+};
+
 } // namespace
 
 DaemonExit runSessionDaemon(SessionDaemonOptions options)
@@ -180,6 +222,7 @@
     try {
         const auto vm = options.settings.vm;
         SessionDaemon daemon { std::move(options) };
+        const SignalThread signals { daemon };
         logEvent(LogLevel::Info, "started",
             { { "vm", vm.name.string() }, { "availability_zone", vm.zone.string() } });
         return daemon.run();
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -144,6 +144,8 @@
     this->state->performing = false;
 }
 
+void SessionTraffic::connected(CallerId caller) { this->state->engine.callerConnected(caller, bootNow()); }
+
 void SessionTraffic::started(CallerId caller, SessionStart start)
 {
     this->state->engine.callerStarted(caller, start, bootNow());
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -10,6 +10,8 @@
 #include <log4cplus/nullappender.h>
 
 #include <algorithm>
+#include <cstdlib>
+#include <iostream>
 #include <memory>
 
 namespace cyclamendrift {
@@ -98,6 +100,13 @@
         logger.log(convert(level), formatEvent(event, fields), nullptr, 0);
 }
 
+void endProcess(int exitCode)
+{
+    // Every line is flushed as it is written.
+    std::cout.flush();
+    std::_Exit(exitCode);
+}
+
 std::string formatEvent(std::string_view event, const std::vector<LogField>& fields)
 {
     std::string line = "event=" + std::string { event };
--- /dev/null
+++ b/tests/adapter/daemon_test.cpp
@@ -0,0 +1,288 @@
+#include "kv_server.h"
+#include "line_upstreams.h"
+
+#include <platform/caller_listener.h>
+#include <platform/kv_store.h>
+#include <platform/leadership_client.h>
+#include <platform/operator_format.h>
+#include <platform/upstream_connector.h>
+
+#include <cyclamendrift/session_proxy/session_daemon.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <set>
+#include <vector>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto configuration = R"({"version":1,"routes":[
+  {"host":"beds","kind":"primary","timeoutMs":1000,"targetLatencyMs":500,"priority":1,"service":"register"},
+  {"host":"lists","kind":"read_own_writes","timeoutMs":1000,"targetLatencyMs":500,"service":"register","maxStalenessMs":2500}],
+ "services":[{"name":"register","maxConns":12}],"limits":{"txnIdleMs":3000},
+ "tenants":[{"name":"hospitals","apiKeys":["k1"],"ratePerS":1000,"burst":1000}]})";
+
+std::uint16_t freePort()
+{
+    asio::io_context context;
+    const asio::ip::tcp::acceptor acceptor { context, { asio::ip::make_address("127.0.0.1"), 0 } };
+    return acceptor.local_endpoint().port();
+}
+
+/// The platform on a thread of its own: store, promotion and one group of three upstreams.
+class Surroundings {
+public:
+    Surroundings()
+        : kv(context)
+        , upstreams(context, "register", 3)
+    {
+        this->kv.onPromotion = [this](const std::string&, const std::string& id) { return this->upstreams.promote(id); };
+        this->kv.put("op/config", configuration);
+        for (std::size_t index = 0; index < 3; ++index)
+            this->tellEntry(index);
+        this->kv.put("servers/i-foreign", "not for us");
+        this->thread = std::thread { [this] {
+            const auto guard = asio::make_work_guard(this->context);
+            this->context.run();
+        } };
+    }
+    ~Surroundings()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+    Surroundings(const Surroundings&) = delete;
+    Surroundings& operator=(const Surroundings&) = delete;
+
+    void tellEntry(std::size_t index)
+    {
+        this->kv.put("servers/" + this->upstreams.node(index).id, this->upstreams.entryOf(index));
+    }
+
+    /// Runs something on the platform's thread and waits for it.
+    void perform(const std::function<void()>& work)
+    {
+        std::promise<void> done;
+        asio::post(this->context, [&] {
+            work();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    asio::io_context context { 1 };
+    KvServer kv;
+    LineUpstreams upstreams;
+
+private:
+    std::thread thread;
+};
+
+/// One session proxy on threads of its own.
+class Running {
+public:
+    Running(const Surroundings& surroundings, const std::string& vm)
+    {
+        this->settings.vm = { .name = VmName { vm }, .zone = ZoneName { "palermo" } };
+        for (auto* listen : { &this->settings.callers, &this->settings.readiness, &this->settings.metrics,
+                 &this->settings.siblings })
+            listen->port = freePort();
+        this->settings.readinessPath = "/ready";
+        this->settings.storeAddress = surroundings.kv.address();
+        this->settings.promotionAddress = surroundings.kv.address();
+        this->settings.grace = 2s;
+        const auto makePorts = [](asio::io_context& traffic, asio::io_context& control, const SessionSettings& given) {
+            SessionPorts ports;
+            ports.callers = std::make_unique<platform::CallerListener>(traffic, given.callers);
+            ports.upstreams = std::make_unique<platform::UpstreamConnector>(traffic);
+            ports.store = std::make_unique<platform::KvStore>(
+                control.get_executor(), platform::KvStore::Options { .address = given.storeAddress });
+            ports.leadership = std::make_unique<platform::LeadershipClient>(
+                control, platform::LeadershipClient::Options { .promotionAddress = given.promotionAddress });
+            ports.format = std::make_unique<platform::OperatorFormat>();
+            return ports;
+        };
+        this->daemon = std::make_unique<SessionDaemon>(SessionDaemonOptions {
+            .settings = this->settings, .reload = [this] { return this->settings; }, .makePorts = makePorts });
+        this->thread = std::thread { [this] { this->exit = this->daemon->run(); } };
+    }
+    ~Running()
+    {
+        if (this->thread.joinable())
+            static_cast<void>(this->stop());
+    }
+    Running(const Running&) = delete;
+    Running& operator=(const Running&) = delete;
+
+    [[nodiscard]] DaemonExit stop()
+    {
+        this->daemon->drain();
+        this->thread.join();
+        this->daemon.reset();
+        return this->exit;
+    }
+
+    SessionSettings settings;
+
+private:
+    std::unique_ptr<SessionDaemon> daemon;
+    std::thread thread;
+    DaemonExit exit = DaemonExit::Cut;
+};
+
+/// A caller that waits for each answer.
+class Caller {
+public:
+    explicit Caller(const Running& proxy, const std::string& database = "beds")
+        : socket(context)
+    {
+        const asio::ip::tcp::endpoint endpoint { asio::ip::make_address("127.0.0.1"), proxy.settings.callers.port };
+        // The port opens once the proxy has read what it needs.
+        asio::error_code error = asio::error::connection_refused;
+        for (int tries = 0; error && tries < 300; ++tries) {
+            std::this_thread::sleep_for(20ms);
+            this->socket = asio::ip::tcp::socket { this->context };
+            this->socket.connect(endpoint, error);
+        }
+        REQUIRE_FALSE(error);
+        this->write("START " + database + " k1");
+        CHECK(this->line() == "READY I -");
+    }
+
+    void write(const std::string& text) { asio::write(this->socket, asio::buffer(text + "\r\n")); }
+
+    std::string line()
+    {
+        asio::error_code error;
+        const auto length = asio::read_until(this->socket, asio::dynamic_buffer(this->received), "\r\n", error);
+        if (error)
+            return "closed";
+        const auto text = this->received.substr(0, length - 2);
+        this->received.erase(0, length);
+        return text;
+    }
+
+    /// Sends a statement and returns the lines of its answer but the last, joined by " | ".
+    std::string run(const std::string& text)
+    {
+        this->write("QUERY " + std::to_string(++this->statements) + ' ' + text);
+        std::string answer;
+        for (auto next = this->line(); !next.starts_with("READY") && next != "closed"; next = this->line())
+            answer += (answer.empty() ? "" : " | ") + next;
+        return answer;
+    }
+
+    /// Tries until the answer is a success or the tries are over.
+    bool runUntilDone(const std::string& text)
+    {
+        for (int tries = 0; tries < 400; ++tries) {
+            if (this->run(text).find("ERROR") == std::string::npos)
+                return true;
+            std::this_thread::sleep_for(20ms);
+        }
+        return false;
+    }
+
+private:
+    asio::io_context context;
+    asio::ip::tcp::socket socket;
+    std::string received;
+    int statements = 0;
+};
+
+} // namespace
+
+TEST_SUITE("session proxy over the users' protocols")
+{
+    TEST_CASE("statements, transactions, prepared statements and values are served over sockets")
+    {
+        Surroundings surroundings;
+        const Running proxy { surroundings, "vm-1" };
+        Caller caller { proxy };
+        CHECK(caller.run("WRITE bed-1 taken") == "DONE proof.1");
+        CHECK(caller.run("READ bed-1") == "ROW taken | DONE proof.2");
+        CHECK(caller.run("BEGIN") == "DONE -");
+        CHECK(caller.run("PREPARE s1 WRITE shape") == "DONE -");
+        CHECK(caller.run("EXECUTE s1 bed-2 free") == "DONE proof.5");
+        CHECK(caller.run("COMMIT") == "DONE proof.6");
+        CHECK(caller.run("NONSENSE").starts_with("ERROR MALFORMED"));
+        Caller lists { proxy, "lists" };
+        CHECK(lists.run("READ bed-2").starts_with("ROW free"));
+        surroundings.perform([&] {
+            CHECK(surroundings.upstreams.teams() == std::set<std::string> { "-", "hospitals" });
+            CHECK(surroundings.upstreams.committed() == std::vector<std::string> { "1", "5" });
+        });
+    }
+
+    TEST_CASE("a planned stop ends the process, in time and gracefully")
+    {
+        // The proxy is told to stop while siblings, store and upstreams are connected. A process that does not end by
+        // itself is killed, and what it still holds is lost.
+        Surroundings surroundings;
+        auto first = std::make_unique<Running>(surroundings, "vm-1");
+        const Running second { surroundings, "vm-2" };
+        Caller caller { *first };
+        Caller other { second };
+        CHECK(caller.run("WRITE bed-1 taken") == "DONE proof.1");
+        CHECK(other.run("READ bed-1").starts_with("ROW taken"));
+        std::this_thread::sleep_for(1500ms);
+        CHECK(first->stop() == DaemonExit::Graceful);
+        CHECK(caller.line() == "closed");
+        CHECK(other.run("READ bed-1").starts_with("ROW taken"));
+    }
+
+    TEST_CASE("a primary that dies is replaced, and what it acknowledged to both replicas is there")
+    {
+        // The primary dies at night and nobody is awake. Writes go on at a replica that has everything, without a
+        // human deciding anything.
+        Surroundings surroundings;
+        const Running first { surroundings, "vm-1" };
+        const Running second { surroundings, "vm-2" };
+        Caller caller { first };
+        Caller other { second };
+        CHECK(caller.run("WRITE bed-1 taken") == "DONE proof.1");
+        surroundings.perform([&] { surroundings.upstreams.kill(0); });
+        CHECK(caller.runUntilDone("WRITE bed-2 taken"));
+        CHECK(other.runUntilDone("READ bed-1"));
+        CHECK(other.run("READ bed-1").starts_with("ROW taken"));
+        CHECK(other.run("READ bed-2").starts_with("ROW taken"));
+    }
+
+    TEST_CASE("a withdrawn key stops working on an open session, and a store that refuses calls stops nobody")
+    {
+        Surroundings surroundings;
+        const Running proxy { surroundings, "vm-1" };
+        Caller caller { proxy };
+        CHECK(caller.run("WRITE bed-1 taken") == "DONE proof.1");
+        surroundings.perform([&] { surroundings.kv.refuseWith = 503; });
+        std::this_thread::sleep_for(1500ms);
+        CHECK(caller.run("WRITE bed-1 free") == "DONE proof.2");
+        surroundings.perform([&] {
+            surroundings.kv.refuseWith = 0;
+            std::string changed = configuration;
+            changed.replace(changed.find("\"version\":1"), 11, "\"version\":2");
+            changed.replace(changed.find("k1"), 2, "k2");
+            surroundings.kv.put("op/config", changed);
+        });
+        std::string last;
+        for (int tries = 0; tries < 200 && !last.starts_with("ERROR NOAUTH"); ++tries) {
+            std::this_thread::sleep_for(20ms);
+            last = caller.run("READ bed-1");
+        }
+        CHECK(last.starts_with("ERROR NOAUTH"));
+    }
+}
--- /dev/null
+++ b/tests/adapter/kv_server.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <standins/http_server.h>
+#include <standins/memory_store.h>
+
+#include <asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace cyclamendrift {
+
+/// Serves a MemoryStore as the users' platform serves its store, and the promotion of databases. Runs on one thread.
+class KvServer {
+public:
+    explicit KvServer(asio::io_context& context);
+
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(this->server.port()); }
+    [[nodiscard]] standins::MemoryStore& store() noexcept { return this->memory; }
+
+    /// Writes as an operator or a database would.
+    void put(const std::string& key, const std::string& value);
+    /// Answers every call with this status, without doing anything; 0 to serve again.
+    unsigned refuseWith = 0;
+    /// Called with service and id of a promotion; returns whether that database is running.
+    std::function<bool(const std::string&, const std::string&)> onPromotion;
+
+private:
+    asio::awaitable<standins::HttpResponse> handle(standins::HttpRequest request);
+    asio::awaitable<standins::HttpResponse> range(const std::string& target);
+    asio::awaitable<standins::HttpResponse> key(const std::string& target);
+    asio::awaitable<standins::HttpResponse> watch(const std::string& target);
+    asio::awaitable<standins::HttpResponse> transaction(const std::string& body);
+    asio::awaitable<standins::HttpResponse> lease(const standins::HttpRequest& request);
+
+    asio::io_context& context;
+    standins::MemoryStore memory;
+    standins::HttpServer server;
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/tests/adapter/line_upstreams.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <platform/line_socket.h>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamendrift {
+
+/// A primary and its replicas that speak the users' line protocol on loopback: terms, positions, PAUSE, DEMOTE and
+/// promotion. Replication is immediate unless a replica is paused. Runs on one thread.
+class LineUpstreams {
+public:
+    LineUpstreams(asio::io_context& context, std::string service, std::size_t count);
+    ~LineUpstreams();
+
+    struct Node {
+        std::string id;
+        std::uint16_t port = 0;
+        bool primary = false;
+        std::uint64_t term = 1;
+        std::uint64_t position = 100;
+        std::uint64_t held = 0;
+        bool running = true;
+        std::map<std::string, std::string> items;
+    };
+
+    [[nodiscard]] Node& node(std::size_t index);
+    /// The entry that the node writes about itself.
+    [[nodiscard]] std::string entryOf(std::size_t index) const;
+    /// Ends a node and its connections, without a word.
+    void kill(std::size_t index);
+    /// Makes a node lead the next term, as the platform does; false when it is not running.
+    bool promote(const std::string& id);
+    /// Ids of all writes that were committed, in order.
+    [[nodiscard]] const std::vector<std::string>& committed() const noexcept { return this->commits; }
+    /// Teams that connections were opened for.
+    [[nodiscard]] const std::set<std::string>& teams() const noexcept { return this->teamsSeen; }
+
+private:
+    struct Server;
+    struct Session;
+
+    void accept(Server& server);
+    void take(const std::shared_ptr<Session>& session, std::string_view line);
+    std::string answer(Session& session, const std::string& id, std::string text);
+    std::string order(Session& session, const std::string& text);
+    std::string data(Session& session, const std::string& id, const std::string& text);
+    void commit(Session& session);
+    static std::string ready(const Session& session);
+
+    asio::io_context& context;
+    std::string service;
+    std::vector<std::unique_ptr<Server>> servers;
+    std::vector<std::string> commits;
+    std::set<std::string> teamsSeen;
+};
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/tests/adapter/operator_format_test.cpp
@@ -0,0 +1,82 @@
+#include <platform/operator_format.h>
+
+#include <doctest/doctest.h>
+
+using namespace cyclamendrift;
+using namespace cyclamendrift::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const OperatorFormat format;
+
+constexpr auto configuration = R"({"version":7,"routes":[
+  {"name":"r","host":"beds","prefix":"/","kind":"bounded_staleness","timeoutMs":2000,"targetLatencyMs":600,"priority":2,
+   "service":"register","maxAttempts":2,"maxStalenessMs":1500,"public":false},
+  {"name":"q","host":"orders","kind":"something_new","timeoutMs":1000,"targetLatencyMs":200,"service":"register"}],
+ "services":[{"name":"register","healthPath":"/health","maxConns":21,"protocol":"h1","tls":false,"syncReplicas":0}],
+ "limits":{"maxHeaderBytes":16384,"txnIdleMs":3000},
+ "tenants":[{"name":"a","apiKeys":["k1","k2"],"priority":1,"ratePerS":132.5,"burst":100}]})";
+
+constexpr auto upstream = R"({"service":"register","address":"10.128.0.9:8080","zone":"palermo","version":"v1","slots":3,
+ "state":"ready","coldLeftMs":0,"dbRole":"primary","seq":4,"born":1700000000123})";
+
+} // namespace
+
+TEST_SUITE("what operators and upstreams write")
+{
+    TEST_CASE("a configuration becomes routes, keys, limits and caps")
+    {
+        const auto table = format.readRoutes(configuration);
+        CHECK(table.version == 7);
+        const auto* beds = table.findRoute("beds");
+        REQUIRE(beds != nullptr);
+        CHECK(maxStalenessOf(beds->freshness) == 1500ms);
+        CHECK(beds->statementTimeout == 2s);
+        CHECK(beds->priority == 2);
+        REQUIRE(table.findTeam("k2") != nullptr);
+        CHECK(*table.findTeam("k2") == TeamName { "a" });
+        CHECK(table.limits.at(TeamName { "a" }) == TeamLimit { 132.5, 100 });
+        CHECK(table.connectionCaps.at(ServiceName { "register" }) == 21);
+        CHECK(table.transactionIdleTime == 3s);
+    }
+
+    TEST_CASE("a kind of route that is not known is served as the strictest")
+    {
+        const auto table = format.readRoutes(configuration);
+        CHECK(std::holds_alternative<PrimaryRoute>(table.findRoute("orders")->freshness));
+    }
+
+    TEST_CASE("a configuration that cannot be read is refused whole")
+    {
+        for (const auto* text : { "", "{", "[]", R"({"version":"seven","routes":[]})", R"({"routes":[]})",
+                 R"({"version":1,"routes":[{"host":"beds"}]})" })
+            CHECK_THROWS_AS(static_cast<void>(format.readRoutes(text)), FormatError);
+    }
+
+    TEST_CASE("an upstream's entry becomes its place, role and birth")
+    {
+        const auto entry = format.readUpstream("servers/i-7f", upstream);
+        CHECK(entry.name == UpstreamName { "i-7f" });
+        CHECK(entry.host == "10.128.0.9");
+        CHECK(entry.port == 8080);
+        CHECK(entry.claimsPrimary);
+        CHECK_FALSE(entry.draining);
+        CHECK(entry.bornMs == 1700000000123);
+    }
+
+    TEST_CASE("entries of other writers are set aside")
+    {
+        // Something else writes under the same prefix. One entry that is taken for an upstream sends statements to an
+        // address where none listens; one that stops the reading hides all others.
+        for (const auto* text : { "", "\xff\xfe", "null", "{}", R"({"service":"s","address":"10.0.0.1:8","slots":3})",
+                 R"({"service":7,"address":"10.0.0.1:8","slots":3,"state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.1","slots":3,"state":"ready"})",
+                 R"({"service":"s","address":"host:80","slots":3,"state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.1:99999","slots":3,"state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.1:80","slots":"three","state":"ready"})",
+                 R"({"service":"s","address":"10.0.0.1:80","slots":3,"state":"asleep"})" })
+            CHECK_THROWS_AS(static_cast<void>(format.readUpstream("servers/i-1", text)), FormatError);
+        CHECK_THROWS_AS(static_cast<void>(format.readUpstream("servers/", upstream)), FormatError);
+    }
+}
--- a/tests/pooling/pool_world.cpp
+++ b/tests/pooling/pool_world.cpp
@@ -108,6 +108,7 @@
 CallerId PoolWorld::connect(const std::string& key, const std::string& database)
 {
     const CallerId caller { ++this->lastCaller };
+    this->engine.callerConnected(caller, this->now);
     this->engine.callerStarted(caller, { .database = database, .key = key }, this->now);
     this->perform();
     return caller;
