--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -12,13 +12,14 @@
 
 /// Times that a LeaderCoordinator goes by.
 struct LeadershipSettings {
-    /// How long a VM may act on a view after the moment it was taken. A promoter waits it out before a new primary
-    /// leads, so it is part of every failover's gap; it must cover two reads of the store and one slow answer.
+    /// How long a VM may act on a view after the moment it was taken. A promoter waits it out before a new
+    /// primary leads, so it is part of every failover's gap; it must cover two reads of the store and one
+    /// slow answer.
     Duration viewLifetime = std::chrono::milliseconds { 1000 };
     /// Added by the promoter for differences between clocks' rates and for statements on their way.
     Duration viewMargin = std::chrono::milliseconds { 100 };
-    /// A view of the store that is older than this is renewed by asking a replica. Above what a view that came by a
-    /// sibling is old at most while all is well: two intervals of reading and a round trip.
+    /// A view of the store that is older than this is renewed by asking a replica. Above what a view that
+    /// came by a sibling is old at most while all is well: two intervals of reading and a round trip.
     Duration storeSilence = std::chrono::milliseconds { 680 };
     /// Between two questions to the same upstream.
     Duration askInterval = std::chrono::milliseconds { 150 };
@@ -40,6 +41,9 @@
     Duration promoteInterval = std::chrono::milliseconds { 500 };
     /// Another replica is tried when the one that was named does not lead after this.
     Duration promoteTimeout = std::chrono::milliseconds { 2500 };
+    /// After so long a promotion that a former holder may have sent has taken effect or never will; it covers
+    /// the time limit of that call and the change itself.
+    Duration promotionSettled = std::chrono::milliseconds { 4000 };
     /// A VM that gave up the duty does not take it again for so long.
     Duration yieldPause = std::chrono::seconds { 4 };
     /// Between two tries to take a free duty or to write the record.
@@ -48,12 +52,13 @@
     Duration rankDelay = std::chrono::milliseconds { 60 };
 };
 
-/// Keeps a primary for one group, as seen from one VM. Every VM runs one for each group: it says whom to send writes
-/// to and until when that holds. The VM that holds the group's duty also replaces a primary that died or leaves.
+/// Keeps a primary for one group, as seen from one VM. Every VM runs one for each group: it says whom to send
+/// writes to and until when that holds. The VM that holds the group's duty also replaces a primary that died
+/// or leaves.
 ///
-/// Safety: a new primary leads only after every view of the old one has lapsed. A view comes either from the store,
-/// where a promoter claims the next term first, or from a replica, which the promoter pauses first; from both steps on
-/// it waits for the lifetime of views.
+/// Safety: a new primary leads only after every view of the old one has lapsed. A view comes either from the
+/// store, where a promoter claims the next term first, or from a replica, which the promoter pauses first;
+/// from both steps on it waits for the lifetime of views.
 ///
 ///     coordinator.onSnapshot(snapshot, now);
 ///     for (const auto& action : coordinator.tick(now)) begin(action);
@@ -72,6 +77,8 @@
     void setRank(std::size_t rank) noexcept { this->rank = rank; }
     /// Until when this VM's own lease is sure to hold; its duties lapse with it.
     void setLeaseUntil(Instant until) noexcept { this->leaseUntil = until; }
+    /// This VM's lease has lapsed, and with it every duty that it held, whatever was read before.
+    void onLeaseLost(Instant now);
 
     /// The store was read.
     void onSnapshot(const LeadershipSnapshot& snapshot, Instant now);
@@ -111,6 +118,12 @@
     struct Replacement {
         Term term {};
         bool planned = false;
+        /// Another VM, or an earlier turn of this one, had begun it and may have sent a promotion.
+        bool takenOver = false;
+        /// The change that writes the claim is not known to have taken effect yet.
+        bool claimPending = true;
+        /// This VM has tried to write that the primary goes on leading.
+        bool stoodDown = false;
         /// When the record was seen to hold the claim.
         Instant claimedAt;
         std::map<UpstreamName, Progress> paused;
@@ -136,7 +149,9 @@
     [[nodiscard]] bool logGrows(Instant now);
     void claim(bool planned, std::string_view reason, Instant now);
     void carryOn(Instant now);
+    [[nodiscard]] bool primaryIsBack(Instant now);
     void standDown(Instant now);
+    void noteClaim(const LeadershipRecord& record, Instant now);
     void demoteFirst(Instant now);
     void pauseReplicas(Instant now);
     [[nodiscard]] bool pausedEnough(Instant now) const;
@@ -163,10 +178,13 @@
     std::optional<Replacement> replacement;
     std::optional<Growth> growth;
     std::optional<Instant> dutyFreeSince;
+    /// What was read before this instant says nothing of who holds the duty.
+    Instant dutyKnownFrom = Instant::min();
     Instant noDutyBefore = Instant::min();
     Instant lastDutyTry = Instant::min();
     Instant lastWrite = Instant::min();
     std::uint64_t changes = 0;
+    std::string lastChange;
     LeaderView published;
     Instant lastPublished = Instant::min();
     std::vector<LeadershipAction> actions;
--- a/include/cyclamendrift/leadership/leadership_events.h
+++ b/include/cyclamendrift/leadership/leadership_events.h
@@ -90,7 +90,7 @@
     std::vector<std::pair<std::string, std::string>> fields;
 };
 /// Anything that a coordinator wants done.
-using LeadershipAction = std::variant<AskStatus, PauseReplica, ResumeReplica, DemotePrimary, TakeDuty, YieldDuty,
-    WriteLeadership, PromoteUpstream, PublishLeader, LeadershipNote>;
+using LeadershipAction = std::variant<AskStatus, PauseReplica, ResumeReplica, DemotePrimary, TakeDuty,
+    YieldDuty, WriteLeadership, PromoteUpstream, PublishLeader, LeadershipNote>;
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/limits/demand_shares.h
+++ b/include/cyclamendrift/limits/demand_shares.h
@@ -15,15 +15,16 @@
 /// Operations per second that a VM was asked for lately, by team.
 using DemandByTeam = std::map<TeamName, double>;
 
-/// Splits teams' limits over the VMs in proportion to what each was asked for, as all of them read it in the store.
-/// Every VM works out its own part from the same list, so the parts add up to the whole without a message between VMs.
+/// Splits teams' limits over the VMs in proportion to what each was asked for, as all of them read it in the
+/// store. Every VM works out its own part from the same list, so the parts add up to the whole without a
+/// message between VMs.
 ///
 ///     shares.update(limits, self, listed, now);
 ///     engine.setShares(shares.current(now), now);
 class DemandShares {
 public:
-    /// A part that grows does so only after this time: VMs read the list at different moments, and one that still
-    /// holds its larger, older part must have read the new list before another uses what it gave up.
+    /// A part that grows does so only after this time: VMs read the list at different moments, and one that
+    /// still holds its larger, older part must have read the new list before another uses what it gave up.
     static constexpr Duration growthDelay = std::chrono::milliseconds { 1300 };
 
     /// Takes the list in; a VM that is not on it yet counts as one more that nobody asks.
--- a/include/cyclamendrift/limits/donor_choice.h
+++ b/include/cyclamendrift/limits/donor_choice.h
@@ -11,12 +11,12 @@
 
 namespace cyclamendrift {
 
-/// Chooses whom to ask for part of their share of a team's limit: those whose share is largest, without those that
-/// had too little just now.
+/// Chooses whom to ask for part of their share of a team's limit: those whose share is largest, without those
+/// that had too little just now.
 class DonorChoice {
 public:
-    /// A VM that gave less than it was asked for is passed over for this long; about the time in which a share of a
-    /// few operations a second grows by one.
+    /// A VM that gave less than it was asked for is passed over for this long; about the time in which a
+    /// share of a few operations a second grows by one.
     static constexpr Duration pause = std::chrono::milliseconds { 150 };
 
     /// Up to `count` VMs, the most promising first.
--- a/include/cyclamendrift/limits/team_share.h
+++ b/include/cyclamendrift/limits/team_share.h
@@ -6,7 +6,8 @@
 
 namespace cyclamendrift {
 
-/// The part of a team's rate and burst that this VM may use; the parts of all VMs add up to no more than the whole.
+/// The part of a team's rate and burst that this VM may use; the parts of all VMs add up to no more than the
+/// whole.
 ///
 ///     TeamShare share;
 ///     share.setRule({ .ratePerSecond = 12.5, .burst = 12.5 }, now);
--- a/include/cyclamendrift/platform/store.h
+++ b/include/cyclamendrift/platform/store.h
@@ -24,8 +24,8 @@
 /// A lease of the store; keys written under it vanish when it lapses.
 enum class LeaseId : std::uint64_t { None = 0 };
 
-/// One change to the store; `value` is empty when the key was deleted. An empty key tells that nothing under the prefix
-/// has changed up to `revision`; not every store tells so.
+/// One change to the store; `value` is empty when the key was deleted. An empty key tells that nothing under
+/// the prefix has changed up to `revision`; not every store tells so.
 struct StoreChange {
     std::string key;
     std::optional<std::string> value;
@@ -46,7 +46,8 @@
     MayLag,
 };
 
-/// A further key that must stand at a revision for a compare-and-swap to take place; 0 when it must not exist.
+/// A further key that must stand at a revision for a compare-and-swap to take place; 0 when it must not
+/// exist.
 struct KeyGuard {
     std::string key;
     std::uint64_t revision = 0;
--- a/include/cyclamendrift/pooling/caller_statement.h
+++ b/include/cyclamendrift/pooling/caller_statement.h
@@ -48,8 +48,8 @@
 struct UnreadableStatement { };
 
 /// Any statement of a caller.
-using CallerStatement = std::variant<BeginTransaction, CommitTransaction, RollbackTransaction, ReadItem, WriteItem,
-    SetSessionValue, PrepareStatement, ExecutePrepared, DeallocateStatement, UnreadableStatement>;
+using CallerStatement = std::variant<BeginTransaction, CommitTransaction, RollbackTransaction, ReadItem,
+    WriteItem, SetSessionValue, PrepareStatement, ExecutePrepared, DeallocateStatement, UnreadableStatement>;
 
 /// A statement with the id and the text under which it is passed on unchanged.
 struct CallerQuery {
--- a/include/cyclamendrift/pooling/engine_actions.h
+++ b/include/cyclamendrift/pooling/engine_actions.h
@@ -38,8 +38,8 @@
     std::optional<ExecutePrepared> execute;
 };
 /// What goes to an upstream over a connection.
-using UpstreamStatement = std::variant<ResetConnection, ApplyValue, ApplyPrepared, OpenTransaction, DropTransaction,
-    PassStatement>;
+using UpstreamStatement = std::variant<ResetConnection, ApplyValue, ApplyPrepared, OpenTransaction,
+    DropTransaction, PassStatement>;
 
 /// Open a connection on behalf of a team; the upstream is to confirm its name.
 struct OpenConnection {
--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -8,18 +8,19 @@
 
 /// Times and bounds that a SessionEngine goes by.
 struct EngineSettings {
-    /// A connection that is not open after this is given up: a dark host never answers, and opening takes some 12 ms
-    /// plus a round trip below 5 ms on a healthy one.
+    /// A connection that is not open after this is given up: a dark host never answers, and opening takes
+    /// some 12 ms plus a round trip below 5 ms on a healthy one.
     Duration openTimeout = std::chrono::milliseconds { 300 };
     /// Setting values and names takes no slot of the upstream, so an answer that takes longer means silence.
     Duration setupTimeout = std::chrono::milliseconds { 400 };
-    /// After a failed connection an upstream is left alone for this long, doubling up to the second figure. It
-    /// bounds how long a healed upstream goes unused.
+    /// After a failed connection an upstream is left alone for this long, doubling up to the second figure.
+    /// It bounds how long a healed upstream goes unused.
     Duration downPause = std::chrono::milliseconds { 100 };
     Duration downPauseAtMost = std::chrono::milliseconds { 1000 };
     /// Pause after an upstream said that it is full; about the time in which one of its slots comes free.
     Duration busyPause = std::chrono::milliseconds { 10 };
-    /// Pause of one piece of work after an upstream had no connection left; others close borrowed ones meanwhile.
+    /// Pause of one piece of work after an upstream had no connection left; others close borrowed ones
+    /// meanwhile.
     Duration fullPause = std::chrono::milliseconds { 40 };
     /// Pause after a replica said that it lags; doubles up to the second figure while it goes on.
     Duration laggingPause = std::chrono::milliseconds { 40 };
@@ -32,19 +33,19 @@
     Duration borrowedIdleTime = std::chrono::milliseconds { 500 };
     /// Subtracted from the staleness that a route allows, for the way of the statement to the upstream.
     Duration stalenessMargin = std::chrono::milliseconds { 100 };
-    /// Work that waits for a view of the primary is refused after this part of its target latency; by then the view
-    /// is not late but lost, and the caller does better elsewhere.
+    /// Work that waits for a view of the primary is refused after this part of its target latency; by then
+    /// the view is not late but lost, and the caller does better elsewhere.
     int leaderlessWaitDivisor = 4;
-    /// A connection that comes free goes to waiting work of its own team rather than to work of another team that came
-    /// up to so much earlier: a connection is bound to its team, and opening one for another takes the upstream as long
-    /// as a short statement.
+    /// A connection that comes free goes to waiting work of its own team rather than to work of another team
+    /// that came up to so much earlier: a connection is bound to its team, and opening one for another takes
+    /// the upstream as long as a short statement.
     Duration teamAffinity = std::chrono::milliseconds { 80 };
     /// Retry advice while a primary is being replaced; the change takes about so long.
     Duration changeAdvice = std::chrono::milliseconds { 1000 };
     /// Retry advice when all connections are taken.
     Duration overloadAdvice = std::chrono::milliseconds { 100 };
-    /// An operation beyond this VM's share of its team's limit waits this part of its target latency for siblings to
-    /// give some of theirs; a round trip to them takes 2 to 4 ms.
+    /// An operation beyond this VM's share of its team's limit waits this part of its target latency for
+    /// siblings to give some of theirs; a round trip to them takes 2 to 4 ms.
     int admissionWaitDivisor = 4;
     /// Pause after siblings had nothing to give.
     Duration askPause = std::chrono::milliseconds { 60 };
--- a/include/cyclamendrift/pooling/leader_view.h
+++ b/include/cyclamendrift/pooling/leader_view.h
@@ -8,8 +8,9 @@
 
 namespace cyclamendrift {
 
-/// Who leads a group, and until when this VM may act on it. A promoter waits until every VM's view has either been
-/// replaced or lapsed before it lets a new primary lead, so a view that holds names the only primary there is.
+/// Who leads a group, and until when this VM may act on it. A promoter waits until every VM's view has either
+/// been replaced or lapsed before it lets a new primary lead, so a view that holds names the only primary
+/// there is.
 struct LeaderView {
     enum class Phase : std::uint8_t {
         /// Nothing is known yet.
--- a/include/cyclamendrift/pooling/progress_history.h
+++ b/include/cyclamendrift/pooling/progress_history.h
@@ -8,8 +8,9 @@
 
 namespace cyclamendrift {
 
-/// How far the primary's log had come at known times, taken from the answers it gives anyway. It lets a read on a
-/// replica name the position that it needs: everything acknowledged before `seenAt` is covered by `progress`.
+/// How far the primary's log had come at known times, taken from the answers it gives anyway. It lets a read
+/// on a replica name the position that it needs: everything acknowledged before `seenAt` is covered by
+/// `progress`.
 ///
 ///     history.note({ .progress = reply.progress, .seenAt = sentAt });
 ///     history.covering(now - maxStaleness); // the oldest position that is fresh enough
@@ -24,8 +25,8 @@
     /// Takes an observation in. One of a higher term drops those of lower terms, whose log may have been cut.
     void note(const Observation& observation);
 
-    /// The oldest position that covers every commit acknowledged before `instant`; it is the one that a lagging
-    /// replica most likely has. Empty when nothing was observed since.
+    /// The oldest position that covers every commit acknowledged before `instant`; it is the one that a
+    /// lagging replica most likely has. Empty when nothing was observed since.
     [[nodiscard]] std::optional<Progress> covering(Instant instant) const;
 
     /// Any position of the newest term, or empty.
--- a/include/cyclamendrift/pooling/reply.h
+++ b/include/cyclamendrift/pooling/reply.h
@@ -54,9 +54,9 @@
 /// True when an upstream that answers with this error has run nothing of the statement.
 [[nodiscard]] constexpr bool meansNotRun(StatementError error) noexcept
 {
-    return error == StatementError::Busy || error == StatementError::Lagging || error == StatementError::ReadOnly
-        || error == StatementError::UnknownStatement || error == StatementError::WrongInstance
-        || error == StatementError::TooManyConnections;
+    return error == StatementError::Busy || error == StatementError::Lagging
+        || error == StatementError::ReadOnly || error == StatementError::UnknownStatement
+        || error == StatementError::WrongInstance || error == StatementError::TooManyConnections;
 }
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/pooling/session_engine.h
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -51,9 +51,10 @@
     std::uint64_t readsOnPrimary = 0;
 };
 
-/// Serves callers' sessions from a pool of upstream connections: checks keys and limits, keeps each session's values,
-/// names and transaction, chooses an upstream whose log is known to cover what a read must see, and never sends a
-/// write twice. Does no I/O: its owner reports what happens and carries out what takeActions() returns.
+/// Serves callers' sessions from a pool of upstream connections: checks keys and limits, keeps each session's
+/// values, names and transaction, chooses an upstream whose log is known to cover what a read must see, and
+/// never sends a write twice. Does no I/O: its owner reports what happens and carries out what takeActions()
+/// returns.
 ///
 ///     engine.callerStarted(caller, start, now);
 ///     engine.callerAsked(caller, query, now);
@@ -94,7 +95,8 @@
     /// Takes up to `wanted` operations out of this VM's share, for a sibling.
     [[nodiscard]] std::uint32_t giveTokens(const TeamName& team, std::uint32_t wanted, Instant now);
 
-    /// Begins a planned stop: sessions are closed when they are idle, open transactions may go on until `abortAt`.
+    /// Begins a planned stop: sessions are closed when they are idle, open transactions may go on until
+    /// `abortAt`.
     void drain(Instant closeIdleFrom, Instant abortAt);
 
     /// To be called every 20 ms or so: timeouts, refusals of what waited too long, idle connections.
--- a/include/cyclamendrift/pooling/session_state.h
+++ b/include/cyclamendrift/pooling/session_state.h
@@ -31,12 +31,12 @@
     std::map<std::string, PreparedShape> prepared;
 };
 
-/// Values and names as they are in place on one connection. Names are the connection's own, one for each shape, so
-/// that sessions whose callers chose the same name for different statements never meet.
+/// Values and names as they are in place on one connection. Names are the connection's own, one for each
+/// shape, so that sessions whose callers chose the same name for different statements never meet.
 class ConnectionState {
 public:
-    /// The steps after which the connection has exactly the session's values and, when `needed` is given, a name
-    /// for that shape. They count as done at once: if one fails the connection is to be closed.
+    /// The steps after which the connection has exactly the session's values and, when `needed` is given, a
+    /// name for that shape. They count as done at once: if one fails the connection is to be closed.
     [[nodiscard]] std::vector<SetupStep> match(const SessionState& session, const PreparedShape* needed);
 
     /// The connection's name for a shape that was matched.
--- a/include/cyclamendrift/session_proxy/ports.h
+++ b/include/cyclamendrift/session_proxy/ports.h
@@ -15,7 +15,8 @@
 #include <string_view>
 #include <variant>
 
-/// What a session proxy needs of its surroundings. An adapter implements these for the protocols of one platform.
+/// What a session proxy needs of its surroundings. An adapter implements these for the protocols of one
+/// platform.
 namespace cyclamendrift {
 
 /// Is told what callers do; on the traffic thread.
@@ -42,7 +43,8 @@
     virtual void stopListening() = 0;
 };
 
-/// Is told what happens to connections; on the traffic thread. Not called for a connection after it was closed.
+/// Is told what happens to connections; on the traffic thread. Not called for a connection after it was
+/// closed.
 class UpstreamEvents {
 public:
     virtual ~UpstreamEvents() = default;
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -22,23 +22,24 @@
     Duration leadershipInterval = std::chrono::milliseconds { 300 };
     /// While what is known is doubted.
     Duration doubtedInterval = std::chrono::milliseconds { 60 };
-    /// Between two looks at the list of upstreams; with a listing that may be some seconds old a leaving upstream is
-    /// known before it ends.
+    /// Between two looks at the list of upstreams; with a listing that may be some seconds old a leaving
+    /// upstream is known before it ends.
     Duration directoryInterval = std::chrono::milliseconds { 1000 };
-    /// Entries of live upstreams lapse while the store is away and come back within two seconds of its return.
+    /// Entries of live upstreams lapse while the store is away and come back within two seconds of its
+    /// return.
     Duration missingEntryKept = std::chrono::milliseconds { 2500 };
-    /// A configuration that nobody has confirmed for so long is read from the store again; operators are promised three
-    /// seconds.
+    /// A configuration that nobody has confirmed for so long is read from the store again; operators are
+    /// promised three seconds.
     Duration configurationUnconfirmed = std::chrono::milliseconds { 1400 };
     /// Between two reads of the list of VMs; it bounds for how long two VMs may use the same part of a limit.
     Duration vmListInterval = std::chrono::milliseconds { 800 };
-    /// Time to live of the lease under which duties are held, and the pause between renewals; two may fail before it
-    /// lapses. It is how long a dead holder's duty stays taken.
+    /// Time to live of the lease under which duties are held, and the pause between renewals; two may fail
+    /// before it lapses. It is how long a dead holder's duty stays taken.
     Duration leaseTime = std::chrono::milliseconds { 1800 };
     Duration leaseRenewal = std::chrono::milliseconds { 500 };
-    /// Time to live of the lease of this VM's record, and the pause between renewals. A VM that the store turns away
-    /// goes on serving: were it taken off the list at once, the others would use its connections and its part of
-    /// limits a second time. Store faults last up to some ten seconds.
+    /// Time to live of the lease of this VM's record, and the pause between renewals. A VM that the store
+    /// turns away goes on serving: were it taken off the list at once, the others would use its connections
+    /// and its part of limits a second time. Store faults last up to some ten seconds.
     Duration recordTime = std::chrono::seconds { 12 };
     Duration recordRenewal = std::chrono::seconds { 3 };
     /// How soon this VM stops to trust its lease, before the store would drop it.
@@ -46,8 +47,8 @@
     /// First and longest pause after the store failed.
     Duration firstBackoff = std::chrono::milliseconds { 100 };
     Duration longestBackoff = std::chrono::milliseconds { 800 };
-    /// One VM for so many reads who leads from the store, and the others ask it: each call to the store is paid for,
-    /// and its rates grow more slowly than the fleet.
+    /// One VM for so many reads who leads from the store, and the others ask it: each call to the store is
+    /// paid for, and its rates grow more slowly than the fleet.
     std::size_t vmsPerReader = 24;
     /// What a sibling read longer ago than this is no use; the store is read instead.
     Duration readingsUsable = std::chrono::milliseconds { 550 };
@@ -57,8 +58,9 @@
     Duration tickInterval = std::chrono::milliseconds { 50 };
 };
 
-/// Everything that this VM knows and agrees on with others, on the control thread: the operators' configuration, the
-/// upstreams, who leads each group, the VMs and their shares of limits. Hands what it learns to the traffic side.
+/// Everything that this VM knows and agrees on with others, on the control thread: the operators'
+/// configuration, the upstreams, who leads each group, the VMs and their shares of limits. Hands what it
+/// learns to the traffic side.
 class SessionControl {
 public:
     struct Options {
--- a/include/cyclamendrift/session_proxy/session_daemon.h
+++ b/include/cyclamendrift/session_proxy/session_daemon.h
@@ -27,7 +27,8 @@
     /// Reads the settings again; throws SettingsError.
     std::function<SessionSettings()> reload;
     /// Makes the ports: callers and upstreams on the first context, the rest on the second.
-    std::function<SessionPorts(asio::io_context& traffic, asio::io_context& control, const SessionSettings&)> makePorts;
+    std::function<SessionPorts(asio::io_context& traffic, asio::io_context& control, const SessionSettings&)>
+        makePorts;
 };
 
 /// A session proxy with its two threads.
@@ -51,8 +52,8 @@
     std::unique_ptr<State> state;
 };
 
-/// Runs a session proxy until SIGTERM or SIGINT, which drain it; a second one ends it at once. SIGHUP reads the
-/// settings again.
+/// Runs a session proxy until SIGTERM or SIGINT, which drain it; a second one ends it at once. SIGHUP reads
+/// the settings again.
 [[nodiscard]] DaemonExit runSessionDaemon(SessionDaemonOptions options);
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -24,8 +24,8 @@
     std::size_t connections = 0;
 };
 
-/// Drives one SessionEngine on the traffic thread: hands it what callers and upstreams send, carries out what it
-/// wants, and takes in what the control side knows. The public functions may be called from any thread.
+/// Drives one SessionEngine on the traffic thread: hands it what callers and upstreams send, carries out what
+/// it wants, and takes in what the control side knows. The public functions may be called from any thread.
 class SessionTraffic final : private CallerEvents, private UpstreamEvents {
 public:
     struct Options {
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -23,8 +23,8 @@
 };
 using SiblingList = std::map<VmName, SiblingInfo>;
 
-/// What session proxies ask each other: parts of their shares of limits, and what they read from the store. Lives on
-/// the traffic thread; call() may be used on any.
+/// What session proxies ask each other: parts of their shares of limits, and what they read from the store.
+/// Lives on the traffic thread; call() may be used on any.
 class SiblingExchange {
 public:
     struct Options {
@@ -46,7 +46,8 @@
     [[nodiscard]] bool isOpen() const noexcept;
     void setSiblings(SiblingList siblings);
 
-    /// Asks siblings for operations, one after the other, and reports what all of them gave; on the traffic thread.
+    /// Asks siblings for operations, one after the other, and reports what all of them gave; on the traffic
+    /// thread.
     void askForTokens(const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done);
 
     /// Asks a sibling for what it read from the store; throws SiblingError or RequestError.
--- a/include/cyclamendrift/settings/session_settings.h
+++ b/include/cyclamendrift/settings/session_settings.h
@@ -34,7 +34,8 @@
     LogOptions log;
 };
 
-/// Reads settings in TOML; a key that is not known is an error. Throws SettingsError with all problems at once.
+/// Reads settings in TOML; a key that is not known is an error. Throws SettingsError with all problems at
+/// once.
 [[nodiscard]] SessionSettings parseSessionSettings(std::string_view text, std::string_view fileName);
 
 /// Reads a settings file; throws SettingsError.
--- a/include/cyclamendrift/telemetry/event_log.h
+++ b/include/cyclamendrift/telemetry/event_log.h
@@ -33,8 +33,8 @@
 ///     logEvent(LogLevel::Info, "home_started", { { "database", name.path() } });
 void logEvent(LogLevel level, std::string_view event, const std::vector<LogField>& fields = {});
 
-/// Ends the process with everything logged so far written out. The logging library waits for its threads when static
-/// objects are destroyed; where one of them is stuck the process would stay until it is killed.
+/// Ends the process with everything logged so far written out. The logging library waits for its threads when
+/// static objects are destroyed; where one of them is stuck the process would stay until it is killed.
 [[noreturn]] void endProcess(int exitCode);
 
 /// The line that logEvent writes, without time and level. Values with spaces or quotes are quoted.
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -40,11 +40,14 @@
 void LeaderCoordinator::onSnapshot(const LeadershipSnapshot& snapshot, Instant now)
 {
     // An answer that was on its way while this VM wrote the record may still hold the one before.
-    const bool older = snapshot.askedAt < this->known.askedAt || snapshot.recordRevision < this->known.recordRevision;
+    const bool older
+        = snapshot.askedAt < this->known.askedAt || snapshot.recordRevision < this->known.recordRevision;
     if (this->readOnce && older)
         return;
     const bool sameRecord = this->readOnce && this->known.record == snapshot.record;
     this->known = snapshot;
+    if (snapshot.askedAt < this->dutyKnownFrom)
+        this->known.duty.reset();
     this->readOnce = true;
     this->doubted = false;
     if (!sameRecord) {
@@ -55,16 +58,27 @@
                 { { "primary", record->primary.string() }, { "term", text(record->term) },
                     { "claimed_term", text(record->claimedTerm) }, { "author", record->author.string() } });
     }
-    if (!snapshot.duty || snapshot.duty->holder != this->options.vm) {
+    if (!this->known.duty || this->known.duty->holder != this->options.vm) {
         this->replacement.reset();
         this->growth.reset();
     }
-    if (snapshot.duty)
+    if (snapshot.record)
+        this->noteClaim(*snapshot.record, now);
+    if (snapshot.duty || snapshot.askedAt < this->dutyKnownFrom)
         this->dutyFreeSince.reset();
     else if (!this->dutyFreeSince)
         this->dutyFreeSince = now;
 }
 
+void LeaderCoordinator::onLeaseLost(Instant now)
+{
+    this->dutyKnownFrom = now;
+    this->known.duty.reset();
+    this->dutyFreeSince.reset();
+    this->replacement.reset();
+    this->growth.reset();
+}
+
 void LeaderCoordinator::onDirectory(UpstreamDirectory entries)
 {
     for (const auto& entry : entries)
@@ -132,9 +146,8 @@
         this->replacement.reset();
         // The swap itself read the store at a moment after it was sent; the next snapshot renews the view.
         this->doubted = true;
-    } else if (this->replacement) {
-        this->replacement->claimedAt = now;
     }
+    this->noteClaim(record, now);
     this->publishIfChanged(now);
 }
 
@@ -183,7 +196,8 @@
     const auto next = this->view();
     const bool changed = next.phase != this->published.phase || next.primary != this->published.primary
         || next.term != this->published.term;
-    const bool renewed = next.validUntil > this->published.validUntil && now >= this->lastPublished + publishInterval;
+    const bool renewed
+        = next.validUntil > this->published.validUntil && now >= this->lastPublished + publishInterval;
     if (!changed && !renewed)
         return;
     if (changed)
@@ -232,8 +246,10 @@
 void LeaderCoordinator::bootstrap(Instant now)
 {
     for (auto& [name, member] : this->members) {
-        if (member.status && member.status->isPrimary && member.statusAt + this->options.settings.viewLifetime > now) {
-            this->write({ .term = member.status->term, .primary = name, .claimedTerm = member.status->term }, now);
+        if (member.status && member.status->isPrimary
+            && member.statusAt + this->options.settings.viewLifetime > now) {
+            this->write(
+                { .term = member.status->term, .primary = name, .claimedTerm = member.status->term }, now);
             return;
         }
         if (member.entry.claimsPrimary)
@@ -249,6 +265,7 @@
     record.author = this->options.vm;
     record.changeId = this->options.vm.string() + '/' + std::to_string(this->options.seed) + '/'
         + std::to_string(++this->changes);
+    this->lastChange = record.changeId;
     this->actions.emplace_back(WriteLeadership { .record = std::move(record),
         .expectedRevision = this->known.recordRevision,
         .dutyRevision = this->known.duty->revision });
@@ -262,7 +279,8 @@
         // A promotion whose outcome nobody wrote down has shown its effect.
         const bool leads = member.status && member.status->isPrimary && member.status->term > record.term;
         if (leads) {
-            this->write({ .term = member.status->term, .primary = name, .claimedTerm = member.status->term }, now);
+            this->write(
+                { .term = member.status->term, .primary = name, .claimedTerm = member.status->term }, now);
             return;
         }
     }
@@ -270,7 +288,8 @@
         return this->claim(false, "the primary is gone from the directory", now);
     if (primary->entry.draining)
         return this->claim(true, "the primary is leaving", now);
-    const bool resigned = primary->status && !primary->status->isPrimary && primary->status->term <= record.term;
+    const bool resigned
+        = primary->status && !primary->status->isPrimary && primary->status->term <= record.term;
     if (resigned && primary->statusAt > this->known.askedAt - this->options.settings.viewLifetime)
         return this->claim(false, "the primary says that it is a replica", now);
     if (!this->primaryIsSilent(now)) {
@@ -279,7 +298,8 @@
     }
     if (this->logGrows(now)) {
         // Replicas receive what the primary writes, so it serves others and only this VM is cut off from it.
-        this->note("duty_yielded", { { "primary", record.primary.string() }, { "reason", "its log grows elsewhere" } });
+        this->note("duty_yielded",
+            { { "primary", record.primary.string() }, { "reason", "its log grows elsewhere" } });
         this->noDutyBefore = now + this->options.settings.yieldPause;
         this->growth.reset();
         this->actions.emplace_back(YieldDuty { this->known.duty->revision });
@@ -321,17 +341,17 @@
 void LeaderCoordinator::claim(bool planned, std::string_view reason, Instant now)
 {
     const auto& record = *this->known.record;
-    const bool someoneElse = std::any_of(this->members.begin(), this->members.end(), [&record](const auto& item) {
-        return item.first != record.primary && !item.second.entry.draining;
-    });
+    const bool someoneElse = std::any_of(this->members.begin(), this->members.end(),
+        [&record](const auto& item) { return item.first != record.primary && !item.second.entry.draining; });
     if (!someoneElse)
         return;
     if (now < this->lastWrite + this->options.settings.storeRetry)
         return;
     const auto term = next(record.term);
     this->note("replacing_primary",
-        { { "primary", record.primary.string() }, { "term", text(term) }, { "reason", std::string { reason } } });
-    this->replacement = Replacement { .term = term, .planned = planned, .claimedAt = Instant::max() };
+        { { "primary", record.primary.string() }, { "term", text(term) },
+            { "reason", std::string { reason } } });
+    this->replacement = Replacement { .term = term, .planned = planned };
     this->growth.reset();
     this->write({ .term = record.term, .primary = record.primary, .claimedTerm = term }, now);
 }
@@ -339,26 +359,37 @@
 void LeaderCoordinator::carryOn(Instant now)
 {
     const auto& record = *this->known.record;
-    // Another VM's claim is taken over by writing it anew: from then on its author cannot change the record.
-    if (record.author != this->options.vm || !this->replacement) {
+    // A claim of another VM, or of an earlier turn of this one, is taken over by writing it anew: from then
+    // on whoever wrote it before cannot change the record, and this VM knows that the record holds it.
+    if (!this->replacement) {
         const auto* primary = this->find(record.primary);
-        if (!this->replacement)
-            this->replacement = Replacement { .term = record.claimedTerm,
-                .planned = primary != nullptr && primary->entry.draining,
-                .claimedAt = Instant::max() };
-        this->write({ .term = record.term, .primary = record.primary, .claimedTerm = record.claimedTerm }, now);
+        this->replacement = Replacement { .term = record.claimedTerm,
+            .planned = primary != nullptr && primary->entry.draining,
+            .takenOver = true };
+    }
+    if (this->replacement->claimPending) {
+        this->write(
+            { .term = record.term, .primary = record.primary, .claimedTerm = record.claimedTerm }, now);
         return;
     }
     for (auto& [name, member] : this->members) {
-        const bool leads = member.status && member.status->isPrimary && member.status->term >= record.claimedTerm;
+        const bool leads
+            = member.status && member.status->isPrimary && member.status->term >= record.claimedTerm;
         if (leads) {
             this->finish(member, now);
             return;
         }
     }
-    if (this->replacement->claimedAt == Instant::max())
-        this->replacement->claimedAt = now;
-    this->standDown(now);
+    if (this->primaryIsBack(now)) {
+        this->standDown(now);
+        return;
+    }
+    if (this->replacement->stoodDown) {
+        // Whether the record still holds the claim is not known any more; promoting now could make two
+        // primaries.
+        this->replacement.reset();
+        return;
+    }
     if (this->replacement->planned)
         this->demoteFirst(now);
     this->pauseReplicas(now);
@@ -368,19 +399,37 @@
         this->promote(now);
 }
 
-void LeaderCoordinator::standDown(Instant now)
+void LeaderCoordinator::noteClaim(const LeadershipRecord& record, Instant now)
+{
+    if (!this->replacement || record.isSettled() || record.changeId != this->lastChange)
+        return;
+    if (std::exchange(this->replacement->claimPending, false))
+        this->replacement->claimedAt = now;
+}
+
+bool LeaderCoordinator::primaryIsBack(Instant now)
 {
     const auto& record = *this->known.record;
+    const auto& replacement = *this->replacement;
     auto* primary = this->find(record.primary);
-    const bool begun = !this->replacement->chosen.empty() || this->replacement->lastPromote != Instant::min();
-    if (primary == nullptr || this->replacement->planned || begun)
-        return;
+    const bool begun = !replacement.chosen.empty() || replacement.lastPromote != Instant::min();
+    if (primary == nullptr || replacement.planned || begun)
+        return false;
+    // A promotion that the former holder sent just before it was cut off may still be under way.
+    if (replacement.takenOver && now < replacement.claimedAt + this->options.settings.promotionSettled)
+        return false;
     this->ask(*primary, now);
-    const bool back = primary->status && primary->status->isPrimary && primary->statusAt > this->replacement->claimedAt;
-    if (!back)
-        return;
-    // Nobody was promoted under this claim, and the old primary is there with its whole log: keeping it loses nothing.
-    this->note("primary_is_back", { { "primary", record.primary.string() } });
+    return primary->status && primary->status->isPrimary && primary->statusAt > replacement.claimedAt
+        && now < primary->statusAt + this->options.settings.viewLifetime;
+}
+
+void LeaderCoordinator::standDown(Instant now)
+{
+    // Nobody was promoted under this claim, and the old primary is there with its whole log: keeping it loses
+    // nothing.
+    const auto& record = *this->known.record;
+    if (!std::exchange(this->replacement->stoodDown, true))
+        this->note("primary_is_back", { { "primary", record.primary.string() } });
     for (const auto& [name, member] : this->members) {
         if (name != record.primary)
             this->actions.emplace_back(ResumeReplica { name });
@@ -396,7 +445,8 @@
     if (now < primary->lastAsked + this->options.settings.askInterval)
         return;
     primary->lastAsked = now;
-    this->actions.emplace_back(DemotePrimary { .upstream = primary->entry.name, .term = this->replacement->term });
+    this->actions.emplace_back(
+        DemotePrimary { .upstream = primary->entry.name, .term = this->replacement->term });
 }
 
 void LeaderCoordinator::pauseReplicas(Instant now)
@@ -409,7 +459,8 @@
             continue;
         // A replica that still receives what the demoted primary has written is left to it for a moment.
         const auto& demoted = this->replacement->demotedAt;
-        const bool waits = this->replacement->planned && now < this->replacement->claimedAt + settings.catchUpTime;
+        const bool waits
+            = this->replacement->planned && now < this->replacement->claimedAt + settings.catchUpTime;
         const bool caughtUp = demoted && member.status && member.status->received >= *demoted;
         member.lastAsked = now;
         if (waits && !caughtUp)
@@ -426,7 +477,9 @@
         return false;
     for (const auto& [name, member] : this->members) {
         const bool open = name != this->known.record->primary && !replacement.paused.contains(name);
-        if (open && now < replacement.claimedAt + this->options.settings.pauseGrace + this->options.settings.catchUpTime)
+        if (open
+            && now < replacement.claimedAt + this->options.settings.pauseGrace
+                    + this->options.settings.catchUpTime)
             return false;
     }
     return true;
@@ -446,8 +499,8 @@
     Progress bestProgress;
     for (const auto& [name, progress] : replacement.paused) {
         const auto* member = this->find(name);
-        const bool refused
-            = std::find(replacement.refused.begin(), replacement.refused.end(), name) != replacement.refused.end();
+        const bool refused = std::find(replacement.refused.begin(), replacement.refused.end(), name)
+            != replacement.refused.end();
         if (member == nullptr || refused || member->entry.draining)
             continue;
         if (best == nullptr || progress > bestProgress) {
@@ -462,7 +515,8 @@
     }
     replacement.chosen = best->entry.name;
     replacement.chosenAt = now;
-    this->note("primary_chosen", { { "upstream", best->entry.name.string() }, { "received", text(bestProgress) } });
+    this->note(
+        "primary_chosen", { { "upstream", best->entry.name.string() }, { "received", text(bestProgress) } });
     this->promote(now);
 }
 
@@ -498,8 +552,10 @@
     for (auto& [name, member] : this->members) {
         if (name == record->primary || now < member.lastAsked + this->options.settings.settleInterval)
             continue;
-        const bool oldPrimary = member.status && member.status->isPrimary && member.status->term < record->term;
-        const bool leftPaused = member.status && !member.status->isPrimary && member.status->heldTerm > Term {};
+        const bool oldPrimary
+            = member.status && member.status->isPrimary && member.status->term < record->term;
+        const bool leftPaused
+            = member.status && !member.status->isPrimary && member.status->heldTerm > Term {};
         if (member.status && !oldPrimary && !leftPaused)
             continue;
         member.lastAsked = now;
@@ -514,7 +570,8 @@
 
 void LeaderCoordinator::note(std::string_view event, std::vector<std::pair<std::string, std::string>> fields)
 {
-    this->actions.emplace_back(LeadershipNote { .event = std::string { event }, .fields = std::move(fields) });
+    this->actions.emplace_back(
+        LeadershipNote { .event = std::string { event }, .fields = std::move(fields) });
 }
 
 } // namespace cyclamendrift
--- a/src/limits/demand_shares.cpp
+++ b/src/limits/demand_shares.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-// A VM that a team has not asked yet gets this part of an even share, so that its first callers are let in before the
-// next list shows them. The price is that at most this part of a limit lies idle at VMs that nobody asks.
+// A VM that a team has not asked yet gets this part of an even share, so that its first callers are let in
+// before the next list shows them. The price is that at most this part of a limit lies idle at VMs that
+// nobody asks.
 constexpr double idlePart = 0.25;
 // Half-life of the measured demand; about the time of a list's round through the store.
 constexpr double meanSeconds = 2.0;
@@ -45,7 +46,8 @@
     std::erase_if(this->parts, [&limits](const auto& item) { return !limits.contains(item.first); });
     for (const auto& [team, limit] : limits) {
         const auto part = partOf(team, self, listed);
-        const TeamShare::Rule rule { .ratePerSecond = limit.ratePerSecond * part, .burst = limit.burst * part };
+        const TeamShare::Rule rule { .ratePerSecond = limit.ratePerSecond * part,
+            .burst = limit.burst * part };
         auto& history = this->parts[team];
         history.push_back({ .since = now, .rule = rule });
         while (history.size() > 1 && history[1].since + growthDelay <= now)
--- a/src/limits/team_share.cpp
+++ b/src/limits/team_share.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// A process that restarts must not hand out a whole burst again, as the one before it may just have done. What a
-// quarter of a second accrues lets callers in at once and stays far below the tolerance of the limit.
+// A process that restarts must not hand out a whole burst again, as the one before it may just have done.
+// What a quarter of a second accrues lets callers in at once and stays far below the tolerance of the limit.
 constexpr double firstSeconds = 0.25;
 
 } // namespace
--- a/src/platform/etcd_store.cpp
+++ b/src/platform/etcd_store.cpp
@@ -1,5 +1,5 @@
-#include <cyclamendrift/platform/curl_client.h>
 #include "json.h"
+#include <cyclamendrift/platform/curl_client.h>
 
 #include <cyclamendrift/platform/etcd_store.h>
 #include <cyclamendrift/platform/store_error.h>
--- a/src/platform/http_vm_list.cpp
+++ b/src/platform/http_vm_list.cpp
@@ -1,5 +1,5 @@
-#include <cyclamendrift/platform/curl_client.h>
 #include "json.h"
+#include <cyclamendrift/platform/curl_client.h>
 
 #include <cyclamendrift/platform/http_vm_list.h>
 #include <cyclamendrift/platform/store_error.h>
--- a/src/pooling/caller_session.h
+++ b/src/pooling/caller_session.h
@@ -94,7 +94,8 @@
 
     [[nodiscard]] bool isIdle() const noexcept
     {
-        return !this->work && !this->held && !this->waiting && this->pending.empty() && this->phase == SessionPhase::Idle;
+        return !this->work && !this->held && !this->waiting && this->pending.empty()
+            && this->phase == SessionPhase::Idle;
     }
 };
 
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -38,7 +38,8 @@
     session.lastActive = this->now;
     const auto* route = this->routes->findRoute(start.database);
     if (route == nullptr) {
-        this->endCaller(id, StatementFailure { StatementError::UnknownDatabase, "there is no such database" });
+        this->endCaller(
+            id, StatementFailure { StatementError::UnknownDatabase, "there is no such database" });
         return;
     }
     const auto* team = this->routes->findTeam(start.key);
@@ -63,7 +64,8 @@
     if (!session->started || session->pending.size() >= this->options.settings.pipelined) {
         this->endCaller(id,
             StatementFailure { StatementError::Malformed,
-                session->started ? "too many statements ahead of their answers" : "the session was not started" });
+                session->started ? "too many statements ahead of their answers"
+                                 : "the session was not started" });
         return;
     }
     session->pending.push_back(std::move(query));
@@ -92,7 +94,8 @@
         if (ends) {
             session.phase = SessionPhase::Idle;
             const bool commit = std::holds_alternative<CommitTransaction>(query.statement);
-            this->answer(session, commit ? failureReply(StatementError::Aborted, "the transaction had failed") : ownReply());
+            this->answer(session,
+                commit ? failureReply(StatementError::Aborted, "the transaction had failed") : ownReply());
         } else if (untold) {
             this->answer(session, failureReply(StatementError::Aborted, "the transaction was dropped"));
         } else {
@@ -115,7 +118,8 @@
     if (begins && session.phase != SessionPhase::Idle)
         return this->answer(session, failureReply(StatementError::Malformed, "a transaction is open"));
     if (execute != nullptr && !session.state.prepared.contains(execute->name))
-        return this->answer(session, failureReply(StatementError::UnknownStatement, "no statement has that name"));
+        return this->answer(
+            session, failureReply(StatementError::UnknownStatement, "no statement has that name"));
     if (begins || (touchesData && session.phase == SessionPhase::Idle))
         return this->startOperation(session, std::move(query));
     if (touchesData) {
@@ -133,7 +137,8 @@
     if (const auto* deallocate = std::get_if<DeallocateStatement>(&query.statement)) {
         const bool known = session.state.prepared.erase(deallocate->name) > 0;
         return this->answer(session,
-            known ? ownReply() : failureReply(StatementError::UnknownStatement, "no statement has that name"));
+            known ? ownReply()
+                  : failureReply(StatementError::UnknownStatement, "no statement has that name"));
     }
     this->answer(session, failureReply(StatementError::Malformed, "the statement cannot be read"));
 }
@@ -173,8 +178,8 @@
 void SessionEngine::State::waitForBudget(CallerSession& session, Budget& budget, CallerQuery query)
 {
     const auto patience = session.route.targetLatency / this->options.settings.admissionWaitDivisor;
-    // Siblings that had nothing a moment ago have nothing now: what this VM's own share will not let in soon enough is
-    // refused at once.
+    // Siblings that had nothing a moment ago have nothing now: what this VM's own share will not let in soon
+    // enough is refused at once.
     const auto ownTime = budget.share.timeToNext(this->now) * static_cast<int>(budget.waiting.size() + 1);
     const bool siblingsSpent = !budget.asking && this->now < budget.askAgainAt;
     if (siblingsSpent && ownTime > patience) {
@@ -228,8 +233,8 @@
 
 void SessionEngine::State::begin(CallerSession& session, const BeginTransaction& wanted)
 {
-    // The transaction is opened on an upstream with its first statement: until then the caller may pause, and a
-    // connection would be held for nothing.
+    // The transaction is opened on an upstream with its first statement: until then the caller may pause, and
+    // a connection would be held for nothing.
     session.phase = SessionPhase::InTransaction;
     session.transactionReadOnly = wanted.readOnly;
     session.transactionWrote = false;
@@ -302,14 +307,15 @@
     ++this->counters.refused;
     if (session.work) {
         this->log("refused",
-            { { "id", session.work->query.id }, { "service", session.route.service.string() }, { "reason", text },
-                { "attempts", std::to_string(session.work->attempts) },
+            { { "id", session.work->query.id }, { "service", session.route.service.string() },
+                { "reason", text }, { "attempts", std::to_string(session.work->attempts) },
                 { "waited_ms",
-                    std::to_string(
-                        std::chrono::duration_cast<std::chrono::milliseconds>(this->now - session.work->arrivedAt)
-                            .count()) } });
+                    std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                        this->now - session.work->arrivedAt)
+                                       .count()) } });
     } else {
-        this->log("refused", { { "team", session.team.string() }, { "database", session.database }, { "reason", text } });
+        this->log("refused",
+            { { "team", session.team.string() }, { "database", session.database }, { "reason", text } });
     }
     if (session.phase == SessionPhase::InTransaction) {
         this->endTransaction(session);
@@ -358,8 +364,8 @@
                                               : std::optional<ConnectionId> {};
     if (auto* connection = connectionId ? this->findConnection(*connectionId) : nullptr) {
         connection->user.reset();
-        // What runs goes on to its end, as a statement that is cut off in the middle costs the upstream the same; its
-        // transaction is dropped then.
+        // What runs goes on to its end, as a statement that is cut off in the middle costs the upstream the
+        // same; its transaction is dropped then.
         connection->steps.clear();
         if (connection->inTransaction)
             connection->steps.push_back({ .kind = StepKind::Drop, .statement = DropTransaction {} });
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -9,7 +9,8 @@
 
 // Weight of the newest answer in the moving mean of an upstream's time for a read.
 constexpr double newestWeight = 0.1;
-// An answer that is ready waits no longer than this to learn that the view held; renewals come twice a second.
+// An answer that is ready waits no longer than this to learn that the view held; renewals come twice a
+// second.
 constexpr Duration longestHold = std::chrono::milliseconds { 800 };
 
 double toMilliseconds(Duration duration)
@@ -66,8 +67,8 @@
     if (connection == nullptr)
         return;
     auto& upstream = this->upstreamOf(*connection);
-    // A connection that was open and is cut says little of its upstream: something between may have cut it, and a new
-    // one works at once. One that could not be opened says more.
+    // A connection that was open and is cut says little of its upstream: something between may have cut it,
+    // and a new one works at once. One that could not be opened says more.
     if (connection->phase == PooledConnection::Phase::Opening)
         this->noteFailure(upstream);
     else if (connection->phase == PooledConnection::Phase::Working && !upstream.failingSince)
@@ -89,11 +90,14 @@
     if (!session->work)
         return;
     session->work->connection.reset();
-    if (session->phase == SessionPhase::InTransaction && !session->work->opensTransaction && step != StepKind::Main) {
+    if (session->phase == SessionPhase::InTransaction && !session->work->opensTransaction
+        && step != StepKind::Main) {
         // The statement itself had not gone out, but its transaction is gone with the connection.
         this->log("transaction_lost", { { "id", session->work->query.id }, { "upstream", name.string() } });
-        session->phase = session->work->kind == WorkKind::Commit ? SessionPhase::Idle : SessionPhase::FailedTransaction;
-        this->answer(*session, failureReply(StatementError::Aborted, "the transaction's connection was lost"));
+        session->phase
+            = session->work->kind == WorkKind::Commit ? SessionPhase::Idle : SessionPhase::FailedTransaction;
+        this->answer(
+            *session, failureReply(StatementError::Aborted, "the transaction's connection was lost"));
         return;
     }
     if (step == StepKind::Main)
@@ -116,7 +120,8 @@
         if (!mayHaveWritten)
             return this->answer(session, failureReply(StatementError::Aborted, reason));
         ++this->counters.inDoubt;
-        return this->answer(session, failureReply(StatementError::InDoubt, "the commit may have taken effect"));
+        return this->answer(
+            session, failureReply(StatementError::InDoubt, "the commit may have taken effect"));
     }
     if (inTransaction) {
         session.phase = SessionPhase::FailedTransaction;
@@ -124,7 +129,8 @@
     }
     if (work.kind == WorkKind::Write) {
         ++this->counters.inDoubt;
-        return this->answer(session, failureReply(StatementError::InDoubt, "the write may have taken effect"));
+        return this->answer(
+            session, failureReply(StatementError::InDoubt, "the write may have taken effect"));
     }
     // A read leaves nothing behind and may run again.
     if (this->now < work.deadline && work.attempts < this->options.settings.attempts)
@@ -137,8 +143,8 @@
 {
     auto& work = *session.work;
     work.connection.reset();
-    // An upstream without a free connection has not looked at the statement; the work waits on like work that this VM
-    // has no connection for.
+    // An upstream without a free connection has not looked at the statement; the work waits on like work that
+    // this VM has no connection for.
     if (reason != StatementError::TooManyConnections)
         ++work.attempts;
     ++this->counters.retried;
@@ -146,7 +152,8 @@
         work.avoided[avoided] = this->now + pause;
     if (work.attempts >= this->options.settings.attempts || this->now >= work.deadline) {
         this->log("given_up",
-            { { "id", work.query.id }, { "upstream", avoided.string() }, { "error", std::to_string(static_cast<int>(reason)) } });
+            { { "id", work.query.id }, { "upstream", avoided.string() },
+                { "error", std::to_string(static_cast<int>(reason)) } });
         this->refuse(session, StatementError::Busy,
             adviceText("no upstream could run it", this->options.settings.overloadAdvice));
         return;
@@ -174,10 +181,12 @@
                 break;
             if (session != nullptr && step.kind != StepKind::Drop) {
                 if (!this->mayStillSend(connection, *session) && session->pinned) {
-                    session->phase = session->work->kind == WorkKind::Commit ? SessionPhase::Idle
-                                                                             : SessionPhase::FailedTransaction;
+                    session->phase = session->work->kind == WorkKind::Commit
+                        ? SessionPhase::Idle
+                        : SessionPhase::FailedTransaction;
                     this->endTransaction(*session);
-                    this->answer(*session, failureReply(StatementError::Aborted, "the primary no longer leads"));
+                    this->answer(
+                        *session, failureReply(StatementError::Aborted, "the primary no longer leads"));
                     return;
                 }
                 if (!this->mayStillSend(connection, *session)) {
@@ -194,13 +203,15 @@
                     : this->neededProgress(this->group(connection.service), *session);
                 if (auto* open = std::get_if<OpenTransaction>(&step.statement))
                     open->after = after;
-                if (auto* pass = std::get_if<PassStatement>(&step.statement); pass != nullptr && !session->pinned)
+                if (auto* pass = std::get_if<PassStatement>(&step.statement);
+                    pass != nullptr && !session->pinned)
                     pass->after = after;
                 connection.answerBy = std::max(session->work->deadline, this->now);
             }
         }
         connection.sent.push_back(step.kind);
-        this->actions.emplace_back(SendStatement { .connection = connection.id, .statement = std::move(step.statement) });
+        this->actions.emplace_back(
+            SendStatement { .connection = connection.id, .statement = std::move(step.statement) });
         const auto kind = step.kind;
         connection.steps.pop_front();
         if (kind != StepKind::Setup)
@@ -211,8 +222,8 @@
 bool SessionEngine::State::mayStillSend(const PooledConnection& connection, const CallerSession& session)
 {
     const auto& group = this->group(connection.service);
-    // Inside an open transaction the upstream itself refuses what its lost lead forbids, and a read sees what the
-    // transaction saw when it was opened.
+    // Inside an open transaction the upstream itself refuses what its lost lead forbids, and a read sees what
+    // the transaction saw when it was opened.
     if (session.pinned)
         return session.work->kind == WorkKind::Read || group.isLedBy(connection.upstream, this->now)
             || session.transactionReadOnly;
@@ -317,13 +328,15 @@
         else
             this->close(connection);
         if (notRun) {
-            const auto pause = reply.failure->error == StatementError::Lagging ? this->options.settings.laggingPause
-                                                                               : this->options.settings.busyPause;
+            const auto pause = reply.failure->error == StatementError::Lagging
+                ? this->options.settings.laggingPause
+                : this->options.settings.busyPause;
             this->retry(*session, upstreamName, pause, reply.failure->error);
             return;
         }
-    } else if (notRun && reply.phase == SessionPhase::InTransaction && reply.failure->error == StatementError::Busy
-        && work.attempts + 1 < this->options.settings.attempts && this->now < work.deadline) {
+    } else if (notRun && reply.phase == SessionPhase::InTransaction
+        && reply.failure->error == StatementError::Busy && work.attempts + 1 < this->options.settings.attempts
+        && this->now < work.deadline) {
         // The upstream was full and the transaction stands as before.
         ++session->work->attempts;
         session->work->resumeAt = this->now + this->options.settings.busyPause;
@@ -343,7 +356,8 @@
         session->phase = commit ? SessionPhase::Idle : SessionPhase::FailedTransaction;
         ++this->counters.failed;
         this->log("failed",
-            { { "id", work.query.id }, { "upstream", upstreamName.string() }, { "reason", reply.failure->text },
+            { { "id", work.query.id }, { "upstream", upstreamName.string() },
+                { "reason", reply.failure->text },
                 { "error", std::to_string(static_cast<int>(reply.failure->error)) } });
         if (notRun && (!commit || dropped))
             reply.failure->error = StatementError::Aborted;
@@ -364,7 +378,8 @@
     if (reply.failure) {
         ++this->counters.failed;
         this->log("failed",
-            { { "id", work.query.id }, { "upstream", upstreamName.string() }, { "reason", reply.failure->text },
+            { { "id", work.query.id }, { "upstream", upstreamName.string() },
+                { "reason", reply.failure->text },
                 { "error", std::to_string(static_cast<int>(reply.failure->error)) } });
         this->answer(*session, std::move(reply));
         return;
@@ -377,8 +392,8 @@
         session->floorService = session->route.service;
         auto& group = this->group(session->route.service);
         if (!group.isLedBy(upstreamName, this->now)) {
-            // The commit is there, but a new primary may have been promoted meanwhile, with a log that lacks it.
-            // The caller is told of success only once it is known that this was not so.
+            // The commit is there, but a new primary may have been promoted meanwhile, with a log that lacks
+            // it. The caller is told of success only once it is known that this was not so.
             session->held = HeldReply { .reply = std::move(reply),
                 .upstream = upstreamName,
                 .term = session->floor->term,
@@ -451,7 +466,8 @@
 void SessionEngine::State::noteFailure(UpstreamState& upstream)
 {
     upstream.downUntil = this->now
-        + doubled(this->options.settings.downPause, upstream.failures, this->options.settings.downPauseAtMost);
+        + doubled(
+            this->options.settings.downPause, upstream.failures, this->options.settings.downPauseAtMost);
     ++upstream.failures;
     if (!upstream.failingSince)
         upstream.failingSince = this->now;
@@ -492,7 +508,8 @@
                 this->options.settings.laggingPauseAtMost);
         ++upstream.laggingTimes;
     }
-    if (error == StatementError::ReadOnly && this->group(connection.service).view.primary == connection.upstream)
+    if (error == StatementError::ReadOnly
+        && this->group(connection.service).view.primary == connection.upstream)
         upstream.contradictsView = true;
 }
 
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -8,14 +8,15 @@
 
 namespace {
 
-// Costs of serving a read at an upstream, in statements that this VM already has there. Opening a connection takes
-// about half of a short statement's time at the upstream and a round trip more.
+// Costs of serving a read at an upstream, in statements that this VM already has there. Opening a connection
+// takes about half of a short statement's time at the upstream and a round trip more.
 constexpr double openingCost = 0.6;
 // The primary alone can take writes, so reads go elsewhere while the difference is small.
 constexpr double primaryCost = 0.8;
 // Another availability zone adds a round trip of 2 ms, small against a statement's 10 to 40 ms.
 constexpr double otherZoneCost = 0.1;
-// How much an upstream's usual time for a read counts, per millisecond; 50 ms of difference weigh as one statement.
+// How much an upstream's usual time for a read counts, per millisecond; 50 ms of difference weigh as one
+// statement.
 constexpr double perMillisecond = 0.02;
 
 } // namespace
@@ -132,8 +133,8 @@
     const bool ownWrites = std::holds_alternative<ReadOwnWritesRoute>(session.route.freshness);
     if (!ownWrites || !session.floor || session.floorService != session.route.service)
         return needed;
-    // A write of an earlier term is either in the log of every upstream of the newer term or was dropped by the
-    // promotion, so the position of the newer term stands for it.
+    // A write of an earlier term is either in the log of every upstream of the newer term or was dropped by
+    // the promotion, so the position of the newer term stands for it.
     if (session.floor->term < needed->term)
         return needed;
     return std::max(*needed, *session.floor);
@@ -159,7 +160,8 @@
 {
     for (const auto id : upstream.connections) {
         auto* connection = this->findConnection(id);
-        if (connection != nullptr && connection->phase == PooledConnection::Phase::Idle && connection->team == team)
+        if (connection != nullptr && connection->phase == PooledConnection::Phase::Idle
+            && connection->team == team)
             return connection;
     }
     return nullptr;
@@ -238,11 +240,12 @@
         connection.steps.push_back({ .kind = StepKind::Setup, .statement = std::move(statement) });
     }
     if (work.opensTransaction)
-        connection.steps.push_back(
-            { .kind = StepKind::Open, .statement = OpenTransaction { .readOnly = session.transactionReadOnly } });
+        connection.steps.push_back({ .kind = StepKind::Open,
+            .statement = OpenTransaction { .readOnly = session.transactionReadOnly } });
     PassStatement main { .id = work.query.id, .text = work.query.text };
     if (work.shape)
-        main.execute = ExecutePrepared { .name = connection.state.nameOf(*work.shape), .arguments = work.arguments };
+        main.execute
+            = ExecutePrepared { .name = connection.state.nameOf(*work.shape), .arguments = work.arguments };
     connection.steps.push_back({ .kind = StepKind::Main, .statement = std::move(main) });
     this->sendNext(connection);
 }
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -23,8 +23,9 @@
     Instant askAgainAt = Instant::min();
 };
 
-/// Everything that a SessionEngine holds. Sources: engine_callers (statements of callers), engine_dispatch (which
-/// upstream gets which work), engine_connections (answers and losses), session_engine (knowledge and time).
+/// Everything that a SessionEngine holds. Sources: engine_callers (statements of callers), engine_dispatch
+/// (which upstream gets which work), engine_connections (answers and losses), session_engine (knowledge and
+/// time).
 class SessionEngine::State {
 public:
     explicit State(Options options)
@@ -99,9 +100,12 @@
 
     // engine_dispatch
     bool assign(GroupState& group, CallerSession& session);
-    [[nodiscard]] bool canServe(const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const;
-    [[nodiscard]] std::optional<Progress> neededProgress(const GroupState& group, const CallerSession& session) const;
-    [[nodiscard]] double costOf(const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const;
+    [[nodiscard]] bool canServe(
+        const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const;
+    [[nodiscard]] std::optional<Progress> neededProgress(
+        const GroupState& group, const CallerSession& session) const;
+    [[nodiscard]] double costOf(
+        const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const;
     [[nodiscard]] PooledConnection* idleConnection(UpstreamState& upstream, const TeamName& team);
     [[nodiscard]] bool makeRoom(UpstreamState& upstream);
     void openFor(GroupState& group, UpstreamState& upstream, CallerSession& session);
--- a/src/pooling/route_table.cpp
+++ b/src/pooling/route_table.cpp
@@ -24,6 +24,9 @@
     return match == this->keys.end() ? nullptr : &match->second;
 }
 
-Duration maxStalenessOf(const RouteFreshness& freshness) noexcept { return std::visit(StalenessOf {}, freshness); }
+Duration maxStalenessOf(const RouteFreshness& freshness) noexcept
+{
+    return std::visit(StalenessOf {}, freshness);
+}
 
 } // namespace cyclamendrift
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -36,7 +36,8 @@
     return this->group(connection.service).upstreams.at(connection.upstream);
 }
 
-void SessionEngine::State::log(std::string_view event, std::vector<std::pair<std::string, std::string>> fields)
+void SessionEngine::State::log(
+    std::string_view event, std::vector<std::pair<std::string, std::string>> fields)
 {
     this->actions.emplace_back(LogDecision { .event = std::string { event }, .fields = std::move(fields) });
 }
@@ -240,7 +241,10 @@
     return all;
 }
 
-std::map<TeamName, std::uint64_t> SessionEngine::takeDemand() { return std::exchange(this->state->demand, {}); }
+std::map<TeamName, std::uint64_t> SessionEngine::takeDemand()
+{
+    return std::exchange(this->state->demand, {});
+}
 
 const EngineCounters& SessionEngine::counters() const noexcept { return this->state->counters; }
 
--- a/src/pooling/session_state.cpp
+++ b/src/pooling/session_state.cpp
@@ -5,8 +5,8 @@
 std::vector<SetupStep> ConnectionState::match(const SessionState& session, const PreparedShape* needed)
 {
     std::vector<SetupStep> steps;
-    // There is no way to unset one value, and a value left over from another session would change what this one's
-    // statements do without anybody noticing; so everything is dropped.
+    // There is no way to unset one value, and a value left over from another session would change what this
+    // one's statements do without anybody noticing; so everything is dropped.
     if (this->holdsForeignValue(session)) {
         this->values.clear();
         this->names.clear();
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -10,11 +10,11 @@
 #include <cyclamendrift/callers/rpc_dispatcher.h>
 #include <cyclamendrift/core/request_error.h>
 #include <cyclamendrift/operators/operators_service.h>
-#include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/proxy/forward_service.h>
 #include <cyclamendrift/proxy/home_registry.h>
 #include <cyclamendrift/proxy/home_router.h>
 #include <cyclamendrift/proxy/statements_service.h>
+#include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/siblings/sibling_client.h>
 #include <cyclamendrift/siblings/sibling_server.h>
 #include <cyclamendrift/telemetry/event_log.h>
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -24,7 +24,8 @@
             return;
         logEvent(LogLevel::Info, "configuration_taken",
             { { "version", std::to_string(table->version) }, { "revision", std::to_string(revision) },
-                { "routes", std::to_string(table->routes.size()) }, { "keys", std::to_string(table->keys.size()) } });
+                { "routes", std::to_string(table->routes.size()) },
+                { "keys", std::to_string(table->keys.size()) } });
         this->routes = std::move(table);
         this->options.traffic.setRoutes(this->routes);
         this->divideLimits();
@@ -76,14 +77,17 @@
     const auto& settings = self->options.settings;
     while (!self->stopped) {
         bool current = false;
-        // A sibling that reads the store may have lost it itself; what nobody has confirmed lately is read here.
-        const bool unconfirmed = bootNow() >= self->configurationConfirmedAt + settings.configurationUnconfirmed;
+        // A sibling that reads the store may have lost it itself; what nobody has confirmed lately is read
+        // here.
+        const bool unconfirmed
+            = bootNow() >= self->configurationConfirmedAt + settings.configurationUnconfirmed;
         if (self->isReader() || self->configurationWanted || unconfirmed)
             current = co_await self->readConfiguration();
         if (current && self->isReader())
             co_await self->watchConfiguration();
         else
-            co_await self->sleep(self->configurationSource.isLost() ? settings.longestBackoff / 2 : settings.doubtedInterval);
+            co_await self->sleep(
+                self->configurationSource.isLost() ? settings.longestBackoff / 2 : settings.doubtedInterval);
     }
 }
 
@@ -92,9 +96,11 @@
     while (!self->stopped) {
         auto pause = self->options.settings.directoryInterval;
         try {
-            // The first reading must not miss anything; later ones may lag, as an upstream announces its end early.
+            // The first reading must not miss anything; later ones may lag, as an upstream announces its end
+            // early.
             const auto freshness = self->directoryRead ? ReadFreshness::MayLag : ReadFreshness::Linearizable;
-            const auto listing = co_await self->options.store.listing(self->options.format.upstreamPrefix(), freshness);
+            const auto listing
+                = co_await self->options.store.listing(self->options.format.upstreamPrefix(), freshness);
             ++self->storeCalls["directory"];
             self->directorySource.succeeded();
             self->directoryConfirmedAt = bootNow();
@@ -124,7 +130,8 @@
         } catch (const FormatError& error) {
             // Told once for each content, as the listing comes back every second.
             if (std::exchange(this->unreadable[entry.key], entry.value) != entry.value)
-                logEvent(LogLevel::Warn, "upstream_entry_set_aside", { { "key", entry.key }, { "reason", error.what() } });
+                logEvent(LogLevel::Warn, "upstream_entry_set_aside",
+                    { { "key", entry.key }, { "reason", error.what() } });
         }
     }
     for (const auto& known : this->directory) {
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -25,7 +25,8 @@
 {
     const auto askedAt = bootNow();
     try {
-        auto listing = co_await this->options.store.listing(store_key::leadershipPrefix, ReadFreshness::Linearizable);
+        auto listing
+            = co_await this->options.store.listing(store_key::leadershipPrefix, ReadFreshness::Linearizable);
         ++this->storeCalls["leadership"];
         this->leadershipSource.succeeded();
         this->leadershipListing = std::move(listing);
@@ -68,19 +69,21 @@
     for (const auto& entry : listing.entries) {
         const std::string_view key { entry.key };
         if (key.starts_with(store_key::recordPrefix)) {
-            const ServiceName service { entry.key.substr(std::string_view { store_key::recordPrefix }.size()) };
+            const ServiceName service { entry.key.substr(
+                std::string_view { store_key::recordPrefix }.size()) };
             try {
                 snapshots[service].record = LeadershipRecord::decode(entry.value);
                 snapshots[service].recordRevision = entry.revision;
             } catch (const LeadershipError& error) {
-                logEvent(LogLevel::Error, "record_unreadable", { { "key", entry.key }, { "reason", error.what() } });
+                logEvent(LogLevel::Error, "record_unreadable",
+                    { { "key", entry.key }, { "reason", error.what() } });
             }
         } else if (key.starts_with(store_key::dutyPrefix)) {
             const ServiceName service { entry.key.substr(std::string_view { store_key::dutyPrefix }.size()) };
             // The key is never rewritten, so its revision is that of its creation and grows with each holder.
-            snapshots[service].duty = LeadershipDuty { .holder = VmName { entry.value },
-                .token = entry.revision,
-                .revision = entry.revision };
+            snapshots[service].duty = LeadershipDuty {
+                .holder = VmName { entry.value }, .token = entry.revision, .revision = entry.revision
+            };
         }
     }
     const auto now = bootNow();
@@ -129,10 +132,22 @@
         const ServiceName& service;
 
         void operator()(const AskStatus& ask) const { this->send(ask.upstream, ReportStatus {}); }
-        void operator()(const PauseReplica& pause) const { this->send(pause.upstream, PauseReplication { pause.term }); }
-        void operator()(const ResumeReplica& resume) const { this->send(resume.upstream, ResumeReplication {}); }
-        void operator()(const DemotePrimary& demote) const { this->send(demote.upstream, StepDown { demote.term }); }
-        void operator()(const TakeDuty&) const { this->control.spawn(State::takeDuty(this->self, this->service)); }
+        void operator()(const PauseReplica& pause) const
+        {
+            this->send(pause.upstream, PauseReplication { pause.term });
+        }
+        void operator()(const ResumeReplica& resume) const
+        {
+            this->send(resume.upstream, ResumeReplication {});
+        }
+        void operator()(const DemotePrimary& demote) const
+        {
+            this->send(demote.upstream, StepDown { demote.term });
+        }
+        void operator()(const TakeDuty&) const
+        {
+            this->control.spawn(State::takeDuty(this->self, this->service));
+        }
         void operator()(const YieldDuty& duty) const
         {
             this->control.spawn(State::yieldDuty(this->self, this->service, duty.revision));
@@ -187,10 +202,12 @@
         const auto outcome = co_await self->options.store.compareAndSwap(std::move(swap));
         ++self->storeCalls["duty"];
         const bool taken = std::holds_alternative<Swapped>(outcome);
-        logEvent(LogLevel::Info, "duty_tried", { { "service", service.string() }, { "taken", taken ? "yes" : "no" } });
+        logEvent(LogLevel::Info, "duty_tried",
+            { { "service", service.string() }, { "taken", taken ? "yes" : "no" } });
     } catch (const StoreError& error) {
         // Whether it took effect shows in the next reading.
-        logEvent(LogLevel::Warn, "duty_unknown", { { "service", service.string() }, { "reason", error.what() } });
+        logEvent(
+            LogLevel::Warn, "duty_unknown", { { "service", service.string() }, { "reason", error.what() } });
     }
 }
 
@@ -201,7 +218,8 @@
         SwapOptions swap { .key = store_key::dutyPrefix + service.string(), .expectedRevision = revision };
         static_cast<void>(co_await self->options.store.compareAndSwap(std::move(swap)));
     } catch (const StoreError& error) {
-        logEvent(LogLevel::Warn, "duty_not_yielded", { { "service", service.string() }, { "reason", error.what() } });
+        logEvent(LogLevel::Warn, "duty_not_yielded",
+            { { "service", service.string() }, { "reason", error.what() } });
     }
 }
 
@@ -213,7 +231,8 @@
             .expectedRevision = change.expectedRevision,
             .value = change.record.encode() };
         // A VM whose duty has passed to another must not change the record any more.
-        swap.guards.push_back({ .key = store_key::dutyPrefix + service.string(), .revision = change.dutyRevision });
+        swap.guards.push_back(
+            { .key = store_key::dutyPrefix + service.string(), .revision = change.dutyRevision });
         const auto outcome = co_await self->options.store.compareAndSwap(std::move(swap));
         ++self->storeCalls["record"];
         const auto* swapped = std::get_if<Swapped>(&outcome);
@@ -225,7 +244,8 @@
     } catch (const StoreError& error) {
         // The next reading shows whether it took effect.
         logEvent(LogLevel::Warn, "record_unknown",
-            { { "service", service.string() }, { "change", change.record.changeId }, { "reason", error.what() } });
+            { { "service", service.string() }, { "change", change.record.changeId },
+                { "reason", error.what() } });
     }
     self->tick();
 }
@@ -243,7 +263,10 @@
     logEvent(LogLevel::Info, "promotion_sent",
         { { "service", service.string() }, { "upstream", change.upstream.string() },
             { "token", std::to_string(change.token) },
-            { "answer", answer == Answer::Accepted ? "accepted" : answer == Answer::NotRunning ? "not running" : "none" } });
+            { "answer",
+                answer == Answer::Accepted         ? "accepted"
+                    : answer == Answer::NotRunning ? "not running"
+                                                   : "none" } });
     if (answer == Answer::NotRunning)
         self->coordinators.at(service).onPromotionRefused(change.upstream, bootNow());
 }
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -48,6 +48,8 @@
                 logEvent(LogLevel::Warn, "lease_lapsed");
                 self->lease.reset();
                 self->leaseUntil = Instant::min();
+                for (auto& [service, coordinator] : self->coordinators)
+                    coordinator.onLeaseLost(bootNow());
                 pause = settings.firstBackoff;
             } else {
                 pause = self->leaseSource.failed(error.what());
@@ -185,9 +187,9 @@
         }
         const VmName vm { record.name() };
         auto& sibling = next[vm];
-        sibling.address = { .vm = vm,
-            .host = record.sibling_host(),
-            .port = static_cast<std::uint16_t>(record.sibling_port()) };
+        sibling.address = {
+            .vm = vm, .host = record.sibling_host(), .port = static_cast<std::uint16_t>(record.sibling_port())
+        };
         sibling.zone = ZoneName { record.availability_zone() };
         for (const auto& team : record.demand())
             sibling.demand[TeamName { team.team() }] = team.operations_per_second();
@@ -199,8 +201,8 @@
     const bool listed = own != this->siblings.end();
     if (listed && !this->toldUnder)
         this->demand.begin(own->second.demand);
-    this->place.rank
-        = listed ? static_cast<std::size_t>(std::distance(this->siblings.begin(), own)) : this->siblings.size();
+    this->place.rank = listed ? static_cast<std::size_t>(std::distance(this->siblings.begin(), own))
+                              : this->siblings.size();
     this->place.vms = this->siblings.size() + (listed ? 0 : 1);
     this->options.traffic.setPlace(this->place);
     this->options.traffic.setSiblings(this->siblings);
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -49,7 +49,8 @@
     StoreListing listing;
     listing.revision = message.revision();
     for (const auto& entry : message.entries())
-        listing.entries.push_back({ .key = entry.key(), .value = entry.value(), .revision = entry.revision() });
+        listing.entries.push_back(
+            { .key = entry.key(), .value = entry.value(), .revision = entry.revision() });
     return listing;
 }
 
@@ -75,7 +76,8 @@
 {
     const auto now = bootNow();
     std::vector<const SiblingInfo*> usable;
-    // In the place of readers that failed come the next ones: they read the store as well when no reader answers them.
+    // In the place of readers that failed come the next ones: they read the store as well when no reader
+    // answers them.
     for (const auto& [vm, sibling] : this->siblings) {
         const auto failed = this->readerFailedUntil.find(vm);
         const bool paused = failed != this->readerFailedUntil.end() && now < failed->second;
@@ -106,7 +108,8 @@
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
     } catch (const Error& error) {
-        logEvent(LogLevel::Info, "reader_not_reached", { { "vm", address.vm.string() }, { "reason", error.what() } });
+        logEvent(LogLevel::Info, "reader_not_reached",
+            { { "vm", address.vm.string() }, { "reason", error.what() } });
         this->readerFailedUntil[address.vm] = bootNow() + this->options.settings.readerPause;
         co_return false;
     }
@@ -132,14 +135,16 @@
     if (configuration.entries_size() > 0)
         this->takeConfiguration(configuration.entries(0).value(), configuration.revision());
     if (configuration.revision() == this->configurationRevision)
-        this->configurationConfirmedAt = std::max(this->configurationConfirmedAt, askedAt - ageOf(configuration));
+        this->configurationConfirmedAt
+            = std::max(this->configurationConfirmedAt, askedAt - ageOf(configuration));
     this->configurationWanted = configuration.revision() > this->configurationRevision;
     const auto& directory = answer.directory();
     if (directory.entries_size() > 0 && directory.revision() > this->directoryListing.revision)
         this->takeDirectory(listingFrom(directory));
 }
 
-asio::awaitable<std::string> SessionControl::State::shareReadings(std::shared_ptr<State> self, std::string body)
+asio::awaitable<std::string> SessionControl::State::shareReadings(
+    std::shared_ptr<State> self, std::string body)
 {
     wire::ReadingsRequest request;
     if (!request.ParseFromString(body) || self->leadershipAskedAt == Instant::min()) {
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -47,8 +47,8 @@
     bool lost = false;
 };
 
-/// Sources: control_configuration (routes and upstreams), control_leadership (who leads), control_membership (lease,
-/// VMs, limits), session_control (start and stop).
+/// Sources: control_configuration (routes and upstreams), control_leadership (who leads), control_membership
+/// (lease, VMs, limits), session_control (start and stop).
 class SessionControl::State : public std::enable_shared_from_this<State> {
 public:
     explicit State(Options options);
@@ -57,7 +57,8 @@
     void stop();
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] asio::awaitable<void> leave();
-    [[nodiscard]] static asio::awaitable<std::string> shareReadings(std::shared_ptr<State> self, std::string request);
+    [[nodiscard]] static asio::awaitable<std::string> shareReadings(
+        std::shared_ptr<State> self, std::string request);
 
     Options options;
     AsioTimerService timers;
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -101,12 +101,12 @@
 {
     if (!this->routes || !this->directoryRead || !this->leadershipRead)
         return false;
-    // When the whole system starts for the first time nobody leads yet for a moment. A group that goes on without a
-    // primary must not keep the others from being served.
+    // When the whole system starts for the first time nobody leads yet for a moment. A group that goes on
+    // without a primary must not keep the others from being served.
     const bool patient = bootNow() < this->startedAt + leaderPatience;
-    return !patient || std::all_of(this->coordinators.begin(), this->coordinators.end(), [](const auto& item) {
-        return item.second.view().phase != LeaderView::Phase::Unknown;
-    });
+    return !patient
+        || std::all_of(this->coordinators.begin(), this->coordinators.end(),
+            [](const auto& item) { return item.second.view().phase != LeaderView::Phase::Unknown; });
 }
 
 void SessionControl::State::stop()
@@ -118,7 +118,8 @@
 
 asio::awaitable<void> SessionControl::State::leave()
 {
-    const auto held = { std::exchange(this->lease, std::nullopt), std::exchange(this->recordLease, std::nullopt) };
+    const auto held
+        = { std::exchange(this->lease, std::nullopt), std::exchange(this->recordLease, std::nullopt) };
     this->leaseUntil = Instant::min();
     this->stop();
     for (const auto& one : held) {
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -21,7 +21,8 @@
 
 constexpr int serviceUnavailable = 503;
 constexpr int notFound = 404;
-// The balancer takes a VM out after two misses of a question a second; sessions that come in until then are served.
+// The balancer takes a VM out after two misses of a question a second; sessions that come in until then are
+// served.
 constexpr Duration balancerNotice = std::chrono::milliseconds { 2300 };
 // Left of the grace period when the last sessions are cut, so that the process itself ends in time.
 constexpr Duration endReserve = std::chrono::milliseconds { 500 };
@@ -44,7 +45,8 @@
               .callers = *ports.callers,
               .upstreams = *ports.upstreams,
               .onDrained = [this] { asio::post(this->controlContext, [this] { this->onDrained(); }); },
-              .shareReadings = [this](std::string request) { return this->control.shareReadings(std::move(request)); } })
+              .shareReadings
+              = [this](std::string request) { return this->control.shareReadings(std::move(request)); } })
         , control({ .context = controlContext,
               .vm = options.settings.vm.name,
               .zone = options.settings.vm.zone,
@@ -94,7 +96,8 @@
         if (self->draining)
             co_return HttpResponse { .status = serviceUnavailable, .body = "this VM stops\n" };
         if (!self->control.isReady())
-            co_return HttpResponse { .status = serviceUnavailable, .body = "configuration or upstreams not read yet\n" };
+            co_return HttpResponse { .status = serviceUnavailable,
+                .body = "configuration or upstreams not read yet\n" };
         co_return HttpResponse { .body = "ready\n" };
     }
 
@@ -124,7 +127,8 @@
         const auto now = bootNow();
         const auto grace = this->options.settings.grace;
         logEvent(LogLevel::Info, "draining");
-        this->traffic.drain(now + std::min(balancerNotice, grace / 2), now + grace / 2, now + grace - endReserve);
+        this->traffic.drain(
+            now + std::min(balancerNotice, grace / 2), now + grace / 2, now + grace - endReserve);
     }
 
     void onDrained()
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -21,7 +21,8 @@
 /// Carries one action out.
 class Performer {
 public:
-    Performer(CallerPort& callers, UpstreamPort& upstreams, std::function<void(const AskForTokens&)> askForTokens)
+    Performer(
+        CallerPort& callers, UpstreamPort& upstreams, std::function<void(const AskForTokens&)> askForTokens)
         : callers(callers)
         , upstreams(upstreams)
         , askForTokens(std::move(askForTokens))
@@ -32,7 +33,10 @@
     {
         this->upstreams.open(action.connection, action.upstream, action.team);
     }
-    void operator()(const SendStatement& action) { this->upstreams.send(action.connection, action.statement); }
+    void operator()(const SendStatement& action)
+    {
+        this->upstreams.send(action.connection, action.statement);
+    }
     void operator()(const CloseConnection& action) { this->upstreams.close(action.connection); }
     void operator()(const AcceptCaller& action) { this->callers.accept(action.caller); }
     void operator()(const AnswerCaller& action) { this->callers.answer(action.caller, action.reply); }
@@ -63,8 +67,9 @@
               .self = options.vm,
               .listenHost = options.siblingHost,
               .listenPort = options.siblingPort,
-              .giveTokens = [this](const TeamName& team,
-                                std::uint32_t wanted) { return this->engine.giveTokens(team, wanted, bootNow()); },
+              .giveTokens
+              = [this](const TeamName& team,
+                    std::uint32_t wanted) { return this->engine.giveTokens(team, wanted, bootNow()); },
               .shareReadings = options.shareReadings })
     {
     }
@@ -131,13 +136,15 @@
         return;
     this->state->performing = true;
     const auto askForTokens = [this](const AskForTokens& ask) {
-        this->state->exchange.askForTokens(ask.team, ask.wanted, [this, team = ask.team](std::uint32_t given) {
-            this->state->engine.tokensReceived(team, given, bootNow());
-            this->performAll();
-        });
+        this->state->exchange.askForTokens(
+            ask.team, ask.wanted, [this, team = ask.team](std::uint32_t given) {
+                this->state->engine.tokensReceived(team, given, bootNow());
+                this->performAll();
+            });
     };
     Performer performer { this->state->options.callers, this->state->options.upstreams, askForTokens };
-    for (auto actions = this->state->engine.takeActions(); !actions.empty(); actions = this->state->engine.takeActions()) {
+    for (auto actions = this->state->engine.takeActions(); !actions.empty();
+         actions = this->state->engine.takeActions()) {
         for (const auto& action : actions)
             std::visit(performer, action);
     }
@@ -214,7 +221,8 @@
 
 void SessionTraffic::setPlace(FleetPlace place)
 {
-    asio::post(this->state->options.context, [this, place] { this->state->engine.setPlace(place, bootNow()); });
+    asio::post(
+        this->state->options.context, [this, place] { this->state->engine.setPlace(place, bootNow()); });
 }
 
 void SessionTraffic::setShares(std::map<TeamName, TeamShare::Rule> shares)
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -27,7 +27,9 @@
 
 [[noreturn]] void refuse(const char* message)
 {
-    throw RequestError { { .outcome = Outcome::NotRun, .reason = RefusalReason::BadRequest, .message = message } };
+    throw RequestError {
+        { .outcome = Outcome::NotRun, .reason = RefusalReason::BadRequest, .message = message }
+    };
 }
 
 } // namespace
@@ -70,7 +72,8 @@
             if (answer.ParseFromString(body))
                 given = answer.given();
         } catch (const Error&) {
-            // A sibling that cannot be asked gives nothing; if its answer was lost, what it took out is lost with it.
+            // A sibling that cannot be asked gives nothing; if its answer was lost, what it took out is lost
+            // with it.
             given = 0;
         }
         if (given < wanted)
@@ -78,8 +81,8 @@
         co_return given;
     }
 
-    [[nodiscard]] static asio::awaitable<void> askAround(
-        std::shared_ptr<State> self, TeamName team, std::uint32_t wanted, std::function<void(std::uint32_t)> done)
+    [[nodiscard]] static asio::awaitable<void> askAround(std::shared_ptr<State> self, TeamName team,
+        std::uint32_t wanted, std::function<void(std::uint32_t)> done)
     {
         std::map<VmName, DemandByTeam> listed;
         for (const auto& [vm, sibling] : self->siblings)
--- a/standins/memory_store.cpp
+++ b/standins/memory_store.cpp
@@ -46,10 +46,11 @@
         throw StoreError { StoreError::Kind::LeaseGone, "the lease does not exist" };
     const auto found = this->entries.find(options.key);
     const bool exists = found != this->entries.end();
-    const bool guarded = std::all_of(options.guards.begin(), options.guards.end(), [this](const KeyGuard& guard) {
-        const auto entry = this->entries.find(guard.key);
-        return (entry == this->entries.end() ? 0 : entry->second.revision) == guard.revision;
-    });
+    const bool guarded
+        = std::all_of(options.guards.begin(), options.guards.end(), [this](const KeyGuard& guard) {
+              const auto entry = this->entries.find(guard.key);
+              return (entry == this->entries.end() ? 0 : entry->second.revision) == guard.revision;
+          });
     SwapOutcome outcome;
     if (guarded && (exists ? found->second.revision : 0) == options.expectedRevision) {
         this->put(options.key, std::move(options.value), options.lease);
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -20,9 +20,9 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
-#include <set>
 #include <vector>
 
 using namespace cyclamendrift;
@@ -50,7 +50,8 @@
         : kv(context)
         , upstreams(context, "register", 3)
     {
-        this->kv.onPromotion = [this](const std::string&, const std::string& id) { return this->upstreams.promote(id); };
+        this->kv.onPromotion
+            = [this](const std::string&, const std::string& id) { return this->upstreams.promote(id); };
         this->kv.put("op/config", configuration);
         for (std::size_t index = 0; index < 3; ++index)
             this->tellEntry(index);
@@ -105,19 +106,21 @@
         this->settings.storeAddress = surroundings.kv.address();
         this->settings.promotionAddress = surroundings.kv.address();
         this->settings.grace = 2s;
-        const auto makePorts = [](asio::io_context& traffic, asio::io_context& control, const SessionSettings& given) {
-            SessionPorts ports;
-            ports.callers = std::make_unique<platform::CallerListener>(traffic, given.callers);
-            ports.upstreams = std::make_unique<platform::UpstreamConnector>(traffic);
-            ports.store = std::make_unique<platform::KvStore>(
-                control.get_executor(), platform::KvStore::Options { .address = given.storeAddress });
-            ports.leadership = std::make_unique<platform::LeadershipClient>(
-                control, platform::LeadershipClient::Options { .promotionAddress = given.promotionAddress });
-            ports.format = std::make_unique<platform::OperatorFormat>();
-            return ports;
-        };
-        this->daemon = std::make_unique<SessionDaemon>(SessionDaemonOptions {
-            .settings = this->settings, .reload = [this] { return this->settings; }, .makePorts = makePorts });
+        const auto makePorts
+            = [](asio::io_context& traffic, asio::io_context& control, const SessionSettings& given) {
+                  SessionPorts ports;
+                  ports.callers = std::make_unique<platform::CallerListener>(traffic, given.callers);
+                  ports.upstreams = std::make_unique<platform::UpstreamConnector>(traffic);
+                  ports.store = std::make_unique<platform::KvStore>(
+                      control.get_executor(), platform::KvStore::Options { .address = given.storeAddress });
+                  ports.leadership = std::make_unique<platform::LeadershipClient>(control,
+                      platform::LeadershipClient::Options { .promotionAddress = given.promotionAddress });
+                  ports.format = std::make_unique<platform::OperatorFormat>();
+                  return ports;
+              };
+        this->daemon = std::make_unique<SessionDaemon>(SessionDaemonOptions { .settings = this->settings,
+            .reload = [this] { return this->settings; },
+            .makePorts = makePorts });
         this->thread = std::thread { [this] { this->exit = this->daemon->run(); } };
     }
     ~Running()
@@ -150,7 +153,8 @@
     explicit Caller(const Running& proxy, const std::string& database = "beds")
         : socket(context)
     {
-        const asio::ip::tcp::endpoint endpoint { asio::ip::make_address("127.0.0.1"), proxy.settings.callers.port };
+        const asio::ip::tcp::endpoint endpoint { asio::ip::make_address("127.0.0.1"),
+            proxy.settings.callers.port };
         // The port opens once the proxy has read what it needs.
         asio::error_code error = asio::error::connection_refused;
         for (int tries = 0; error && tries < 300; ++tries) {
@@ -168,7 +172,8 @@
     std::string line()
     {
         asio::error_code error;
-        const auto length = asio::read_until(this->socket, asio::dynamic_buffer(this->received), "\r\n", error);
+        const auto length
+            = asio::read_until(this->socket, asio::dynamic_buffer(this->received), "\r\n", error);
         if (error)
             return "closed";
         const auto text = this->received.substr(0, length - 2);
@@ -230,8 +235,8 @@
 
     TEST_CASE("a planned stop ends the process, in time and gracefully")
     {
-        // The proxy is told to stop while siblings, store and upstreams are connected. A process that does not end by
-        // itself is killed, and what it still holds is lost.
+        // The proxy is told to stop while siblings, store and upstreams are connected. A process that does
+        // not end by itself is killed, and what it still holds is lost.
         Surroundings surroundings;
         auto first = std::make_unique<Running>(surroundings, "vm-1");
         const Running second { surroundings, "vm-2" };
@@ -247,8 +252,8 @@
 
     TEST_CASE("a primary that dies is replaced, and what it acknowledged to both replicas is there")
     {
-        // The primary dies at night and nobody is awake. Writes go on at a replica that has everything, without a
-        // human deciding anything.
+        // The primary dies at night and nobody is awake. Writes go on at a replica that has everything,
+        // without a human deciding anything.
         Surroundings surroundings;
         const Running first { surroundings, "vm-1" };
         const Running second { surroundings, "vm-2" };
--- a/tests/adapter/kv_server.cpp
+++ b/tests/adapter/kv_server.cpp
@@ -30,8 +30,8 @@
 std::string toBase64(const std::string& bytes)
 {
     std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
-    sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
-        sodium_base64_VARIANT_ORIGINAL);
+    sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()),
+        bytes.size(), sodium_base64_VARIANT_ORIGINAL);
     text.pop_back();
     return text;
 }
@@ -40,8 +40,8 @@
 {
     std::string bytes(text.size(), '\0');
     std::size_t length = 0;
-    sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(), text.size(), nullptr,
-        &length, nullptr, sodium_base64_VARIANT_ORIGINAL);
+    sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(), text.size(),
+        nullptr, &length, nullptr, sodium_base64_VARIANT_ORIGINAL);
     bytes.resize(length);
     return bytes;
 }
@@ -113,7 +113,8 @@
             co_return co_await this->transaction(request.body);
         co_return co_await this->lease(request);
     } catch (const StoreError& error) {
-        response.drop = error.kind() != StoreError::Kind::LeaseGone && error.kind() != StoreError::Kind::Compacted;
+        response.drop
+            = error.kind() != StoreError::Kind::LeaseGone && error.kind() != StoreError::Kind::Compacted;
         response.status = error.kind() == StoreError::Kind::Compacted ? gone : notFound;
     }
     co_return response;
@@ -159,7 +160,8 @@
 {
     using namespace asio::experimental::awaitable_operators;
     const auto after = std::stoull(parameter(target, "after"));
-    asio::steady_timer timer { this->context, std::chrono::milliseconds { std::stoll(parameter(target, "waitMs")) } };
+    asio::steady_timer timer { this->context,
+        std::chrono::milliseconds { std::stoll(parameter(target, "waitMs")) } };
     auto changes = this->memory.nextChanges(parameter(target, "prefix"), after + 1);
     const auto outcome = co_await (std::move(changes) || timer.async_wait(asio::use_awaitable));
     Json events = Json::array();
@@ -213,7 +215,8 @@
     const auto id = request.target.substr(request.target.rfind('/') + 1);
     Json answer;
     if (request.target.ends_with("/kv-lease")) {
-        const auto time = std::chrono::milliseconds { Json::parse(request.body).at("ttlMs").get<std::int64_t>() };
+        const auto time
+            = std::chrono::milliseconds { Json::parse(request.body).at("ttlMs").get<std::int64_t>() };
         const auto lease = co_await this->memory.grantLease(time);
         answer["lease"] = static_cast<std::uint64_t>(lease);
         answer["ttlMs"] = time.count();
--- a/tests/adapter/kv_server.h
+++ b/tests/adapter/kv_server.h
@@ -11,7 +11,8 @@
 
 namespace cyclamendrift {
 
-/// Serves a MemoryStore as the users' platform serves its store, and the promotion of databases. Runs on one thread.
+/// Serves a MemoryStore as the users' platform serves its store, and the promotion of databases. Runs on one
+/// thread.
 class KvServer {
 public:
     explicit KvServer(asio::io_context& context);
--- a/tests/adapter/line_codec_test.cpp
+++ b/tests/adapter/line_codec_test.cpp
@@ -50,8 +50,8 @@
 
     TEST_CASE("texts that are none, and messages that are none")
     {
-        for (const auto* text : { "GRANT", "READ", "WRITE item", "PREPARE s1", "PREPARE s1 LOOK x", "EXECUTE s1",
-                 "BEGIN NOW", "AFTER 1.2 READ x", "SET" })
+        for (const auto* text : { "GRANT", "READ", "WRITE item", "PREPARE s1", "PREPARE s1 LOOK x",
+                 "EXECUTE s1", "BEGIN NOW", "AFTER 1.2 READ x", "SET" })
             CHECK(isStatement<UnreadableStatement>("QUERY 1 " + std::string { text }));
         for (const auto* line : { "", "HELLO", "QUERY", "QUERY 1", "START", "GET / HTTP/1.1" })
             CHECK(std::holds_alternative<BadMessage>(readCallerMessage(line)));
@@ -108,8 +108,8 @@
 
     TEST_CASE("rows after the end, states that are none and unknown words break the connection")
     {
-        // An upstream of another version, or bytes of another answer. Taking them for this statement's answer would
-        // show a caller another one's rows.
+        // An upstream of another version, or bytes of another answer. Taking them for this statement's answer
+        // would show a caller another one's rows.
         for (const auto* line : { "HELLO", "READY X 1.2", "READY" }) {
             ReplyReader reader;
             CHECK(reader.take(line) == ReplyReader::Progress::Broken);
@@ -135,7 +135,8 @@
         CHECK_FALSE(status->isPrimary);
         CHECK(status->received == Progress { Term { 3 }, LogPosition { 1209 } });
         CHECK(status->heldTerm == Term { 4 });
-        for (const auto* row : { "", "leader 3 3.1 0", "replica x 3.1 0", "replica 3 - 0", "replica 3 3.1" }) {
+        for (const auto* row :
+            { "", "leader 3 3.1 0", "replica x 3.1 0", "replica 3 - 0", "replica 3 3.1" }) {
             reply.rows = { row };
             CHECK_FALSE(readStatus(reply));
         }
--- a/tests/adapter/line_upstreams.cpp
+++ b/tests/adapter/line_upstreams.cpp
@@ -86,23 +86,24 @@
 
 void LineUpstreams::accept(Server& server)
 {
-    server.acceptor.async_accept([this, &server](const asio::error_code& error, asio::ip::tcp::socket socket) {
-        if (error)
-            return;
-        auto session = std::make_shared<Session>();
-        session->server = &server;
-        session->socket = std::make_shared<platform::LineSocket>(std::move(socket));
-        server.sessions.push_back(session);
-        const std::weak_ptr<Session> weak = session;
-        session->socket->start({ .onLine =
-                                     [this, weak](std::string_view line) {
-                                         if (const auto alive = weak.lock())
-                                             this->take(alive, line);
-                                     },
-            .onEnd =
-                [&server, weak](platform::LineSocket::End) { std::erase(server.sessions, weak.lock()); } });
-        this->accept(server);
-    });
+    server.acceptor.async_accept(
+        [this, &server](const asio::error_code& error, asio::ip::tcp::socket socket) {
+            if (error)
+                return;
+            auto session = std::make_shared<Session>();
+            session->server = &server;
+            session->socket = std::make_shared<platform::LineSocket>(std::move(socket));
+            server.sessions.push_back(session);
+            const std::weak_ptr<Session> weak = session;
+            session->socket->start({ .onLine =
+                                         [this, weak](std::string_view line) {
+                                             if (const auto alive = weak.lock())
+                                                 this->take(alive, line);
+                                         },
+                .onEnd
+                = [&server, weak](platform::LineSocket::End) { std::erase(server.sessions, weak.lock()); } });
+            this->accept(server);
+        });
 }
 
 std::string LineUpstreams::ready(const Session& session)
@@ -162,7 +163,8 @@
         std::pair<std::string, std::string> shape;
         words >> name >> shape.first >> shape.second;
         session.prepared[name] = shape;
-    } else if (text.starts_with("STATUS") || text.starts_with("PAUSE") || text == "RESUME" || text.starts_with("DEMOTE"))
+    } else if (text.starts_with("STATUS") || text.starts_with("PAUSE") || text == "RESUME"
+        || text.starts_with("DEMOTE"))
         return this->order(session, text);
     else if (!text.starts_with("SET "))
         return this->data(session, id, text);
@@ -179,8 +181,8 @@
     if (text.starts_with("DEMOTE ") && std::stoull(text.substr(7)) > node.term)
         node.primary = false;
     std::ostringstream row;
-    row << "ROW " << (node.primary ? "primary " : "replica ") << node.term << ' ' << node.term << '.' << node.position
-        << ' ' << node.held << " 0 0 1\r\nDONE -\r\n";
+    row << "ROW " << (node.primary ? "primary " : "replica ") << node.term << ' ' << node.term << '.'
+        << node.position << ' ' << node.held << " 0 0 1\r\nDONE -\r\n";
     return row.str() + ready(session);
 }
 
--- a/tests/adapter/line_upstreams.h
+++ b/tests/adapter/line_upstreams.h
@@ -16,8 +16,8 @@
 
 namespace cyclamendrift {
 
-/// A primary and its replicas that speak the users' line protocol on loopback: terms, positions, PAUSE, DEMOTE and
-/// promotion. Replication is immediate unless a replica is paused. Runs on one thread.
+/// A primary and its replicas that speak the users' line protocol on loopback: terms, positions, PAUSE,
+/// DEMOTE and promotion. Replication is immediate unless a replica is paused. Runs on one thread.
 class LineUpstreams {
 public:
     LineUpstreams(asio::io_context& context, std::string service, std::size_t count);
--- a/tests/adapter/operator_format_test.cpp
+++ b/tests/adapter/operator_format_test.cpp
@@ -18,7 +18,8 @@
  "limits":{"maxHeaderBytes":16384,"txnIdleMs":3000},
  "tenants":[{"name":"a","apiKeys":["k1","k2"],"priority":1,"ratePerS":132.5,"burst":100}]})";
 
-constexpr auto upstream = R"({"service":"register","address":"10.128.0.9:8080","zone":"palermo","version":"v1","slots":3,
+constexpr auto upstream
+    = R"({"service":"register","address":"10.128.0.9:8080","zone":"palermo","version":"v1","slots":3,
  "state":"ready","coldLeftMs":0,"dbRole":"primary","seq":4,"born":1700000000123})";
 
 } // namespace
@@ -67,15 +68,16 @@
 
     TEST_CASE("entries of other writers are set aside")
     {
-        // Something else writes under the same prefix. One entry that is taken for an upstream sends statements to an
-        // address where none listens; one that stops the reading hides all others.
-        for (const auto* text : { "", "\xff\xfe", "null", "{}", R"({"service":"s","address":"10.0.0.1:8","slots":3})",
-                 R"({"service":7,"address":"10.0.0.1:8","slots":3,"state":"ready"})",
-                 R"({"service":"s","address":"10.0.0.1","slots":3,"state":"ready"})",
-                 R"({"service":"s","address":"host:80","slots":3,"state":"ready"})",
-                 R"({"service":"s","address":"10.0.0.1:99999","slots":3,"state":"ready"})",
-                 R"({"service":"s","address":"10.0.0.1:80","slots":"three","state":"ready"})",
-                 R"({"service":"s","address":"10.0.0.1:80","slots":3,"state":"asleep"})" })
+        // Something else writes under the same prefix. One entry that is taken for an upstream sends
+        // statements to an address where none listens; one that stops the reading hides all others.
+        for (const auto* text :
+            { "", "\xff\xfe", "null", "{}", R"({"service":"s","address":"10.0.0.1:8","slots":3})",
+                R"({"service":7,"address":"10.0.0.1:8","slots":3,"state":"ready"})",
+                R"({"service":"s","address":"10.0.0.1","slots":3,"state":"ready"})",
+                R"({"service":"s","address":"host:80","slots":3,"state":"ready"})",
+                R"({"service":"s","address":"10.0.0.1:99999","slots":3,"state":"ready"})",
+                R"({"service":"s","address":"10.0.0.1:80","slots":"three","state":"ready"})",
+                R"({"service":"s","address":"10.0.0.1:80","slots":3,"state":"asleep"})" })
             CHECK_THROWS_AS(static_cast<void>(format.readUpstream("servers/i-1", text)), FormatError);
         CHECK_THROWS_AS(static_cast<void>(format.readUpstream("servers/", upstream)), FormatError);
     }
--- /dev/null
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -0,0 +1,194 @@
+#include "leadership_world.h"
+
+#include <property.h>
+
+#include <doctest/doctest.h>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+void settle(LeadershipWorld& world)
+{
+    REQUIRE(world.passUntil(5s, [&] { return world.allFollowLeader(); }));
+    CHECK(world.violations.empty());
+}
+
+} // namespace
+
+TEST_SUITE("who leads a group")
+{
+    TEST_CASE("a new system finds the primary that is there, and promotes nobody")
+    {
+        LeadershipWorld world { {} };
+        settle(world);
+        world.pass(10s);
+        CHECK(world.promotions() == 0);
+        CHECK(world.allFollowLeader());
+    }
+
+    TEST_CASE("a primary that dies is replaced by the replica that has received most")
+    {
+        // The primary dies at night. One replica was behind; promoting it would lose what the other still
+        // has.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.member("replica-1").held = 2;
+        world.pass(500ms);
+        world.member("replica-1").held = 0;
+        world.member("primary").running = false;
+        world.member("replica-1").received = 50;
+        const auto gap = world.passUntil(6s, [&] { return world.allFollowLeader(); });
+        REQUIRE(gap);
+        CHECK(*gap < 4s);
+        CHECK(world.leader()->entry.name == UpstreamName { "replica-2" });
+        CHECK(world.violations.empty());
+    }
+
+    TEST_CASE("a primary that announces its end is replaced without losing what it wrote")
+    {
+        // A contractor takes the primary out of service in the middle of the day.
+        LeadershipWorld world { {} };
+        settle(world);
+        UpstreamDirectory directory;
+        for (const auto* name : { "primary", "replica-1", "replica-2" }) {
+            directory.push_back(world.member(name).entry);
+            directory.back().draining = std::string { name } == "primary";
+        }
+        for (std::size_t index = 0; index < 3; ++index)
+            world.vm(index).coordinator.onDirectory(directory);
+        REQUIRE(world.passUntil(6s, [&] {
+            return world.allFollowLeader() && world.leader()->entry.name != UpstreamName { "primary" };
+        }));
+        CHECK_FALSE(world.member("primary").primary);
+        CHECK(world.violations.empty());
+    }
+
+    TEST_CASE("a VM that alone is cut off from the primary hands the duty on instead of replacing it")
+    {
+        // Something between one VM and the primary breaks. Everybody else is served; a promotion would
+        // interrupt them all for nothing.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.vm(0).cutFrom = { UpstreamName { "primary" } };
+        world.pass(6s);
+        CHECK(world.promotions() == 0);
+        CHECK(world.member("primary").primary);
+        CHECK(world.violations.empty());
+    }
+
+    TEST_CASE("while the store is down views are renewed by replicas, and writes go on")
+    {
+        // The platform's store is away for nine seconds. Nobody can claim a term then, so whoever led goes on
+        // leading.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.storeDown = true;
+        world.pass(2s);
+        CHECK(world.allFollowLeader());
+        world.pass(7s);
+        CHECK(world.allFollowLeader());
+        world.storeDown = false;
+        settle(world);
+        CHECK(world.promotions() == 0);
+    }
+
+    TEST_CASE("a VM that the store turns away learns from paused replicas that its view has ended")
+    {
+        // The store turns one VM away while the others replace the primary, which this VM still reaches. Were
+        // it to go on writing there, callers would be told of success for what the new primary does not have.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.vm(2).storeAwayUntil = world.now + 20s;
+        for (std::size_t index = 0; index < 2; ++index)
+            world.vm(index).cutFrom = { UpstreamName { "primary" } };
+        // The replicas cannot be reached by the primary either, so that its log does not grow there.
+        world.member("replica-1").held = 1;
+        world.member("primary").running = true;
+        world.pass(1s);
+        CHECK(world.violations.empty());
+        world.pass(10s);
+        CHECK(world.violations.empty());
+    }
+
+    TEST_CASE("a holder that dies between its claim and the promotion is followed by another VM")
+    {
+        // The VM that replaces the primary is killed half way. The group must not stay without a primary
+        // until somebody wakes up.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.member("primary").running = false;
+        world.pass(1200ms);
+        world.vm(0).frozenUntil = world.now + 60s;
+        REQUIRE(world.passUntil(12s, [&] {
+            const auto* leads = world.leader();
+            return leads != nullptr && world.vm(1).coordinator.view().holds(world.now);
+        }));
+        CHECK(world.violations.empty());
+    }
+
+    TEST_CASE("a primary that was only silent for a moment goes on leading")
+    {
+        LeadershipWorld world { {} };
+        settle(world);
+        world.member("primary").running = false;
+        world.pass(500ms);
+        world.member("primary").running = true;
+        REQUIRE(world.passUntil(6s, [&] { return world.allFollowLeader(); }));
+        CHECK(world.violations.empty());
+    }
+}
+
+TEST_SUITE("who leads under faults")
+{
+    TEST_CASE("no VM may act on an old primary while a newer one leads, and tokens never fall")
+    {
+        // Primaries die and come back, VMs freeze and wake, the store goes away for all or for some, answers
+        // of writes get lost. A user would notice a mistake as an order that was confirmed and is gone.
+        checkProperty("leadership", [](std::uint64_t seed) {
+            LeadershipWorld world { { .seed = seed } };
+            std::mt19937_64 random { seed };
+            const auto pick = [&random](int most) {
+                return std::uniform_int_distribution<int> { 0, most }(random);
+            };
+            world.loseAnswers = 4;
+            world.pass(3s);
+            for (int round = 0; round < 12; ++round) {
+                auto& vm = world.vm(static_cast<std::size_t>(pick(2)));
+                const std::chrono::milliseconds time { 200 + pick(4000) };
+                switch (pick(5)) {
+                case 0:
+                    vm.frozenUntil = world.now + time;
+                    break;
+                case 1:
+                    vm.storeAwayUntil = world.now + time;
+                    break;
+                case 2:
+                    world.storeDown = !world.storeDown;
+                    break;
+                case 3:
+                    if (const auto* leads = world.leader()) {
+                        auto& member = world.member(leads->entry.name.string());
+                        member.running = false;
+                        world.pass(time);
+                        // It comes back with its log, as a replica if another was promoted meanwhile.
+                        member.running = true;
+                        const auto* newest = world.leader();
+                        if (newest != nullptr && newest->term > member.term)
+                            member.primary = false;
+                    }
+                    break;
+                default:
+                    world.pass(time);
+                }
+                world.pass(std::chrono::milliseconds { pick(1500) });
+            }
+            world.storeDown = false;
+            world.pass(15s);
+            RC_LOG() << (world.violations.empty() ? "" : world.violations.front());
+            RC_ASSERT(world.violations.empty());
+            RC_ASSERT(world.allFollowLeader());
+        });
+    }
+}
--- /dev/null
+++ b/tests/leadership/leadership_world.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <cyclamendrift/leadership/leader_coordinator.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+/// Several VMs with a coordinator each, one group of upstreams, a store and a platform, in virtual time.
+namespace cyclamendrift {
+
+struct GroupMember {
+    UpstreamEntry entry;
+    bool running = true;
+    bool primary = false;
+    std::uint64_t term = 1;
+    std::uint64_t received = 100;
+    std::uint64_t held = 0;
+};
+
+struct VmModel {
+    VmName name;
+    LeaderCoordinator coordinator;
+    /// It runs nothing before this instant.
+    Instant frozenUntil = Instant::min();
+    /// The store neither takes its calls nor answers them before this instant.
+    Instant storeAwayUntil = Instant::min();
+    /// Upstreams that it cannot reach.
+    std::set<UpstreamName> cutFrom;
+    Instant nextRead = Instant::min();
+    Instant leaseUntil = Instant::min();
+    bool traffic = true;
+};
+
+class LeadershipWorld {
+public:
+    struct Options {
+        std::size_t vms = 3;
+        std::size_t replicas = 2;
+        std::uint64_t seed = 1;
+    };
+
+    explicit LeadershipWorld(Options options);
+
+    /// Lets time pass in steps of 10 ms.
+    void pass(Duration duration);
+    /// Passes time until the condition holds; returns how long it took, or nothing when it never did.
+    std::optional<Duration> passUntil(Duration most, const std::function<bool()>& condition);
+
+    GroupMember& member(const std::string& name) { return this->members.at(UpstreamName { name }); }
+    VmModel& vm(std::size_t index) { return this->vms.at(index); }
+    /// The running upstream that leads the highest term, or null.
+    [[nodiscard]] const GroupMember* leader() const;
+    /// True when every VM that runs has a view that holds and names the leader.
+    [[nodiscard]] bool allFollowLeader() const;
+    [[nodiscard]] std::size_t promotions() const { return this->tokens.size(); }
+
+    Instant now { std::chrono::seconds { 1000 } };
+    bool storeDown = false;
+    /// One in so many writes of the store is done and not answered; 0 for none.
+    std::size_t loseAnswers = 0;
+    /// What went wrong: a view of an old primary that still held after a newer one led, or a token that fell.
+    std::vector<std::string> violations;
+
+private:
+    struct Event {
+        Instant at;
+        std::function<void()> run;
+    };
+    struct StoredRecord {
+        LeadershipRecord record;
+        std::uint64_t revision = 0;
+    };
+    struct StoredDuty {
+        VmName holder;
+        std::uint64_t revision = 0;
+        Instant until;
+    };
+
+    void step();
+    void runVm(VmModel& vm);
+    void readStore(VmModel& vm);
+    void perform(VmModel& vm, const LeadershipAction& action);
+    void tell(VmModel& vm, const UpstreamName& upstream, const std::function<void(GroupMember&)>& order);
+    void write(VmModel& vm, const WriteLeadership& change);
+    void promote(VmModel& vm, const PromoteUpstream& change);
+    void later(std::function<void()> run);
+    void replicate();
+    void check();
+    [[nodiscard]] bool storeReachable(const VmModel& vm) const;
+    [[nodiscard]] UpstreamStatus statusOf(const GroupMember& member) const;
+
+    std::mt19937_64 random;
+    std::map<UpstreamName, GroupMember> members;
+    std::deque<VmModel> vms;
+    std::deque<Event> events;
+    std::optional<StoredRecord> record;
+    std::optional<StoredDuty> duty;
+    std::uint64_t revision = 10;
+    std::vector<std::uint64_t> tokens;
+};
+
+} // namespace cyclamendrift
--- a/tests/pooling/pool_world.cpp
+++ b/tests/pooling/pool_world.cpp
@@ -32,7 +32,8 @@
     if (words[0] == "SET")
         return SetSessionValue { .name = words[1], .value = words[2] };
     if (words[0] == "PREPARE")
-        return PrepareStatement { .name = words[1], .shape = { .writes = words[2] == "WRITE", .text = words[3] } };
+        return PrepareStatement { .name = words[1],
+            .shape = { .writes = words[2] == "WRITE", .text = words[3] } };
     if (words[0] == "EXECUTE")
         return ExecutePrepared { .name = words[1], .arguments = words[2] };
     if (words[0] == "DEALLOCATE")
@@ -88,7 +89,8 @@
 
 void PoolWorld::lead(const std::string& upstream, std::uint64_t term)
 {
-    this->view = { .phase = LeaderView::Phase::Led, .primary = UpstreamName { upstream }, .term = Term { term } };
+    this->view
+        = { .phase = LeaderView::Phase::Led, .primary = UpstreamName { upstream }, .term = Term { term } };
     this->renewLeader();
 }
 
@@ -209,7 +211,8 @@
         return;
     this->connections[action.connection] = { .upstream = action.upstream.name, .team = action.team };
     this->engine.connectionOpened(action.connection,
-        Progress { .term = Term { upstream.term }, .position = LogPosition { upstream.received } }, this->now);
+        Progress { .term = Term { upstream.term }, .position = LogPosition { upstream.received } },
+        this->now);
 }
 
 void PoolWorld::send(const SendStatement& action)
@@ -236,7 +239,8 @@
     const auto& upstream = this->upstreams.at(connection.upstream);
     Reply reply { .proof = "proof" };
     reply.phase = connection.inTransaction ? SessionPhase::InTransaction : SessionPhase::Idle;
-    reply.progress = Progress { .term = Term { upstream.term }, .position = LogPosition { upstream.received } };
+    reply.progress
+        = Progress { .term = Term { upstream.term }, .position = LogPosition { upstream.received } };
     return reply;
 }
 
@@ -250,7 +254,8 @@
 bool PoolWorld::lacks(const ModelUpstream& upstream, const std::optional<Progress>& after) const
 {
     return after
-        && Progress { .term = Term { upstream.term }, .position = LogPosition { upstream.received } } < *after;
+        && Progress { .term = Term { upstream.term }, .position = LogPosition { upstream.received } }
+        < *after;
 }
 
 Reply PoolWorld::runOn(ModelConnection& connection, const UpstreamStatement& statement)
--- a/tests/pooling/session_engine_test.cpp
+++ b/tests/pooling/session_engine_test.cpp
@@ -114,8 +114,8 @@
 
     TEST_CASE("a key that was withdrawn stops working on a session that is already open")
     {
-        // An operator withdraws a key while its holder is connected. A session that only checked at its start would
-        // go on reading for as long as it stays open.
+        // An operator withdraws a key while its holder is connected. A session that only checked at its start
+        // would go on reading for as long as it stays open.
         PoolWorld world { {} };
         const auto caller = world.connect();
         CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
@@ -128,8 +128,8 @@
 
     TEST_CASE("an older version of the routes never replaces a newer one")
     {
-        // Two copies of the configuration arrive in the wrong order, one from a sibling that lags. Taking the older
-        // one would bring a withdrawn key back to life.
+        // Two copies of the configuration arrive in the wrong order, one from a sibling that lags. Taking the
+        // older one would bring a withdrawn key back to life.
         PoolWorld world { {} };
         auto older = std::make_shared<RouteTable>(*world.routes);
         world.routes->version = 5;
@@ -158,8 +158,8 @@
 
     TEST_CASE("a caller that leaves in the middle of a transaction leaves nothing behind")
     {
-        // A client crashes between two statements. If its connection went back to the pool with the transaction open,
-        // the next session's first write would commit what the crashed one had written.
+        // A client crashes between two statements. If its connection went back to the pool with the
+        // transaction open, the next session's first write would commit what the crashed one had written.
         PoolWorld world { {} };
         const auto caller = world.connect();
         world.ask(caller, "c/1", "BEGIN");
@@ -173,8 +173,8 @@
 
     TEST_CASE("a caller that leaves while its transaction is being opened leaves nothing behind")
     {
-        // The client goes away just as its first statement is on its way: the answer to the opening finds nobody.
-        // Without the drop the connection would go back with a transaction open.
+        // The client goes away just as its first statement is on its way: the answer to the opening finds
+        // nobody. Without the drop the connection would go back with a transaction open.
         PoolWorld world { {} };
         const auto caller = world.connect();
         CHECK_FALSE(world.run(caller, "c/0", "READ 1").failure);
@@ -191,8 +191,8 @@
 
     TEST_CASE("a transaction whose connection is lost is dropped, and the caller is told once")
     {
-        // The upstream crashes between two statements of a transaction. The caller's next statement must not run on
-        // another connection outside the transaction, as if nothing had happened.
+        // The upstream crashes between two statements of a transaction. The caller's next statement must not
+        // run on another connection outside the transaction, as if nothing had happened.
         PoolWorld world { {} };
         const auto caller = world.connect();
         world.ask(caller, "c/1", "BEGIN");
@@ -208,8 +208,8 @@
 
     TEST_CASE("a commit whose answer is lost is in doubt if it wrote, and dropped if it only read")
     {
-        // The upstream commits and its answer is lost. Telling the caller that nothing was kept would make it reserve
-        // the bed a second time.
+        // The upstream commits and its answer is lost. Telling the caller that nothing was kept would make it
+        // reserve the bed a second time.
         PoolWorld world { {} };
         const auto writer = world.connect();
         world.ask(writer, "w/1", "BEGIN");
@@ -231,8 +231,8 @@
 
     TEST_CASE("a transaction in which the caller rests too long is ended, and its connection serves others")
     {
-        // A client opens a transaction and goes to lunch. With few connections to an upstream a handful of these would
-        // stop everybody else.
+        // A client opens a transaction and goes to lunch. With few connections to an upstream a handful of
+        // these would stop everybody else.
         PoolWorld world { { .connectionCap = 2 } };
         const auto caller = world.connect();
         world.ask(caller, "c/1", "BEGIN");
@@ -250,8 +250,8 @@
 {
     TEST_CASE("a write whose answer is lost is never sent again")
     {
-        // The upstream ran the order and the network lost the answer. Sending it again would place it twice; the
-        // caller is told that nobody knows.
+        // The upstream ran the order and the network lost the answer. Sending it again would place it twice;
+        // the caller is told that nobody knows.
         PoolWorld world { {} };
         const auto caller = world.connect();
         world.loseAnswer = isMain;
@@ -264,7 +264,8 @@
         PoolWorld world { {} };
         const auto caller = world.connect();
         int lost = 0;
-        world.loseAnswer = [&lost](const UpstreamStatement& statement) { return isMain(statement) && lost++ == 0; };
+        world.loseAnswer
+            = [&lost](const UpstreamStatement& statement) { return isMain(statement) && lost++ == 0; };
         world.ask(caller, "c/1", "READ 1");
         world.pass(300ms);
         CHECK_FALSE(world.answer(caller).failure);
@@ -276,7 +277,8 @@
         PoolWorld world { {} };
         const auto caller = world.connect();
         int refused = 0;
-        world.interfere = [&refused](const ModelConnection&, const UpstreamStatement& statement) -> std::optional<Reply> {
+        world.interfere
+            = [&refused](const ModelConnection&, const UpstreamStatement& statement) -> std::optional<Reply> {
             if (!isMain(statement) || refused++ > 0)
                 return std::nullopt;
             return Reply { .failure = StatementFailure { StatementError::Busy, "full" } };
@@ -287,10 +289,11 @@
         CHECK(world.timesRun("c/1") == 1);
     }
 
-    TEST_CASE("a silent upstream costs its statement no more than the route allows, and a write stays in doubt")
+    TEST_CASE(
+        "a silent upstream costs its statement no more than the route allows, and a write stays in doubt")
     {
-        // The upstream goes dark with a write on its way. The caller must get a final answer when the statement's time
-        // is over, and not be told that nothing happened.
+        // The upstream goes dark with a write on its way. The caller must get a final answer when the
+        // statement's time is over, and not be told that nothing happened.
         PoolWorld world { {} };
         const auto caller = world.connect();
         CHECK_FALSE(world.run(caller, "c/0", "READ 1").failure);
@@ -324,8 +327,8 @@
 
     TEST_CASE("a replica that lags refuses, and the read is served by one that does not")
     {
-        // Replication to one replica is held up right after a write. A read there would show the bed as free that the
-        // same user has just reserved.
+        // Replication to one replica is held up right after a write. A read there would show the bed as free
+        // that the same user has just reserved.
         PoolWorld world { ownWrites };
         const auto caller = world.connect();
         CHECK_FALSE(world.run(caller, "c/1", "WRITE 1 x").failure);
@@ -342,8 +345,8 @@
 
     TEST_CASE("a bounded read does not trust what was seen of the primary longer ago than its bound")
     {
-        // No statement has gone to the primary for longer than the bound, and a replica may have fallen behind since.
-        // Reading there unchecked would show listings that are older than promised.
+        // No statement has gone to the primary for longer than the bound, and a replica may have fallen
+        // behind since. Reading there unchecked would show listings that are older than promised.
         PoolWorld world { bounded };
         const auto caller = world.connect();
         CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
@@ -355,10 +358,11 @@
         CHECK(world.runs().back().after);
     }
 
-    TEST_CASE("without a view of the primary that holds nothing is written, and the caller is told when to come back")
+    TEST_CASE("without a view of the primary that holds nothing is written, and the caller is told when to "
+              "come back")
     {
-        // This VM was suspended, or cut off from store and replicas: another upstream may have been promoted since. A
-        // write to the old primary would be acknowledged and lost.
+        // This VM was suspended, or cut off from store and replicas: another upstream may have been promoted
+        // since. A write to the old primary would be acknowledged and lost.
         PoolWorld world { {} };
         const auto caller = world.connect();
         CHECK_FALSE(world.run(caller, "c/1", "WRITE 1 x").failure);
@@ -372,10 +376,11 @@
         CHECK(world.timesRun("c/2") == 0);
     }
 
-    TEST_CASE("a write that is answered after the view has lapsed is acknowledged only once the view is known to have held")
+    TEST_CASE("a write that is answered after the view has lapsed is acknowledged only once the view is "
+              "known to have held")
     {
-        // The answer comes late, and meanwhile another VM may have promoted a replica that lacks this write. Passing
-        // the success on at once would acknowledge a write that is then lost.
+        // The answer comes late, and meanwhile another VM may have promoted a replica that lacks this write.
+        // Passing the success on at once would acknowledge a write that is then lost.
         PoolWorld world { {} };
         const auto caller = world.connect();
         CHECK_FALSE(world.run(caller, "c/0", "READ 1").failure);
@@ -401,7 +406,8 @@
 
     TEST_CASE("while the primary is being replaced writes are refused at once and reads go on at replicas")
     {
-        // Holding writes until their time is over would only hide from callers that they should come back later.
+        // Holding writes until their time is over would only hide from callers that they should come back
+        // later.
         PoolWorld world { ownWrites };
         const auto caller = world.connect();
         CHECK_FALSE(world.run(caller, "c/1", "WRITE 1 x").failure);
@@ -414,8 +420,8 @@
 
     TEST_CASE("positions of the term before do not keep reads from replicas of the new term")
     {
-        // After a failover the session's last write has a position of the old term. Asking replicas for it for ever
-        // would send every read of that session to the primary.
+        // After a failover the session's last write has a position of the old term. Asking replicas for it
+        // for ever would send every read of that session to the primary.
         PoolWorld world { ownWrites };
         const auto caller = world.connect();
         CHECK_FALSE(world.run(caller, "c/1", "WRITE 1 x").failure);
@@ -467,7 +473,8 @@
             CHECK_FALSE(world.answer(caller).failure);
     }
 
-    TEST_CASE("a connection that is free for another team is closed and opened anew for the team that needs it")
+    TEST_CASE(
+        "a connection that is free for another team is closed and opened anew for the team that needs it")
     {
         PoolWorld world { { .replicas = 0, .connectionCap = 2 } };
         const auto first = world.connect("key-a");
@@ -495,9 +502,11 @@
 
 TEST_SUITE("limits")
 {
-    const PoolWorld::Options limited { .limits = { { TeamName { "a" }, { .ratePerSecond = 10, .burst = 2 } } } };
+    const PoolWorld::Options limited { .limits
+        = { { TeamName { "a" }, { .ratePerSecond = 10, .burst = 2 } } } };
 
-    TEST_CASE("an operation beyond this VM's share waits for siblings to give, and goes on with what they give")
+    TEST_CASE(
+        "an operation beyond this VM's share waits for siblings to give, and goes on with what they give")
     {
         PoolWorld world { limited };
         world.engine.setShares({ { TeamName { "a" }, { .ratePerSecond = 4, .burst = 1 } } }, world.now);
@@ -514,8 +523,8 @@
 
     TEST_CASE("a team that is over its rate everywhere is refused after a short wait and then at once")
     {
-        // One team sends several times its rate. Each of its requests that waits holds nothing but costs its caller
-        // time; once siblings have said that nothing is left, the answer is known.
+        // One team sends several times its rate. Each of its requests that waits holds nothing but costs its
+        // caller time; once siblings have said that nothing is left, the answer is known.
         PoolWorld world { limited };
         world.engine.setShares({ { TeamName { "a" }, { .ratePerSecond = 0.1, .burst = 1 } } }, world.now);
         const auto caller = world.connect();
--- a/tests/pooling/session_property_test.cpp
+++ b/tests/pooling/session_property_test.cpp
@@ -29,12 +29,14 @@
         : random(seed)
         , world({ .connectionCap = 4, .freshness = ReadOwnWritesRoute { 2500ms } })
     {
-        this->world.interfere = [this](const ModelConnection& connection, const UpstreamStatement& statement) {
-            return this->disturb(connection, statement);
-        };
+        this->world.interfere
+            = [this](const ModelConnection& connection, const UpstreamStatement& statement) {
+                  return this->disturb(connection, statement);
+              };
         this->world.loseAnswer = [this](const UpstreamStatement&) { return this->chance(40); };
         for (const auto* name : { "ada", "bea", "cai", "dan" })
-            this->people.push_back({ .id = this->world.connect(this->chance(2) ? "key-a" : "key-b"), .name = name });
+            this->people.push_back(
+                { .id = this->world.connect(this->chance(2) ? "key-a" : "key-b"), .name = name });
     }
 
     void run()
@@ -52,7 +54,10 @@
     }
 
 private:
-    std::size_t pick(std::size_t count) { return std::uniform_int_distribution<std::size_t> { 0, count - 1 }(this->random); }
+    std::size_t pick(std::size_t count)
+    {
+        return std::uniform_int_distribution<std::size_t> { 0, count - 1 }(this->random);
+    }
     bool chance(std::size_t oneIn) { return this->pick(oneIn) == 0; }
 
     std::optional<Reply> disturb(const ModelConnection& connection, const UpstreamStatement& statement)
@@ -72,8 +77,8 @@
     void checkPlace(const ModelConnection& connection, const PassStatement& statement)
     {
         const auto name = statement.id.substr(0, statement.id.find('/'));
-        const auto person = std::find_if(
-            this->people.begin(), this->people.end(), [&name](const Person& one) { return one.name == name; });
+        const auto person = std::find_if(this->people.begin(), this->people.end(),
+            [&name](const Person& one) { return one.name == name; });
         RC_ASSERT(person != this->people.end());
         RC_ASSERT(connection.values == person->values);
         if (statement.execute) {
@@ -104,7 +109,8 @@
             person.values[letter] = id;
             return "SET " + letter + ' ' + id;
         case 1:
-            person.prepared["s" + letter] = { .writes = this->chance(2), .text = "shape" + std::to_string(this->pick(4)) };
+            person.prepared["s" + letter]
+                = { .writes = this->chance(2), .text = "shape" + std::to_string(this->pick(4)) };
             return "PREPARE s" + letter + (person.prepared["s" + letter].writes ? " WRITE " : " READ ")
                 + person.prepared["s" + letter].text;
         case 2:
@@ -164,10 +170,12 @@
 
 TEST_SUITE("sessions under faults")
 {
-    TEST_CASE("no session sees another's values, names or transaction, no write runs twice, and promises are true")
+    TEST_CASE(
+        "no session sees another's values, names or transaction, no write runs twice, and promises are true")
     {
-        // Sessions of two teams share a few connections while upstreams are full now and then and answers get lost. A
-        // user would notice a mistake as another user's data, a doubled order, or an order that was refused and placed.
+        // Sessions of two teams share a few connections while upstreams are full now and then and answers get
+        // lost. A user would notice a mistake as another user's data, a doubled order, or an order that was
+        // refused and placed.
         checkProperty("sessions", [](std::uint64_t seed) { Play { seed }.run(); });
     }
 }
