Send less to an upstream that slows down, and know lagging replicas by their positions

Change: each VM keeps fewer statements at an upstream whose answers slow down, at least one; what is left waits by priority at the VM. A replica's lag is worked out from the positions in its answers; one that is behind is asked now and then.

--- a/include/cyclamendrift/pooling/progress_history.h
+++ b/include/cyclamendrift/pooling/progress_history.h
@@ -27,10 +27,11 @@
 
     /// The oldest position that covers every commit acknowledged before `instant`; it is the one that a
     /// lagging replica most likely has. Empty when nothing was observed since.
-    [[nodiscard]] std::optional<Progress> covering(Instant instant) const;
+    [[nodiscard]] std::optional<Observation> covering(Instant instant) const;
 
-    /// Any position of the newest term, or empty.
-    [[nodiscard]] std::optional<Progress> earliest() const;
+    /// How far a log that has come to `progress` is behind the primary at least; zero when nothing beyond it
+    /// was seen.
+    [[nodiscard]] Duration lagOf(const Progress& progress, Instant now) const;
 
     /// Drops everything.
     void clear() noexcept { this->observations.clear(); }
--- a/src/pooling/caller_session.h
+++ b/src/pooling/caller_session.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -72,9 +73,9 @@
     SessionPhase phase = SessionPhase::Idle;
     /// Statements that came in ahead of their turn.
     std::deque<CallerQuery> pending;
-    std::optional<Work> work;
-    std::optional<HeldReply> held;
-    std::optional<WaitingOperation> waiting;
+    std::unique_ptr<Work> work;
+    std::unique_ptr<HeldReply> held;
+    std::unique_ptr<WaitingOperation> waiting;
     /// When the statement under way came in.
     Instant arrivedAt;
 
@@ -89,6 +90,7 @@
 
     /// What the session has written, and where.
     std::optional<Progress> floor;
+    Instant floorAt;
     ServiceName floorService;
     Instant lastActive;
 
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -186,7 +186,8 @@
         this->refuse(session, StatementError::Busy, adviceText("the team is over its rate", ownTime));
         return;
     }
-    session.waiting = WaitingOperation { .query = std::move(query), .until = this->now + patience };
+    session.waiting = std::make_unique<WaitingOperation>(
+        WaitingOperation { .query = std::move(query), .until = this->now + patience });
     budget.waiting.push_back(session.id);
     this->admitWaiting(session.team, budget);
 }
@@ -272,7 +273,7 @@
         work.shape = session.state.prepared.at(execute->name);
         work.arguments = execute->arguments;
     }
-    session.work = std::move(work);
+    session.work = std::make_unique<Work>(std::move(work));
     if (session.pinned)
         this->runPinned(session);
     else
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -7,17 +7,10 @@
 
 namespace {
 
-// Weight of the newest answer in the moving mean of an upstream's time for a read.
-constexpr double newestWeight = 0.1;
 // An answer that is ready waits no longer than this to learn that the view held; renewals come twice a
 // second.
 constexpr Duration longestHold = std::chrono::milliseconds { 800 };
 
-double toMilliseconds(Duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 Duration doubled(Duration first, int times, Duration most)
 {
     return std::min(first * (1 << std::min(times, 10)), most);
@@ -199,13 +192,14 @@
                 }
                 const bool leads = this->group(connection.service).isLedBy(connection.upstream, this->now);
                 const auto after = leads || (session->pinned && step.kind == StepKind::Main)
-                    ? std::nullopt
+                    ? std::optional<NeededProgress> {}
                     : this->neededProgress(this->group(connection.service), *session);
+                const auto position = after ? std::optional { after->progress } : std::nullopt;
                 if (auto* open = std::get_if<OpenTransaction>(&step.statement))
-                    open->after = after;
+                    open->after = position;
                 if (auto* pass = std::get_if<PassStatement>(&step.statement);
                     pass != nullptr && !session->pinned)
-                    pass->after = after;
+                    pass->after = position;
                 connection.answerBy = std::max(session->work->deadline, this->now);
             }
         }
@@ -372,6 +366,8 @@
     } else {
         session->transactionWrote = session->transactionWrote || work.kind == WorkKind::Write;
         connection.inTransaction = true;
+        // While its caller thinks, the upstream has room for somebody else's statement.
+        this->pump(this->group(connection.service));
     }
     const bool keeps = work.kind == WorkKind::Commit ? session->transactionWrote
                                                      : work.kind == WorkKind::Write && !session->pinned;
@@ -389,15 +385,16 @@
                                                                             : this->counters.readsOnReplicas);
     if (keeps && reply.progress) {
         session->floor = reply.progress;
+        session->floorAt = connection.sentAt;
         session->floorService = session->route.service;
         auto& group = this->group(session->route.service);
         if (!group.isLedBy(upstreamName, this->now)) {
             // The commit is there, but a new primary may have been promoted meanwhile, with a log that lacks
             // it. The caller is told of success only once it is known that this was not so.
-            session->held = HeldReply { .reply = std::move(reply),
+            session->held = std::make_unique<HeldReply>(HeldReply { .reply = std::move(reply),
                 .upstream = upstreamName,
                 .term = session->floor->term,
-                .until = this->now + longestHold };
+                .until = this->now + longestHold });
             session->work.reset();
             return;
         }
@@ -480,16 +477,17 @@
     upstream.lastAnswer = this->now;
     upstream.failures = 0;
     upstream.failingSince.reset();
-    if (!connection.sent.empty() && connection.sent.front() == StepKind::Main && !reply.failure) {
-        const auto taken = toMilliseconds(this->now - connection.sentAt);
-        upstream.readMilliseconds += newestWeight * (taken - upstream.readMilliseconds);
-    }
-    // Only a statement that named a position shows that the replica has caught up.
-    if (!connection.sent.empty() && connection.sent.front() != StepKind::Setup && !reply.failure)
-        upstream.laggingTimes = 0;
+    const bool ran = !connection.sent.empty() && connection.sent.front() == StepKind::Main && !reply.failure;
+    if (ran)
+        upstream.limit.onAnswer(this->now - connection.sentAt);
     if (!reply.progress)
         return;
     upstream.known = std::max(upstream.known, *reply.progress);
+    upstream.lag = group.history.lagOf(upstream.known, this->now);
+    if (upstream.lag < this->options.settings.laggingPause) {
+        upstream.laggingTimes = 0;
+        upstream.laggingUntil = Instant::min();
+    }
     if (group.view.phase == LeaderView::Phase::Led && reply.progress->term > group.view.term)
         upstream.contradictsView = true;
     // The position speaks for the time at which the statement went out, if the view held then.
@@ -500,8 +498,10 @@
 void SessionEngine::State::noteNotRun(PooledConnection& connection, StatementError error)
 {
     auto& upstream = this->upstreamOf(connection);
-    if (error == StatementError::Busy)
+    if (error == StatementError::Busy) {
         upstream.busyUntil = this->now + this->options.settings.busyPause;
+        upstream.limit.onFull(this->now);
+    }
     if (error == StatementError::Lagging) {
         upstream.laggingUntil = this->now
             + doubled(this->options.settings.laggingPause, upstream.laggingTimes,
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -15,9 +15,8 @@
 constexpr double primaryCost = 0.8;
 // Another availability zone adds a round trip of 2 ms, small against a statement's 10 to 40 ms.
 constexpr double otherZoneCost = 0.1;
-// How much an upstream's usual time for a read counts, per millisecond; 50 ms of difference weigh as one
-// statement.
-constexpr double perMillisecond = 0.02;
+// A refusal by a replica that is behind costs a round trip and a place at the next upstream.
+constexpr double behindCost = 0.6;
 
 } // namespace
 
@@ -111,48 +110,72 @@
         return false;
     if (this->now < upstream.downUntil || this->now < upstream.busyUntil)
         return false;
+    if (this->runningAt(upstream) >= upstream.limit.current())
+        return false;
     const auto avoided = session.work->avoided.find(upstream.entry.name);
     if (avoided != session.work->avoided.end() && this->now < avoided->second)
         return false;
     if (group.isLedBy(upstream.entry.name, this->now))
         return true;
-    if (session.work->needsPrimary || this->now < upstream.laggingUntil)
+    if (session.work->needsPrimary)
+        return false;
+    const auto needed = this->neededProgress(group, session);
+    if (!needed)
         return false;
-    return this->neededProgress(group, session).has_value();
+    // A replica that is not believed to have caught up is asked now and then all the same: nothing else would
+    // show that it has.
+    return this->hasCaughtUp(upstream, *needed) || this->now >= upstream.laggingUntil;
+}
+
+std::size_t SessionEngine::State::runningAt(const UpstreamState& upstream) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(upstream.connections.begin(), upstream.connections.end(), [this](ConnectionId id) {
+            const auto& connection = this->connections.at(static_cast<std::uint64_t>(id));
+            return connection.phase == PooledConnection::Phase::Opening || !connection.sent.empty();
+        }));
 }
 
-std::optional<Progress> SessionEngine::State::neededProgress(
+bool SessionEngine::State::hasCaughtUp(const UpstreamState& upstream, const NeededProgress& needed) const
+{
+    if (upstream.known >= needed.progress)
+        return true;
+    const bool refusedLately = this->now < upstream.laggingUntil;
+    return !refusedLately && this->now - upstream.lag >= needed.at;
+}
+
+std::optional<NeededProgress> SessionEngine::State::neededProgress(
     const GroupState& group, const CallerSession& session) const
 {
     const auto staleness = maxStalenessOf(session.route.freshness) - this->options.settings.stalenessMargin;
     if (staleness <= Duration {})
         return std::nullopt;
-    auto needed = group.history.covering(this->now - staleness);
-    if (!needed)
+    const auto fresh = group.history.covering(this->now - staleness);
+    if (!fresh)
         return std::nullopt;
+    const NeededProgress needed { .progress = fresh->progress, .at = fresh->seenAt };
     const bool ownWrites = std::holds_alternative<ReadOwnWritesRoute>(session.route.freshness);
     if (!ownWrites || !session.floor || session.floorService != session.route.service)
         return needed;
     // A write of an earlier term is either in the log of every upstream of the newer term or was dropped by
     // the promotion, so the position of the newer term stands for it.
-    if (session.floor->term < needed->term)
+    if (session.floor->term < needed.progress.term || *session.floor <= needed.progress)
         return needed;
-    return std::max(*needed, *session.floor);
+    return NeededProgress { .progress = *session.floor, .at = session.floorAt };
 }
 
 double SessionEngine::State::costOf(
     const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const
 {
-    double cost = upstream.working + upstream.readMilliseconds * perMillisecond;
+    double cost = upstream.working;
     if (upstream.entry.zone != this->options.zone)
         cost += otherZoneCost;
     if (!session.work->needsPrimary && group.view.primary == upstream.entry.name)
         cost += primaryCost;
     // A replica that is behind as far as known is asked last: it would only say so.
     const auto needed = session.work->needsPrimary ? std::nullopt : this->neededProgress(group, session);
-    const bool isKnown = upstream.known.term != Term {};
-    if (needed && isKnown && group.view.primary != upstream.entry.name && upstream.known < *needed)
-        cost += openingCost;
+    if (needed && group.view.primary != upstream.entry.name && !this->hasCaughtUp(upstream, *needed))
+        cost += behindCost;
     return cost;
 }
 
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -102,8 +102,10 @@
     bool assign(GroupState& group, CallerSession& session);
     [[nodiscard]] bool canServe(
         const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const;
-    [[nodiscard]] std::optional<Progress> neededProgress(
+    [[nodiscard]] std::optional<NeededProgress> neededProgress(
         const GroupState& group, const CallerSession& session) const;
+    [[nodiscard]] std::size_t runningAt(const UpstreamState& upstream) const;
+    [[nodiscard]] bool hasCaughtUp(const UpstreamState& upstream, const NeededProgress& needed) const;
     [[nodiscard]] double costOf(
         const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const;
     [[nodiscard]] PooledConnection* idleConnection(UpstreamState& upstream, const TeamName& team);
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cyclamendrift/connections/concurrency_limit.h>
 #include <cyclamendrift/core/instant.h>
 #include <cyclamendrift/core/progress.h>
 #include <cyclamendrift/pooling/engine_actions.h>
@@ -72,10 +73,17 @@
     Instant lastAnswer = Instant::min();
     std::optional<Instant> failingSince;
     bool contradictsView = false;
-    /// Moving mean of its time for a read, in milliseconds.
-    double readMilliseconds = 0;
-    /// How far its log was known to be, and when.
+    ConcurrencyLimit limit;
+    /// How far its log was when it last told.
     Progress known;
+    /// How far it was behind the primary then.
+    Duration lag {};
+};
+
+/// A position that a read needs, and when the primary had come to it.
+struct NeededProgress {
+    Progress progress;
+    Instant at;
 };
 
 /// The upstreams of one service.
--- a/src/pooling/progress_history.cpp
+++ b/src/pooling/progress_history.cpp
@@ -26,16 +26,18 @@
         this->observations.pop_front();
 }
 
-std::optional<Progress> ProgressHistory::covering(Instant instant) const
+std::optional<ProgressHistory::Observation> ProgressHistory::covering(Instant instant) const
 {
     const auto fresh = std::find_if(this->observations.begin(), this->observations.end(),
         [instant](const Observation& observation) { return observation.seenAt >= instant; });
-    return fresh == this->observations.end() ? std::nullopt : std::optional { fresh->progress };
+    return fresh == this->observations.end() ? std::nullopt : std::optional { *fresh };
 }
 
-std::optional<Progress> ProgressHistory::earliest() const
+Duration ProgressHistory::lagOf(const Progress& progress, Instant now) const
 {
-    return this->observations.empty() ? std::nullopt : std::optional { this->observations.front().progress };
+    const auto beyond = std::find_if(this->observations.begin(), this->observations.end(),
+        [&progress](const Observation& observation) { return observation.progress > progress; });
+    return beyond == this->observations.end() ? Duration {} : now - beyond->seenAt;
 }
 
 } // namespace cyclamendrift
--- /dev/null
+++ b/tests/limits/team_share_test.cpp
@@ -0,0 +1,116 @@
+#include <cyclamendrift/limits/demand_shares.h>
+#include <cyclamendrift/limits/donor_choice.h>
+#include <cyclamendrift/limits/team_share.h>
+
+#include <property.h>
+
+#include <doctest/doctest.h>
+
+#include <random>
+#include <vector>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TeamName team { "hospitals" };
+const std::map<TeamName, TeamLimit> limits { { team, { .ratePerSecond = 100, .burst = 50 } } };
+
+std::map<VmName, DemandByTeam> listOf(const std::vector<double>& rates)
+{
+    std::map<VmName, DemandByTeam> listed;
+    for (std::size_t index = 0; index < rates.size(); ++index)
+        listed[VmName { "vm-" + std::to_string(index) }][team] = rates[index];
+    return listed;
+}
+
+} // namespace
+
+TEST_SUITE("a team's limit over the fleet")
+{
+    TEST_CASE("parts follow demand and add up to the whole")
+    {
+        const auto listed = listOf({ 60, 20, 0, 0 });
+        double rate = 0;
+        std::vector<double> parts;
+        for (const auto& [vm, demand] : listed) {
+            DemandShares shares;
+            shares.update(limits, vm, listed, Instant { 1s });
+            parts.push_back(shares.current(Instant { 1s }).at(team).ratePerSecond);
+            rate += parts.back();
+        }
+        CHECK(rate == doctest::Approx(100));
+        CHECK(parts[0] > parts[1]);
+        CHECK(parts[2] > 0);
+    }
+
+    TEST_CASE("a part that grows waits until the others have read the new list, one that shrinks does not")
+    {
+        // Callers move from one VM to another. If the second used its larger part before the first had given
+        // it up, the team would get more than its rate for as long as the lists differ.
+        DemandShares shares;
+        const VmName self { "vm-0" };
+        shares.update(limits, self, listOf({ 10, 90 }), Instant { 1s });
+        const auto before = shares.current(Instant { 1s }).at(team).ratePerSecond;
+        shares.update(limits, self, listOf({ 90, 10 }), Instant { 2s });
+        CHECK(shares.current(Instant { 2s }).at(team).ratePerSecond == doctest::Approx(before));
+        shares.update(limits, self, listOf({ 90, 10 }), Instant { 3s + 400ms });
+        shares.update(limits, self, listOf({ 90, 10 }), Instant { 4s });
+        CHECK(shares.current(Instant { 4s }).at(team).ratePerSecond > before);
+        shares.update(limits, self, listOf({ 10, 90 }), Instant { 5s });
+        CHECK(shares.current(Instant { 5s }).at(team).ratePerSecond == doctest::Approx(before));
+    }
+
+    TEST_CASE("a process that starts does not hand out a whole burst again")
+    {
+        // A VM is killed right after its team has used its burst. With a full bucket for the next process the
+        // team would get the burst twice within a second.
+        TeamShare share;
+        share.setRule({ .ratePerSecond = 8, .burst = 50 }, Instant { 1s });
+        int admitted = 0;
+        while (share.tryTake(Instant { 1s }))
+            ++admitted;
+        CHECK(admitted == 2);
+    }
+
+    TEST_CASE("whatever VMs give each other, no window sees more than rate and burst")
+    {
+        checkProperty("tokens are conserved", [](std::uint64_t seed) {
+            std::mt19937_64 random { seed };
+            constexpr std::size_t vms = 5;
+            std::vector<TeamShare> shares(vms);
+            Instant now { 10s };
+            for (auto& share : shares)
+                share.setRule({ .ratePerSecond = 20, .burst = 10 }, now);
+            const auto start = now;
+            now += 3s;
+            int admitted = 0;
+            for (int step = 0; step < 500; ++step) {
+                now += std::chrono::milliseconds { random() % 20 };
+                auto& one = shares[random() % vms];
+                auto& other = shares[random() % vms];
+                if (random() % 3 == 0 && &one != &other)
+                    one.receive(other.give(static_cast<std::uint32_t>(random() % 4), now), now);
+                for (int asked = 0; asked < 3; ++asked)
+                    admitted += one.tryTake(now) ? 1 : 0;
+            }
+            const std::chrono::duration<double> window = now - start - 3s;
+            RC_ASSERT(admitted <= 100 * window.count() + 50 + 1);
+        });
+    }
+
+    TEST_CASE("siblings with the largest part are asked first, those that had too little are passed over")
+    {
+        DonorChoice donors;
+        const Instant now { 1s };
+        const auto listed = listOf({ 5, 40, 10, 30 });
+        const VmName self { "vm-1" };
+        CHECK(donors.choose(team, self, listed, 2, now)
+            == std::vector { VmName { "vm-3" }, VmName { "vm-2" } });
+        donors.gaveTooLittle(team, VmName { "vm-3" }, now);
+        CHECK(donors.choose(team, self, listed, 2, now)
+            == std::vector { VmName { "vm-2" }, VmName { "vm-0" } });
+        CHECK(donors.choose(team, self, listed, 1, now + 200ms) == std::vector { VmName { "vm-3" } });
+    }
+}
