Divide limits partly evenly, and write and read less

Change: besides its demand each VM counts with an even part of two fifths of the limit; records are written every 1.5 s at most and for larger changes; shares go to the traffic thread only when they changed.

--- a/include/cyclamendrift/limits/team_share.h
+++ b/include/cyclamendrift/limits/team_share.h
@@ -18,6 +18,8 @@
     struct Rule {
         double ratePerSecond = 0;
         double burst = 0;
+
+        friend bool operator==(const Rule&, const Rule&) = default;
     };
 
     /// Puts another part in force. What has accrued never grows by it, and is cut to the new burst.
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -32,7 +32,7 @@
     /// promised three seconds.
     Duration configurationUnconfirmed = std::chrono::milliseconds { 1400 };
     /// Between two reads of the list of VMs; it bounds for how long two VMs may use the same part of a limit.
-    Duration vmListInterval = std::chrono::milliseconds { 800 };
+    Duration vmListInterval = std::chrono::milliseconds { 1000 };
     /// Time to live of the lease under which duties are held, and the pause between renewals; two may fail
     /// before it lapses. It is how long a dead holder's duty stays taken.
     Duration leaseTime = std::chrono::milliseconds { 1800 };
@@ -42,6 +42,9 @@
     /// and its part of limits a second time. Store faults last up to some ten seconds.
     Duration recordTime = std::chrono::seconds { 12 };
     Duration recordRenewal = std::chrono::seconds { 3 };
+    /// Between two looks at whether demand has changed enough for the record to be written anew; each write
+    /// is paid for, and the measured demand is a mean over two seconds anyway.
+    Duration recordInterval = std::chrono::milliseconds { 1500 };
     /// How soon this VM stops to trust its lease, before the store would drop it.
     Duration leaseMargin = std::chrono::milliseconds { 150 };
     /// First and longest pause after the store failed.
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // How often a view that did not change is handed on again with its new end.
-constexpr Duration publishInterval = std::chrono::milliseconds { 150 };
+constexpr Duration publishInterval = std::chrono::milliseconds { 250 };
 
 std::string text(Term term) { return std::to_string(static_cast<std::uint64_t>(term)); }
 
--- a/src/limits/demand_shares.cpp
+++ b/src/limits/demand_shares.cpp
@@ -8,15 +8,15 @@
 
 namespace {
 
-// A VM that a team has not asked yet gets this part of an even share, so that its first callers are let in
-// before the next list shows them. The price is that at most this part of a limit lies idle at VMs that
-// nobody asks.
-constexpr double idlePart = 0.25;
+// Besides what it was asked for, each VM counts with an even part of this fraction of the limit. Records of demand come
+// one after the other: without it the first VM to write one would have nearly the whole limit until the others follow,
+// and a VM that a team begins to ask would have nothing for its first callers.
+constexpr double evenFraction = 0.4;
 // Half-life of the measured demand; about the time of a list's round through the store.
 constexpr double meanSeconds = 2.0;
 // Changes of demand below this are not worth a write.
-constexpr double relativeChange = 0.2;
-constexpr double absoluteChange = 1.5;
+constexpr double relativeChange = 0.35;
+constexpr double absoluteChange = 2.5;
 
 double valueAt(const DemandByTeam& demand, const TeamName& team)
 {
@@ -24,7 +24,8 @@
     return match == demand.end() ? 0 : match->second;
 }
 
-double partOf(const TeamName& team, const VmName& self, const std::map<VmName, DemandByTeam>& listed)
+double partOf(const TeamName& team, const TeamLimit& limit, const VmName& self,
+    const std::map<VmName, DemandByTeam>& listed)
 {
     const auto own = listed.find(self);
     const bool isListed = own != listed.end();
@@ -32,12 +33,10 @@
     double total = 0;
     for (const auto& [vm, demand] : listed)
         total += valueAt(demand, team);
-    if (total <= 0)
-        return 1 / vms;
-    const double floor = idlePart * total / vms;
-    return ((isListed ? valueAt(own->second, team) : 0) + floor) / (total + floor * vms);
+    const double even = std::max(evenFraction * limit.ratePerSecond, 1.0) / vms;
+    const double asked = isListed ? valueAt(own->second, team) : 0;
+    return (asked + even) / (total + even * vms);
 }
-
 } // namespace
 
 void DemandShares::update(const std::map<TeamName, TeamLimit>& limits, const VmName& self,
@@ -45,7 +44,7 @@
 {
     std::erase_if(this->parts, [&limits](const auto& item) { return !limits.contains(item.first); });
     for (const auto& [team, limit] : limits) {
-        const auto part = partOf(team, self, listed);
+        const auto part = partOf(team, limit, self, listed);
         const TeamShare::Rule rule { .ratePerSecond = limit.ratePerSecond * part,
             .burst = limit.burst * part };
         auto& history = this->parts[team];
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -275,9 +275,8 @@
 
 void SessionEngine::State::runPinned(CallerSession& session)
 {
-    auto* connection = this->findConnection(*session.pinned);
-    session.work->connection = session.pinned;
-    this->serveOn(*connection, session);
+    if (auto* connection = session.pinned ? this->findConnection(*session.pinned) : nullptr)
+        this->serveOn(*connection, session);
 }
 
 void SessionEngine::State::refuseOverdue(GroupState& group)
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -120,7 +120,12 @@
     this->counters = report.counters;
     this->callers = report.callers;
     this->connections = report.connections;
-    this->options.traffic.setShares(this->shares.current(bootNow()));
+    // Parts grow some time after the list that they follow from.
+    auto shares = this->shares.current(bootNow());
+    if (shares == this->handedOn)
+        return;
+    this->handedOn = std::move(shares);
+    this->options.traffic.setShares(this->handedOn);
 }
 
 void SessionControl::State::perform(const ServiceName& service, const LeadershipAction& action)
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -64,7 +64,8 @@
     const auto& settings = self->options.settings;
     Instant renewAt = Instant::min();
     while (!self->stopped) {
-        auto pause = settings.leaseRenewal;
+        // Until the first record stands others neither count on this VM nor reach it.
+        auto pause = self->toldUnder && self->siblingsOpen ? settings.recordInterval : settings.leaseRenewal;
         try {
             if (!self->recordLease) {
                 self->recordLease = co_await self->options.store.grantLease(settings.recordTime);
@@ -220,7 +221,8 @@
     for (const auto& [vm, sibling] : this->siblings)
         listed[vm] = sibling.demand;
     this->shares.update(this->routes->limits, this->options.vm, listed, now);
-    this->options.traffic.setShares(this->shares.current(now));
+    this->handedOn = this->shares.current(now);
+    this->options.traffic.setShares(this->handedOn);
 }
 
 } // namespace cyclamendrift
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -77,6 +77,7 @@
     std::optional<LeaseId> recordLease;
     Instant leaseUntil = Instant::min();
     DemandShares shares;
+    std::map<TeamName, TeamShare::Rule> handedOn;
     DemandMeter demand;
     DemandByTeam toldDemand;
     SiblingList siblings;
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 // How often the control side looks at what traffic saw; a failing primary is noticed this much later.
-constexpr Duration reportInterval = std::chrono::milliseconds { 100 };
+constexpr Duration reportInterval = std::chrono::milliseconds { 150 };
 // Two rounds of duty, status and record, which take half a second each on a new system.
 constexpr Duration leaderPatience = std::chrono::seconds { 3 };
 
