--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -31,6 +31,11 @@
     Duration borrowPause = std::chrono::milliseconds { 500 };
     /// Idle connections beyond the share are closed after this.
     Duration borrowedIdleTime = std::chrono::milliseconds { 500 };
+    /// Of its share a VM keeps this part open while it has nothing to do with them, in tenths, and closes the
+    /// rest after the time below. When all VMs lose power their connections stay taken at the upstreams for
+    /// three seconds; what was not in use then is what the VMs come back with.
+    std::size_t warmTenths = 5;
+    Duration spareIdleTime = std::chrono::milliseconds { 1500 };
     /// Subtracted from the staleness that a route allows, for the way of the statement to the upstream.
     Duration stalenessMargin = std::chrono::milliseconds { 100 };
     /// Work that waits for a view of the primary is refused after this part of its target latency; by then
--- a/src/limits/demand_shares.cpp
+++ b/src/limits/demand_shares.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-// Besides what it was asked for, each VM counts with an even part of this fraction of the limit. Records of demand come
-// one after the other: without it the first VM to write one would have nearly the whole limit until the others follow,
-// and a VM that a team begins to ask would have nothing for its first callers.
+// Besides what it was asked for, each VM counts with an even part of this fraction of the limit. Records of
+// demand come one after the other: without it the first VM to write one would have nearly the whole limit
+// until the others follow, and a VM that a team begins to ask would have nothing for its first callers.
 constexpr double evenFraction = 0.4;
 // Half-life of the measured demand; about the time of a list's round through the store.
 constexpr double meanSeconds = 2.0;
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr std::size_t tenths = 10;
 // An answer that is ready waits no longer than this to learn that the view held; renewals come twice a
 // second.
 constexpr Duration longestHold = std::chrono::milliseconds { 800 };
@@ -536,9 +537,13 @@
         if (connection.phase != PooledConnection::Phase::Idle)
             continue;
         auto& upstream = this->group(connection.service).upstreams.at(connection.upstream);
-        const bool borrowed = upstream.connections.size() > this->shareOf(upstream)
-            && this->now >= connection.idleSince + this->options.settings.borrowedIdleTime;
-        if (borrowed || !upstream.listed || upstream.entry.draining)
+        const auto open = upstream.connections.size();
+        const auto share = this->shareOf(upstream);
+        const auto idle = this->now - connection.idleSince;
+        const bool borrowed = open > share && idle >= this->options.settings.borrowedIdleTime;
+        const bool warm = open * tenths <= share * this->options.settings.warmTenths + tenths - 1;
+        const bool spareNow = !warm && idle >= this->options.settings.spareIdleTime;
+        if (borrowed || spareNow || !upstream.listed || upstream.entry.draining)
             spare.push_back(connection.id);
     }
     for (const auto id : spare) {
--- a/tests/pooling/session_engine_test.cpp
+++ b/tests/pooling/session_engine_test.cpp
@@ -485,6 +485,28 @@
         CHECK(world.runs()[1].team == TeamName { "b" });
     }
 
+    TEST_CASE("connections that nobody uses are given back, but for a part of the share")
+    {
+        // All VMs lose power at once. Until their upstreams notice, the connections that were open then stay
+        // taken, and the VMs come back to upstreams that are full of the dead.
+        PoolWorld world { { .replicas = 0, .connectionCap = 9 } };
+        world.holding = true;
+        std::vector<CallerId> callers;
+        for (int index = 0; index < 6; ++index) {
+            callers.push_back(world.connect());
+            world.ask(callers.back(), "c" + std::to_string(index) + "/1", "READ 1");
+        }
+        world.holding = false;
+        world.deliver();
+        for (const auto caller : callers)
+            CHECK_FALSE(world.answer(caller).failure);
+        CHECK(world.openConnections() == 6);
+        world.pass(1400ms);
+        CHECK(world.openConnections() == 6);
+        world.pass(200ms);
+        CHECK(world.openConnections() == 4);
+    }
+
     TEST_CASE("work that nobody can take within its target is refused, with when to come back")
     {
         PoolWorld world { { .replicas = 0, .connectionCap = 2 } };
