--- a/src/pooling/caller_session.h
+++ b/src/pooling/caller_session.h
@@ -76,6 +76,8 @@
     std::unique_ptr<Work> work;
     std::unique_ptr<HeldReply> held;
     std::unique_ptr<WaitingOperation> waiting;
+    /// The operation under way was taken out of its team's limit, and no upstream has run any of it.
+    bool charged = false;
     /// When the statement under way came in.
     Instant arrivedAt;
 
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -170,8 +170,10 @@
     if (!this->routes->limits.contains(session.team))
         return this->runOperation(session, std::move(query));
     auto& budget = this->budgets[session.team];
-    if (budget.waiting.empty() && budget.share.tryTake(this->now))
+    if (budget.waiting.empty() && budget.share.tryTake(this->now)) {
+        session.charged = true;
         return this->runOperation(session, std::move(query));
+    }
     this->waitForBudget(session, budget, std::move(query));
 }
 
@@ -204,6 +206,7 @@
             budget.waiting.pop_front();
             auto query = std::move(session->waiting->query);
             session->waiting.reset();
+            session->charged = true;
             this->runOperation(*session, std::move(query));
             continue;
         }
@@ -306,6 +309,9 @@
 void SessionEngine::State::refuse(CallerSession& session, StatementError error, std::string text)
 {
     ++this->counters.refused;
+    // What no upstream has run does not count against the limit; a caller that comes back would pay twice.
+    if (std::exchange(session.charged, false))
+        this->budgets[session.team].share.receive(1, this->now);
     if (session.work) {
         this->log("refused",
             { { "id", session.work->query.id }, { "service", session.route.service.string() },
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -102,6 +102,7 @@
 void SessionEngine::State::loseWork(CallerSession& session, StepKind step, const char* reason)
 {
     const auto& work = *session.work;
+    session.charged = false;
     this->log("answer_lost",
         { { "id", work.query.id }, { "service", session.route.service.string() }, { "reason", reason },
             { "sent", step == StepKind::Main ? "yes" : "no" } });
@@ -288,6 +289,8 @@
         return;
     }
     connection.inTransaction = true;
+    if (session != nullptr)
+        session->charged = false;
     if (session == nullptr) {
         connection.steps.assign(1, { .kind = StepKind::Drop, .statement = DropTransaction {} });
     } else {
@@ -311,6 +314,7 @@
         return;
     }
     const auto& work = *session->work;
+    session->charged = session->charged && reply.failure && meansNotRun(reply.failure->error);
     const bool notRun = reply.failure && meansNotRun(reply.failure->error);
     const auto upstreamName = connection.upstream;
     if (!session->pinned) {
--- a/tests/pooling/session_engine_test.cpp
+++ b/tests/pooling/session_engine_test.cpp
@@ -562,6 +562,22 @@
         CHECK(world.runs().empty());
     }
 
+    TEST_CASE("an operation that no upstream has run is not counted against its team")
+    {
+        // Upstreams are full and callers come back, as they are told to. If each of their tries counted, a
+        // team that keeps to its rate would be refused for being over it.
+        PoolWorld world { { .limits = limited.limits } };
+        world.engine.setShares({ { TeamName { "a" }, { .ratePerSecond = 0.01, .burst = 1 } } }, world.now);
+        world.engine.tokensReceived(TeamName { "a" }, 1, world.now);
+        const auto caller = world.connect();
+        world.setChanging();
+        for (int tries = 0; tries < 5; ++tries)
+            CHECK(world.run(caller, "c/" + std::to_string(tries), "WRITE 1 x").failure->text.find("replaced")
+                != std::string::npos);
+        world.lead("primary", 1);
+        CHECK_FALSE(world.run(caller, "c/6", "WRITE 1 x").failure);
+    }
+
     TEST_CASE("what is given to a sibling is gone here")
     {
         PoolWorld world { limited };
