--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -102,8 +102,8 @@
     /// Whom to send writes to, and until when.
     [[nodiscard]] LeaderView view() const;
 
-    /// The store should be read soon: what it says is doubted.
-    [[nodiscard]] bool wantsSnapshot() const noexcept { return this->doubted; }
+    /// The store should be read soon: what it says is doubted, or everybody waits for a new primary.
+    [[nodiscard]] bool wantsSnapshot() const noexcept;
 
 private:
     struct Member {
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -172,6 +172,11 @@
     return view;
 }
 
+bool LeaderCoordinator::wantsSnapshot() const noexcept
+{
+    return this->doubted || (this->known.record && !this->known.record->isSettled());
+}
+
 std::vector<LeadershipAction> LeaderCoordinator::tick(Instant now)
 {
     if (this->readOnce) {
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -3,6 +3,7 @@
 #include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/telemetry/event_log.h>
+#include <cyclamendrift/telemetry/line_budget.h>
 
 #include <asio/co_spawn.hpp>
 #include <asio/post.hpp>
@@ -18,13 +19,18 @@
 // Timeouts are 300 ms and more, and refusals of waiting work are due within 12 ms of each other at the least.
 constexpr Duration tickInterval = std::chrono::milliseconds { 20 };
 
+// Lines of each event in a second; the rest is counted. A line takes about as much processor time as a
+// statement.
+constexpr std::uint64_t linesPerSecond = 20;
+
 /// Carries one action out.
 class Performer {
 public:
-    Performer(
-        CallerPort& callers, UpstreamPort& upstreams, std::function<void(const AskForTokens&)> askForTokens)
+    Performer(CallerPort& callers, UpstreamPort& upstreams, LineBudget& lines,
+        std::function<void(const AskForTokens&)> askForTokens)
         : callers(callers)
         , upstreams(upstreams)
+        , lines(lines)
         , askForTokens(std::move(askForTokens))
     {
     }
@@ -44,6 +50,12 @@
     void operator()(const AskForTokens& action) { this->askForTokens(action); }
     void operator()(const LogDecision& action)
     {
+        const auto now = bootNow();
+        if (const auto count = this->lines.takeLeftOut(action.event, now))
+            logEvent(LogLevel::Warn, "lines_left_out",
+                { { "of", action.event }, { "count", std::to_string(*count) } });
+        if (!this->lines.take(action.event, now))
+            return;
         std::vector<LogField> fields;
         for (const auto& [key, value] : action.fields)
             fields.push_back({ key, value });
@@ -53,6 +65,7 @@
 private:
     CallerPort& callers;
     UpstreamPort& upstreams;
+    LineBudget& lines;
     std::function<void(const AskForTokens&)> askForTokens;
 };
 
@@ -80,6 +93,7 @@
     SiblingExchange exchange;
     std::unique_ptr<TimerService::Subscription> ticks;
     std::optional<DrainTimes> drain;
+    LineBudget lines { linesPerSecond };
     bool listening = true;
     bool performing = false;
 };
@@ -142,7 +156,8 @@
                 this->performAll();
             });
     };
-    Performer performer { this->state->options.callers, this->state->options.upstreams, askForTokens };
+    Performer performer { this->state->options.callers, this->state->options.upstreams, this->state->lines,
+        askForTokens };
     for (auto actions = this->state->engine.takeActions(); !actions.empty();
          actions = this->state->engine.takeActions()) {
         for (const auto& action : actions)
