--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -21,7 +21,7 @@
     /// Between two reads of who leads; a view must outlive two of them.
     Duration leadershipInterval = std::chrono::milliseconds { 300 };
     /// While what is known is doubted.
-    Duration doubtedInterval = std::chrono::milliseconds { 60 };
+    Duration doubtedInterval = std::chrono::milliseconds { 100 };
     /// Between two looks at the list of upstreams; with a listing that may be some seconds old a leaving
     /// upstream is known before it ends.
     Duration directoryInterval = std::chrono::milliseconds { 1000 };
