--- /dev/null
+++ b/src/leadership/replacement.cpp
@@ -0,0 +1,249 @@
+#include <cyclamendrift/leadership/leader_coordinator.h>
+
+#include "term_text.h"
+
+#include <algorithm>
+#include <utility>
+
+// How the holder of a group's duty replaces its primary: claim the next term in the store, pause the
+// replicas, wait until every view of the old primary has ended, promote the replica that has received most,
+// write down who leads.
+namespace cyclamendrift {
+
+namespace {
+
+Term next(Term term) { return Term { static_cast<std::uint64_t>(term) + 1 }; }
+
+} // namespace
+
+void LeaderCoordinator::claim(bool planned, std::string_view reason, Instant now)
+{
+    const auto& record = *this->known.record;
+    const bool someoneElse = std::any_of(this->members.begin(), this->members.end(),
+        [&record](const auto& item) { return item.first != record.primary && !item.second.entry.draining; });
+    if (!someoneElse)
+        return;
+    if (now < this->lastWrite + this->options.settings.storeRetry)
+        return;
+    const auto term = next(record.term);
+    this->note("replacing_primary",
+        { { "primary", record.primary.string() }, { "term", textOf(term) },
+            { "reason", std::string { reason } } });
+    this->replacement = Replacement { .term = term, .planned = planned };
+    this->growth.reset();
+    this->write({ .term = record.term, .primary = record.primary, .claimedTerm = term }, now);
+}
+
+void LeaderCoordinator::carryOn(Instant now)
+{
+    const auto& record = *this->known.record;
+    // A claim of another VM, or of an earlier turn of this one, is taken over by writing it anew: from then
+    // on whoever wrote it before cannot change the record, and this VM knows that the record holds it.
+    if (!this->replacement) {
+        const auto* primary = this->find(record.primary);
+        this->replacement = Replacement { .term = record.claimedTerm,
+            .planned = primary != nullptr && primary->entry.draining,
+            .takenOver = true };
+    }
+    if (this->replacement->claimPending) {
+        this->write(
+            { .term = record.term, .primary = record.primary, .claimedTerm = record.claimedTerm }, now);
+        return;
+    }
+    for (auto& [name, member] : this->members) {
+        const bool leads
+            = member.status && member.status->isPrimary && member.status->term >= record.claimedTerm;
+        if (leads) {
+            this->finish(member, now);
+            return;
+        }
+    }
+    if (this->primaryIsBack(now)) {
+        this->standDown(now);
+        return;
+    }
+    if (this->replacement->stoodDown) {
+        // Whether the record still holds the claim is not known any more; promoting now could make two
+        // primaries.
+        this->replacement.reset();
+        return;
+    }
+    if (this->replacement->planned)
+        this->demoteFirst(now);
+    this->pauseReplicas(now);
+    if (this->replacement->chosen.empty())
+        this->choose(now);
+    else
+        this->promote(now);
+}
+
+void LeaderCoordinator::noteClaim(const LeadershipRecord& record, Instant now)
+{
+    if (!this->replacement || record.isSettled() || record.changeId != this->lastChange)
+        return;
+    if (std::exchange(this->replacement->claimPending, false))
+        this->replacement->claimedAt = now;
+}
+
+bool LeaderCoordinator::primaryIsBack(Instant now)
+{
+    const auto& record = *this->known.record;
+    const auto& replacement = *this->replacement;
+    auto* primary = this->find(record.primary);
+    const bool begun = !replacement.chosen.empty() || replacement.lastPromote != Instant::min();
+    if (primary == nullptr || replacement.planned || begun)
+        return false;
+    // A promotion that the former holder sent just before it was cut off may still be under way.
+    if (replacement.takenOver && now < replacement.claimedAt + this->options.settings.promotionSettled)
+        return false;
+    this->ask(*primary, now);
+    return primary->status && primary->status->isPrimary && primary->statusAt > replacement.claimedAt
+        && now < primary->statusAt + this->options.settings.viewLifetime;
+}
+
+void LeaderCoordinator::standDown(Instant now)
+{
+    // Nobody was promoted under this claim, and the old primary is there with its whole log: keeping it loses
+    // nothing.
+    const auto& record = *this->known.record;
+    if (!std::exchange(this->replacement->stoodDown, true))
+        this->note("primary_is_back", { { "primary", record.primary.string() } });
+    for (const auto& [name, member] : this->members) {
+        if (name != record.primary)
+            this->actions.emplace_back(ResumeReplica { name });
+    }
+    this->write({ .term = record.term, .primary = record.primary, .claimedTerm = record.term }, now);
+}
+
+void LeaderCoordinator::demoteFirst(Instant now)
+{
+    auto* primary = this->find(this->known.record->primary);
+    if (primary == nullptr || this->replacement->demotedAt)
+        return;
+    if (now < primary->lastAsked + this->options.settings.askInterval)
+        return;
+    primary->lastAsked = now;
+    this->actions.emplace_back(
+        DemotePrimary { .upstream = primary->entry.name, .term = this->replacement->term });
+}
+
+void LeaderCoordinator::pauseReplicas(Instant now)
+{
+    const auto& settings = this->options.settings;
+    for (auto& [name, member] : this->members) {
+        if (name == this->known.record->primary || this->replacement->paused.contains(name))
+            continue;
+        if (now < member.lastAsked + settings.askInterval)
+            continue;
+        // A replica that still receives what the demoted primary has written is left to it for a moment.
+        const auto& demoted = this->replacement->demotedAt;
+        const bool waits
+            = this->replacement->planned && now < this->replacement->claimedAt + settings.catchUpTime;
+        const bool caughtUp = demoted && member.status && member.status->received >= *demoted;
+        member.lastAsked = now;
+        if (waits && !caughtUp)
+            this->actions.emplace_back(AskStatus { name });
+        else
+            this->actions.emplace_back(PauseReplica { .upstream = name, .term = this->replacement->term });
+    }
+}
+
+bool LeaderCoordinator::pausedEnough(Instant now) const
+{
+    const auto& replacement = *this->replacement;
+    if (replacement.paused.empty() || !replacement.lastPausedAt)
+        return false;
+    for (const auto& [name, member] : this->members) {
+        const bool open = name != this->known.record->primary && !replacement.paused.contains(name);
+        if (open
+            && now < replacement.claimedAt + this->options.settings.pauseGrace
+                    + this->options.settings.catchUpTime)
+            return false;
+    }
+    return true;
+}
+
+void LeaderCoordinator::choose(Instant now)
+{
+    const auto& settings = this->options.settings;
+    auto& replacement = *this->replacement;
+    if (!this->pausedEnough(now))
+        return;
+    const auto lapsed = std::max(replacement.claimedAt, *replacement.lastPausedAt) + settings.viewLifetime
+        + settings.viewMargin;
+    if (now < lapsed)
+        return;
+    const Member* best = nullptr;
+    Progress bestProgress;
+    for (const auto& [name, progress] : replacement.paused) {
+        const auto* member = this->find(name);
+        const bool refused = std::find(replacement.refused.begin(), replacement.refused.end(), name)
+            != replacement.refused.end();
+        if (member == nullptr || refused || member->entry.draining)
+            continue;
+        if (best == nullptr || progress > bestProgress) {
+            best = member;
+            bestProgress = progress;
+        }
+    }
+    if (best == nullptr) {
+        // Every one was refused; they may be running again by now.
+        replacement.refused.clear();
+        return;
+    }
+    replacement.chosen = best->entry.name;
+    replacement.chosenAt = now;
+    this->note("primary_chosen",
+        { { "upstream", best->entry.name.string() }, { "received", textOf(bestProgress) } });
+    this->promote(now);
+}
+
+void LeaderCoordinator::promote(Instant now)
+{
+    const auto& settings = this->options.settings;
+    auto& replacement = *this->replacement;
+    auto* chosen = this->find(replacement.chosen);
+    if (chosen == nullptr || now >= replacement.chosenAt + settings.promoteTimeout) {
+        replacement.refused.push_back(std::exchange(replacement.chosen, UpstreamName {}));
+        return;
+    }
+    if (now >= replacement.lastPromote + settings.promoteInterval) {
+        replacement.lastPromote = now;
+        this->actions.emplace_back(
+            PromoteUpstream { .upstream = replacement.chosen, .token = this->known.duty->token });
+    }
+    this->ask(*chosen, now);
+}
+
+void LeaderCoordinator::finish(const Member& member, Instant now)
+{
+    const auto term = member.status->term;
+    this->note("primary_replaced", { { "primary", member.entry.name.string() }, { "term", textOf(term) } });
+    this->write({ .term = term, .primary = member.entry.name, .claimedTerm = term }, now);
+}
+
+void LeaderCoordinator::settleOthers(Instant now)
+{
+    const auto& record = this->known.record;
+    if (!record || !record->isSettled())
+        return;
+    for (auto& [name, member] : this->members) {
+        if (name == record->primary || now < member.lastAsked + this->options.settings.settleInterval)
+            continue;
+        const bool oldPrimary
+            = member.status && member.status->isPrimary && member.status->term < record->term;
+        const bool leftPaused
+            = member.status && !member.status->isPrimary && member.status->heldTerm > Term {};
+        if (member.status && !oldPrimary && !leftPaused)
+            continue;
+        member.lastAsked = now;
+        if (!member.status)
+            this->actions.emplace_back(AskStatus { name });
+        else if (oldPrimary)
+            this->actions.emplace_back(DemotePrimary { .upstream = name, .term = record->term });
+        else
+            this->actions.emplace_back(ResumeReplica { name });
+    }
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/src/pooling/engine_answers.cpp
@@ -0,0 +1,146 @@
+#include "engine_state.h"
+
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+// An answer that is ready waits no longer than this to learn that the view held; renewals come three times a
+// second.
+constexpr Duration longestHold = std::chrono::milliseconds { 800 };
+
+} // namespace
+
+void SessionEngine::State::finishMain(PooledConnection& connection, Reply reply)
+{
+    auto* session = connection.user ? this->findCaller(*connection.user) : nullptr;
+    if (session == nullptr || !session->work)
+        return this->finishUnheard(connection, reply);
+    const bool notRun = reply.failure && meansNotRun(reply.failure->error);
+    session->charged = session->charged && notRun;
+    if (session->pinned)
+        this->finishInTransaction(connection, *session, std::move(reply));
+    else
+        this->finishSingle(connection, *session, std::move(reply));
+}
+
+void SessionEngine::State::finishUnheard(PooledConnection& connection, const Reply& reply)
+{
+    // The caller is gone; what its transaction did is dropped.
+    connection.inTransaction = reply.phase != SessionPhase::Idle;
+    connection.steps.clear();
+    if (connection.inTransaction)
+        connection.steps.push_back({ .kind = StepKind::Drop, .statement = DropTransaction {} });
+    this->sendNext(connection);
+}
+
+void SessionEngine::State::finishSingle(PooledConnection& connection, CallerSession& session, Reply reply)
+{
+    // Letting go of the connection may close it or give it to other work.
+    const RunPlace place { .upstream = connection.upstream, .sentAt = connection.sentAt };
+    const bool notRun = reply.failure && meansNotRun(reply.failure->error);
+    if (notRun)
+        this->noteNotRun(connection, reply.failure->error);
+    connection.user.reset();
+    if (reply.phase == SessionPhase::Idle)
+        this->release(connection);
+    else
+        this->close(connection);
+    if (!notRun)
+        return this->conclude(session, std::move(reply), place, session.work->kind == WorkKind::Write);
+    const bool lags = reply.failure->error == StatementError::Lagging;
+    const auto pause = lags ? this->options.settings.laggingPause : this->options.settings.busyPause;
+    this->retry(session, place.upstream, pause, reply.failure->error);
+}
+
+void SessionEngine::State::finishInTransaction(
+    PooledConnection& connection, CallerSession& session, Reply reply)
+{
+    auto& work = *session.work;
+    if (reply.failure) {
+        const bool full = reply.failure->error == StatementError::Busy;
+        const bool stands = full && reply.phase == SessionPhase::InTransaction;
+        const bool mayTry = work.attempts + 1 < this->options.settings.attempts && this->now < work.deadline;
+        if (!stands || !mayTry)
+            return this->failTransaction(connection, session, std::move(reply));
+        // The upstream was full and the transaction stands as before.
+        ++work.attempts;
+        work.resumeAt = this->now + this->options.settings.busyPause;
+        return;
+    }
+    const RunPlace place { .upstream = connection.upstream, .sentAt = connection.sentAt };
+    if (work.kind == WorkKind::Commit) {
+        const bool wrote = session.transactionWrote;
+        session.pinned.reset();
+        session.phase = SessionPhase::Idle;
+        connection.user.reset();
+        this->release(connection);
+        return this->conclude(session, std::move(reply), place, wrote);
+    }
+    session.transactionWrote = session.transactionWrote || work.kind == WorkKind::Write;
+    connection.inTransaction = true;
+    // While its caller thinks, the upstream has room for somebody else's statement.
+    this->pump(this->group(connection.service));
+    this->conclude(session, std::move(reply), place, false);
+}
+
+void SessionEngine::State::failTransaction(PooledConnection& connection, CallerSession& session, Reply reply)
+{
+    // What fails inside a transaction takes all of it along.
+    const bool commits = session.work->kind == WorkKind::Commit;
+    const bool notRun = meansNotRun(reply.failure->error);
+    const bool dropped = notRun && (!commits || reply.phase != SessionPhase::InTransaction);
+    this->logFailure(session, connection.upstream, *reply.failure);
+    connection.inTransaction = reply.phase != SessionPhase::Idle;
+    if (connection.inTransaction) {
+        this->endTransaction(session);
+    } else {
+        session.pinned.reset();
+        connection.user.reset();
+        this->release(connection);
+    }
+    session.phase = commits ? SessionPhase::Idle : SessionPhase::FailedTransaction;
+    if (dropped)
+        reply.failure->error = StatementError::Aborted;
+    this->answer(session, std::move(reply));
+}
+
+void SessionEngine::State::logFailure(
+    const CallerSession& session, const UpstreamName& upstream, const StatementFailure& failure)
+{
+    ++this->counters.failed;
+    this->log("failed",
+        { { "id", session.work->query.id }, { "upstream", upstream.string() }, { "reason", failure.text },
+            { "error", std::to_string(static_cast<int>(failure.error)) } });
+}
+
+void SessionEngine::State::conclude(CallerSession& session, Reply reply, const RunPlace& place, bool keeps)
+{
+    if (reply.failure) {
+        this->logFailure(session, place.upstream, *reply.failure);
+        return this->answer(session, std::move(reply));
+    }
+    auto& group = this->group(session.route.service);
+    if (session.work->kind == WorkKind::Read) {
+        const bool atPrimary = group.view.primary == place.upstream;
+        ++(atPrimary ? this->counters.readsOnPrimary : this->counters.readsOnReplicas);
+    }
+    if (!keeps || !reply.progress)
+        return this->answer(session, std::move(reply));
+    session.floor = reply.progress;
+    session.floorAt = place.sentAt;
+    session.floorService = session.route.service;
+    if (group.isLedBy(place.upstream, this->now))
+        return this->answer(session, std::move(reply));
+    // The commit is there, but a new primary may have been promoted meanwhile, with a log that lacks it. The
+    // caller is told of success only once it is known that this was not so.
+    const auto term = reply.progress->term;
+    session.held = std::make_unique<HeldReply>(HeldReply { .reply = std::move(reply),
+        .upstream = place.upstream,
+        .term = term,
+        .until = this->now + longestHold });
+    session.work.reset();
+}
+
+} // namespace cyclamendrift
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-// An answer that is ready waits no longer than this to learn that the view held; renewals come twice a
-// second.
-constexpr Duration longestHold = std::chrono::milliseconds { 800 };
-
 Duration doubled(Duration first, int times, Duration most)
 {
     return std::min(first * (1 << std::min(times, 10)), most);
@@ -164,54 +160,68 @@
             this->release(connection);
         return;
     }
-    const bool hasUser = connection.user.has_value();
-    auto* session = hasUser ? this->findCaller(*connection.user) : nullptr;
     connection.sentAt = this->now;
     connection.answerBy = this->now + this->options.settings.setupTimeout;
-    while (!connection.steps.empty()) {
-        auto& step = connection.steps.front();
-        if (step.kind != StepKind::Setup) {
-            if (!connection.sent.empty())
-                break;
-            if (session != nullptr && step.kind != StepKind::Drop) {
-                if (!this->mayStillSend(connection, *session) && session->pinned) {
-                    session->phase = session->work->kind == WorkKind::Commit
-                        ? SessionPhase::Idle
-                        : SessionPhase::FailedTransaction;
-                    this->endTransaction(*session);
-                    this->answer(
-                        *session, failureReply(StatementError::Aborted, "the primary no longer leads"));
-                    return;
-                }
-                if (!this->mayStillSend(connection, *session)) {
-                    const auto name = connection.upstream;
-                    connection.steps.clear();
-                    connection.user.reset();
-                    this->release(connection);
-                    this->retry(*session, name, this->options.settings.busyPause, StatementError::Busy);
-                    return;
-                }
-                const bool leads = this->group(connection.service).isLedBy(connection.upstream, this->now);
-                const auto after = leads || (session->pinned && step.kind == StepKind::Main)
-                    ? std::optional<NeededProgress> {}
-                    : this->neededProgress(this->group(connection.service), *session);
-                const auto position = after ? std::optional { after->progress } : std::nullopt;
-                if (auto* open = std::get_if<OpenTransaction>(&step.statement))
-                    open->after = position;
-                if (auto* pass = std::get_if<PassStatement>(&step.statement);
-                    pass != nullptr && !session->pinned)
-                    pass->after = position;
-                connection.answerBy = std::max(session->work->deadline, this->now);
-            }
-        }
-        connection.sent.push_back(step.kind);
-        this->actions.emplace_back(
-            SendStatement { .connection = connection.id, .statement = std::move(step.statement) });
-        const auto kind = step.kind;
-        connection.steps.pop_front();
-        if (kind != StepKind::Setup)
-            break;
+    // All that sets the connection up goes out together; what follows waits for its success.
+    while (!connection.steps.empty() && connection.steps.front().kind == StepKind::Setup)
+        this->sendStep(connection);
+    if (!connection.sent.empty())
+        return;
+    auto* session = connection.user ? this->findCaller(*connection.user) : nullptr;
+    const bool drops = connection.steps.front().kind == StepKind::Drop;
+    if (session != nullptr && !drops && !this->readyToSend(connection, *session))
+        return;
+    this->sendStep(connection);
+}
+
+void SessionEngine::State::sendStep(PooledConnection& connection)
+{
+    auto step = std::move(connection.steps.front());
+    connection.steps.pop_front();
+    connection.sent.push_back(step.kind);
+    this->actions.emplace_back(
+        SendStatement { .connection = connection.id, .statement = std::move(step.statement) });
+}
+
+bool SessionEngine::State::readyToSend(PooledConnection& connection, CallerSession& session)
+{
+    // Opening the connection and setting it up took time, in which the view of the primary may have ended.
+    if (!this->mayStillSend(connection, session)) {
+        if (session.pinned)
+            this->dropTransaction(session, "the primary no longer leads");
+        else
+            this->takeBack(connection, session);
+        return false;
     }
+    auto& step = connection.steps.front();
+    auto& group = this->group(connection.service);
+    const bool leads = group.isLedBy(connection.upstream, this->now);
+    const bool covered = leads || session.pinned;
+    const auto needed = covered ? std::optional<NeededProgress> {} : this->neededProgress(group, session);
+    const auto position = needed ? std::optional { needed->progress } : std::nullopt;
+    if (auto* open = std::get_if<OpenTransaction>(&step.statement))
+        open->after = position;
+    if (auto* pass = std::get_if<PassStatement>(&step.statement))
+        pass->after = position;
+    connection.answerBy = std::max(session.work->deadline, this->now);
+    return true;
+}
+
+void SessionEngine::State::dropTransaction(CallerSession& session, const char* reason)
+{
+    const bool commits = session.work->kind == WorkKind::Commit;
+    session.phase = commits ? SessionPhase::Idle : SessionPhase::FailedTransaction;
+    this->endTransaction(session);
+    this->answer(session, failureReply(StatementError::Aborted, reason));
+}
+
+void SessionEngine::State::takeBack(PooledConnection& connection, CallerSession& session)
+{
+    const auto name = connection.upstream;
+    connection.steps.clear();
+    connection.user.reset();
+    this->release(connection);
+    this->retry(session, name, this->options.settings.busyPause, StatementError::Busy);
 }
 
 bool SessionEngine::State::mayStillSend(const PooledConnection& connection, const CallerSession& session)
@@ -300,112 +310,6 @@
     this->sendNext(connection);
 }
 
-void SessionEngine::State::finishMain(PooledConnection& connection, Reply reply)
-{
-    auto* session = connection.user ? this->findCaller(*connection.user) : nullptr;
-    if (session == nullptr || !session->work) {
-        // The caller is gone; what its transaction did is dropped.
-        connection.inTransaction = reply.phase != SessionPhase::Idle;
-        if (connection.inTransaction && connection.steps.empty())
-            connection.steps.push_back({ .kind = StepKind::Drop, .statement = DropTransaction {} });
-        if (!connection.inTransaction)
-            connection.steps.clear();
-        this->sendNext(connection);
-        return;
-    }
-    const auto& work = *session->work;
-    session->charged = session->charged && reply.failure && meansNotRun(reply.failure->error);
-    const bool notRun = reply.failure && meansNotRun(reply.failure->error);
-    const auto upstreamName = connection.upstream;
-    if (!session->pinned) {
-        connection.user.reset();
-        if (notRun)
-            this->noteNotRun(connection, reply.failure->error);
-        if (reply.phase == SessionPhase::Idle)
-            this->release(connection);
-        else
-            this->close(connection);
-        if (notRun) {
-            const auto pause = reply.failure->error == StatementError::Lagging
-                ? this->options.settings.laggingPause
-                : this->options.settings.busyPause;
-            this->retry(*session, upstreamName, pause, reply.failure->error);
-            return;
-        }
-    } else if (notRun && reply.phase == SessionPhase::InTransaction
-        && reply.failure->error == StatementError::Busy && work.attempts + 1 < this->options.settings.attempts
-        && this->now < work.deadline) {
-        // The upstream was full and the transaction stands as before.
-        ++session->work->attempts;
-        session->work->resumeAt = this->now + this->options.settings.busyPause;
-        return;
-    } else if (reply.failure) {
-        // What failed inside a transaction takes all of it along.
-        const bool commit = work.kind == WorkKind::Commit;
-        const bool dropped = notRun || reply.phase == SessionPhase::FailedTransaction;
-        connection.inTransaction = reply.phase != SessionPhase::Idle;
-        if (connection.inTransaction) {
-            this->endTransaction(*session);
-        } else {
-            session->pinned.reset();
-            connection.user.reset();
-            this->release(connection);
-        }
-        session->phase = commit ? SessionPhase::Idle : SessionPhase::FailedTransaction;
-        ++this->counters.failed;
-        this->log("failed",
-            { { "id", work.query.id }, { "upstream", upstreamName.string() },
-                { "reason", reply.failure->text },
-                { "error", std::to_string(static_cast<int>(reply.failure->error)) } });
-        if (notRun && (!commit || dropped))
-            reply.failure->error = StatementError::Aborted;
-        this->answer(*session, std::move(reply));
-        return;
-    } else if (work.kind == WorkKind::Commit) {
-        session->pinned.reset();
-        session->phase = SessionPhase::Idle;
-        connection.inTransaction = false;
-        connection.user.reset();
-        this->release(connection);
-    } else {
-        session->transactionWrote = session->transactionWrote || work.kind == WorkKind::Write;
-        connection.inTransaction = true;
-        // While its caller thinks, the upstream has room for somebody else's statement.
-        this->pump(this->group(connection.service));
-    }
-    const bool keeps = work.kind == WorkKind::Commit ? session->transactionWrote
-                                                     : work.kind == WorkKind::Write && !session->pinned;
-    if (reply.failure) {
-        ++this->counters.failed;
-        this->log("failed",
-            { { "id", work.query.id }, { "upstream", upstreamName.string() },
-                { "reason", reply.failure->text },
-                { "error", std::to_string(static_cast<int>(reply.failure->error)) } });
-        this->answer(*session, std::move(reply));
-        return;
-    }
-    if (work.kind == WorkKind::Read)
-        ++(this->group(session->route.service).view.primary == upstreamName ? this->counters.readsOnPrimary
-                                                                            : this->counters.readsOnReplicas);
-    if (keeps && reply.progress) {
-        session->floor = reply.progress;
-        session->floorAt = connection.sentAt;
-        session->floorService = session->route.service;
-        auto& group = this->group(session->route.service);
-        if (!group.isLedBy(upstreamName, this->now)) {
-            // The commit is there, but a new primary may have been promoted meanwhile, with a log that lacks
-            // it. The caller is told of success only once it is known that this was not so.
-            session->held = std::make_unique<HeldReply>(HeldReply { .reply = std::move(reply),
-                .upstream = upstreamName,
-                .term = session->floor->term,
-                .until = this->now + longestHold });
-            session->work.reset();
-            return;
-        }
-    }
-    this->answer(*session, std::move(reply));
-}
-
 void SessionEngine::State::releaseHeld(CallerSession& session)
 {
     const auto& group = this->group(session.route.service);
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -23,9 +23,15 @@
     Instant askAgainAt = Instant::min();
 };
 
+/// Where and when a statement ran.
+struct RunPlace {
+    UpstreamName upstream;
+    Instant sentAt;
+};
+
 /// Everything that a SessionEngine holds. Sources: engine_callers (statements of callers), engine_dispatch
-/// (which upstream gets which work), engine_connections (answers and losses), session_engine (knowledge and
-/// time).
+/// (which upstream gets which work), engine_connections (connections, sending and losses), engine_answers
+/// (what upstreams answered), session_engine (knowledge and time).
 class SessionEngine::State {
 public:
     explicit State(Options options)
@@ -116,7 +122,10 @@
     // engine_connections
     void sendNext(PooledConnection& connection);
     [[nodiscard]] bool mayStillSend(const PooledConnection& connection, const CallerSession& session);
-    void finishMain(PooledConnection& connection, Reply reply);
+    void sendStep(PooledConnection& connection);
+    [[nodiscard]] bool readyToSend(PooledConnection& connection, CallerSession& session);
+    void dropTransaction(CallerSession& session, const char* reason);
+    void takeBack(PooledConnection& connection, CallerSession& session);
     void finishOpen(PooledConnection& connection, const Reply& reply);
     void retry(CallerSession& session, const UpstreamName& avoided, Duration pause, StatementError reason);
     void release(PooledConnection& connection);
@@ -125,6 +134,16 @@
     void noteFailure(UpstreamState& upstream);
     void noteAnswer(PooledConnection& connection, const Reply& reply);
     void noteNotRun(PooledConnection& connection, StatementError error);
+
+    // engine_answers
+    void finishMain(PooledConnection& connection, Reply reply);
+    void finishUnheard(PooledConnection& connection, const Reply& reply);
+    void finishSingle(PooledConnection& connection, CallerSession& session, Reply reply);
+    void finishInTransaction(PooledConnection& connection, CallerSession& session, Reply reply);
+    void failTransaction(PooledConnection& connection, CallerSession& session, Reply reply);
+    void conclude(CallerSession& session, Reply reply, const RunPlace& place, bool keeps);
+    void logFailure(
+        const CallerSession& session, const UpstreamName& upstream, const StatementFailure& failure);
     void loseWork(CallerSession& session, StepKind step, const char* reason);
 };
 
--- /dev/null
+++ b/tests/settings/session_settings_test.cpp
@@ -0,0 +1,76 @@
+#include <cyclamendrift/settings/session_settings.h>
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string whole = R"([vm]
+name = "palermo-1"
+availability_zone = "palermo"
+[callers]
+listen = "10.1.0.26:8465"
+[readiness]
+listen = "10.1.0.26:8460"
+path = "/ready"
+[metrics]
+listen = "10.1.0.26:9464"
+[siblings]
+listen = "10.1.0.26:7560"
+[store]
+address = "10.200.1.7:8466"
+[promotion]
+address = "10.200.0.2:8466"
+[shutdown]
+grace_ms = 6000
+[log]
+level = "warn"
+)";
+
+std::string problemsOf(const std::string& text)
+{
+    try {
+        static_cast<void>(parseSessionSettings(text, "node.toml"));
+    } catch (const SettingsError& error) {
+        std::string all;
+        for (const auto& problem : error.problems())
+            all += problem.text() + '\n';
+        return all;
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_SUITE("settings of the session proxy")
+{
+    TEST_CASE("every field is read")
+    {
+        const auto settings = parseSessionSettings(whole, "node.toml");
+        CHECK(settings.vm.name == VmName { "palermo-1" });
+        CHECK(settings.callers.address == "10.1.0.26");
+        CHECK(settings.callers.port == 8465);
+        CHECK(settings.readinessPath == "/ready");
+        CHECK(settings.siblings.port == 7560);
+        CHECK(settings.storeAddress == "10.200.1.7:8466");
+        CHECK(settings.grace == 6s);
+        CHECK(settings.log.level == LogLevel::Warn);
+    }
+
+    TEST_CASE("each mistake is told with its line and column, all at once")
+    {
+        auto text = whole;
+        text.replace(text.find("10.1.0.26:8465"), 14, "10.1.0.26:70000");
+        text.replace(text.find("grace_ms"), 8, "grace_s ");
+        const auto problems = problemsOf(text);
+        CHECK(problems.find("node.toml:5:10") != std::string::npos);
+        CHECK(problems.find("an IP number and a port") != std::string::npos);
+        CHECK(problems.find("grace_s") != std::string::npos);
+        CHECK(problemsOf("[vm").find("this is not TOML") != std::string::npos);
+        CHECK(problemsOf("").find("store") != std::string::npos);
+    }
+}
