--- a/src/pooling/engine_answers.cpp
+++ b/src/pooling/engine_answers.cpp
@@ -115,12 +115,30 @@
             { "error", std::to_string(static_cast<int>(failure.error)) } });
 }
 
+void SessionEngine::State::logIfLate(const CallerSession& session, const RunPlace& place)
+{
+    const auto& work = *session.work;
+    if (this->now < work.arrivedAt + session.route.targetLatency)
+        return;
+    const auto milliseconds = [](Duration duration) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    };
+    this->log("late",
+        { { "id", work.query.id }, { "service", session.route.service.string() },
+            { "upstream", place.upstream.string() },
+            { "waited_ms", milliseconds(place.sentAt - work.arrivedAt) },
+            { "upstream_ms", milliseconds(this->now - place.sentAt) },
+            { "attempts", std::to_string(work.attempts) },
+            { "transaction", session.phase == SessionPhase::InTransaction ? "yes" : "no" } });
+}
+
 void SessionEngine::State::conclude(CallerSession& session, Reply reply, const RunPlace& place, bool keeps)
 {
     if (reply.failure) {
         this->logFailure(session, place.upstream, *reply.failure);
         return this->answer(session, std::move(reply));
     }
+    this->logIfLate(session, place);
     auto& group = this->group(session.route.service);
     if (session.work->kind == WorkKind::Read) {
         const bool atPrimary = group.view.primary == place.upstream;
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -142,6 +142,7 @@
     void finishInTransaction(PooledConnection& connection, CallerSession& session, Reply reply);
     void failTransaction(PooledConnection& connection, CallerSession& session, Reply reply);
     void conclude(CallerSession& session, Reply reply, const RunPlace& place, bool keeps);
+    void logIfLate(const CallerSession& session, const RunPlace& place);
     void logFailure(
         const CallerSession& session, const UpstreamName& upstream, const StatementFailure& failure);
     void loseWork(CallerSession& session, StepKind step, const char* reason);
--- a/tests/pooling/pool_world.cpp
+++ b/tests/pooling/pool_world.cpp
@@ -167,6 +167,16 @@
         this->history.begin(), this->history.end(), [&id](const RunStatement& run) { return run.id == id; }));
 }
 
+std::vector<std::map<std::string, std::string>> PoolWorld::logged(const std::string& event) const
+{
+    std::vector<std::map<std::string, std::string>> found;
+    for (const auto& line : this->lines) {
+        if (line.event == event)
+            found.emplace_back(line.fields.begin(), line.fields.end());
+    }
+    return found;
+}
+
 void PoolWorld::perform()
 {
     for (auto actions = this->engine.takeActions(); !actions.empty(); actions = this->engine.takeActions()) {
@@ -200,6 +210,8 @@
         this->replies[answered->caller].push_back(answered->reply);
     if (const auto* ended = std::get_if<CloseCaller>(&action))
         this->closed[ended->caller] = ended->failure;
+    if (const auto* line = std::get_if<LogDecision>(&action))
+        this->lines.push_back(*line);
     if (const auto* tokens = std::get_if<AskForTokens>(&action))
         this->tokenQuestions.push_back(*tokens);
 }
--- a/tests/pooling/pool_world.h
+++ b/tests/pooling/pool_world.h
@@ -98,6 +98,8 @@
     Instant now { std::chrono::seconds { 100 } };
     std::shared_ptr<RouteTable> routes = std::make_shared<RouteTable>();
     std::vector<AskForTokens> tokenQuestions;
+    /// The fields of each line of an event that was logged.
+    [[nodiscard]] std::vector<std::map<std::string, std::string>> logged(const std::string& event) const;
     bool renewing = true;
 
 private:
@@ -117,6 +119,7 @@
     std::map<CallerId, std::optional<StatementFailure>> closed;
     std::deque<EngineAction> held;
     std::vector<RunStatement> history;
+    std::vector<LogDecision> lines;
     std::set<std::string> commits;
     std::uint64_t lastCaller = 0;
     LeaderView view;
--- a/tests/pooling/session_engine_test.cpp
+++ b/tests/pooling/session_engine_test.cpp
@@ -289,6 +289,26 @@
         CHECK(world.timesRun("c/1") == 1);
     }
 
+    TEST_CASE("a statement that succeeds late has a line that tells where its time went")
+    {
+        // A user complains that a search took long. The lines must tell whether it waited here or there.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/0", "READ 1").failure);
+        CHECK(world.logged("late").empty());
+        world.holding = true;
+        world.ask(caller, "c/1", "READ 1");
+        world.now += 250ms;
+        world.holding = false;
+        world.deliver();
+        CHECK_FALSE(world.answer(caller).failure);
+        const auto lines = world.logged("late");
+        REQUIRE(lines.size() == 1);
+        CHECK(lines.front().at("id") == "c/1");
+        CHECK(lines.front().at("waited_ms") == "0");
+        CHECK(lines.front().at("upstream_ms") == "250");
+    }
+
     TEST_CASE(
         "a silent upstream costs its statement no more than the route allows, and a write stays in doubt")
     {
