Open a transaction along with the set-up of its connection

Change: the opening goes out with the session's values and names instead of after them; the first statement waits for both.

--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -165,9 +165,14 @@
     // All that sets the connection up goes out together; what follows waits for its success.
     while (!connection.steps.empty() && connection.steps.front().kind == StepKind::Setup)
         this->sendStep(connection);
-    if (!connection.sent.empty())
-        return;
     auto* session = connection.user ? this->findCaller(*connection.user) : nullptr;
+    // The opening of a transaction changes nothing, so it need not wait for the set-up to succeed; that
+    // spares each transaction a round trip. If the set-up fails the connection is closed, and the transaction
+    // with it.
+    const bool opens = !connection.steps.empty() && connection.steps.front().kind == StepKind::Open;
+    const bool mayJoin = opens && session != nullptr && this->mayStillSend(connection, *session);
+    if (!connection.sent.empty() && !mayJoin)
+        return;
     const bool drops = connection.steps.front().kind == StepKind::Drop;
     if (session != nullptr && !drops && !this->readyToSend(connection, *session))
         return;
--- a/tests/pooling/session_engine_test.cpp
+++ b/tests/pooling/session_engine_test.cpp
@@ -156,6 +156,23 @@
         CHECK(world.committed("c/2"));
     }
 
+    TEST_CASE(
+        "a transaction is opened along with the values of its session, and its statement waits for both")
+    {
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
+        CHECK_FALSE(world.run(caller, "c/2", "SET zone palermo").failure);
+        CHECK_FALSE(world.run(caller, "c/3", "BEGIN").failure);
+        world.holding = true;
+        world.ask(caller, "c/4", "WRITE 1 x");
+        int roundTrips = 0;
+        for (; world.timesRun("c/4") == 0 && roundTrips < 5; ++roundTrips)
+            world.deliver();
+        CHECK(roundTrips == 2);
+        CHECK_FALSE(world.answer(caller).failure);
+    }
+
     TEST_CASE("a caller that leaves in the middle of a transaction leaves nothing behind")
     {
         // A client crashes between two statements. If its connection went back to the pool with the
