Let a duty's holder without traffic notice a dead primary

The state of the hung processes showed a holder whose own questions failed, while each report of its traffic, which had none, set the failure back: the primary was never taken for dead.

Change: failures of traffic and of questions are kept apart. Test ports come from below the range of outgoing connections, as parallel runs took each other's.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -112,7 +113,15 @@
         Instant statusAt = Instant::min();
         Instant lastAnswer = Instant::min();
         Instant lastAsked = Instant::min();
-        std::optional<Instant> failingSince;
+        /// Since when statements of callers, and this VM's own questions, have been failing.
+        std::optional<Instant> trafficFailingSince;
+        std::optional<Instant> questionsFailingSince;
+
+        [[nodiscard]] bool isFailing() const noexcept
+        {
+            return (this->trafficFailingSince && *this->trafficFailingSince > this->lastAnswer)
+                || (this->questionsFailingSince && *this->questionsFailingSince > this->lastAnswer);
+        }
     };
     /// How far a replacement of the primary has come.
     struct Replacement {
@@ -143,6 +152,8 @@
     [[nodiscard]] bool holdsDuty(Instant now) const noexcept;
     void takeDutyIfFree(Instant now);
     void renewFromReplica(Instant now);
+    void askReplicas(Instant now);
+    [[nodiscard]] bool isPrimary(const UpstreamName& name) const;
     void bootstrap(Instant now);
     void watchPrimary(Instant now);
     [[nodiscard]] bool primaryIsSilent(Instant now);
@@ -157,12 +168,16 @@
     [[nodiscard]] bool pausedEnough(Instant now) const;
     void choose(Instant now);
     void promote(Instant now);
-    void finish(const Member& member, Instant now);
+    void finish(const UpstreamName& leader, Term term, Instant now);
     void settleOthers(Instant now);
     void write(LeadershipRecord record, Instant now);
     void ask(Member& member, Instant now);
     void publishIfChanged(Instant now);
     void note(std::string_view event, std::vector<std::pair<std::string, std::string>> fields);
+    /// The record as it is known; throws LeadershipError when none was read.
+    [[nodiscard]] const LeadershipRecord& record() const;
+    /// The token and revision of the duty; throws LeadershipError when this VM knows of no holder.
+    [[nodiscard]] const LeadershipDuty& duty() const;
     [[nodiscard]] Member* find(const UpstreamName& name);
 
     Options options;
@@ -171,12 +186,12 @@
     LeadershipSnapshot known;
     bool readOnce = false;
     bool doubted = false;
-    std::map<UpstreamName, Member> members;
+    std::vector<Member> members;
     /// When a replica confirmed the record's term last.
     Instant confirmedAt = Instant::min();
     Instant lastConfirmAsked = Instant::min();
-    std::optional<Replacement> replacement;
-    std::optional<Growth> growth;
+    std::unique_ptr<Replacement> replacement;
+    std::unique_ptr<Growth> growth;
     std::optional<Instant> dutyFreeSince;
     /// What was read before this instant says nothing of who holds the duty.
     Instant dutyKnownFrom = Instant::min();
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -19,10 +19,30 @@
 {
 }
 
+const LeadershipRecord& LeaderCoordinator::record() const
+{
+    if (!this->known.record)
+        throw LeadershipError { "nothing was read of who leads" };
+    return *this->known.record;
+}
+
+const LeadershipDuty& LeaderCoordinator::duty() const
+{
+    if (!this->known.duty)
+        throw LeadershipError { "nobody is known to hold the duty" };
+    return *this->known.duty;
+}
+
+bool LeaderCoordinator::isPrimary(const UpstreamName& name) const
+{
+    return this->known.record && this->known.record->primary == name;
+}
+
 LeaderCoordinator::Member* LeaderCoordinator::find(const UpstreamName& name)
 {
-    const auto match = this->members.find(name);
-    return match == this->members.end() ? nullptr : &match->second;
+    const auto match = std::find_if(this->members.begin(), this->members.end(),
+        [&name](const Member& member) { return member.entry.name == name; });
+    return match == this->members.end() ? nullptr : &*match;
 }
 
 bool LeaderCoordinator::holdsDuty(Instant now) const noexcept
@@ -74,12 +94,16 @@
 
 void LeaderCoordinator::onDirectory(UpstreamDirectory entries)
 {
-    for (const auto& entry : entries)
-        this->members[entry.name].entry = entry;
-    std::erase_if(this->members, [&entries](const auto& item) {
+    std::erase_if(this->members, [&entries](const Member& member) {
         return std::none_of(entries.begin(), entries.end(),
-            [&item](const UpstreamEntry& entry) { return entry.name == item.first; });
+            [&member](const UpstreamEntry& entry) { return entry.name == member.entry.name; });
     });
+    for (auto& entry : entries) {
+        if (auto* member = this->find(entry.name))
+            member->entry = std::move(entry);
+        else
+            this->members.push_back({ .entry = std::move(entry) });
+    }
 }
 
 void LeaderCoordinator::onTraffic(const UpstreamName& upstream, Instant lastAnswer,
@@ -89,7 +113,7 @@
     if (member == nullptr)
         return;
     member->lastAnswer = std::max(member->lastAnswer, lastAnswer);
-    member->failingSince = failingSince;
+    member->trafficFailingSince = failingSince;
     if (contradictsView)
         this->doubted = true;
 }
@@ -101,6 +125,7 @@
     if (member == nullptr)
         return;
     member->lastAnswer = std::max(member->lastAnswer, now);
+    member->questionsFailingSince.reset();
     if (askedAt < member->statusAt)
         return;
     member->status = status;
@@ -126,8 +151,12 @@
 void LeaderCoordinator::onSilence(const UpstreamName& upstream, Instant now)
 {
     auto* member = this->find(upstream);
-    if (member != nullptr && !member->failingSince)
-        member->failingSince = now;
+    if (member == nullptr)
+        return;
+    // Traffic may have got an answer since the last question that failed.
+    const auto& since = member->questionsFailingSince;
+    if (!since || *since <= member->lastAnswer)
+        member->questionsFailingSince = now;
 }
 
 void LeaderCoordinator::onWritten(const LeadershipRecord& record, std::uint64_t revision, Instant now)
@@ -157,7 +186,7 @@
     LeaderView view;
     if (!this->readOnce || !this->known.record)
         return view;
-    const auto& record = *this->known.record;
+    const auto& record = this->record();
     view.phase = record.isSettled() ? LeaderView::Phase::Led : LeaderView::Phase::Changing;
     view.primary = record.primary;
     view.term = record.term;
@@ -221,14 +250,20 @@
 void LeaderCoordinator::renewFromReplica(Instant now)
 {
     const auto& settings = this->options.settings;
-    if (!this->known.record || !this->known.record->isSettled())
+    const auto& record = this->known.record;
+    if (!record || !record->isSettled())
         return;
     const bool storeSilent = now >= this->known.askedAt + settings.storeSilence;
     if (!storeSilent || now < this->lastConfirmAsked + settings.confirmInterval)
         return;
     this->lastConfirmAsked = now;
-    for (auto& [name, member] : this->members) {
-        if (name != this->known.record->primary && !member.entry.draining)
+    this->askReplicas(now);
+}
+
+void LeaderCoordinator::askReplicas(Instant now)
+{
+    for (auto& member : this->members) {
+        if (!this->isPrimary(member.entry.name) && !member.entry.draining)
             this->ask(member, now);
     }
 }
@@ -243,11 +278,13 @@
 
 void LeaderCoordinator::bootstrap(Instant now)
 {
-    for (auto& [name, member] : this->members) {
+    for (auto& member : this->members) {
         if (member.status && member.status->isPrimary
             && member.statusAt + this->options.settings.viewLifetime > now) {
-            this->write(
-                { .term = member.status->term, .primary = name, .claimedTerm = member.status->term }, now);
+            this->write({ .term = member.status->term,
+                            .primary = member.entry.name,
+                            .claimedTerm = member.status->term },
+                now);
             return;
         }
         if (member.entry.claimsPrimary)
@@ -266,19 +303,21 @@
     this->lastChange = record.changeId;
     this->actions.emplace_back(WriteLeadership { .record = std::move(record),
         .expectedRevision = this->known.recordRevision,
-        .dutyRevision = this->known.duty->revision });
+        .dutyRevision = this->duty().revision });
 }
 
 void LeaderCoordinator::watchPrimary(Instant now)
 {
-    const auto& record = *this->known.record;
+    const auto& record = this->record();
     auto* primary = this->find(record.primary);
-    for (const auto& [name, member] : this->members) {
+    for (const auto& member : this->members) {
         // A promotion whose outcome nobody wrote down has shown its effect.
         const bool leads = member.status && member.status->isPrimary && member.status->term > record.term;
         if (leads) {
-            this->write(
-                { .term = member.status->term, .primary = name, .claimedTerm = member.status->term }, now);
+            this->write({ .term = member.status->term,
+                            .primary = member.entry.name,
+                            .claimedTerm = member.status->term },
+                now);
             return;
         }
     }
@@ -300,7 +339,7 @@
             { { "primary", record.primary.string() }, { "reason", "its log grows elsewhere" } });
         this->noDutyBefore = now + this->options.settings.yieldPause;
         this->growth.reset();
-        this->actions.emplace_back(YieldDuty { this->known.duty->revision });
+        this->actions.emplace_back(YieldDuty { this->duty().revision });
         this->known.duty.reset();
         return;
     }
@@ -311,9 +350,9 @@
 
 bool LeaderCoordinator::primaryIsSilent(Instant now)
 {
-    auto& primary = *this->find(this->known.record->primary);
+    auto& primary = *this->find(this->record().primary);
     const bool quiet = now >= primary.lastAnswer + this->options.settings.quietTime;
-    const bool failing = primary.failingSince && *primary.failingSince > primary.lastAnswer;
+    const bool failing = primary.isFailing();
     if (quiet || failing)
         this->ask(primary, now);
     return failing && now >= primary.lastAnswer + this->options.settings.askInterval * 2;
@@ -322,15 +361,16 @@
 bool LeaderCoordinator::logGrows(Instant now)
 {
     if (!this->growth)
-        this->growth = Growth { .since = now };
+        this->growth = std::make_unique<Growth>(Growth { .since = now });
     bool grows = false;
-    for (auto& [name, member] : this->members) {
-        if (name == this->known.record->primary)
+    for (auto& member : this->members) {
+        if (member.entry.name == this->known.record->primary)
             continue;
         this->ask(member, now);
         if (!member.status || member.statusAt < this->growth->since)
             continue;
-        const auto first = this->growth->received.try_emplace(name, member.status->received).first;
+        const auto first
+            = this->growth->received.try_emplace(member.entry.name, member.status->received).first;
         grows = grows || member.status->received > first->second;
     }
     return grows;
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -18,9 +18,11 @@
 
 void LeaderCoordinator::claim(bool planned, std::string_view reason, Instant now)
 {
-    const auto& record = *this->known.record;
-    const bool someoneElse = std::any_of(this->members.begin(), this->members.end(),
-        [&record](const auto& item) { return item.first != record.primary && !item.second.entry.draining; });
+    const auto& record = this->record();
+    const bool someoneElse
+        = std::any_of(this->members.begin(), this->members.end(), [&record](const Member& member) {
+              return member.entry.name != record.primary && !member.entry.draining;
+          });
     if (!someoneElse)
         return;
     if (now < this->lastWrite + this->options.settings.storeRetry)
@@ -29,34 +31,30 @@
     this->note("replacing_primary",
         { { "primary", record.primary.string() }, { "term", textOf(term) },
             { "reason", std::string { reason } } });
-    this->replacement = Replacement { .term = term, .planned = planned };
+    this->replacement = std::make_unique<Replacement>(Replacement { .term = term, .planned = planned });
     this->growth.reset();
     this->write({ .term = record.term, .primary = record.primary, .claimedTerm = term }, now);
 }
 
 void LeaderCoordinator::carryOn(Instant now)
 {
-    const auto& record = *this->known.record;
+    const auto& record = this->record();
     // A claim of another VM, or of an earlier turn of this one, is taken over by writing it anew: from then
     // on whoever wrote it before cannot change the record, and this VM knows that the record holds it.
     if (!this->replacement) {
         const auto* primary = this->find(record.primary);
-        this->replacement = Replacement { .term = record.claimedTerm,
+        this->replacement = std::make_unique<Replacement>(Replacement { .term = record.claimedTerm,
             .planned = primary != nullptr && primary->entry.draining,
-            .takenOver = true };
+            .takenOver = true });
     }
     if (this->replacement->claimPending) {
         this->write(
             { .term = record.term, .primary = record.primary, .claimedTerm = record.claimedTerm }, now);
         return;
     }
-    for (auto& [name, member] : this->members) {
-        const bool leads
-            = member.status && member.status->isPrimary && member.status->term >= record.claimedTerm;
-        if (leads) {
-            this->finish(member, now);
-            return;
-        }
+    for (const auto& member : this->members) {
+        if (member.status && member.status->isPrimary && member.status->term >= record.claimedTerm)
+            return this->finish(member.entry.name, member.status->term, now);
     }
     if (this->primaryIsBack(now)) {
         this->standDown(now);
@@ -87,7 +85,7 @@
 
 bool LeaderCoordinator::primaryIsBack(Instant now)
 {
-    const auto& record = *this->known.record;
+    const auto& record = this->record();
     const auto& replacement = *this->replacement;
     auto* primary = this->find(record.primary);
     const bool begun = !replacement.chosen.empty() || replacement.lastPromote != Instant::min();
@@ -105,19 +103,19 @@
 {
     // Nobody was promoted under this claim, and the old primary is there with its whole log: keeping it loses
     // nothing.
-    const auto& record = *this->known.record;
+    const auto& record = this->record();
     if (!std::exchange(this->replacement->stoodDown, true))
         this->note("primary_is_back", { { "primary", record.primary.string() } });
-    for (const auto& [name, member] : this->members) {
-        if (name != record.primary)
-            this->actions.emplace_back(ResumeReplica { name });
+    for (const auto& member : this->members) {
+        if (member.entry.name != record.primary)
+            this->actions.emplace_back(ResumeReplica { member.entry.name });
     }
     this->write({ .term = record.term, .primary = record.primary, .claimedTerm = record.term }, now);
 }
 
 void LeaderCoordinator::demoteFirst(Instant now)
 {
-    auto* primary = this->find(this->known.record->primary);
+    auto* primary = this->find(this->record().primary);
     if (primary == nullptr || this->replacement->demotedAt)
         return;
     if (now < primary->lastAsked + this->options.settings.askInterval)
@@ -130,8 +128,9 @@
 void LeaderCoordinator::pauseReplicas(Instant now)
 {
     const auto& settings = this->options.settings;
-    for (auto& [name, member] : this->members) {
-        if (name == this->known.record->primary || this->replacement->paused.contains(name))
+    for (auto& member : this->members) {
+        if (member.entry.name == this->record().primary
+            || this->replacement->paused.contains(member.entry.name))
             continue;
         if (now < member.lastAsked + settings.askInterval)
             continue;
@@ -142,9 +141,10 @@
         const bool caughtUp = demoted && member.status && member.status->received >= *demoted;
         member.lastAsked = now;
         if (waits && !caughtUp)
-            this->actions.emplace_back(AskStatus { name });
+            this->actions.emplace_back(AskStatus { member.entry.name });
         else
-            this->actions.emplace_back(PauseReplica { .upstream = name, .term = this->replacement->term });
+            this->actions.emplace_back(
+                PauseReplica { .upstream = member.entry.name, .term = this->replacement->term });
     }
 }
 
@@ -153,8 +153,9 @@
     const auto& replacement = *this->replacement;
     if (replacement.paused.empty() || !replacement.lastPausedAt)
         return false;
-    for (const auto& [name, member] : this->members) {
-        const bool open = name != this->known.record->primary && !replacement.paused.contains(name);
+    for (const auto& member : this->members) {
+        const bool open
+            = member.entry.name != this->record().primary && !replacement.paused.contains(member.entry.name);
         if (open
             && now < replacement.claimedAt + this->options.settings.pauseGrace
                     + this->options.settings.catchUpTime)
@@ -169,8 +170,9 @@
     auto& replacement = *this->replacement;
     if (!this->pausedEnough(now))
         return;
-    const auto lapsed = std::max(replacement.claimedAt, *replacement.lastPausedAt) + settings.viewLifetime
-        + settings.viewMargin;
+    const auto pausedAt = replacement.lastPausedAt.value_or(now);
+    const auto lapsed
+        = std::max(replacement.claimedAt, pausedAt) + settings.viewLifetime + settings.viewMargin;
     if (now < lapsed)
         return;
     const Member* best = nullptr;
@@ -210,16 +212,15 @@
     if (now >= replacement.lastPromote + settings.promoteInterval) {
         replacement.lastPromote = now;
         this->actions.emplace_back(
-            PromoteUpstream { .upstream = replacement.chosen, .token = this->known.duty->token });
+            PromoteUpstream { .upstream = replacement.chosen, .token = this->duty().token });
     }
     this->ask(*chosen, now);
 }
 
-void LeaderCoordinator::finish(const Member& member, Instant now)
+void LeaderCoordinator::finish(const UpstreamName& leader, Term term, Instant now)
 {
-    const auto term = member.status->term;
-    this->note("primary_replaced", { { "primary", member.entry.name.string() }, { "term", textOf(term) } });
-    this->write({ .term = term, .primary = member.entry.name, .claimedTerm = term }, now);
+    this->note("primary_replaced", { { "primary", leader.string() }, { "term", textOf(term) } });
+    this->write({ .term = term, .primary = leader, .claimedTerm = term }, now);
 }
 
 void LeaderCoordinator::settleOthers(Instant now)
@@ -227,8 +228,9 @@
     const auto& record = this->known.record;
     if (!record || !record->isSettled())
         return;
-    for (auto& [name, member] : this->members) {
-        if (name == record->primary || now < member.lastAsked + this->options.settings.settleInterval)
+    for (auto& member : this->members) {
+        if (member.entry.name == record->primary
+            || now < member.lastAsked + this->options.settings.settleInterval)
             continue;
         const bool oldPrimary
             = member.status && member.status->isPrimary && member.status->term < record->term;
@@ -238,11 +240,11 @@
             continue;
         member.lastAsked = now;
         if (!member.status)
-            this->actions.emplace_back(AskStatus { name });
+            this->actions.emplace_back(AskStatus { member.entry.name });
         else if (oldPrimary)
-            this->actions.emplace_back(DemotePrimary { .upstream = name, .term = record->term });
+            this->actions.emplace_back(DemotePrimary { .upstream = member.entry.name, .term = record->term });
         else
-            this->actions.emplace_back(ResumeReplica { name });
+            this->actions.emplace_back(ResumeReplica { member.entry.name });
     }
 }
 
--- a/src/pooling/engine_answers.cpp
+++ b/src/pooling/engine_answers.cpp
@@ -63,7 +63,7 @@
         const bool stands = full && reply.phase == SessionPhase::InTransaction;
         const bool mayTry = work.attempts + 1 < this->options.settings.attempts && this->now < work.deadline;
         if (!stands || !mayTry)
-            return this->failTransaction(connection, session, std::move(reply));
+            return this->failTransaction(connection, session, *reply.failure, reply.phase);
         // The upstream was full and the transaction stands as before.
         ++work.attempts;
         work.resumeAt = this->now + this->options.settings.busyPause;
@@ -85,14 +85,14 @@
     this->conclude(session, std::move(reply), place, false);
 }
 
-void SessionEngine::State::failTransaction(PooledConnection& connection, CallerSession& session, Reply reply)
+void SessionEngine::State::failTransaction(
+    PooledConnection& connection, CallerSession& session, StatementFailure failure, SessionPhase phase)
 {
     // What fails inside a transaction takes all of it along.
     const bool commits = session.work->kind == WorkKind::Commit;
-    const bool notRun = meansNotRun(reply.failure->error);
-    const bool dropped = notRun && (!commits || reply.phase != SessionPhase::InTransaction);
-    this->logFailure(session, connection.upstream, *reply.failure);
-    connection.inTransaction = reply.phase != SessionPhase::Idle;
+    const bool dropped = meansNotRun(failure.error) && (!commits || phase != SessionPhase::InTransaction);
+    this->logFailure(session, connection.upstream, failure);
+    connection.inTransaction = phase != SessionPhase::Idle;
     if (connection.inTransaction) {
         this->endTransaction(session);
     } else {
@@ -102,8 +102,8 @@
     }
     session.phase = commits ? SessionPhase::Idle : SessionPhase::FailedTransaction;
     if (dropped)
-        reply.failure->error = StatementError::Aborted;
-    this->answer(session, std::move(reply));
+        failure.error = StatementError::Aborted;
+    this->answer(session, failureReply(failure.error, std::move(failure.text)));
 }
 
 void SessionEngine::State::logFailure(
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -140,7 +140,8 @@
     void finishUnheard(PooledConnection& connection, const Reply& reply);
     void finishSingle(PooledConnection& connection, CallerSession& session, Reply reply);
     void finishInTransaction(PooledConnection& connection, CallerSession& session, Reply reply);
-    void failTransaction(PooledConnection& connection, CallerSession& session, Reply reply);
+    void failTransaction(
+        PooledConnection& connection, CallerSession& session, StatementFailure failure, SessionPhase phase);
     void conclude(CallerSession& session, Reply reply, const RunPlace& place, bool keeps);
     void logIfLate(const CallerSession& session, const RunPlace& place);
     void logFailure(
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -15,6 +15,7 @@
 #include <asio/write.hpp>
 
 #include <doctest/doctest.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <functional>
@@ -36,11 +37,22 @@
  "services":[{"name":"register","maxConns":12}],"limits":{"txnIdleMs":3000},
  "tenants":[{"name":"hospitals","apiKeys":["k1"],"ratePerS":1000,"burst":1000}]})";
 
+/// A port that is free, below those that the kernel gives to outgoing connections: one of these could take
+/// the port between this look and the proxy's own use.
 std::uint16_t freePort()
 {
-    asio::io_context context;
-    const asio::ip::tcp::acceptor acceptor { context, { asio::ip::make_address("127.0.0.1"), 0 } };
-    return acceptor.local_endpoint().port();
+    constexpr int first = 20000;
+    constexpr int range = 10000;
+    static int next = static_cast<int>(getpid()) * 64 % range;
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(first + next++ % range);
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor { context, asio::ip::tcp::v4() };
+        asio::error_code taken;
+        acceptor.bind({ asio::ip::make_address("127.0.0.1"), port }, taken);
+        if (!taken)
+            return port;
+    }
 }
 
 /// The platform on a thread of its own: store, promotion and one group of three upstreams.
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -128,6 +128,21 @@
         CHECK(world.violations.empty());
     }
 
+    TEST_CASE("a holder of the duty without any traffic of its own notices that the primary has died")
+    {
+        // The balancer sends no caller to the VM that looks after the group, or only callers of other groups.
+        // All it knows of the primary is what it asks itself; callers at the other VMs would wait for ever.
+        LeadershipWorld world { {} };
+        for (std::size_t index = 0; index < 3; ++index)
+            world.vm(index).idle = true;
+        settle(world);
+        world.member("primary").running = false;
+        const auto gap = world.passUntil(6s, [&] { return world.allFollowLeader(); });
+        REQUIRE(gap);
+        CHECK(*gap < 5s);
+        CHECK(world.violations.empty());
+    }
+
     TEST_CASE("a primary that was only silent for a moment goes on leading")
     {
         LeadershipWorld world { {} };
--- a/tests/leadership/leadership_world.cpp
+++ b/tests/leadership/leadership_world.cpp
@@ -127,9 +127,9 @@
         this->readStore(vm);
     for (const auto& [name, member] : this->members) {
         const bool reached = member.running && !vm.cutFrom.contains(name);
-        const auto failing = reached ? std::nullopt : std::optional { this->now };
-        if (vm.traffic)
-            vm.coordinator.onTraffic(name, reached ? this->now : Instant::min(), failing, false);
+        const auto failing = reached || vm.idle ? std::nullopt : std::optional { this->now };
+        const auto answered = reached && !vm.idle ? this->now : Instant::min();
+        vm.coordinator.onTraffic(name, answered, failing, false);
     }
     if (this->now.time_since_epoch() % tickTime >= stepTime)
         return;
--- a/tests/leadership/leadership_world.h
+++ b/tests/leadership/leadership_world.h
@@ -35,7 +35,8 @@
     std::set<UpstreamName> cutFrom;
     Instant nextRead = Instant::min();
     Instant leaseUntil = Instant::min();
-    bool traffic = true;
+    /// No caller's statement goes to any upstream from here.
+    bool idle = false;
 };
 
 class LeadershipWorld {
