Keep the linter from crashing on what the session proxy holds

Change: a tick is parted into one for groups and one for each session; leases and times that are not set have a value that says so.

--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -53,7 +53,7 @@
     void listen();
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     void setDirectory(UpstreamDirectory directory);
-    void setLeader(ServiceName service, LeaderView view);
+    void setLeader(ServiceName service, const LeaderView& view);
     void setPlace(FleetPlace place);
     void setShares(std::map<TeamName, TeamShare::Rule> shares);
     /// Begins to serve siblings that know the secret.
@@ -67,9 +67,10 @@
     void drain(Instant stopListeningAt, Instant abortAt, Instant endAt);
 
 private:
+    /// Instant::max() while no stop is under way.
     struct DrainTimes {
-        Instant stopListeningAt;
-        Instant endAt;
+        Instant stopListeningAt = Instant::max();
+        Instant endAt = Instant::max();
     };
 
     void connected(CallerId caller) override;
--- a/src/pooling/caller_session.h
+++ b/src/pooling/caller_session.h
@@ -42,7 +42,7 @@
     std::optional<PreparedShape> shape;
     std::string arguments;
     /// When to send it again on the connection that holds its transaction.
-    std::optional<Instant> resumeAt;
+    Instant resumeAt = Instant::max();
     /// Upstreams that could not run it, until when they are passed over.
     std::map<UpstreamName, Instant> avoided;
 };
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -346,7 +346,7 @@
 
 bool SessionEngine::State::closeIfDraining(CallerSession& session)
 {
-    if (!this->closeIdleFrom || this->now < *this->closeIdleFrom || !session.isIdle())
+    if (this->now < this->closeIdleFrom || !session.isIdle())
         return false;
     // A caller that has just connected is about to ask; it would take the end of its session for a failure.
     if (!session.started && this->now < session.lastActive + this->options.settings.startPatience)
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -39,6 +39,11 @@
     {
     }
 
+    // session_engine
+    void tickGroups();
+    void tickSession(CallerSession& session);
+    void resumeIfDue(CallerSession& session);
+
     // engine_callers
     void startCaller(CallerId id, const SessionStart& start);
     void ask(CallerId id, CallerQuery query);
@@ -86,8 +91,9 @@
     FleetPlace place;
     EngineCounters counters;
     std::uint64_t lastConnection = 0;
-    std::optional<Instant> closeIdleFrom;
-    std::optional<Instant> abortAt;
+    /// Instant::max() while no stop is under way.
+    Instant closeIdleFrom = Instant::max();
+    Instant abortAt = Instant::max();
     std::vector<EngineAction> actions;
 
 private:
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -192,38 +192,49 @@
     auto& own = *this->state;
     own.now = now;
     own.checkTimeouts();
-    for (auto& [service, group] : own.groups) {
-        own.pump(group);
-        own.refuseOverdue(group);
-    }
-    for (auto& [team, budget] : own.budgets)
-        own.admitWaiting(team, budget);
+    own.tickGroups();
     own.closeSpareConnections();
     std::vector<CallerId> ids;
-    for (const auto& [key, session] : own.callers)
-        ids.push_back(session.id);
+    ids.reserve(own.callers.size());
+    for (const auto& entry : own.callers)
+        ids.push_back(entry.second.id);
     for (const auto id : ids) {
-        auto* session = own.findCaller(id);
-        if (session == nullptr)
-            continue;
-        if (session->held) {
-            own.releaseHeld(*session);
-            continue;
-        }
-        if (session->pinned && session->work && session->work->resumeAt && now >= *session->work->resumeAt) {
-            session->work->resumeAt.reset();
-            own.runPinned(*session);
-            continue;
-        }
-        const bool resting = session->phase == SessionPhase::InTransaction && !session->work;
-        const bool tooLong = now >= session->lastActive + own.routes->transactionIdleTime;
-        const bool stopping = own.abortAt && now >= *own.abortAt;
-        if (resting && (tooLong || stopping))
-            own.abortTransaction(*session, tooLong ? "the caller rested too long" : "this VM stops");
-        static_cast<void>(own.closeIfDraining(*session));
+        if (auto* session = own.findCaller(id))
+            own.tickSession(*session);
     }
 }
 
+void SessionEngine::State::tickGroups()
+{
+    for (auto& entry : this->groups) {
+        this->pump(entry.second);
+        this->refuseOverdue(entry.second);
+    }
+    for (auto& entry : this->budgets)
+        this->admitWaiting(entry.first, entry.second);
+}
+
+void SessionEngine::State::tickSession(CallerSession& session)
+{
+    if (session.held)
+        return this->releaseHeld(session);
+    if (session.work)
+        return this->resumeIfDue(session);
+    const bool tooLong = this->now >= session.lastActive + this->routes->transactionIdleTime;
+    const bool stopping = this->now >= this->abortAt;
+    if (session.phase == SessionPhase::InTransaction && (tooLong || stopping))
+        this->abortTransaction(session, tooLong ? "the caller rested too long" : "this VM stops");
+    static_cast<void>(this->closeIfDraining(session));
+}
+
+void SessionEngine::State::resumeIfDue(CallerSession& session)
+{
+    if (!session.pinned || this->now < session.work->resumeAt)
+        return;
+    session.work->resumeAt = Instant::max();
+    this->runPinned(session);
+}
+
 std::vector<EngineAction> SessionEngine::takeActions() { return std::exchange(this->state->actions, {}); }
 
 std::vector<UpstreamEvidence> SessionEngine::evidence() const
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -108,7 +108,7 @@
     }
 }
 
-void SessionControl::State::takeReport(TrafficReport report)
+void SessionControl::State::takeReport(const TrafficReport& report)
 {
     for (const auto& evidence : report.evidence) {
         const auto coordinator = this->coordinators.find(evidence.service);
@@ -173,7 +173,7 @@
 
         void send(const UpstreamName& upstream, UpstreamOrder order) const
         {
-            this->control.spawn(State::order(this->self, this->service, upstream, std::move(order)));
+            this->control.spawn(State::order(this->self, this->service, upstream, order));
         }
     };
     std::visit(Visitor { *this, self, service }, action);
@@ -197,13 +197,13 @@
 
 asio::awaitable<void> SessionControl::State::takeDuty(std::shared_ptr<State> self, ServiceName service)
 {
-    if (!self->lease)
+    if (self->lease == LeaseId::None)
         co_return;
     try {
         SwapOptions swap { .key = store_key::dutyPrefix + service.string(),
             .expectedRevision = 0,
             .value = self->options.vm.string(),
-            .lease = *self->lease };
+            .lease = self->lease };
         const auto outcome = co_await self->options.store.compareAndSwap(std::move(swap));
         ++self->storeCalls["duty"];
         const bool taken = std::holds_alternative<Swapped>(outcome);
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -33,12 +33,12 @@
         auto pause = settings.leaseRenewal;
         const auto askedAt = bootNow();
         try {
-            if (!self->lease) {
+            if (self->lease == LeaseId::None) {
                 self->lease = co_await self->options.store.grantLease(settings.leaseTime);
                 logEvent(LogLevel::Info, "lease_granted",
-                    { { "lease", std::to_string(static_cast<std::uint64_t>(*self->lease)) } });
+                    { { "lease", std::to_string(static_cast<std::uint64_t>(self->lease)) } });
             } else {
-                co_await self->options.store.keepAlive(*self->lease);
+                co_await self->options.store.keepAlive(self->lease);
             }
             ++self->storeCalls["lease"];
             self->leaseUntil = askedAt + settings.leaseTime - settings.leaseMargin;
@@ -46,7 +46,7 @@
         } catch (const StoreError& error) {
             if (error.kind() == StoreError::Kind::LeaseGone) {
                 logEvent(LogLevel::Warn, "lease_lapsed");
-                self->lease.reset();
+                self->lease = LeaseId::None;
                 self->leaseUntil = Instant::min();
                 for (auto& [service, coordinator] : self->coordinators)
                     coordinator.onLeaseLost(bootNow());
@@ -65,13 +65,14 @@
     Instant renewAt = Instant::min();
     while (!self->stopped) {
         // Until the first record stands others neither count on this VM nor reach it.
-        auto pause = self->toldUnder && self->siblingsOpen ? settings.recordInterval : settings.leaseRenewal;
+        auto pause = self->toldUnder != LeaseId::None && self->siblingsOpen ? settings.recordInterval
+                                                                            : settings.leaseRenewal;
         try {
-            if (!self->recordLease) {
+            if (self->recordLease == LeaseId::None) {
                 self->recordLease = co_await self->options.store.grantLease(settings.recordTime);
                 renewAt = bootNow() + settings.recordRenewal;
             } else if (bootNow() >= renewAt) {
-                co_await self->options.store.keepAlive(*self->recordLease);
+                co_await self->options.store.keepAlive(self->recordLease);
                 renewAt = bootNow() + settings.recordRenewal;
             }
             co_await self->tellOwnRecord();
@@ -80,7 +81,7 @@
         } catch (const StoreError& error) {
             pause = self->recordSource.failed(error.what());
             if (error.kind() == StoreError::Kind::LeaseGone) {
-                self->recordLease.reset();
+                self->recordLease = LeaseId::None;
                 pause = settings.firstBackoff;
             }
         }
@@ -115,7 +116,7 @@
         entry.set_team(team.string());
         entry.set_operations_per_second(rate);
     }
-    const auto lease = *this->recordLease;
+    const auto lease = this->recordLease;
     SwapOptions swap { .key = store_key::vmPrefix + this->options.vm.string(),
         .expectedRevision = this->ownRecordRevision,
         .value = record.SerializeAsString(),
@@ -200,7 +201,7 @@
     this->siblings = std::move(next);
     const auto own = this->siblings.find(this->options.vm);
     const bool listed = own != this->siblings.end();
-    if (listed && !this->toldUnder)
+    if (listed && this->toldUnder == LeaseId::None)
         this->demand.begin(own->second.demand);
     this->place.rank = listed ? static_cast<std::size_t>(std::distance(this->siblings.begin(), own))
                               : this->siblings.size();
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -73,8 +73,8 @@
     bool leadershipRead = false;
     // Membership and limits.
     /// The lease of duties, and the longer one of this VM's record.
-    std::optional<LeaseId> lease;
-    std::optional<LeaseId> recordLease;
+    LeaseId lease = LeaseId::None;
+    LeaseId recordLease = LeaseId::None;
     Instant leaseUntil = Instant::min();
     DemandShares shares;
     std::map<TeamName, TeamShare::Rule> handedOn;
@@ -125,7 +125,7 @@
         std::shared_ptr<State> self, ServiceName service, WriteLeadership change);
     [[nodiscard]] static asio::awaitable<void> promote(
         std::shared_ptr<State> self, ServiceName service, PromoteUpstream change);
-    void takeReport(TrafficReport report);
+    void takeReport(const TrafficReport& report);
 
     // control_membership
     [[nodiscard]] static asio::awaitable<void> keepLease(std::shared_ptr<State> self);
@@ -166,7 +166,7 @@
     asio::cancellation_signal configurationWatch;
     std::map<VmName, Instant> readerFailedUntil;
     std::uint64_t ownRecordRevision = 0;
-    std::optional<LeaseId> toldUnder;
+    LeaseId toldUnder = LeaseId::None;
     std::function<void()> whenReady;
     Instant startedAt = Instant::min();
 };
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -92,7 +92,7 @@
             if (!control)
                 return;
             asio::post(control->options.context,
-                [control, report = std::move(report)]() mutable { control->takeReport(std::move(report)); });
+                [control, report = std::move(report)] { control->takeReport(report); });
         });
     });
 }
@@ -119,14 +119,14 @@
 asio::awaitable<void> SessionControl::State::leave()
 {
     const auto held
-        = { std::exchange(this->lease, std::nullopt), std::exchange(this->recordLease, std::nullopt) };
+        = { std::exchange(this->lease, LeaseId::None), std::exchange(this->recordLease, LeaseId::None) };
     this->leaseUntil = Instant::min();
     this->stop();
-    for (const auto& one : held) {
-        if (!one)
+    for (const auto one : held) {
+        if (one == LeaseId::None)
             continue;
         try {
-            co_await this->options.store.revokeLease(*one);
+            co_await this->options.store.revokeLease(one);
         } catch (const StoreError& error) {
             logEvent(LogLevel::Warn, "lease_not_ended", { { "reason", error.what() } });
         }
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -57,6 +57,7 @@
         if (!this->lines.take(action.event, now))
             return;
         std::vector<LogField> fields;
+        fields.reserve(action.fields.size());
         for (const auto& [key, value] : action.fields)
             fields.push_back({ key, value });
         logEvent(LogLevel::Info, action.event, fields);
@@ -92,7 +93,7 @@
     AsioTimerService timers;
     SiblingExchange exchange;
     std::unique_ptr<TimerService::Subscription> ticks;
-    std::optional<DrainTimes> drain;
+    DrainTimes drain;
     LineBudget lines { linesPerSecond };
     bool listening = true;
     bool performing = false;
@@ -121,25 +122,23 @@
     const auto now = bootNow();
     this->state->engine.tick(now);
     this->performAll();
-    if (this->state->drain)
-        this->drainTick(now);
+    this->drainTick(now);
 }
 
 void SessionTraffic::drainTick(Instant now)
 {
-    if (this->state->listening && now >= this->state->drain->stopListeningAt) {
+    if (this->state->listening && now >= this->state->drain.stopListeningAt) {
         this->state->listening = false;
         this->state->options.callers.stopListening();
         this->state->exchange.close();
     }
     const bool done = !this->state->listening && this->state->engine.callers() == 0;
-    if (!done && now < this->state->drain->endAt)
+    if (!done && now < this->state->drain.endAt)
         return;
     if (!done)
         logEvent(LogLevel::Warn, "stop_cut_short",
             { { "callers", std::to_string(this->state->engine.callers()) } });
     this->state->ticks.reset();
-    this->state->drain.reset();
     this->state->options.onDrained();
 }
 
@@ -226,7 +225,7 @@
     });
 }
 
-void SessionTraffic::setLeader(ServiceName service, LeaderView view)
+void SessionTraffic::setLeader(ServiceName service, const LeaderView& view)
 {
     asio::post(this->state->options.context, [this, service = std::move(service), view] {
         this->state->engine.setLeader(service, view, bootNow());
