Write once what the session proxy had twice, and drop what nobody reads

Cause: the session work had added second copies of things that stood in the code already, state that follows from other state, and work done on every poll or for every upstream.

Change, none of it of what the product decides: - core/base64 instead of three encoders and decoders (session token, platform store, its stand-in); - daemons/command_line.h instead of the same ladder of errors and exit codes in two daemons; SettingsError's members in a source of their own; - the session proxy's metrics go through MetricsRegistry. Names, labels and values stay; the page gains HELP and TYPE lines and is sorted by name; - what a read needs is worked out once for each assignment and handed on to each upstream's check and cost, instead of twice for each upstream, and is found by binary search; - one piece each for the connections allowed at an upstream, its oldest idle connection, the phase after a failure, a transaction lost on its way, a member's turn to be asked, and the record of a settled leader; - a sibling's poll copies the configuration only when it is sent; - gone: a connection's time of opening, arguments held twice, a public stop nobody called, two instants nobody read, two wrapping coroutines.

The test calls of DemandShares::current lose an argument; assertions stay.

--- a/daemons/cyclamendriftd.cpp
+++ b/daemons/cyclamendriftd.cpp
@@ -1,8 +1,8 @@
+#include "command_line.h"
+
 #include <cyclamendrift/proxy/daemon.h>
 #include <cyclamendrift/settings/settings.h>
 
-#include <docopt/docopt.h>
-
 #include <iostream>
 #include <string>
 
@@ -27,8 +27,7 @@
 constexpr auto version = "cyclamendriftd 0.1.0";
 
 using cyclamendrift::DaemonExit;
-
-int exitCode(DaemonExit exit) { return static_cast<int>(exit); }
+using cyclamendrift::exitCode;
 
 int run(const std::string& file, bool checkOnly)
 {
@@ -45,23 +44,8 @@
 } // namespace
 
 int main(int argc, const char* const* argv)
-try {
-    auto arguments = docopt::docopt_parse(usage, { argv + 1, argv + argc }, true, true);
-    return run(arguments["--config"].asString(), arguments["--check"].asBool());
-} catch (const docopt::DocoptExitHelp&) {
-    std::cout << usage;
-    return exitCode(DaemonExit::Graceful);
-} catch (const docopt::DocoptExitVersion&) {
-    std::cout << version << '\n';
-    return exitCode(DaemonExit::Graceful);
-} catch (const docopt::DocoptArgumentError& error) {
-    std::cerr << error.what() << "\n\n" << usage;
-    return exitCode(DaemonExit::BadSettings);
-} catch (const cyclamendrift::SettingsError& error) {
-    for (const auto& problem : error.problems())
-        std::cerr << problem.text() << '\n';
-    return exitCode(DaemonExit::BadSettings);
-} catch (const std::exception& error) {
-    std::cerr << error.what() << '\n';
-    return exitCode(DaemonExit::NotStarted);
+{
+    return cyclamendrift::runCommandLine(usage, version, argc, argv, [](cyclamendrift::Arguments& arguments) {
+        return run(arguments["--config"].asString(), arguments["--check"].asBool());
+    });
 }
--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -95,7 +95,7 @@
     /// The record was changed as asked.
     void onWritten(const LeadershipRecord& record, std::uint64_t revision, Instant now);
     /// The platform answered that the upstream that was named is not running.
-    void onPromotionRefused(const UpstreamName& upstream, Instant now);
+    void onPromotionRefused(const UpstreamName& upstream);
 
     /// To be called every 50 ms or so.
     [[nodiscard]] std::vector<LeadershipAction> tick(Instant now);
@@ -171,6 +171,11 @@
     void finish(const UpstreamName& leader, Term term, Instant now);
     void settleOthers(Instant now);
     void write(LeadershipRecord record, Instant now);
+    /// Writes that `leader` leads in `term` and nobody claims the next one.
+    void writeLeader(const UpstreamName& leader, Term term, Instant now);
+    /// True when the member was last asked or told something `interval` ago or longer, which counts as asking
+    /// it now.
+    [[nodiscard]] static bool takeTurn(Member& member, Duration interval, Instant now);
     void ask(Member& member, Instant now);
     void publishIfChanged(Instant now);
     void note(std::string_view event, std::vector<std::pair<std::string, std::string>> fields);
--- a/include/cyclamendrift/limits/demand_shares.h
+++ b/include/cyclamendrift/limits/demand_shares.h
@@ -20,7 +20,7 @@
 /// message between VMs.
 ///
 ///     shares.update(limits, self, listed, now);
-///     engine.setShares(shares.current(now), now);
+///     engine.setShares(shares.current(), now);
 class DemandShares {
 public:
     /// A part that grows does so only after this time: VMs read the list at different moments, and one that
@@ -32,7 +32,7 @@
         const std::map<VmName, DemandByTeam>& listed, Instant now);
 
     /// The parts that this VM may use now.
-    [[nodiscard]] std::map<TeamName, TeamShare::Rule> current(Instant now);
+    [[nodiscard]] std::map<TeamName, TeamShare::Rule> current() const;
 
 private:
     struct Part {
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -91,8 +91,6 @@
     void start(std::function<void()> ready);
     /// Gives up duties and the lease, then calls `done`; for a planned stop.
     void leave(std::function<void()> done);
-    /// Ends its work at once.
-    void stop();
 
     /// True once callers can be served: routes, upstreams and leaders were read. On the control thread.
     [[nodiscard]] bool isReady() const;
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -173,7 +173,7 @@
     this->publishIfChanged(now);
 }
 
-void LeaderCoordinator::onPromotionRefused(const UpstreamName& upstream, Instant /*now*/)
+void LeaderCoordinator::onPromotionRefused(const UpstreamName& upstream)
 {
     if (this->replacement && this->replacement->chosen == upstream) {
         this->replacement->refused.push_back(upstream);
@@ -270,10 +270,16 @@
 
 void LeaderCoordinator::ask(Member& member, Instant now)
 {
-    if (now < member.lastAsked + this->options.settings.askInterval)
-        return;
+    if (takeTurn(member, this->options.settings.askInterval, now))
+        this->actions.emplace_back(AskStatus { member.entry.name });
+}
+
+bool LeaderCoordinator::takeTurn(Member& member, Duration interval, Instant now)
+{
+    if (now < member.lastAsked + interval)
+        return false;
     member.lastAsked = now;
-    this->actions.emplace_back(AskStatus { member.entry.name });
+    return true;
 }
 
 void LeaderCoordinator::bootstrap(Instant now)
@@ -281,10 +287,7 @@
     for (auto& member : this->members) {
         if (member.status && member.status->isPrimary
             && member.statusAt + this->options.settings.viewLifetime > now) {
-            this->write({ .term = member.status->term,
-                            .primary = member.entry.name,
-                            .claimedTerm = member.status->term },
-                now);
+            this->writeLeader(member.entry.name, member.status->term, now);
             return;
         }
         if (member.entry.claimsPrimary)
@@ -306,6 +309,11 @@
         .dutyRevision = this->duty().revision });
 }
 
+void LeaderCoordinator::writeLeader(const UpstreamName& leader, Term term, Instant now)
+{
+    this->write({ .term = term, .primary = leader, .claimedTerm = term }, now);
+}
+
 void LeaderCoordinator::watchPrimary(Instant now)
 {
     const auto& record = this->record();
@@ -314,10 +322,7 @@
         // A promotion whose outcome nobody wrote down has shown its effect.
         const bool leads = member.status && member.status->isPrimary && member.status->term > record.term;
         if (leads) {
-            this->write({ .term = member.status->term,
-                            .primary = member.entry.name,
-                            .claimedTerm = member.status->term },
-                now);
+            this->writeLeader(member.entry.name, member.status->term, now);
             return;
         }
     }
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -110,7 +110,7 @@
         if (member.entry.name != record.primary)
             this->actions.emplace_back(ResumeReplica { member.entry.name });
     }
-    this->write({ .term = record.term, .primary = record.primary, .claimedTerm = record.term }, now);
+    this->writeLeader(record.primary, record.term, now);
 }
 
 void LeaderCoordinator::demoteFirst(Instant now)
@@ -118,11 +118,9 @@
     auto* primary = this->find(this->record().primary);
     if (primary == nullptr || this->replacement->demotedAt)
         return;
-    if (now < primary->lastAsked + this->options.settings.askInterval)
-        return;
-    primary->lastAsked = now;
-    this->actions.emplace_back(
-        DemotePrimary { .upstream = primary->entry.name, .term = this->replacement->term });
+    if (takeTurn(*primary, this->options.settings.askInterval, now))
+        this->actions.emplace_back(
+            DemotePrimary { .upstream = primary->entry.name, .term = this->replacement->term });
 }
 
 void LeaderCoordinator::pauseReplicas(Instant now)
@@ -132,14 +130,13 @@
         if (member.entry.name == this->record().primary
             || this->replacement->paused.contains(member.entry.name))
             continue;
-        if (now < member.lastAsked + settings.askInterval)
+        if (!takeTurn(member, settings.askInterval, now))
             continue;
         // A replica that still receives what the demoted primary has written is left to it for a moment.
         const auto& demoted = this->replacement->demotedAt;
         const bool waits
             = this->replacement->planned && now < this->replacement->claimedAt + settings.catchUpTime;
         const bool caughtUp = demoted && member.status && member.status->received >= *demoted;
-        member.lastAsked = now;
         if (waits && !caughtUp)
             this->actions.emplace_back(AskStatus { member.entry.name });
         else
@@ -220,7 +217,7 @@
 void LeaderCoordinator::finish(const UpstreamName& leader, Term term, Instant now)
 {
     this->note("primary_replaced", { { "primary", leader.string() }, { "term", textOf(term) } });
-    this->write({ .term = term, .primary = leader, .claimedTerm = term }, now);
+    this->writeLeader(leader, term, now);
 }
 
 void LeaderCoordinator::settleOthers(Instant now)
@@ -229,8 +226,7 @@
     if (!record || !record->isSettled())
         return;
     for (auto& member : this->members) {
-        if (member.entry.name == record->primary
-            || now < member.lastAsked + this->options.settings.settleInterval)
+        if (member.entry.name == record->primary)
             continue;
         const bool oldPrimary
             = member.status && member.status->isPrimary && member.status->term < record->term;
@@ -238,7 +234,8 @@
             = member.status && !member.status->isPrimary && member.status->heldTerm > Term {};
         if (member.status && !oldPrimary && !leftPaused)
             continue;
-        member.lastAsked = now;
+        if (!takeTurn(member, this->options.settings.settleInterval, now))
+            continue;
         if (!member.status)
             this->actions.emplace_back(AskStatus { member.entry.name });
         else if (oldPrimary)
--- a/src/limits/demand_shares.cpp
+++ b/src/limits/demand_shares.cpp
@@ -54,7 +54,7 @@
     }
 }
 
-std::map<TeamName, TeamShare::Rule> DemandShares::current(Instant /*now*/)
+std::map<TeamName, TeamShare::Rule> DemandShares::current() const
 {
     std::map<TeamName, TeamShare::Rule> rules;
     for (const auto& [team, history] : this->parts) {
--- a/src/pooling/caller_session.h
+++ b/src/pooling/caller_session.h
@@ -40,7 +40,6 @@
     std::optional<ConnectionId> connection;
     /// The prepared statement that it runs, if it runs one.
     std::optional<PreparedShape> shape;
-    std::string arguments;
     /// When to send it again on the connection that holds its transaction.
     Instant resumeAt = Instant::max();
     /// Upstreams that could not run it, until when they are passed over.
--- a/src/pooling/engine_answers.cpp
+++ b/src/pooling/engine_answers.cpp
@@ -100,7 +100,7 @@
         connection.user.reset();
         this->release(connection);
     }
-    session.phase = commits ? SessionPhase::Idle : SessionPhase::FailedTransaction;
+    session.phase = phaseAfterFailure(session.work->kind);
     if (dropped)
         failure.error = StatementError::Aborted;
     this->answer(session, failureReply(failure.error, std::move(failure.text)));
@@ -120,14 +120,11 @@
     const auto& work = *session.work;
     if (this->now < work.arrivedAt + session.route.targetLatency)
         return;
-    const auto milliseconds = [](Duration duration) {
-        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-    };
     this->log("late",
         { { "id", work.query.id }, { "service", session.route.service.string() },
             { "upstream", place.upstream.string() },
-            { "waited_ms", milliseconds(place.sentAt - work.arrivedAt) },
-            { "upstream_ms", milliseconds(this->now - place.sentAt) },
+            { "waited_ms", millisecondsText(place.sentAt - work.arrivedAt) },
+            { "upstream_ms", millisecondsText(this->now - place.sentAt) },
             { "attempts", std::to_string(work.attempts) },
             { "transaction", session.phase == SessionPhase::InTransaction ? "yes" : "no" } });
 }
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -25,6 +25,16 @@
     return { .failure = StatementFailure { .error = error, .text = std::move(text) } };
 }
 
+SessionPhase phaseAfterFailure(WorkKind kind) noexcept
+{
+    return kind == WorkKind::Commit ? SessionPhase::Idle : SessionPhase::FailedTransaction;
+}
+
+std::string millisecondsText(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 std::string adviceText(std::string_view reason, Duration retryAfter)
 {
     const auto count = std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
@@ -109,7 +119,7 @@
         return this->rollback(session);
     if (std::holds_alternative<CommitTransaction>(query.statement)) {
         session.arrivedAt = this->now;
-        return this->runData(session, std::move(query), WorkKind::Commit, nullptr);
+        return this->runData(session, std::move(query), WorkKind::Commit);
     }
     const bool begins = std::holds_alternative<BeginTransaction>(query.statement);
     const auto* execute = std::get_if<ExecutePrepared>(&query.statement);
@@ -229,10 +239,10 @@
 {
     if (const auto* wanted = std::get_if<BeginTransaction>(&query.statement))
         return this->begin(session, *wanted);
-    if (std::holds_alternative<ExecutePrepared>(query.statement))
-        return this->runExecute(session, std::move(query));
-    const auto kind = std::holds_alternative<WriteItem>(query.statement) ? WorkKind::Write : WorkKind::Read;
-    this->runData(session, std::move(query), kind, nullptr);
+    const auto* execute = std::get_if<ExecutePrepared>(&query.statement);
+    const bool writes = execute != nullptr ? session.state.prepared.at(execute->name).writes
+                                           : std::holds_alternative<WriteItem>(query.statement);
+    this->runData(session, std::move(query), writes ? WorkKind::Write : WorkKind::Read);
 }
 
 void SessionEngine::State::begin(CallerSession& session, const BeginTransaction& wanted)
@@ -252,15 +262,7 @@
     this->answer(session, ownReply());
 }
 
-void SessionEngine::State::runExecute(CallerSession& session, CallerQuery query)
-{
-    const auto wanted = std::get<ExecutePrepared>(query.statement);
-    const auto& shape = session.state.prepared.at(wanted.name);
-    this->runData(session, std::move(query), shape.writes ? WorkKind::Write : WorkKind::Read, &wanted);
-}
-
-void SessionEngine::State::runData(
-    CallerSession& session, CallerQuery query, WorkKind kind, const ExecutePrepared* execute)
+void SessionEngine::State::runData(CallerSession& session, CallerQuery query, WorkKind kind)
 {
     const bool inTransaction = session.phase == SessionPhase::InTransaction;
     const bool primaryRoute = std::holds_alternative<PrimaryRoute>(session.route.freshness);
@@ -272,10 +274,8 @@
         .arrivedAt = session.arrivedAt,
         .offerBy = session.arrivedAt + std::min(session.route.targetLatency, session.route.statementTimeout),
         .deadline = session.arrivedAt + session.route.statementTimeout };
-    if (execute != nullptr) {
+    if (const auto* execute = std::get_if<ExecutePrepared>(&work.query.statement))
         work.shape = session.state.prepared.at(execute->name);
-        work.arguments = execute->arguments;
-    }
     session.work = std::make_unique<Work>(std::move(work));
     if (session.pinned)
         this->runPinned(session);
@@ -316,10 +316,7 @@
         this->log("refused",
             { { "id", session.work->query.id }, { "service", session.route.service.string() },
                 { "reason", text }, { "attempts", std::to_string(session.work->attempts) },
-                { "waited_ms",
-                    std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                        this->now - session.work->arrivedAt)
-                                       .count()) } });
+                { "waited_ms", millisecondsText(this->now - session.work->arrivedAt) } });
     } else {
         this->log("refused",
             { { "team", session.team.string() }, { "database", session.database }, { "reason", text } });
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -83,10 +83,7 @@
         && step != StepKind::Main) {
         // The statement itself had not gone out, but its transaction is gone with the connection.
         this->log("transaction_lost", { { "id", session->work->query.id }, { "upstream", name.string() } });
-        session->phase
-            = session->work->kind == WorkKind::Commit ? SessionPhase::Idle : SessionPhase::FailedTransaction;
-        this->answer(
-            *session, failureReply(StatementError::Aborted, "the transaction's connection was lost"));
+        this->dropTransaction(*session, "the transaction's connection was lost");
         return;
     }
     if (step == StepKind::Main)
@@ -214,8 +211,7 @@
 
 void SessionEngine::State::dropTransaction(CallerSession& session, const char* reason)
 {
-    const bool commits = session.work->kind == WorkKind::Commit;
-    session.phase = commits ? SessionPhase::Idle : SessionPhase::FailedTransaction;
+    session.phase = phaseAfterFailure(session.work->kind);
     this->endTransaction(session);
     this->answer(session, failureReply(StatementError::Aborted, reason));
 }
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -62,7 +62,7 @@
     for (const auto id : group.waiting) {
         auto* session = this->findCaller(id);
         if (session == nullptr || !session->work || session->work->connection
-            || !this->canServe(group, upstream, *session))
+            || !this->canServe(group, upstream, *session, this->neededProgress(group, *session)))
             continue;
         if (first == nullptr)
             first = session;
@@ -77,34 +77,34 @@
     this->serveOn(connection, *own);
 }
 
-bool SessionEngine::State::assign(GroupState& group, CallerSession& session)
+void SessionEngine::State::assign(GroupState& group, CallerSession& session)
 {
+    const auto needed = this->neededProgress(group, session);
     UpstreamState* best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
     for (auto& [name, upstream] : group.upstreams) {
-        if (!this->canServe(group, upstream, session))
+        if (!this->canServe(group, upstream, session, needed))
             continue;
         const bool idle = this->idleConnection(upstream, session.team) != nullptr;
-        if (!idle && !this->makeRoom(upstream))
+        if (!idle && !this->hasRoom(upstream))
             continue;
-        const auto cost = this->costOf(group, upstream, session) + (idle ? 0 : openingCost);
+        const auto cost = this->costOf(group, upstream, session, needed) + (idle ? 0 : openingCost);
         if (cost < bestCost) {
             best = &upstream;
             bestCost = cost;
         }
     }
     if (best == nullptr)
-        return false;
+        return;
     std::erase(group.waiting, session.id);
     if (auto* connection = this->idleConnection(*best, session.team))
         this->serveOn(*connection, session);
     else
         this->openFor(group, *best, session);
-    return true;
 }
 
-bool SessionEngine::State::canServe(
-    const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const
+bool SessionEngine::State::canServe(const GroupState& group, const UpstreamState& upstream,
+    const CallerSession& session, const std::optional<NeededProgress>& needed) const
 {
     if (!upstream.listed || upstream.entry.draining)
         return false;
@@ -117,9 +117,6 @@
         return false;
     if (group.isLedBy(upstream.entry.name, this->now))
         return true;
-    if (session.work->needsPrimary)
-        return false;
-    const auto needed = this->neededProgress(group, session);
     if (!needed)
         return false;
     // A replica that is not believed to have caught up is asked now and then all the same: nothing else would
@@ -147,6 +144,8 @@
 std::optional<NeededProgress> SessionEngine::State::neededProgress(
     const GroupState& group, const CallerSession& session) const
 {
+    if (session.work->needsPrimary)
+        return std::nullopt;
     const auto staleness = maxStalenessOf(session.route.freshness) - this->options.settings.stalenessMargin;
     if (staleness <= Duration {})
         return std::nullopt;
@@ -164,8 +163,8 @@
     return NeededProgress { .progress = *session.floor, .at = session.floorAt };
 }
 
-double SessionEngine::State::costOf(
-    const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const
+double SessionEngine::State::costOf(const GroupState& group, const UpstreamState& upstream,
+    const CallerSession& session, const std::optional<NeededProgress>& needed) const
 {
     double cost = upstream.working;
     if (upstream.entry.zone != this->options.zone)
@@ -173,7 +172,6 @@
     if (!session.work->needsPrimary && group.view.primary == upstream.entry.name)
         cost += primaryCost;
     // A replica that is behind as far as known is asked last: it would only say so.
-    const auto needed = session.work->needsPrimary ? std::nullopt : this->neededProgress(group, session);
     if (needed && group.view.primary != upstream.entry.name && !this->hasCaughtUp(upstream, *needed))
         cost += behindCost;
     return cost;
@@ -190,16 +188,27 @@
     return nullptr;
 }
 
-bool SessionEngine::State::makeRoom(UpstreamState& upstream)
+PooledConnection* SessionEngine::State::oldestIdle(const UpstreamState& upstream)
+{
+    PooledConnection* oldest = nullptr;
+    for (const auto id : upstream.connections) {
+        auto* candidate = this->findConnection(id);
+        const bool idle = candidate != nullptr && candidate->phase == PooledConnection::Phase::Idle;
+        if (idle && (oldest == nullptr || candidate->idleSince < oldest->idleSince))
+            oldest = candidate;
+    }
+    return oldest;
+}
+
+bool SessionEngine::State::hasRoom(const UpstreamState& upstream)
+{
+    return upstream.connections.size() < this->allowedAt(upstream) || this->oldestIdle(upstream) != nullptr;
+}
+
+std::size_t SessionEngine::State::allowedAt(const UpstreamState& upstream) const
 {
-    const auto share = this->shareOf(upstream);
     const bool borrows = this->now >= upstream.keepToShareUntil;
-    if (upstream.connections.size() < share + (borrows ? this->options.settings.borrowed : 0))
-        return true;
-    return std::any_of(upstream.connections.begin(), upstream.connections.end(), [this](ConnectionId id) {
-        const auto* connection = this->findConnection(id);
-        return connection != nullptr && connection->phase == PooledConnection::Phase::Idle;
-    });
+    return this->shareOf(upstream) + (borrows ? this->options.settings.borrowed : 0);
 }
 
 std::size_t SessionEngine::State::shareOf(const UpstreamState& upstream) const
@@ -219,17 +228,8 @@
 
 void SessionEngine::State::openFor(GroupState& group, UpstreamState& upstream, CallerSession& session)
 {
-    const auto share = this->shareOf(upstream);
-    const bool borrows = this->now >= upstream.keepToShareUntil;
-    if (upstream.connections.size() >= share + (borrows ? this->options.settings.borrowed : 0)) {
-        PooledConnection* oldest = nullptr;
-        for (const auto id : upstream.connections) {
-            auto* candidate = this->findConnection(id);
-            const bool idle = candidate != nullptr && candidate->phase == PooledConnection::Phase::Idle;
-            if (idle && (oldest == nullptr || candidate->idleSince < oldest->idleSince))
-                oldest = candidate;
-        }
-        if (oldest != nullptr)
+    if (upstream.connections.size() >= this->allowedAt(upstream)) {
+        if (auto* oldest = this->oldestIdle(upstream))
             this->close(*oldest);
     }
     const ConnectionId id { ++this->lastConnection };
@@ -239,7 +239,6 @@
     connection.service = group.name;
     connection.team = session.team;
     connection.user = session.id;
-    connection.openedAt = this->now;
     connection.sentAt = this->now;
     connection.answerBy = this->now + this->options.settings.openTimeout;
     upstream.connections.push_back(id);
@@ -266,9 +265,10 @@
         connection.steps.push_back({ .kind = StepKind::Open,
             .statement = OpenTransaction { .readOnly = session.transactionReadOnly } });
     PassStatement main { .id = work.query.id, .text = work.query.text };
-    if (work.shape)
-        main.execute
-            = ExecutePrepared { .name = connection.state.nameOf(*work.shape), .arguments = work.arguments };
+    if (const auto* execute = std::get_if<ExecutePrepared>(&work.query.statement);
+        execute != nullptr && work.shape)
+        main.execute = ExecutePrepared { .name = connection.state.nameOf(*work.shape),
+            .arguments = execute->arguments };
     connection.steps.push_back({ .kind = StepKind::Main, .statement = std::move(main) });
     this->sendNext(connection);
 }
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -106,22 +106,27 @@
     void runOperation(CallerSession& session, CallerQuery query);
     void begin(CallerSession& session, const BeginTransaction& wanted);
     void rollback(CallerSession& session);
-    void runData(CallerSession& session, CallerQuery query, WorkKind kind, const ExecutePrepared* execute);
-    void runExecute(CallerSession& session, CallerQuery query);
+    void runData(CallerSession& session, CallerQuery query, WorkKind kind);
     void endTransaction(CallerSession& session);
 
     // engine_dispatch
-    bool assign(GroupState& group, CallerSession& session);
-    [[nodiscard]] bool canServe(
-        const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const;
+    void assign(GroupState& group, CallerSession& session);
+    /// `needed` is what neededProgress() says of the session.
+    [[nodiscard]] bool canServe(const GroupState& group, const UpstreamState& upstream,
+        const CallerSession& session, const std::optional<NeededProgress>& needed) const;
+    /// What a replica must have to serve the session's work; empty when no replica may serve it.
     [[nodiscard]] std::optional<NeededProgress> neededProgress(
         const GroupState& group, const CallerSession& session) const;
     [[nodiscard]] std::size_t runningAt(const UpstreamState& upstream) const;
     [[nodiscard]] bool hasCaughtUp(const UpstreamState& upstream, const NeededProgress& needed) const;
-    [[nodiscard]] double costOf(
-        const GroupState& group, const UpstreamState& upstream, const CallerSession& session) const;
+    [[nodiscard]] double costOf(const GroupState& group, const UpstreamState& upstream,
+        const CallerSession& session, const std::optional<NeededProgress>& needed) const;
     [[nodiscard]] PooledConnection* idleConnection(UpstreamState& upstream, const TeamName& team);
-    [[nodiscard]] bool makeRoom(UpstreamState& upstream);
+    [[nodiscard]] PooledConnection* oldestIdle(const UpstreamState& upstream);
+    /// This VM's share of an upstream's connections, with what it may borrow of other VMs'.
+    [[nodiscard]] std::size_t allowedAt(const UpstreamState& upstream) const;
+    /// True when a connection may be opened, if need be in the place of an idle one.
+    [[nodiscard]] bool hasRoom(const UpstreamState& upstream);
     void openFor(GroupState& group, UpstreamState& upstream, CallerSession& session);
     void serveOn(PooledConnection& connection, CallerSession& session);
 
@@ -158,6 +163,12 @@
 /// A reply with a failure alone.
 [[nodiscard]] Reply failureReply(StatementError error, std::string text);
 
+/// How a session goes on after work of that kind failed inside its transaction: a commit ends it either way.
+[[nodiscard]] SessionPhase phaseAfterFailure(WorkKind kind) noexcept;
+
+/// Whole milliseconds, as the log has them.
+[[nodiscard]] std::string millisecondsText(Duration duration);
+
 /// "retry after 100 ms", as the text of a refusal.
 [[nodiscard]] std::string adviceText(std::string_view reason, Duration retryAfter);
 
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -49,7 +49,6 @@
     std::deque<Step> steps;
     std::deque<StepKind> sent;
     bool inTransaction = false;
-    Instant openedAt;
     Instant sentAt;
     Instant idleSince;
     /// The answer to what was sent last is due by then.
--- a/src/pooling/progress_history.cpp
+++ b/src/pooling/progress_history.cpp
@@ -28,8 +28,8 @@
 
 std::optional<ProgressHistory::Observation> ProgressHistory::covering(Instant instant) const
 {
-    const auto fresh = std::find_if(this->observations.begin(), this->observations.end(),
-        [instant](const Observation& observation) { return observation.seenAt >= instant; });
+    const auto fresh = std::lower_bound(this->observations.begin(), this->observations.end(), instant,
+        [](const Observation& observation, Instant wanted) { return observation.seenAt < wanted; });
     return fresh == this->observations.end() ? std::nullopt : std::optional { *fresh };
 }
 
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -121,7 +121,7 @@
     this->callers = report.callers;
     this->connections = report.connections;
     // Parts grow some time after the list that they follow from.
-    auto shares = this->shares.current(bootNow());
+    auto shares = this->shares.current();
     if (shares == this->handedOn)
         return;
     this->handedOn = std::move(shares);
@@ -273,7 +273,7 @@
                     : answer == Answer::NotRunning ? "not running"
                                                    : "none" } });
     if (answer == Answer::NotRunning)
-        self->coordinators.at(service).onPromotionRefused(change.upstream, bootNow());
+        self->coordinators.at(service).onPromotionRefused(change.upstream);
 }
 
 } // namespace cyclamendrift
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -222,7 +222,7 @@
     for (const auto& [vm, sibling] : this->siblings)
         listed[vm] = sibling.demand;
     this->shares.update(this->routes->limits, this->options.vm, listed, now);
-    this->handedOn = this->shares.current(now);
+    this->handedOn = this->shares.current();
     this->options.traffic.setShares(this->handedOn);
 }
 
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -33,11 +33,16 @@
     message.set_revision(entry.revision);
 }
 
+void writeRevision(std::uint64_t revision, Instant confirmedAt, wire::StoredListing& message)
+{
+    message.set_age_us(microsecondsSince(confirmedAt));
+    message.set_revision(revision);
+}
+
 /// Writes a listing; its entries only when they are wanted.
 void write(const StoreListing& listing, Instant confirmedAt, bool withEntries, wire::StoredListing& message)
 {
-    message.set_age_us(microsecondsSince(confirmedAt));
-    message.set_revision(listing.revision);
+    writeRevision(listing.revision, confirmedAt, message);
     if (!withEntries)
         return;
     for (const auto& entry : listing.entries)
@@ -154,15 +159,14 @@
     }
     wire::ReadingsAnswer answer;
     write(self->leadershipListing, self->leadershipAskedAt, true, *answer.mutable_leadership());
-    StoreListing configuration;
-    configuration.revision = self->configurationRevision;
-    StoreEntry document;
-    document.value = self->configurationValue;
-    document.revision = self->configurationRevision;
-    configuration.entries.push_back(std::move(document));
+    auto& configuration = *answer.mutable_configuration();
+    writeRevision(self->configurationRevision, self->configurationConfirmedAt, configuration);
     const bool newer = self->configurationRevision > request.configuration_revision();
-    write(configuration, self->configurationConfirmedAt, newer && request.wants_configuration(),
-        *answer.mutable_configuration());
+    if (newer && request.wants_configuration()) {
+        auto& document = *configuration.add_entries();
+        document.set_value(self->configurationValue);
+        document.set_revision(self->configurationRevision);
+    }
     write(self->vmListing, self->vmsConfirmedAt, self->vmListing.revision > request.vms_revision(),
         *answer.mutable_vms());
     const bool newerDirectory = self->directoryListing.revision > request.directory_revision();
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -5,6 +5,7 @@
 #include <cyclamendrift/platform/store_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/telemetry/event_log.h>
+#include <cyclamendrift/telemetry/metrics_registry.h>
 
 #include <asio/post.hpp>
 #include <asio/redirect_error.hpp>
@@ -22,6 +23,8 @@
 // Two rounds of duty, status and record, which take half a second each on a new system.
 constexpr Duration leaderPatience = std::chrono::seconds { 3 };
 
+constexpr auto metricPrefix = "cyclamendrift_";
+
 } // namespace
 
 Dependency::Dependency(std::string name, const ControlSettings& settings)
@@ -142,8 +145,6 @@
 
 void SessionControl::start(std::function<void()> ready) { this->state->start(std::move(ready)); }
 
-void SessionControl::stop() { this->state->stop(); }
-
 void SessionControl::leave(std::function<void()> done)
 {
     auto work = [](std::shared_ptr<State> self, std::function<void()> then) -> asio::awaitable<void> {
@@ -155,10 +156,7 @@
 
 asio::awaitable<std::string> SessionControl::shareReadings(std::string request)
 {
-    auto work = [](std::shared_ptr<State> self, std::string body) -> asio::awaitable<std::string> {
-        co_return co_await State::shareReadings(self, std::move(body));
-    };
-    auto started = work(this->state, std::move(request));
+    auto started = State::shareReadings(this->state, std::move(request));
     co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
 }
 
@@ -167,27 +165,30 @@
 std::string SessionControl::metricsText() const
 {
     const auto& own = *this->state;
-    std::string text;
-    const auto line = [&text](std::string_view name, std::uint64_t value, std::string_view labels = {}) {
-        text.append("cyclamendrift_").append(name);
-        if (!labels.empty())
-            text.append("{").append(labels).append("}");
-        text.append(" ").append(std::to_string(value)).append("\n");
+    MetricsRegistry registry;
+    const auto count = [&registry](std::string_view name, std::string_view help, std::uint64_t value,
+                           const MetricsRegistry::Labels& labels = {}) {
+        registry.counter(metricPrefix + std::string { name }, help, labels).add(value);
+    };
+    const auto show = [&registry](std::string_view name, std::string_view help, std::uint64_t value) {
+        registry.gauge(metricPrefix + std::string { name }, help).set(static_cast<double>(value));
     };
-    line("answered_total", own.counters.answered);
-    line("refused_total", own.counters.refused);
-    line("failed_total", own.counters.failed);
-    line("in_doubt_total", own.counters.inDoubt);
-    line("retried_total", own.counters.retried);
-    line("connections_opened_total", own.counters.connectionsOpened);
-    line("reads_total", own.counters.readsOnReplicas, "at=\"replica\"");
-    line("reads_total", own.counters.readsOnPrimary, "at=\"primary\"");
-    line("sessions", own.callers);
-    line("upstream_connections", own.connections);
-    line("configuration_version", own.routes ? own.routes->version : 0);
-    for (const auto& [kind, count] : own.storeCalls)
-        line("store_calls_total", count, "kind=\"" + kind + "\"");
-    return text;
+    count("answered_total", "Statements answered, failures included.", own.counters.answered);
+    count("refused_total", "Statements given up on before any upstream ran them.", own.counters.refused);
+    count("failed_total", "Statements that an upstream answered with a failure.", own.counters.failed);
+    count("in_doubt_total", "Writes and commits whose effect is not known.", own.counters.inDoubt);
+    count("retried_total", "Times a statement was offered to an upstream anew.", own.counters.retried);
+    count("connections_opened_total", "Connections to upstreams opened.", own.counters.connectionsOpened);
+    constexpr auto readsHelp = "Reads answered, by the kind of upstream.";
+    count("reads_total", readsHelp, own.counters.readsOnReplicas, { { "at", "replica" } });
+    count("reads_total", readsHelp, own.counters.readsOnPrimary, { { "at", "primary" } });
+    show("sessions", "Callers' sessions that are open.", own.callers);
+    show("upstream_connections", "Connections to upstreams that are open.", own.connections);
+    show("configuration_version", "Version of the routes in force; 0 before any were read.",
+        own.routes ? own.routes->version : 0);
+    for (const auto& [kind, calls] : own.storeCalls)
+        count("store_calls_total", "Calls for what the store holds, by kind.", calls, { { "kind", kind } });
+    return registry.prometheusText();
 }
 
 } // namespace cyclamendrift
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -261,10 +261,7 @@
 asio::awaitable<std::string> SessionTraffic::askForReadings(SiblingAddress sibling, std::string request)
 {
     // The exchange lives on the traffic thread.
-    auto work = [](State& own, SiblingAddress to, std::string body) -> asio::awaitable<std::string> {
-        co_return co_await own.exchange.askForReadings(std::move(to), std::move(body));
-    };
-    auto started = work(*this->state, std::move(sibling), std::move(request));
+    auto started = this->state->exchange.askForReadings(std::move(sibling), std::move(request));
     co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
 }
 
--- a/src/sessions/session_token.cpp
+++ b/src/sessions/session_token.cpp
@@ -1,49 +1,23 @@
 #include <cyclamendrift/sessions/session_token.h>
 
+#include <cyclamendrift/core/base64.h>
 #include <cyclamendrift/sessions/session_error.h>
 
 #include <session.pb.h>
 
-#include <sodium.h>
-
 #include <algorithm>
 
 namespace cyclamendrift {
 
-namespace {
-
-constexpr int base64Variant = sodium_base64_VARIANT_URLSAFE_NO_PADDING;
-
-std::string toBase64(const std::string& bytes)
-{
-    std::string text(sodium_base64_ENCODED_LEN(bytes.size(), base64Variant), '\0');
-    sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()),
-        bytes.size(), base64Variant);
-    text.pop_back(); // the terminating zero that libsodium writes
-    return text;
-}
-
-std::string fromBase64(std::string_view text)
-{
-    std::string bytes(text.size(), '\0');
-    std::size_t length = 0;
-    const char* end = nullptr;
-    const int failed = sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(),
-        text.data(), text.size(), nullptr, &length, &end, base64Variant);
-    if (failed != 0 || end != text.data() + text.size())
-        throw SessionError { "the session token is not base64" };
-    bytes.resize(length);
-    return bytes;
-}
-
-} // namespace
-
 SessionToken SessionToken::decode(std::string_view text)
 {
     if (text.size() > SessionToken::maxTextLength)
         throw SessionError { "the session token is too long" };
     wire::SessionToken message;
-    if (!message.ParseFromString(fromBase64(text)))
+    const auto bytes = fromBase64(text, Base64Form::UrlSafe);
+    if (!bytes)
+        throw SessionError { "the session token is not base64" };
+    if (!message.ParseFromString(*bytes))
         throw SessionError { "the session token cannot be read" };
     SessionToken token;
     for (const auto& entry : message.entries()) {
@@ -65,7 +39,7 @@
         entry.set_term(static_cast<std::uint64_t>(progress.term));
         entry.set_position(static_cast<std::uint64_t>(progress.position));
     }
-    return toBase64(message.SerializeAsString());
+    return toBase64(message.SerializeAsString(), Base64Form::UrlSafe);
 }
 
 Progress SessionToken::progressOf(const DatabaseName& database) const noexcept
--- a/src/settings/session_settings.cpp
+++ b/src/settings/session_settings.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr int mostPort = 65535;
-
 /// Reads `listen`, an IP number and a port.
 void readEndpoint(SettingsReader& reader, ListenSettings& listen)
 {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -4,8 +4,6 @@
 
 #include <asio/ip/address.hpp>
 
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 namespace cyclamendrift {
--- a/src/settings/settings_sections.cpp
+++ b/src/settings/settings_sections.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::int64_t mostPort = 65535;
-
 LogLevel levelNamed(std::string_view name) noexcept
 {
     if (name == "debug")
@@ -53,20 +51,6 @@
     log.level = levelNamed(level);
 }
 
-std::string SettingsProblem::text() const
-{
-    if (this->line == 0)
-        return this->file + ": " + this->message;
-    return this->file + ':' + std::to_string(this->line) + ':' + std::to_string(this->column) + ": "
-        + this->message;
-}
-
-SettingsError::SettingsError(std::vector<SettingsProblem> problems)
-    : Error(problems.empty() ? "invalid settings" : problems.front().text())
-    , found(std::move(problems))
-{
-}
-
 void throwNotToml(const toml::parse_error& error, std::string_view fileName)
 {
     const auto place = error.source().begin;
--- a/src/settings/settings_sections.h
+++ b/src/settings/settings_sections.h
@@ -4,12 +4,16 @@
 
 #include <cyclamendrift/settings/settings.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
 /// Sections and steps that the settings of several daemons share.
 namespace cyclamendrift {
 
+/// The highest port there is.
+inline constexpr std::int64_t mostPort = 65535;
+
 /// Reads `address` and `port` of the section entered last.
 void readListen(SettingsReader& reader, ListenSettings& listen);
 /// Reads the section `[vm]`.
--- a/tests/adapter/kv_server.cpp
+++ b/tests/adapter/kv_server.cpp
@@ -1,5 +1,6 @@
 #include "kv_server.h"
 
+#include <cyclamendrift/core/base64.h>
 #include <cyclamendrift/platform/store_error.h>
 
 #include <asio/co_spawn.hpp>
@@ -9,7 +10,6 @@
 #include <asio/use_awaitable.hpp>
 
 #include <nlohmann/json.hpp>
-#include <sodium.h>
 
 #include <utility>
 
@@ -27,25 +27,6 @@
 constexpr unsigned preconditionFailed = 412;
 constexpr std::string_view root = "/cyclamendrift/";
 
-std::string toBase64(const std::string& bytes)
-{
-    std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
-    sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()),
-        bytes.size(), sodium_base64_VARIANT_ORIGINAL);
-    text.pop_back();
-    return text;
-}
-
-std::string fromBase64(const std::string& text)
-{
-    std::string bytes(text.size(), '\0');
-    std::size_t length = 0;
-    sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(), text.size(),
-        nullptr, &length, nullptr, sodium_base64_VARIANT_ORIGINAL);
-    bytes.resize(length);
-    return bytes;
-}
-
 std::string parameter(const std::string& target, const std::string& name)
 {
     const auto at = target.find(name + '=');
@@ -57,8 +38,8 @@
 
 Json itemOf(const StoreEntry& entry)
 {
-    return { { "key", entry.key }, { "value", toBase64(entry.value) }, { "rev", entry.revision },
-        { "created", entry.revision }, { "lease", 0 } };
+    return { { "key", entry.key }, { "value", toBase64(entry.value, Base64Form::Standard) },
+        { "rev", entry.revision }, { "created", entry.revision }, { "lease", 0 } };
 }
 
 HttpResponse respond(const Json& json, unsigned status = 200)
@@ -170,7 +151,7 @@
         for (const auto& change : std::get<0>(outcome)) {
             Json event { { "key", change.key }, { "rev", change.revision } };
             if (change.value)
-                event["value"] = toBase64(*change.value);
+                event["value"] = toBase64(*change.value, Base64Form::Standard);
             else
                 event["tombstone"] = true;
             events.push_back(event);
@@ -195,7 +176,7 @@
             .revision = conditions[index].at("rev").get<std::uint64_t>() });
     if (!json.at("setKeys").empty()) {
         const auto& item = json.at("setKeys").at(0);
-        swap.value = fromBase64(item.at("value").get<std::string>());
+        swap.value = fromBase64(item.at("value").get<std::string>(), Base64Form::Standard).value();
         swap.lease = LeaseId { item.value("lease", std::uint64_t { 0 }) };
     }
     const auto outcome = co_await this->memory.compareAndSwap(std::move(swap));
--- a/tests/limits/team_share_test.cpp
+++ b/tests/limits/team_share_test.cpp
@@ -37,7 +37,7 @@
         for (const auto& [vm, demand] : listed) {
             DemandShares shares;
             shares.update(limits, vm, listed, Instant { 1s });
-            parts.push_back(shares.current(Instant { 1s }).at(team).ratePerSecond);
+            parts.push_back(shares.current().at(team).ratePerSecond);
             rate += parts.back();
         }
         CHECK(rate == doctest::Approx(100));
@@ -52,14 +52,14 @@
         DemandShares shares;
         const VmName self { "vm-0" };
         shares.update(limits, self, listOf({ 10, 90 }), Instant { 1s });
-        const auto before = shares.current(Instant { 1s }).at(team).ratePerSecond;
+        const auto before = shares.current().at(team).ratePerSecond;
         shares.update(limits, self, listOf({ 90, 10 }), Instant { 2s });
-        CHECK(shares.current(Instant { 2s }).at(team).ratePerSecond == doctest::Approx(before));
+        CHECK(shares.current().at(team).ratePerSecond == doctest::Approx(before));
         shares.update(limits, self, listOf({ 90, 10 }), Instant { 3s + 400ms });
         shares.update(limits, self, listOf({ 90, 10 }), Instant { 4s });
-        CHECK(shares.current(Instant { 4s }).at(team).ratePerSecond > before);
+        CHECK(shares.current().at(team).ratePerSecond > before);
         shares.update(limits, self, listOf({ 10, 90 }), Instant { 5s });
-        CHECK(shares.current(Instant { 5s }).at(team).ratePerSecond == doctest::Approx(before));
+        CHECK(shares.current().at(team).ratePerSecond == doctest::Approx(before));
     }
 
     TEST_CASE("a process that starts does not hand out a whole burst again")
