--- a/standins/memory_store.cpp
+++ b/standins/memory_store.cpp
@@ -11,6 +11,30 @@
 
 namespace cyclamendrift::standins {
 
+namespace {
+
+/// Keeps a watch's timer among those that a change wakes for as long as the watch waits. A watch whose caller
+/// gave up ends with an exception out of its wait, and a timer left behind would be woken after it is gone.
+/// The set is shared, as a wait that is still open ends with the context and thus after the store.
+class WatchEntry {
+public:
+    WatchEntry(std::shared_ptr<std::set<asio::steady_timer*>> watches, asio::steady_timer& timer)
+        : watches(std::move(watches))
+        , timer(timer)
+    {
+        this->watches->insert(&this->timer);
+    }
+    ~WatchEntry() { this->watches->erase(&this->timer); }
+    WatchEntry(const WatchEntry&) = delete;
+    WatchEntry& operator=(const WatchEntry&) = delete;
+
+private:
+    std::shared_ptr<std::set<asio::steady_timer*>> watches;
+    asio::steady_timer& timer;
+};
+
+} // namespace
+
 MemoryStore::MemoryStore(const asio::any_io_executor& executor)
     : executor(executor)
     , lapseTimer(executor)
@@ -125,10 +149,9 @@
         if (!result.empty())
             co_return result;
         asio::steady_timer timer { this->executor, Instant::max() };
-        this->watches.insert(&timer);
+        const WatchEntry entry { this->watches, timer };
         std::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        this->watches.erase(&timer);
     }
 }
 
@@ -203,7 +226,7 @@
 
 void MemoryStore::wakeWatches()
 {
-    for (auto* timer : this->watches)
+    for (auto* timer : *this->watches)
         timer->cancel();
 }
 
--- a/standins/memory_store.h
+++ b/standins/memory_store.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -83,7 +84,8 @@
     std::map<std::string, Kept> entries;
     std::map<LeaseId, Lease> leases;
     std::vector<StoreChange> history;
-    std::set<asio::steady_timer*> watches;
+    std::shared_ptr<std::set<asio::steady_timer*>> watches
+        = std::make_shared<std::set<asio::steady_timer*>>();
     StoreCalls counted;
     Duration delay {};
     std::uint64_t lastRevision = 1;
