Let a few strong VMs hold each team's limit in a large fleet

A limit of some 25 a second split over 70 VMs comes to a third of an operation a second with a burst below one: no VM ever held a whole operation, and siblings had none to give. Each VM also told its demand of 77 teams every 1.5 s, and the list of all that travelled to everyone: 29.5 MB a process (64 KB to read into and a buffer as large as the largest message for each of 140 links) and half of the store's calls.

Change: above 12 VMs four of the strongest VMs hold each limit in even parts, chosen alike by everyone from the list; the others ask them for each operation and keep nothing at hand. Demand is not told then. No part has a burst below one operation. VMs tell their processor in their record ([processor] in the settings); the strongest read the store for the others. Links read into 4 KB and give back what a large message took.

--- a/include/cyclamendrift/limits/demand_shares.h
+++ b/include/cyclamendrift/limits/demand_shares.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/limits/limit_holders.h>
 #include <cyclamendrift/limits/team_share.h>
 #include <cyclamendrift/pooling/route_table.h>
 
@@ -16,8 +17,8 @@
 using DemandByTeam = std::map<TeamName, double>;
 
 /// Splits teams' limits over the VMs in proportion to what each was asked for, as all of them read it in the
-/// store. Every VM works out its own part from the same list, so the parts add up to the whole without a
-/// message between VMs.
+/// store, or in a large fleet evenly over each limit's holders. Every VM works out its own part from the same
+/// list, so the parts add up to the whole without a message between VMs.
 ///
 ///     shares.update(limits, self, listed, now);
 ///     engine.setShares(shares.current(), now);
@@ -31,6 +32,10 @@
     void update(const std::map<TeamName, TeamLimit>& limits, const VmName& self,
         const std::map<VmName, DemandByTeam>& listed, Instant now);
 
+    /// As update(), for a large fleet, in which each limit has a few holders.
+    void updateHeld(const std::map<TeamName, TeamLimit>& limits, const VmName& self,
+        const LimitHolders& holders, Instant now);
+
     /// The parts that this VM may use now.
     [[nodiscard]] std::map<TeamName, TeamShare::Rule> current() const;
 
@@ -39,6 +44,10 @@
         Instant since;
         TeamShare::Rule rule;
     };
+
+    void forgetAllBut(const std::map<TeamName, TeamLimit>& limits);
+    void take(const TeamName& team, const TeamShare::Rule& rule, Instant now);
+
     /// What was worked out lately, oldest first; the least of them counts.
     std::map<TeamName, std::deque<Part>> parts;
 };
--- a/include/cyclamendrift/limits/donor_choice.h
+++ b/include/cyclamendrift/limits/donor_choice.h
@@ -23,10 +23,16 @@
     [[nodiscard]] std::vector<VmName> choose(const TeamName& team, const VmName& self,
         const std::map<VmName, DemandByTeam>& listed, std::size_t count, Instant now) const;
 
+    /// Those of `candidates` that did not have too little just now, up to `count`, in the same order.
+    [[nodiscard]] std::vector<VmName> choose(
+        const TeamName& team, const std::vector<VmName>& candidates, std::size_t count, Instant now) const;
+
     /// A VM gave less than it was asked for, or did not answer.
     void gaveTooLittle(const TeamName& team, const VmName& vm, Instant now);
 
 private:
+    [[nodiscard]] bool isPassedOver(const TeamName& team, const VmName& vm, Instant now) const;
+
     std::map<std::pair<TeamName, VmName>, Instant> passedOverUntil;
 };
 
--- a/include/cyclamendrift/limits/team_share.h
+++ b/include/cyclamendrift/limits/team_share.h
@@ -18,6 +18,9 @@
     struct Rule {
         double ratePerSecond = 0;
         double burst = 0;
+        /// VMs without a part of their own live on what this one gives, so it keeps nothing back for its own
+        /// callers.
+        bool heldForOthers = false;
 
         friend bool operator==(const Rule&, const Rule&) = default;
     };
@@ -28,7 +31,8 @@
     /// Takes one operation out; false when nothing is left.
     [[nodiscard]] bool tryTake(Instant now);
 
-    /// Takes up to `wanted` operations out for another VM; half of what is there stays.
+    /// Takes up to `wanted` operations out for another VM; half of what is there stays, unless the part is
+    /// held for others.
     [[nodiscard]] std::uint32_t give(std::uint32_t wanted, Instant now);
 
     /// Puts in what another VM gave. It may go beyond this part's burst, as it was taken out of the other's.
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -70,6 +70,8 @@
         asio::io_context& context;
         VmName vm;
         ZoneName zone;
+        /// Processor cores that this VM may use.
+        double cores = 1;
         /// Unique to this process.
         std::uint64_t process = 0;
         /// Where siblings reach this VM; told in its record.
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -18,11 +18,14 @@
 /// Another VM of the system, as its record in the store describes it.
 struct SiblingInfo {
     SiblingAddress address;
-    ZoneName zone;
+    VmStrength strength;
     DemandByTeam demand;
 };
 using SiblingList = std::map<VmName, SiblingInfo>;
 
+/// What the records say of the VMs' strength.
+[[nodiscard]] std::map<VmName, VmStrength> strengthsOf(const SiblingList& siblings);
+
 /// What session proxies ask each other: parts of their shares of limits, and what they read from the store.
 /// Lives on the traffic thread; call() may be used on any.
 class SiblingExchange {
--- a/include/cyclamendrift/settings/session_settings.h
+++ b/include/cyclamendrift/settings/session_settings.h
@@ -15,6 +15,8 @@
 struct SessionSettings {
     /// `[vm]`
     VmSettings vm;
+    /// `[processor] share` of each core times `[processor] cores`: what this VM may use.
+    double cores = 1;
     /// `[callers]`: where sessions come in.
     ListenSettings callers;
     /// `[readiness]`: where the balancer asks, and the path it asks for.
--- a/src/limits/demand_shares.cpp
+++ b/src/limits/demand_shares.cpp
@@ -18,6 +18,10 @@
 constexpr double relativeChange = 0.35;
 constexpr double absoluteChange = 2.5;
 
+// A part below one operation would never let anybody in. Rounding parts up to it goes beyond the limit by one
+// operation a holder at the most.
+constexpr double leastBurst = 1;
+
 double valueAt(const DemandByTeam& demand, const TeamName& team)
 {
     const auto match = demand.find(team);
@@ -37,28 +41,57 @@
     const double asked = isListed ? valueAt(own->second, team) : 0;
     return (asked + even) / (total + even * vms);
 }
+
 } // namespace
 
 void DemandShares::update(const std::map<TeamName, TeamLimit>& limits, const VmName& self,
     const std::map<VmName, DemandByTeam>& listed, Instant now)
 {
-    std::erase_if(this->parts, [&limits](const auto& item) { return !limits.contains(item.first); });
+    this->forgetAllBut(limits);
     for (const auto& [team, limit] : limits) {
         const auto part = partOf(team, limit, self, listed);
-        const TeamShare::Rule rule { .ratePerSecond = limit.ratePerSecond * part,
-            .burst = limit.burst * part };
-        auto& history = this->parts[team];
-        history.push_back({ .since = now, .rule = rule });
-        while (history.size() > 1 && history[1].since + growthDelay <= now)
-            history.pop_front();
+        this->take(team,
+            { .ratePerSecond = limit.ratePerSecond * part,
+                .burst = std::max(limit.burst * part, leastBurst) },
+            now);
+    }
+}
+
+void DemandShares::updateHeld(
+    const std::map<TeamName, TeamLimit>& limits, const VmName& self, const LimitHolders& holders, Instant now)
+{
+    this->forgetAllBut(limits);
+    for (const auto& [team, limit] : limits) {
+        const auto chosen = holders.of(team);
+        TeamShare::Rule rule;
+        if (std::find(chosen.begin(), chosen.end(), self) != chosen.end()) {
+            const auto count = static_cast<double>(chosen.size());
+            rule = { .ratePerSecond = limit.ratePerSecond / count,
+                .burst = std::max(limit.burst / count, leastBurst),
+                .heldForOthers = true };
+        }
+        this->take(team, rule, now);
     }
 }
 
+void DemandShares::forgetAllBut(const std::map<TeamName, TeamLimit>& limits)
+{
+    std::erase_if(this->parts, [&limits](const auto& item) { return !limits.contains(item.first); });
+}
+
+void DemandShares::take(const TeamName& team, const TeamShare::Rule& rule, Instant now)
+{
+    auto& history = this->parts[team];
+    history.push_back({ .since = now, .rule = rule });
+    while (history.size() > 1 && history[1].since + growthDelay <= now)
+        history.pop_front();
+}
+
 std::map<TeamName, TeamShare::Rule> DemandShares::current() const
 {
     std::map<TeamName, TeamShare::Rule> rules;
     for (const auto& [team, history] : this->parts) {
-        auto rule = history.front().rule;
+        auto rule = history.back().rule;
         for (const auto& part : history) {
             rule.ratePerSecond = std::min(rule.ratePerSecond, part.rule.ratePerSecond);
             rule.burst = std::min(rule.burst, part.rule.burst);
--- a/src/limits/donor_choice.cpp
+++ b/src/limits/donor_choice.cpp
@@ -9,23 +9,37 @@
 {
     std::vector<std::pair<double, VmName>> candidates;
     for (const auto& [vm, demand] : listed) {
-        const auto passed = this->passedOverUntil.find({ team, vm });
-        const bool passedOver = passed != this->passedOverUntil.end() && now < passed->second;
-        if (vm == self || passedOver)
+        if (vm == self)
             continue;
         const auto rate = demand.find(team);
         candidates.emplace_back(rate == demand.end() ? 0 : rate->second, vm);
     }
     std::stable_sort(candidates.begin(), candidates.end(),
         [](const auto& left, const auto& right) { return left.first > right.first; });
+    std::vector<VmName> ordered;
+    ordered.reserve(candidates.size());
+    for (auto& [rate, vm] : candidates)
+        ordered.push_back(std::move(vm));
+    return this->choose(team, ordered, count, now);
+}
+
+std::vector<VmName> DonorChoice::choose(
+    const TeamName& team, const std::vector<VmName>& candidates, std::size_t count, Instant now) const
+{
     std::vector<VmName> chosen;
-    for (const auto& [rate, vm] : candidates) {
-        if (chosen.size() < count)
+    for (const auto& vm : candidates) {
+        if (chosen.size() < count && !this->isPassedOver(team, vm, now))
             chosen.push_back(vm);
     }
     return chosen;
 }
 
+bool DonorChoice::isPassedOver(const TeamName& team, const VmName& vm, Instant now) const
+{
+    const auto passed = this->passedOverUntil.find({ team, vm });
+    return passed != this->passedOverUntil.end() && now < passed->second;
+}
+
 void DonorChoice::gaveTooLittle(const TeamName& team, const VmName& vm, Instant now)
 {
     this->passedOverUntil[{ team, vm }] = now + pause;
--- /dev/null
+++ b/src/limits/limit_holders.cpp
@@ -0,0 +1,73 @@
+#include <cyclamendrift/limits/limit_holders.h>
+
+#include <cyclamendrift/membership/home_map.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+// Up to here each VM holds a part of every limit. Teams' rates are some 10 to 200 operations a second with as
+// much burst, so a part holds at least one operation, and most operations need no message.
+constexpr std::size_t mostWithParts = 12;
+// With four holders one that dies takes a quarter of the limit along until its record lapses; teams use some
+// six tenths of theirs.
+constexpr std::size_t holdersOfTeam = 4;
+// One VM in so many may be a holder, and six at the least. It bounds the connections between VMs: each VM
+// keeps one to each of these alone.
+constexpr std::size_t vmsPerHolder = 12;
+constexpr std::size_t leastCandidates = 6;
+
+} // namespace
+
+std::vector<VmName> strongestFirst(const std::map<VmName, VmStrength>& listed)
+{
+    std::vector<VmName> order;
+    order.reserve(listed.size());
+    for (const auto& [vm, strength] : listed)
+        order.push_back(vm);
+    std::stable_sort(order.begin(), order.end(), [&listed](const VmName& left, const VmName& right) {
+        return listed.at(left).cores > listed.at(right).cores;
+    });
+    return order;
+}
+
+LimitHolders::LimitHolders(std::map<VmName, VmStrength> listed)
+    : listed(std::move(listed))
+{
+    this->strongest = strongestFirst(this->listed);
+    const auto candidates = std::max(this->listed.size() / vmsPerHolder, leastCandidates);
+    this->strongest.resize(std::min(this->strongest.size(), candidates));
+}
+
+bool LimitHolders::areAll() const noexcept { return this->listed.size() <= mostWithParts; }
+
+std::vector<VmName> LimitHolders::of(const TeamName& team) const
+{
+    auto holders = this->strongest;
+    const auto subject = "limit/" + team.string();
+    std::sort(holders.begin(), holders.end(), [&subject](const VmName& left, const VmName& right) {
+        return rendezvousWeight(left, subject) > rendezvousWeight(right, subject);
+    });
+    holders.resize(std::min(holders.size(), holdersOfTeam));
+    return holders;
+}
+
+std::vector<VmName> LimitHolders::donorsFor(const TeamName& team, const VmName& asker) const
+{
+    auto donors = this->of(team);
+    std::erase(donors, asker);
+    std::sort(donors.begin(), donors.end(), [&asker](const VmName& left, const VmName& right) {
+        return rendezvousWeight(left, asker.view()) > rendezvousWeight(right, asker.view());
+    });
+    const auto own = this->listed.find(asker);
+    if (own == this->listed.end())
+        return donors;
+    std::stable_partition(donors.begin(), donors.end(),
+        [&](const VmName& donor) { return this->listed.at(donor).zone == own->second.zone; });
+    return donors;
+}
+
+} // namespace cyclamendrift
--- a/src/limits/team_share.cpp
+++ b/src/limits/team_share.cpp
@@ -36,7 +36,8 @@
 std::uint32_t TeamShare::give(std::uint32_t wanted, Instant now)
 {
     this->accrue(now);
-    const auto spare = static_cast<std::uint32_t>(std::max(this->level / 2, 0.0));
+    const auto kept = this->rule.heldForOthers ? 0 : this->level / 2;
+    const auto spare = static_cast<std::uint32_t>(std::max(this->level - kept, 0.0));
     const auto given = std::min(wanted, spare);
     this->level -= given;
     return given;
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -230,8 +230,11 @@
     if (budget.waiting.empty() || budget.asking || this->now < budget.askAgainAt)
         return;
     budget.asking = true;
-    // A few more than wait now spare the next callers the round trip.
-    const auto wanted = static_cast<std::uint32_t>(budget.waiting.size() + 1);
+    // One more than wait now spares the next caller the round trip. A VM without a part of its own asks for
+    // no more than it needs: what each of 70 VMs kept at hand would let a team go far beyond its limit at
+    // once.
+    const std::size_t spare = budget.share.rate() > 0 ? 1 : 0;
+    const auto wanted = static_cast<std::uint32_t>(budget.waiting.size() + spare);
     this->actions.emplace_back(AskForTokens { .team = team, .wanted = wanted });
 }
 
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -94,10 +94,12 @@
     // The list is read first: it may hold what an earlier process of this VM had measured.
     if (this->vmListing.revision == 0)
         co_return;
+    // In a large fleet demand decides nothing, and 70 VMs that tell theirs would be most of what the store
+    // and siblings carry.
+    const auto rates = this->holders.areAll() ? this->demand.rates() : DemandByTeam {};
     const bool told = this->toldUnder == this->recordLease;
-    if (told && !DemandMeter::differs(this->toldDemand, this->demand.rates()))
+    if (told && (!this->holders.areAll() || !DemandMeter::differs(this->toldDemand, rates)))
         co_return;
-    const auto rates = this->demand.rates();
     co_await this->writeOwnRecord(rates);
     // The first try may meet the record of an earlier process, or a write of this one whose answer was lost.
     if (this->toldUnder != this->recordLease)
@@ -111,6 +113,7 @@
     record.set_availability_zone(this->options.zone.string());
     record.set_sibling_host(this->options.siblingHost);
     record.set_sibling_port(this->options.siblingPort);
+    record.set_cores(this->options.cores);
     for (const auto& [team, rate] : rates) {
         auto& entry = *record.add_demand();
         entry.set_team(team.string());
@@ -192,13 +195,16 @@
         sibling.address = {
             .vm = vm, .host = record.sibling_host(), .port = static_cast<std::uint16_t>(record.sibling_port())
         };
-        sibling.zone = ZoneName { record.availability_zone() };
+        sibling.strength = { .zone = ZoneName { record.availability_zone() }, .cores = record.cores() };
         for (const auto& team : record.demand())
             sibling.demand[TeamName { team.team() }] = team.operations_per_second();
     }
     if (next.size() != this->siblings.size())
         logEvent(LogLevel::Info, "vms_changed", { { "vms", std::to_string(next.size()) } });
     this->siblings = std::move(next);
+    const auto strengths = strengthsOf(this->siblings);
+    this->holders = LimitHolders { strengths };
+    this->readingOrder = strongestFirst(strengths);
     const auto own = this->siblings.find(this->options.vm);
     const bool listed = own != this->siblings.end();
     if (listed && this->toldUnder == LeaseId::None)
@@ -218,10 +224,14 @@
     if (!this->routes)
         return;
     const auto now = bootNow();
-    std::map<VmName, DemandByTeam> listed;
-    for (const auto& [vm, sibling] : this->siblings)
-        listed[vm] = sibling.demand;
-    this->shares.update(this->routes->limits, this->options.vm, listed, now);
+    if (this->holders.areAll()) {
+        std::map<VmName, DemandByTeam> listed;
+        for (const auto& [vm, sibling] : this->siblings)
+            listed[vm] = sibling.demand;
+        this->shares.update(this->routes->limits, this->options.vm, listed, now);
+    } else {
+        this->shares.updateHeld(this->routes->limits, this->options.vm, this->holders, now);
+    }
     this->handedOn = this->shares.current();
     this->options.traffic.setShares(this->handedOn);
 }
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -7,6 +7,7 @@
 #include <sharing.pb.h>
 
 #include <algorithm>
+#include <cstddef>
 
 namespace cyclamendrift {
 
@@ -65,11 +66,9 @@
 {
     if (!this->siblingsOpen || this->siblings.empty())
         return true;
-    const auto own = this->siblings.find(this->options.vm);
-    if (own == this->siblings.end())
-        return false;
-    const auto rank = static_cast<std::size_t>(std::distance(this->siblings.begin(), own));
-    return rank < this->readers();
+    const auto last = this->readingOrder.begin()
+        + static_cast<std::ptrdiff_t>(std::min(this->readers(), this->readingOrder.size()));
+    return std::find(this->readingOrder.begin(), last, this->options.vm) != last;
 }
 
 std::size_t SessionControl::State::readers() const
@@ -83,11 +82,11 @@
     std::vector<const SiblingInfo*> usable;
     // In the place of readers that failed come the next ones: they read the store as well when no reader
     // answers them.
-    for (const auto& [vm, sibling] : this->siblings) {
+    for (const auto& vm : this->readingOrder) {
         const auto failed = this->readerFailedUntil.find(vm);
         const bool paused = failed != this->readerFailedUntil.end() && now < failed->second;
         if (vm != this->options.vm && !paused && usable.size() < this->readers())
-            usable.push_back(&sibling);
+            usable.push_back(&this->siblings.at(vm));
     }
     // The VMs spread over the readers.
     return usable.empty() ? nullptr : usable[this->place.rank % usable.size()];
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace cyclamendrift::wire {
 class ReadingsAnswer;
@@ -81,6 +82,9 @@
     DemandMeter demand;
     DemandByTeam toldDemand;
     SiblingList siblings;
+    LimitHolders holders;
+    /// The VMs in the order in which they are to read the store for the others.
+    std::vector<VmName> readingOrder;
     EngineCounters counters;
     std::size_t callers = 0;
     std::size_t connections = 0;
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -50,6 +50,7 @@
         , control({ .context = controlContext,
               .vm = options.settings.vm.name,
               .zone = options.settings.vm.zone,
+              .cores = options.settings.cores,
               .process = std::random_device {}(),
               .siblingHost = options.settings.siblings.address,
               .siblingPort = options.settings.siblings.port,
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -81,13 +81,22 @@
         co_return given;
     }
 
-    [[nodiscard]] static asio::awaitable<void> askAround(std::shared_ptr<State> self, TeamName team,
-        std::uint32_t wanted, std::function<void(std::uint32_t)> done)
+    [[nodiscard]] std::vector<VmName> donorsFor(const TeamName& team) const
     {
+        const auto now = bootNow();
+        if (!this->holders.areAll())
+            return this->donors.choose(
+                team, this->holders.donorsFor(team, this->options.self), siblingsAsked, now);
         std::map<VmName, DemandByTeam> listed;
-        for (const auto& [vm, sibling] : self->siblings)
+        for (const auto& [vm, sibling] : this->siblings)
             listed[vm] = sibling.demand;
-        const auto chosen = self->donors.choose(team, self->options.self, listed, siblingsAsked, bootNow());
+        return this->donors.choose(team, this->options.self, listed, siblingsAsked, now);
+    }
+
+    [[nodiscard]] static asio::awaitable<void> askAround(std::shared_ptr<State> self, TeamName team,
+        std::uint32_t wanted, std::function<void(std::uint32_t)> done)
+    {
+        const auto chosen = self->donorsFor(team);
         std::uint32_t given = 0;
         for (const auto& vm : chosen) {
             if (given < wanted)
@@ -98,11 +107,20 @@
 
     Options options;
     SiblingList siblings;
+    LimitHolders holders;
     DonorChoice donors;
     std::unique_ptr<SiblingClient> client;
     std::unique_ptr<SiblingServer> server;
 };
 
+std::map<VmName, VmStrength> strengthsOf(const SiblingList& siblings)
+{
+    std::map<VmName, VmStrength> strengths;
+    for (const auto& [vm, sibling] : siblings)
+        strengths.emplace(vm, sibling.strength);
+    return strengths;
+}
+
 SiblingExchange::SiblingExchange(Options options)
     : state(std::make_shared<State>(std::move(options)))
 {
@@ -141,7 +159,11 @@
 
 bool SiblingExchange::isOpen() const noexcept { return this->state->client != nullptr; }
 
-void SiblingExchange::setSiblings(SiblingList siblings) { this->state->siblings = std::move(siblings); }
+void SiblingExchange::setSiblings(SiblingList siblings)
+{
+    this->state->holders = LimitHolders { strengthsOf(siblings) };
+    this->state->siblings = std::move(siblings);
+}
 
 void SiblingExchange::askForTokens(
     const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done)
--- a/src/settings/session_settings.cpp
+++ b/src/settings/session_settings.cpp
@@ -36,10 +36,23 @@
         reader.report("address", "must be an IP number and a port, as in \"10.0.0.7:8466\"");
 }
 
+/// Reads `[processor]`: how much of each core the VM has, and how many cores.
+double readProcessor(SettingsReader& reader)
+{
+    constexpr double mostCores = 4096;
+    double share = 1;
+    double cores = 1;
+    reader.enter("processor");
+    reader.positive("share", share, 1);
+    reader.positive("cores", cores, mostCores);
+    return share * cores;
+}
+
 SessionSettings readAll(SettingsReader& reader)
 {
     SessionSettings settings;
     readVm(reader, settings.vm);
+    settings.cores = readProcessor(reader);
     reader.enter("callers");
     readEndpoint(reader, settings.callers);
     reader.enter("readiness");
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -1,6 +1,7 @@
 #include "settings_reader.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cyclamendrift {
@@ -58,6 +59,18 @@
     this->report(key, "must be one of " + list);
 }
 
+void SettingsReader::positive(std::string_view key, double& value, double most)
+{
+    const auto* node = this->find(key);
+    if (node == nullptr)
+        return;
+    const auto read = node->value<double>();
+    if (read && *read > 0 && *read <= most)
+        value = *read;
+    else
+        this->report(key, "must be a number above 0 and up to " + std::to_string(std::lround(most)));
+}
+
 void SettingsReader::milliseconds(std::string_view key, Duration& value)
 {
     if (const auto read = this->numberAt(key, { 1, millisecondsOfDay }))
--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -43,6 +43,9 @@
             value = static_cast<Number>(*read);
     }
 
+    /// Reads a number above 0 and up to `most`; a missing key keeps what is there.
+    void positive(std::string_view key, double& value, double most);
+
     /// Reads a length of time in milliseconds, at least 1 and at most a day.
     void milliseconds(std::string_view key, Duration& value);
 
--- a/src/siblings/http2_link.cpp
+++ b/src/siblings/http2_link.cpp
@@ -16,8 +16,12 @@
 
 namespace {
 
-constexpr std::size_t readSize = std::size_t { 64 } << 10U;
+// Calls between siblings are some hundred bytes. A VM keeps some dozens of links, and each holds these
+// buffers for as long as it lives: with 64 KB to read into, 140 links took 9 MB.
+constexpr std::size_t readSize = std::size_t { 4 } << 10U;
 constexpr std::size_t writeSize = std::size_t { 256 } << 10U;
+// What a rare large message leaves allocated beyond this is given back.
+constexpr std::size_t keptWriteBuffer = std::size_t { 4 } << 10U;
 constexpr std::uint32_t streamWindow = 1U << 20U;
 constexpr std::int32_t connectionWindow = 16 << 20;
 constexpr int ticksPerPingTimeout = 4;
@@ -301,6 +305,8 @@
     asio::async_write(this->socket, asio::buffer(this->writing),
         [self = this->shared_from_this()](const std::error_code& error, std::size_t) {
             self->isWriting = false;
+            if (self->writing.capacity() > keptWriteBuffer)
+                std::vector<std::uint8_t> {}.swap(self->writing);
             if (error)
                 self->close();
             self->flush();
--- a/tests/settings/session_settings_test.cpp
+++ b/tests/settings/session_settings_test.cpp
@@ -59,6 +59,15 @@
         CHECK(settings.storeAddress == "10.200.1.7:8466");
         CHECK(settings.grace == 6s);
         CHECK(settings.log.level == LogLevel::Warn);
+        CHECK(settings.cores == 1);
+    }
+
+    TEST_CASE("a VM's processor is the share of each core times the cores")
+    {
+        const auto settings
+            = parseSessionSettings(whole + "[processor]\nshare = 0.12\ncores = 2\n", "node.toml");
+        CHECK(settings.cores == doctest::Approx(0.24));
+        CHECK(problemsOf(whole + "[processor]\nshare = 1.5\n").find("up to 1") != std::string::npos);
     }
 
     TEST_CASE("each mistake is told with its line and column, all at once")
