Write log lines on a thread of their own

Cause: the traffic thread wrote each line itself; a reader of standard output that stalls would have stopped every caller of its VM. The logging library's asynchronous appender makes its callers wait when its queue is full, which is the same fault later.

Change: a bounded queue and one writing thread; lines without room are counted and the count is told. The process waits at most 300 ms for what is left at its end.

--- a/include/cyclamendrift/telemetry/event_log.h
+++ b/include/cyclamendrift/telemetry/event_log.h
@@ -28,11 +28,15 @@
 /// Opens the log; lines written before are dropped. Throws Error when the file can't be written.
 void openLog(const LogOptions& options);
 
-/// Writes one line; may be called from any thread.
+/// Writes one line; may be called from any thread, and waits for no reader of the log. Lines that find no
+/// room because the reader stalls are counted, and the count is told once there is room again.
 ///
 ///     logEvent(LogLevel::Info, "home_started", { { "database", name.path() } });
 void logEvent(LogLevel level, std::string_view event, const std::vector<LogField>& fields = {});
 
+/// Waits a moment until everything logged so far is written; to be called before a process ends.
+void flushLog();
+
 /// Ends the process with everything logged so far written out. The logging library waits for its threads when
 /// static objects are destroyed; where one of them is stuck the process would stay until it is killed.
 [[noreturn]] void endProcess(int exitCode);
--- a/src/proxy/daemon.cpp
+++ b/src/proxy/daemon.cpp
@@ -62,16 +62,9 @@
             { "siblings_port", std::to_string(proxy.siblingsPort()) } });
 }
 
-} // namespace
-
-DaemonExit runDaemon(Proxy::Options options)
+DaemonExit serve(Proxy::Options options)
 {
-    // A peer that closes its end must end one write with an error, not this process with a signal.
-    std::signal(SIGPIPE, SIG_IGN);
-    // protobuf would write to standard error about what callers send.
-    google::protobuf::SetLogHandler(nullptr);
     const auto settings = options.settings;
-    openLog(settings.log);
     try {
         Proxy proxy { std::move(options) };
         logStart(settings, proxy);
@@ -89,4 +82,18 @@
     }
 }
 
+} // namespace
+
+DaemonExit runDaemon(Proxy::Options options)
+{
+    // A peer that closes its end must end one write with an error, not this process with a signal.
+    std::signal(SIGPIPE, SIG_IGN);
+    // protobuf would write to standard error about what callers send.
+    google::protobuf::SetLogHandler(nullptr);
+    openLog(options.settings.log);
+    const auto exit = serve(std::move(options));
+    flushLog();
+    return exit;
+}
+
 } // namespace cyclamendrift
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -1,18 +1,22 @@
 #include <cyclamendrift/telemetry/event_log.h>
 
 #include <cyclamendrift/core/error.h>
+#include <cyclamendrift/telemetry/line_queue.h>
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/fileappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/nullappender.h>
+#include <log4cplus/spi/loggingevent.h>
 
 #include <algorithm>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <memory>
+#include <mutex>
+#include <sstream>
 
 namespace cyclamendrift {
 
@@ -48,17 +52,70 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
-log4cplus::SharedAppenderPtr makeAppender(const std::string& file)
+/// Hands lines to a LineQueue. The library's own asynchronous appender makes its callers wait when its queue
+/// is full, which is just what must not happen.
+class QueueAppender final : public log4cplus::Appender {
+public:
+    explicit QueueAppender(std::shared_ptr<LineQueue> queue)
+        : queue(std::move(queue))
+    {
+    }
+    ~QueueAppender() override { this->destructorImpl(); }
+    QueueAppender(const QueueAppender&) = delete;
+    QueueAppender& operator=(const QueueAppender&) = delete;
+
+    void close() override { this->closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        if (this->leftOut > 0) {
+            const log4cplus::spi::InternalLoggingEvent told { event.getLoggerName(),
+                log4cplus::WARN_LOG_LEVEL,
+                cyclamendrift::formatEvent("lines_lost", { { "count", std::to_string(this->leftOut) } }),
+                __FILE__, __LINE__ };
+            if (this->queue->put(this->textOf(told)))
+                this->leftOut = 0;
+        }
+        if (!this->queue->put(this->textOf(event)))
+            ++this->leftOut;
+    }
+
+private:
+    [[nodiscard]] std::string textOf(const log4cplus::spi::InternalLoggingEvent& event)
+    {
+        std::ostringstream text;
+        this->layout->formatAndAppend(text, event);
+        return text.str();
+    }
+
+    std::shared_ptr<LineQueue> queue;
+    std::uint64_t leftOut = 0;
+};
+
+/// Where lines go now; kept here as well, so that the end of the process can wait for what is left.
+struct OpenQueue {
+    std::mutex mutex;
+    std::shared_ptr<LineQueue> queue;
+};
+
+OpenQueue& openQueue()
 {
-    constexpr bool toStandardError = false;
-    constexpr bool flushEachLine = true;
+    static OpenQueue open;
+    return open;
+}
+
+std::shared_ptr<LineQueue> makeQueue(const std::string& file)
+{
+    auto& out = std::cout;
     if (file == "-")
-        return log4cplus::SharedAppenderPtr { new log4cplus::ConsoleAppender(
-            toStandardError, flushEachLine) };
-    const auto appender = log4cplus::helpers::SharedObjectPtr<log4cplus::FileAppender> {
-        new log4cplus::FileAppender(file, std::ios_base::app, flushEachLine)
-    };
-    return log4cplus::SharedAppenderPtr { appender.get() };
+        return std::make_shared<LineQueue>(
+            LineQueue::Options { .write = [&out](std::string_view text) { out << text << std::flush; } });
+    const auto stream = std::make_shared<std::ofstream>(file, std::ios::app);
+    if (!*stream)
+        throw Error { "the log can't be written to " + file };
+    return std::make_shared<LineQueue>(
+        LineQueue::Options { .write = [stream](std::string_view text) { *stream << text << std::flush; } });
 }
 
 bool isPlain(char letter) noexcept
@@ -86,7 +143,13 @@
 {
     auto logger = eventLogger();
     logger.removeAllAppenders();
-    auto appender = makeAppender(options.file);
+    const auto queue = makeQueue(options.file);
+    {
+        auto& open = openQueue();
+        const std::lock_guard lock { open.mutex };
+        open.queue = queue;
+    }
+    log4cplus::SharedAppenderPtr appender { new QueueAppender { queue } };
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(linePattern));
     logger.addAppender(appender);
     logger.setLogLevel(convert(options.level));
@@ -100,10 +163,23 @@
         logger.log(convert(level), formatEvent(event, fields), nullptr, 0);
 }
 
+void flushLog()
+{
+    // A reader that stalls must not keep the process from ending.
+    constexpr Duration patience = std::chrono::milliseconds { 300 };
+    std::shared_ptr<LineQueue> queue;
+    {
+        auto& open = openQueue();
+        const std::lock_guard lock { open.mutex };
+        queue = open.queue;
+    }
+    if (queue)
+        static_cast<void>(queue->flush(patience));
+}
+
 void endProcess(int exitCode)
 {
-    // Every line is flushed as it is written.
-    std::cout.flush();
+    flushLog();
     std::_Exit(exitCode);
 }
 
