Name the statement in every refusal, and write progress once

Cause: a refusal for a team's rate, a commit that could not be confirmed and a dropped transaction had no id in their lines, so an engineer who has only an id found nothing. The codec of a place in a log stood twice since the homes.

Change: a session remembers its last statement's id, and these lines have it, at the caller's VM and at the home; the codec moved to `schema`.

--- a/src/pooling/caller_session.h
+++ b/src/pooling/caller_session.h
@@ -79,6 +79,8 @@
     std::unique_ptr<WaitingOperation> waiting;
     /// The operation under way was taken out of its team's limit, and no upstream has run any of it.
     bool charged = false;
+    /// The statement that came in last, as log lines name it.
+    std::string statementId;
     /// When the statement under way came in.
     Instant arrivedAt;
 
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -97,6 +97,7 @@
 
 void SessionEngine::State::run(CallerSession& session, CallerQuery query)
 {
+    session.statementId = query.id;
     const bool ends = std::holds_alternative<CommitTransaction>(query.statement)
         || std::holds_alternative<RollbackTransaction>(query.statement);
     if (session.phase == SessionPhase::FailedTransaction) {
@@ -309,7 +310,8 @@
     this->endTransaction(session);
     session.phase = SessionPhase::FailedTransaction;
     session.abortUntold = true;
-    this->log("transaction_aborted", { { "database", session.database }, { "reason", reason } });
+    this->log("transaction_aborted",
+        { { "id", session.statementId }, { "database", session.database }, { "reason", reason } });
 }
 
 void SessionEngine::State::refuse(CallerSession& session, StatementError error, std::string text)
@@ -325,7 +327,8 @@
                 { "waited_ms", millisecondsText(this->now - session.work->arrivedAt) } });
     } else {
         this->log("refused",
-            { { "team", session.team.string() }, { "database", session.database }, { "reason", text } });
+            { { "id", session.statementId }, { "team", session.team.string() },
+                { "database", session.database }, { "reason", text } });
     }
     if (session.phase == SessionPhase::InTransaction) {
         this->endTransaction(session);
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -325,7 +325,8 @@
     if (!confirmed) {
         ++this->counters.inDoubt;
         this->log("commit_unconfirmed",
-            { { "database", session.database }, { "upstream", session.held->upstream.string() } });
+            { { "id", session.statementId }, { "service", session.route.service.string() },
+                { "upstream", session.held->upstream.string() } });
         reply = failureReply(StatementError::InDoubt, "the primary may have been replaced meanwhile");
     }
     this->answer(session, std::move(reply));
--- a/src/pooling/engine_homes.cpp
+++ b/src/pooling/engine_homes.cpp
@@ -181,6 +181,7 @@
     session.floorService = session.route.service;
     session.arrivedAt = this->now - work.waited;
     session.lastActive = this->now;
+    session.statementId = work.query.id;
     this->runData(session, std::move(work.query), work.kind);
 }
 
@@ -199,8 +200,8 @@
 void SessionEngine::State::endGuest(CallerSession& session, const char* reason)
 {
     this->log("guest_ended",
-        { { "service", session.route.service.string() }, { "team", session.team.string() },
-            { "reason", reason } });
+        { { "id", session.statementId }, { "service", session.route.service.string() },
+            { "team", session.team.string() }, { "reason", reason } });
     this->leave(session.id);
 }
 
--- a/src/proxy/forward_codec.cpp
+++ b/src/proxy/forward_codec.cpp
@@ -171,19 +171,6 @@
         .slot = SlotName { message.response().slot() } };
 }
 
-wire::LogProgress wireProgress(const Progress& progress)
-{
-    wire::LogProgress message;
-    message.set_term(static_cast<std::uint64_t>(progress.term));
-    message.set_position(static_cast<std::uint64_t>(progress.position));
-    return message;
-}
-
-Progress progressFrom(const wire::LogProgress& message) noexcept
-{
-    return { Term { message.term() }, LogPosition { message.position() } };
-}
-
 Statement statementFrom(const api::ExecuteRequest& request)
 {
     Statement statement { .text = request.statement() };
--- a/src/proxy/forward_codec.h
+++ b/src/proxy/forward_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cyclamendrift/proxy/database_home.h>
+#include <cyclamendrift/schema/progress_codec.h>
 
 #include <forward.pb.h>
 
@@ -34,9 +35,6 @@
 [[nodiscard]] wire::ForwardedExecuteAnswer forwardedFrom(const HomeAnswer& answer);
 [[nodiscard]] HomeAnswer homeAnswerFrom(const wire::ForwardedExecuteAnswer& message);
 
-[[nodiscard]] wire::LogProgress wireProgress(const Progress& progress);
-[[nodiscard]] Progress progressFrom(const wire::LogProgress& message) noexcept;
-
 /// The home's request for what a caller sent.
 [[nodiscard]] Statement statementFrom(const api::ExecuteRequest& request);
 
--- a/src/session_proxy/home_codec.cpp
+++ b/src/session_proxy/home_codec.cpp
@@ -1,6 +1,7 @@
 #include "home_codec.h"
 
 #include <cyclamendrift/core/request_error.h>
+#include <cyclamendrift/schema/progress_codec.h>
 
 #include <homes.pb.h>
 
@@ -29,17 +30,6 @@
     return std::chrono::microseconds { static_cast<std::int64_t>(microseconds) };
 }
 
-void write(const Progress& progress, wire::LogProgress& message)
-{
-    message.set_term(static_cast<std::uint64_t>(progress.term));
-    message.set_position(static_cast<std::uint64_t>(progress.position));
-}
-
-Progress progressFrom(const wire::LogProgress& message)
-{
-    return { .term = Term { message.term() }, .position = LogPosition { message.position() } };
-}
-
 wire::HandedKind kindOf(WorkKind kind)
 {
     switch (kind) {
@@ -138,7 +128,7 @@
     message.set_in_transaction(work.inTransaction);
     message.set_read_only(work.readOnly);
     if (work.floor) {
-        write(*work.floor, *message.mutable_floor());
+        *message.mutable_floor() = wireProgress(*work.floor);
         message.set_floor_age_us(microsecondsOf(work.floorAge));
     }
     message.set_waited_us(microsecondsOf(work.waited));
@@ -184,7 +174,7 @@
     }
     message.set_phase(static_cast<std::uint32_t>(reply.phase));
     if (reply.progress)
-        write(*reply.progress, *message.mutable_progress());
+        *message.mutable_progress() = wireProgress(*reply.progress);
     return message.SerializeAsString();
 }
 
--- a/tests/pooling/handed_work_test.cpp
+++ b/tests/pooling/handed_work_test.cpp
@@ -196,4 +196,23 @@
         world.interfere = nullptr;
         CHECK_FALSE(world.run(caller, "c/9", "READ 1").failure);
     }
+
+    TEST_CASE("a refusal for the team's rate, and a failure of a home, are found by the statement's id")
+    {
+        // A user complains of a refused order and gives its id; the engineer has only the log.
+        PoolWorld world { { .limits = { { TeamName { "a" }, { .ratePerSecond = 1, .burst = 1 } } },
+            .throughHome = true } };
+        const auto caller = world.connect();
+        world.ask(caller, "order-7", "WRITE 1 x");
+        world.pass(500ms);
+        CHECK(errorOf(world.answer(caller)) == StatementError::Busy);
+        REQUIRE(world.logged("refused").size() == 1);
+        CHECK(world.logged("refused").front().at("id") == "order-7");
+        world.entry->setShares({ { TeamName { "a" }, { .ratePerSecond = 4, .burst = 4 } } }, world.now);
+        world.pass(1s);
+        failOnce(world, HandFailure::Lost);
+        CHECK(errorOf(world.run(caller, "order-8", "WRITE 1 x")) == StatementError::InDoubt);
+        CHECK(world.logged("home_failed").front().at("id") == "order-8");
+        CHECK(world.logged("answer_lost").front().at("id") == "order-8");
+    }
 }
