End both contexts of a session proxy before either is destroyed

A coroutine that waited on one thread for the other is destroyed through the context that it ran on last; the control context was gone by then. A process could crash so at the end of a planned stop, after its callers had been let go. It is no fault of the homes: reading through siblings waits across both threads too; the test with many proxies just stops many of them.

Change: both contexts destroy their handlers, in turns, before the members and the contexts go.

--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -27,8 +27,20 @@
 // Left of the grace period when the last sessions are cut, so that the process itself ends in time.
 constexpr Duration endReserve = std::chrono::milliseconds { 500 };
 
+// What is left of a coroutine is destroyed through the context that it ran on last, which may be the other
+// one; a coroutine waits across the contexts at most twice.
+constexpr int endingRounds = 4;
+
 using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
 
+/// A context whose pending handlers can be destroyed before it is.
+class EndableContext : public asio::io_context {
+public:
+    using asio::io_context::io_context;
+
+    void end() { this->shutdown(); }
+};
+
 } // namespace
 
 struct SessionDaemon::State {
@@ -64,6 +76,19 @@
     {
     }
 
+    /// Coroutines that wait on one thread for the other hold on to both contexts. Left to the destructors of
+    /// the contexts, those of the second one would use the first one after it is gone; a program that goes on
+    /// after its daemon has ended would find its memory damaged.
+    ~State()
+    {
+        for (int round = 0; round < endingRounds; ++round) {
+            this->trafficContext.end();
+            this->controlContext.end();
+        }
+    }
+    State(const State&) = delete;
+    State& operator=(const State&) = delete;
+
     DaemonExit run()
     {
         this->traffic.start();
@@ -145,8 +170,8 @@
     }
 
     SessionDaemonOptions options;
-    asio::io_context trafficContext { 1 };
-    asio::io_context controlContext { 1 };
+    EndableContext trafficContext { 1 };
+    EndableContext controlContext { 1 };
     WorkGuard trafficGuard;
     WorkGuard controlGuard;
     SessionPorts ports;
