Write once what several sources had twice

Change: notRun() and outcomeUnknown() beside RequestError, duration_codec.h for whole microseconds, rankByRendezvous() beside chooseHomes(), one perform() per action in SessionTraffic, the queue alone counts lines without room. A process draws its number once.

--- a/include/cyclamendrift/core/request_error.h
+++ b/include/cyclamendrift/core/request_error.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace cyclamendrift {
 
@@ -63,4 +64,17 @@
     Options refusal;
 };
 
+/// A refusal of something that had no effect.
+[[nodiscard]] inline RequestError notRun(RefusalReason reason, std::string message, Duration retryAfter = {})
+{
+    return RequestError { { Outcome::NotRun, reason, std::move(message), retryAfter } };
+}
+
+/// A refusal of something that may have had its effect.
+[[nodiscard]] inline RequestError outcomeUnknown(
+    RefusalReason reason, std::string message, Duration retryAfter = {})
+{
+    return RequestError { { Outcome::Unknown, reason, std::move(message), retryAfter } };
+}
+
 } // namespace cyclamendrift
--- a/include/cyclamendrift/membership/home_map.h
+++ b/include/cyclamendrift/membership/home_map.h
@@ -19,6 +19,11 @@
 /// The rendezvous weight of a VM for a subject; the same in every process.
 [[nodiscard]] std::uint64_t rendezvousWeight(const VmName& vm, std::string_view subject);
 
+/// Sorts VMs for a subject by rendezvous hashing, best first; the same in every process.
+///
+///     rankByRendezvous(holders, "limit/hospitals");
+void rankByRendezvous(std::vector<VmName>& vms, std::string_view subject);
+
 /// The first `count` candidates for a subject by rendezvous hashing, best first. The second is in another
 /// availability zone than the first wherever there is one. Removing a VM changes nothing for a subject that
 /// it was not chosen for.
--- a/include/cyclamendrift/pooling/group_homes.h
+++ b/include/cyclamendrift/pooling/group_homes.h
@@ -45,11 +45,13 @@
     struct Choice {
         std::uint32_t connectionCap = 0;
         std::vector<VmName> homes;
+        std::size_t share = 0;
         std::map<TeamName, std::vector<VmName>> orders;
     };
 
     [[nodiscard]] Choice& choiceFor(const ServiceName& service, std::uint32_t connectionCap);
     [[nodiscard]] std::vector<VmName> choose(const ServiceName& service, std::uint32_t connectionCap) const;
+    [[nodiscard]] std::size_t shareAmong(const std::vector<VmName>& homes, std::uint32_t connectionCap) const;
 
     VmName own;
     std::map<VmName, VmStrength> listed;
--- a/include/cyclamendrift/telemetry/line_queue.h
+++ b/include/cyclamendrift/telemetry/line_queue.h
@@ -35,8 +35,9 @@
     LineQueue(const LineQueue&) = delete;
     LineQueue& operator=(const LineQueue&) = delete;
 
-    /// Takes a line in; false when it was left out. Never waits for the writer.
-    [[nodiscard]] bool put(std::string_view line);
+    /// Takes a line in; false when it was left out. Never waits for the writer. A text that also tells of
+    /// lines left out before counts for these as well when it is left out itself.
+    [[nodiscard]] bool put(std::string_view line, std::uint64_t standsFor = 1);
 
     /// Lines left out since the last call.
     [[nodiscard]] std::uint64_t takeLeftOut();
--- a/src/limits/limit_holders.cpp
+++ b/src/limits/limit_holders.cpp
@@ -47,10 +47,7 @@
 std::vector<VmName> LimitHolders::of(const TeamName& team) const
 {
     auto holders = this->strongest;
-    const auto subject = "limit/" + team.string();
-    std::sort(holders.begin(), holders.end(), [&subject](const VmName& left, const VmName& right) {
-        return rendezvousWeight(left, subject) > rendezvousWeight(right, subject);
-    });
+    rankByRendezvous(holders, "limit/" + team.string());
     holders.resize(std::min(holders.size(), holdersOfTeam));
     return holders;
 }
@@ -59,9 +56,7 @@
 {
     auto donors = this->of(team);
     std::erase(donors, asker);
-    std::sort(donors.begin(), donors.end(), [&asker](const VmName& left, const VmName& right) {
-        return rendezvousWeight(left, asker.view()) > rendezvousWeight(right, asker.view());
-    });
+    rankByRendezvous(donors, asker.view());
     const auto own = this->listed.find(asker);
     if (own == this->listed.end())
         return donors;
--- a/src/membership/home_map.cpp
+++ b/src/membership/home_map.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstring>
 #include <string>
+#include <utility>
 
 namespace cyclamendrift {
 
@@ -15,16 +16,27 @@
 constexpr std::array<unsigned char, crypto_shorthash_KEYBYTES> rendezvousKey { 'c', 'y', 'c', 'l', 'a', 'm',
     'e', 'n', 'd', 'r', 'i', 'f', 't', 0, 0, 1 };
 
-struct Ranked {
+/// Something that stands for a VM, with that VM's weight.
+template <class Item> struct Ranked {
     std::uint64_t weight = 0;
-    const HomeCandidate* candidate = nullptr;
+    const Item* item = nullptr;
 };
 
-bool goesBefore(const Ranked& left, const Ranked& right)
+const VmName& vmOf(const VmName& vm) { return vm; }
+const VmName& vmOf(const HomeCandidate& candidate) { return candidate.vm; }
+
+template <class Item> std::vector<Ranked<Item>> rank(std::span<const Item> items, std::string_view subject)
 {
-    if (left.weight != right.weight)
-        return left.weight > right.weight;
-    return left.candidate->vm < right.candidate->vm;
+    std::vector<Ranked<Item>> ranked;
+    ranked.reserve(items.size());
+    for (const auto& item : items)
+        ranked.push_back({ .weight = rendezvousWeight(vmOf(item), subject), .item = &item });
+    std::sort(ranked.begin(), ranked.end(), [](const Ranked<Item>& left, const Ranked<Item>& right) {
+        if (left.weight != right.weight)
+            return left.weight > right.weight;
+        return vmOf(*left.item) < vmOf(*right.item);
+    });
+    return ranked;
 }
 
 } // namespace
@@ -40,25 +52,30 @@
     return weight;
 }
 
+void rankByRendezvous(std::vector<VmName>& vms, std::string_view subject)
+{
+    std::vector<VmName> sorted;
+    sorted.reserve(vms.size());
+    for (const auto& entry : rank(std::span<const VmName> { vms }, subject))
+        sorted.push_back(*entry.item);
+    vms = std::move(sorted);
+}
+
 std::vector<HomeCandidate> chooseHomes(
     std::span<const HomeCandidate> candidates, std::string_view subject, std::size_t count)
 {
-    std::vector<Ranked> ranked;
-    ranked.reserve(candidates.size());
-    for (const auto& candidate : candidates)
-        ranked.push_back({ .weight = rendezvousWeight(candidate.vm, subject), .candidate = &candidate });
-    std::sort(ranked.begin(), ranked.end(), goesBefore);
+    auto ranked = rank(candidates, subject);
     // Two homes in one availability zone would be lost together with it.
     if (ranked.size() > 2) {
-        const auto& firstZone = ranked.front().candidate->zone;
+        const auto& firstZone = ranked.front().item->zone;
         const auto elsewhere = std::find_if(ranked.begin() + 1, ranked.end(),
-            [&firstZone](const Ranked& entry) { return entry.candidate->zone != firstZone; });
+            [&firstZone](const auto& entry) { return entry.item->zone != firstZone; });
         if (elsewhere != ranked.end())
             std::rotate(ranked.begin() + 1, elsewhere, elsewhere + 1);
     }
     std::vector<HomeCandidate> homes;
     for (const auto& entry : std::span { ranked }.first(std::min(count, ranked.size())))
-        homes.push_back(*entry.candidate);
+        homes.push_back(*entry.item);
     return homes;
 }
 
--- a/src/pooling/engine_answers.cpp
+++ b/src/pooling/engine_answers.cpp
@@ -143,9 +143,7 @@
     }
     if (!keeps || !reply.progress)
         return this->answer(session, std::move(reply));
-    session.floor = reply.progress;
-    session.floorAt = place.sentAt;
-    session.floorService = session.route.service;
+    noteOwnWrite(session, *reply.progress, place.sentAt);
     if (group.isLedBy(place.upstream, this->now))
         return this->answer(session, std::move(reply));
     // The commit is there, but a new primary may have been promoted meanwhile, with a log that lacks it. The
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -317,9 +317,7 @@
 void SessionEngine::State::refuse(CallerSession& session, StatementError error, std::string text)
 {
     ++this->counters.refused;
-    // What no upstream has run does not count against the limit; a caller that comes back would pay twice.
-    if (std::exchange(session.charged, false))
-        this->budgets[session.team].share.receive(1, this->now);
+    this->giveBackCharge(session);
     if (session.work) {
         this->log("refused",
             { { "id", session.work->query.id }, { "service", session.route.service.string() },
@@ -337,6 +335,20 @@
     this->answer(session, failureReply(error, std::move(text)));
 }
 
+void SessionEngine::State::giveBackCharge(CallerSession& session)
+{
+    // What no upstream has run does not count against the limit; a caller that comes back would pay twice.
+    if (std::exchange(session.charged, false))
+        this->budgets[session.team].share.receive(1, this->now);
+}
+
+void SessionEngine::State::noteOwnWrite(CallerSession& session, const Progress& progress, Instant at)
+{
+    session.floor = progress;
+    session.floorAt = at;
+    session.floorService = session.route.service;
+}
+
 void SessionEngine::State::answer(CallerSession& session, Reply reply)
 {
     if (session.guest)
--- a/src/pooling/engine_homes.cpp
+++ b/src/pooling/engine_homes.cpp
@@ -87,8 +87,8 @@
     const auto kind = session->work->kind;
     const bool inTransaction = session->phase == SessionPhase::InTransaction;
     if (reply.failure) {
-        if (meansNotRun(reply.failure->error) && std::exchange(session->charged, false))
-            this->budgets[session->team].share.receive(1, this->now);
+        if (meansNotRun(reply.failure->error))
+            this->giveBackCharge(*session);
         session->charged = false;
         this->logFailure(*session, UpstreamName { home->string() }, *reply.failure);
         if (inTransaction) {
@@ -101,11 +101,8 @@
     session->charged = false;
     const bool keeps
         = inTransaction ? kind == WorkKind::Commit && session->transactionWrote : kind == WorkKind::Write;
-    if (keeps && reply.progress) {
-        session->floor = reply.progress;
-        session->floorAt = session->work->handedAt;
-        session->floorService = session->route.service;
-    }
+    if (keeps && reply.progress)
+        noteOwnWrite(*session, *reply.progress, session->work->handedAt);
     if (inTransaction)
         this->finishHandedInTransaction(*session);
     this->answer(*session, std::move(reply));
@@ -176,9 +173,9 @@
     session.state = std::move(work.state);
     session.phase = work.inTransaction ? SessionPhase::InTransaction : SessionPhase::Idle;
     session.transactionReadOnly = work.readOnly;
-    session.floor = work.floor;
-    session.floorAt = this->now - work.floorAge;
-    session.floorService = session.route.service;
+    session.floor.reset();
+    if (work.floor)
+        noteOwnWrite(session, *work.floor, this->now - work.floorAge);
     session.arrivedAt = this->now - work.waited;
     session.lastActive = this->now;
     session.statementId = work.query.id;
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -56,6 +56,10 @@
     void answer(CallerSession& session, Reply reply);
     void refuse(CallerSession& session, StatementError error, std::string text);
     void endCaller(CallerId id, std::optional<StatementFailure> failure);
+    /// Puts back what the operation under way took out of its team's limit, when no upstream has run it.
+    void giveBackCharge(CallerSession& session);
+    /// Remembers what the session has written, and that the primary had come so far at that time.
+    static void noteOwnWrite(CallerSession& session, const Progress& progress, Instant at);
     /// Lets waiting operations in as far as the budget goes, and asks siblings for what is missing.
     void admitWaiting(const TeamName& team, Budget& budget);
     /// Closes the session when it is idle and this VM is stopping; true when it did.
--- a/src/pooling/group_homes.cpp
+++ b/src/pooling/group_homes.cpp
@@ -47,8 +47,10 @@
 GroupHomes::Choice& GroupHomes::choiceFor(const ServiceName& service, std::uint32_t connectionCap)
 {
     auto& choice = this->choices[service];
-    if (choice.homes.empty() || choice.connectionCap != connectionCap)
+    if (choice.homes.empty() || choice.connectionCap != connectionCap) {
         choice = { .connectionCap = connectionCap, .homes = this->choose(service, connectionCap) };
+        choice.share = this->shareAmong(choice.homes, connectionCap);
+    }
     return choice;
 }
 
@@ -82,16 +84,17 @@
     if (!order.empty())
         return order;
     order = choice.homes;
-    const auto subject = "home/" + service.string() + '/' + team.string();
-    std::sort(order.begin(), order.end(), [&subject](const VmName& left, const VmName& right) {
-        return rendezvousWeight(left, subject) > rendezvousWeight(right, subject);
-    });
+    rankByRendezvous(order, "home/" + service.string() + '/' + team.string());
     return order;
 }
 
 std::size_t GroupHomes::shareOf(const ServiceName& service, std::uint32_t connectionCap)
 {
-    const auto& homes = this->of(service, connectionCap);
+    return this->choiceFor(service, connectionCap).share;
+}
+
+std::size_t GroupHomes::shareAmong(const std::vector<VmName>& homes, std::uint32_t connectionCap) const
+{
     if (std::find(homes.begin(), homes.end(), this->own) == homes.end())
         return 1;
     const auto usable = connectionCap - connectionCap / leftToOthers;
--- a/src/proxy/fleet_configuration.cpp
+++ b/src/proxy/fleet_configuration.cpp
@@ -1,6 +1,7 @@
 #include "fleet_configuration.h"
 
 #include <cyclamendrift/platform/store_error.h>
+#include <cyclamendrift/schema/duration_codec.h>
 
 #include <asio/bind_cancellation_slot.hpp>
 
@@ -28,11 +29,6 @@
 constexpr Duration acceptancePause = std::chrono::milliseconds { 200 };
 constexpr Duration acceptanceLook = std::chrono::milliseconds { 10 };
 
-Duration microseconds(std::uint64_t count)
-{
-    return std::chrono::microseconds { static_cast<std::int64_t>(count) };
-}
-
 } // namespace
 
 DocumentPointer FleetConfiguration::parseDocument(const std::string& value)
@@ -274,7 +270,7 @@
             continue;
         this->trust.onStatement({ .witness = witness,
             .sequence = statement.sequence(),
-            .madeAt = askedAt - microseconds(statement.age_us()) });
+            .madeAt = askedAt - durationFrom(statement.age_us()) });
     }
     this->updateTrust();
 }
@@ -287,8 +283,7 @@
         auto& statement = *answer.add_statements();
         statement.set_witness(known.witness.string());
         statement.set_sequence(known.sequence);
-        const auto age = std::chrono::ceil<std::chrono::microseconds>(now - known.madeAt);
-        statement.set_age_us(static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0)));
+        statement.set_age_us(wireMicroseconds(now - known.madeAt));
     }
 }
 
--- a/src/proxy/fleet_limits.cpp
+++ b/src/proxy/fleet_limits.cpp
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/core/clock_drift.h>
 #include <cyclamendrift/core/request_error.h>
+#include <cyclamendrift/schema/duration_codec.h>
 
 #include <asio/post.hpp>
 #include <asio/redirect_error.hpp>
@@ -29,16 +30,6 @@
         .retryAfter = verdict.retryAfter } };
 }
 
-Duration fromMicroseconds(std::uint64_t count)
-{
-    return std::chrono::microseconds { static_cast<std::int64_t>(count) };
-}
-
-std::uint64_t toMicroseconds(Duration duration)
-{
-    return static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::microseconds>(duration).count());
-}
-
 } // namespace
 
 LimitRule FleetLimits::ruleFrom(const api::Team& team)
@@ -299,7 +290,7 @@
         } else {
             const LimitGrant grant { .id = answer.grant(),
                 .amount = Tokens { answer.amount() },
-                .retryAfter = fromMicroseconds(answer.retry_after_us()) };
+                .retryAfter = durationFrom(answer.retry_after_us()) };
             gate->client.onAnswer({ .shard = message.shard, .grant = grant, .askedAt = askedAt }, now);
         }
     }
@@ -325,7 +316,7 @@
         grant.id != 0 ? wire::LimitGrantAnswer::RESULT_GRANTED : wire::LimitGrantAnswer::RESULT_DENIED);
     answer.set_grant(grant.id);
     answer.set_amount(grant.amount.millionths);
-    answer.set_retry_after_us(toMicroseconds(grant.retryAfter));
+    answer.set_retry_after_us(wireMicroseconds(grant.retryAfter));
     return answer;
 }
 
--- a/src/proxy/lane.cpp
+++ b/src/proxy/lane.cpp
@@ -6,11 +6,6 @@
 
 namespace {
 
-RequestError notRun(RefusalReason reason, std::string message, Duration retryAfter)
-{
-    return RequestError { { Outcome::NotRun, reason, std::move(message), retryAfter } };
-}
-
 std::string messageFor(RefusalReason reason)
 {
     return reason == RefusalReason::NoPrimary
--- a/src/proxy/refusals.h
+++ b/src/proxy/refusals.h
@@ -9,19 +9,6 @@
 
 namespace cyclamendrift {
 
-/// A refusal of something that had no effect.
-[[nodiscard]] inline RequestError notRun(RefusalReason reason, std::string message, Duration retryAfter = {})
-{
-    return RequestError { { Outcome::NotRun, reason, std::move(message), retryAfter } };
-}
-
-/// A refusal of something that may have had its effect.
-[[nodiscard]] inline RequestError outcomeUnknown(
-    RefusalReason reason, std::string message, Duration retryAfter = {})
-{
-    return RequestError { { Outcome::Unknown, reason, std::move(message), retryAfter } };
-}
-
 /// What the database said of a statement that it refused.
 [[nodiscard]] inline RequestError ranAndFailed(const UpstreamError& error)
 {
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/core/request_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
+#include <cyclamendrift/schema/duration_codec.h>
 #include <cyclamendrift/telemetry/event_log.h>
 
 #include <sharing.pb.h>
@@ -17,15 +18,10 @@
 {
     // What was never read is older than anything that is of use.
     constexpr Duration never = std::chrono::hours { 1 };
-    const auto age = instant == Instant::min() ? never : bootNow() - instant;
-    const auto count = std::chrono::ceil<std::chrono::microseconds>(age).count();
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(count, 0));
+    return wireMicroseconds(instant == Instant::min() ? never : bootNow() - instant);
 }
 
-Duration ageOf(const wire::StoredListing& message)
-{
-    return std::chrono::microseconds { static_cast<std::int64_t>(message.age_us()) };
-}
+Duration ageOf(const wire::StoredListing& message) { return durationFrom(message.age_us()); }
 
 void write(const StoreEntry& entry, wire::StoredEntry& message)
 {
@@ -152,9 +148,7 @@
 {
     wire::ReadingsRequest request;
     if (!request.ParseFromString(body) || self->leadershipAskedAt == Instant::min()) {
-        throw RequestError { { .outcome = Outcome::NotRun,
-            .reason = RefusalReason::StoreUnavailable,
-            .message = "nothing was read here yet" } };
+        throw notRun(RefusalReason::StoreUnavailable, "nothing was read here yet");
     }
     wire::ReadingsAnswer answer;
     write(self->leadershipListing, self->leadershipAskedAt, true, *answer.mutable_leadership());
--- a/src/session_proxy/home_codec.cpp
+++ b/src/session_proxy/home_codec.cpp
@@ -1,34 +1,18 @@
 #include "home_codec.h"
 
 #include <cyclamendrift/core/request_error.h>
+#include <cyclamendrift/schema/duration_codec.h>
 #include <cyclamendrift/schema/progress_codec.h>
 
 #include <homes.pb.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace cyclamendrift::home_codec {
 
 namespace {
 
-[[noreturn]] void refuse()
-{
-    throw RequestError { { .outcome = Outcome::NotRun,
-        .reason = RefusalReason::BadRequest,
-        .message = "a sibling's message cannot be read" } };
-}
-
-std::uint64_t microsecondsOf(Duration duration)
-{
-    const auto count = std::chrono::ceil<std::chrono::microseconds>(duration).count();
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(count, 0));
-}
-
-Duration durationOf(std::uint64_t microseconds)
-{
-    return std::chrono::microseconds { static_cast<std::int64_t>(microseconds) };
-}
+[[noreturn]] void refuse() { throw notRun(RefusalReason::BadRequest, "a sibling's message cannot be read"); }
 
 wire::HandedKind kindOf(WorkKind kind)
 {
@@ -53,9 +37,9 @@
 void writeRoute(const Route& route, wire::HandedWork& message)
 {
     message.set_service(route.service.string());
-    message.set_max_staleness_us(microsecondsOf(maxStalenessOf(route.freshness)));
-    message.set_statement_timeout_us(microsecondsOf(route.statementTimeout));
-    message.set_target_latency_us(microsecondsOf(route.targetLatency));
+    message.set_max_staleness_us(wireMicroseconds(maxStalenessOf(route.freshness)));
+    message.set_statement_timeout_us(wireMicroseconds(route.statementTimeout));
+    message.set_target_latency_us(wireMicroseconds(route.targetLatency));
     message.set_priority(route.priority);
     if (std::holds_alternative<BoundedStalenessRoute>(route.freshness))
         message.set_freshness(wire::HANDED_FRESHNESS_BOUNDED);
@@ -67,13 +51,13 @@
 {
     Route route;
     route.service = ServiceName { message.service() };
-    const auto staleness = durationOf(message.max_staleness_us());
+    const auto staleness = durationFrom(message.max_staleness_us());
     if (message.freshness() == wire::HANDED_FRESHNESS_BOUNDED)
         route.freshness = BoundedStalenessRoute { staleness };
     else if (message.freshness() == wire::HANDED_FRESHNESS_OWN_WRITES)
         route.freshness = ReadOwnWritesRoute { staleness };
-    route.statementTimeout = durationOf(message.statement_timeout_us());
-    route.targetLatency = durationOf(message.target_latency_us());
+    route.statementTimeout = durationFrom(message.statement_timeout_us());
+    route.targetLatency = durationFrom(message.target_latency_us());
     route.priority = message.priority();
     return route;
 }
@@ -129,9 +113,9 @@
     message.set_read_only(work.readOnly);
     if (work.floor) {
         *message.mutable_floor() = wireProgress(*work.floor);
-        message.set_floor_age_us(microsecondsOf(work.floorAge));
+        message.set_floor_age_us(wireMicroseconds(work.floorAge));
     }
-    message.set_waited_us(microsecondsOf(work.waited));
+    message.set_waited_us(wireMicroseconds(work.waited));
     return message.SerializeAsString();
 }
 
@@ -156,8 +140,8 @@
     work.readOnly = message.read_only();
     if (message.has_floor())
         work.floor = progressFrom(message.floor());
-    work.floorAge = durationOf(message.floor_age_us());
-    work.waited = durationOf(message.waited_us());
+    work.floorAge = durationFrom(message.floor_age_us());
+    work.waited = durationFrom(message.waited_us());
     return work;
 }
 
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -33,6 +33,12 @@
 
 using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
 
+std::uint64_t drawProcessNumber()
+{
+    std::random_device source;
+    return (std::uint64_t { source() } << 32U) | source();
+}
+
 /// A context whose pending handlers can be destroyed before it is.
 class EndableContext : public asio::io_context {
 public:
@@ -52,7 +58,7 @@
         , traffic({ .context = trafficContext,
               .vm = options.settings.vm.name,
               .zone = options.settings.vm.zone,
-              .process = (std::uint64_t { std::random_device {}() } << 32U) | std::random_device {}(),
+              .process = process,
               .siblingHost = options.settings.siblings.address,
               .siblingPort = options.settings.siblings.port,
               .callers = *ports.callers,
@@ -64,7 +70,7 @@
               .vm = options.settings.vm.name,
               .zone = options.settings.vm.zone,
               .cores = options.settings.cores,
-              .process = std::random_device {}(),
+              .process = process,
               .siblingHost = options.settings.siblings.address,
               .siblingPort = options.settings.siblings.port,
               .store = *ports.store,
@@ -170,6 +176,8 @@
     }
 
     SessionDaemonOptions options;
+    /// Tells this process from every other one, as its part of what it draws at random.
+    std::uint64_t process = drawProcessNumber();
     EndableContext trafficContext { 1 };
     EndableContext controlContext { 1 };
     WorkGuard trafficGuard;
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -28,63 +28,6 @@
 // statement.
 constexpr std::uint64_t linesPerSecond = 20;
 
-/// What an engine wants of siblings.
-struct SiblingWishes {
-    std::function<void(const AskForTokens&)> askForTokens;
-    std::function<void(const HandWork&)> handWork;
-    std::function<void(const LetGuestGo&)> letGuestGo;
-    std::function<void(const AnswerGuest&)> answerGuest;
-};
-
-/// Carries one action out.
-class Performer {
-public:
-    Performer(CallerPort& callers, UpstreamPort& upstreams, LineBudget& lines, SiblingWishes siblings)
-        : callers(callers)
-        , upstreams(upstreams)
-        , lines(lines)
-        , siblings(std::move(siblings))
-    {
-    }
-
-    void operator()(const OpenConnection& action)
-    {
-        this->upstreams.open(action.connection, action.upstream, action.team);
-    }
-    void operator()(const SendStatement& action)
-    {
-        this->upstreams.send(action.connection, action.statement);
-    }
-    void operator()(const CloseConnection& action) { this->upstreams.close(action.connection); }
-    void operator()(const AcceptCaller& action) { this->callers.accept(action.caller); }
-    void operator()(const AnswerCaller& action) { this->callers.answer(action.caller, action.reply); }
-    void operator()(const CloseCaller& action) { this->callers.close(action.caller, action.failure); }
-    void operator()(const AskForTokens& action) { this->siblings.askForTokens(action); }
-    void operator()(const HandWork& action) { this->siblings.handWork(action); }
-    void operator()(const LetGuestGo& action) { this->siblings.letGuestGo(action); }
-    void operator()(const AnswerGuest& action) { this->siblings.answerGuest(action); }
-    void operator()(const LogDecision& action)
-    {
-        const auto now = bootNow();
-        if (const auto count = this->lines.takeLeftOut(action.event, now))
-            logEvent(LogLevel::Warn, "lines_left_out",
-                { { "of", action.event }, { "count", std::to_string(*count) } });
-        if (!this->lines.take(action.event, now))
-            return;
-        std::vector<LogField> fields;
-        fields.reserve(action.fields.size());
-        for (const auto& [key, value] : action.fields)
-            fields.push_back({ key, value });
-        logEvent(LogLevel::Info, action.event, fields);
-    }
-
-private:
-    CallerPort& callers;
-    UpstreamPort& upstreams;
-    LineBudget& lines;
-    SiblingWishes siblings;
-};
-
 /// A statement of a sibling that waits for its answer here.
 struct GuestWait {
     GuestWait(asio::io_context& context, Instant deadline)
@@ -122,9 +65,19 @@
     {
     }
 
+    /// Carries out everything that the engine wants done.
     void performAll();
-    [[nodiscard]] SiblingWishes wishes();
-    void handWork(const HandWork& action);
+    void perform(const OpenConnection& action);
+    void perform(const SendStatement& action);
+    void perform(const CloseConnection& action);
+    void perform(const AcceptCaller& action);
+    void perform(const AnswerCaller& action);
+    void perform(const CloseCaller& action);
+    void perform(const AskForTokens& action);
+    void perform(const HandWork& action);
+    void perform(const LetGuestGo& action);
+    void perform(const AnswerGuest& action);
+    void perform(const LogDecision& action);
     [[nodiscard]] asio::awaitable<std::string> runForSibling(std::string body, Instant deadline);
 
     Options options;
@@ -190,38 +143,52 @@
     if (this->performing)
         return;
     this->performing = true;
-    Performer performer { this->options.callers, this->options.upstreams, this->lines, this->wishes() };
     for (auto actions = this->engine.takeActions(); !actions.empty(); actions = this->engine.takeActions()) {
         for (const auto& action : actions)
-            std::visit(performer, action);
+            std::visit([this](const auto& wanted) { this->perform(wanted); }, action);
     }
     this->performing = false;
 }
 
-SiblingWishes SessionTraffic::State::wishes()
+void SessionTraffic::State::perform(const OpenConnection& action)
 {
-    SiblingWishes wishes;
-    wishes.askForTokens = [this](const AskForTokens& ask) {
-        this->exchange.askForTokens(ask.team, ask.wanted, [this, team = ask.team](std::uint32_t given) {
-            this->engine.tokensReceived(team, given, bootNow());
-            this->performAll();
-        });
-    };
-    wishes.handWork = [this](const HandWork& action) { this->handWork(action); };
-    wishes.letGuestGo = [this](const LetGuestGo& action) {
-        this->exchange.tellGuestLeft(action.home, home_codec::encodeGuest(action.guest));
-    };
-    wishes.answerGuest = [this](const AnswerGuest& action) {
-        const auto wait = this->guests.find(action.guest);
-        if (wait == this->guests.end())
-            return;
-        wait->second->reply = action.reply;
-        wait->second->timer.cancel();
-    };
-    return wishes;
+    this->options.upstreams.open(action.connection, action.upstream, action.team);
+}
+
+void SessionTraffic::State::perform(const SendStatement& action)
+{
+    this->options.upstreams.send(action.connection, action.statement);
+}
+
+void SessionTraffic::State::perform(const CloseConnection& action)
+{
+    this->options.upstreams.close(action.connection);
+}
+
+void SessionTraffic::State::perform(const AcceptCaller& action)
+{
+    this->options.callers.accept(action.caller);
+}
+
+void SessionTraffic::State::perform(const AnswerCaller& action)
+{
+    this->options.callers.answer(action.caller, action.reply);
+}
+
+void SessionTraffic::State::perform(const CloseCaller& action)
+{
+    this->options.callers.close(action.caller, action.failure);
+}
+
+void SessionTraffic::State::perform(const AskForTokens& action)
+{
+    this->exchange.askForTokens(action.team, action.wanted, [this, team = action.team](std::uint32_t given) {
+        this->engine.tokensReceived(team, given, bootNow());
+        this->performAll();
+    });
 }
 
-void SessionTraffic::State::handWork(const HandWork& action)
+void SessionTraffic::State::perform(const HandWork& action)
 {
     const auto done = [this, caller = action.caller](SiblingExchange::HomeAnswer answer) {
         const auto now = bootNow();
@@ -240,6 +207,35 @@
     this->exchange.handOn(action.home, home_codec::encode(action.work), action.timeLimit, done);
 }
 
+void SessionTraffic::State::perform(const LetGuestGo& action)
+{
+    this->exchange.tellGuestLeft(action.home, home_codec::encodeGuest(action.guest));
+}
+
+void SessionTraffic::State::perform(const AnswerGuest& action)
+{
+    const auto wait = this->guests.find(action.guest);
+    if (wait == this->guests.end())
+        return;
+    wait->second->reply = action.reply;
+    wait->second->timer.cancel();
+}
+
+void SessionTraffic::State::perform(const LogDecision& action)
+{
+    const auto now = bootNow();
+    if (const auto count = this->lines.takeLeftOut(action.event, now))
+        logEvent(LogLevel::Warn, "lines_left_out",
+            { { "of", action.event }, { "count", std::to_string(*count) } });
+    if (!this->lines.take(action.event, now))
+        return;
+    std::vector<LogField> fields;
+    fields.reserve(action.fields.size());
+    for (const auto& [key, value] : action.fields)
+        fields.push_back({ key, value });
+    logEvent(LogLevel::Info, action.event, fields);
+}
+
 asio::awaitable<std::string> SessionTraffic::State::runForSibling(std::string body, Instant deadline)
 {
     auto work = home_codec::decodeWork(body);
@@ -257,9 +253,8 @@
         this->guests.erase(entry);
     if (const auto reply = wait->reply)
         co_return home_codec::encode(*reply);
-    throw RequestError { { .outcome = Outcome::Unknown,
-        .reason = RefusalReason::DeadlineExceeded,
-        .message = "the statement goes on, but its caller's time is over" } };
+    throw outcomeUnknown(
+        RefusalReason::DeadlineExceeded, "the statement goes on, but its caller's time is over");
 }
 
 void SessionTraffic::connected(CallerId caller) { this->state->engine.callerConnected(caller, bootNow()); }
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -29,12 +29,7 @@
 // Each further question costs the waiting operation a round trip.
 constexpr std::size_t siblingsAsked = 3;
 
-[[noreturn]] void refuse(const char* message)
-{
-    throw RequestError {
-        { .outcome = Outcome::NotRun, .reason = RefusalReason::BadRequest, .message = message }
-    };
-}
+[[noreturn]] void refuse(const char* message) { throw notRun(RefusalReason::BadRequest, message); }
 
 } // namespace
 
--- a/src/telemetry/event_log.cpp
+++ b/src/telemetry/event_log.cpp
@@ -69,16 +69,18 @@
 protected:
     void append(const log4cplus::spi::InternalLoggingEvent& event) override
     {
-        if (this->leftOut > 0) {
+        const auto leftOut = this->queue->takeLeftOut();
+        std::string text;
+        if (leftOut > 0) {
             const log4cplus::spi::InternalLoggingEvent told { event.getLoggerName(),
                 log4cplus::WARN_LOG_LEVEL,
-                cyclamendrift::formatEvent("lines_lost", { { "count", std::to_string(this->leftOut) } }),
-                __FILE__, __LINE__ };
-            if (this->queue->put(this->textOf(told)))
-                this->leftOut = 0;
+                cyclamendrift::formatEvent("lines_lost", { { "count", std::to_string(leftOut) } }), __FILE__,
+                __LINE__ };
+            text = this->textOf(told);
         }
-        if (!this->queue->put(this->textOf(event)))
-            ++this->leftOut;
+        text += this->textOf(event);
+        // A line without room is counted by the queue, and told with the next one that has room.
+        static_cast<void>(this->queue->put(text, leftOut + 1));
     }
 
 private:
@@ -90,7 +92,6 @@
     }
 
     std::shared_ptr<LineQueue> queue;
-    std::uint64_t leftOut = 0;
 };
 
 /// Where lines go now; kept here as well, so that the end of the process can wait for what is left.
--- a/src/telemetry/line_queue.cpp
+++ b/src/telemetry/line_queue.cpp
@@ -41,12 +41,12 @@
     this->state->changed.notify_all();
 }
 
-bool LineQueue::put(std::string_view line)
+bool LineQueue::put(std::string_view line, std::uint64_t standsFor)
 {
     const std::lock_guard lock { this->state->mutex };
     auto& waiting = this->state->waiting;
     if (waiting.size() + line.size() > this->state->options.maxBytes) {
-        ++this->state->leftOut;
+        this->state->leftOut += standsFor;
         return false;
     }
     // The thread looks again after its rest; it need not be woken for each line.
--- a/src/transactions/transaction_table.cpp
+++ b/src/transactions/transaction_table.cpp
@@ -11,11 +11,6 @@
 
 constexpr char homeSeparator = '/';
 
-RequestError notRun(RefusalReason reason, std::string message, Duration retryAfter = {})
-{
-    return RequestError { { Outcome::NotRun, reason, std::move(message), retryAfter } };
-}
-
 } // namespace
 
 TransactionTable::TransactionTable(Options options, RandomSource& random)
--- a/tests/pooling/handed_work_test.cpp
+++ b/tests/pooling/handed_work_test.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-StatementError errorOf(const Reply& reply)
-{
-    REQUIRE(reply.failure);
-    return reply.failure->error;
-}
-
 const PoolWorld::Options throughHome { .freshness = ReadOwnWritesRoute { 2500ms }, .throughHome = true };
 
 /// Fails the next statement that is handed on, and none after it.
--- a/tests/pooling/pool_world.cpp
+++ b/tests/pooling/pool_world.cpp
@@ -50,6 +50,12 @@
 
 } // namespace
 
+StatementError errorOf(const Reply& reply)
+{
+    REQUIRE(reply.failure);
+    return reply.failure->error;
+}
+
 PoolWorld::PoolWorld(Options options)
     : engine({ .zone = ZoneName { "palermo" } })
 {
--- a/tests/pooling/pool_world.h
+++ b/tests/pooling/pool_world.h
@@ -50,6 +50,9 @@
     std::optional<Progress> after;
 };
 
+/// The error of an answer that has to be a failure.
+[[nodiscard]] StatementError errorOf(const Reply& reply);
+
 class PoolWorld {
 public:
     struct Options {
--- a/tests/pooling/session_engine_test.cpp
+++ b/tests/pooling/session_engine_test.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-StatementError errorOf(const Reply& reply)
-{
-    REQUIRE(reply.failure);
-    return reply.failure->error;
-}
-
 const PoolWorld::Options ownWrites { .freshness = ReadOwnWritesRoute { 2500ms } };
 const PoolWorld::Options bounded { .freshness = BoundedStalenessRoute { 1500ms } };
 
