Let a VM whose part of the connections suffices serve its callers itself

Cause: with homes, all work of a team and service goes to one VM, however much it has to do and whatever became of it.

Change: homes are used for a service only where an even part of an upstream's connections is below four; the decision follows what upstreams bear for each VM, not how many VMs there are.

--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -31,12 +31,14 @@
     Duration borrowPause = std::chrono::milliseconds { 500 };
     /// A connection that nobody has used for so long is closed. A VM's share does not cover all its teams, so
     /// a connection that is kept longer is rather in the way of another team's; and when all VMs lose power,
-    /// what was open then stays taken at the upstreams for three seconds more. Of 0.2, 0.4, 0.7, 1.0 and 1.5
-    /// s the first two did best on both users' heavy days.
+    /// what was open then stays taken at the upstreams for three seconds more.
     Duration idleTime = std::chrono::milliseconds { 200 };
     /// The same where services have homes, which have a connection for most of their teams: small teams ask
     /// about once a second.
     Duration idleTimeAtHome = std::chrono::milliseconds { 1000 };
+    /// A VM whose even part of an upstream's connections is as large serves its callers by itself, without
+    /// homes: a statement and a transaction at rest for each of two teams.
+    std::size_t ownPartSuffices = 4;
     /// Subtracted from the staleness that a route allows, for the way of the statement to the upstream.
     Duration stalenessMargin = std::chrono::milliseconds { 100 };
     /// Work that waits for a view of the primary is refused after this part of its target latency; by then
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -451,7 +451,8 @@
     for (const auto id : idle) {
         auto& connection = this->connections.at(static_cast<std::uint64_t>(id));
         const auto& upstream = this->upstreamOf(connection);
-        const auto kept = this->place.homes ? settings.idleTimeAtHome : settings.idleTime;
+        const bool atHome = this->homesOf(connection.service) != nullptr;
+        const auto kept = atHome ? settings.idleTimeAtHome : settings.idleTime;
         const bool spare = this->now - connection.idleSince >= kept;
         if (spare || !upstream.listed || upstream.entry.draining)
             this->close(connection);
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -18,6 +18,12 @@
 // A refusal by a replica that is behind costs a round trip and a place at the next upstream.
 constexpr double behindCost = 0.6;
 
+// One connection stays free for asking after the upstream's status.
+std::size_t usableOf(std::uint32_t connectionCap)
+{
+    return connectionCap > 1 ? connectionCap - 1 : connectionCap;
+}
+
 } // namespace
 
 void SessionEngine::State::enqueue(CallerSession& session)
@@ -213,18 +219,21 @@
 
 std::size_t SessionEngine::State::shareOf(const UpstreamState& upstream) const
 {
-    const std::size_t all = this->connectionCapOf(upstream.entry.service);
-    if (this->place.homes)
-        return this->place.homes->shareOf(upstream.entry.service, static_cast<std::uint32_t>(all));
-    // One connection stays free for asking after the upstream's status.
-    const auto usable = all > 1 ? all - 1 : all;
+    const auto cap = this->connectionCapOf(upstream.entry.service);
+    if (auto* homes = this->homesOf(upstream.entry.service))
+        return homes->shareOf(upstream.entry.service, cap);
     if (this->place.vms == 0)
         return 1;
     const auto vms = this->place.vms;
     // What does not divide evenly goes to other VMs at each upstream.
     const auto turn = std::hash<std::string_view> {}(upstream.entry.name.view());
-    const bool extra = (this->place.rank + turn) % vms < usable % vms;
-    return std::max<std::size_t>(usable / vms + (extra ? 1 : 0), 1);
+    const bool extra = (this->place.rank + turn) % vms < usableOf(cap) % vms;
+    return std::max<std::size_t>(this->ownPartOf(cap) + (extra ? 1 : 0), 1);
+}
+
+std::size_t SessionEngine::State::ownPartOf(std::uint32_t connectionCap) const
+{
+    return this->place.vms == 0 ? 0 : usableOf(connectionCap) / this->place.vms;
 }
 
 void SessionEngine::State::openFor(GroupState& group, UpstreamState& upstream, CallerSession& session)
--- a/src/pooling/engine_homes.cpp
+++ b/src/pooling/engine_homes.cpp
@@ -30,15 +30,24 @@
     return cap == this->routes->connectionCaps.end() ? 1 : cap->second;
 }
 
+GroupHomes* SessionEngine::State::homesOf(const ServiceName& service) const
+{
+    // A hop to a home costs time and bytes between availability zones, and a home that dies takes along what
+    // all VMs had there. Both are paid only where this VM could not serve its callers by itself.
+    const bool alone
+        = this->ownPartOf(this->connectionCapOf(service)) >= this->options.settings.ownPartSuffices;
+    return alone ? nullptr : this->place.homes.get();
+}
+
 std::optional<VmName> SessionEngine::State::homeFor(const CallerSession& session) const
 {
-    if (session.guest || !this->place.homes)
-        return std::nullopt;
-    auto& homes = *this->place.homes;
     const auto& service = session.route.service;
+    auto* homes = session.guest ? nullptr : this->homesOf(service);
+    if (homes == nullptr)
+        return std::nullopt;
     std::size_t tried = 0;
-    for (const auto& vm : homes.orderFor(service, session.team, this->connectionCapOf(service))) {
-        if (vm == homes.self() || tried++ == homesTried)
+    for (const auto& vm : homes->orderFor(service, session.team, this->connectionCapOf(service))) {
+        if (vm == homes->self() || tried++ == homesTried)
             return std::nullopt;
         const auto paused = this->homePausedUntil.find(vm);
         if (paused == this->homePausedUntil.end() || this->now >= paused->second)
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -136,6 +136,8 @@
     void letGuestGo(CallerSession& session);
     void finishHandedInTransaction(CallerSession& session);
     void answerGuest(CallerSession& session, Reply reply);
+    /// The homes of a service; null where every VM serves its callers by itself.
+    [[nodiscard]] GroupHomes* homesOf(const ServiceName& service) const;
     [[nodiscard]] std::uint32_t connectionCapOf(const ServiceName& service) const;
 
     // engine_dispatch
@@ -152,6 +154,8 @@
         const CallerSession& session, const std::optional<NeededProgress>& needed) const;
     [[nodiscard]] PooledConnection* idleConnection(UpstreamState& upstream, const TeamName& team);
     [[nodiscard]] PooledConnection* oldestIdle(const UpstreamState& upstream);
+    /// What every VM may hold of the connections that an upstream bears, were they divided evenly.
+    [[nodiscard]] std::size_t ownPartOf(std::uint32_t connectionCap) const;
     /// This VM's share of an upstream's connections, with what it may borrow of other VMs'.
     [[nodiscard]] std::size_t allowedAt(const UpstreamState& upstream) const;
     /// True when a connection may be opened, if need be in the place of an idle one.
--- a/tests/pooling/pool_world.cpp
+++ b/tests/pooling/pool_world.cpp
@@ -89,7 +89,7 @@
         // The home is the only VM on the list, so that it is the home of everything.
         const auto homes = std::make_shared<GroupHomes>(
             VmName { "entry" }, std::map<VmName, VmStrength> { { VmName { "home" }, {} } });
-        this->entry->setPlace({ .vms = 1, .rank = 0, .homes = homes }, this->now);
+        this->entry->setPlace({ .vms = options.vms, .rank = 0, .homes = homes }, this->now);
     }
     this->publishDirectory();
     this->lead("primary", 1);
--- a/tests/pooling/pool_world.h
+++ b/tests/pooling/pool_world.h
@@ -62,6 +62,8 @@
         std::map<TeamName, TeamLimit> limits {};
         /// Callers come to another VM, which hands their statements to this one as the home of the service.
         bool throughHome = false;
+        /// VMs that share the upstreams' connections, as the VM that callers come to knows them then.
+        std::size_t vms = 4;
     };
 
     explicit PoolWorld(Options options);
