Let a team's urgent operations into its limit first

Change: what waits for a limit is ordered by its route's priority, then by arrival, and the wait that an operation is told reckons only with what goes before it.

--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -191,9 +191,11 @@
 void SessionEngine::State::waitForBudget(CallerSession& session, Budget& budget, CallerQuery query)
 {
     const auto patience = session.route.targetLatency / this->options.settings.admissionWaitDivisor;
+    const auto place = this->placeInLine(budget, session.route.priority);
+    const auto ahead = std::distance(budget.waiting.begin(), place);
     // Siblings that had nothing a moment ago have nothing now: what this VM's own share will not let in soon
     // enough is refused at once.
-    const auto ownTime = budget.share.timeToNext(this->now) * static_cast<int>(budget.waiting.size() + 1);
+    const auto ownTime = budget.share.timeToNext(this->now) * static_cast<int>(ahead + 1);
     const bool siblingsSpent = !budget.asking && this->now < budget.askAgainAt;
     if (siblingsSpent && ownTime > patience) {
         this->refuse(session, StatementError::Busy, adviceText("the team is over its rate", ownTime));
@@ -201,10 +203,21 @@
     }
     session.waiting = std::make_unique<WaitingOperation>(
         WaitingOperation { .query = std::move(query), .until = this->now + patience });
-    budget.waiting.push_back(session.id);
+    budget.waiting.insert(place, session.id);
     this->admitWaiting(session.team, budget);
 }
 
+std::deque<CallerId>::iterator SessionEngine::State::placeInLine(Budget& budget, std::uint32_t priority)
+{
+    // A team that asks for several times its rate has most of it refused. In order of arrival what waits
+    // longest would get in, which is what has the most time; urgent operations, with the least patience,
+    // would be refused first.
+    return std::find_if(budget.waiting.begin(), budget.waiting.end(), [this, priority](CallerId id) {
+        const auto* other = this->findCaller(id);
+        return other != nullptr && other->route.priority > priority;
+    });
+}
+
 void SessionEngine::State::admitWaiting(const TeamName& team, Budget& budget)
 {
     while (!budget.waiting.empty()) {
@@ -213,21 +226,15 @@
             budget.waiting.pop_front();
             continue;
         }
-        if (budget.share.tryTake(this->now)) {
-            budget.waiting.pop_front();
-            auto query = std::move(session->waiting->query);
-            session->waiting.reset();
-            session->charged = true;
-            this->runOperation(*session, std::move(query));
-            continue;
-        }
-        if (this->now < session->waiting->until)
+        if (!budget.share.tryTake(this->now))
             break;
         budget.waiting.pop_front();
+        auto query = std::move(session->waiting->query);
         session->waiting.reset();
-        this->refuse(*session, StatementError::Busy,
-            adviceText("the team is over its rate", budget.share.timeToNext(this->now)));
+        session->charged = true;
+        this->runOperation(*session, std::move(query));
     }
+    this->refuseOverRate(budget);
     if (budget.waiting.empty() || budget.asking || this->now < budget.askAgainAt)
         return;
     budget.asking = true;
@@ -239,6 +246,25 @@
     this->actions.emplace_back(AskForTokens { .team = team, .wanted = wanted });
 }
 
+void SessionEngine::State::refuseOverRate(Budget& budget)
+{
+    std::vector<CallerId> overdue;
+    for (const auto id : budget.waiting) {
+        const auto* session = this->findCaller(id);
+        if (session == nullptr || !session->waiting || this->now >= session->waiting->until)
+            overdue.push_back(id);
+    }
+    for (const auto id : overdue) {
+        std::erase(budget.waiting, id);
+        auto* session = this->findCaller(id);
+        if (session == nullptr || !session->waiting)
+            continue;
+        session->waiting.reset();
+        this->refuse(*session, StatementError::Busy,
+            adviceText("the team is over its rate", budget.share.timeToNext(this->now)));
+    }
+}
+
 void SessionEngine::State::runOperation(CallerSession& session, CallerQuery query)
 {
     if (const auto* wanted = std::get_if<BeginTransaction>(&query.statement))
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -122,6 +122,10 @@
     void startOperation(CallerSession& session, CallerQuery query);
     [[nodiscard]] bool checkPermission(CallerSession& session);
     void waitForBudget(CallerSession& session, Budget& budget, CallerQuery query);
+    /// Where an operation of that priority comes in among those that wait for their team's limit.
+    [[nodiscard]] std::deque<CallerId>::iterator placeInLine(Budget& budget, std::uint32_t priority);
+    /// Refuses what has waited for its team's limit as long as it may.
+    void refuseOverRate(Budget& budget);
     void runOperation(CallerSession& session, CallerQuery query);
     void begin(CallerSession& session, const BeginTransaction& wanted);
     void rollback(CallerSession& session);
--- a/tests/pooling/heavy_load_test.cpp
+++ b/tests/pooling/heavy_load_test.cpp
@@ -7,6 +7,17 @@
 using namespace cyclamendrift;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// Puts the world's routes in force as their next version.
+void publishRoutes(PoolWorld& world)
+{
+    ++world.routes->version;
+    world.engine.setRoutes(std::make_shared<RouteTable>(*world.routes), world.now);
+}
+
+} // namespace
+
 TEST_SUITE("decisions under heavy load")
 {
     TEST_CASE("a VM whose own part of the connections suffices hands nothing to a home")
@@ -23,4 +34,28 @@
         CHECK(world.handed.empty());
         CHECK(world.entry->connections() > 0);
     }
+
+    TEST_CASE("of a team that is over its rate the most urgent operations are let in first")
+    {
+        // One team asks for several times its rate, with all kinds of operations. Each waits for the limit a
+        // part of its own target, so the leisurely ones waited longest and got in, while nearly all of the
+        // urgent ones were refused.
+        PoolWorld world { { .limits = { { TeamName { "a" }, { .ratePerSecond = 10, .burst = 1 } } } } };
+        world.routes->routes["history"] = world.routes->routes["beds"];
+        world.routes->routes["history"].priority = 2;
+        publishRoutes(world);
+        world.engine.setShares({ { TeamName { "a" }, { .ratePerSecond = 4, .burst = 1 } } }, world.now);
+        const auto first = world.connect("key-a", "history");
+        const auto leisurely = world.connect("key-a", "history");
+        const auto urgent = world.connect("key-a", "beds");
+        CHECK_FALSE(world.run(first, "f/1", "READ 1").failure);
+        world.ask(leisurely, "l/1", "READ 1");
+        world.ask(urgent, "u/1", "READ 1");
+        world.engine.tokensReceived(TeamName { "a" }, 1, world.now);
+        world.pass(1ms);
+        CHECK_FALSE(world.answer(urgent).failure);
+        CHECK(world.answers(leisurely).empty());
+        world.pass(60ms);
+        CHECK(errorOf(world.answer(leisurely)) == StatementError::Busy);
+    }
 }
