Refuse reads at once that no upstream may run before there is a primary

Change: a read without a position counts as depending on the primary: refused at once while one is being replaced, after a quarter of its target while none is known, with that reason.

--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -29,7 +29,7 @@
 void SessionEngine::State::enqueue(CallerSession& session)
 {
     auto& group = this->group(session.route.service);
-    if (session.work->needsPrimary && group.view.phase == LeaderView::Phase::Changing) {
+    if (group.view.phase == LeaderView::Phase::Changing && this->isLeaderless(group, session)) {
         this->refuse(session, StatementError::Busy,
             adviceText("the primary is being replaced", this->options.settings.changeAdvice));
         return;
@@ -38,6 +38,13 @@
     this->pump(group);
 }
 
+bool SessionEngine::State::isLeaderless(const GroupState& group, const CallerSession& session) const
+{
+    // A replica can only be named a position to read at when one was seen while the primary was known to
+    // lead. After a restart there is none, and reads depend on the primary as writes do.
+    return !group.view.holds(this->now) && !this->neededProgress(group, session);
+}
+
 void SessionEngine::State::pump(GroupState& group)
 {
     if (group.waiting.empty())
@@ -297,7 +304,7 @@
         if (session == nullptr || !session->work || session->work->connection)
             continue;
         const auto& work = *session->work;
-        const bool leaderless = work.needsPrimary && !group.view.holds(this->now);
+        const bool leaderless = this->isLeaderless(group, *session);
         const auto patience = (work.offerBy - work.arrivedAt) / this->options.settings.leaderlessWaitDivisor;
         const bool hopeless = leaderless
             && (group.view.phase == LeaderView::Phase::Changing || this->now >= work.arrivedAt + patience);
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -146,6 +146,8 @@
 
     // engine_dispatch
     void assign(GroupState& group, CallerSession& session);
+    /// True when no upstream may run the session's work before a primary is known to lead.
+    [[nodiscard]] bool isLeaderless(const GroupState& group, const CallerSession& session) const;
     /// `needed` is what neededProgress() says of the session.
     [[nodiscard]] bool canServe(const GroupState& group, const UpstreamState& upstream,
         const CallerSession& session, const std::optional<NeededProgress>& needed) const;
--- a/tests/pooling/heavy_load_test.cpp
+++ b/tests/pooling/heavy_load_test.cpp
@@ -58,4 +58,18 @@
         world.pass(60ms);
         CHECK(errorOf(world.answer(leisurely)) == StatementError::Busy);
     }
+
+    TEST_CASE("a read that depends on the primary is refused at once while the primary is being replaced")
+    {
+        // All VMs lose power while a primary is being replaced. The restarted ones have seen no position that
+        // they could name to a replica, so no upstream may answer even a read. Held back until its target had
+        // passed it would be refused all the same, with less time left for another try.
+        PoolWorld world { { .freshness = BoundedStalenessRoute { 1500ms } } };
+        world.setChanging();
+        const auto caller = world.connect();
+        const auto reply = world.run(caller, "c/1", "READ 1");
+        CHECK(errorOf(reply) == StatementError::Busy);
+        CHECK(reply.failure->text.find("retry after") != std::string::npos);
+        CHECK(world.runs().empty());
+    }
 }
