Leave half of a VM's connections unopened while idle ones make room

Cause: after a loss of power upstreams count the dead VMs' connections for three seconds more.

Change: beyond half of its part a VM closes an idle connection for each that it opens, so that the other half is free when everything restarts. Statements that run together still get all of it.

--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -243,9 +243,17 @@
     return this->place.vms == 0 ? 0 : usableOf(connectionCap) / this->place.vms;
 }
 
+std::size_t SessionEngine::State::keptAt(const UpstreamState& upstream) const
+{
+    // When all VMs lose power, an upstream takes what they had open for taken for seconds more. The half that
+    // stays free in quiet times is what the restarted VMs serve their callers on meanwhile; without it they
+    // are refused for want of connections.
+    return std::max<std::size_t>(this->shareOf(upstream) / 2, 1);
+}
+
 void SessionEngine::State::openFor(GroupState& group, UpstreamState& upstream, CallerSession& session)
 {
-    if (upstream.connections.size() >= this->allowedAt(upstream)) {
+    if (upstream.connections.size() >= this->keptAt(upstream)) {
         if (auto* oldest = this->oldestIdle(upstream))
             this->close(*oldest);
     }
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -164,6 +164,8 @@
     [[nodiscard]] std::size_t ownPartOf(std::uint32_t connectionCap) const;
     /// This VM's share of an upstream's connections, with what it may borrow of other VMs'.
     [[nodiscard]] std::size_t allowedAt(const UpstreamState& upstream) const;
+    /// Connections beyond which an idle one is closed for each that is opened.
+    [[nodiscard]] std::size_t keptAt(const UpstreamState& upstream) const;
     /// True when a connection may be opened, if need be in the place of an idle one.
     [[nodiscard]] bool hasRoom(const UpstreamState& upstream);
     void openFor(GroupState& group, UpstreamState& upstream, CallerSession& session);
--- a/tests/pooling/heavy_load_test.cpp
+++ b/tests/pooling/heavy_load_test.cpp
@@ -16,6 +16,18 @@
     world.engine.setRoutes(std::make_shared<RouteTable>(*world.routes), world.now);
 }
 
+/// One session for each of so many teams.
+std::vector<CallerId> connectTeams(PoolWorld& world, int teams)
+{
+    for (int number = 0; number < teams; ++number)
+        world.routes->keys["key " + std::to_string(number)] = TeamName { "team-" + std::to_string(number) };
+    publishRoutes(world);
+    std::vector<CallerId> callers;
+    for (int number = 0; number < teams; ++number)
+        callers.push_back(world.connect("key " + std::to_string(number)));
+    return callers;
+}
+
 } // namespace
 
 TEST_SUITE("decisions under heavy load")
@@ -72,4 +84,26 @@
         CHECK(reply.failure->text.find("retry after") != std::string::npos);
         CHECK(world.runs().empty());
     }
+
+    TEST_CASE("half of a VM's connections stay unopened while idle ones can make room")
+    {
+        // Eight teams ask in turn, and each gets a connection of its own. All VMs lose power: their upstream
+        // takes every one of these connections for open for three seconds more and turns the restarted VMs
+        // away.
+        PoolWorld world { { .replicas = 0, .connectionCap = 9 } };
+        const auto callers = connectTeams(world, 8);
+        for (std::size_t index = 0; index < callers.size(); ++index)
+            CHECK_FALSE(world.run(callers[index], std::to_string(index) + "/1", "READ 1").failure);
+        CHECK(world.openConnections() == 4);
+    }
+
+    TEST_CASE("statements that come together get all of a VM's connections")
+    {
+        PoolWorld world { { .replicas = 0, .connectionCap = 9 } };
+        const auto callers = connectTeams(world, 6);
+        world.holding = true;
+        for (std::size_t index = 0; index < callers.size(); ++index)
+            world.ask(callers[index], std::to_string(index) + "/1", "READ 1");
+        CHECK(world.engine.connections() == 6);
+    }
 }
