Let the next VM read the store in the place of a reader that cannot

Cause: at 81 VMs two read who leads from the store and the others ask them.

Change: ReaderChoice names the readers as one VM sees them; one whose answer is missing or too old is passed over for a second, the next of the order is asked in the same round, and that one counts itself as a reader.

--- a/include/cyclamendrift/cyclamendrift.h
+++ b/include/cyclamendrift/cyclamendrift.h
@@ -42,6 +42,7 @@
 #include <cyclamendrift/membership/home_cache.h>
 #include <cyclamendrift/membership/home_map.h>
 #include <cyclamendrift/membership/membership_view.h>
+#include <cyclamendrift/membership/reader_choice.h>
 #include <cyclamendrift/schema/key_hash.h>
 #include <cyclamendrift/schema/outcome_codec.h>
 #include <cyclamendrift/schema/schema_difference.h>
--- /dev/null
+++ b/include/cyclamendrift/membership/reader_choice.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cyclamendrift/core/identifier.h>
+#include <cyclamendrift/core/instant.h>
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace cyclamendrift {
+
+/// Which VMs read the store for the others, as one VM sees it: the first ones of an order that all VMs know,
+/// without those that could not help it lately. The next ones take the place of these and read as well, so
+/// that a reader that is gone, or that the store turns away, does not make every VM read for itself.
+///
+///     choice.setOrder(strongestFirst(strengths), readers);
+///     while (const auto reader = choice.readerFor(self, rank, now))
+///         if (!answers(*reader)) choice.passOver(*reader, now + pause);
+class ReaderChoice {
+public:
+    /// Takes the order of all VMs in, and how many of them read.
+    void setOrder(std::vector<VmName> vms, std::size_t wanted);
+
+    /// The VM to ask; empty when this VM is to read the store itself. `rank` spreads the VMs over readers.
+    [[nodiscard]] std::optional<VmName> readerFor(const VmName& self, std::size_t rank, Instant now) const;
+
+    /// This VM did not answer, or had read nothing lately; others take its place until then.
+    void passOver(const VmName& reader, Instant until);
+
+private:
+    [[nodiscard]] bool isPassedOver(const VmName& vm, Instant now) const;
+
+    std::vector<VmName> order;
+    std::size_t readers = 1;
+    std::map<VmName, Instant> passedOverUntil;
+};
+
+} // namespace cyclamendrift
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -53,9 +53,9 @@
     /// One VM for so many reads who leads from the store, and the others ask it: each call to the store is
     /// paid for, and its rates grow more slowly than the fleet.
     std::size_t vmsPerReader = 48;
-    /// What a sibling read longer ago than this is no use; the store is read instead.
+    /// What a sibling read longer ago than this is no use.
     Duration readingsUsable = std::chrono::milliseconds { 550 };
-    /// A reader that failed to answer is not asked again for so long.
+    /// A reader that did not answer, or had nothing of use, is not asked again for so long.
     Duration readerPause = std::chrono::milliseconds { 1000 };
     /// Ticks of the coordinators.
     Duration tickInterval = std::chrono::milliseconds { 50 };
--- /dev/null
+++ b/src/membership/reader_choice.cpp
@@ -0,0 +1,37 @@
+#include <cyclamendrift/membership/reader_choice.h>
+
+#include <utility>
+
+namespace cyclamendrift {
+
+void ReaderChoice::setOrder(std::vector<VmName> vms, std::size_t wanted)
+{
+    this->order = std::move(vms);
+    this->readers = wanted;
+}
+
+std::optional<VmName> ReaderChoice::readerFor(const VmName& self, std::size_t rank, Instant now) const
+{
+    std::vector<VmName> reading;
+    for (const auto& vm : this->order) {
+        if (reading.size() == this->readers)
+            break;
+        if (vm == self)
+            return std::nullopt;
+        if (!this->isPassedOver(vm, now))
+            reading.push_back(vm);
+    }
+    if (reading.empty())
+        return std::nullopt;
+    return reading[rank % reading.size()];
+}
+
+void ReaderChoice::passOver(const VmName& reader, Instant until) { this->passedOverUntil[reader] = until; }
+
+bool ReaderChoice::isPassedOver(const VmName& vm, Instant now) const
+{
+    const auto passed = this->passedOverUntil.find(vm);
+    return passed != this->passedOverUntil.end() && now < passed->second;
+}
+
+} // namespace cyclamendrift
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -221,7 +221,8 @@
     this->siblings = std::move(next);
     const auto strengths = strengthsOf(this->siblings);
     this->holders = LimitHolders { strengths };
-    this->readingOrder = strongestFirst(strengths);
+    const auto readers = 1 + strengths.size() / this->options.settings.vmsPerReader;
+    this->readerChoice.setOrder(strongestFirst(strengths), readers);
     const auto own = this->siblings.find(this->options.vm);
     const bool listed = own != this->siblings.end();
     if (listed && this->toldUnder == LeaseId::None)
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -60,40 +60,28 @@
 
 bool SessionControl::State::isReader() const
 {
-    if (!this->siblingsOpen || this->siblings.empty())
-        return true;
-    const auto last = this->readingOrder.begin()
-        + static_cast<std::ptrdiff_t>(std::min(this->readers(), this->readingOrder.size()));
-    return std::find(this->readingOrder.begin(), last, this->options.vm) != last;
+    return !this->siblingsOpen
+        || !this->readerChoice.readerFor(this->options.vm, this->place.rank, bootNow());
 }
 
-std::size_t SessionControl::State::readers() const
+asio::awaitable<bool> SessionControl::State::askReaders()
 {
-    return 1 + this->siblings.size() / this->options.settings.vmsPerReader;
-}
-
-const SiblingInfo* SessionControl::State::readerToAsk() const
-{
-    const auto now = bootNow();
-    std::vector<const SiblingInfo*> usable;
-    // In the place of readers that failed come the next ones: they read the store as well when no reader
-    // answers them.
-    for (const auto& vm : this->readingOrder) {
-        const auto failed = this->readerFailedUntil.find(vm);
-        const bool paused = failed != this->readerFailedUntil.end() && now < failed->second;
-        if (vm != this->options.vm && !paused && usable.size() < this->readers())
-            usable.push_back(&this->siblings.at(vm));
+    // A second question still leaves time to read the store before this VM's views of primaries end.
+    constexpr int readersTried = 2;
+    for (int tried = 0; tried < readersTried; ++tried) {
+        const auto reader = this->readerChoice.readerFor(this->options.vm, this->place.rank, bootNow());
+        if (!reader)
+            break;
+        const auto address = this->siblings.at(*reader).address;
+        if (co_await this->askReader(address))
+            co_return true;
+        this->readerChoice.passOver(*reader, bootNow() + this->options.settings.readerPause);
     }
-    // The VMs spread over the readers.
-    return usable.empty() ? nullptr : usable[this->place.rank % usable.size()];
+    co_return false;
 }
 
-asio::awaitable<bool> SessionControl::State::askReader()
+asio::awaitable<bool> SessionControl::State::askReader(SiblingAddress address)
 {
-    const auto* reader = this->readerToAsk();
-    if (reader == nullptr)
-        co_return false;
-    const auto address = reader->address;
     wire::ReadingsRequest request;
     request.set_configuration_revision(this->configurationRevision);
     request.set_vms_revision(this->vmListing.revision);
@@ -110,7 +98,6 @@
     } catch (const Error& error) {
         logEvent(LogLevel::Info, "reader_not_reached",
             { { "vm", address.vm.string() }, { "reason", error.what() } });
-        this->readerFailedUntil[address.vm] = bootNow() + this->options.settings.readerPause;
         co_return false;
     }
     this->takeReadings(answer, askedAt);
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cyclamendrift/membership/reader_choice.h>
 #include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/session_proxy/session_control.h>
 
@@ -84,7 +85,7 @@
     SiblingList siblings;
     LimitHolders holders;
     /// The VMs in the order in which they are to read the store for the others.
-    std::vector<VmName> readingOrder;
+    ReaderChoice readerChoice;
     EngineCounters counters;
     std::size_t callers = 0;
     std::size_t connections = 0;
@@ -108,9 +109,9 @@
 
     // control_readings
     [[nodiscard]] bool isReader() const;
-    [[nodiscard]] std::size_t readers() const;
-    [[nodiscard]] const SiblingInfo* readerToAsk() const;
-    [[nodiscard]] asio::awaitable<bool> askReader();
+    /// Asks VMs that read the store what they have; false when none of them had read it lately.
+    [[nodiscard]] asio::awaitable<bool> askReaders();
+    [[nodiscard]] asio::awaitable<bool> askReader(SiblingAddress address);
     void takeReadings(const wire::ReadingsAnswer& answer, Instant askedAt);
 
     // control_leadership
@@ -171,7 +172,6 @@
     bool configurationWanted = false;
     /// Ends the watch of the configuration.
     asio::cancellation_signal configurationWatch;
-    std::map<VmName, Instant> readerFailedUntil;
     std::uint64_t ownRecordRevision = 0;
     LeaseId toldUnder = LeaseId::None;
     std::function<void()> whenReady;
--- /dev/null
+++ b/tests/membership/reader_choice_test.cpp
@@ -0,0 +1,79 @@
+#include <cyclamendrift/membership/reader_choice.h>
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<VmName> vmsOf(std::size_t count)
+{
+    std::vector<VmName> vms;
+    for (std::size_t index = 0; index < count; ++index)
+        vms.emplace_back("vm-" + std::to_string(index));
+    return vms;
+}
+
+/// How many VMs read the store for themselves when each of them passes over the first VM of the order.
+std::size_t readingThemselves(std::size_t vms, std::size_t readers, bool firstOneFails)
+{
+    const Instant now { 100s };
+    std::size_t reading = 0;
+    const auto order = vmsOf(vms);
+    for (std::size_t rank = 0; rank < vms; ++rank) {
+        ReaderChoice choice;
+        choice.setOrder(order, readers);
+        if (firstOneFails && rank != 0)
+            choice.passOver(order[0], now + 1s);
+        reading += choice.readerFor(order[rank], rank, now) ? 0 : 1;
+    }
+    return reading;
+}
+
+} // namespace
+
+TEST_SUITE("who reads the store for the others")
+{
+    TEST_CASE("the first VMs of the order read, and the others spread over them")
+    {
+        CHECK(readingThemselves(81, 2, false) == 2);
+        ReaderChoice choice;
+        choice.setOrder(vmsOf(81), 2);
+        const Instant now { 100s };
+        CHECK(choice.readerFor(VmName { "vm-40" }, 40, now) == VmName { "vm-0" });
+        CHECK(choice.readerFor(VmName { "vm-41" }, 41, now) == VmName { "vm-1" });
+    }
+
+    TEST_CASE("one VM takes the place of a reader that the store turns away")
+    {
+        // The store refuses the VM that reads for all, or answers it no more. If every other VM then read for
+        // itself, 80 of them would ask three times a second, which is paid for, and what they ask too much is
+        // refused to those whose duty hangs on it.
+        CHECK(readingThemselves(81, 2, true) == 3);
+        CHECK(readingThemselves(6, 1, true) == 2);
+    }
+
+    TEST_CASE("a reader that was passed over is asked again after its pause")
+    {
+        ReaderChoice choice;
+        choice.setOrder(vmsOf(6), 1);
+        const Instant now { 100s };
+        choice.passOver(VmName { "vm-0" }, now + 1s);
+        CHECK(choice.readerFor(VmName { "vm-5" }, 5, now) == VmName { "vm-1" });
+        CHECK_FALSE(choice.readerFor(VmName { "vm-1" }, 1, now));
+        CHECK(choice.readerFor(VmName { "vm-5" }, 5, now + 1s) == VmName { "vm-0" });
+    }
+
+    TEST_CASE("a VM that can ask nobody reads for itself")
+    {
+        ReaderChoice choice;
+        CHECK_FALSE(choice.readerFor(VmName { "vm-0" }, 0, Instant { 100s }));
+        choice.setOrder(vmsOf(2), 1);
+        choice.passOver(VmName { "vm-0" }, Instant { 101s });
+        CHECK_FALSE(choice.readerFor(VmName { "vm-1" }, 1, Instant { 100s }));
+    }
+}
