--- a/include/cyclamendrift/pooling/group_homes.h
+++ b/include/cyclamendrift/pooling/group_homes.h
@@ -14,9 +14,8 @@
 /// opening one takes an upstream as long as a short statement. Spread over 70 VMs each has one connection to
 /// an upstream, which fits the next caller's team once in twenty times, and 70 VMs together queue far more
 /// statements at an upstream than it can do in time. A few homes keep connections open for most teams and see
-/// enough answers to know what the upstream bears: on a day of heavy load 70 VMs opened 0.3 connections for
-/// each statement instead of 1.1. At 9 VMs such days gain some 0.03 of what is asked, too. Used on one
-/// thread, as it remembers what it chose.
+/// enough answers to know what the upstream bears. A VM whose even part of the connections suffices for its
+/// callers does without homes. Used on one thread, as it remembers what it chose.
 ///
 ///     const auto order = homes.orderFor(service, team, connectionCap);
 ///     if (order.front() != homes.self()) handOn(order.front(), work);
