Keep once what is passed over for a while, and who is asked for readings

ReaderChoice had written again what DonorChoice, the homes that did not answer and the upstreams that could not run a statement each kept: a map of names to the time until which they are left alone. Whether this VM reads the store itself was worked out twice in a round. homesOf() looked up a connection cap that its callers had in hand.

Change: PassedOver in core serves all four; readerToAsk() serves isReader() and askReaders(); homesFor() takes the cap; PoolWorld publishes its routes for both test files.

--- a/include/cyclamendrift/cyclamendrift.h
+++ b/include/cyclamendrift/cyclamendrift.h
@@ -21,6 +21,7 @@
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
 #include <cyclamendrift/core/outcome.h>
+#include <cyclamendrift/core/passed_over.h>
 #include <cyclamendrift/core/progress.h>
 #include <cyclamendrift/core/random_source.h>
 #include <cyclamendrift/core/request_error.h>
--- a/include/cyclamendrift/limits/donor_choice.h
+++ b/include/cyclamendrift/limits/donor_choice.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/core/passed_over.h>
 #include <cyclamendrift/limits/demand_shares.h>
 
 #include <cstddef>
@@ -31,9 +32,7 @@
     void gaveTooLittle(const TeamName& team, const VmName& vm, Instant now);
 
 private:
-    [[nodiscard]] bool isPassedOver(const TeamName& team, const VmName& vm, Instant now) const;
-
-    std::map<std::pair<TeamName, VmName>, Instant> passedOverUntil;
+    PassedOver<std::pair<TeamName, VmName>> passedOver;
 };
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/membership/reader_choice.h
+++ b/include/cyclamendrift/membership/reader_choice.h
@@ -2,9 +2,9 @@
 
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/core/passed_over.h>
 
 #include <cstddef>
-#include <map>
 #include <optional>
 #include <vector>
 
@@ -29,11 +29,9 @@
     void passOver(const VmName& reader, Instant until);
 
 private:
-    [[nodiscard]] bool isPassedOver(const VmName& vm, Instant now) const;
-
     std::vector<VmName> order;
     std::size_t readers = 1;
-    std::map<VmName, Instant> passedOverUntil;
+    PassedOver<VmName> passedOver;
 };
 
 } // namespace cyclamendrift
--- a/src/limits/donor_choice.cpp
+++ b/src/limits/donor_choice.cpp
@@ -28,21 +28,15 @@
 {
     std::vector<VmName> chosen;
     for (const auto& vm : candidates) {
-        if (chosen.size() < count && !this->isPassedOver(team, vm, now))
+        if (chosen.size() < count && !this->passedOver.contains({ team, vm }, now))
             chosen.push_back(vm);
     }
     return chosen;
 }
 
-bool DonorChoice::isPassedOver(const TeamName& team, const VmName& vm, Instant now) const
-{
-    const auto passed = this->passedOverUntil.find({ team, vm });
-    return passed != this->passedOverUntil.end() && now < passed->second;
-}
-
 void DonorChoice::gaveTooLittle(const TeamName& team, const VmName& vm, Instant now)
 {
-    this->passedOverUntil[{ team, vm }] = now + pause;
+    this->passedOver.add({ team, vm }, now + pause);
 }
 
 } // namespace cyclamendrift
--- a/src/membership/reader_choice.cpp
+++ b/src/membership/reader_choice.cpp
@@ -18,7 +18,7 @@
             break;
         if (vm == self)
             return std::nullopt;
-        if (!this->isPassedOver(vm, now))
+        if (!this->passedOver.contains(vm, now))
             reading.push_back(vm);
     }
     if (reading.empty())
@@ -26,12 +26,6 @@
     return reading[rank % reading.size()];
 }
 
-void ReaderChoice::passOver(const VmName& reader, Instant until) { this->passedOverUntil[reader] = until; }
-
-bool ReaderChoice::isPassedOver(const VmName& vm, Instant now) const
-{
-    const auto passed = this->passedOverUntil.find(vm);
-    return passed != this->passedOverUntil.end() && now < passed->second;
-}
+void ReaderChoice::passOver(const VmName& reader, Instant until) { this->passedOver.add(reader, until); }
 
 } // namespace cyclamendrift
--- a/src/pooling/caller_session.h
+++ b/src/pooling/caller_session.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/core/passed_over.h>
 #include <cyclamendrift/core/progress.h>
 #include <cyclamendrift/pooling/caller_statement.h>
 #include <cyclamendrift/pooling/engine_actions.h>
@@ -12,7 +13,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,8 +42,8 @@
     std::optional<PreparedShape> shape;
     /// When to send it again on the connection that holds its transaction.
     Instant resumeAt = Instant::max();
-    /// Upstreams that could not run it, until when they are passed over.
-    std::map<UpstreamName, Instant> avoided;
+    /// Upstreams that could not run it.
+    PassedOver<UpstreamName> avoided;
 };
 
 /// An operation that waits for its team's limit to let it in.
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -137,7 +137,7 @@
         ++work.attempts;
     ++this->counters.retried;
     if (!avoided.empty())
-        work.avoided[avoided] = this->now + pause;
+        work.avoided.add(avoided, this->now + pause);
     if (work.attempts >= this->options.settings.attempts || this->now >= work.deadline) {
         this->log("given_up",
             { { "id", work.query.id }, { "upstream", avoided.string() },
@@ -451,7 +451,7 @@
     for (const auto id : idle) {
         auto& connection = this->connections.at(static_cast<std::uint64_t>(id));
         const auto& upstream = this->upstreamOf(connection);
-        const bool atHome = this->homesOf(connection.service) != nullptr;
+        const bool atHome = this->homesFor(this->connectionCapOf(connection.service)) != nullptr;
         const auto kept = atHome ? settings.idleTimeAtHome : settings.idleTime;
         const bool spare = this->now - connection.idleSince >= kept;
         if (spare || !upstream.listed || upstream.entry.draining)
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -125,8 +125,7 @@
         return false;
     if (this->runningAt(upstream) >= upstream.limit.current())
         return false;
-    const auto avoided = session.work->avoided.find(upstream.entry.name);
-    if (avoided != session.work->avoided.end() && this->now < avoided->second)
+    if (session.work->avoided.contains(upstream.entry.name, this->now))
         return false;
     if (group.isLedBy(upstream.entry.name, this->now))
         return true;
@@ -227,7 +226,7 @@
 std::size_t SessionEngine::State::shareOf(const UpstreamState& upstream) const
 {
     const auto cap = this->connectionCapOf(upstream.entry.service);
-    if (auto* homes = this->homesOf(upstream.entry.service))
+    if (auto* homes = this->homesFor(cap))
         return homes->shareOf(upstream.entry.service, cap);
     if (this->place.vms == 0)
         return 1;
--- a/src/pooling/engine_homes.cpp
+++ b/src/pooling/engine_homes.cpp
@@ -30,27 +30,26 @@
     return cap == this->routes->connectionCaps.end() ? 1 : cap->second;
 }
 
-GroupHomes* SessionEngine::State::homesOf(const ServiceName& service) const
+GroupHomes* SessionEngine::State::homesFor(std::uint32_t connectionCap) const
 {
     // A hop to a home costs time and bytes between availability zones, and a home that dies takes along what
     // all VMs had there. Both are paid only where this VM could not serve its callers by itself.
-    const bool alone
-        = this->ownPartOf(this->connectionCapOf(service)) >= this->options.settings.ownPartSuffices;
+    const bool alone = this->ownPartOf(connectionCap) >= this->options.settings.ownPartSuffices;
     return alone ? nullptr : this->place.homes.get();
 }
 
 std::optional<VmName> SessionEngine::State::homeFor(const CallerSession& session) const
 {
     const auto& service = session.route.service;
-    auto* homes = session.guest ? nullptr : this->homesOf(service);
+    const auto cap = this->connectionCapOf(service);
+    auto* homes = session.guest ? nullptr : this->homesFor(cap);
     if (homes == nullptr)
         return std::nullopt;
     std::size_t tried = 0;
-    for (const auto& vm : homes->orderFor(service, session.team, this->connectionCapOf(service))) {
+    for (const auto& vm : homes->orderFor(service, session.team, cap)) {
         if (vm == homes->self() || tried++ == homesTried)
             return std::nullopt;
-        const auto paused = this->homePausedUntil.find(vm);
-        if (paused == this->homePausedUntil.end() || this->now >= paused->second)
+        if (!this->pausedHomes.contains(vm, this->now))
             return vm;
     }
     return std::nullopt;
@@ -135,7 +134,7 @@
     if (!home)
         return;
     session->work->handedTo.reset();
-    this->homePausedUntil[*home] = this->now + this->options.settings.homePause;
+    this->pausedHomes.add(*home, this->now + this->options.settings.homePause);
     this->log("home_failed",
         { { "id", session->work->query.id }, { "vm", home->string() },
             { "service", session->route.service.string() },
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -105,8 +105,8 @@
     std::map<TeamName, Budget> budgets;
     std::map<TeamName, std::uint64_t> demand;
     FleetPlace place;
-    /// Homes that did not answer, until when they are passed over.
-    std::map<VmName, Instant> homePausedUntil;
+    /// Homes that did not answer.
+    PassedOver<VmName> pausedHomes;
     std::mt19937_64 guestNumbers;
     EngineCounters counters;
     std::uint64_t lastConnection = 0;
@@ -140,8 +140,9 @@
     void letGuestGo(CallerSession& session);
     void finishHandedInTransaction(CallerSession& session);
     void answerGuest(CallerSession& session, Reply reply);
-    /// The homes of a service; null where every VM serves its callers by itself.
-    [[nodiscard]] GroupHomes* homesOf(const ServiceName& service) const;
+    /// The homes of services whose upstreams bear so many connections each; null where every VM serves its
+    /// callers by itself.
+    [[nodiscard]] GroupHomes* homesFor(std::uint32_t connectionCap) const;
     [[nodiscard]] std::uint32_t connectionCapOf(const ServiceName& service) const;
 
     // engine_dispatch
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -44,7 +44,7 @@
     while (!self->stopped) {
         const auto askedAt = bootNow();
         Duration pause = settings.leadershipInterval;
-        const bool told = !self->isReader() && co_await self->askReaders();
+        const bool told = co_await self->askReaders();
         if (!told) {
             if (const auto failed = co_await self->readLeadership())
                 pause = *failed;
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -58,18 +58,21 @@
 
 } // namespace
 
-bool SessionControl::State::isReader() const
+std::optional<VmName> SessionControl::State::readerToAsk() const
 {
-    return !this->siblingsOpen
-        || !this->readerChoice.readerFor(this->options.vm, this->place.rank, bootNow());
+    if (!this->siblingsOpen)
+        return std::nullopt;
+    return this->readerChoice.readerFor(this->options.vm, this->place.rank, bootNow());
 }
 
+bool SessionControl::State::isReader() const { return !this->readerToAsk(); }
+
 asio::awaitable<bool> SessionControl::State::askReaders()
 {
     // A second question still leaves time to read the store before this VM's views of primaries end.
     constexpr int readersTried = 2;
     for (int tried = 0; tried < readersTried; ++tried) {
-        const auto reader = this->readerChoice.readerFor(this->options.vm, this->place.rank, bootNow());
+        const auto reader = this->readerToAsk();
         if (!reader)
             break;
         const auto address = this->siblings.at(*reader).address;
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -109,6 +109,8 @@
 
     // control_readings
     [[nodiscard]] bool isReader() const;
+    /// The VM that reads the store for this one; empty when this one reads it itself.
+    [[nodiscard]] std::optional<VmName> readerToAsk() const;
     /// Asks VMs that read the store what they have; false when none of them had read it lately.
     [[nodiscard]] asio::awaitable<bool> askReaders();
     [[nodiscard]] asio::awaitable<bool> askReader(SiblingAddress address);
--- a/tests/pooling/heavy_load_test.cpp
+++ b/tests/pooling/heavy_load_test.cpp
@@ -9,19 +9,12 @@
 
 namespace {
 
-/// Puts the world's routes in force as their next version.
-void publishRoutes(PoolWorld& world)
-{
-    ++world.routes->version;
-    world.engine.setRoutes(std::make_shared<RouteTable>(*world.routes), world.now);
-}
-
 /// One session for each of so many teams.
 std::vector<CallerId> connectTeams(PoolWorld& world, int teams)
 {
     for (int number = 0; number < teams; ++number)
         world.routes->keys["key " + std::to_string(number)] = TeamName { "team-" + std::to_string(number) };
-    publishRoutes(world);
+    world.publishRoutes();
     std::vector<CallerId> callers;
     for (int number = 0; number < teams; ++number)
         callers.push_back(world.connect("key " + std::to_string(number)));
@@ -55,7 +48,7 @@
         PoolWorld world { { .limits = { { TeamName { "a" }, { .ratePerSecond = 10, .burst = 1 } } } } };
         world.routes->routes["history"] = world.routes->routes["beds"];
         world.routes->routes["history"].priority = 2;
-        publishRoutes(world);
+        world.publishRoutes();
         world.engine.setShares({ { TeamName { "a" }, { .ratePerSecond = 4, .burst = 1 } } }, world.now);
         const auto first = world.connect("key-a", "history");
         const auto leisurely = world.connect("key-a", "history");
--- a/tests/pooling/pool_world.cpp
+++ b/tests/pooling/pool_world.cpp
@@ -70,7 +70,6 @@
         model.primary = index == 0;
         this->upstreams.emplace(model.entry.name, model);
     }
-    this->routes->version = 1;
     this->routes->routes["beds"] = { .service = service,
         .freshness = options.freshness,
         .statementTimeout = std::chrono::seconds { 1 },
@@ -81,10 +80,8 @@
     if (options.throughHome)
         this->entry = std::make_unique<SessionEngine>(
             SessionEngine::Options { .zone = ZoneName { "catania" }, .seed = 1 });
-    this->forEachEngine([this](SessionEngine& one) {
-        one.setRoutes(std::make_shared<RouteTable>(*this->routes), this->now);
-        one.setPlace({ .vms = 1, .rank = 0 }, this->now);
-    });
+    this->publishRoutes();
+    this->forEachEngine([this](SessionEngine& one) { one.setPlace({ .vms = 1, .rank = 0 }, this->now); });
     if (this->entry) {
         // The home is the only VM on the list, so that it is the home of everything.
         const auto homes = std::make_shared<GroupHomes>(
@@ -95,6 +92,14 @@
     this->lead("primary", 1);
 }
 
+void PoolWorld::publishRoutes()
+{
+    ++this->routes->version;
+    this->forEachEngine([this](SessionEngine& one) {
+        one.setRoutes(std::make_shared<RouteTable>(*this->routes), this->now);
+    });
+}
+
 void PoolWorld::publishDirectory()
 {
     UpstreamDirectory directory;
--- a/tests/pooling/pool_world.h
+++ b/tests/pooling/pool_world.h
@@ -87,6 +87,8 @@
     void lead(const std::string& upstream, std::uint64_t term);
     void setChanging();
     void publishDirectory();
+    /// Puts `routes` in force as their next version.
+    void publishRoutes();
 
     ModelUpstream& upstream(const std::string& name) { return this->upstreams.at(UpstreamName { name }); }
     [[nodiscard]] std::size_t openConnections() const { return this->connections.size(); }
--- a/tests/pooling/session_engine_test.cpp
+++ b/tests/pooling/session_engine_test.cpp
@@ -113,9 +113,8 @@
         PoolWorld world { {} };
         const auto caller = world.connect();
         CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
-        world.routes->version = 2;
         world.routes->keys.erase("key-a");
-        world.engine.setRoutes(std::make_shared<RouteTable>(*world.routes), world.now);
+        world.publishRoutes();
         CHECK(errorOf(world.run(caller, "c/2", "READ 1")) == StatementError::UnknownKey);
         CHECK(world.timesRun("c/2") == 0);
     }
