--- a/tests/limits/limit_holders_test.cpp
+++ b/tests/limits/limit_holders_test.cpp
@@ -70,6 +70,17 @@
         CHECK(refused == 0);
     }
 
+    TEST_CASE("a holder gives the only operation that its part comes to")
+    {
+        // A small team's limit comes to one operation for each of its holders. A holder that kept half of its
+        // part back for its own callers, as VMs of a small fleet do, would have no whole one to give: whoever
+        // the team's callers come to, they would be told that it is over its rate.
+        const auto listed = fleetOf(70);
+        auto shares = sharesOf(listed, { .ratePerSecond = 4, .burst = 4 });
+        for (const auto& holder : LimitHolders { listed }.of(team))
+            CHECK(shares[holder].give(1, Instant { 5s }) == 1);
+    }
+
     TEST_CASE("all parts together come to the limit, and no more than an operation a holder beyond it")
     {
         const auto listed = fleetOf(70);
