Log who vouches for a view of the primary, and when one ends or is contradicted

What a VM's lines held of its view of a group was the moment at which it changed. Whether the store, a sibling or a replica had vouched for it, how long ago, and whether it ended and came back, was not to be seen; nor was an answer from a later term, which is what a read at a former primary gets. Hypotheses on a stale read could not be told apart.

leader_view names its source; leader_view_ended, leader_view_back and leader_view_source are one line for each change, with the replica and both ages; view_contradicted names the statement. Two counters are on the metrics page. Decisions are as before.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -3,6 +3,7 @@
 #include <cyclamendrift/leadership/leadership_events.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -103,6 +104,13 @@
     /// Whom to send writes to, and until when.
     [[nodiscard]] LeaderView view() const;
 
+    /// How often views were kept up by replicas, and how often one ended before it was renewed.
+    struct Counters {
+        std::uint64_t replicaConfirmations = 0;
+        std::uint64_t viewsEnded = 0;
+    };
+    [[nodiscard]] const Counters& counters() const noexcept { return this->counts; }
+
     /// This VM needs its lease: it holds the duty, or it is its turn to take it.
     [[nodiscard]] bool needsLease(Instant now) const;
 
@@ -182,6 +190,10 @@
     [[nodiscard]] static bool takeTurn(Member& member, Duration interval, Instant now);
     void ask(Member& member, Instant now);
     void publishIfChanged(Instant now);
+    /// Notes when the view ends, comes back, or is vouched for by somebody else.
+    void noteValidity(Instant now);
+    /// A replica's word counts only where the view would have ended without it.
+    [[nodiscard]] ViewSource viewSource(Instant now) const noexcept;
     void note(std::string_view event, std::vector<std::pair<std::string, std::string>> fields);
     /// The record as it is known; throws LeadershipError when none was read.
     [[nodiscard]] const LeadershipRecord& record() const;
@@ -198,6 +210,8 @@
     std::vector<Member> members;
     /// When a replica confirmed the record's term last.
     Instant confirmedAt = Instant::min();
+    /// The replica that did.
+    UpstreamName confirmedBy;
     Instant lastConfirmAsked = Instant::min();
     std::unique_ptr<Replacement> replacement;
     std::unique_ptr<Growth> growth;
@@ -211,6 +225,10 @@
     std::string lastChange;
     LeaderView published;
     Instant lastPublished = Instant::min();
+    /// What was noted last of the view: whether it held, and who vouched for it.
+    bool notedAsHeld = false;
+    ViewSource notedSource = ViewSource::Store;
+    Counters counts;
     std::vector<LeadershipAction> actions;
 };
 
--- a/include/cyclamendrift/leadership/leadership_events.h
+++ b/include/cyclamendrift/leadership/leadership_events.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -36,6 +37,19 @@
     std::uint64_t revision = 0;
 };
 
+/// Who vouches for a view of who leads.
+enum class ViewSource : std::uint8_t {
+    /// This VM has read the store.
+    Store,
+    /// A sibling has read the store.
+    Sibling,
+    /// A replica follows the primary.
+    Replica,
+};
+
+/// The name of a source, as log lines have it.
+[[nodiscard]] std::string_view nameOf(ViewSource source) noexcept;
+
 /// What the store says of a group, as of one moment.
 struct LeadershipSnapshot {
     std::optional<LeadershipRecord> record;
@@ -43,6 +57,8 @@
     std::optional<LeadershipDuty> duty;
     /// When the store was asked; everything acknowledged before is in the snapshot.
     Instant askedAt;
+    /// Store or Sibling.
+    ViewSource source = ViewSource::Store;
 };
 
 /// Ask an upstream for its status.
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -12,8 +12,28 @@
 // How often a view that did not change is handed on again with its new end.
 constexpr Duration publishInterval = std::chrono::milliseconds { 250 };
 
+std::string ageText(Instant since, Instant now)
+{
+    if (since == Instant::min())
+        return "none";
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
+}
+
 } // namespace
 
+std::string_view nameOf(ViewSource source) noexcept
+{
+    switch (source) {
+    case ViewSource::Store:
+        return "store";
+    case ViewSource::Sibling:
+        return "sibling";
+    case ViewSource::Replica:
+        return "replica";
+    }
+    return "unknown";
+}
+
 LeaderCoordinator::LeaderCoordinator(Options options)
     : options(std::move(options))
 {
@@ -137,8 +157,11 @@
         this->doubted = true;
     const bool confirms = !status.isPrimary && status.term == record->term && status.heldTerm <= record->term
         && upstream != record->primary && record->isSettled();
-    if (confirms)
-        this->confirmedAt = std::max(this->confirmedAt, askedAt);
+    if (confirms && askedAt > this->confirmedAt) {
+        this->confirmedAt = askedAt;
+        this->confirmedBy = upstream;
+        ++this->counts.replicaConfirmations;
+    }
     if (this->replacement && status.heldTerm >= this->replacement->term && !status.isPrimary) {
         const bool first = this->replacement->paused.insert_or_assign(upstream, status.received).second;
         if (first)
@@ -220,6 +243,7 @@
 
 void LeaderCoordinator::publishIfChanged(Instant now)
 {
+    this->noteValidity(now);
     const auto next = this->view();
     const bool changed = next.phase != this->published.phase || next.primary != this->published.primary
         || next.term != this->published.term;
@@ -230,12 +254,50 @@
     if (changed)
         this->note("leader_view",
             { { "primary", next.primary.string() }, { "term", textOf(next.term) },
-                { "phase", next.phase == LeaderView::Phase::Led ? "led" : "changing" } });
+                { "phase", next.phase == LeaderView::Phase::Led ? "led" : "changing" },
+                { "source", std::string { nameOf(this->viewSource(now)) } } });
     this->published = next;
     this->lastPublished = now;
     this->actions.emplace_back(PublishLeader { next });
 }
 
+ViewSource LeaderCoordinator::viewSource(Instant now) const noexcept
+{
+    const bool endedAtStore = now >= this->known.askedAt + this->options.settings.viewLifetime;
+    return endedAtStore && this->confirmedAt > this->known.askedAt ? ViewSource::Replica : this->known.source;
+}
+
+void LeaderCoordinator::noteValidity(Instant now)
+{
+    const auto current = this->view();
+    if (current.phase != LeaderView::Phase::Led) {
+        this->notedAsHeld = false;
+        return;
+    }
+    const bool holds = current.holds(now);
+    const auto source = this->viewSource(now);
+    const bool sameView = current.primary == this->published.primary && current.term == this->published.term
+        && this->published.phase == LeaderView::Phase::Led;
+    const bool ended = this->notedAsHeld && !holds;
+    const bool back = sameView && !this->notedAsHeld && holds;
+    // Whether this VM or a sibling has read the store makes no difference to how far a view can be trusted.
+    const bool handedOver = sameView && holds && source != this->notedSource
+        && (source == ViewSource::Replica || this->notedSource == ViewSource::Replica);
+    if (ended)
+        ++this->counts.viewsEnded;
+    if (ended || back || handedOver)
+        this->note(ended ? "leader_view_ended"
+                : back   ? "leader_view_back"
+                         : "leader_view_source",
+            { { "primary", current.primary.string() }, { "term", textOf(current.term) },
+                { "source", std::string { nameOf(source) } },
+                { "replica", source == ViewSource::Replica ? this->confirmedBy.string() : "" },
+                { "store_age_ms", ageText(this->known.askedAt, now) },
+                { "replica_age_ms", ageText(this->confirmedAt, now) } });
+    this->notedAsHeld = holds;
+    this->notedSource = source;
+}
+
 bool LeaderCoordinator::needsLease(Instant now) const
 {
     const bool holds = this->known.duty && this->known.duty->holder == this->options.vm;
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -399,13 +399,30 @@
         upstream.laggingTimes = 0;
         upstream.laggingUntil = Instant::min();
     }
-    if (group.view.phase == LeaderView::Phase::Led && reply.progress->term > group.view.term)
+    if (group.view.phase == LeaderView::Phase::Led && reply.progress->term > group.view.term) {
         upstream.contradictsView = true;
+        this->logContradiction(connection, reply);
+    }
     // The position speaks for the time at which the statement went out, if the view held then.
     if (group.isLedBy(connection.upstream, connection.sentAt) && reply.progress->term == group.view.term)
         group.history.note({ .progress = *reply.progress, .seenAt = connection.sentAt });
 }
 
+void SessionEngine::State::logContradiction(const PooledConnection& connection, const Reply& reply)
+{
+    const auto& view = this->group(connection.service).view;
+    const auto* session = connection.user ? this->findCaller(*connection.user) : nullptr;
+    const bool atPrimary = view.primary == connection.upstream;
+    this->log("view_contradicted",
+        { { "id", session != nullptr ? session->statementId : "" },
+            { "service", connection.service.string() }, { "upstream", connection.upstream.string() },
+            { "answer_term", std::to_string(static_cast<std::uint64_t>(reply.progress->term)) },
+            { "view_primary", view.primary.string() },
+            { "view_term", std::to_string(static_cast<std::uint64_t>(view.term)) },
+            { "view_left_ms", millisecondsText(view.validUntil - this->now) },
+            { "at_view_primary", atPrimary ? "yes" : "no" } });
+}
+
 void SessionEngine::State::noteNotRun(PooledConnection& connection, StatementError error)
 {
     auto& upstream = this->upstreamOf(connection);
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -186,6 +186,8 @@
     void erase(ConnectionId id);
     void noteFailure(UpstreamState& upstream);
     void noteAnswer(PooledConnection& connection, const Reply& reply);
+    /// Logs that an answer comes from a later term than the view's.
+    void logContradiction(const PooledConnection& connection, const Reply& reply);
     void noteNotRun(PooledConnection& connection, StatementError error);
 
     // engine_answers
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -31,7 +31,7 @@
         this->leadershipSource.succeeded();
         this->leadershipListing = std::move(listing);
         this->leadershipAskedAt = askedAt;
-        this->takeLeadership(this->leadershipListing, askedAt);
+        this->takeLeadership(this->leadershipListing, askedAt, ViewSource::Store);
         co_return std::nullopt;
     } catch (const StoreError& error) {
         co_return this->leadershipSource.failed(error.what());
@@ -61,11 +61,13 @@
     }
 }
 
-void SessionControl::State::takeLeadership(const StoreListing& listing, Instant askedAt)
+void SessionControl::State::takeLeadership(const StoreListing& listing, Instant askedAt, ViewSource source)
 {
     std::map<ServiceName, LeadershipSnapshot> snapshots;
-    for (auto& [service, coordinator] : this->coordinators)
+    for (auto& [service, coordinator] : this->coordinators) {
         snapshots[service].askedAt = askedAt;
+        snapshots[service].source = source;
+    }
     for (const auto& entry : listing.entries) {
         const std::string_view key { entry.key };
         if (key.starts_with(store_key::recordPrefix)) {
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -114,7 +114,7 @@
     if (leadershipAt > this->leadershipAskedAt) {
         this->leadershipListing = listingFrom(answer.leadership());
         this->leadershipAskedAt = leadershipAt;
-        this->takeLeadership(this->leadershipListing, leadershipAt);
+        this->takeLeadership(this->leadershipListing, leadershipAt, ViewSource::Sibling);
     }
     const auto& vms = answer.vms();
     if (vms.entries_size() > 0 && vms.revision() > this->vmListing.revision)
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -120,7 +120,7 @@
     /// Returns how long to wait before the next try, when it failed.
     [[nodiscard]] asio::awaitable<std::optional<Duration>> readLeadership();
     [[nodiscard]] static asio::awaitable<void> followLeadership(std::shared_ptr<State> self);
-    void takeLeadership(const StoreListing& listing, Instant askedAt);
+    void takeLeadership(const StoreListing& listing, Instant askedAt, ViewSource source);
     void tick();
     void perform(const ServiceName& service, const LeadershipAction& action);
     [[nodiscard]] static asio::awaitable<void> order(
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -189,6 +189,14 @@
     show("upstream_connections", "Connections to upstreams that are open.", own.connections);
     show("configuration_version", "Version of the routes in force; 0 before any were read.",
         own.routes ? own.routes->version : 0);
+    LeaderCoordinator::Counters views;
+    for (const auto& [service, coordinator] : own.coordinators) {
+        views.replicaConfirmations += coordinator.counters().replicaConfirmations;
+        views.viewsEnded += coordinator.counters().viewsEnded;
+    }
+    count("view_confirmations_total", "Times a replica confirmed who leads while the store was silent.",
+        views.replicaConfirmations);
+    count("views_ended_total", "Times a view of who leads ended before it was renewed.", views.viewsEnded);
     for (const auto& [kind, calls] : own.storeCalls)
         count("store_calls_total", "Calls for what the store holds, by kind.", calls, { { "kind", kind } });
     return registry.prometheusText();
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -4,6 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <string>
+
 using namespace cyclamendrift;
 using namespace std::chrono_literals;
 
@@ -112,6 +115,26 @@
         CHECK(world.violations.empty());
     }
 
+    TEST_CASE("the log tells when replicas renew a view and when it ends")
+    {
+        // Guards against a failover in which nobody can tell who vouched for a VM's view.
+        LeadershipWorld world { {} };
+        settle(world);
+        const auto noted = [&world](const std::string& line) {
+            return std::find(world.notes.begin(), world.notes.end(), line) != world.notes.end();
+        };
+        world.vm(2).storeAwayUntil = world.now + 20s;
+        world.pass(2s);
+        CHECK(noted("vm-2 leader_view_source"));
+        CHECK_FALSE(noted("vm-2 leader_view_ended"));
+        world.vm(2).cutFrom = { UpstreamName { "replica-1" }, UpstreamName { "replica-2" } };
+        world.pass(2s);
+        CHECK(noted("vm-2 leader_view_ended"));
+        CHECK(world.vm(2).coordinator.counters().viewsEnded == 1);
+        CHECK(world.vm(2).coordinator.counters().replicaConfirmations > 0);
+        CHECK_FALSE(noted("vm-0 leader_view_source"));
+    }
+
     TEST_CASE("a holder that dies between its claim and the promotion is followed by another VM")
     {
         // The VM that replaces the primary is killed half way. The group must not stay without a primary
--- a/tests/leadership/leadership_world.cpp
+++ b/tests/leadership/leadership_world.cpp
@@ -226,6 +226,8 @@
         if (this->duty && this->duty->holder == vm.name)
             this->duty.reset();
     }
+    if (const auto* note = std::get_if<LeadershipNote>(&action))
+        this->notes.push_back(vm.name.string() + ' ' + note->event);
     if (const auto* change = std::get_if<WriteLeadership>(&action))
         this->write(vm, *change);
     if (const auto* change = std::get_if<PromoteUpstream>(&action))
--- a/tests/leadership/leadership_world.h
+++ b/tests/leadership/leadership_world.h
@@ -66,6 +66,8 @@
     bool storeDown = false;
     /// One in so many writes of the store is done and not answered; 0 for none.
     std::size_t loseAnswers = 0;
+    /// Events that VMs noted, as "<vm> <event>".
+    std::vector<std::string> notes;
     /// What went wrong: a view of an old primary that still held after a newer one led, or a token that fell.
     std::vector<std::string> violations;
 
