Show a view of a former primary that a replica brings back

A VM that the store turns away keeps its view of the primary by asking replicas. During a failover the replicas are paused and confirm nothing, so the view ends before the new primary leads. The promotion ends the pause. A replica that has not heard of the new term yet, which takes as long as it lags, then says what it said before the failover, and the view that had ended holds again: the VM sends reads of primary routes to the former primary, which is back as a replica.

Replicas of the model now hear of it after their lag, and a promotion ends all pauses. The new test fails on this code:

build/tests/test_leadership -tc='a view that has ended does not come back through a replica*' leader_coordinator_test.cpp: CHECK( world.violations.empty() ) is NOT correct

--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -135,6 +135,21 @@
         CHECK_FALSE(noted("vm-0 leader_view_source"));
     }
 
+    TEST_CASE(
+        "a view that has ended does not come back through a replica that has not heard of the new primary")
+    {
+        // Guards against reads at a former primary by a VM that the store turns away during a failover.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.vm(2).storeAwayUntil = world.now + 20s;
+        for (const auto* name : { "replica-1", "replica-2" })
+            world.member(name).lag = 3s;
+        world.member("primary").running = false;
+        REQUIRE(world.passUntil(6s, [&] { return world.vm(0).coordinator.view().term == Term { 2 }; }));
+        world.pass(4s);
+        CHECK(world.violations.empty());
+    }
+
     TEST_CASE("a holder that dies between its claim and the promotion is followed by another VM")
     {
         // The VM that replaces the primary is killed half way. The group must not stay without a primary
--- a/tests/leadership/leadership_world.cpp
+++ b/tests/leadership/leadership_world.cpp
@@ -84,11 +84,21 @@
     for (auto& [name, member] : this->members) {
         if (member.primary || !member.running || member.held > source->term)
             continue;
+        const bool hearsOfNewTerm = this->now >= member.receivesSince + member.lag;
+        if (member.term < source->term && !hearsOfNewTerm)
+            continue;
         member.term = source->term;
         member.received = source->received - 1;
     }
 }
 
+void LeadershipWorld::release(GroupMember& member) const
+{
+    if (member.held != 0)
+        member.receivesSince = this->now;
+    member.held = 0;
+}
+
 const GroupMember* LeadershipWorld::leader() const
 {
     const GroupMember* best = nullptr;
@@ -206,7 +216,7 @@
         });
     }
     if (const auto* resume = std::get_if<ResumeReplica>(&action))
-        this->tell(vm, resume->upstream, [](GroupMember& member) { member.held = 0; });
+        this->tell(vm, resume->upstream, [this](GroupMember& member) { this->release(member); });
     if (const auto* demote = std::get_if<DemotePrimary>(&action)) {
         const auto term = static_cast<std::uint64_t>(demote->term);
         this->tell(vm, demote->upstream, [term](GroupMember& member) {
@@ -277,7 +287,11 @@
                                         return;
                                     member.primary = true;
                                     member.term = newest + 1;
-                                    member.held = 0;
+                                    // A promotion ends the pause of all replicas of the group.
+                                    for (auto& [name, other] : this->members) {
+                                        this->release(other);
+                                        other.receivesSince = this->now;
+                                    }
                                 } });
     });
 }
--- a/tests/leadership/leadership_world.h
+++ b/tests/leadership/leadership_world.h
@@ -22,6 +22,10 @@
     std::uint64_t term = 1;
     std::uint64_t received = 100;
     std::uint64_t held = 0;
+    /// What it has received from a new primary reaches it, and with it the new term, this much later.
+    Duration lag {};
+    /// Since when it could have received from the primary that leads now.
+    Instant receivesSince = Instant::min();
 };
 
 struct VmModel {
@@ -95,6 +99,8 @@
     void promote(VmModel& vm, const PromoteUpstream& change);
     void later(std::function<void()> run);
     void replicate();
+    /// Ends a replica's pause.
+    void release(GroupMember& member) const;
     void check();
     [[nodiscard]] bool storeReachable(const VmModel& vm) const;
     [[nodiscard]] UpstreamStatus statusOf(const GroupMember& member) const;
