Prolong a view of the primary by a replica's word only while it holds

Callers of a primary route read at a former primary, now a replica that was one commit behind: an acknowledged commit was missing.

Cause: a VM that hears nothing of the store renews its view of the primary by asking replicas. One that follows the same term and is not paused confirms it, whether or not the view had ended meanwhile. A promotion ends the pause of all replicas, and a replica that lags answers until it hears of the new term as it did before. So the view of a VM that the store turned away ended while the replicas were paused, as it should, and came back after the promotion, for as long as the replica lagged and a second more.

Now an answer counts only if it arrives while the view holds. A promoter leads after every view that its pause left without renewal has ended, so nothing is left then that a late or lagging replica could prolong.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -60,7 +60,8 @@
 ///
 /// Safety: a new primary leads only after every view of the old one has lapsed. A view comes either from the
 /// store, where a promoter claims the next term first, or from a replica, which the promoter pauses first;
-/// from both steps on it waits for the lifetime of views.
+/// from both steps on it waits for the lifetime of views. A replica prolongs a view that still holds; one
+/// that has ended comes back from the store alone.
 ///
 ///     coordinator.onSnapshot(snapshot, now);
 ///     for (const auto& action : coordinator.tick(now)) begin(action);
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -155,8 +155,10 @@
         return;
     if (status.term > record->term)
         this->doubted = true;
+    // A promotion ends the pause of every replica, and one that lags answers as before until it hears of the
+    // new term. By then each view has ended; only what still holds may be prolonged.
     const bool confirms = !status.isPrimary && status.term == record->term && status.heldTerm <= record->term
-        && upstream != record->primary && record->isSettled();
+        && upstream != record->primary && this->view().holds(now);
     if (confirms && askedAt > this->confirmedAt) {
         this->confirmedAt = askedAt;
         this->confirmedBy = upstream;
@@ -327,7 +329,13 @@
     if (!record || !record->isSettled())
         return;
     const bool storeSilent = now >= this->known.askedAt + settings.storeSilence;
-    if (!storeSilent || now < this->lastConfirmAsked + settings.confirmInterval)
+    const auto view = this->view();
+    if (!storeSilent || !view.holds(now))
+        return;
+    // What has ended cannot be prolonged, so a question without an answer is soon asked again.
+    const bool endsSoon = view.validUntil - now < settings.confirmInterval;
+    const auto interval = endsSoon ? settings.askInterval : settings.confirmInterval;
+    if (now < this->lastConfirmAsked + interval)
         return;
     this->lastConfirmAsked = now;
     this->askReplicas(now);
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -244,4 +244,56 @@
             RC_ASSERT(world.allFollowLeader());
         });
     }
+
+    TEST_CASE("no VM may act on an old primary while replicas lag, restart and answer late")
+    {
+        // Guards against replicas that vouch for a former primary, and promotions that take effect late.
+        checkProperty("leadership with lagging replicas", [](std::uint64_t seed) {
+            LeadershipWorld world { { .seed = seed } };
+            std::mt19937_64 random { seed };
+            const auto pick = [&random](int most) {
+                return std::uniform_int_distribution<int> { 0, most }(random);
+            };
+            const auto replica = [&pick] { return "replica-" + std::to_string(1 + pick(1)); };
+            world.loseAnswers = 4;
+            world.slowestAnswer = 120ms;
+            world.pass(3s);
+            for (int round = 0; round < 12; ++round) {
+                auto& vm = world.vm(static_cast<std::size_t>(pick(2)));
+                const std::chrono::milliseconds time { 200 + pick(4000) };
+                switch (pick(5)) {
+                case 0:
+                    world.member(replica()).lag = time;
+                    break;
+                case 1:
+                    vm.storeAwayUntil = world.now + 2 * time;
+                    break;
+                case 2:
+                    vm.frozenUntil = world.now + time;
+                    break;
+                case 3:
+                    if (const auto* leads = world.leader()) {
+                        auto& member = world.member(leads->entry.name.string());
+                        member.running = false;
+                        world.pass(time);
+                        member.running = true;
+                        const auto* newest = world.leader();
+                        if (newest != nullptr && newest->term > member.term)
+                            member.primary = false;
+                    }
+                    break;
+                case 4:
+                    world.restart(replica());
+                    break;
+                default:
+                    world.slowestPromotion = std::chrono::milliseconds { 30 + pick(2500) };
+                }
+                world.pass(std::chrono::milliseconds { pick(1500) });
+            }
+            world.pass(25s);
+            RC_LOG() << (world.violations.empty() ? "" : world.violations.front());
+            RC_ASSERT(world.violations.empty());
+            RC_ASSERT(world.allFollowLeader());
+        });
+    }
 }
--- a/tests/leadership/leadership_world.cpp
+++ b/tests/leadership/leadership_world.cpp
@@ -99,6 +99,13 @@
     member.held = 0;
 }
 
+void LeadershipWorld::restart(const std::string& name)
+{
+    auto& member = this->member(name);
+    member.held = 0;
+    member.receivesSince = this->now;
+}
+
 const GroupMember* LeadershipWorld::leader() const
 {
     const GroupMember* best = nullptr;
@@ -125,9 +132,11 @@
     return !this->storeDown && this->now >= vm.storeAwayUntil;
 }
 
-void LeadershipWorld::later(std::function<void()> run)
+void LeadershipWorld::later(std::function<void()> run, Duration most)
 {
-    const std::chrono::milliseconds delay { std::uniform_int_distribution<int> { 2, 30 }(this->random) };
+    const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(most).count();
+    const std::chrono::milliseconds delay { std::uniform_int_distribution<std::int64_t> { 2, longest }(
+        this->random) };
     this->events.push_back({ .at = this->now + delay, .run = std::move(run) });
 }
 
@@ -187,21 +196,24 @@
     VmModel& vm, const UpstreamName& upstream, const std::function<void(GroupMember&)>& order)
 {
     const auto askedAt = this->now;
-    this->later([this, &vm, upstream, order, askedAt] {
-        auto& member = this->members.at(upstream);
-        const bool reached = member.running && !vm.cutFrom.contains(upstream);
-        if (reached)
-            order(member);
-        const auto status = this->statusOf(member);
-        this->later([this, &vm, upstream, reached, status, askedAt] {
-            if (this->now < vm.frozenUntil)
-                return;
+    this->later(
+        [this, &vm, upstream, order, askedAt] {
+            auto& member = this->members.at(upstream);
+            const bool reached = member.running && !vm.cutFrom.contains(upstream);
             if (reached)
-                vm.coordinator.onStatus(upstream, status, askedAt, this->now);
-            else
-                vm.coordinator.onSilence(upstream, this->now);
-        });
-    });
+                order(member);
+            const auto status = this->statusOf(member);
+            const auto answer = [this, &vm, upstream, reached, status, askedAt] {
+                if (this->now < vm.frozenUntil)
+                    return;
+                if (reached)
+                    vm.coordinator.onStatus(upstream, status, askedAt, this->now);
+                else
+                    vm.coordinator.onSilence(upstream, this->now);
+            };
+            this->later(answer, this->slowestAnswer);
+        },
+        this->slowestAnswer);
 }
 
 void LeadershipWorld::perform(VmModel& vm, const LeadershipAction& action)
@@ -271,7 +283,7 @@
     // A VM checks its lease once more as it sends; what was sent arrives later whatever happens to it.
     if (this->now >= vm.leaseUntil)
         return;
-    this->later([this, change] {
+    const auto carryOut = [this, change] {
         if (!this->tokens.empty() && change.token < this->tokens.back())
             this->violations.push_back("a promotion came with a lower token than one before");
         this->tokens.push_back(change.token);
@@ -293,7 +305,8 @@
                                         other.receivesSince = this->now;
                                     }
                                 } });
-    });
+    };
+    this->later(carryOut, this->slowestPromotion);
 }
 
 void LeadershipWorld::check()
--- a/tests/leadership/leadership_world.h
+++ b/tests/leadership/leadership_world.h
@@ -53,6 +53,8 @@
 
     explicit LeadershipWorld(Options options);
 
+    /// A replica starts again with its log; it knows of no pause.
+    void restart(const std::string& name);
     /// Lets time pass in steps of 10 ms.
     void pass(Duration duration);
     /// Passes time until the condition holds; returns how long it took, or nothing when it never did.
@@ -72,6 +74,9 @@
     std::size_t loseAnswers = 0;
     /// Events that VMs noted, as "<vm> <event>".
     std::vector<std::string> notes;
+    /// Longest time that an upstream's answer, and the platform's carrying out of a promotion, take.
+    Duration slowestAnswer = std::chrono::milliseconds { 30 };
+    Duration slowestPromotion = std::chrono::milliseconds { 30 };
     /// What went wrong: a view of an old primary that still held after a newer one led, or a token that fell.
     std::vector<std::string> violations;
 
@@ -97,7 +102,7 @@
     void tell(VmModel& vm, const UpstreamName& upstream, const std::function<void(GroupMember&)>& order);
     void write(VmModel& vm, const WriteLeadership& change);
     void promote(VmModel& vm, const PromoteUpstream& change);
-    void later(std::function<void()> run);
+    void later(std::function<void()> run, Duration most = std::chrono::milliseconds { 30 });
     void replicate();
     /// Ends a replica's pause.
     void release(GroupMember& member) const;
