Ask a paused replica again before a promotion relies on its pause

A promoter paused the replicas, waited for as long as a view lives, and promoted. A replica that restarted in that time had lost its pause and vouched for the old primary again, to a VM whose view still held; that view then outlived the promotion.

One that still says that it is paused has been so all along. One that does not is paused anew and the wait begins again; one that does not answer counts as not paused.

'a replica that restarts while it is paused...' failed before (world.violations not empty) and passes.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -135,6 +135,14 @@
                 || (this->questionsFailingSince && *this->questionsFailingSince > this->lastAnswer);
         }
     };
+    /// A replica that was paused for the replacement.
+    struct Pause {
+        Progress received;
+        /// When this VM knew of it first.
+        Instant since;
+        /// When the replica was asked last and still said so.
+        Instant lastSeen;
+    };
     /// How far a replacement of the primary has come.
     struct Replacement {
         Term term {};
@@ -147,8 +155,7 @@
         bool stoodDown = false;
         /// When the record was seen to hold the claim.
         Instant claimedAt;
-        std::map<UpstreamName, Progress> paused;
-        std::optional<Instant> lastPausedAt;
+        std::map<UpstreamName, Pause> paused;
         std::optional<Progress> demotedAt;
         UpstreamName chosen;
         Instant chosenAt;
@@ -178,7 +185,12 @@
     void noteClaim(const LeadershipRecord& record, Instant now);
     void demoteFirst(Instant now);
     void pauseReplicas(Instant now);
+    void notePause(const UpstreamName& upstream, const UpstreamStatus& status, Instant askedAt, Instant now);
     [[nodiscard]] bool pausedEnough(Instant now) const;
+    /// When every view that a paused replica may have renewed has ended.
+    [[nodiscard]] Instant viewsEndAt() const;
+    /// True once the replica is known to have been paused for as long as a view lives.
+    [[nodiscard]] bool outlastedViews(const Pause& pause) const noexcept;
     void choose(Instant now);
     void promote(Instant now);
     void finish(const UpstreamName& leader, Term term, Instant now);
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -164,11 +164,8 @@
         this->confirmedBy = upstream;
         ++this->counts.replicaConfirmations;
     }
-    if (this->replacement && status.heldTerm >= this->replacement->term && !status.isPrimary) {
-        const bool first = this->replacement->paused.insert_or_assign(upstream, status.received).second;
-        if (first)
-            this->replacement->lastPausedAt = now;
-    }
+    if (this->replacement && !status.isPrimary)
+        this->notePause(upstream, status, askedAt, now);
     if (this->replacement && this->replacement->planned && upstream == record->primary && !status.isPrimary)
         this->replacement->demotedAt = status.received;
 }
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -127,9 +127,16 @@
 {
     const auto& settings = this->options.settings;
     for (auto& member : this->members) {
-        if (member.entry.name == this->record().primary
-            || this->replacement->paused.contains(member.entry.name))
+        if (member.entry.name == this->record().primary)
             continue;
+        if (const auto pause = this->replacement->paused.find(member.entry.name);
+            pause != this->replacement->paused.end()) {
+            // It is asked once more at the end, as a restart in between would not show otherwise.
+            const bool due = now >= pause->second.since + settings.viewLifetime;
+            if (due && !this->outlastedViews(pause->second))
+                this->ask(member, now);
+            continue;
+        }
         if (!takeTurn(member, settings.askInterval, now))
             continue;
         // A replica that still receives what the demoted primary has written is left to it for a moment.
@@ -145,14 +152,43 @@
     }
 }
 
+void LeaderCoordinator::notePause(
+    const UpstreamName& upstream, const UpstreamStatus& status, Instant askedAt, Instant now)
+{
+    auto& paused = this->replacement->paused;
+    // A restart ends a pause, and the replica may have vouched for the old primary since. It is paused anew.
+    if (status.heldTerm < this->replacement->term) {
+        paused.erase(upstream);
+        return;
+    }
+    auto& pause = paused.try_emplace(upstream, Pause { .since = now }).first->second;
+    pause.received = status.received;
+    pause.lastSeen = askedAt;
+}
+
+bool LeaderCoordinator::outlastedViews(const Pause& pause) const noexcept
+{
+    return pause.lastSeen >= pause.since + this->options.settings.viewLifetime;
+}
+
+Instant LeaderCoordinator::viewsEndAt() const
+{
+    const auto& settings = this->options.settings;
+    auto from = this->replacement->claimedAt;
+    for (const auto& [name, pause] : this->replacement->paused)
+        from = std::max(from, pause.since);
+    return from + settings.viewLifetime + settings.viewMargin;
+}
+
 bool LeaderCoordinator::pausedEnough(Instant now) const
 {
     const auto& replacement = *this->replacement;
-    if (replacement.paused.empty() || !replacement.lastPausedAt)
+    if (replacement.paused.empty())
         return false;
     for (const auto& member : this->members) {
-        const bool open
-            = member.entry.name != this->record().primary && !replacement.paused.contains(member.entry.name);
+        const auto pause = replacement.paused.find(member.entry.name);
+        const bool open = member.entry.name != this->record().primary
+            && (pause == replacement.paused.end() || !this->outlastedViews(pause->second));
         if (open
             && now < replacement.claimedAt + this->options.settings.pauseGrace
                     + this->options.settings.catchUpTime)
@@ -163,26 +199,20 @@
 
 void LeaderCoordinator::choose(Instant now)
 {
-    const auto& settings = this->options.settings;
     auto& replacement = *this->replacement;
-    if (!this->pausedEnough(now))
-        return;
-    const auto pausedAt = replacement.lastPausedAt.value_or(now);
-    const auto lapsed
-        = std::max(replacement.claimedAt, pausedAt) + settings.viewLifetime + settings.viewMargin;
-    if (now < lapsed)
+    if (!this->pausedEnough(now) || now < this->viewsEndAt())
         return;
     const Member* best = nullptr;
     Progress bestProgress;
-    for (const auto& [name, progress] : replacement.paused) {
+    for (const auto& [name, pause] : replacement.paused) {
         const auto* member = this->find(name);
         const bool refused = std::find(replacement.refused.begin(), replacement.refused.end(), name)
             != replacement.refused.end();
-        if (member == nullptr || refused || member->entry.draining)
+        if (member == nullptr || refused || member->entry.draining || !this->outlastedViews(pause))
             continue;
-        if (best == nullptr || progress > bestProgress) {
+        if (best == nullptr || pause.received > bestProgress) {
             best = member;
-            bestProgress = progress;
+            bestProgress = pause.received;
         }
     }
     if (best == nullptr) {
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -150,6 +150,22 @@
         CHECK(world.violations.empty());
     }
 
+    TEST_CASE("a replica that restarts while it is paused does not keep a view of the old primary up")
+    {
+        // Guards against a promotion that relies on a pause which a restart has ended.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.vm(2).storeAwayUntil = world.now + 20s;
+        world.member("replica-2").lag = 3s;
+        world.member("primary").running = false;
+        REQUIRE(world.passUntil(6s, [&] { return world.member("replica-2").held == 2; }));
+        world.pass(300ms);
+        world.restart("replica-2");
+        REQUIRE(world.passUntil(8s, [&] { return world.vm(0).coordinator.view().term == Term { 2 }; }));
+        world.pass(4s);
+        CHECK(world.violations.empty());
+    }
+
     TEST_CASE("a holder that dies between its claim and the promotion is followed by another VM")
     {
         // The VM that replaces the primary is killed half way. The group must not stay without a primary
