Let every replica vouch for a primary that the store has not been asked about for a second

One replica's word now prolongs a view only for a second after the store was asked last, which covers a reader that is gone or a slow answer. From then on all replicas must give theirs, so pausing the one that is to be promoted ends every view. A promoter that could not pause them all waits that second out: 2.1 s from its claim in place of 1.4 s. The price: with the store away and a replica out of reach for longer, primary work of that group is refused until either is back.

Draining replicas are asked as well, as they are among those that must confirm.

'a replica that the promoter cannot reach...' failed before and passes.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -27,6 +27,10 @@
     Duration askInterval = std::chrono::milliseconds { 150 };
     /// Between two questions to a replica while the store is silent.
     Duration confirmInterval = std::chrono::milliseconds { 350 };
+    /// For so long after the store was asked last, the word of one replica prolongs a view; from then on all
+    /// of them must give theirs, so that pausing any one of them ends it. A promoter that could not pause
+    /// them all waits it out.
+    Duration loneReplicaTime = std::chrono::milliseconds { 1000 };
     /// Between two tries to bring an upstream behind the primary that leads now.
     Duration settleInterval = std::chrono::milliseconds { 400 };
     /// The duty's holder asks a primary that no traffic has reached for so long.
@@ -35,8 +39,6 @@
     Duration deadAfter = std::chrono::milliseconds { 700 };
     /// Replicas' logs are compared over this time: one that grows shows that the primary lives.
     Duration growthTime = std::chrono::milliseconds { 200 };
-    /// How long a promoter waits for replicas that do not answer.
-    Duration pauseGrace = std::chrono::milliseconds { 600 };
     /// In a planned change, how long replicas may take to receive what the old primary has.
     Duration catchUpTime = std::chrono::milliseconds { 800 };
     /// Between two tries of a promotion that has not shown an effect.
@@ -125,6 +127,8 @@
         Instant statusAt = Instant::min();
         Instant lastAnswer = Instant::min();
         Instant lastAsked = Instant::min();
+        /// When it was asked last and confirmed that it follows the record's primary.
+        Instant confirmedAt = Instant::min();
         /// Since when statements of callers, and this VM's own questions, have been failing.
         std::optional<Instant> trafficFailingSince;
         std::optional<Instant> questionsFailingSince;
@@ -174,6 +178,10 @@
     void renewFromReplica(Instant now);
     void askReplicas(Instant now);
     [[nodiscard]] bool isPrimary(const UpstreamName& name) const;
+    /// A replica confirmed, when it was asked at that instant, that it follows the record's primary.
+    void noteConfirmation(Member& replica, Instant askedAt);
+    /// Forgets what replicas confirmed, as it was another record.
+    void forgetConfirmations() noexcept;
     void bootstrap(Instant now);
     void watchPrimary(Instant now);
     [[nodiscard]] bool primaryIsSilent(Instant now);
@@ -186,8 +194,9 @@
     void demoteFirst(Instant now);
     void pauseReplicas(Instant now);
     void notePause(const UpstreamName& upstream, const UpstreamStatus& status, Instant askedAt, Instant now);
-    [[nodiscard]] bool pausedEnough(Instant now) const;
-    /// When every view that a paused replica may have renewed has ended.
+    /// True when every replica is paused and has been for the lifetime of a view.
+    [[nodiscard]] bool allOutlastedViews() const;
+    /// When every view of the old primary has ended.
     [[nodiscard]] Instant viewsEndAt() const;
     /// True once the replica is known to have been paused for as long as a view lives.
     [[nodiscard]] bool outlastedViews(const Pause& pause) const noexcept;
@@ -221,7 +230,7 @@
     bool readOnce = false;
     bool doubted = false;
     std::vector<Member> members;
-    /// When a replica confirmed the record's term last.
+    /// Up to when replicas have confirmed the record's term.
     Instant confirmedAt = Instant::min();
     /// The replica that did.
     UpstreamName confirmedBy;
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -84,8 +84,7 @@
     this->readOnce = true;
     this->doubted = false;
     if (!sameRecord) {
-        // What replicas confirmed was the record before.
-        this->confirmedAt = Instant::min();
+        this->forgetConfirmations();
         if (const auto& record = snapshot.record)
             this->note("leadership_read",
                 { { "primary", record->primary.string() }, { "term", textOf(record->term) },
@@ -159,17 +158,37 @@
     // new term. By then each view has ended; only what still holds may be prolonged.
     const bool confirms = !status.isPrimary && status.term == record->term && status.heldTerm <= record->term
         && upstream != record->primary && this->view().holds(now);
-    if (confirms && askedAt > this->confirmedAt) {
-        this->confirmedAt = askedAt;
-        this->confirmedBy = upstream;
-        ++this->counts.replicaConfirmations;
-    }
+    if (confirms)
+        this->noteConfirmation(*member, askedAt);
     if (this->replacement && !status.isPrimary)
         this->notePause(upstream, status, askedAt, now);
     if (this->replacement && this->replacement->planned && upstream == record->primary && !status.isPrimary)
         this->replacement->demotedAt = status.received;
 }
 
+void LeaderCoordinator::noteConfirmation(Member& replica, Instant askedAt)
+{
+    replica.confirmedAt = std::max(replica.confirmedAt, askedAt);
+    const bool suffices = askedAt < this->known.askedAt + this->options.settings.loneReplicaTime;
+    auto confirmed = replica.confirmedAt;
+    for (const auto& member : this->members) {
+        if (!suffices && !this->isPrimary(member.entry.name))
+            confirmed = std::min(confirmed, member.confirmedAt);
+    }
+    if (confirmed <= this->confirmedAt)
+        return;
+    this->confirmedAt = confirmed;
+    this->confirmedBy = replica.entry.name;
+    ++this->counts.replicaConfirmations;
+}
+
+void LeaderCoordinator::forgetConfirmations() noexcept
+{
+    this->confirmedAt = Instant::min();
+    for (auto& member : this->members)
+        member.confirmedAt = Instant::min();
+}
+
 void LeaderCoordinator::onSilence(const UpstreamName& upstream, Instant now)
 {
     auto* member = this->find(upstream);
@@ -185,7 +204,7 @@
 {
     this->known.record = record;
     this->known.recordRevision = revision;
-    this->confirmedAt = Instant::min();
+    this->forgetConfirmations();
     if (record.isSettled()) {
         this->replacement.reset();
         // The swap itself read the store at a moment after it was sent; the next snapshot renews the view.
@@ -341,7 +360,7 @@
 void LeaderCoordinator::askReplicas(Instant now)
 {
     for (auto& member : this->members) {
-        if (!this->isPrimary(member.entry.name) && !member.entry.draining)
+        if (!this->isPrimary(member.entry.name))
             this->ask(member, now);
     }
 }
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -171,36 +171,35 @@
     return pause.lastSeen >= pause.since + this->options.settings.viewLifetime;
 }
 
-Instant LeaderCoordinator::viewsEndAt() const
+bool LeaderCoordinator::allOutlastedViews() const
 {
-    const auto& settings = this->options.settings;
-    auto from = this->replacement->claimedAt;
-    for (const auto& [name, pause] : this->replacement->paused)
-        from = std::max(from, pause.since);
-    return from + settings.viewLifetime + settings.viewMargin;
+    const auto& paused = this->replacement->paused;
+    return std::all_of(this->members.begin(), this->members.end(), [&](const Member& member) {
+        const auto pause = paused.find(member.entry.name);
+        return this->isPrimary(member.entry.name)
+            || (pause != paused.end() && this->outlastedViews(pause->second));
+    });
 }
 
-bool LeaderCoordinator::pausedEnough(Instant now) const
+Instant LeaderCoordinator::viewsEndAt() const
 {
+    const auto& settings = this->options.settings;
     const auto& replacement = *this->replacement;
-    if (replacement.paused.empty())
-        return false;
-    for (const auto& member : this->members) {
-        const auto pause = replacement.paused.find(member.entry.name);
-        const bool open = member.entry.name != this->record().primary
-            && (pause == replacement.paused.end() || !this->outlastedViews(pause->second));
-        if (open
-            && now < replacement.claimedAt + this->options.settings.pauseGrace
-                    + this->options.settings.catchUpTime)
-            return false;
-    }
-    return true;
+    const auto lifetime = settings.viewLifetime + settings.viewMargin;
+    // A replica that could not be paused may alone vouch for the old primary to VMs that the store turns
+    // away.
+    if (!this->allOutlastedViews())
+        return replacement.claimedAt + settings.loneReplicaTime + lifetime;
+    auto from = replacement.claimedAt;
+    for (const auto& [name, pause] : replacement.paused)
+        from = std::max(from, pause.since);
+    return from + lifetime;
 }
 
 void LeaderCoordinator::choose(Instant now)
 {
     auto& replacement = *this->replacement;
-    if (!this->pausedEnough(now) || now < this->viewsEndAt())
+    if (now < this->viewsEndAt())
         return;
     const Member* best = nullptr;
     Progress bestProgress;
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -166,6 +166,38 @@
         CHECK(world.violations.empty());
     }
 
+    TEST_CASE("a replica that the promoter cannot reach does not keep a view of the old primary up")
+    {
+        // Guards against a VM that the store turns away and that reaches a replica which was never paused.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.vm(2).storeAwayUntil = world.now + 20s;
+        world.member("replica-2").lag = 15s;
+        world.vm(0).cutFrom = { UpstreamName { "replica-2" } };
+        world.vm(1).cutFrom = { UpstreamName { "replica-2" } };
+        world.member("primary").running = false;
+        REQUIRE(world.passUntil(10s, [&] { return world.vm(0).coordinator.view().term == Term { 2 }; }));
+        world.pass(4s);
+        CHECK(world.violations.empty());
+    }
+
+    TEST_CASE("without the store one replica keeps a view up for a moment only, all of them for long")
+    {
+        // Guards against a primary that is taken away from its callers while all of its replicas vouch for
+        // it.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.storeDown = true;
+        world.pass(5s);
+        CHECK(world.allFollowLeader());
+        world.vm(2).cutFrom = { UpstreamName { "replica-2" } };
+        world.pass(1500ms);
+        CHECK_FALSE(world.vm(2).coordinator.view().holds(world.now));
+        CHECK(world.vm(1).coordinator.view().holds(world.now));
+        world.storeDown = false;
+        settle(world);
+    }
+
     TEST_CASE("a holder that dies between its claim and the promotion is followed by another VM")
     {
         // The VM that replaces the primary is killed half way. The group must not stay without a primary
