Send a promotion only for the replica that the record names

Two promotions of one group could be under way at once and make two primaries: VMs acted on a view of the one while the other led the next term. Callers would read at a former primary, or be told of success for commits that the other one does not have.

Cause: which replica was chosen was known to its promoter alone. A promoter that gave up on its choice after 2.5 s promoted another while the first promotion could still take effect. A successor of a holder that was cut off chose anew, and promoted beside it. And whichever leader was seen was written down, though the promotion of another was under way.

The record now names the chosen replica. It is written while views of the old primary end, before the platform is asked to promote it, so a successor knows what its predecessor may have sent, goes on with the same replica, and knows that nothing was sent when none is named. PendingPromotions keeps what may still take effect: until 4 s (promotionSettled) after the last promotion of a replica, or after a successor's own claim was seen, no other is promoted and no other leader is written down. A refusal settles a promotion only if it was the only one. A record without the field names nobody. A primary that is back goes on leading at once if a successor finds no choice.

An answer to a write that was overtaken by a newer reading of the record is passed over, as the choice relies on it.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cyclamendrift/leadership/leadership_events.h>
+#include <cyclamendrift/leadership/pending_promotions.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -43,10 +44,11 @@
     Duration catchUpTime = std::chrono::milliseconds { 800 };
     /// Between two tries of a promotion that has not shown an effect.
     Duration promoteInterval = std::chrono::milliseconds { 500 };
-    /// Another replica is tried when the one that was named does not lead after this.
+    /// A replica that does not lead after this is given up. Another one is promoted as soon as no promotion
+    /// of the former may still take effect.
     Duration promoteTimeout = std::chrono::milliseconds { 2500 };
-    /// After so long a promotion that a former holder may have sent has taken effect or never will; it covers
-    /// the time limit of that call and the change itself.
+    /// After so long a promotion that was sent has taken effect or never will; it covers the time limit of
+    /// that call and the change itself.
     Duration promotionSettled = std::chrono::milliseconds { 4000 };
     /// A VM that gave up the duty does not take it again for so long.
     Duration yieldPause = std::chrono::seconds { 4 };
@@ -65,6 +67,10 @@
 /// from both steps on it waits for the lifetime of views. A replica prolongs a view that still holds; one
 /// that has ended comes back from the store alone.
 ///
+/// One promotion at a time: the record names the replica that is to lead before the platform is asked to
+/// promote it, so whoever takes the duty over goes on with it. Another one is chosen, or written down as the
+/// primary, only when no promotion of the former one can take effect any more.
+///
 ///     coordinator.onSnapshot(snapshot, now);
 ///     for (const auto& action : coordinator.tick(now)) begin(action);
 class LeaderCoordinator {
@@ -151,21 +157,30 @@
     struct Replacement {
         Term term {};
         bool planned = false;
-        /// Another VM, or an earlier turn of this one, had begun it and may have sent a promotion.
-        bool takenOver = false;
         /// The change that writes the claim is not known to have taken effect yet.
         bool claimPending = true;
-        /// This VM has tried to write that the primary goes on leading.
-        bool stoodDown = false;
+        /// The upstream that this VM has tried to write down as the primary.
+        UpstreamName settledOn;
         /// When the record was seen to hold the claim.
         Instant claimedAt;
         std::map<UpstreamName, Pause> paused;
         std::optional<Progress> demotedAt;
-        UpstreamName chosen;
-        Instant chosenAt;
+        /// The replica that this VM promotes, and since when.
+        UpstreamName promoted;
+        Instant promotedSince;
         Instant lastPromote = Instant::min();
         std::vector<UpstreamName> refused;
     };
+    /// An upstream that says it leads.
+    struct Leader {
+        UpstreamName name;
+        Term term {};
+    };
+    /// A replica that may be promoted.
+    struct Candidate {
+        UpstreamName name;
+        Progress received;
+    };
     /// A first look at the replicas' logs while the primary is silent.
     struct Growth {
         Instant since;
@@ -200,11 +215,25 @@
     [[nodiscard]] Instant viewsEndAt() const;
     /// True once the replica is known to have been paused for as long as a view lives.
     [[nodiscard]] bool outlastedViews(const Pause& pause) const noexcept;
+    /// True when every upstream but the old primary is paused.
+    [[nodiscard]] bool allPaused() const;
+    /// Who leads the highest term, if that is `least` or above.
+    [[nodiscard]] std::optional<Leader> newestLeader(Term least) const;
+    /// The replicas that may be promoted as far as this VM knows.
+    [[nodiscard]] std::vector<Candidate> candidates(Instant now);
+    /// The one that has received most, unless a promotion of another may still take effect.
+    [[nodiscard]] std::optional<Candidate> pick(Instant now);
+    /// Writes the choice down and, when every view of the old primary has ended, begins to promote it.
     void choose(Instant now);
     void promote(Instant now);
-    void finish(const UpstreamName& leader, Term term, Instant now);
+    /// Who leads shows by asking, whichever promotion took effect.
+    void askAll(Instant now);
+    void giveUpPromotion();
+    void finish(const Leader& leader, Instant now);
     void settleOthers(Instant now);
     void write(LeadershipRecord record, Instant now);
+    /// True when no change that this VM has sent may still take effect.
+    [[nodiscard]] bool knowsRecord() const noexcept;
     /// Writes that `leader` leads in `term` and nobody claims the next one.
     void writeLeader(const UpstreamName& leader, Term term, Instant now);
     /// True when the member was last asked or told something `interval` ago or longer, which counts as asking
@@ -236,6 +265,7 @@
     UpstreamName confirmedBy;
     Instant lastConfirmAsked = Instant::min();
     std::unique_ptr<Replacement> replacement;
+    PendingPromotions promotions;
     std::unique_ptr<Growth> growth;
     std::optional<Instant> dutyFreeSince;
     /// What was read before this instant says nothing of who holds the duty.
@@ -245,6 +275,8 @@
     Instant lastWrite = Instant::min();
     std::uint64_t changes = 0;
     std::string lastChange;
+    /// The revision that the last change expects.
+    std::uint64_t lastExpected = 0;
     LeaderView published;
     Instant lastPublished = Instant::min();
     /// What was noted last of the view: whether it held, and who vouched for it.
--- a/include/cyclamendrift/leadership/leadership_record.h
+++ b/include/cyclamendrift/leadership/leadership_record.h
@@ -28,6 +28,8 @@
     VmName author;
     /// Unique to each change, so that a change whose answer was lost is recognised.
     std::string changeId;
+    /// Who is to lead the claimed term; empty while no promotion was sent for it.
+    UpstreamName chosen;
 
     /// True while no replacement is under way.
     [[nodiscard]] bool isSettled() const noexcept { return this->claimedTerm <= this->term; }
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -36,6 +36,7 @@
 
 LeaderCoordinator::LeaderCoordinator(Options options)
     : options(std::move(options))
+    , promotions(this->options.settings.promotionSettled)
 {
 }
 
@@ -202,6 +203,9 @@
 
 void LeaderCoordinator::onWritten(const LeadershipRecord& record, std::uint64_t revision, Instant now)
 {
+    // An answer may be overtaken by a reading of what came after it.
+    if (revision < this->known.recordRevision)
+        return;
     this->known.record = record;
     this->known.recordRevision = revision;
     this->forgetConfirmations();
@@ -216,10 +220,9 @@
 
 void LeaderCoordinator::onPromotionRefused(const UpstreamName& upstream)
 {
-    if (this->replacement && this->replacement->chosen == upstream) {
-        this->replacement->refused.push_back(upstream);
-        this->replacement->chosen = UpstreamName {};
-    }
+    this->promotions.noteOutcome(upstream);
+    if (this->replacement && this->replacement->promoted == upstream)
+        this->giveUpPromotion();
 }
 
 LeaderView LeaderCoordinator::view() const
@@ -401,11 +404,17 @@
     record.changeId = this->options.vm.string() + '/' + std::to_string(this->options.seed) + '/'
         + std::to_string(++this->changes);
     this->lastChange = record.changeId;
+    this->lastExpected = this->known.recordRevision;
     this->actions.emplace_back(WriteLeadership { .record = std::move(record),
         .expectedRevision = this->known.recordRevision,
         .dutyRevision = this->duty().revision });
 }
 
+bool LeaderCoordinator::knowsRecord() const noexcept
+{
+    return this->known.recordRevision > this->lastExpected;
+}
+
 void LeaderCoordinator::writeLeader(const UpstreamName& leader, Term term, Instant now)
 {
     this->write({ .term = term, .primary = leader, .claimedTerm = term }, now);
--- a/src/leadership/leadership_record.cpp
+++ b/src/leadership/leadership_record.cpp
@@ -12,6 +12,7 @@
     message.set_claimed_term(static_cast<std::uint64_t>(this->claimedTerm));
     message.set_author(this->author.string());
     message.set_change_id(this->changeId);
+    message.set_chosen(this->chosen.string());
     return message.SerializeAsString();
 }
 
@@ -24,7 +25,8 @@
         .primary = UpstreamName { message.primary() },
         .claimedTerm = Term { message.claimed_term() },
         .author = VmName { message.author() },
-        .changeId = message.change_id() };
+        .changeId = message.change_id(),
+        .chosen = UpstreamName { message.chosen() } };
 }
 
 } // namespace cyclamendrift
--- /dev/null
+++ b/src/leadership/promotion.cpp
@@ -0,0 +1,128 @@
+#include <cyclamendrift/leadership/leader_coordinator.h>
+
+#include "term_text.h"
+
+#include <algorithm>
+#include <utility>
+
+// How the holder of a group's duty chooses and promotes a replica, and learns who leads. Two promotions at
+// once would make two primaries, so one is sent only for the replica that the record names.
+namespace cyclamendrift {
+
+bool LeaderCoordinator::allPaused() const
+{
+    return std::all_of(this->members.begin(), this->members.end(), [this](const Member& member) {
+        return this->isPrimary(member.entry.name) || this->replacement->paused.contains(member.entry.name);
+    });
+}
+
+std::optional<LeaderCoordinator::Leader> LeaderCoordinator::newestLeader(Term least) const
+{
+    std::optional<Leader> newest;
+    for (const auto& member : this->members) {
+        if (!member.status || !member.status->isPrimary || member.status->term < least)
+            continue;
+        if (!newest || member.status->term > newest->term)
+            newest = Leader { .name = member.entry.name, .term = member.status->term };
+    }
+    return newest;
+}
+
+std::vector<LeaderCoordinator::Candidate> LeaderCoordinator::candidates(Instant now)
+{
+    const auto& refused = this->replacement->refused;
+    const bool viewsEnded = now >= this->viewsEndAt();
+    std::vector<Candidate> found;
+    for (const auto& [name, pause] : this->replacement->paused) {
+        const auto* member = this->find(name);
+        const bool wasRefused = std::find(refused.begin(), refused.end(), name) != refused.end();
+        if (member == nullptr || wasRefused || member->entry.draining)
+            continue;
+        if (!viewsEnded || this->outlastedViews(pause))
+            found.push_back({ .name = name, .received = pause.received });
+    }
+    return found;
+}
+
+std::optional<LeaderCoordinator::Candidate> LeaderCoordinator::pick(Instant now)
+{
+    auto found = this->candidates(now);
+    // When every one was refused, they may be running again by now.
+    if (found.empty() && now >= this->viewsEndAt())
+        this->replacement->refused.clear();
+    std::erase_if(found,
+        [this, now](const Candidate& candidate) { return this->promotions.anyBut(candidate.name, now); });
+    const auto best = std::max_element(found.begin(), found.end(),
+        [](const Candidate& left, const Candidate& right) { return left.received < right.received; });
+    return best == found.end() ? std::nullopt : std::optional { *best };
+}
+
+void LeaderCoordinator::choose(Instant now)
+{
+    auto& replacement = *this->replacement;
+    // Replicas receive nothing while they are paused, so the choice can be written while views end.
+    if (!this->allPaused() && now < replacement.claimedAt + this->options.settings.viewLifetime)
+        return;
+    const auto best = this->pick(now);
+    if (!best)
+        return;
+    const auto& record = this->record();
+    if (record.chosen != best->name || !this->knowsRecord()) {
+        this->write({ .term = record.term,
+                        .primary = record.primary,
+                        .claimedTerm = record.claimedTerm,
+                        .chosen = best->name },
+            now);
+        return;
+    }
+    if (now < this->viewsEndAt())
+        return;
+    replacement.promoted = best->name;
+    replacement.promotedSince = now;
+    this->note(
+        "primary_chosen", { { "upstream", best->name.string() }, { "received", textOf(best->received) } });
+    this->promote(now);
+}
+
+void LeaderCoordinator::promote(Instant now)
+{
+    const auto& settings = this->options.settings;
+    auto& replacement = *this->replacement;
+    const bool gone = this->find(replacement.promoted) == nullptr;
+    if (gone || now >= replacement.promotedSince + settings.promoteTimeout) {
+        this->giveUpPromotion();
+        return;
+    }
+    if (now >= replacement.lastPromote + settings.promoteInterval) {
+        replacement.lastPromote = now;
+        this->promotions.noteSent(replacement.promoted, now);
+        this->actions.emplace_back(
+            PromoteUpstream { .upstream = replacement.promoted, .token = this->duty().token });
+    }
+    this->askAll(now);
+}
+
+void LeaderCoordinator::askAll(Instant now)
+{
+    for (auto& member : this->members)
+        this->ask(member, now);
+}
+
+void LeaderCoordinator::giveUpPromotion()
+{
+    this->replacement->refused.push_back(std::exchange(this->replacement->promoted, UpstreamName {}));
+}
+
+void LeaderCoordinator::finish(const Leader& leader, Instant now)
+{
+    if (this->promotions.anyBut(leader.name, now)) {
+        this->askAll(now);
+        return;
+    }
+    this->promotions.noteOutcome(leader.name);
+    this->replacement->settledOn = leader.name;
+    this->note("primary_replaced", { { "primary", leader.name.string() }, { "term", textOf(leader.term) } });
+    this->writeLeader(leader.name, leader.term, now);
+}
+
+} // namespace cyclamendrift
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -6,8 +6,8 @@
 #include <utility>
 
 // How the holder of a group's duty replaces its primary: claim the next term in the store, pause the
-// replicas, wait until every view of the old primary has ended, promote the replica that has received most,
-// write down who leads.
+// replicas, write down which of them has received most, wait until every view of the old primary has ended,
+// promote it, write down who leads. See promotion.cpp for the choice and what follows it.
 namespace cyclamendrift {
 
 namespace {
@@ -43,24 +43,24 @@
     // on whoever wrote it before cannot change the record, and this VM knows that the record holds it.
     if (!this->replacement) {
         const auto* primary = this->find(record.primary);
-        this->replacement = std::make_unique<Replacement>(Replacement { .term = record.claimedTerm,
-            .planned = primary != nullptr && primary->entry.draining,
-            .takenOver = true });
+        this->replacement = std::make_unique<Replacement>(Replacement {
+            .term = record.claimedTerm, .planned = primary != nullptr && primary->entry.draining });
     }
     if (this->replacement->claimPending) {
-        this->write(
-            { .term = record.term, .primary = record.primary, .claimedTerm = record.claimedTerm }, now);
+        this->write({ .term = record.term,
+                        .primary = record.primary,
+                        .claimedTerm = record.claimedTerm,
+                        .chosen = record.chosen },
+            now);
         return;
     }
-    for (const auto& member : this->members) {
-        if (member.status && member.status->isPrimary && member.status->term >= record.claimedTerm)
-            return this->finish(member.entry.name, member.status->term, now);
-    }
+    if (const auto leader = this->newestLeader(record.claimedTerm))
+        return this->finish(*leader, now);
     if (this->primaryIsBack(now)) {
         this->standDown(now);
         return;
     }
-    if (this->replacement->stoodDown) {
+    if (!this->replacement->settledOn.empty()) {
         // Whether the record still holds the claim is not known any more; promoting now could make two
         // primaries.
         this->replacement.reset();
@@ -69,7 +69,7 @@
     if (this->replacement->planned)
         this->demoteFirst(now);
     this->pauseReplicas(now);
-    if (this->replacement->chosen.empty())
+    if (this->replacement->promoted.empty())
         this->choose(now);
     else
         this->promote(now);
@@ -79,8 +79,12 @@
 {
     if (!this->replacement || record.isSettled() || record.changeId != this->lastChange)
         return;
-    if (std::exchange(this->replacement->claimPending, false))
-        this->replacement->claimedAt = now;
+    if (!std::exchange(this->replacement->claimPending, false))
+        return;
+    this->replacement->claimedAt = now;
+    // Whoever wrote that choice may have promoted it until this claim took its place.
+    if (!record.chosen.empty())
+        this->promotions.noteFormer(record.chosen, now);
 }
 
 bool LeaderCoordinator::primaryIsBack(Instant now)
@@ -88,11 +92,8 @@
     const auto& record = this->record();
     const auto& replacement = *this->replacement;
     auto* primary = this->find(record.primary);
-    const bool begun = !replacement.chosen.empty() || replacement.lastPromote != Instant::min();
-    if (primary == nullptr || replacement.planned || begun)
-        return false;
-    // A promotion that the former holder sent just before it was cut off may still be under way.
-    if (replacement.takenOver && now < replacement.claimedAt + this->options.settings.promotionSettled)
+    const bool begun = replacement.lastPromote != Instant::min();
+    if (primary == nullptr || replacement.planned || begun || this->promotions.anyBut(record.primary, now))
         return false;
     this->ask(*primary, now);
     return primary->status && primary->status->isPrimary && primary->statusAt > replacement.claimedAt
@@ -104,7 +105,7 @@
     // Nobody was promoted under this claim, and the old primary is there with its whole log: keeping it loses
     // nothing.
     const auto& record = this->record();
-    if (!std::exchange(this->replacement->stoodDown, true))
+    if (std::exchange(this->replacement->settledOn, record.primary) != record.primary)
         this->note("primary_is_back", { { "primary", record.primary.string() } });
     for (const auto& member : this->members) {
         if (member.entry.name != record.primary)
@@ -196,59 +197,6 @@
     return from + lifetime;
 }
 
-void LeaderCoordinator::choose(Instant now)
-{
-    auto& replacement = *this->replacement;
-    if (now < this->viewsEndAt())
-        return;
-    const Member* best = nullptr;
-    Progress bestProgress;
-    for (const auto& [name, pause] : replacement.paused) {
-        const auto* member = this->find(name);
-        const bool refused = std::find(replacement.refused.begin(), replacement.refused.end(), name)
-            != replacement.refused.end();
-        if (member == nullptr || refused || member->entry.draining || !this->outlastedViews(pause))
-            continue;
-        if (best == nullptr || pause.received > bestProgress) {
-            best = member;
-            bestProgress = pause.received;
-        }
-    }
-    if (best == nullptr) {
-        // Every one was refused; they may be running again by now.
-        replacement.refused.clear();
-        return;
-    }
-    replacement.chosen = best->entry.name;
-    replacement.chosenAt = now;
-    this->note("primary_chosen",
-        { { "upstream", best->entry.name.string() }, { "received", textOf(bestProgress) } });
-    this->promote(now);
-}
-
-void LeaderCoordinator::promote(Instant now)
-{
-    const auto& settings = this->options.settings;
-    auto& replacement = *this->replacement;
-    auto* chosen = this->find(replacement.chosen);
-    if (chosen == nullptr || now >= replacement.chosenAt + settings.promoteTimeout) {
-        replacement.refused.push_back(std::exchange(replacement.chosen, UpstreamName {}));
-        return;
-    }
-    if (now >= replacement.lastPromote + settings.promoteInterval) {
-        replacement.lastPromote = now;
-        this->actions.emplace_back(
-            PromoteUpstream { .upstream = replacement.chosen, .token = this->duty().token });
-    }
-    this->ask(*chosen, now);
-}
-
-void LeaderCoordinator::finish(const UpstreamName& leader, Term term, Instant now)
-{
-    this->note("primary_replaced", { { "primary", leader.string() }, { "term", textOf(term) } });
-    this->writeLeader(leader, term, now);
-}
-
 void LeaderCoordinator::settleOthers(Instant now)
 {
     const auto& record = this->known.record;
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -18,6 +18,70 @@
     CHECK(world.violations.empty());
 }
 
+// The directory says from now on that the upstream is leaving.
+void announceEnd(LeadershipWorld& world, const std::string& leaving)
+{
+    UpstreamDirectory directory;
+    for (const auto* name : { "primary", "replica-1", "replica-2" }) {
+        directory.push_back(world.member(name).entry);
+        directory.back().draining = name == leaving;
+    }
+    for (std::size_t index = 0; index < 3; ++index)
+        world.vm(index).coordinator.onDirectory(directory);
+}
+
+// Replicas lag, restart and answer late, promotions take effect late, VMs freeze and are turned away.
+void runWithLaggingReplicas(LeadershipWorld& world, std::uint64_t seed)
+{
+    std::mt19937_64 random { seed };
+    const auto pick = [&random](int most) { return std::uniform_int_distribution<int> { 0, most }(random); };
+    const auto replica = [&pick] { return "replica-" + std::to_string(1 + pick(1)); };
+    world.loseAnswers = 4;
+    world.slowestAnswer = 120ms;
+    world.pass(3s);
+    for (int round = 0; round < 12; ++round) {
+        auto& vm = world.vm(static_cast<std::size_t>(pick(2)));
+        const std::chrono::milliseconds time { 200 + pick(4000) };
+        switch (pick(5)) {
+        case 0:
+            world.member(replica()).lag = time;
+            break;
+        case 1:
+            vm.storeAwayUntil = world.now + 2 * time;
+            break;
+        case 2:
+            vm.frozenUntil = world.now + time;
+            break;
+        case 3:
+            if (const auto* leads = world.leader()) {
+                auto& member = world.member(leads->entry.name.string());
+                member.running = false;
+                world.pass(time);
+                member.running = true;
+                const auto* newest = world.leader();
+                if (newest != nullptr && newest->term > member.term)
+                    member.primary = false;
+            }
+            break;
+        case 4:
+            world.restart(replica());
+            break;
+        default:
+            world.slowestPromotion = std::chrono::milliseconds { 30 + pick(2500) };
+        }
+        world.pass(std::chrono::milliseconds { pick(1500) });
+    }
+    world.pass(25s);
+}
+
+// The first VM replaces the primary and has begun to promote replica-1.
+void promoteFirstReplica(LeadershipWorld& world)
+{
+    world.member("primary").running = false;
+    REQUIRE(world.passUntil(4s, [&] { return world.noted("primary_chosen") == 1; }));
+    REQUIRE(world.noted("primary_replaced") == 0);
+}
+
 } // namespace
 
 TEST_SUITE("who leads a group")
@@ -54,13 +118,7 @@
         // A contractor takes the primary out of service in the middle of the day.
         LeadershipWorld world { {} };
         settle(world);
-        UpstreamDirectory directory;
-        for (const auto* name : { "primary", "replica-1", "replica-2" }) {
-            directory.push_back(world.member(name).entry);
-            directory.back().draining = std::string { name } == "primary";
-        }
-        for (std::size_t index = 0; index < 3; ++index)
-            world.vm(index).coordinator.onDirectory(directory);
+        announceEnd(world, "primary");
         REQUIRE(world.passUntil(6s, [&] {
             return world.allFollowLeader() && world.leader()->entry.name != UpstreamName { "primary" };
         }));
@@ -241,6 +299,104 @@
     }
 }
 
+TEST_SUITE("one promotion at a time")
+{
+    TEST_CASE("a replica whose promotion takes long is not passed over while it may still lead")
+    {
+        // Guards against a promoter that gives up on its choice and promotes another replica beside it.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.fastestPromotion = 2800ms;
+        world.slowestPromotion = 2800ms;
+        promoteFirstReplica(world);
+        world.pass(12s);
+        CHECK(world.violations.empty());
+        CHECK(world.allFollowLeader());
+    }
+
+    TEST_CASE("a successor does not promote another replica beside the one its predecessor promoted")
+    {
+        // Guards against the promotion of a holder that was cut off taking effect after its successor's.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.member("primary").running = false;
+        REQUIRE(world.passUntil(4s, [&] { return world.member("replica-2").held == 2; }));
+        world.pass(500ms);
+        world.fastestPromotion = 2800ms;
+        world.slowestPromotion = 2800ms;
+        world.vm(0).storeAwayUntil = world.now + 60s;
+        REQUIRE(world.passUntil(1s, [&] { return world.noted("primary_chosen") == 1; }));
+        // It is leaving, so that a successor would rather promote the other one.
+        announceEnd(world, "replica-1");
+        world.pass(1s);
+        world.fastestPromotion = 2ms;
+        world.slowestPromotion = 30ms;
+        world.pass(12s);
+        CHECK(world.violations.empty());
+        CHECK(world.leader()->entry.name == UpstreamName { "replica-2" });
+    }
+
+    TEST_CASE("a leader is not written down while the promotion of another upstream may take effect")
+    {
+        // Guards against a record that names the upstream of an older promotion while a newer one follows.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.fastestPromotion = 2s;
+        world.slowestPromotion = 2s;
+        // It is not paused, so it is asked until it answers.
+        world.vm(0).cutFrom = { UpstreamName { "replica-2" } };
+        promoteFirstReplica(world);
+        world.vm(0).cutFrom.clear();
+        world.takeLead("replica-2");
+        world.pass(12s);
+        CHECK(world.violations.empty());
+        CHECK(world.leader()->entry.name == UpstreamName { "replica-1" });
+        CHECK(world.allFollowLeader());
+    }
+
+    TEST_CASE("another replica is promoted when the one that was chosen never leads")
+    {
+        // Guards against a group that waits for a dead replica.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.member("primary").running = false;
+        REQUIRE(world.passUntil(4s, [&] { return world.member("replica-1").held == 2; }));
+        world.pass(1s);
+        world.member("replica-1").running = false;
+        REQUIRE(world.passUntil(12s, [&] { return world.allFollowLeader(); }));
+        CHECK(world.leader()->entry.name == UpstreamName { "replica-2" });
+        CHECK(world.violations.empty());
+    }
+
+    TEST_CASE("a successor follows a holder whose choice has died")
+    {
+        // Guards against a choice in the record that nobody gives up.
+        LeadershipWorld world { {} };
+        settle(world);
+        promoteFirstReplica(world);
+        world.vm(0).frozenUntil = world.now + 60s;
+        world.member("replica-1").running = false;
+        REQUIRE(world.passUntil(20s, [&] {
+            const auto* leads = world.leader();
+            return leads != nullptr && world.vm(1).coordinator.view().holds(world.now);
+        }));
+        CHECK(world.leader()->entry.name == UpstreamName { "replica-2" });
+        CHECK(world.violations.empty());
+    }
+
+    TEST_CASE("two promotions are never under way at once in cases that once failed")
+    {
+        // Guards against the ways in which a random play found two primaries.
+        for (const std::uint64_t seed : { 5560963582634111U, 33577449114624U }) {
+            CAPTURE(seed);
+            LeadershipWorld world { { .seed = seed } };
+            runWithLaggingReplicas(world, seed);
+            CHECK(world.violations.empty());
+            CHECK(world.allFollowLeader());
+        }
+    }
+}
+
 TEST_SUITE("who leads under faults")
 {
     TEST_CASE("no VM may act on an old primary while a newer one leads, and tokens never fall")
@@ -298,47 +454,7 @@
         // Guards against replicas that vouch for a former primary, and promotions that take effect late.
         checkProperty("leadership with lagging replicas", [](std::uint64_t seed) {
             LeadershipWorld world { { .seed = seed } };
-            std::mt19937_64 random { seed };
-            const auto pick = [&random](int most) {
-                return std::uniform_int_distribution<int> { 0, most }(random);
-            };
-            const auto replica = [&pick] { return "replica-" + std::to_string(1 + pick(1)); };
-            world.loseAnswers = 4;
-            world.slowestAnswer = 120ms;
-            world.pass(3s);
-            for (int round = 0; round < 12; ++round) {
-                auto& vm = world.vm(static_cast<std::size_t>(pick(2)));
-                const std::chrono::milliseconds time { 200 + pick(4000) };
-                switch (pick(5)) {
-                case 0:
-                    world.member(replica()).lag = time;
-                    break;
-                case 1:
-                    vm.storeAwayUntil = world.now + 2 * time;
-                    break;
-                case 2:
-                    vm.frozenUntil = world.now + time;
-                    break;
-                case 3:
-                    if (const auto* leads = world.leader()) {
-                        auto& member = world.member(leads->entry.name.string());
-                        member.running = false;
-                        world.pass(time);
-                        member.running = true;
-                        const auto* newest = world.leader();
-                        if (newest != nullptr && newest->term > member.term)
-                            member.primary = false;
-                    }
-                    break;
-                case 4:
-                    world.restart(replica());
-                    break;
-                default:
-                    world.slowestPromotion = std::chrono::milliseconds { 30 + pick(2500) };
-                }
-                world.pass(std::chrono::milliseconds { pick(1500) });
-            }
-            world.pass(25s);
+            runWithLaggingReplicas(world, seed);
             RC_LOG() << (world.violations.empty() ? "" : world.violations.front());
             RC_ASSERT(world.violations.empty());
             RC_ASSERT(world.allFollowLeader());
--- a/tests/leadership/leadership_world.cpp
+++ b/tests/leadership/leadership_world.cpp
@@ -106,6 +106,23 @@
     member.receivesSince = this->now;
 }
 
+void LeadershipWorld::takeLead(const std::string& name)
+{
+    auto& member = this->member(name);
+    if (member.primary || !member.running)
+        return;
+    std::uint64_t newest = 0;
+    for (const auto& [_, other] : this->members)
+        newest = std::max(newest, other.term);
+    member.primary = true;
+    member.term = newest + 1;
+    // A promotion ends the pause of all replicas of the group.
+    for (auto& [_, other] : this->members) {
+        this->release(other);
+        other.receivesSince = this->now;
+    }
+}
+
 const GroupMember* LeadershipWorld::leader() const
 {
     const GroupMember* best = nullptr;
@@ -127,15 +144,33 @@
     });
 }
 
+std::set<UpstreamName> LeadershipWorld::primariesInUse() const
+{
+    std::set<UpstreamName> primaries;
+    for (const auto& vm : this->vms) {
+        const auto view = vm.coordinator.view();
+        if (view.holds(this->now))
+            primaries.insert(view.primary);
+    }
+    return primaries;
+}
+
+std::size_t LeadershipWorld::noted(const std::string& event) const
+{
+    return static_cast<std::size_t>(std::count_if(this->notes.begin(), this->notes.end(),
+        [&event](const std::string& line) { return line.ends_with(' ' + event); }));
+}
+
 bool LeadershipWorld::storeReachable(const VmModel& vm) const
 {
     return !this->storeDown && this->now >= vm.storeAwayUntil;
 }
 
-void LeadershipWorld::later(std::function<void()> run, Duration most)
+void LeadershipWorld::later(std::function<void()> run, Duration most, Duration least)
 {
     const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(most).count();
-    const std::chrono::milliseconds delay { std::uniform_int_distribution<std::int64_t> { 2, longest }(
+    const auto shortest = std::chrono::duration_cast<std::chrono::milliseconds>(least).count();
+    const std::chrono::milliseconds delay { std::uniform_int_distribution<std::int64_t> { shortest, longest }(
         this->random) };
     this->events.push_back({ .at = this->now + delay, .run = std::move(run) });
 }
@@ -283,6 +318,8 @@
     // A VM checks its lease once more as it sends; what was sent arrives later whatever happens to it.
     if (this->now >= vm.leaseUntil)
         return;
+    if (!this->record || this->record->record.chosen != change.upstream)
+        this->violations.push_back("a promotion was sent that the record does not name");
     const auto carryOut = [this, change] {
         if (!this->tokens.empty() && change.token < this->tokens.back())
             this->violations.push_back("a promotion came with a lower token than one before");
@@ -290,23 +327,10 @@
         auto& named = this->members.at(change.upstream);
         if (named.primary || !named.running)
             return;
-        this->events.push_back({ .at = this->now + promoteTime, .run = [this, upstream = change.upstream] {
-                                    auto& member = this->members.at(upstream);
-                                    std::uint64_t newest = 0;
-                                    for (const auto& [name, other] : this->members)
-                                        newest = std::max(newest, other.term);
-                                    if (member.primary || !member.running)
-                                        return;
-                                    member.primary = true;
-                                    member.term = newest + 1;
-                                    // A promotion ends the pause of all replicas of the group.
-                                    for (auto& [name, other] : this->members) {
-                                        this->release(other);
-                                        other.receivesSince = this->now;
-                                    }
-                                } });
+        this->events.push_back({ .at = this->now + promoteTime,
+            .run = [this, upstream = change.upstream] { this->takeLead(upstream.string()); } });
     };
-    this->later(carryOut, this->slowestPromotion);
+    this->later(carryOut, this->slowestPromotion, this->fastestPromotion);
 }
 
 void LeadershipWorld::check()
--- a/tests/leadership/leadership_world.h
+++ b/tests/leadership/leadership_world.h
@@ -55,6 +55,8 @@
 
     /// A replica starts again with its log; it knows of no pause.
     void restart(const std::string& name);
+    /// An upstream that runs leads the next term, as after a promotion that no VM waits for.
+    void takeLead(const std::string& name);
     /// Lets time pass in steps of 10 ms.
     void pass(Duration duration);
     /// Passes time until the condition holds; returns how long it took, or nothing when it never did.
@@ -66,6 +68,10 @@
     [[nodiscard]] const GroupMember* leader() const;
     /// True when every VM that runs has a view that holds and names the leader.
     [[nodiscard]] bool allFollowLeader() const;
+    /// The primaries that VMs may act on now.
+    [[nodiscard]] std::set<UpstreamName> primariesInUse() const;
+    /// How often VMs have noted the event.
+    [[nodiscard]] std::size_t noted(const std::string& event) const;
     [[nodiscard]] std::size_t promotions() const { return this->tokens.size(); }
 
     Instant now { std::chrono::seconds { 1000 } };
@@ -77,7 +83,9 @@
     /// Longest time that an upstream's answer, and the platform's carrying out of a promotion, take.
     Duration slowestAnswer = std::chrono::milliseconds { 30 };
     Duration slowestPromotion = std::chrono::milliseconds { 30 };
-    /// What went wrong: a view of an old primary that still held after a newer one led, or a token that fell.
+    Duration fastestPromotion = std::chrono::milliseconds { 2 };
+    /// What went wrong: a view of an old primary that still held after a newer one led, a token that fell, or
+    /// a promotion that a successor would not know of.
     std::vector<std::string> violations;
 
 private:
@@ -102,7 +110,8 @@
     void tell(VmModel& vm, const UpstreamName& upstream, const std::function<void(GroupMember&)>& order);
     void write(VmModel& vm, const WriteLeadership& change);
     void promote(VmModel& vm, const PromoteUpstream& change);
-    void later(std::function<void()> run, Duration most = std::chrono::milliseconds { 30 });
+    void later(std::function<void()> run, Duration most = std::chrono::milliseconds { 30 },
+        Duration least = std::chrono::milliseconds { 2 });
     void replicate();
     /// Ends a replica's pause.
     void release(GroupMember& member) const;
