Count a replica that is missing from the directory as one that is out of reach

A promoter took the replicas it listed for all there are, and so did a VM that the store turns away and that has its view prolonged by all of them. Entries lapse, and lists differ between VMs for seconds: a replica that only one of the two lists is neither paused nor asked, and a view of the old primary outlived the promotion. Callers of that VM would read at a former primary.

A replica that left the directory without having announced its end counts for 10 s as one that cannot be reached: a promoter waits the second out in which such a one may vouch alone, and a VM whose view rests on all replicas does not take the rest for all. One that had announced its end is gone.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -32,6 +32,10 @@
     /// of them must give theirs, so that pausing any one of them ends it. A promoter that could not pause
     /// them all waits it out.
     Duration loneReplicaTime = std::chrono::milliseconds { 1000 };
+    /// A replica that left the directory without having announced its end counts for so long as one that is
+    /// out of reach: other VMs may list it still, or again. Covers the age of a listing and the time for
+    /// which missing entries are kept.
+    Duration missingReplicaKept = std::chrono::seconds { 10 };
     /// Between two tries to bring an upstream behind the primary that leads now.
     Duration settleInterval = std::chrono::milliseconds { 400 };
     /// The duty's holder asks a primary that no traffic has reached for so long.
@@ -94,7 +98,7 @@
     /// The store was read.
     void onSnapshot(const LeadershipSnapshot& snapshot, Instant now);
     /// The upstreams of the group that are there.
-    void onDirectory(UpstreamDirectory members);
+    void onDirectory(UpstreamDirectory members, Instant now);
     /// Traffic got an answer from an upstream, or has been failing to since some time.
     void onTraffic(const UpstreamName& upstream, Instant lastAnswer, std::optional<Instant> failingSince,
         bool contradictsView);
@@ -193,8 +197,10 @@
     void renewFromReplica(Instant now);
     void askReplicas(Instant now);
     [[nodiscard]] bool isPrimary(const UpstreamName& name) const;
+    /// True while a replica may be there that the directory does not list.
+    [[nodiscard]] bool missesReplica(Instant now) const;
     /// A replica confirmed, when it was asked at that instant, that it follows the record's primary.
-    void noteConfirmation(Member& replica, Instant askedAt);
+    void noteConfirmation(Member& replica, Instant askedAt, Instant now);
     /// Forgets what replicas confirmed, as it was another record.
     void forgetConfirmations() noexcept;
     void bootstrap(Instant now);
@@ -210,9 +216,9 @@
     void pauseReplicas(Instant now);
     void notePause(const UpstreamName& upstream, const UpstreamStatus& status, Instant askedAt, Instant now);
     /// True when every replica is paused and has been for the lifetime of a view.
-    [[nodiscard]] bool allOutlastedViews() const;
-    /// When every view of the old primary has ended.
-    [[nodiscard]] Instant viewsEndAt() const;
+    [[nodiscard]] bool allOutlastedViews(Instant now) const;
+    /// When every view of the old primary has ended, as far as is known now.
+    [[nodiscard]] Instant viewsEndAt(Instant now) const;
     /// True once the replica is known to have been paused for as long as a view lives.
     [[nodiscard]] bool outlastedViews(const Pause& pause) const noexcept;
     /// True when every upstream but the old primary is paused.
@@ -259,6 +265,8 @@
     bool readOnce = false;
     bool doubted = false;
     std::vector<Member> members;
+    /// When upstreams left the directory that had not announced their end.
+    std::map<UpstreamName, Instant> missingSince;
     /// Up to when replicas have confirmed the record's term.
     Instant confirmedAt = Instant::min();
     /// The replica that did.
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -112,18 +112,31 @@
     this->growth.reset();
 }
 
-void LeaderCoordinator::onDirectory(UpstreamDirectory entries)
+void LeaderCoordinator::onDirectory(UpstreamDirectory entries, Instant now)
 {
-    std::erase_if(this->members, [&entries](const Member& member) {
-        return std::none_of(entries.begin(), entries.end(),
+    std::erase_if(this->members, [&](const Member& member) {
+        const bool listed = std::any_of(entries.begin(), entries.end(),
             [&member](const UpstreamEntry& entry) { return entry.name == member.entry.name; });
+        if (!listed && !member.entry.draining)
+            this->missingSince.emplace(member.entry.name, now);
+        return !listed;
     });
     for (auto& entry : entries) {
+        this->missingSince.erase(entry.name);
         if (auto* member = this->find(entry.name))
             member->entry = std::move(entry);
         else
             this->members.push_back({ .entry = std::move(entry) });
     }
+    std::erase_if(this->missingSince,
+        [&](const auto& item) { return now >= item.second + this->options.settings.missingReplicaKept; });
+}
+
+bool LeaderCoordinator::missesReplica(Instant now) const
+{
+    return std::any_of(this->missingSince.begin(), this->missingSince.end(), [&](const auto& item) {
+        return !this->isPrimary(item.first) && now < item.second + this->options.settings.missingReplicaKept;
+    });
 }
 
 void LeaderCoordinator::onTraffic(const UpstreamName& upstream, Instant lastAnswer,
@@ -160,17 +173,19 @@
     const bool confirms = !status.isPrimary && status.term == record->term && status.heldTerm <= record->term
         && upstream != record->primary && this->view().holds(now);
     if (confirms)
-        this->noteConfirmation(*member, askedAt);
+        this->noteConfirmation(*member, askedAt, now);
     if (this->replacement && !status.isPrimary)
         this->notePause(upstream, status, askedAt, now);
     if (this->replacement && this->replacement->planned && upstream == record->primary && !status.isPrimary)
         this->replacement->demotedAt = status.received;
 }
 
-void LeaderCoordinator::noteConfirmation(Member& replica, Instant askedAt)
+void LeaderCoordinator::noteConfirmation(Member& replica, Instant askedAt, Instant now)
 {
     replica.confirmedAt = std::max(replica.confirmedAt, askedAt);
     const bool suffices = askedAt < this->known.askedAt + this->options.settings.loneReplicaTime;
+    if (!suffices && this->missesReplica(now))
+        return;
     auto confirmed = replica.confirmedAt;
     for (const auto& member : this->members) {
         if (!suffices && !this->isPrimary(member.entry.name))
--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -31,7 +31,7 @@
 std::vector<LeaderCoordinator::Candidate> LeaderCoordinator::candidates(Instant now)
 {
     const auto& refused = this->replacement->refused;
-    const bool viewsEnded = now >= this->viewsEndAt();
+    const bool viewsEnded = now >= this->viewsEndAt(now);
     std::vector<Candidate> found;
     for (const auto& [name, pause] : this->replacement->paused) {
         const auto* member = this->find(name);
@@ -48,7 +48,7 @@
 {
     auto found = this->candidates(now);
     // When every one was refused, they may be running again by now.
-    if (found.empty() && now >= this->viewsEndAt())
+    if (found.empty() && now >= this->viewsEndAt(now))
         this->replacement->refused.clear();
     std::erase_if(found,
         [this, now](const Candidate& candidate) { return this->promotions.anyBut(candidate.name, now); });
@@ -75,7 +75,7 @@
             now);
         return;
     }
-    if (now < this->viewsEndAt())
+    if (now < this->viewsEndAt(now))
         return;
     replacement.promoted = best->name;
     replacement.promotedSince = now;
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -172,24 +172,25 @@
     return pause.lastSeen >= pause.since + this->options.settings.viewLifetime;
 }
 
-bool LeaderCoordinator::allOutlastedViews() const
+bool LeaderCoordinator::allOutlastedViews(Instant now) const
 {
     const auto& paused = this->replacement->paused;
-    return std::all_of(this->members.begin(), this->members.end(), [&](const Member& member) {
-        const auto pause = paused.find(member.entry.name);
-        return this->isPrimary(member.entry.name)
-            || (pause != paused.end() && this->outlastedViews(pause->second));
-    });
+    return !this->missesReplica(now)
+        && std::all_of(this->members.begin(), this->members.end(), [&](const Member& member) {
+               const auto pause = paused.find(member.entry.name);
+               return this->isPrimary(member.entry.name)
+                   || (pause != paused.end() && this->outlastedViews(pause->second));
+           });
 }
 
-Instant LeaderCoordinator::viewsEndAt() const
+Instant LeaderCoordinator::viewsEndAt(Instant now) const
 {
     const auto& settings = this->options.settings;
     const auto& replacement = *this->replacement;
     const auto lifetime = settings.viewLifetime + settings.viewMargin;
     // A replica that could not be paused may alone vouch for the old primary to VMs that the store turns
     // away.
-    if (!this->allOutlastedViews())
+    if (!this->allOutlastedViews(now))
         return replacement.claimedAt + settings.loneReplicaTime + lifetime;
     auto from = replacement.claimedAt;
     for (const auto& [name, pause] : replacement.paused)
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -183,7 +183,7 @@
         }
     }
     for (auto& [service, coordinator] : this->coordinators)
-        coordinator.onDirectory(groups[service]);
+        coordinator.onDirectory(groups[service], bootNow());
     this->options.traffic.setDirectory(this->directory);
 }
 
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <string>
+#include <vector>
 
 using namespace cyclamendrift;
 using namespace std::chrono_literals;
@@ -27,7 +28,7 @@
         directory.back().draining = name == leaving;
     }
     for (std::size_t index = 0; index < 3; ++index)
-        world.vm(index).coordinator.onDirectory(directory);
+        world.vm(index).coordinator.onDirectory(directory, world.now);
 }
 
 // Replicas lag, restart and answer late, promotions take effect late, VMs freeze and are turned away.
@@ -82,6 +83,15 @@
     REQUIRE(world.noted("primary_replaced") == 0);
 }
 
+/// The entries of these upstreams, as a VM's directory has them.
+UpstreamDirectory directoryOf(LeadershipWorld& world, const std::vector<std::string>& names)
+{
+    UpstreamDirectory directory;
+    for (const auto& name : names)
+        directory.push_back(world.member(name).entry);
+    return directory;
+}
+
 } // namespace
 
 TEST_SUITE("who leads a group")
@@ -239,6 +249,47 @@
         CHECK(world.violations.empty());
     }
 
+    TEST_CASE(
+        "a replica that is missing from the promoter's directory does not keep a view of the old primary up")
+    {
+        // Guards against a promoter that waits only for the replicas it lists, while a VM that the store
+        // turns away lists one more.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.member("replica-2").lag = 10s;
+        for (std::size_t index = 0; index < 2; ++index)
+            world.vm(index).coordinator.onDirectory(
+                directoryOf(world, { "primary", "replica-1" }), world.now);
+        world.member("primary").running = false;
+        REQUIRE(world.passUntil(6s, [&] {
+            // Its last reading is the one just before the claim.
+            world.vm(2).nextRead = world.now;
+            return std::find(world.notes.begin(), world.notes.end(), "vm-0 replacing_primary")
+                != world.notes.end();
+        }));
+        world.vm(2).storeAwayUntil = world.now + 20s;
+        REQUIRE(world.passUntil(6s, [&] { return world.vm(0).coordinator.view().term == Term { 2 }; }));
+        world.pass(4s);
+        CHECK(world.violations.empty());
+    }
+
+    TEST_CASE("a VM that does not list the replica which is promoted loses its view of the old primary")
+    {
+        // Guards against a VM that the store turns away and that takes the replicas it lists for all there
+        // are.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.vm(2).storeAwayUntil = world.now + 20s;
+        world.vm(2).coordinator.onDirectory(directoryOf(world, { "primary", "replica-2" }), world.now);
+        world.member("replica-2").lag = 15s;
+        for (std::size_t index = 0; index < 2; ++index)
+            world.vm(index).cutFrom = { UpstreamName { "replica-2" } };
+        world.member("primary").running = false;
+        REQUIRE(world.passUntil(10s, [&] { return world.vm(0).coordinator.view().term == Term { 2 }; }));
+        world.pass(4s);
+        CHECK(world.violations.empty());
+    }
+
     TEST_CASE("without the store one replica keeps a view up for a moment only, all of them for long")
     {
         // Guards against a primary that is taken away from its callers while all of its replicas vouch for
--- a/tests/leadership/leadership_world.cpp
+++ b/tests/leadership/leadership_world.cpp
@@ -34,7 +34,7 @@
         this->vms.push_back(
             { .name = name, .coordinator = LeaderCoordinator { { .vm = name, .seed = options.seed } } });
         this->vms.back().coordinator.setRank(index);
-        this->vms.back().coordinator.onDirectory(directory);
+        this->vms.back().coordinator.onDirectory(directory, this->now);
     }
 }
 
