Promote the paused replica that has received most, whether or not it answered again

Since paused replicas are asked once more before a promotion, one that missed that question, or was paused anew after a restart, was passed over for one that had received less: commits that it alone had were lost with the old primary.

One replica that is known to have been paused all along ends every view, as a VM that has not heard of the store for a second needs the word of all of them; it does not have to be the one that is promoted. So every paused replica may be chosen once the wait is over, if one of them is known to have been paused all along.

Found by a review, with tests that failed before and pass: 'a paused replica that received most is promoted even if...' and 'a replica that was paused anew after a restart is promoted if...'.

--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -31,15 +31,20 @@
 std::vector<LeaderCoordinator::Candidate> LeaderCoordinator::candidates(Instant now)
 {
     const auto& refused = this->replacement->refused;
-    const bool viewsEnded = now >= this->viewsEndAt(now);
+    const auto& paused = this->replacement->paused;
+    // One that is known to have been paused all along suffices to end every view; which one is promoted does
+    // not matter for that.
+    const bool viewsEnded = std::any_of(
+        paused.begin(), paused.end(), [this](const auto& item) { return this->outlastedViews(item.second); });
     std::vector<Candidate> found;
-    for (const auto& [name, pause] : this->replacement->paused) {
+    if (!viewsEnded && now >= this->viewsEndAt(now))
+        return found;
+    for (const auto& [name, pause] : paused) {
         const auto* member = this->find(name);
         const bool wasRefused = std::find(refused.begin(), refused.end(), name) != refused.end();
         if (member == nullptr || wasRefused || member->entry.draining)
             continue;
-        if (!viewsEnded || this->outlastedViews(pause))
-            found.push_back({ .name = name, .received = pause.received });
+        found.push_back({ .name = name, .received = pause.received });
     }
     return found;
 }
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -290,6 +290,71 @@
         CHECK(world.violations.empty());
     }
 
+    TEST_CASE("a paused replica that received most is promoted even if it is out of reach for a moment")
+    {
+        // Guards against the loss of commits that only one replica has, which answers the pause and misses
+        // the question after it.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.member("replica-1").held = 2;
+        world.pass(500ms);
+        world.member("primary").running = false;
+        REQUIRE(world.passUntil(6s, [&] { return world.member("replica-2").held == 2; }));
+        world.pass(200ms);
+        REQUIRE(world.member("replica-2").received > world.member("replica-1").received);
+        world.vm(0).cutFrom = { UpstreamName { "replica-2" } };
+        REQUIRE(world.passUntil(6s, [&] { return world.leader() != nullptr; }));
+        world.vm(0).cutFrom.clear();
+        REQUIRE(world.passUntil(6s, [&] { return world.allFollowLeader(); }));
+        CHECK(world.leader()->entry.name == UpstreamName { "replica-2" });
+        CHECK(world.violations.empty());
+    }
+
+    TEST_CASE("a replica that was paused anew after a restart is promoted if it has received most")
+    {
+        // Guards against the loss of commits that only one replica has, which can be reached all the time and
+        // has not been paused for as long as the other.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.member("replica-1").held = 2;
+        world.pass(500ms);
+        world.member("primary").running = false;
+        REQUIRE(world.passUntil(6s, [&] { return world.member("replica-2").held == 2; }));
+        world.pass(200ms);
+        REQUIRE(world.member("replica-2").received > world.member("replica-1").received);
+        world.restart("replica-2");
+        REQUIRE(world.passUntil(6s, [&] { return world.allFollowLeader(); }));
+        CHECK(world.leader()->entry.name == UpstreamName { "replica-2" });
+        CHECK(world.violations.empty());
+    }
+
+    TEST_CASE("the answer to a write that comes after a newer record was read brings no older view back")
+    {
+        // Guards against a former holder of the duty that is told late of its own change.
+        const Instant start { 1000s };
+        const VmName self { "vm-0" };
+        const VmName other { "vm-1" };
+        LeaderCoordinator coordinator { { .vm = self } };
+        LeadershipRecord led { .term = Term { 1 },
+            .primary = UpstreamName { "primary" },
+            .claimedTerm = Term { 1 },
+            .author = self,
+            .changeId = "first" };
+        auto claimed = led;
+        claimed.claimedTerm = Term { 2 };
+        claimed.author = other;
+        claimed.changeId = "second";
+        LeadershipSnapshot snapshot;
+        snapshot.record = claimed;
+        snapshot.recordRevision = 20;
+        snapshot.duty = LeadershipDuty { .holder = other, .token = 15, .revision = 15 };
+        snapshot.askedAt = start;
+        coordinator.onSnapshot(snapshot, start + 10ms);
+        REQUIRE_FALSE(coordinator.view().holds(start + 20ms));
+        coordinator.onWritten(led, 10, start + 20ms);
+        CHECK_FALSE(coordinator.view().holds(start + 20ms));
+    }
+
     TEST_CASE("without the store one replica keeps a view up for a moment only, all of them for long")
     {
         // Guards against a primary that is taken away from its callers while all of its replicas vouch for
