Tell siblings the age of lists from when the store was asked

The list of VMs and the directory of upstreams counted as current from when the answer was handled. A VM that was suspended in between told siblings that what it had read long ago was current: the same class of fault as a view that comes back, though neither list renews an authority by itself.

The age of a watched configuration is still reckoned from when the answer was handled: asked up to 1.2 s before, it would have siblings read the store themselves. A suspended reader can so vouch once for what it read before.

--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -108,11 +108,12 @@
             // The first reading must not miss anything; later ones may lag, as an upstream announces its end
             // early.
             const auto freshness = self->directoryRead ? ReadFreshness::MayLag : ReadFreshness::Linearizable;
+            const auto askedAt = bootNow();
             const auto listing
                 = co_await self->options.store.listing(self->options.format.upstreamPrefix(), freshness);
             ++self->storeCalls["directory"];
             self->directorySource.succeeded();
-            self->directoryConfirmedAt = bootNow();
+            self->directoryConfirmedAt = askedAt;
             self->takeDirectory(listing);
         } catch (const StoreError& error) {
             pause = self->directorySource.failed(error.what());
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -181,11 +181,12 @@
         const bool told = !self->isReader() && bootNow() < self->vmsConfirmedAt + 2 * settings.vmListInterval;
         try {
             if (!told) {
+                const auto askedAt = bootNow();
                 const auto listing
                     = co_await self->options.store.listing(store_key::vmPrefix, ReadFreshness::Linearizable);
                 ++self->storeCalls["vms"];
                 self->vmSource.succeeded();
-                self->vmsConfirmedAt = bootNow();
+                self->vmsConfirmedAt = askedAt;
                 self->takeVms(listing);
             }
         } catch (const StoreError& error) {
