Ask a replica again at once that has not confirmed a view

Since every replica must confirm a view that the store has not been asked about for a second, one question in 350 ms is too few: a lost or refused one leaves two tries, and a view that has ended does not come back before the store does.

Each replica is asked 350 ms after its last confirmation, and every 150 ms until it confirms.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -26,7 +26,8 @@
     Duration storeSilence = std::chrono::milliseconds { 680 };
     /// Between two questions to the same upstream.
     Duration askInterval = std::chrono::milliseconds { 150 };
-    /// Between two questions to a replica while the store is silent.
+    /// From a replica's confirmation to the next question to it while the store is silent; one that has not
+    /// confirmed is asked again after `askInterval`.
     Duration confirmInterval = std::chrono::milliseconds { 350 };
     /// For so long after the store was asked last, the word of one replica prolongs a view; from then on all
     /// of them must give theirs, so that pausing any one of them ends it. A promoter that could not pause
@@ -195,7 +196,6 @@
     [[nodiscard]] bool isTurnToTakeDuty(Instant now) const;
     void takeDutyIfFree(Instant now);
     void renewFromReplica(Instant now);
-    void askReplicas(Instant now);
     [[nodiscard]] bool isPrimary(const UpstreamName& name) const;
     /// True while a replica may be there that the directory does not list.
     [[nodiscard]] bool missesReplica(Instant now) const;
@@ -271,7 +271,6 @@
     Instant confirmedAt = Instant::min();
     /// The replica that did.
     UpstreamName confirmedBy;
-    Instant lastConfirmAsked = Instant::min();
     std::unique_ptr<Replacement> replacement;
     PendingPromotions promotions;
     std::unique_ptr<Growth> growth;
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -359,26 +359,13 @@
 void LeaderCoordinator::renewFromReplica(Instant now)
 {
     const auto& settings = this->options.settings;
-    const auto& record = this->known.record;
-    if (!record || !record->isSettled())
-        return;
     const bool storeSilent = now >= this->known.askedAt + settings.storeSilence;
-    const auto view = this->view();
-    if (!storeSilent || !view.holds(now))
-        return;
-    // What has ended cannot be prolonged, so a question without an answer is soon asked again.
-    const bool endsSoon = view.validUntil - now < settings.confirmInterval;
-    const auto interval = endsSoon ? settings.askInterval : settings.confirmInterval;
-    if (now < this->lastConfirmAsked + interval)
+    // What has ended cannot be prolonged.
+    if (!storeSilent || !this->view().holds(now))
         return;
-    this->lastConfirmAsked = now;
-    this->askReplicas(now);
-}
-
-void LeaderCoordinator::askReplicas(Instant now)
-{
     for (auto& member : this->members) {
-        if (!this->isPrimary(member.entry.name))
+        const bool due = now >= member.confirmedAt + settings.confirmInterval;
+        if (due && !this->isPrimary(member.entry.name))
             this->ask(member, now);
     }
 }
