Close a connection with the call that libcurl gave up

A call that timed out left its connection open: the far end saw no end of it, a descriptor stayed in use for each one, and what a partition held up was delivered whenever it healed. For a promotion that is a change of primary that nobody waits for any more.

Cause: waits are on a duplicate of libcurl's socket. When libcurl closes its own, the duplicate was dropped from the table, but the wait under way on it held it, and a connection ends only with its last descriptor. Such a wait ends when the far end says something, which it does not.

Now the duplicate is closed when libcurl lets go of the socket, which cancels the wait.

'a call that is given up ends its connection' failed before (the far end saw no end within 5 s) and passes.

--- a/src/platform/curl_client.cpp
+++ b/src/platform/curl_client.cpp
@@ -245,7 +245,7 @@
     {
         auto& self = *static_cast<Engine*>(data);
         if (what == CURL_POLL_REMOVE) {
-            self.sockets.erase(socket);
+            self.forget(socket);
             return 0;
         }
         auto& watched = self.sockets[socket];
@@ -256,6 +256,17 @@
         return 0;
     }
 
+    void forget(curl_socket_t socket)
+    {
+        const auto found = this->sockets.find(socket);
+        if (found == this->sockets.end())
+            return;
+        // A wait that is under way holds the duplicate, and with it the connection that libcurl closes.
+        std::error_code ignored;
+        found->second->descriptor.close(ignored);
+        this->sockets.erase(found);
+    }
+
     void wait(curl_socket_t socket, const std::shared_ptr<Watched>& watched)
     {
         if ((watched->wanted & CURL_POLL_IN) != 0 && !watched->readPending) {
