Reset the connection of a promotion that was given up

A promotion that got no answer in time could still be delivered when a partition healed, and replace a primary long after the VM that had sent it stopped waiting: while views of that primary hold, callers read at a former primary.

Cause: the connection was closed in the ordinary way, and what was sent before such a close is still delivered. Now the connections of promotions are reset when they are closed, so the kernel drops what the platform has not got. The option is set when the socket is made, so it holds for the end of the process too. An answered promotion keeps its connection for the next one, and nothing is on its way when that ends.

Other users of the client need no reset.

'a promotion that is given up resets its connection' failed before (the far end saw an ordinary end) and passes.

--- a/include/cyclamendrift/platform/curl_client.h
+++ b/include/cyclamendrift/platform/curl_client.h
@@ -38,6 +38,9 @@
     struct Options {
         Duration connectTimeout {};
         std::size_t maxAnswerBytes = 0;
+        /// Closing a connection, the end of the process included, resets it: what a call that was given up
+        /// has sent and the network still holds is never delivered.
+        bool resetsConnections = false;
     };
     /// Is handed pieces of an answer's body as they arrive.
     using PieceHandler = std::function<void(std::string_view)>;
--- a/src/platform/curl_client.cpp
+++ b/src/platform/curl_client.cpp
@@ -8,6 +8,7 @@
 #include <asio/use_awaitable.hpp>
 
 #include <curl/curl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -77,6 +78,8 @@
         this->set(CURLOPT_TIMEOUT_MS, millisecondsOf(this->request.timeout));
         this->set(CURLOPT_WRITEFUNCTION, &Transfer::write);
         this->set(CURLOPT_WRITEDATA, this);
+        if (options.resetsConnections)
+            this->set(CURLOPT_SOCKOPTFUNCTION, &Transfer::resetWhenClosed);
         if (this->request.body) {
             this->outgoing = *std::move(this->request.body);
             this->setBody();
@@ -124,6 +127,13 @@
         this->set(CURLOPT_SEEKDATA, this);
     }
 
+    static int resetWhenClosed(void*, curl_socket_t socket, curlsocktype)
+    {
+        const linger reset { .l_onoff = 1, .l_linger = 0 };
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+        return CURL_SOCKOPT_OK;
+    }
+
     static std::size_t read(char* buffer, std::size_t size, std::size_t count, void* data)
     {
         auto& self = *static_cast<Transfer*>(data);
--- /dev/null
+++ b/tests/adapter/leadership_client_test.cpp
@@ -0,0 +1,32 @@
+#include "../coroutine.h"
+#include "../silent_peer.h"
+
+#include <platform/leadership_client.h>
+
+#include <asio/error.hpp>
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <string>
+
+using namespace cyclamendrift;
+using platform::LeadershipClient;
+
+TEST_SUITE("promotions")
+{
+    // A promotion that nobody waits for any more arrives after a partition and makes a second primary.
+    TEST_CASE("a promotion that is given up resets its connection")
+    {
+        asio::io_context context;
+        SilentPeer platform { context };
+        LeadershipClient client { context,
+            { .promotionAddress = platform.address(),
+                .promotionTimeout = std::chrono::milliseconds { 200 } } };
+        const auto answer = runCoroutine(context,
+            client.promote(ServiceName { "register" }, UpstreamName { "i-1" }, VmName { "vm-1" }, 7));
+        CHECK(answer == LeadershipPort::PromotionAnswer::NoAnswer);
+        CHECK(platform.awaitEnd() == asio::error::connection_reset);
+        CHECK(platform.received().find("i-1") != std::string::npos);
+    }
+}
