Send no request whose time is over

A VM that was suspended after it began a promotion sent it when it woke, seconds after its lease and its time limit had passed. It changed the primary under a new holder of the duty, who had waited out what the former one could still have sent. The same held for every call to the store.

Cause: the time limit is libcurl's, whose clock does not count time spent suspended, and which begins with its first step and not with the call. Nothing looked at the time between the connection and the request.

Now the client looks at the clock that counts suspension when the connection is there, just before the request goes out, and ends a call whose time is over as one that was not sent. The limit covers what waits in the event loop, the connection and the sending; the answer is still waited for by libcurl's clock.

'a call whose time is over before it is sent is not sent' and 'a promotion whose time is over before it is sent is not sent' failed before (the far end got the request) and pass.

--- a/include/cyclamendrift/platform/curl_client.h
+++ b/include/cyclamendrift/platform/curl_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/runtime/boot_clock.h>
 
 #include <asio/any_io_executor.hpp>
 #include <asio/awaitable.hpp>
@@ -23,7 +24,7 @@
     std::string method;
     /// Whole header lines, as in "Content-Type: application/json".
     std::vector<std::string> headers;
-    /// Longest time for the whole exchange.
+    /// Longest time for the whole exchange; what is not sent within it is not sent at all.
     Duration timeout {};
 };
 
@@ -41,6 +42,8 @@
         /// Closing a connection, the end of the process included, resets it: what a call that was given up
         /// has sent and the network still holds is never delivered.
         bool resetsConnections = false;
+        /// Goes on while the VM is suspended, unlike the clock of libcurl.
+        std::function<Instant()> clock = bootNow;
     };
     /// Is handed pieces of an answer's body as they arrive.
     using PieceHandler = std::function<void(std::string_view)>;
--- a/src/platform/curl_client.cpp
+++ b/src/platform/curl_client.cpp
@@ -56,6 +56,8 @@
         , request(std::move(request))
         , onPiece(std::move(onPiece))
         , maxAnswerBytes(options.maxAnswerBytes)
+        , clock(options.clock)
+        , sendBy(options.clock() + this->request.timeout)
         , finished(executor, Instant::max())
     {
         if (!this->handle)
@@ -78,6 +80,8 @@
         this->set(CURLOPT_TIMEOUT_MS, millisecondsOf(this->request.timeout));
         this->set(CURLOPT_WRITEFUNCTION, &Transfer::write);
         this->set(CURLOPT_WRITEDATA, this);
+        this->set(CURLOPT_PREREQFUNCTION, &Transfer::mayBeSent);
+        this->set(CURLOPT_PREREQDATA, this);
         if (options.resetsConnections)
             this->set(CURLOPT_SOCKOPTFUNCTION, &Transfer::resetWhenClosed);
         if (this->request.body) {
@@ -134,6 +138,14 @@
         return CURL_SOCKOPT_OK;
     }
 
+    /// Is called when the connection is there and nothing was sent. libcurl's own timeout does not count time
+    /// spent suspended.
+    static int mayBeSent(void* data, char*, char*, int, int)
+    {
+        const auto& self = *static_cast<const Transfer*>(data);
+        return self.clock() < self.sendBy ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+    }
+
     static std::size_t read(char* buffer, std::size_t size, std::size_t count, void* data)
     {
         auto& self = *static_cast<Transfer*>(data);
@@ -176,7 +188,10 @@
         long requestSize = 0;
         curl_easy_getinfo(this->handle.get(), CURLINFO_REQUEST_SIZE, &requestSize);
         const auto kind = requestSize == 0 ? StoreError::Kind::Unreachable : StoreError::Kind::NoAnswer;
-        throw StoreError { kind, curl_easy_strerror(this->result) };
+        const auto* reason = this->result == CURLE_ABORTED_BY_CALLBACK
+            ? "its time was over before it could be sent"
+            : curl_easy_strerror(this->result);
+        throw StoreError { kind, reason };
     }
 
     std::unique_ptr<CURL, EasyDeleter> handle;
@@ -184,6 +199,8 @@
     CurlRequest request;
     PieceHandler onPiece;
     std::size_t maxAnswerBytes;
+    std::function<Instant()> clock;
+    Instant sendBy;
     std::string outgoing;
     std::size_t sent = 0;
     std::string body;
--- a/tests/adapter/leadership_client_test.cpp
+++ b/tests/adapter/leadership_client_test.cpp
@@ -29,4 +29,20 @@
         CHECK(platform.awaitEnd() == asio::error::connection_reset);
         CHECK(platform.received().find("i-1") != std::string::npos);
     }
+
+    // A VM wakes from a suspension and promotes a replica long after it lost the duty.
+    TEST_CASE("a promotion whose time is over before it is sent is not sent")
+    {
+        asio::io_context context;
+        SilentPeer platform { context };
+        Instant now {};
+        const auto suspendedAfterEachLook = [&now] { return now += std::chrono::hours { 1 }; };
+        LeadershipClient client { context,
+            { .promotionAddress = platform.address(), .clock = suspendedAfterEachLook } };
+        const auto answer = runCoroutine(context,
+            client.promote(ServiceName { "register" }, UpstreamName { "i-1" }, VmName { "vm-1" }, 7));
+        CHECK(answer == LeadershipPort::PromotionAnswer::NoAnswer);
+        CHECK(platform.awaitEnd() == asio::error::connection_reset);
+        CHECK(platform.received().empty());
+    }
 }
--- a/tests/platform/curl_client_test.cpp
+++ b/tests/platform/curl_client_test.cpp
@@ -40,4 +40,26 @@
         CHECK(peer.awaitEnd() == asio::error::eof);
         CHECK(peer.received().ends_with("a change"));
     }
+
+    // A VM wakes from a suspension and makes a change that it decided on long ago.
+    TEST_CASE("a call whose time is over before it is sent is not sent")
+    {
+        asio::io_context context;
+        SilentPeer peer { context };
+        Instant now {};
+        const auto suspendedAfterEachLook = [&now] { return now += 1h; };
+        CurlClient client {
+            context.get_executor(),
+            { .connectTimeout = callTime, .maxAnswerBytes = maxAnswerBytes, .clock = suspendedAfterEachLook }
+        };
+        auto kind = StoreError::Kind::NoAnswer;
+        try {
+            static_cast<void>(runCoroutine(context, client.perform(postTo(peer))));
+        } catch (const StoreError& error) {
+            kind = error.kind();
+        }
+        CHECK(kind == StoreError::Kind::Unreachable);
+        CHECK(peer.awaitEnd() == asio::error::eof);
+        CHECK(peer.received().empty());
+    }
 }
