--- a/tests/adapter/leadership_client_test.cpp
+++ b/tests/adapter/leadership_client_test.cpp
@@ -1,5 +1,6 @@
 #include "../coroutine.h"
 #include "../silent_peer.h"
+#include "line_upstreams.h"
 
 #include <platform/leadership_client.h>
 
@@ -8,11 +9,43 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 using namespace cyclamendrift;
 using platform::LeadershipClient;
 
+namespace {
+
+UpstreamEntry entryOf(const std::string& id, std::uint16_t port)
+{
+    return {
+        .name = UpstreamName { id }, .service = ServiceName { "register" }, .host = "127.0.0.1", .port = port
+    };
+}
+
+} // namespace
+
+TEST_SUITE("orders to upstreams")
+{
+    // A VM wakes from a suspension and ends the pause that another VM has put on a replica meanwhile.
+    TEST_CASE("an order whose time is over when the upstream greets is not sent")
+    {
+        asio::io_context context;
+        LineUpstreams upstreams { context, "register", 2 };
+        auto& replica = upstreams.node(1);
+        replica.held = 2;
+        Instant now {};
+        const auto suspendedAfterEachLook = [&now] { return now += std::chrono::hours { 1 }; };
+        LeadershipClient client { context, { .clock = suspendedAfterEachLook } };
+        const auto status
+            = runCoroutine(context, client.order(entryOf(replica.id, replica.port), ResumeReplication {}));
+        CHECK_FALSE(status.has_value());
+        context.poll();
+        CHECK(replica.held == 2);
+    }
+}
+
 TEST_SUITE("promotions")
 {
     // A promotion that nobody waits for any more arrives after a partition and makes a second primary.
