--- a/tests/adapter/leadership_client_test.cpp
+++ b/tests/adapter/leadership_client_test.cpp
@@ -44,6 +44,32 @@
         context.poll();
         CHECK(replica.held == 2);
     }
+
+    // An order that was given up arrives after a partition, when others have given theirs.
+    TEST_CASE("an order that is given up resets its connection")
+    {
+        asio::io_context context;
+        SilentPeer upstream { context, "READY I 1.100\r\n" };
+        LeadershipClient client { context, {} };
+        const auto status
+            = runCoroutine(context, client.order(entryOf("i-1", upstream.port()), ResumeReplication {}));
+        CHECK_FALSE(status.has_value());
+        CHECK(upstream.awaitEnd() == asio::error::connection_reset);
+        CHECK(upstream.received().find("RESUME") != std::string::npos);
+    }
+
+    // An upstream that was asked and has answered sees its connections break.
+    TEST_CASE("an order that is answered closes its connection")
+    {
+        asio::io_context context;
+        SilentPeer upstream { context,
+            "READY I 1.100\r\nROW replica 1 1.100 0 0 0 1\r\nDONE -\r\nREADY I 1.100\r\n" };
+        LeadershipClient client { context, {} };
+        const auto status
+            = runCoroutine(context, client.order(entryOf("i-1", upstream.port()), ReportStatus {}));
+        CHECK(status.has_value());
+        CHECK(upstream.awaitEnd() == asio::error::eof);
+    }
 }
 
 TEST_SUITE("promotions")
