Stop acting on a view of the primary that an answer contradicts

Callers of a primary route read at a former primary, and lost sight of an acknowledged commit, although this VM had already seen an answer of the next term.

Cause: an answer from a later term than the view's, or READONLY from the view's primary, only made the control side read the store sooner. The view went on to name the former primary for as long as it was renewed, and reads and writes went on to be sent there.

Now a group keeps the newest term that any answer or greeting told, and the lead that its primary refused. A view that either contradicts leads nobody: primary work waits for a view or is sent away as when no primary is known, commits are not acknowledged under it, and positions are not noted. A renewal changes nothing of that, a view of a later term does. A transaction that rests on a view of an older term reads no more; those at replicas, which named a position, go on.

READONLY counts only if what it answers was sent under the same view, so that a late one does not take a primary that leads again out of service, and not within a transaction for reading, in which a caller's mistake brings it. The line view_contradicted is written for READONLY as well and names the reason.

The model of upstreams now refuses statements of a plain transaction whose upstream has lost the lead.

--- a/include/cyclamendrift/pooling/session_engine.h
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -30,7 +30,8 @@
     Instant lastAnswer = Instant::min();
     /// Since when every try to reach it has failed; empty when the last one did not.
     std::optional<Instant> failingSince;
-    /// A term above that of the view, or a refusal to act as primary, was seen.
+    /// A term above that of the view, or a refusal of its primary to act as one, was seen in the upstream's
+    /// group; the view is not acted on any more.
     bool contradictsView = false;
 };
 
--- a/src/pooling/engine_answers.cpp
+++ b/src/pooling/engine_answers.cpp
@@ -92,6 +92,9 @@
     const bool commits = session.work->kind == WorkKind::Commit;
     const bool dropped = meansNotRun(failure.error) && (!commits || phase != SessionPhase::InTransaction);
     this->logFailure(session, connection.upstream, failure);
+    // A caller may send a write within its transaction for reading, which any upstream refuses.
+    if (failure.error == StatementError::ReadOnly && !session.transactionReadOnly)
+        this->noteRefusedLead(connection);
     connection.inTransaction = phase != SessionPhase::Idle;
     if (connection.inTransaction) {
         this->endTransaction(session);
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -202,6 +202,8 @@
     const bool covered = leads || session.pinned;
     const auto needed = covered ? std::optional<NeededProgress> {} : this->neededProgress(group, session);
     const auto position = needed ? std::optional { needed->progress } : std::nullopt;
+    if (!session.pinned)
+        connection.restsOn = leads ? std::optional { group.view.term } : std::nullopt;
     if (auto* open = std::get_if<OpenTransaction>(&step.statement))
         open->after = position;
     if (auto* pass = std::get_if<PassStatement>(&step.statement))
@@ -230,10 +232,11 @@
 {
     const auto& group = this->group(connection.service);
     // Inside an open transaction the upstream itself refuses what its lost lead forbids, and a read sees what
-    // the transaction saw when it was opened.
+    // the transaction saw when it was opened. A newer primary may have led then already.
+    if (session.pinned && session.work->kind == WorkKind::Read)
+        return !connection.restsOn || *connection.restsOn >= group.newestTerm;
     if (session.pinned)
-        return session.work->kind == WorkKind::Read || group.isLedBy(connection.upstream, this->now)
-            || session.transactionReadOnly;
+        return group.isLedBy(connection.upstream, this->now) || session.transactionReadOnly;
     if (group.isLedBy(connection.upstream, this->now))
         return true;
     return !session.work->needsPrimary && this->neededProgress(group, session).has_value();
@@ -399,30 +402,12 @@
         upstream.laggingTimes = 0;
         upstream.laggingUntil = Instant::min();
     }
-    if (group.view.phase == LeaderView::Phase::Led && reply.progress->term > group.view.term) {
-        upstream.contradictsView = true;
-        this->logContradiction(connection, reply);
-    }
+    this->noteTerm(group, this->sourceOf(connection), reply.progress->term);
     // The position speaks for the time at which the statement went out, if the view held then.
     if (group.isLedBy(connection.upstream, connection.sentAt) && reply.progress->term == group.view.term)
         group.history.note({ .progress = *reply.progress, .seenAt = connection.sentAt });
 }
 
-void SessionEngine::State::logContradiction(const PooledConnection& connection, const Reply& reply)
-{
-    const auto& view = this->group(connection.service).view;
-    const auto* session = connection.user ? this->findCaller(*connection.user) : nullptr;
-    const bool atPrimary = view.primary == connection.upstream;
-    this->log("view_contradicted",
-        { { "id", session != nullptr ? session->statementId : "" },
-            { "service", connection.service.string() }, { "upstream", connection.upstream.string() },
-            { "answer_term", std::to_string(static_cast<std::uint64_t>(reply.progress->term)) },
-            { "view_primary", view.primary.string() },
-            { "view_term", std::to_string(static_cast<std::uint64_t>(view.term)) },
-            { "view_left_ms", millisecondsText(view.validUntil - this->now) },
-            { "at_view_primary", atPrimary ? "yes" : "no" } });
-}
-
 void SessionEngine::State::noteNotRun(PooledConnection& connection, StatementError error)
 {
     auto& upstream = this->upstreamOf(connection);
@@ -436,9 +421,8 @@
                 this->options.settings.laggingPauseAtMost);
         ++upstream.laggingTimes;
     }
-    if (error == StatementError::ReadOnly
-        && this->group(connection.service).view.primary == connection.upstream)
-        upstream.contradictsView = true;
+    if (error == StatementError::ReadOnly)
+        this->noteRefusedLead(connection);
 }
 
 void SessionEngine::State::checkTimeouts()
--- /dev/null
+++ b/src/pooling/engine_contradictions.cpp
@@ -0,0 +1,49 @@
+#include "engine_state.h"
+
+#include <algorithm>
+
+namespace cyclamendrift {
+
+void SessionEngine::State::noteTerm(GroupState& group, const TermSource& source, Term term)
+{
+    if (group.view.phase == LeaderView::Phase::Led && term > group.view.term)
+        this->logContradiction(group, source, term, "later term");
+    group.newestTerm = std::max(group.newestTerm, term);
+}
+
+void SessionEngine::State::noteRefusedLead(const PooledConnection& connection)
+{
+    auto& group = this->group(connection.service);
+    const auto& view = group.view;
+    // A refusal speaks of the view under which the refused statement was sent. Its upstream may have been
+    // promoted since, and the present view be right.
+    if (view.phase != LeaderView::Phase::Led || view.primary != connection.upstream
+        || connection.restsOn != view.term)
+        return;
+    group.refusedLead = { .upstream = view.primary, .term = view.term };
+    this->logContradiction(group, this->sourceOf(connection), view.term, "refused to act as primary");
+}
+
+TermSource SessionEngine::State::sourceOf(const PooledConnection& connection)
+{
+    const auto* session = connection.user ? this->findCaller(*connection.user) : nullptr;
+    return { .source = connection.upstream.view(),
+        .statementId = session != nullptr ? std::string_view { session->statementId } : "" };
+}
+
+void SessionEngine::State::logContradiction(
+    const GroupState& group, const TermSource& source, Term term, std::string_view reason)
+{
+    const auto& view = group.view;
+    const bool atPrimary = view.primary.view() == source.source;
+    this->log("view_contradicted",
+        { { "id", std::string { source.statementId } }, { "service", group.name.string() },
+            { "upstream", std::string { source.source } },
+            { "answer_term", std::to_string(static_cast<std::uint64_t>(term)) },
+            { "view_primary", view.primary.string() },
+            { "view_term", std::to_string(static_cast<std::uint64_t>(view.term)) },
+            { "view_left_ms", millisecondsText(view.validUntil - this->now) },
+            { "at_view_primary", atPrimary ? "yes" : "no" }, { "reason", std::string { reason } } });
+}
+
+} // namespace cyclamendrift
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -42,7 +42,7 @@
 {
     // A replica can only be named a position to read at when one was seen while the primary was known to
     // lead. After a restart there is none, and reads depend on the primary as writes do.
-    return !group.view.holds(this->now) && !this->neededProgress(group, session);
+    return !group.hasLeader(this->now) && !this->neededProgress(group, session);
 }
 
 void SessionEngine::State::pump(GroupState& group)
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -26,6 +26,13 @@
     Instant askAgainAt = Instant::min();
 };
 
+/// Whose answer told a term.
+struct TermSource {
+    /// An upstream, or a sibling that passes on what one has told.
+    std::string_view source;
+    std::string_view statementId;
+};
+
 /// Where and when a statement ran.
 struct RunPlace {
     UpstreamName upstream;
@@ -34,8 +41,8 @@
 
 /// Everything that a SessionEngine holds. Sources: engine_callers (statements of callers), engine_dispatch
 /// (which upstream gets which work), engine_homes (work handed to a home, and work for siblings),
-/// engine_connections (connections, sending and losses), engine_answers
-/// (what upstreams answered), session_engine (knowledge and time).
+/// engine_connections (connections, sending and losses), engine_contradictions (what answers show against the
+/// view of the primary), engine_answers (what upstreams answered), session_engine (knowledge and time).
 class SessionEngine::State {
 public:
     explicit State(Options options)
@@ -186,10 +193,17 @@
     void erase(ConnectionId id);
     void noteFailure(UpstreamState& upstream);
     void noteAnswer(PooledConnection& connection, const Reply& reply);
-    /// Logs that an answer comes from a later term than the view's.
-    void logContradiction(const PooledConnection& connection, const Reply& reply);
     void noteNotRun(PooledConnection& connection, StatementError error);
 
+    // engine_contradictions
+    /// Takes in that some upstream of the group has come to that term.
+    void noteTerm(GroupState& group, const TermSource& source, Term term);
+    /// Takes in that an upstream refused what only a primary may do.
+    void noteRefusedLead(const PooledConnection& connection);
+    [[nodiscard]] TermSource sourceOf(const PooledConnection& connection);
+    void logContradiction(
+        const GroupState& group, const TermSource& source, Term term, std::string_view reason);
+
     // engine_answers
     void finishMain(PooledConnection& connection, Reply reply);
     void finishUnheard(PooledConnection& connection, const Reply& reply);
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -53,6 +53,9 @@
     Instant idleSince;
     /// The answer to what was sent last is due by then.
     Instant answerBy;
+    /// The term of the view on which the statement that was sent last, or the open transaction, relies for
+    /// its freshness; empty when a position was named.
+    std::optional<Term> restsOn;
 };
 
 /// One upstream with what this VM has seen of it.
@@ -71,7 +74,6 @@
     Instant keepToShareUntil = Instant::min();
     Instant lastAnswer = Instant::min();
     std::optional<Instant> failingSince;
-    bool contradictsView = false;
     ConcurrencyLimit limit;
     /// How far its log was when it last told.
     Progress known;
@@ -85,6 +87,12 @@
     Instant at;
 };
 
+/// An upstream that refused to act as the primary of a term.
+struct RefusedLead {
+    UpstreamName upstream;
+    Term term {};
+};
+
 /// The upstreams of one service.
 struct GroupState {
     ServiceName name;
@@ -93,11 +101,30 @@
     std::map<UpstreamName, UpstreamState> upstreams;
     /// Sessions whose work waits for a connection.
     std::vector<CallerId> waiting;
+    /// The newest term of any position that was told.
+    Term newestTerm {};
+    std::optional<RefusedLead> refusedLead;
+
+    /// True when answers show that a newer primary leads than the view's. A renewal changes nothing of that;
+    /// only a view of another primary or of a later term does.
+    [[nodiscard]] bool isContradicted() const noexcept
+    {
+        const bool refused = this->refusedLead && this->refusedLead->upstream == this->view.primary
+            && this->refusedLead->term == this->view.term;
+        return this->view.phase != LeaderView::Phase::Unknown
+            && (refused || this->newestTerm > this->view.term);
+    }
+
+    /// True when the view may be acted on.
+    [[nodiscard]] bool hasLeader(Instant now) const noexcept
+    {
+        return this->view.holds(now) && !this->isContradicted();
+    }
 
-    /// True when the view holds and names this upstream.
+    /// True when the view may be acted on and names this upstream.
     [[nodiscard]] bool isLedBy(const UpstreamName& upstream, Instant now) const noexcept
     {
-        return this->view.holds(now) && this->view.primary == upstream;
+        return this->hasLeader(now) && this->view.primary == upstream;
     }
 };
 
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -150,12 +150,9 @@
     own.now = now;
     auto& group = own.group(service);
     const bool changed = view.primary != group.view.primary || view.term != group.view.term;
-    if (changed) {
-        // Positions that were seen under another primary say nothing of this one's log.
+    // Positions that were seen under another primary say nothing of this one's log.
+    if (changed)
         group.history.clear();
-        for (auto& [name, upstream] : group.upstreams)
-            upstream.contradictsView = false;
-    }
     group.view = view;
     std::vector<CallerId> held;
     for (const auto& [id, session] : own.callers) {
@@ -270,7 +267,7 @@
                 .upstream = name,
                 .lastAnswer = upstream.lastAnswer,
                 .failingSince = upstream.failingSince,
-                .contradictsView = upstream.contradictsView });
+                .contradictsView = group.isContradicted() });
         }
     }
     return all;
--- /dev/null
+++ b/tests/pooling/contradicted_view_test.cpp
@@ -0,0 +1,226 @@
+#include "pool_world.h"
+
+#include <doctest/doctest.h>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+const PoolWorld::Options bounded { .freshness = BoundedStalenessRoute { 1500ms } };
+const UpstreamName formerPrimary { "primary" };
+
+/// A database of the same upstreams whose reads see every commit.
+void addPrimaryRoute(PoolWorld& world)
+{
+    world.routes->routes["desk"] = world.routes->routes["beds"];
+    world.routes->routes["desk"].freshness = PrimaryRoute {};
+    world.publishRoutes();
+}
+
+/// Reads of `caller` until one ran at a replica.
+void readAtReplica(PoolWorld& world, CallerId caller)
+{
+    const auto before = world.runs().size();
+    for (int tries = 0; tries < 8; ++tries) {
+        world.ask(caller, "b/" + std::to_string(before) + '.' + std::to_string(tries), "READ 1");
+        world.pass(40ms);
+        if (!world.runs().empty() && world.runs().back().upstream != formerPrimary)
+            break;
+    }
+    REQUIRE(world.runs().size() > before);
+    REQUIRE(world.runs().back().upstream != formerPrimary);
+    world.answers(caller);
+}
+
+/// The answer that a caller gets to what it asked within the time in which work waits for a primary.
+Reply answerSoon(PoolWorld& world, CallerId caller)
+{
+    world.pass(80ms);
+    return world.answer(caller);
+}
+
+void checkSentAway(const Reply& reply)
+{
+    REQUIRE(reply.failure);
+    CHECK(reply.failure->error == StatementError::Busy);
+    CHECK(reply.failure->text.find("retry after") != std::string::npos);
+}
+
+} // namespace
+
+TEST_SUITE("a view of the primary that answers contradict")
+{
+    TEST_CASE("after a replica has answered from a later term nothing is sent to the view's primary")
+    {
+        // Guards against reads and writes at a former primary by a VM that has already seen the next one's
+        // term.
+        PoolWorld world { bounded };
+        addPrimaryRoute(world);
+        const auto reader = world.connect();
+        const auto caller = world.connect("key-a", "desk");
+        CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
+        world.promote("replica-1");
+        readAtReplica(world, reader);
+        const auto before = world.runs().size();
+        world.ask(caller, "c/2", "READ 1");
+        checkSentAway(answerSoon(world, caller));
+        world.ask(caller, "c/3", "WRITE 1 x");
+        checkSentAway(answerSoon(world, caller));
+        CHECK(world.runs().size() == before);
+        world.lead("replica-1", 2);
+        CHECK_FALSE(world.run(caller, "c/4", "READ 1").failure);
+        CHECK(world.runs().back().upstream == UpstreamName { "replica-1" });
+    }
+
+    TEST_CASE("a renewal does not bring a contradicted view back, and a later term of the same primary does")
+    {
+        // Guards against a view that is renewed past what was seen, and against a primary that is never used
+        // again.
+        PoolWorld world { bounded };
+        addPrimaryRoute(world);
+        const auto reader = world.connect();
+        const auto caller = world.connect("key-a", "desk");
+        CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
+        world.promote("replica-1");
+        world.promote("primary");
+        readAtReplica(world, reader);
+        world.setChanging();
+        world.lead("primary", 1);
+        world.ask(caller, "c/2", "WRITE 1 x");
+        checkSentAway(answerSoon(world, caller));
+        CHECK(world.timesRun("c/2") == 0);
+        world.lead("primary", 3);
+        CHECK_FALSE(world.run(caller, "c/3", "WRITE 1 x").failure);
+    }
+
+    TEST_CASE("a statement is not sent on a connection whose greeting comes from a later term")
+    {
+        // Guards against running a statement at a former primary that has told its term when the connection
+        // opened.
+        PoolWorld world { {} };
+        world.promote("replica-1");
+        const auto caller = world.connect();
+        world.ask(caller, "c/1", "READ 1");
+        checkSentAway(answerSoon(world, caller));
+        CHECK(world.timesRun("c/1") == 0);
+    }
+
+    TEST_CASE("a transaction that rests on a contradicted view reads no more")
+    {
+        // Guards against reads on a snapshot that may have been taken when the next primary led already.
+        PoolWorld world { bounded };
+        addPrimaryRoute(world);
+        const auto reader = world.connect();
+        const auto caller = world.connect("key-a", "desk");
+        SUBCASE("one for reading") { CHECK_FALSE(world.run(caller, "c/1", "BEGIN READ").failure); }
+        SUBCASE("one for writing") { CHECK_FALSE(world.run(caller, "c/1", "BEGIN").failure); }
+        CHECK_FALSE(world.run(caller, "c/2", "READ 1").failure);
+        for (const auto* name : { "replica-1", "replica-2" })
+            world.upstream(name).term = 2;
+        readAtReplica(world, reader);
+        const auto reply = world.run(caller, "c/3", "READ 1");
+        CHECK(errorOf(reply) == StatementError::Aborted);
+        CHECK(reply.phase == SessionPhase::FailedTransaction);
+        CHECK(world.timesRun("c/3") == 0);
+    }
+
+    TEST_CASE("a primary that refuses to act as one is not read at as one")
+    {
+        // Guards against reads of primary routes at an upstream that has answered READONLY under the same
+        // view.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/0", "READ 1").failure);
+        world.upstream("primary").primary = false;
+        SUBCASE("to a write") { world.ask(caller, "c/1", "WRITE 1 x"); }
+        SUBCASE("to the opening of a transaction")
+        {
+            CHECK_FALSE(world.run(caller, "c/b", "BEGIN").failure);
+            world.ask(caller, "c/1", "WRITE 1 x");
+        }
+        SUBCASE("within a transaction")
+        {
+            world.upstream("primary").primary = true;
+            CHECK_FALSE(world.run(caller, "c/b", "BEGIN").failure);
+            CHECK_FALSE(world.run(caller, "c/w", "WRITE 1 x").failure);
+            world.upstream("primary").primary = false;
+            world.ask(caller, "c/1", "WRITE 1 x");
+        }
+        world.pass(300ms);
+        CHECK(world.answer(caller).failure);
+        const auto other = world.connect();
+        world.ask(other, "o/1", "READ 1");
+        checkSentAway(answerSoon(world, other));
+        CHECK(world.timesRun("o/1") == 0);
+    }
+
+    TEST_CASE("a write that a transaction for reading refuses says nothing of who leads")
+    {
+        // Guards against one caller's mistake that would take a healthy primary out of service.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/1", "BEGIN READ").failure);
+        CHECK_FALSE(world.run(caller, "c/2", "READ 1").failure);
+        world.interfere = [](const ModelConnection&, const UpstreamStatement& statement) {
+            std::optional<Reply> refused;
+            if (std::holds_alternative<PassStatement>(statement))
+                refused = Reply { .failure = StatementFailure { StatementError::ReadOnly, "no" },
+                    .phase = SessionPhase::FailedTransaction };
+            return refused;
+        };
+        CHECK(world.run(caller, "c/3", "WRITE 1 x").failure);
+        world.interfere = nullptr;
+        const auto other = world.connect();
+        CHECK_FALSE(world.run(other, "o/1", "WRITE 1 x").failure);
+    }
+
+    TEST_CASE("a refusal of what was sent under an earlier view says nothing of the present one")
+    {
+        // Guards against a late READONLY that would take a primary out of service which leads again.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/0", "READ 1").failure);
+        world.holding = true;
+        world.ask(caller, "c/1", "WRITE 1 x");
+        world.lead("replica-1", 2);
+        world.lead("primary", 3);
+        world.interfere = [&world](const ModelConnection&, const UpstreamStatement& statement) {
+            std::optional<Reply> refused;
+            if (std::holds_alternative<PassStatement>(statement)) {
+                refused = Reply { .failure = StatementFailure { StatementError::ReadOnly, "no" } };
+                world.interfere = nullptr;
+            }
+            return refused;
+        };
+        world.holding = false;
+        world.deliver();
+        world.pass(40ms);
+        CHECK_FALSE(world.answer(caller).failure);
+    }
+
+    TEST_CASE("the control side is told until a view comes that is not contradicted")
+    {
+        // Guards against a later term that is forgotten with the first new view, though that one is older
+        // still.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
+        const auto doubted = [&world] {
+            bool any = false;
+            for (const auto& evidence : world.engine.evidence())
+                any = any || evidence.contradictsView;
+            return any;
+        };
+        CHECK_FALSE(doubted());
+        world.promote("replica-1");
+        world.promote("replica-2");
+        world.ask(caller, "c/2", "READ 1");
+        world.pass(80ms);
+        CHECK(doubted());
+        world.lead("replica-1", 2);
+        CHECK(doubted());
+        world.lead("replica-2", 3);
+        CHECK_FALSE(doubted());
+    }
+}
--- a/tests/pooling/pool_world.cpp
+++ b/tests/pooling/pool_world.cpp
@@ -122,6 +122,14 @@
     this->renewLeader();
 }
 
+void PoolWorld::promote(const std::string& upstream)
+{
+    for (auto& [name, model] : this->upstreams) {
+        ++model.term;
+        model.primary = name == UpstreamName { upstream };
+    }
+}
+
 void PoolWorld::renewLeader()
 {
     this->view.validUntil = this->now + std::chrono::seconds { 1 };
@@ -376,6 +384,7 @@
             return this->refusal(connection, StatementError::Lagging);
         connection.inTransaction = true;
         connection.readOnly = open->readOnly;
+        connection.term = upstream.term;
     } else if (std::holds_alternative<DropTransaction>(statement)) {
         connection.inTransaction = false;
         connection.uncommitted.clear();
@@ -393,6 +402,14 @@
     const bool writes = !commits && isWrite(connection, statement);
     if (writes && !upstream.primary)
         return this->refusal(connection, StatementError::ReadOnly);
+    const bool lostLead = !upstream.primary || upstream.term != connection.term;
+    const bool plain = connection.inTransaction && !connection.readOnly;
+    const bool keepsNothing = commits && connection.uncommitted.empty();
+    if (plain && lostLead && !keepsNothing) {
+        auto reply = this->refusal(connection, StatementError::ReadOnly);
+        reply.phase = SessionPhase::FailedTransaction;
+        return reply;
+    }
     if (this->lacks(upstream, statement.after))
         return this->refusal(connection, StatementError::Lagging);
     RunStatement run { .id = statement.id,
@@ -400,7 +417,8 @@
         .upstream = connection.upstream,
         .team = connection.team,
         .values = connection.values,
-        .after = statement.after };
+        .after = statement.after,
+        .term = upstream.term };
     if (statement.execute)
         run.shape = connection.prepared.at(statement.execute->name);
     this->history.push_back(std::move(run));
--- a/tests/pooling/pool_world.h
+++ b/tests/pooling/pool_world.h
@@ -33,6 +33,8 @@
     std::map<std::string, PreparedShape> prepared;
     bool inTransaction = false;
     bool readOnly = false;
+    /// The term in which the open transaction was opened.
+    std::uint64_t term = 0;
     /// Writes of the open transaction, by the id of their statement.
     std::vector<std::string> uncommitted;
     /// Whose statements ran in the open transaction.
@@ -48,6 +50,8 @@
     std::map<std::string, std::string> values;
     std::optional<PreparedShape> shape;
     std::optional<Progress> after;
+    /// The term that the upstream knew of then.
+    std::uint64_t term = 0;
 };
 
 /// The error of an answer that has to be a failure.
@@ -86,6 +90,8 @@
     void renewLeader();
     void lead(const std::string& upstream, std::uint64_t term);
     void setChanging();
+    /// Lets an upstream lead the next term, with all others following it; the view of the primary stays.
+    void promote(const std::string& upstream);
     void publishDirectory();
     /// Puts `routes` in force as their next version.
     void publishRoutes();
