Run a read again whose answer comes from a later term than its view

A caller got the rows of a former primary, by then a replica of the next term and one commit behind, as a success of a primary route.

Cause: a read that goes to the primary names no position; its freshness rests on the view under which it was sent. Nobody looked at the term of its answer, which told that a newer primary led when the upstream answered.

A read whose answer comes from a later term is not delivered and runs again, within the attempts and the deadline of other retries; it leaves nothing behind. An opening of a transaction that is answered so is dropped and tried anew, as nothing has run in it. A transaction whose read is answered so is dropped with "aborted", which is true as its commit was not sent. Reads that named a position, and transactions that did, are delivered as before.

--- a/src/pooling/engine_answers.cpp
+++ b/src/pooling/engine_answers.cpp
@@ -40,6 +40,7 @@
     // Letting go of the connection may close it or give it to other work.
     const RunPlace place { .upstream = connection.upstream, .sentAt = connection.sentAt };
     const bool notRun = reply.failure && meansNotRun(reply.failure->error);
+    const bool unproven = session.work->kind == WorkKind::Read && connection.outlivedView(reply);
     if (notRun)
         this->noteNotRun(connection, reply.failure->error);
     connection.user.reset();
@@ -47,6 +48,9 @@
         this->release(connection);
     else
         this->close(connection);
+    // A read leaves nothing behind and may run again.
+    if (unproven)
+        return this->retry(session, UpstreamName {}, Duration {}, StatementError::Busy);
     if (!notRun)
         return this->conclude(session, std::move(reply), place, session.work->kind == WorkKind::Write);
     const bool lags = reply.failure->error == StatementError::Lagging;
@@ -69,6 +73,9 @@
         work.resumeAt = this->now + this->options.settings.busyPause;
         return;
     }
+    // Nothing was committed yet, so nothing of the transaction is kept.
+    if (work.kind == WorkKind::Read && connection.outlivedView(reply))
+        return this->dropTransaction(session, "a newer primary leads");
     const RunPlace place { .upstream = connection.upstream, .sentAt = connection.sentAt };
     if (work.kind == WorkKind::Commit) {
         const bool wrote = session.transactionWrote;
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -304,15 +304,19 @@
         return;
     }
     connection.inTransaction = true;
-    if (session != nullptr)
-        session->charged = false;
-    if (session == nullptr) {
+    const bool outlived = connection.outlivedView(reply);
+    if (session == nullptr || outlived) {
+        connection.user.reset();
         connection.steps.assign(1, { .kind = StepKind::Drop, .statement = DropTransaction {} });
     } else {
+        session->charged = false;
         session->pinned = connection.id;
         session->work->opensTransaction = false;
     }
     this->sendNext(connection);
+    // Nothing has run in the transaction, which may be opened anew elsewhere.
+    if (session != nullptr && outlived)
+        this->retry(*session, UpstreamName {}, Duration {}, StatementError::Busy);
 }
 
 void SessionEngine::State::releaseHeld(CallerSession& session)
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -6,6 +6,7 @@
 #include <cyclamendrift/pooling/engine_actions.h>
 #include <cyclamendrift/pooling/leader_view.h>
 #include <cyclamendrift/pooling/progress_history.h>
+#include <cyclamendrift/pooling/reply.h>
 #include <cyclamendrift/pooling/session_state.h>
 #include <cyclamendrift/pooling/upstream_directory.h>
 
@@ -56,6 +57,13 @@
     /// The term of the view on which the statement that was sent last, or the open transaction, relies for
     /// its freshness; empty when a position was named.
     std::optional<Term> restsOn;
+
+    /// True when the answer comes from a later term than the view on which its freshness rests: the upstream
+    /// may follow the next primary by then and lack commits of it.
+    [[nodiscard]] bool outlivedView(const Reply& reply) const noexcept
+    {
+        return !reply.failure && this->restsOn && reply.progress && reply.progress->term > *this->restsOn;
+    }
 };
 
 /// One upstream with what this VM has seen of it.
--- a/tests/pooling/contradicted_view_test.cpp
+++ b/tests/pooling/contradicted_view_test.cpp
@@ -47,6 +47,28 @@
     CHECK(reply.failure->text.find("retry after") != std::string::npos);
 }
 
+/// Answers the next statement with this text in the place of the upstream.
+void answerOnce(PoolWorld& world, const std::string& text, std::optional<Progress> progress,
+    SessionPhase phase = SessionPhase::Idle)
+{
+    world.interfere
+        = [=, &world](const ModelConnection&, const UpstreamStatement& statement) -> std::optional<Reply> {
+        const auto* pass = std::get_if<PassStatement>(&statement);
+        if (pass == nullptr || pass->text != text)
+            return std::nullopt;
+        std::optional reply { Reply {
+            .rows = { "row" }, .proof = "proof", .phase = phase, .progress = progress } };
+        // This ends what is captured here.
+        world.interfere = nullptr;
+        return reply;
+    };
+}
+
+Progress at(std::uint64_t term, std::uint64_t position)
+{
+    return { Term { term }, LogPosition { position } };
+}
+
 } // namespace
 
 TEST_SUITE("a view of the primary that answers contradict")
@@ -224,3 +246,140 @@
         CHECK_FALSE(doubted());
     }
 }
+
+TEST_SUITE("reads that rest on a view of the primary")
+{
+    TEST_CASE("a read that a former primary answers from the next term is not delivered")
+    {
+        // Guards against the stale read at a former primary that follows the next term and lacks a commit of
+        // it.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/0", "READ 1").failure);
+        world.promote("replica-1");
+        world.ask(caller, "c/1", "READ 1");
+        CHECK(world.answers(caller).empty());
+        SUBCASE("the view of the next primary comes in time")
+        {
+            world.lead("replica-1", 2);
+            CHECK_FALSE(world.answer(caller).failure);
+            CHECK(world.runs().back().upstream == UpstreamName { "replica-1" });
+        }
+        SUBCASE("it does not")
+        {
+            checkSentAway(answerSoon(world, caller));
+            CHECK(world.timesRun("c/1") == 1);
+        }
+    }
+
+    TEST_CASE("a read is judged by the view under which it was sent")
+    {
+        // Guards against a stale read whose answer comes when the view of the next term is already there.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/0", "READ 1").failure);
+        world.holding = true;
+        world.ask(caller, "c/1", "READ 1");
+        world.promote("replica-1");
+        world.lead("replica-1", 2);
+        world.holding = false;
+        world.deliver();
+        CHECK_FALSE(world.answer(caller).failure);
+        CHECK(world.runs().back().upstream == UpstreamName { "replica-1" });
+    }
+
+    TEST_CASE("a bounded read that named no position is judged like one of a primary route")
+    {
+        // Guards against a bounded read at a former primary that may be behind by more than the bound.
+        PoolWorld world { bounded };
+        const auto caller = world.connect();
+        world.interfere = [&world](const ModelConnection&, const UpstreamStatement& statement) {
+            if (std::holds_alternative<PassStatement>(statement) && world.runs().empty())
+                world.promote("replica-1");
+            world.interfere = nullptr;
+            return std::optional<Reply> {};
+        };
+        world.ask(caller, "c/1", "READ 1");
+        const auto reply = answerSoon(world, caller);
+        REQUIRE_FALSE(world.runs().front().after);
+        CHECK((reply.failure || world.runs().back().after));
+    }
+
+    TEST_CASE("a bounded read that named a position is delivered whatever term answers")
+    {
+        // Guards against refusing reads at replicas during a failover, whose freshness rests on no view.
+        PoolWorld world { bounded };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
+        world.setChanging();
+        world.promote("replica-1");
+        for (int index = 0; index < 4; ++index)
+            CHECK_FALSE(world.run(caller, "c/r" + std::to_string(index), "READ 1").failure);
+    }
+
+    TEST_CASE("a transaction for reading is not opened at a former primary")
+    {
+        // Guards against a snapshot taken at a former primary, at which all reads of the transaction would
+        // run.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/0", "READ 1").failure);
+        CHECK_FALSE(world.run(caller, "c/1", "BEGIN READ").failure);
+        world.promote("replica-1");
+        world.ask(caller, "c/2", "READ 1");
+        SUBCASE("it waits for the view of the next primary")
+        {
+            world.lead("replica-1", 2);
+            CHECK_FALSE(world.answer(caller).failure);
+            CHECK(world.runs().back().upstream == UpstreamName { "replica-1" });
+            CHECK_FALSE(world.run(caller, "c/3", "COMMIT").failure);
+        }
+        SUBCASE("without one it is sent away")
+        {
+            checkSentAway(answerSoon(world, caller));
+            CHECK(world.timesRun("c/2") == 0);
+        }
+    }
+
+    TEST_CASE("a transaction whose read is answered from a later term is dropped")
+    {
+        // Guards against a stale read within a transaction, and against keeping what such a transaction
+        // wrote.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        SUBCASE("one for reading")
+        {
+            CHECK_FALSE(world.run(caller, "c/1", "BEGIN READ").failure);
+            CHECK_FALSE(world.run(caller, "c/2", "READ 1").failure);
+            world.promote("replica-1");
+        }
+        SUBCASE("one that has written")
+        {
+            CHECK_FALSE(world.run(caller, "c/1", "BEGIN").failure);
+            CHECK_FALSE(world.run(caller, "c/2", "WRITE 1 x").failure);
+            answerOnce(world, "READ 9", at(2, 90), SessionPhase::InTransaction);
+        }
+        const auto reply = world.run(caller, "c/3", "READ 9");
+        CHECK(errorOf(reply) == StatementError::Aborted);
+        CHECK(reply.phase == SessionPhase::FailedTransaction);
+        CHECK_FALSE(world.run(caller, "c/4", "ROLLBACK").failure);
+        world.pass(100ms);
+        CHECK_FALSE(world.committed("c/2"));
+    }
+
+    TEST_CASE("a transaction that named a position goes on whatever term answers")
+    {
+        // Guards against dropping transactions at replicas in every failover.
+        PoolWorld world { bounded };
+        const auto reader = world.connect();
+        CHECK_FALSE(world.run(reader, "r/1", "READ 1").failure);
+        readAtReplica(world, reader);
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/1", "BEGIN READ").failure);
+        CHECK_FALSE(world.run(caller, "c/2", "READ 1").failure);
+        REQUIRE(world.runs().back().upstream != formerPrimary);
+        world.promote("replica-1");
+        CHECK_FALSE(world.run(caller, "c/3", "READ 1").failure);
+        CHECK_FALSE(world.run(caller, "c/4", "COMMIT").failure);
+    }
+}
