Acknowledge a commit only under a view of the term in which it was made

A caller could be told of success for a write that two promotions had cut from the log in between, or be left in doubt about one that stands.

Cause: a success was passed on when the view held and named the upstream, whatever the terms. The upstream of an answer of term 1 may lead term 3 by the time it comes, with a log that went through another primary's. The other way round, an answer of term 3 under a view of term 1 became in doubt at the next tick, as the terms differed, though the view was only late.

Now the term of the answer and that of the view must be the same, at once or when a held answer is looked at again. A held answer of a later term waits for a view of it, as long as others wait; what no view can confirm any more, as a later term was seen or its primary refused to act as one, is in doubt at once.

Evidence: 'a write of an earlier term...' failed before and passes, and so does the case in which the view of the answer's term comes; that nothing became a success without proof was so since views are contradicted by answers. In one test of the suite before, the model's primary now has the term that it is said to lead; its answer came from an earlier one.

--- a/src/pooling/engine_answers.cpp
+++ b/src/pooling/engine_answers.cpp
@@ -154,16 +154,46 @@
     if (!keeps || !reply.progress)
         return this->answer(session, std::move(reply));
     noteOwnWrite(session, *reply.progress, place.sentAt);
-    if (group.isLedBy(place.upstream, this->now))
+    const auto term = reply.progress->term;
+    if (group.isLedBy(place.upstream, this->now) && group.view.term == term)
         return this->answer(session, std::move(reply));
     // The commit is there, but a new primary may have been promoted meanwhile, with a log that lacks it. The
     // caller is told of success only once it is known that this was not so.
-    const auto term = reply.progress->term;
     session.held = std::make_unique<HeldReply>(HeldReply { .reply = std::move(reply),
         .upstream = place.upstream,
         .term = term,
         .until = this->now + longestHold });
     session.work.reset();
+    this->releaseHeld(session);
+}
+
+bool SessionEngine::State::canBeConfirmed(const GroupState& group, const HeldReply& held) const
+{
+    const auto& view = group.view;
+    // A view of an earlier term may only be late: one of the answer's own term still shows that it stands.
+    const bool viewIsLate = view.term < held.term;
+    const bool standsInView
+        = view.term == held.term && view.primary == held.upstream && !group.isContradicted();
+    return view.phase == LeaderView::Phase::Led && group.newestTerm <= held.term
+        && (viewIsLate || standsInView);
+}
+
+void SessionEngine::State::releaseHeld(CallerSession& session)
+{
+    const auto& group = this->group(session.route.service);
+    const auto& held = *session.held;
+    const bool confirmed = group.isLedBy(held.upstream, this->now) && group.view.term == held.term;
+    if (!confirmed && this->canBeConfirmed(group, held) && this->now < held.until)
+        return;
+    auto reply = std::move(session.held->reply);
+    if (!confirmed) {
+        ++this->counters.inDoubt;
+        this->log("commit_unconfirmed",
+            { { "id", session.statementId }, { "service", session.route.service.string() },
+                { "upstream", held.upstream.string() } });
+        reply = failureReply(StatementError::InDoubt, "the primary may have been replaced meanwhile");
+    }
+    this->answer(session, std::move(reply));
 }
 
 } // namespace cyclamendrift
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -319,26 +319,6 @@
         this->retry(*session, UpstreamName {}, Duration {}, StatementError::Busy);
 }
 
-void SessionEngine::State::releaseHeld(CallerSession& session)
-{
-    const auto& group = this->group(session.route.service);
-    const bool confirmed
-        = group.isLedBy(session.held->upstream, this->now) && group.view.term == session.held->term;
-    const bool superseded = group.view.phase != LeaderView::Phase::Led
-        || group.view.primary != session.held->upstream || group.view.term != session.held->term;
-    if (!confirmed && !superseded && this->now < session.held->until)
-        return;
-    auto reply = std::move(session.held->reply);
-    if (!confirmed) {
-        ++this->counters.inDoubt;
-        this->log("commit_unconfirmed",
-            { { "id", session.statementId }, { "service", session.route.service.string() },
-                { "upstream", session.held->upstream.string() } });
-        reply = failureReply(StatementError::InDoubt, "the primary may have been replaced meanwhile");
-    }
-    this->answer(session, std::move(reply));
-}
-
 void SessionEngine::State::release(PooledConnection& connection)
 {
     if (connection.phase != PooledConnection::Phase::Idle)
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -94,6 +94,9 @@
     void checkTimeouts();
     void closeSpareConnections();
     void abortTransaction(CallerSession& session, const char* reason);
+
+    // engine_answers
+    /// Gives an answer that was held back to its caller, once it is known whether it stands.
     void releaseHeld(CallerSession& session);
 
     [[nodiscard]] CallerSession* findCaller(CallerId id);
@@ -212,6 +215,8 @@
     void failTransaction(
         PooledConnection& connection, CallerSession& session, StatementFailure failure, SessionPhase phase);
     void conclude(CallerSession& session, Reply reply, const RunPlace& place, bool keeps);
+    /// True while a view may come that shows that the commit stands.
+    [[nodiscard]] bool canBeConfirmed(const GroupState& group, const HeldReply& held) const;
     void logIfLate(const CallerSession& session, const RunPlace& place);
     void logFailure(
         const CallerSession& session, const UpstreamName& upstream, const StatementFailure& failure);
--- a/tests/pooling/contradicted_view_test.cpp
+++ b/tests/pooling/contradicted_view_test.cpp
@@ -206,6 +206,7 @@
         world.holding = true;
         world.ask(caller, "c/1", "WRITE 1 x");
         world.lead("replica-1", 2);
+        world.upstream("primary").term = 3;
         world.lead("primary", 3);
         world.interfere = [&world](const ModelConnection&, const UpstreamStatement& statement) {
             std::optional<Reply> refused;
@@ -383,3 +384,65 @@
         CHECK_FALSE(world.run(caller, "c/4", "COMMIT").failure);
     }
 }
+
+TEST_SUITE("commits that rest on a view of the primary")
+{
+    TEST_CASE("a write that is answered from a later term is a success only once a view of that term holds")
+    {
+        // Guards against acknowledging a write under a view that its own answer shows to be out of date.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/0", "READ 1").failure);
+        answerOnce(world, "WRITE 1 x", at(3, 101));
+        world.ask(caller, "c/1", "WRITE 1 x");
+        CHECK(world.answers(caller).empty());
+        SUBCASE("that view comes")
+        {
+            world.pass(200ms);
+            world.lead("primary", 3);
+            CHECK_FALSE(world.answer(caller).failure);
+        }
+        SUBCASE("another one comes")
+        {
+            world.lead("replica-1", 4);
+            CHECK(errorOf(world.answer(caller)) == StatementError::InDoubt);
+        }
+        SUBCASE("none comes")
+        {
+            world.pass(900ms);
+            CHECK(errorOf(world.answer(caller)) == StatementError::InDoubt);
+        }
+    }
+
+    TEST_CASE("a commit that is answered from a later term is held like a write")
+    {
+        // Guards against the same for transactions, whose commit must be in doubt and not dropped.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/1", "BEGIN").failure);
+        CHECK_FALSE(world.run(caller, "c/2", "WRITE 1 x").failure);
+        answerOnce(world, "COMMIT", at(3, 101));
+        world.ask(caller, "c/3", "COMMIT");
+        CHECK(world.answers(caller).empty());
+        world.pass(900ms);
+        const auto reply = world.answer(caller);
+        CHECK(errorOf(reply) == StatementError::InDoubt);
+        CHECK(reply.phase == SessionPhase::Idle);
+    }
+
+    TEST_CASE("a write of an earlier term is not a success because its upstream leads once more")
+    {
+        // Guards against acknowledging a write that two promotions may have cut from the log in between.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/0", "READ 1").failure);
+        world.holding = true;
+        world.ask(caller, "c/1", "WRITE 1 x");
+        world.lead("replica-1", 2);
+        world.lead("primary", 3);
+        world.holding = false;
+        world.deliver();
+        world.pass(20ms);
+        CHECK(errorOf(world.answer(caller)) == StatementError::InDoubt);
+    }
+}
