Hold a success that tells no position back until the view is known to hold

A caller would be told of success for a write whose answer came when the view of the primary had ended, and that a newer primary may lack.

Cause: a success without a position was passed on without a look at the view, as there was no term to compare.

Such an answer now speaks for the term of the view under which its statement was sent, or its transaction opened, and is held back like any other.

Evidence: 'a write whose answer tells no position...' failed before and passes.

--- a/src/pooling/engine_answers.cpp
+++ b/src/pooling/engine_answers.cpp
@@ -38,7 +38,9 @@
 void SessionEngine::State::finishSingle(PooledConnection& connection, CallerSession& session, Reply reply)
 {
     // Letting go of the connection may close it or give it to other work.
-    const RunPlace place { .upstream = connection.upstream, .sentAt = connection.sentAt };
+    const RunPlace place {
+        .upstream = connection.upstream, .sentAt = connection.sentAt, .restsOn = connection.restsOn
+    };
     const bool notRun = reply.failure && meansNotRun(reply.failure->error);
     const bool unproven = session.work->kind == WorkKind::Read && connection.outlivedView(reply);
     if (notRun)
@@ -76,7 +78,9 @@
     // Nothing was committed yet, so nothing of the transaction is kept.
     if (work.kind == WorkKind::Read && connection.outlivedView(reply))
         return this->dropTransaction(session, "a newer primary leads");
-    const RunPlace place { .upstream = connection.upstream, .sentAt = connection.sentAt };
+    const RunPlace place {
+        .upstream = connection.upstream, .sentAt = connection.sentAt, .restsOn = connection.restsOn
+    };
     if (work.kind == WorkKind::Commit) {
         const bool wrote = session.transactionWrote;
         session.pinned.reset();
@@ -151,10 +155,12 @@
         const bool atPrimary = group.view.primary == place.upstream;
         ++(atPrimary ? this->counters.readsOnPrimary : this->counters.readsOnReplicas);
     }
-    if (!keeps || !reply.progress)
+    if (!keeps)
         return this->answer(session, std::move(reply));
-    noteOwnWrite(session, *reply.progress, place.sentAt);
-    const auto term = reply.progress->term;
+    if (reply.progress)
+        noteOwnWrite(session, *reply.progress, place.sentAt);
+    // Without a position the answer speaks for the term of the view under which its statement was sent.
+    const auto term = reply.progress ? reply.progress->term : place.restsOn.value_or(Term {});
     if (group.isLedBy(place.upstream, this->now) && group.view.term == term)
         return this->answer(session, std::move(reply));
     // The commit is there, but a new primary may have been promoted meanwhile, with a log that lacks it. The
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -37,6 +37,8 @@
 struct RunPlace {
     UpstreamName upstream;
     Instant sentAt;
+    /// The term of the view under which it was sent, or its transaction was opened.
+    std::optional<Term> restsOn;
 };
 
 /// Everything that a SessionEngine holds. Sources: engine_callers (statements of callers), engine_dispatch
--- a/tests/pooling/contradicted_view_test.cpp
+++ b/tests/pooling/contradicted_view_test.cpp
@@ -445,4 +445,30 @@
         world.pass(20ms);
         CHECK(errorOf(world.answer(caller)) == StatementError::InDoubt);
     }
+
+    TEST_CASE("a write whose answer tells no position waits for the view like any other")
+    {
+        // Guards against a success without a view that holds, for want of a position to compare.
+        PoolWorld world { {} };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/0", "READ 1").failure);
+        world.renewing = false;
+        world.holding = true;
+        world.ask(caller, "c/1", "WRITE 1 x");
+        world.now += 1100ms;
+        world.holding = false;
+        answerOnce(world, "WRITE 1 x", std::nullopt);
+        world.deliver();
+        CHECK(world.answers(caller).empty());
+        SUBCASE("it held")
+        {
+            world.renewLeader();
+            CHECK_FALSE(world.answer(caller).failure);
+        }
+        SUBCASE("another upstream leads")
+        {
+            world.lead("replica-1", 2);
+            CHECK(errorOf(world.answer(caller)) == StatementError::InDoubt);
+        }
+    }
 }
