Take in the terms that siblings tell

A session could miss its own write: it wrote through one home in a new term, and its next read came to another home whose view still named the former primary, where it was read without a position.

Cause: what contradicts a view was looked for in answers of upstreams alone. The position that a session has written at comes along with handed work, and the position of a home's answer with its reply; both tell a term.

Both now count like an answer of an upstream: a home does not act on a view that its guest's write contradicts, and a VM does not run work by itself under a view that its home's answer contradicts.

--- a/src/pooling/engine_homes.cpp
+++ b/src/pooling/engine_homes.cpp
@@ -94,6 +94,9 @@
         return;
     const auto kind = session->work->kind;
     const bool inTransaction = session->phase == SessionPhase::InTransaction;
+    if (reply.progress)
+        this->noteTerm(this->group(session->route.service),
+            { .source = home->view(), .statementId = session->work->query.id }, reply.progress->term);
     if (reply.failure) {
         if (meansNotRun(reply.failure->error))
             this->giveBackCharge(*session);
@@ -182,8 +185,12 @@
     session.phase = work.inTransaction ? SessionPhase::InTransaction : SessionPhase::Idle;
     session.transactionReadOnly = work.readOnly;
     session.floor.reset();
-    if (work.floor)
+    if (work.floor) {
         noteOwnWrite(session, *work.floor, this->now - work.floorAge);
+        // Where it was written, a primary of that term leads.
+        this->noteTerm(this->group(session.route.service),
+            { .source = "a sibling", .statementId = work.query.id }, work.floor->term);
+    }
     session.arrivedAt = this->now - work.waited;
     session.lastActive = this->now;
     session.statementId = work.query.id;
--- a/tests/pooling/contradicted_view_test.cpp
+++ b/tests/pooling/contradicted_view_test.cpp
@@ -472,3 +472,42 @@
         }
     }
 }
+
+TEST_SUITE("terms that siblings tell")
+{
+    TEST_CASE("a home does not read at its view's primary for a session that has written in a later term")
+    {
+        // Guards against a session that misses its own write at a home whose view is out of date.
+        PoolWorld world { { .freshness = ReadOwnWritesRoute { 2500ms } } };
+        const auto first = world.connect();
+        CHECK_FALSE(world.run(first, "f/1", "READ 1").failure);
+        HandedWork work { .guest = CallerId { 77 },
+            .query = { .id = "g/1", .text = "READ 1", .statement = ReadItem {} },
+            .team = TeamName { "a" },
+            .route = world.routes->routes.at("beds"),
+            .floor = at(2, 101) };
+        world.engine.guestAsked(work, world.now);
+        world.pass(100ms);
+        CHECK(world.timesRun("g/1") == 0);
+    }
+
+    TEST_CASE("what a home answers from a later term ends the view of the VM that handed it on")
+    {
+        // Guards against a VM that runs work itself under a view that its home has shown to be out of date.
+        PoolWorld world { { .throughHome = true } };
+        const auto caller = world.connect();
+        world.promote("replica-1");
+        world.engine.setLeader(ServiceName { "register" },
+            { .phase = LeaderView::Phase::Led,
+                .primary = UpstreamName { "replica-1" },
+                .term = Term { 2 },
+                .validUntil = world.now + 1s },
+            world.now);
+        CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
+        world.failHanding = [](const HandWork&) { return std::optional { HandFailure::NotTaken }; };
+        world.renewing = false;
+        world.ask(caller, "c/2", "READ 1");
+        checkSentAway(answerSoon(world, caller));
+        CHECK(world.entry->connections() == 0);
+    }
+}
