Forget positions that were noted under a view that had gone wrong

A bounded read could be sent to a replica at a position that lacks commits which are older than the bound.

Cause: positions that the primary tells speak for all that was acknowledged before, as long as nobody else leads. The former primary of a view that should have ended goes on telling positions of its own log, and these were used for as long as the bound of the route after a later term was seen.

A later term that is seen while the view still holds shows that the view was wrong already, and positions noted under it are dropped. One that is seen after the view has ended says nothing against them, so reads at replicas go on during a failover.

Evidence: 'positions noted under a view that still held...' failed before and passes; its counterpart passed before and passes. Tests that need a later term to be seen now read until one was, not until a read ran at a replica: the greeting of its connection already ends the view's positions.

--- a/src/pooling/engine_contradictions.cpp
+++ b/src/pooling/engine_contradictions.cpp
@@ -8,6 +8,10 @@
 {
     if (group.view.phase == LeaderView::Phase::Led && term > group.view.term)
         this->logContradiction(group, source, term, "later term");
+    // No newer primary leads while a view holds as it should. This one did not, and the former primary may
+    // have told positions since that lack commits of the next one.
+    if (group.view.holds(this->now) && term > group.view.term)
+        group.history.clear();
     group.newestTerm = std::max(group.newestTerm, term);
 }
 
--- a/tests/pooling/contradicted_view_test.cpp
+++ b/tests/pooling/contradicted_view_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace cyclamendrift;
 using namespace std::chrono_literals;
 
@@ -33,6 +35,25 @@
     world.answers(caller);
 }
 
+bool isContradicted(const PoolWorld& world)
+{
+    const auto all = world.engine.evidence();
+    return std::any_of(
+        all.begin(), all.end(), [](const UpstreamEvidence& evidence) { return evidence.contradictsView; });
+}
+
+/// Reads of `caller` until one came to an upstream of a later term.
+void seeLaterTerm(PoolWorld& world, CallerId caller)
+{
+    for (int tries = 0; tries < 8 && !isContradicted(world); ++tries) {
+        world.ask(caller, "b/" + std::to_string(tries), "READ 1");
+        world.pass(40ms);
+    }
+    REQUIRE(isContradicted(world));
+    world.pass(100ms);
+    world.answers(caller);
+}
+
 /// The answer that a caller gets to what it asked within the time in which work waits for a primary.
 Reply answerSoon(PoolWorld& world, CallerId caller)
 {
@@ -73,7 +94,7 @@
 
 TEST_SUITE("a view of the primary that answers contradict")
 {
-    TEST_CASE("after a replica has answered from a later term nothing is sent to the view's primary")
+    TEST_CASE("after a replica has told a later term nothing is sent to the view's primary")
     {
         // Guards against reads and writes at a former primary by a VM that has already seen the next one's
         // term.
@@ -82,8 +103,10 @@
         const auto reader = world.connect();
         const auto caller = world.connect("key-a", "desk");
         CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
-        world.promote("replica-1");
-        readAtReplica(world, reader);
+        for (const auto* name : { "replica-1", "replica-2" })
+            world.upstream(name).term = 2;
+        world.upstream("replica-1").primary = true;
+        seeLaterTerm(world, reader);
         const auto before = world.runs().size();
         world.ask(caller, "c/2", "READ 1");
         checkSentAway(answerSoon(world, caller));
@@ -106,7 +129,7 @@
         CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
         world.promote("replica-1");
         world.promote("primary");
-        readAtReplica(world, reader);
+        seeLaterTerm(world, reader);
         world.setChanging();
         world.lead("primary", 1);
         world.ask(caller, "c/2", "WRITE 1 x");
@@ -140,7 +163,7 @@
         CHECK_FALSE(world.run(caller, "c/2", "READ 1").failure);
         for (const auto* name : { "replica-1", "replica-2" })
             world.upstream(name).term = 2;
-        readAtReplica(world, reader);
+        seeLaterTerm(world, reader);
         const auto reply = world.run(caller, "c/3", "READ 1");
         CHECK(errorOf(reply) == StatementError::Aborted);
         CHECK(reply.phase == SessionPhase::FailedTransaction);
@@ -229,22 +252,16 @@
         PoolWorld world { {} };
         const auto caller = world.connect();
         CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
-        const auto doubted = [&world] {
-            bool any = false;
-            for (const auto& evidence : world.engine.evidence())
-                any = any || evidence.contradictsView;
-            return any;
-        };
-        CHECK_FALSE(doubted());
+        CHECK_FALSE(isContradicted(world));
         world.promote("replica-1");
         world.promote("replica-2");
         world.ask(caller, "c/2", "READ 1");
         world.pass(80ms);
-        CHECK(doubted());
+        CHECK(isContradicted(world));
         world.lead("replica-1", 2);
-        CHECK(doubted());
+        CHECK(isContradicted(world));
         world.lead("replica-2", 3);
-        CHECK_FALSE(doubted());
+        CHECK_FALSE(isContradicted(world));
     }
 }
 
@@ -511,3 +528,35 @@
         CHECK(world.entry->connections() == 0);
     }
 }
+
+TEST_SUITE("positions that were noted under a view")
+{
+    TEST_CASE("positions noted under a view that still held when a later term was seen are not used any more")
+    {
+        // Guards against bounded reads at positions of a former primary, which cover no commit of the next
+        // one.
+        PoolWorld world { bounded };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
+        world.promote("replica-1");
+        seeLaterTerm(world, caller);
+        const auto before = world.runs().size();
+        world.ask(caller, "c/2", "READ 1");
+        checkSentAway(answerSoon(world, caller));
+        CHECK(world.runs().size() == before);
+    }
+
+    TEST_CASE("positions noted under a view that had ended go on serving reads at replicas")
+    {
+        // Guards against refusing reads during every failover, from the first answer of the next term on.
+        PoolWorld world { bounded };
+        const auto caller = world.connect();
+        CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
+        world.setChanging();
+        world.promote("replica-1");
+        for (int index = 0; index < 4; ++index) {
+            CHECK_FALSE(world.run(caller, "c/r" + std::to_string(index), "READ 1").failure);
+            CHECK(world.runs().back().after);
+        }
+    }
+}
