Play sessions under a view of the primary that is out of date

The sessions' property had one primary throughout. It now has a variant in which upstreams are promoted at random while the view goes on naming the former primary: a read that named no position, and a write or commit that is kept, may be a success only if the primary of the view gave it, promises must be true, and the group is served once the view is right. It runs for a route that reads its own writes, for a primary route and through a home.

The two cases that were there are as before.

--- a/tests/pooling/pool_world.cpp
+++ b/tests/pooling/pool_world.cpp
@@ -385,6 +385,7 @@
         connection.inTransaction = true;
         connection.readOnly = open->readOnly;
         connection.term = upstream.term;
+        connection.after = open->after;
     } else if (std::holds_alternative<DropTransaction>(statement)) {
         connection.inTransaction = false;
         connection.uncommitted.clear();
@@ -418,7 +419,9 @@
         .team = connection.team,
         .values = connection.values,
         .after = statement.after,
-        .term = upstream.term };
+        .term = upstream.term,
+        .atPrimary = upstream.primary,
+        .restsOnView = !(connection.inTransaction ? connection.after : statement.after) };
     if (statement.execute)
         run.shape = connection.prepared.at(statement.execute->name);
     this->history.push_back(std::move(run));
--- a/tests/pooling/pool_world.h
+++ b/tests/pooling/pool_world.h
@@ -33,8 +33,9 @@
     std::map<std::string, PreparedShape> prepared;
     bool inTransaction = false;
     bool readOnly = false;
-    /// The term in which the open transaction was opened.
+    /// The term in which the open transaction was opened, and the position that it named.
     std::uint64_t term = 0;
+    std::optional<Progress> after;
     /// Writes of the open transaction, by the id of their statement.
     std::vector<std::string> uncommitted;
     /// Whose statements ran in the open transaction.
@@ -50,8 +51,11 @@
     std::map<std::string, std::string> values;
     std::optional<PreparedShape> shape;
     std::optional<Progress> after;
-    /// The term that the upstream knew of then.
+    /// The term that the upstream knew of then, and whether it led it.
     std::uint64_t term = 0;
+    bool atPrimary = false;
+    /// True when no position was named, for it or for its transaction.
+    bool restsOnView = false;
 };
 
 /// The error of an answer that has to be a failure.
@@ -99,6 +103,8 @@
     ModelUpstream& upstream(const std::string& name) { return this->upstreams.at(UpstreamName { name }); }
     [[nodiscard]] std::size_t openConnections() const { return this->connections.size(); }
     [[nodiscard]] const std::vector<RunStatement>& runs() const { return this->history; }
+    /// The view of the primary that the engines have.
+    [[nodiscard]] const LeaderView& leader() const { return this->view; }
     [[nodiscard]] std::size_t timesRun(const std::string& id) const;
     [[nodiscard]] bool committed(const std::string& id) const { return this->commits.contains(id); }
 
--- a/tests/pooling/session_property_test.cpp
+++ b/tests/pooling/session_property_test.cpp
@@ -2,6 +2,8 @@
 
 #include <property.h>
 
+#include <algorithm>
+#include <array>
 #include <map>
 #include <random>
 
@@ -18,6 +20,7 @@
     std::map<std::string, PreparedShape> prepared;
     int statements = 0;
     SessionPhase phase = SessionPhase::Idle;
+    std::string lastId;
     /// Writes of the attempt under way, and of those that were promised to leave nothing.
     std::vector<std::string> attempt;
 };
@@ -25,10 +28,17 @@
 /// Plays random callers against the model with random faults.
 class Play {
 public:
-    explicit Play(std::uint64_t seed, bool throughHome = false)
+    struct Options {
+        bool throughHome = false;
+        /// Upstreams are promoted, and the VMs' view goes on naming the former primary for a while.
+        bool promotions = false;
+        RouteFreshness freshness = ReadOwnWritesRoute { 2500ms };
+    };
+
+    explicit Play(std::uint64_t seed, const Options& options)
         : random(seed)
-        , world(
-              { .connectionCap = 4, .freshness = ReadOwnWritesRoute { 2500ms }, .throughHome = throughHome })
+        , options(options)
+        , world({ .connectionCap = 4, .freshness = options.freshness, .throughHome = options.throughHome })
     {
         this->world.failHanding = [this](const HandWork&) -> std::optional<HandFailure> {
             if (this->chance(20))
@@ -53,10 +63,16 @@
                 this->act(person);
             if (this->chance(5))
                 this->world.pass(std::chrono::milliseconds { 20 * static_cast<int>(this->pick(5)) });
+            if (this->options.promotions)
+                this->changePrimary();
         }
+        if (this->options.promotions)
+            this->publishPrimary();
         this->world.pass(5s);
         for (auto& person : this->people)
             this->listen(person);
+        if (this->options.promotions)
+            this->checkService();
     }
 
 private:
@@ -66,6 +82,60 @@
     }
     bool chance(std::size_t oneIn) { return this->pick(oneIn) == 0; }
 
+    void changePrimary()
+    {
+        this->listenToAll();
+        if (this->chance(12)) {
+            static const std::array names { "primary", "replica-1", "replica-2" };
+            this->leader = names.at(this->pick(names.size()));
+            this->world.promote(this->leader);
+        }
+        if (this->chance(12)) {
+            this->publishPrimary();
+            this->listenToAll();
+        }
+    }
+
+    void publishPrimary() { this->world.lead(this->leader, this->world.upstream(this->leader).term); }
+
+    void listenToAll()
+    {
+        for (auto& person : this->people)
+            this->listen(person);
+    }
+
+    /// The group is served again once its view is right.
+    void checkService()
+    {
+        this->world.interfere = nullptr;
+        this->world.loseAnswer = nullptr;
+        this->world.failHanding = nullptr;
+        const auto caller = this->world.connect();
+        this->world.ask(caller, "eve/1", "WRITE 1 x");
+        this->world.pass(500ms);
+        RC_ASSERT(!this->world.answer(caller).failure.has_value());
+    }
+
+    /// A success that rests on the view of the primary comes from the primary of that view.
+    void checkSuccess(const Person& person, const Reply& reply)
+    {
+        const auto& runs = this->world.runs();
+        const auto ran = std::find_if(runs.rbegin(), runs.rend(),
+            [&person](const RunStatement& run) { return run.id == person.lastId; });
+        if (reply.failure || reply.proof != "proof" || ran == runs.rend())
+            return;
+        const bool commits = ran->text == "COMMIT";
+        const bool writes
+            = std::find(person.attempt.begin(), person.attempt.end(), ran->id) != person.attempt.end();
+        if (!commits && !writes && ran->restsOnView)
+            RC_ASSERT(ran->atPrimary);
+        const bool keeps = reply.phase == SessionPhase::Idle && (commits ? !person.attempt.empty() : writes);
+        if (!keeps)
+            return;
+        RC_ASSERT(ran->upstream == this->world.leader().primary);
+        RC_ASSERT(Term { ran->term } == this->world.leader().term);
+    }
+
     std::optional<Reply> disturb(const ModelConnection& connection, const UpstreamStatement& statement)
     {
         const auto* pass = std::get_if<PassStatement>(&statement);
@@ -100,6 +170,7 @@
             return;
         const auto id = person.name + '/' + std::to_string(++person.statements);
         const auto text = this->choose(person, id);
+        person.lastId = id;
         this->pending[person.name] = true;
         this->world.ask(person.id, id, text);
         this->listen(person);
@@ -155,6 +226,7 @@
         for (const auto& reply : this->world.answers(person.id)) {
             this->pending[person.name] = false;
             person.phase = reply.phase;
+            this->checkSuccess(person, reply);
             const bool promised = reply.failure
                 && (meansNotRun(reply.failure->error) || reply.failure->error == StatementError::Aborted);
             if (!promised)
@@ -167,7 +239,9 @@
     }
 
     std::mt19937_64 random;
+    Options options;
     PoolWorld world;
+    std::string leader = "primary";
     std::vector<Person> people;
     std::map<std::string, bool> pending;
 };
@@ -182,7 +256,7 @@
         // Sessions of two teams share a few connections while upstreams are full now and then and answers get
         // lost. A user would notice a mistake as another user's data, a doubled order, or an order that was
         // refused and placed.
-        checkProperty("sessions", [](std::uint64_t seed) { Play { seed }.run(); });
+        checkProperty("sessions", [](std::uint64_t seed) { Play { seed, {} }.run(); });
     }
 
     TEST_CASE("the same holds when another VM is the home of the service and does not always answer")
@@ -190,6 +264,22 @@
         // Callers come to one VM and their statements run at another, which is out of reach now and then, or
         // runs a statement whose answer gets lost. Whatever the first VM says then must be true of what the
         // second one did.
-        checkProperty("sessions through a home", [](std::uint64_t seed) { Play { seed, true }.run(); });
+        checkProperty("sessions through a home", [](std::uint64_t seed) {
+            Play { seed, { .throughHome = true } }.run();
+        });
+    }
+
+    TEST_CASE("what rests on the view of the primary is a success only if the view's primary gave it")
+    {
+        // Guards against stale reads and lost commits while the view names a former primary for too long.
+        checkProperty("sessions under a view that is out of date", [](std::uint64_t seed) {
+            Play { seed, { .promotions = true } }.run();
+        });
+        checkProperty("sessions of a primary route under such a view", [](std::uint64_t seed) {
+            Play { seed, { .promotions = true, .freshness = PrimaryRoute {} } }.run();
+        });
+        checkProperty("sessions through a home under such a view", [](std::uint64_t seed) {
+            Play { seed, { .throughHome = true, .promotions = true } }.run();
+        });
     }
 }
