--- a/src/pooling/engine_answers.cpp
+++ b/src/pooling/engine_answers.cpp
@@ -38,8 +38,11 @@
 void SessionEngine::State::finishSingle(PooledConnection& connection, CallerSession& session, Reply reply)
 {
     // Letting go of the connection may close it or give it to other work.
-    const RunPlace place { .upstream = connection.upstream, .sentAt = connection.sentAt };
+    const RunPlace place {
+        .upstream = connection.upstream, .sentAt = connection.sentAt, .restsOn = connection.restsOn
+    };
     const bool notRun = reply.failure && meansNotRun(reply.failure->error);
+    const bool unproven = session.work->kind == WorkKind::Read && connection.outlivedView(reply);
     if (notRun)
         this->noteNotRun(connection, reply.failure->error);
     connection.user.reset();
@@ -47,6 +50,9 @@
         this->release(connection);
     else
         this->close(connection);
+    // A read leaves nothing behind and may run again.
+    if (unproven)
+        return this->retry(session, UpstreamName {}, Duration {}, StatementError::Busy);
     if (!notRun)
         return this->conclude(session, std::move(reply), place, session.work->kind == WorkKind::Write);
     const bool lags = reply.failure->error == StatementError::Lagging;
@@ -69,7 +75,12 @@
         work.resumeAt = this->now + this->options.settings.busyPause;
         return;
     }
-    const RunPlace place { .upstream = connection.upstream, .sentAt = connection.sentAt };
+    // Nothing was committed yet, so nothing of the transaction is kept.
+    if (work.kind == WorkKind::Read && connection.outlivedView(reply))
+        return this->dropTransaction(session, "a newer primary leads");
+    const RunPlace place {
+        .upstream = connection.upstream, .sentAt = connection.sentAt, .restsOn = connection.restsOn
+    };
     if (work.kind == WorkKind::Commit) {
         const bool wrote = session.transactionWrote;
         session.pinned.reset();
@@ -92,6 +103,9 @@
     const bool commits = session.work->kind == WorkKind::Commit;
     const bool dropped = meansNotRun(failure.error) && (!commits || phase != SessionPhase::InTransaction);
     this->logFailure(session, connection.upstream, failure);
+    // A caller may send a write within its transaction for reading, which any upstream refuses.
+    if (failure.error == StatementError::ReadOnly && !session.transactionReadOnly)
+        this->noteRefusedLead(connection);
     connection.inTransaction = phase != SessionPhase::Idle;
     if (connection.inTransaction) {
         this->endTransaction(session);
@@ -141,19 +155,51 @@
         const bool atPrimary = group.view.primary == place.upstream;
         ++(atPrimary ? this->counters.readsOnPrimary : this->counters.readsOnReplicas);
     }
-    if (!keeps || !reply.progress)
+    if (!keeps)
         return this->answer(session, std::move(reply));
-    noteOwnWrite(session, *reply.progress, place.sentAt);
-    if (group.isLedBy(place.upstream, this->now))
+    if (reply.progress)
+        noteOwnWrite(session, *reply.progress, place.sentAt);
+    // Without a position the answer speaks for the term of the view under which its statement was sent.
+    const auto term = reply.progress ? reply.progress->term : place.restsOn.value_or(Term {});
+    if (group.isLedBy(place.upstream, this->now) && group.view.term == term)
         return this->answer(session, std::move(reply));
     // The commit is there, but a new primary may have been promoted meanwhile, with a log that lacks it. The
     // caller is told of success only once it is known that this was not so.
-    const auto term = reply.progress->term;
     session.held = std::make_unique<HeldReply>(HeldReply { .reply = std::move(reply),
         .upstream = place.upstream,
         .term = term,
         .until = this->now + longestHold });
     session.work.reset();
+    this->releaseHeld(session);
+}
+
+bool SessionEngine::State::canBeConfirmed(const GroupState& group, const HeldReply& held) const
+{
+    const auto& view = group.view;
+    // A view of an earlier term may only be late: one of the answer's own term still shows that it stands.
+    const bool viewIsLate = view.term < held.term;
+    const bool standsInView
+        = view.term == held.term && view.primary == held.upstream && !group.isContradicted();
+    return view.phase == LeaderView::Phase::Led && group.newestTerm <= held.term
+        && (viewIsLate || standsInView);
+}
+
+void SessionEngine::State::releaseHeld(CallerSession& session)
+{
+    const auto& group = this->group(session.route.service);
+    const auto& held = *session.held;
+    const bool confirmed = group.isLedBy(held.upstream, this->now) && group.view.term == held.term;
+    if (!confirmed && this->canBeConfirmed(group, held) && this->now < held.until)
+        return;
+    auto reply = std::move(session.held->reply);
+    if (!confirmed) {
+        ++this->counters.inDoubt;
+        this->log("commit_unconfirmed",
+            { { "id", session.statementId }, { "service", session.route.service.string() },
+                { "upstream", held.upstream.string() } });
+        reply = failureReply(StatementError::InDoubt, "the primary may have been replaced meanwhile");
+    }
+    this->answer(session, std::move(reply));
 }
 
 } // namespace cyclamendrift
