Repeat a promotion only to a replica that still answers

A promotion was sent every 500 ms to a replica that had fallen silent, which did nothing but prolong the time in which it may take effect and in which no other replica may be chosen: 'a successor follows a holder whose choice has died' in the tests of one promotion at a time.

--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -93,12 +93,14 @@
 {
     const auto& settings = this->options.settings;
     auto& replacement = *this->replacement;
-    const bool gone = this->find(replacement.promoted) == nullptr;
-    if (gone || now >= replacement.promotedSince + settings.promoteTimeout) {
+    const auto* promoted = this->find(replacement.promoted);
+    if (promoted == nullptr || now >= replacement.promotedSince + settings.promoteTimeout) {
         this->giveUpPromotion();
         return;
     }
-    if (now >= replacement.lastPromote + settings.promoteInterval) {
+    // One that has fallen silent would only be waited for longer.
+    const bool answers = promoted->lastAnswer >= replacement.lastPromote;
+    if (answers && now >= replacement.lastPromote + settings.promoteInterval) {
         replacement.lastPromote = now;
         this->promotions.noteSent(replacement.promoted, now);
         this->actions.emplace_back(
