Write a leader that nobody waited for down only when views of the former primary have ended

When another upstream than the recorded primary led a newer term, the holder of the duty wrote that down at once. VMs that read the record acknowledged commits at the new primary, while a VM that the store turned away still read at the former one, for up to two seconds. A claim was settled as early by any upstream that led the claimed term. And when the former primary followed the new one before it was asked, nobody looked for the new one: the group stayed without a primary on record.

The holder now claims the next term first, so that no VM gets a view of the former primary any more, and writes the leader down when every view has ended: loneReplicaTime, viewLifetime and viewMargin after the claim has stood without a break, as this VM has seen it, and viewLifetime and viewMargin after it was first heard to lead, as from then on it does not vouch for the former primary. There is no wait when this VM had waited before it promoted, when the leader is the one that the holder before had chosen, or when it is the recorded primary in a newer term. All upstreams are asked while one of them speaks of a term that is newer than the record's.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -136,6 +136,8 @@
         UpstreamEntry entry;
         std::optional<UpstreamStatus> status;
         Instant statusAt = Instant::min();
+        /// When it was first heard to lead the term that it leads.
+        Instant leadsSince = Instant::min();
         Instant lastAnswer = Instant::min();
         Instant lastAsked = Instant::min();
         /// When it was asked last and confirmed that it follows the record's primary.
@@ -168,6 +170,8 @@
         UpstreamName settledOn;
         /// When the record was seen to hold the claim.
         Instant claimedAt;
+        /// Who was chosen before this VM took the claim over.
+        UpstreamName inherited;
         std::map<UpstreamName, Pause> paused;
         std::optional<Progress> demotedAt;
         /// The replica that this VM promotes, and since when.
@@ -180,6 +184,8 @@
     struct Leader {
         UpstreamName name;
         Term term {};
+        /// When this VM heard of it first.
+        Instant since;
     };
     /// A replica that may be promoted.
     struct Candidate {
@@ -236,6 +242,12 @@
     void askAll(Instant now);
     void giveUpPromotion();
     void finish(const Leader& leader, Instant now);
+    /// Deals with an upstream that leads a newer term than the record has; false when there is none.
+    [[nodiscard]] bool adoptLeader(Instant now);
+    /// When every view of the old primary has ended, whatever made that upstream lead.
+    [[nodiscard]] Instant viewsEndBefore(const Leader& leader) const;
+    /// Notes since when the record holds the claim, before `next` takes the place of what is known.
+    void noteStanding(const std::optional<LeadershipRecord>& next, Instant now);
     void settleOthers(Instant now);
     void write(LeadershipRecord record, Instant now);
     /// True when no change that this VM has sent may still take effect.
@@ -272,6 +284,8 @@
     /// The replica that did.
     UpstreamName confirmedBy;
     std::unique_ptr<Replacement> replacement;
+    /// Since when the record is known to have held a claim without a break.
+    std::optional<Instant> claimStandsSince;
     PendingPromotions promotions;
     std::unique_ptr<Growth> growth;
     std::optional<Instant> dutyFreeSince;
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -79,6 +79,7 @@
     if (this->readOnce && older)
         return;
     const bool sameRecord = this->readOnce && this->known.record == snapshot.record;
+    this->noteStanding(snapshot.record, now);
     this->known = snapshot;
     if (snapshot.askedAt < this->dutyKnownFrom)
         this->known.duty.reset();
@@ -161,6 +162,9 @@
     member->questionsFailingSince.reset();
     if (askedAt < member->statusAt)
         return;
+    const bool ledBefore = member->status && member->status->isPrimary && member->status->term == status.term;
+    if (status.isPrimary && !ledBefore)
+        member->leadsSince = now;
     member->status = status;
     member->statusAt = askedAt;
     const auto& record = this->known.record;
@@ -221,6 +225,7 @@
     // An answer may be overtaken by a reading of what came after it.
     if (revision < this->known.recordRevision)
         return;
+    this->noteStanding(record, now);
     this->known.record = record;
     this->known.recordRevision = revision;
     this->forgetConfirmations();
@@ -426,14 +431,8 @@
 {
     const auto& record = this->record();
     auto* primary = this->find(record.primary);
-    for (const auto& member : this->members) {
-        // A promotion whose outcome nobody wrote down has shown its effect.
-        const bool leads = member.status && member.status->isPrimary && member.status->term > record.term;
-        if (leads) {
-            this->writeLeader(member.entry.name, member.status->term, now);
-            return;
-        }
-    }
+    if (this->adoptLeader(now))
+        return;
     if (primary == nullptr)
         return this->claim(false, "the primary is gone from the directory", now);
     if (primary->entry.draining)
--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -23,7 +23,9 @@
         if (!member.status || !member.status->isPrimary || member.status->term < least)
             continue;
         if (!newest || member.status->term > newest->term)
-            newest = Leader { .name = member.entry.name, .term = member.status->term };
+            newest = Leader {
+                .name = member.entry.name, .term = member.status->term, .since = member.leadsSince
+            };
     }
     return newest;
 }
@@ -122,7 +124,7 @@
 
 void LeaderCoordinator::finish(const Leader& leader, Instant now)
 {
-    if (this->promotions.anyBut(leader.name, now)) {
+    if (this->promotions.anyBut(leader.name, now) || now < this->viewsEndBefore(leader)) {
         this->askAll(now);
         return;
     }
@@ -132,4 +134,52 @@
     this->writeLeader(leader.name, leader.term, now);
 }
 
+bool LeaderCoordinator::adoptLeader(Instant now)
+{
+    const auto& record = this->record();
+    const auto leader = this->newestLeader(record.term);
+    if (!leader || leader->term == record.term) {
+        const bool heardOf = std::any_of(this->members.begin(), this->members.end(),
+            [&record](const Member& member) { return member.status && member.status->term > record.term; });
+        if (heardOf)
+            this->askAll(now);
+        return false;
+    }
+    // Whoever reads the claim gives up its view of the old primary.
+    if (leader->name == record.primary)
+        this->writeLeader(leader->name, leader->term, now);
+    else
+        this->claim(false, "another upstream leads", now);
+    return true;
+}
+
+Instant LeaderCoordinator::viewsEndBefore(const Leader& leader) const
+{
+    const auto& settings = this->options.settings;
+    const auto& replacement = *this->replacement;
+    // A holder waits before it promotes what it has chosen.
+    const bool waited = replacement.lastPromote != Instant::min() || leader.name == replacement.inherited;
+    if (waited || this->isPrimary(leader.name))
+        return Instant::min();
+    // One replica's word prolongs a view for a moment after the store was read, that of all of them until one
+    // has become the leader.
+    const auto claimed = this->claimStandsSince.value_or(replacement.claimedAt);
+    return std::max(claimed + settings.loneReplicaTime, leader.since) + settings.viewLifetime
+        + settings.viewMargin;
+}
+
+void LeaderCoordinator::noteStanding(const std::optional<LeadershipRecord>& next, Instant now)
+{
+    if (!next || next->isSettled()) {
+        this->claimStandsSince.reset();
+        return;
+    }
+    // A change of this VM followed what it knew; before one of another VM the claim may have been withdrawn.
+    const auto& previous = this->known.record;
+    const bool unbroken = this->claimStandsSince && previous
+        && (next->changeId == previous->changeId || next->changeId == this->lastChange);
+    if (!unbroken)
+        this->claimStandsSince = now;
+}
+
 } // namespace cyclamendrift
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -19,10 +19,11 @@
 void LeaderCoordinator::claim(bool planned, std::string_view reason, Instant now)
 {
     const auto& record = this->record();
-    const bool someoneElse
-        = std::any_of(this->members.begin(), this->members.end(), [&record](const Member& member) {
-              return member.entry.name != record.primary && !member.entry.draining;
-          });
+    const bool someoneElse = std::any_of(
+        this->members.begin(), this->members.end(), [&record](const Member& member) {
+            const bool leads = member.status && member.status->isPrimary && member.status->term > record.term;
+            return member.entry.name != record.primary && (leads || !member.entry.draining);
+        });
     if (!someoneElse)
         return;
     if (now < this->lastWrite + this->options.settings.storeRetry)
@@ -82,6 +83,7 @@
     if (!std::exchange(this->replacement->claimPending, false))
         return;
     this->replacement->claimedAt = now;
+    this->replacement->inherited = record.chosen;
     // Whoever wrote that choice may have promoted it until this claim took its place.
     if (!record.chosen.empty())
         this->promotions.noteFormer(record.chosen, now);
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -92,6 +92,24 @@
     return directory;
 }
 
+// The most primaries that VMs could act on at one moment of that time.
+std::size_t mostPrimariesInUse(LeadershipWorld& world, Duration time)
+{
+    std::size_t most = 0;
+    for (const auto end = world.now + time; world.now < end;) {
+        world.pass(10ms);
+        most = std::max(most, world.primariesInUse().size());
+    }
+    return most;
+}
+
+// The last VM is turned away by the store, and a replica that hears late of a new term vouches for its view.
+void keepOldView(LeadershipWorld& world)
+{
+    world.vm(2).storeAwayUntil = world.now + 20s;
+    world.member("replica-2").lag = 5s;
+}
+
 } // namespace
 
 TEST_SUITE("who leads a group")
@@ -513,6 +531,79 @@
     }
 }
 
+TEST_SUITE("a leader that nobody waited for")
+{
+    TEST_CASE("it is written down only when views of the former primary have ended")
+    {
+        // Guards against VMs that acknowledge commits at one primary while others read at another.
+        LeadershipWorld world { {} };
+        settle(world);
+        keepOldView(world);
+        world.vm(0).storeAwayUntil = world.now + 900ms;
+        world.takeLead("replica-1");
+        CHECK(mostPrimariesInUse(world, 6s) == 1);
+        CHECK(world.vm(0).coordinator.view().primary == UpstreamName { "replica-1" });
+        CHECK(world.vm(1).coordinator.view().primary == UpstreamName { "replica-1" });
+    }
+
+    TEST_CASE("it is written down under a claim only when views of the former primary have ended")
+    {
+        // Guards against a claim that is settled by a leader whom its holder did not promote.
+        LeadershipWorld world { {} };
+        settle(world);
+        keepOldView(world);
+        world.member("primary").running = false;
+        REQUIRE(world.passUntil(4s, [&] { return world.noted("replacing_primary") == 1; }));
+        world.takeLead("replica-1");
+        CHECK(mostPrimariesInUse(world, 6s) == 1);
+        CHECK(world.vm(0).coordinator.view().primary == UpstreamName { "replica-1" });
+        CHECK(world.vm(1).coordinator.view().primary == UpstreamName { "replica-1" });
+    }
+
+    TEST_CASE("it is found when the former primary follows it")
+    {
+        // Guards against a record that nobody corrects, as only replicas that nobody asks know who leads.
+        LeadershipWorld world { {} };
+        for (std::size_t index = 0; index < 3; ++index)
+            world.vm(index).idle = true;
+        settle(world);
+        keepOldView(world);
+        world.takeLead("replica-1");
+        world.member("primary").primary = false;
+        CHECK(mostPrimariesInUse(world, 6s) == 1);
+        CHECK(world.vm(0).coordinator.view().primary == UpstreamName { "replica-1" });
+        CHECK(world.vm(1).coordinator.view().primary == UpstreamName { "replica-1" });
+    }
+
+    TEST_CASE("it is written down though it is leaving")
+    {
+        // Guards against a group that nobody leads because the only one that does is about to end.
+        LeadershipWorld world { { .replicas = 1 } };
+        settle(world);
+        UpstreamDirectory directory { world.member("primary").entry, world.member("replica-1").entry };
+        directory.back().draining = true;
+        for (std::size_t index = 0; index < 3; ++index)
+            world.vm(index).coordinator.onDirectory(directory);
+        world.vm(0).storeAwayUntil = world.now + 900ms;
+        world.takeLead("replica-1");
+        CHECK(world.passUntil(
+            6s, [&] { return world.vm(1).coordinator.view().primary == UpstreamName { "replica-1" }; }));
+    }
+
+    TEST_CASE("the primary in a newer term is written down without a claim")
+    {
+        // Guards against a group that waits for views to end though the primary is the same.
+        LeadershipWorld world { {} };
+        for (std::size_t index = 0; index < 3; ++index)
+            world.vm(index).idle = true;
+        settle(world);
+        world.member("primary").primary = false;
+        world.takeLead("primary");
+        REQUIRE(world.passUntil(2s, [&] { return world.vm(1).coordinator.view().term == Term { 2 }; }));
+        CHECK(world.noted("replacing_primary") == 0);
+    }
+}
+
 TEST_SUITE("who leads under faults")
 {
     TEST_CASE("no VM may act on an old primary while a newer one leads, and tokens never fall")
@@ -576,4 +667,45 @@
             RC_ASSERT(world.allFollowLeader());
         });
     }
+
+    TEST_CASE("no two VMs may act on different primaries, though upstreams lead that nobody waited for")
+    {
+        // Guards against a record that passes from one primary to another while views of the former hold.
+        checkProperty("leaders that nobody waited for", [](std::uint64_t seed) {
+            LeadershipWorld world { { .seed = seed } };
+            std::mt19937_64 random { seed };
+            const auto pick = [&random](int most) {
+                return std::uniform_int_distribution<int> { 0, most }(random);
+            };
+            const auto replica = [&pick] { return "replica-" + std::to_string(1 + pick(1)); };
+            world.loseAnswers = 4;
+            world.slowestAnswer = 120ms;
+            world.pass(3s);
+            std::size_t most = 0;
+            for (int round = 0; round < 12; ++round) {
+                auto& vm = world.vm(static_cast<std::size_t>(pick(2)));
+                const std::chrono::milliseconds time { 200 + pick(4000) };
+                switch (pick(4)) {
+                case 0:
+                    world.member(replica()).lag = time;
+                    break;
+                case 1:
+                    vm.storeAwayUntil = world.now + 2 * time;
+                    break;
+                case 2:
+                    vm.frozenUntil = world.now + time;
+                    break;
+                case 3:
+                    vm.idle = !vm.idle;
+                    break;
+                default:
+                    world.takeLead(replica());
+                }
+                most = std::max(most, mostPrimariesInUse(world, std::chrono::milliseconds { pick(3000) }));
+            }
+            most = std::max(most, mostPrimariesInUse(world, 25s));
+            RC_LOG() << most << " primaries in use at once";
+            RC_ASSERT(most <= 1);
+        });
+    }
 }
