Note a replacement of the primary and its outcome once each

While the store did not answer, the log of a holder had "replacing_primary" at each try to write the claim and "primary_replaced" at each tick until the leader was written down, which hid other lines.

A claim whose write has no answer yet, and a leader that is being written down, are now noted when they are new. What is left of a replacement goes when the record shows that it is settled, or when the primary answers before the claim was written, so that the next one is noted again.

--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -98,6 +98,10 @@
     }
     if (snapshot.record)
         this->noteClaim(*snapshot.record, now);
+    // The answer to the change that settled it may have been lost.
+    const bool settled = snapshot.record && snapshot.record->isSettled();
+    if (this->replacement && settled && !this->replacement->claimPending)
+        this->replacement.reset();
     if (snapshot.duty || snapshot.askedAt < this->dutyKnownFrom)
         this->dutyFreeSince.reset();
     else if (!this->dutyFreeSince)
@@ -442,6 +446,8 @@
     if (resigned && primary->statusAt > this->known.askedAt - this->options.settings.viewLifetime)
         return this->claim(false, "the primary says that it is a replica", now);
     if (!this->primaryIsSilent(now)) {
+        // A claim that was never written has come to nothing.
+        this->replacement.reset();
         this->growth.reset();
         return;
     }
--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -129,8 +129,9 @@
         return;
     }
     this->promotions.noteOutcome(leader.name);
-    this->replacement->settledOn = leader.name;
-    this->note("primary_replaced", { { "primary", leader.name.string() }, { "term", textOf(leader.term) } });
+    if (std::exchange(this->replacement->settledOn, leader.name) != leader.name)
+        this->note(
+            "primary_replaced", { { "primary", leader.name.string() }, { "term", textOf(leader.term) } });
     this->writeLeader(leader.name, leader.term, now);
 }
 
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -29,9 +29,11 @@
     if (now < this->lastWrite + this->options.settings.storeRetry)
         return;
     const auto term = next(record.term);
-    this->note("replacing_primary",
-        { { "primary", record.primary.string() }, { "term", textOf(term) },
-            { "reason", std::string { reason } } });
+    // A claim whose write has no answer yet is the same one.
+    if (!this->replacement)
+        this->note("replacing_primary",
+            { { "primary", record.primary.string() }, { "term", textOf(term) },
+                { "reason", std::string { reason } } });
     this->replacement = std::make_unique<Replacement>(Replacement { .term = term, .planned = planned });
     this->growth.reset();
     this->write({ .term = record.term, .primary = record.primary, .claimedTerm = term }, now);
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -221,6 +221,38 @@
         CHECK_FALSE(noted("vm-0 leader_view_source"));
     }
 
+    TEST_CASE("the log tells once that a primary is replaced and by whom, however long writes take")
+    {
+        // Guards against a log that a store without answers fills with one line a tick.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.member("primary").running = false;
+        world.pass(500ms);
+        world.vm(0).storeAwayUntil = world.now + 900ms;
+        REQUIRE(world.passUntil(6s, [&] { return world.noted("primary_chosen") == 1; }));
+        CHECK(world.noted("replacing_primary") == 1);
+        world.vm(0).storeAwayUntil = world.now + 900ms;
+        settle(world);
+        CHECK(world.noted("replacing_primary") == 1);
+        CHECK(world.noted("primary_replaced") == 1);
+    }
+
+    TEST_CASE("the log tells of each of two replacements")
+    {
+        // Guards against a note that is left out because one like it was made before.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.member("primary").running = false;
+        settle(world);
+        world.member("primary").primary = false;
+        world.member("primary").running = true;
+        world.pass(5s);
+        world.member(world.leader()->entry.name.string()).running = false;
+        settle(world);
+        CHECK(world.noted("replacing_primary") == 2);
+        CHECK(world.noted("primary_replaced") == 2);
+    }
+
     TEST_CASE(
         "a view that has ended does not come back through a replica that has not heard of the new primary")
     {
