--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -615,7 +615,7 @@
         UpstreamDirectory directory { world.member("primary").entry, world.member("replica-1").entry };
         directory.back().draining = true;
         for (std::size_t index = 0; index < 3; ++index)
-            world.vm(index).coordinator.onDirectory(directory);
+            world.vm(index).coordinator.onDirectory(directory, world.now);
         world.vm(0).storeAwayUntil = world.now + 900ms;
         world.takeLead("replica-1");
         CHECK(world.passUntil(
--- a/tests/leadership/replacement_steps_test.cpp
+++ b/tests/leadership/replacement_steps_test.cpp
@@ -31,7 +31,7 @@
     Holder()
         : coordinator({ .vm = self })
     {
-        this->coordinator.onDirectory(directory());
+        this->coordinator.onDirectory(directory(), this->now);
     }
 
     /// The store holds this record at the next revision, and the duty is this VM's, or another's.
@@ -151,10 +151,10 @@
         holder.pass(800ms);
         REQUIRE(holder.stored.chosen == first);
         holder.storeAway = true;
-        holder.coordinator.onDirectory(directory(first));
+        holder.coordinator.onDirectory(directory(first), holder.now);
         holder.tick();
         REQUIRE(holder.writes.back().record.chosen == second);
-        holder.coordinator.onDirectory(directory());
+        holder.coordinator.onDirectory(directory(), holder.now);
         holder.pass(1s);
         CHECK(holder.promoted.empty());
         holder.storeAway = false;
