Let a contradiction that nothing bears out end

A VM that had seen an answer of a later term did not act on its view until a view of that term came. Where the later term comes to nothing, as when the upstream that led it dies before anybody recorded it, that VM would never serve the group again. It now counts for 5 s after the last such answer; a newer primary that lives is found and recorded within some three.

'a contradiction that nothing bears out...' failed before and passes.

--- a/src/pooling/engine_answers.cpp
+++ b/src/pooling/engine_answers.cpp
@@ -179,7 +179,7 @@
     // A view of an earlier term may only be late: one of the answer's own term still shows that it stands.
     const bool viewIsLate = view.term < held.term;
     const bool standsInView
-        = view.term == held.term && view.primary == held.upstream && !group.isContradicted();
+        = view.term == held.term && view.primary == held.upstream && !group.isContradicted(this->now);
     return view.phase == LeaderView::Phase::Led && group.newestTerm <= held.term
         && (viewIsLate || standsInView);
 }
--- a/src/pooling/engine_contradictions.cpp
+++ b/src/pooling/engine_contradictions.cpp
@@ -6,6 +6,8 @@
 
 void SessionEngine::State::noteTerm(GroupState& group, const TermSource& source, Term term)
 {
+    if (term > group.view.term)
+        group.contradictedAt = this->now;
     if (group.view.phase == LeaderView::Phase::Led && term > group.view.term)
         this->logContradiction(group, source, term, "later term");
     // No newer primary leads while a view holds as it should. This one did not, and the former primary may
@@ -25,6 +27,7 @@
         || connection.restsOn != view.term)
         return;
     group.refusedLead = { .upstream = view.primary, .term = view.term };
+    group.contradictedAt = this->now;
     this->logContradiction(group, this->sourceOf(connection), view.term, "refused to act as primary");
 }
 
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -95,6 +95,11 @@
     Instant at;
 };
 
+/// What answers have shown against a view counts for so long. The duty's holder needs some three seconds to
+/// find and record a newer primary; if it finds none by then, a group is not kept from the primary on record
+/// for ever.
+inline constexpr Duration contradictionKept = std::chrono::seconds { 5 };
+
 /// An upstream that refused to act as the primary of a term.
 struct RefusedLead {
     UpstreamName upstream;
@@ -112,11 +117,15 @@
     /// The newest term of any position that was told.
     Term newestTerm {};
     std::optional<RefusedLead> refusedLead;
+    /// When an answer has contradicted the view last.
+    Instant contradictedAt = Instant::min();
 
-    /// True when answers show that a newer primary leads than the view's. A renewal changes nothing of that;
-    /// only a view of another primary or of a later term does.
-    [[nodiscard]] bool isContradicted() const noexcept
+    /// True when answers have shown lately that a newer primary leads than the view's. A renewal changes
+    /// nothing of that; a view of another primary or of a later term does.
+    [[nodiscard]] bool isContradicted(Instant now) const noexcept
     {
+        if (now >= this->contradictedAt + contradictionKept)
+            return false;
         const bool refused = this->refusedLead && this->refusedLead->upstream == this->view.primary
             && this->refusedLead->term == this->view.term;
         return this->view.phase != LeaderView::Phase::Unknown
@@ -126,7 +135,7 @@
     /// True when the view may be acted on.
     [[nodiscard]] bool hasLeader(Instant now) const noexcept
     {
-        return this->view.holds(now) && !this->isContradicted();
+        return this->view.holds(now) && !this->isContradicted(now);
     }
 
     /// True when the view may be acted on and names this upstream.
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -267,7 +267,7 @@
                 .upstream = name,
                 .lastAnswer = upstream.lastAnswer,
                 .failingSince = upstream.failingSince,
-                .contradictsView = group.isContradicted() });
+                .contradictsView = group.isContradicted(this->state->now) });
         }
     }
     return all;
--- a/tests/pooling/contradicted_view_test.cpp
+++ b/tests/pooling/contradicted_view_test.cpp
@@ -139,6 +139,28 @@
         CHECK_FALSE(world.run(caller, "c/3", "WRITE 1 x").failure);
     }
 
+    TEST_CASE("a contradiction that nothing bears out keeps a primary from its callers for seconds only")
+    {
+        // Guards against a VM that never serves a group again after an answer from a term that came to
+        // nothing.
+        PoolWorld world { bounded };
+        addPrimaryRoute(world);
+        const auto reader = world.connect();
+        const auto caller = world.connect("key-a", "desk");
+        CHECK_FALSE(world.run(caller, "c/1", "READ 1").failure);
+        for (const auto* name : { "replica-1", "replica-2" })
+            world.upstream(name).term = 2;
+        seeLaterTerm(world, reader);
+        for (const auto* name : { "replica-1", "replica-2" })
+            world.upstream(name).term = 1;
+        world.lead("primary", 1);
+        world.ask(caller, "c/2", "WRITE 1 x");
+        checkSentAway(answerSoon(world, caller));
+        world.pass(5s);
+        world.lead("primary", 1);
+        CHECK_FALSE(world.run(caller, "c/3", "WRITE 1 x").failure);
+    }
+
     TEST_CASE("a statement is not sent on a connection whose greeting comes from a later term")
     {
         // Guards against running a statement at a former primary that has told its term when the connection
