End a view when an upstream answers from a newer term, and look for its primary

A status from a newer term made the VM read the store sooner, and nothing else: a VM that the store turned away went on with a view that it had seen to be wrong. And answers to callers' statements that contradict the view made nobody ask the upstreams who leads, as the duty's holder asks a primary only when it is silent.

What vouched for a view before such an answer no longer counts; a reading of the store after it does. The holder asks all upstreams while statements contradict its view.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -279,6 +279,10 @@
     std::vector<Member> members;
     /// When upstreams left the directory that had not announced their end.
     std::map<UpstreamName, Instant> missingSince;
+    /// What vouched for a view before this instant was wrong.
+    Instant disprovedAt = Instant::min();
+    /// Answers to statements of callers contradict the view.
+    bool trafficContradicts = false;
     /// Up to when replicas have confirmed the record's term.
     Instant confirmedAt = Instant::min();
     /// The replica that did.
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -152,6 +152,8 @@
         return;
     member->lastAnswer = std::max(member->lastAnswer, lastAnswer);
     member->trafficFailingSince = failingSince;
+    // What is told of one upstream is told of all of the group.
+    this->trafficContradicts = contradictsView;
     if (contradictsView)
         this->doubted = true;
 }
@@ -174,8 +176,11 @@
     const auto& record = this->known.record;
     if (!record)
         return;
-    if (status.term > record->term)
+    // A newer primary leads, whatever the store or another replica said up to now.
+    if (status.term > record->term) {
         this->doubted = true;
+        this->disprovedAt = now;
+    }
     // A promotion ends the pause of every replica, and one that lags answers as before until it hears of the
     // new term. By then each view has ended; only what still holds may be prolonged.
     const bool confirms = !status.isPrimary && status.term == record->term && status.heldTerm <= record->term
@@ -258,7 +263,9 @@
     view.phase = record.isSettled() ? LeaderView::Phase::Led : LeaderView::Phase::Changing;
     view.primary = record.primary;
     view.term = record.term;
-    view.validUntil = std::max(this->known.askedAt, this->confirmedAt) + this->options.settings.viewLifetime;
+    const auto vouchedAt = std::max(this->known.askedAt, this->confirmedAt);
+    if (vouchedAt > this->disprovedAt)
+        view.validUntil = vouchedAt + this->options.settings.viewLifetime;
     return view;
 }
 
@@ -294,7 +301,8 @@
         || next.term != this->published.term;
     const bool renewed
         = next.validUntil > this->published.validUntil && now >= this->lastPublished + publishInterval;
-    if (!changed && !renewed)
+    const bool ended = next.validUntil < this->published.validUntil && this->published.holds(now);
+    if (!changed && !renewed && !ended)
         return;
     if (changed)
         this->note("leader_view",
--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -140,8 +140,10 @@
     const auto& record = this->record();
     const auto leader = this->newestLeader(record.term);
     if (!leader || leader->term == record.term) {
-        const bool heardOf = std::any_of(this->members.begin(), this->members.end(),
-            [&record](const Member& member) { return member.status && member.status->term > record.term; });
+        const bool heardOf = this->trafficContradicts
+            || std::any_of(this->members.begin(), this->members.end(), [&record](const Member& member) {
+                   return member.status && member.status->term > record.term;
+               });
         if (heardOf)
             this->askAll(now);
         return false;
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -405,6 +405,40 @@
         CHECK_FALSE(coordinator.view().holds(start + 20ms));
     }
 
+    TEST_CASE("a replica of a newer term ends the view of a VM that the store turns away")
+    {
+        // Guards against a view that goes on although an upstream has shown that a newer primary leads.
+        LeadershipWorld world { {} };
+        settle(world);
+        auto& vm = world.vm(2);
+        vm.storeAwayUntil = world.now + 20s;
+        world.pass(400ms);
+        REQUIRE(vm.coordinator.view().holds(world.now));
+        const UpstreamStatus newer { .term = Term { 2 } };
+        vm.coordinator.onStatus(UpstreamName { "replica-1" }, newer, world.now, world.now);
+        CHECK_FALSE(vm.coordinator.view().holds(world.now));
+        const auto actions = vm.coordinator.tick(world.now);
+        CHECK(std::any_of(actions.begin(), actions.end(), [&world](const LeadershipAction& action) {
+            const auto* published = std::get_if<PublishLeader>(&action);
+            return published != nullptr && !published->view.holds(world.now);
+        }));
+    }
+
+    TEST_CASE("the holder of the duty looks for a newer primary when callers' statements show one")
+    {
+        // Guards against a group that stays without a primary because nobody asks who leads.
+        LeadershipWorld world { {} };
+        settle(world);
+        auto& holder = world.vm(0).coordinator;
+        const auto later = world.now + 200ms;
+        holder.onTraffic(UpstreamName { "primary" }, later, std::nullopt, true);
+        const auto actions = holder.tick(later);
+        CHECK(std::any_of(actions.begin(), actions.end(), [](const LeadershipAction& action) {
+            const auto* asked = std::get_if<AskStatus>(&action);
+            return asked != nullptr && asked->upstream == UpstreamName { "primary" };
+        }));
+    }
+
     TEST_CASE("without the store one replica keeps a view up for a moment only, all of them for long")
     {
         // Guards against a primary that is taken away from its callers while all of its replicas vouch for
