--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -21,14 +21,19 @@
     Duration viewLifetime = std::chrono::milliseconds { 1000 };
     /// Added by the promoter for differences between clocks' rates and for statements on their way.
     Duration viewMargin = std::chrono::milliseconds { 100 };
-    /// A view of the store that is older than this is renewed by asking a replica. Above what a view that
-    /// came by a sibling is old at most while all is well: two intervals of reading and a round trip.
+    /// A VM that reads the store itself asks replicas to renew a view that is older than this: an interval of
+    /// reading and a slow answer.
+    Duration ownReadingSilence = std::chrono::milliseconds { 400 };
+    /// The same where siblings read the store: two intervals of reading and a round trip.
     Duration storeSilence = std::chrono::milliseconds { 680 };
+    /// The same for a VM that siblings are to tell what replicas vouch for: questions take slots of the
+    /// upstreams, so few VMs ask while siblings can be reached.
+    Duration siblingSilence = std::chrono::milliseconds { 850 };
     /// Between two questions to the same upstream.
     Duration askInterval = std::chrono::milliseconds { 150 };
     /// From a replica's confirmation to the next question to it while the store is silent; one that has not
     /// confirmed is asked again after `askInterval`.
-    Duration confirmInterval = std::chrono::milliseconds { 350 };
+    Duration confirmInterval = std::chrono::milliseconds { 200 };
     /// For so long after the store was asked last, the word of one replica prolongs a view; from then on all
     /// of them must give theirs, so that pausing any one of them ends it. A promoter that could not pause
     /// them all waits it out.
@@ -96,6 +101,9 @@
     /// This VM's lease has lapsed, and with it every duty that it held, whatever was read before.
     void onLeaseLost(Instant now);
 
+    /// This VM is one of those that ask replicas for their siblings as well.
+    void setVouchesForSiblings(bool vouches) noexcept { this->vouchesForSiblings = vouches; }
+
     /// The store was read.
     void onSnapshot(const LeadershipSnapshot& snapshot, Instant now);
     /// The upstreams of the group that are there.
@@ -105,6 +113,9 @@
         bool contradictsView);
     /// An upstream answered a question, pause, resume or demotion that was sent at `askedAt`.
     void onStatus(const UpstreamName& upstream, const UpstreamStatus& status, Instant askedAt, Instant now);
+    /// A sibling has a view of the record with that revision that holds, and was vouched for at that instant.
+    /// The promoter has waited that view out as well, so one of this VM may come back by it.
+    void onSiblingView(std::uint64_t recordRevision, Instant vouchedAt);
     /// An upstream did not answer, or refused.
     void onSilence(const UpstreamName& upstream, Instant now);
     /// The record was changed as asked.
@@ -117,6 +128,10 @@
 
     /// Whom to send writes to, and until when.
     [[nodiscard]] LeaderView view() const;
+    /// When a view that holds was vouched for last, by the store or replicas; empty when none holds.
+    [[nodiscard]] std::optional<Instant> vouchedAt(Instant now) const;
+    /// The revision of the record that the view is of.
+    [[nodiscard]] std::uint64_t recordRevision() const noexcept { return this->known.recordRevision; }
 
     /// How often views were kept up by replicas, and how often one ended before it was renewed.
     struct Counters {
@@ -261,6 +276,8 @@
     void publishIfChanged(Instant now);
     /// Notes when the view ends, comes back, or is vouched for by somebody else.
     void noteValidity(Instant now);
+    /// True when the view is to be renewed by asking replicas.
+    [[nodiscard]] bool isSilent(Instant now) const noexcept;
     /// A replica's word counts only where the view would have ended without it.
     [[nodiscard]] ViewSource viewSource(Instant now) const noexcept;
     void note(std::string_view event, std::vector<std::pair<std::string, std::string>> fields);
@@ -285,8 +302,11 @@
     bool trafficContradicts = false;
     /// Up to when replicas have confirmed the record's term.
     Instant confirmedAt = Instant::min();
-    /// The replica that did.
+    /// The replica that did; empty when a sibling told.
     UpstreamName confirmedBy;
+    /// Up to when siblings have told that replicas did.
+    Instant siblingVouchedAt = Instant::min();
+    bool vouchesForSiblings = true;
     std::unique_ptr<Replacement> replacement;
     /// Since when the record is known to have held a claim without a break.
     std::optional<Instant> claimStandsSince;
--- a/include/cyclamendrift/membership/reader_choice.h
+++ b/include/cyclamendrift/membership/reader_choice.h
@@ -25,6 +25,9 @@
     /// The VM to ask; empty when this VM is to read the store itself. `rank` spreads the VMs over readers.
     [[nodiscard]] std::optional<VmName> readerFor(const VmName& self, std::size_t rank, Instant now) const;
 
+    /// True for the readers and those that come after them in the order, which would take their place.
+    [[nodiscard]] bool isNextToRead(const VmName& vm) const;
+
     /// This VM did not answer, or had read nothing lately; others take its place until then.
     void passOver(const VmName& reader, Instant until);
 
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -211,9 +211,21 @@
     ++this->counts.replicaConfirmations;
 }
 
+void LeaderCoordinator::onSiblingView(std::uint64_t recordRevision, Instant vouchedAt)
+{
+    if (recordRevision != this->known.recordRevision || vouchedAt <= this->siblingVouchedAt)
+        return;
+    this->siblingVouchedAt = vouchedAt;
+    if (vouchedAt <= this->confirmedAt)
+        return;
+    this->confirmedAt = vouchedAt;
+    this->confirmedBy = UpstreamName {};
+}
+
 void LeaderCoordinator::forgetConfirmations() noexcept
 {
     this->confirmedAt = Instant::min();
+    this->siblingVouchedAt = Instant::min();
     for (auto& member : this->members)
         member.confirmedAt = Instant::min();
 }
@@ -269,6 +281,13 @@
     return view;
 }
 
+std::optional<Instant> LeaderCoordinator::vouchedAt(Instant now) const
+{
+    if (!this->view().holds(now))
+        return std::nullopt;
+    return std::max(this->known.askedAt, this->confirmedAt);
+}
+
 bool LeaderCoordinator::wantsSnapshot() const noexcept
 {
     return this->doubted || (this->known.record && !this->known.record->isSettled());
@@ -317,7 +336,9 @@
 ViewSource LeaderCoordinator::viewSource(Instant now) const noexcept
 {
     const bool endedAtStore = now >= this->known.askedAt + this->options.settings.viewLifetime;
-    return endedAtStore && this->confirmedAt > this->known.askedAt ? ViewSource::Replica : this->known.source;
+    if (!endedAtStore || this->confirmedAt <= this->known.askedAt)
+        return this->known.source;
+    return this->confirmedBy.empty() ? ViewSource::Sibling : ViewSource::Replica;
 }
 
 void LeaderCoordinator::noteValidity(Instant now)
@@ -373,12 +394,20 @@
     this->actions.emplace_back(TakeDuty {});
 }
 
+bool LeaderCoordinator::isSilent(Instant now) const noexcept
+{
+    const auto& settings = this->options.settings;
+    if (!this->vouchesForSiblings)
+        return now >= std::max(this->known.askedAt, this->siblingVouchedAt) + settings.siblingSilence;
+    const bool ownReading = this->known.source == ViewSource::Store;
+    return now >= this->known.askedAt + (ownReading ? settings.ownReadingSilence : settings.storeSilence);
+}
+
 void LeaderCoordinator::renewFromReplica(Instant now)
 {
     const auto& settings = this->options.settings;
-    const bool storeSilent = now >= this->known.askedAt + settings.storeSilence;
     // What has ended cannot be prolonged.
-    if (!storeSilent || !this->view().holds(now))
+    if (!this->isSilent(now) || !this->view().holds(now))
         return;
     for (auto& member : this->members) {
         const bool due = now >= member.confirmedAt + settings.confirmInterval;
--- a/src/membership/reader_choice.cpp
+++ b/src/membership/reader_choice.cpp
@@ -1,5 +1,7 @@
 #include <cyclamendrift/membership/reader_choice.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace cyclamendrift {
@@ -26,6 +28,13 @@
     return reading[rank % reading.size()];
 }
 
+bool ReaderChoice::isNextToRead(const VmName& vm) const
+{
+    const auto first = std::min(this->order.size(), 2 * this->readers + 1);
+    const auto end = this->order.begin() + static_cast<std::ptrdiff_t>(first);
+    return std::find(this->order.begin(), end, vm) != end;
+}
+
 void ReaderChoice::passOver(const VmName& reader, Instant until) { this->passedOver.add(reader, until); }
 
 } // namespace cyclamendrift
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -41,16 +41,16 @@
 asio::awaitable<void> SessionControl::State::followLeadership(std::shared_ptr<State> self)
 {
     const auto& settings = self->options.settings;
+    Instant storeAgainAt = Instant::min();
     while (!self->stopped) {
         const auto askedAt = bootNow();
-        Duration pause = settings.leadershipInterval;
         const bool told = co_await self->askReaders();
-        if (!told) {
+        if (!told && askedAt >= storeAgainAt) {
             if (const auto failed = co_await self->readLeadership())
-                pause = *failed;
+                storeAgainAt = askedAt + *failed;
         }
         // What is doubted, such as a record this VM has just changed, is read again soon.
-        const auto next = askedAt + pause;
+        const auto next = askedAt + settings.leadershipInterval;
         co_await self->sleep(settings.doubtedInterval);
         const auto doubted = [&self] {
             return std::any_of(self->coordinators.begin(), self->coordinators.end(),
@@ -101,10 +101,12 @@
         std::exchange(this->whenReady, nullptr)();
     const auto now = bootNow();
     std::size_t index = 0;
+    const bool vouches = !this->siblingsOpen || this->readerChoice.isNextToRead(this->options.vm);
     for (auto& [service, coordinator] : this->coordinators) {
         // Each group begins with another VM, so that the duties spread.
         coordinator.setRank((this->place.rank + index++) % std::max<std::size_t>(this->place.vms, 1));
         coordinator.setLeaseUntil(this->leaseUntil);
+        coordinator.setVouchesForSiblings(vouches);
         for (const auto& action : coordinator.tick(now))
             this->perform(service, action);
     }
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -104,7 +104,17 @@
         co_return false;
     }
     this->takeReadings(answer, askedAt);
-    co_return ageOf(answer.leadership()) < this->options.settings.readingsUsable;
+    const auto usable = this->options.settings.readingsUsable;
+    co_return ageOf(answer.leadership()) < usable || this->viewsAreFresh(usable);
+}
+
+bool SessionControl::State::viewsAreFresh(Duration usable) const
+{
+    const auto now = bootNow();
+    return std::all_of(this->coordinators.begin(), this->coordinators.end(), [now, usable](const auto& item) {
+        const auto vouchedAt = item.second.vouchedAt(now);
+        return vouchedAt && now - *vouchedAt < usable;
+    });
 }
 
 void SessionControl::State::takeReadings(const wire::ReadingsAnswer& answer, Instant askedAt)
@@ -116,6 +126,11 @@
         this->leadershipAskedAt = leadershipAt;
         this->takeLeadership(this->leadershipListing, leadershipAt, ViewSource::Sibling);
     }
+    for (const auto& view : answer.views()) {
+        const auto coordinator = this->coordinators.find(ServiceName { view.service() });
+        if (coordinator != this->coordinators.end())
+            coordinator->second.onSiblingView(view.record_revision(), askedAt - durationFrom(view.age_us()));
+    }
     const auto& vms = answer.vms();
     if (vms.entries_size() > 0 && vms.revision() > this->vmListing.revision)
         this->takeVms(listingFrom(vms));
@@ -133,6 +148,20 @@
         this->takeDirectory(listingFrom(directory));
 }
 
+void SessionControl::State::writeViews(wire::ReadingsAnswer& answer) const
+{
+    const auto now = bootNow();
+    for (const auto& [service, coordinator] : this->coordinators) {
+        const auto vouchedAt = coordinator.vouchedAt(now);
+        if (!vouchedAt || *vouchedAt <= this->leadershipAskedAt)
+            continue;
+        auto& view = *answer.add_views();
+        view.set_service(service.string());
+        view.set_record_revision(coordinator.recordRevision());
+        view.set_age_us(microsecondsSince(*vouchedAt));
+    }
+}
+
 asio::awaitable<std::string> SessionControl::State::shareReadings(
     std::shared_ptr<State> self, std::string body)
 {
@@ -142,6 +171,7 @@
     }
     wire::ReadingsAnswer answer;
     write(self->leadershipListing, self->leadershipAskedAt, true, *answer.mutable_leadership());
+    self->writeViews(answer);
     auto& configuration = *answer.mutable_configuration();
     writeRevision(self->configurationRevision, self->configurationConfirmedAt, configuration);
     const bool newer = self->configurationRevision > request.configuration_revision();
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -115,6 +115,10 @@
     [[nodiscard]] asio::awaitable<bool> askReaders();
     [[nodiscard]] asio::awaitable<bool> askReader(SiblingAddress address);
     void takeReadings(const wire::ReadingsAnswer& answer, Instant askedAt);
+    /// True when every group has a view that was vouched for less than `usable` ago.
+    [[nodiscard]] bool viewsAreFresh(Duration usable) const;
+    /// Writes the views that replicas have vouched for since the leadership was read.
+    void writeViews(wire::ReadingsAnswer& answer) const;
 
     // control_leadership
     /// Returns how long to wait before the next try, when it failed.
