--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -79,6 +79,7 @@
     if (this->readOnce && older)
         return;
     const bool sameRecord = this->readOnce && this->known.record == snapshot.record;
+    this->noteStanding(snapshot.record, now);
     this->known = snapshot;
     if (snapshot.askedAt < this->dutyKnownFrom)
         this->known.duty.reset();
@@ -97,6 +98,10 @@
     }
     if (snapshot.record)
         this->noteClaim(*snapshot.record, now);
+    // The answer to the change that settled it may have been lost.
+    const bool settled = snapshot.record && snapshot.record->isSettled();
+    if (this->replacement && settled && !this->replacement->claimPending)
+        this->replacement.reset();
     if (snapshot.duty || snapshot.askedAt < this->dutyKnownFrom)
         this->dutyFreeSince.reset();
     else if (!this->dutyFreeSince)
@@ -147,6 +152,8 @@
         return;
     member->lastAnswer = std::max(member->lastAnswer, lastAnswer);
     member->trafficFailingSince = failingSince;
+    // What is told of one upstream is told of all of the group.
+    this->trafficContradicts = contradictsView;
     if (contradictsView)
         this->doubted = true;
 }
@@ -161,13 +168,19 @@
     member->questionsFailingSince.reset();
     if (askedAt < member->statusAt)
         return;
+    const bool ledBefore = member->status && member->status->isPrimary && member->status->term == status.term;
+    if (status.isPrimary && !ledBefore)
+        member->leadsSince = now;
     member->status = status;
     member->statusAt = askedAt;
     const auto& record = this->known.record;
     if (!record)
         return;
-    if (status.term > record->term)
+    // A newer primary leads, whatever the store or another replica said up to now.
+    if (status.term > record->term) {
         this->doubted = true;
+        this->disprovedAt = now;
+    }
     // A promotion ends the pause of every replica, and one that lags answers as before until it hears of the
     // new term. By then each view has ended; only what still holds may be prolonged.
     const bool confirms = !status.isPrimary && status.term == record->term && status.heldTerm <= record->term
@@ -198,9 +211,21 @@
     ++this->counts.replicaConfirmations;
 }
 
+void LeaderCoordinator::onSiblingView(std::uint64_t recordRevision, Instant vouchedAt)
+{
+    if (recordRevision != this->known.recordRevision || vouchedAt <= this->siblingVouchedAt)
+        return;
+    this->siblingVouchedAt = vouchedAt;
+    if (vouchedAt <= this->confirmedAt)
+        return;
+    this->confirmedAt = vouchedAt;
+    this->confirmedBy = UpstreamName {};
+}
+
 void LeaderCoordinator::forgetConfirmations() noexcept
 {
     this->confirmedAt = Instant::min();
+    this->siblingVouchedAt = Instant::min();
     for (auto& member : this->members)
         member.confirmedAt = Instant::min();
 }
@@ -221,6 +246,7 @@
     // An answer may be overtaken by a reading of what came after it.
     if (revision < this->known.recordRevision)
         return;
+    this->noteStanding(record, now);
     this->known.record = record;
     this->known.recordRevision = revision;
     this->forgetConfirmations();
@@ -249,10 +275,19 @@
     view.phase = record.isSettled() ? LeaderView::Phase::Led : LeaderView::Phase::Changing;
     view.primary = record.primary;
     view.term = record.term;
-    view.validUntil = std::max(this->known.askedAt, this->confirmedAt) + this->options.settings.viewLifetime;
+    const auto vouchedAt = std::max(this->known.askedAt, this->confirmedAt);
+    if (vouchedAt > this->disprovedAt)
+        view.validUntil = vouchedAt + this->options.settings.viewLifetime;
     return view;
 }
 
+std::optional<Instant> LeaderCoordinator::vouchedAt(Instant now) const
+{
+    if (!this->view().holds(now))
+        return std::nullopt;
+    return std::max(this->known.askedAt, this->confirmedAt);
+}
+
 bool LeaderCoordinator::wantsSnapshot() const noexcept
 {
     return this->doubted || (this->known.record && !this->known.record->isSettled());
@@ -285,7 +320,8 @@
         || next.term != this->published.term;
     const bool renewed
         = next.validUntil > this->published.validUntil && now >= this->lastPublished + publishInterval;
-    if (!changed && !renewed)
+    const bool ended = next.validUntil < this->published.validUntil && this->published.holds(now);
+    if (!changed && !renewed && !ended)
         return;
     if (changed)
         this->note("leader_view",
@@ -300,7 +336,9 @@
 ViewSource LeaderCoordinator::viewSource(Instant now) const noexcept
 {
     const bool endedAtStore = now >= this->known.askedAt + this->options.settings.viewLifetime;
-    return endedAtStore && this->confirmedAt > this->known.askedAt ? ViewSource::Replica : this->known.source;
+    if (!endedAtStore || this->confirmedAt <= this->known.askedAt)
+        return this->known.source;
+    return this->confirmedBy.empty() ? ViewSource::Sibling : ViewSource::Replica;
 }
 
 void LeaderCoordinator::noteValidity(Instant now)
@@ -356,29 +394,24 @@
     this->actions.emplace_back(TakeDuty {});
 }
 
-void LeaderCoordinator::renewFromReplica(Instant now)
+bool LeaderCoordinator::isSilent(Instant now) const noexcept
 {
     const auto& settings = this->options.settings;
-    const auto& record = this->known.record;
-    if (!record || !record->isSettled())
-        return;
-    const bool storeSilent = now >= this->known.askedAt + settings.storeSilence;
-    const auto view = this->view();
-    if (!storeSilent || !view.holds(now))
-        return;
-    // What has ended cannot be prolonged, so a question without an answer is soon asked again.
-    const bool endsSoon = view.validUntil - now < settings.confirmInterval;
-    const auto interval = endsSoon ? settings.askInterval : settings.confirmInterval;
-    if (now < this->lastConfirmAsked + interval)
-        return;
-    this->lastConfirmAsked = now;
-    this->askReplicas(now);
+    if (!this->vouchesForSiblings)
+        return now >= std::max(this->known.askedAt, this->siblingVouchedAt) + settings.siblingSilence;
+    const bool ownReading = this->known.source == ViewSource::Store;
+    return now >= this->known.askedAt + (ownReading ? settings.ownReadingSilence : settings.storeSilence);
 }
 
-void LeaderCoordinator::askReplicas(Instant now)
+void LeaderCoordinator::renewFromReplica(Instant now)
 {
+    const auto& settings = this->options.settings;
+    // What has ended cannot be prolonged.
+    if (!this->isSilent(now) || !this->view().holds(now))
+        return;
     for (auto& member : this->members) {
-        if (!this->isPrimary(member.entry.name))
+        const bool due = now >= member.confirmedAt + settings.confirmInterval;
+        if (due && !this->isPrimary(member.entry.name))
             this->ask(member, now);
     }
 }
@@ -439,14 +472,8 @@
 {
     const auto& record = this->record();
     auto* primary = this->find(record.primary);
-    for (const auto& member : this->members) {
-        // A promotion whose outcome nobody wrote down has shown its effect.
-        const bool leads = member.status && member.status->isPrimary && member.status->term > record.term;
-        if (leads) {
-            this->writeLeader(member.entry.name, member.status->term, now);
-            return;
-        }
-    }
+    if (this->adoptLeader(now))
+        return;
     if (primary == nullptr)
         return this->claim(false, "the primary is gone from the directory", now);
     if (primary->entry.draining)
@@ -456,6 +483,8 @@
     if (resigned && primary->statusAt > this->known.askedAt - this->options.settings.viewLifetime)
         return this->claim(false, "the primary says that it is a replica", now);
     if (!this->primaryIsSilent(now)) {
+        // A claim that was never written has come to nothing.
+        this->replacement.reset();
         this->growth.reset();
         return;
     }
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -6,6 +6,7 @@
 #include <cyclamendrift/pooling/engine_actions.h>
 #include <cyclamendrift/pooling/leader_view.h>
 #include <cyclamendrift/pooling/progress_history.h>
+#include <cyclamendrift/pooling/reply.h>
 #include <cyclamendrift/pooling/session_state.h>
 #include <cyclamendrift/pooling/upstream_directory.h>
 
@@ -53,6 +54,16 @@
     Instant idleSince;
     /// The answer to what was sent last is due by then.
     Instant answerBy;
+    /// The term of the view on which the statement that was sent last, or the open transaction, relies for
+    /// its freshness; empty when a position was named.
+    std::optional<Term> restsOn;
+
+    /// True when the answer comes from a later term than the view on which its freshness rests: the upstream
+    /// may follow the next primary by then and lack commits of it.
+    [[nodiscard]] bool outlivedView(const Reply& reply) const noexcept
+    {
+        return !reply.failure && this->restsOn && reply.progress && reply.progress->term > *this->restsOn;
+    }
 };
 
 /// One upstream with what this VM has seen of it.
@@ -71,7 +82,6 @@
     Instant keepToShareUntil = Instant::min();
     Instant lastAnswer = Instant::min();
     std::optional<Instant> failingSince;
-    bool contradictsView = false;
     ConcurrencyLimit limit;
     /// How far its log was when it last told.
     Progress known;
@@ -85,6 +95,17 @@
     Instant at;
 };
 
+/// What answers have shown against a view counts for so long. The duty's holder needs some three seconds to
+/// find and record a newer primary; if it finds none by then, a group is not kept from the primary on record
+/// for ever.
+inline constexpr Duration contradictionKept = std::chrono::seconds { 5 };
+
+/// An upstream that refused to act as the primary of a term.
+struct RefusedLead {
+    UpstreamName upstream;
+    Term term {};
+};
+
 /// The upstreams of one service.
 struct GroupState {
     ServiceName name;
@@ -93,11 +114,34 @@
     std::map<UpstreamName, UpstreamState> upstreams;
     /// Sessions whose work waits for a connection.
     std::vector<CallerId> waiting;
+    /// The newest term of any position that was told.
+    Term newestTerm {};
+    std::optional<RefusedLead> refusedLead;
+    /// When an answer has contradicted the view last.
+    Instant contradictedAt = Instant::min();
+
+    /// True when answers have shown lately that a newer primary leads than the view's. A renewal changes
+    /// nothing of that; a view of another primary or of a later term does.
+    [[nodiscard]] bool isContradicted(Instant now) const noexcept
+    {
+        if (now >= this->contradictedAt + contradictionKept)
+            return false;
+        const bool refused = this->refusedLead && this->refusedLead->upstream == this->view.primary
+            && this->refusedLead->term == this->view.term;
+        return this->view.phase != LeaderView::Phase::Unknown
+            && (refused || this->newestTerm > this->view.term);
+    }
+
+    /// True when the view may be acted on.
+    [[nodiscard]] bool hasLeader(Instant now) const noexcept
+    {
+        return this->view.holds(now) && !this->isContradicted(now);
+    }
 
-    /// True when the view holds and names this upstream.
+    /// True when the view may be acted on and names this upstream.
     [[nodiscard]] bool isLedBy(const UpstreamName& upstream, Instant now) const noexcept
     {
-        return this->view.holds(now) && this->view.primary == upstream;
+        return this->hasLeader(now) && this->view.primary == upstream;
     }
 };
 
