Test that a commit which no view can confirm any more is in doubt at once

Two conditions under which a held answer is given up early were covered by no test: a later term than the answer's own, and a refusal of its upstream to act as the primary.

--- a/tests/pooling/contradicted_view_test.cpp
+++ b/tests/pooling/contradicted_view_test.cpp
@@ -485,6 +485,49 @@
         CHECK(errorOf(world.answer(caller)) == StatementError::InDoubt);
     }
 
+    TEST_CASE("a write that no view can confirm any more is in doubt at once")
+    {
+        // Guards against keeping a caller waiting for a view that cannot come.
+        PoolWorld world { {} };
+        const auto writer = world.connect();
+        const auto other = world.connect();
+        const auto askBoth = [&](const std::string& second) {
+            world.holding = true;
+            world.ask(writer, "w/" + second, "WRITE 1 x");
+            world.ask(other, "o/" + second, second);
+            world.holding = false;
+        };
+        askBoth("READ 1");
+        world.deliver();
+        CHECK_FALSE(world.answer(writer).failure);
+        CHECK_FALSE(world.answer(other).failure);
+        world.renewing = false;
+        const auto answerWith = [&world](const std::string& text, const Reply& reply) {
+            world.interfere = [text, reply, before = world.interfere](
+                                  const ModelConnection& connection, const UpstreamStatement& statement) {
+                const auto* pass = std::get_if<PassStatement>(&statement);
+                if (pass != nullptr && pass->text == text)
+                    return std::optional { reply };
+                return before ? before(connection, statement) : std::nullopt;
+            };
+        };
+        SUBCASE("as a term later than its own was seen")
+        {
+            askBoth("READ 2");
+            answerWith("WRITE 1 x", { .proof = "proof", .progress = at(3, 101) });
+            answerWith("READ 2", { .proof = "proof", .progress = at(4, 101) });
+        }
+        SUBCASE("as its upstream has refused to act as the primary")
+        {
+            askBoth("WRITE 2 y");
+            world.now += 1100ms;
+            answerWith("WRITE 2 y", { .failure = StatementFailure { StatementError::ReadOnly, "no" } });
+        }
+        world.deliver();
+        world.pass(20ms);
+        CHECK(errorOf(world.answer(writer)) == StatementError::InDoubt);
+    }
+
     TEST_CASE("a write whose answer tells no position waits for the view like any other")
     {
         // Guards against a success without a view that holds, for want of a position to compare.
