Test that what siblings hand round keeps to the views of one primary

A view that has ended may come back by a sibling: the promoter has waited out the sibling's as well.

--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -439,6 +439,38 @@
         }));
     }
 
+    TEST_CASE("a view that has ended comes back by a sibling whose view of the same record holds")
+    {
+        // Guards against a VM that refuses its callers while its siblings are known to be right.
+        LeadershipWorld world { {} };
+        settle(world);
+        auto& vm = world.vm(2);
+        vm.storeAwayUntil = world.now + 20s;
+        vm.cutFrom = { UpstreamName { "replica-1" }, UpstreamName { "replica-2" } };
+        world.pass(2s);
+        REQUIRE_FALSE(vm.coordinator.view().holds(world.now));
+        const auto& sibling = world.vm(0).coordinator;
+        REQUIRE(sibling.vouchedAt(world.now));
+        vm.coordinator.onSiblingView(sibling.recordRevision() + 1, *sibling.vouchedAt(world.now));
+        CHECK_FALSE(vm.coordinator.view().holds(world.now));
+        vm.coordinator.onSiblingView(sibling.recordRevision(), *sibling.vouchedAt(world.now));
+        CHECK(vm.coordinator.view().holds(world.now));
+        CHECK(vm.coordinator.view().validUntil == sibling.view().validUntil);
+    }
+
+    TEST_CASE("a VM that leaves replicas to its siblings asks them itself before its view ends")
+    {
+        // Guards against a VM without siblings that waits for them until it can serve nobody.
+        LeadershipWorld world { {} };
+        settle(world);
+        auto& vm = world.vm(2);
+        vm.coordinator.setVouchesForSiblings(false);
+        vm.storeAwayUntil = world.now + 20s;
+        world.pass(6s);
+        CHECK(vm.coordinator.view().holds(world.now));
+        CHECK(vm.coordinator.counters().viewsEnded == 0);
+    }
+
     TEST_CASE("without the store one replica keeps a view up for a moment only, all of them for long")
     {
         // Guards against a primary that is taken away from its callers while all of its replicas vouch for
@@ -722,6 +754,19 @@
         });
     }
 
+    TEST_CASE("no VM may act on an old primary by the word of a sibling")
+    {
+        // Guards against views that siblings hand round after the new primary leads.
+        checkProperty("leadership with siblings", [](std::uint64_t seed) {
+            LeadershipWorld world { { .seed = seed, .siblingsTalk = true } };
+            world.vm(2).coordinator.setVouchesForSiblings(false);
+            runWithLaggingReplicas(world, seed);
+            RC_LOG() << (world.violations.empty() ? "" : world.violations.front());
+            RC_ASSERT(world.violations.empty());
+            RC_ASSERT(world.allFollowLeader());
+        });
+    }
+
     TEST_CASE("no VM may act on an old primary while replicas lag, restart and answer late")
     {
         // Guards against replicas that vouch for a former primary, and promotions that take effect late.
--- a/tests/leadership/leadership_world.cpp
+++ b/tests/leadership/leadership_world.cpp
@@ -18,6 +18,7 @@
 
 LeadershipWorld::LeadershipWorld(Options options)
     : random(options.seed)
+    , siblingsTalk(options.siblingsTalk)
 {
     UpstreamDirectory directory;
     for (std::size_t index = 0; index <= options.replicas; ++index) {
@@ -195,8 +196,11 @@
 void LeadershipWorld::readStore(VmModel& vm)
 {
     vm.nextRead = this->now + readInterval;
-    if (!this->storeReachable(vm))
+    if (!this->storeReachable(vm)) {
+        if (this->siblingsTalk)
+            this->askSibling(vm);
         return;
+    }
     const bool lapsed = vm.leaseUntil != Instant::min() && this->now >= vm.leaseUntil + leaseMargin;
     if (lapsed)
         vm.coordinator.onLeaseLost(this->now);
@@ -219,6 +223,22 @@
     });
 }
 
+void LeadershipWorld::askSibling(VmModel& vm)
+{
+    auto& sibling
+        = this->vms.at(std::uniform_int_distribution<std::size_t> { 0, this->vms.size() - 1 }(this->random));
+    this->later([this, &vm, &sibling, askedAt = this->now] {
+        const auto vouchedAt = sibling.coordinator.vouchedAt(this->now);
+        if (!vouchedAt || this->now < sibling.frozenUntil)
+            return;
+        const auto age = this->now - *vouchedAt;
+        this->later([this, &vm, revision = sibling.coordinator.recordRevision(), told = askedAt - age] {
+            if (this->now >= vm.frozenUntil)
+                vm.coordinator.onSiblingView(revision, told);
+        });
+    });
+}
+
 UpstreamStatus LeadershipWorld::statusOf(const GroupMember& member) const
 {
     return { .isPrimary = member.primary,
--- a/tests/leadership/leadership_world.h
+++ b/tests/leadership/leadership_world.h
@@ -49,6 +49,8 @@
         std::size_t vms = 3;
         std::size_t replicas = 2;
         std::uint64_t seed = 1;
+        /// A VM that the store turns away asks another VM for its view.
+        bool siblingsTalk = false;
     };
 
     explicit LeadershipWorld(Options options);
@@ -106,6 +108,7 @@
     void step();
     void runVm(VmModel& vm);
     void readStore(VmModel& vm);
+    void askSibling(VmModel& vm);
     void perform(VmModel& vm, const LeadershipAction& action);
     void tell(VmModel& vm, const UpstreamName& upstream, const std::function<void(GroupMember&)>& order);
     void write(VmModel& vm, const WriteLeadership& change);
@@ -120,6 +123,7 @@
     [[nodiscard]] UpstreamStatus statusOf(const GroupMember& member) const;
 
     std::mt19937_64 random;
+    bool siblingsTalk = false;
     std::map<UpstreamName, GroupMember> members;
     std::deque<VmModel> vms;
     std::deque<Event> events;
--- a/tests/membership/reader_choice_test.cpp
+++ b/tests/membership/reader_choice_test.cpp
@@ -57,6 +57,18 @@
         CHECK(readingThemselves(6, 1, true) == 2);
     }
 
+    TEST_CASE("the readers and those that would take their place vouch for the others")
+    {
+        ReaderChoice choice;
+        choice.setOrder(vmsOf(81), 2);
+        CHECK(choice.isNextToRead(VmName { "vm-0" }));
+        CHECK(choice.isNextToRead(VmName { "vm-4" }));
+        CHECK_FALSE(choice.isNextToRead(VmName { "vm-5" }));
+        choice.setOrder(vmsOf(2), 1);
+        CHECK(choice.isNextToRead(VmName { "vm-1" }));
+        CHECK_FALSE(choice.isNextToRead(VmName { "vm-2" }));
+    }
+
     TEST_CASE("a reader that was passed over is asked again after its pause")
     {
         ReaderChoice choice;
