Part how views are renewed from how a primary is watched

The description of the class says by whose word a view may come back.

Two tests more: a restart of a paused replica with a VM that had read the store just before the claim, as the test there was is no longer enough to notice that paused replicas are not asked again; and an answer that comes after the view has ended.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -19,7 +19,8 @@
     /// primary leads, so it is part of every failover's gap; it must cover two reads of the store and one
     /// slow answer.
     Duration viewLifetime = std::chrono::milliseconds { 1000 };
-    /// Added by the promoter for differences between clocks' rates and for statements on their way.
+    /// Added by the promoter for differences between clocks' rates, for statements on their way, and to ask
+    /// paused replicas once more.
     Duration viewMargin = std::chrono::milliseconds { 100 };
     /// A VM that reads the store itself asks replicas to renew a view that is older than this: an interval of
     /// reading and a slow answer.
@@ -72,10 +73,12 @@
 /// writes to and until when that holds. The VM that holds the group's duty also replaces a primary that died
 /// or leaves.
 ///
-/// Safety: a new primary leads only after every view of the old one has lapsed. A view comes either from the
-/// store, where a promoter claims the next term first, or from a replica, which the promoter pauses first;
-/// from both steps on it waits for the lifetime of views. A replica prolongs a view that still holds; one
-/// that has ended comes back from the store alone.
+/// Safety: a new primary leads only after every view of the old one has ended. A view is of a record in the
+/// store, where a promoter claims the next term first, and replicas prolong it, which the promoter pauses
+/// first; from both steps on it waits for the lifetime of views. Replicas prolong only a view that still
+/// holds: one of them for `loneReplicaTime` after the store was read, all of them from then on, so that
+/// pausing the one that is promoted is enough. A view that has ended comes back by the store, or by a
+/// sibling's view of the same record that holds.
 ///
 /// One promotion at a time: the record names the replica that is to lead before the platform is asked to
 /// promote it, so whoever takes the duty over goes on with it. Another one is chosen, or written down as the
@@ -170,9 +173,9 @@
     /// A replica that was paused for the replacement.
     struct Pause {
         Progress received;
-        /// When this VM knew of it first.
+        /// When its answer came that told so first; the replica was paused before.
         Instant since;
-        /// When the replica was asked last and still said so.
+        /// When it was asked last and still said so; the replica was paused after.
         Instant lastSeen;
     };
     /// How far a replacement of the primary has come.
@@ -220,6 +223,8 @@
     [[nodiscard]] bool isPrimary(const UpstreamName& name) const;
     /// True while a replica may be there that the directory does not list.
     [[nodiscard]] bool missesReplica(Instant now) const;
+    /// Up to when every replica has confirmed that it follows the record's primary.
+    [[nodiscard]] Instant confirmedByAll(Instant now) const;
     /// A replica confirmed, when it was asked at that instant, that it follows the record's primary.
     void noteConfirmation(Member& replica, Instant askedAt, Instant now);
     /// Forgets what replicas confirmed, as it was another record.
@@ -300,10 +305,10 @@
     Instant disprovedAt = Instant::min();
     /// Answers to statements of callers contradict the view.
     bool trafficContradicts = false;
-    /// Up to when replicas have confirmed the record's term.
-    Instant confirmedAt = Instant::min();
-    /// The replica that did; empty when a sibling told.
-    UpstreamName confirmedBy;
+    /// Up to when replicas have vouched for the view, to this VM or to a sibling.
+    Instant replicasVouchedAt = Instant::min();
+    /// The replica that did last; empty when a sibling told.
+    UpstreamName vouchedBy;
     /// Up to when siblings have told that replicas did.
     Instant siblingVouchedAt = Instant::min();
     bool vouchesForSiblings = true;
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -7,33 +7,6 @@
 
 namespace cyclamendrift {
 
-namespace {
-
-// How often a view that did not change is handed on again with its new end.
-constexpr Duration publishInterval = std::chrono::milliseconds { 250 };
-
-std::string ageText(Instant since, Instant now)
-{
-    if (since == Instant::min())
-        return "none";
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
-}
-
-} // namespace
-
-std::string_view nameOf(ViewSource source) noexcept
-{
-    switch (source) {
-    case ViewSource::Store:
-        return "store";
-    case ViewSource::Sibling:
-        return "sibling";
-    case ViewSource::Replica:
-        return "replica";
-    }
-    return "unknown";
-}
-
 LeaderCoordinator::LeaderCoordinator(Options options)
     : options(std::move(options))
     , promotions(this->options.settings.promotionSettled)
@@ -137,13 +110,6 @@
         [&](const auto& item) { return now >= item.second + this->options.settings.missingReplicaKept; });
 }
 
-bool LeaderCoordinator::missesReplica(Instant now) const
-{
-    return std::any_of(this->missingSince.begin(), this->missingSince.end(), [&](const auto& item) {
-        return !this->isPrimary(item.first) && now < item.second + this->options.settings.missingReplicaKept;
-    });
-}
-
 void LeaderCoordinator::onTraffic(const UpstreamName& upstream, Instant lastAnswer,
     std::optional<Instant> failingSince, bool contradictsView)
 {
@@ -193,43 +159,6 @@
         this->replacement->demotedAt = status.received;
 }
 
-void LeaderCoordinator::noteConfirmation(Member& replica, Instant askedAt, Instant now)
-{
-    replica.confirmedAt = std::max(replica.confirmedAt, askedAt);
-    const bool suffices = askedAt < this->known.askedAt + this->options.settings.loneReplicaTime;
-    if (!suffices && this->missesReplica(now))
-        return;
-    auto confirmed = replica.confirmedAt;
-    for (const auto& member : this->members) {
-        if (!suffices && !this->isPrimary(member.entry.name))
-            confirmed = std::min(confirmed, member.confirmedAt);
-    }
-    if (confirmed <= this->confirmedAt)
-        return;
-    this->confirmedAt = confirmed;
-    this->confirmedBy = replica.entry.name;
-    ++this->counts.replicaConfirmations;
-}
-
-void LeaderCoordinator::onSiblingView(std::uint64_t recordRevision, Instant vouchedAt)
-{
-    if (recordRevision != this->known.recordRevision || vouchedAt <= this->siblingVouchedAt)
-        return;
-    this->siblingVouchedAt = vouchedAt;
-    if (vouchedAt <= this->confirmedAt)
-        return;
-    this->confirmedAt = vouchedAt;
-    this->confirmedBy = UpstreamName {};
-}
-
-void LeaderCoordinator::forgetConfirmations() noexcept
-{
-    this->confirmedAt = Instant::min();
-    this->siblingVouchedAt = Instant::min();
-    for (auto& member : this->members)
-        member.confirmedAt = Instant::min();
-}
-
 void LeaderCoordinator::onSilence(const UpstreamName& upstream, Instant now)
 {
     auto* member = this->find(upstream);
@@ -266,28 +195,6 @@
         this->giveUpPromotion();
 }
 
-LeaderView LeaderCoordinator::view() const
-{
-    LeaderView view;
-    if (!this->readOnce || !this->known.record)
-        return view;
-    const auto& record = this->record();
-    view.phase = record.isSettled() ? LeaderView::Phase::Led : LeaderView::Phase::Changing;
-    view.primary = record.primary;
-    view.term = record.term;
-    const auto vouchedAt = std::max(this->known.askedAt, this->confirmedAt);
-    if (vouchedAt > this->disprovedAt)
-        view.validUntil = vouchedAt + this->options.settings.viewLifetime;
-    return view;
-}
-
-std::optional<Instant> LeaderCoordinator::vouchedAt(Instant now) const
-{
-    if (!this->view().holds(now))
-        return std::nullopt;
-    return std::max(this->known.askedAt, this->confirmedAt);
-}
-
 bool LeaderCoordinator::wantsSnapshot() const noexcept
 {
     return this->doubted || (this->known.record && !this->known.record->isSettled());
@@ -312,66 +219,6 @@
     return std::exchange(this->actions, {});
 }
 
-void LeaderCoordinator::publishIfChanged(Instant now)
-{
-    this->noteValidity(now);
-    const auto next = this->view();
-    const bool changed = next.phase != this->published.phase || next.primary != this->published.primary
-        || next.term != this->published.term;
-    const bool renewed
-        = next.validUntil > this->published.validUntil && now >= this->lastPublished + publishInterval;
-    const bool ended = next.validUntil < this->published.validUntil && this->published.holds(now);
-    if (!changed && !renewed && !ended)
-        return;
-    if (changed)
-        this->note("leader_view",
-            { { "primary", next.primary.string() }, { "term", textOf(next.term) },
-                { "phase", next.phase == LeaderView::Phase::Led ? "led" : "changing" },
-                { "source", std::string { nameOf(this->viewSource(now)) } } });
-    this->published = next;
-    this->lastPublished = now;
-    this->actions.emplace_back(PublishLeader { next });
-}
-
-ViewSource LeaderCoordinator::viewSource(Instant now) const noexcept
-{
-    const bool endedAtStore = now >= this->known.askedAt + this->options.settings.viewLifetime;
-    if (!endedAtStore || this->confirmedAt <= this->known.askedAt)
-        return this->known.source;
-    return this->confirmedBy.empty() ? ViewSource::Sibling : ViewSource::Replica;
-}
-
-void LeaderCoordinator::noteValidity(Instant now)
-{
-    const auto current = this->view();
-    if (current.phase != LeaderView::Phase::Led) {
-        this->notedAsHeld = false;
-        return;
-    }
-    const bool holds = current.holds(now);
-    const auto source = this->viewSource(now);
-    const bool sameView = current.primary == this->published.primary && current.term == this->published.term
-        && this->published.phase == LeaderView::Phase::Led;
-    const bool ended = this->notedAsHeld && !holds;
-    const bool back = sameView && !this->notedAsHeld && holds;
-    // Whether this VM or a sibling has read the store makes no difference to how far a view can be trusted.
-    const bool handedOver = sameView && holds && source != this->notedSource
-        && (source == ViewSource::Replica || this->notedSource == ViewSource::Replica);
-    if (ended)
-        ++this->counts.viewsEnded;
-    if (ended || back || handedOver)
-        this->note(ended ? "leader_view_ended"
-                : back   ? "leader_view_back"
-                         : "leader_view_source",
-            { { "primary", current.primary.string() }, { "term", textOf(current.term) },
-                { "source", std::string { nameOf(source) } },
-                { "replica", source == ViewSource::Replica ? this->confirmedBy.string() : "" },
-                { "store_age_ms", ageText(this->known.askedAt, now) },
-                { "replica_age_ms", ageText(this->confirmedAt, now) } });
-    this->notedAsHeld = holds;
-    this->notedSource = source;
-}
-
 bool LeaderCoordinator::needsLease(Instant now) const
 {
     const bool holds = this->known.duty && this->known.duty->holder == this->options.vm;
@@ -394,28 +241,6 @@
     this->actions.emplace_back(TakeDuty {});
 }
 
-bool LeaderCoordinator::isSilent(Instant now) const noexcept
-{
-    const auto& settings = this->options.settings;
-    if (!this->vouchesForSiblings)
-        return now >= std::max(this->known.askedAt, this->siblingVouchedAt) + settings.siblingSilence;
-    const bool ownReading = this->known.source == ViewSource::Store;
-    return now >= this->known.askedAt + (ownReading ? settings.ownReadingSilence : settings.storeSilence);
-}
-
-void LeaderCoordinator::renewFromReplica(Instant now)
-{
-    const auto& settings = this->options.settings;
-    // What has ended cannot be prolonged.
-    if (!this->isSilent(now) || !this->view().holds(now))
-        return;
-    for (auto& member : this->members) {
-        const bool due = now >= member.confirmedAt + settings.confirmInterval;
-        if (due && !this->isPrimary(member.entry.name))
-            this->ask(member, now);
-    }
-}
-
 void LeaderCoordinator::ask(Member& member, Instant now)
 {
     if (takeTurn(member, this->options.settings.askInterval, now))
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -284,6 +284,42 @@
         CHECK(world.violations.empty());
     }
 
+    TEST_CASE("a replica that restarts while it is paused does not keep up a view that was read just before")
+    {
+        // Guards against the same with a VM that heard of the store until the claim, for which one replica's
+        // word still counts.
+        LeadershipWorld world { {} };
+        settle(world);
+        world.member("replica-2").lag = 3s;
+        world.member("primary").running = false;
+        REQUIRE(world.passUntil(6s, [&] {
+            world.vm(2).nextRead = world.now;
+            return world.noted("replacing_primary") > 0;
+        }));
+        world.vm(2).storeAwayUntil = world.now + 20s;
+        REQUIRE(world.passUntil(1s, [&] { return world.member("replica-2").held == 2; }));
+        world.pass(100ms);
+        world.restart("replica-2");
+        REQUIRE(world.passUntil(8s, [&] { return world.vm(0).coordinator.view().term == Term { 2 }; }));
+        world.pass(4s);
+        CHECK(world.violations.empty());
+    }
+
+    TEST_CASE("an answer that comes after the view has ended does not bring it back")
+    {
+        // Guards against a replica's late answer that was given before it was paused, or after its pause.
+        LeadershipWorld world { {} };
+        settle(world);
+        auto& vm = world.vm(2);
+        vm.storeAwayUntil = world.now + 20s;
+        vm.cutFrom = { UpstreamName { "replica-1" }, UpstreamName { "replica-2" } };
+        REQUIRE(world.passUntil(3s, [&] { return !vm.coordinator.view().holds(world.now); }));
+        const UpstreamStatus follows { .term = Term { 1 } };
+        for (const auto* name : { "replica-1", "replica-2" })
+            vm.coordinator.onStatus(UpstreamName { name }, follows, world.now - 50ms, world.now);
+        CHECK_FALSE(vm.coordinator.view().holds(world.now));
+    }
+
     TEST_CASE("a replica that the promoter cannot reach does not keep a view of the old primary up")
     {
         // Guards against a VM that the store turns away and that reaches a replica which was never paused.
