--- a/src/leadership/view_renewal.cpp
+++ b/src/leadership/view_renewal.cpp
@@ -186,7 +186,8 @@
                 { "source", std::string { nameOf(source) } },
                 { "replica", source == ViewSource::Replica ? this->vouchedBy.string() : "" },
                 { "store_age_ms", ageText(this->known.askedAt, now) },
-                { "replica_age_ms", ageText(this->replicasVouchedAt, now) } });
+                { "replica_age_ms", ageText(this->replicasVouchedAt, now) },
+                { "sibling_age_ms", ageText(this->siblingVouchedAt, now) } });
     this->notedAsHeld = holds;
     this->notedSource = source;
 }
