Notice a transaction that is left open when its caller leaves

The next write on the connection ran inside the open transaction and was told a success, and the test asked only for that. It now asks that the write is committed; the mutation that leaves the transaction open had gone unnoticed.

--- a/tests/pooling/session_engine_test.cpp
+++ b/tests/pooling/session_engine_test.cpp
@@ -196,6 +196,7 @@
         world.deliver();
         const auto next = world.connect();
         CHECK_FALSE(world.run(next, "n/1", "WRITE 2 y").failure);
+        CHECK(world.committed("n/1"));
         CHECK_FALSE(world.committed("c/2"));
     }
 
