Bring the mutations up to rules that back each other

Three mutations were not noticed: each breaks one of two rules that now keep the same fault away, such as the view that a lagging replica brings back, which the need for every replica's word prevents as well. leadership-late-answer stands for the first of them; promoting after a stand-down is prevented by not acting while a write may take effect, which leadership-promote-while-writing breaks; and a leader written down without the wait is seen by a VM that cannot reach it, in a new test.

--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -680,6 +680,19 @@
         CHECK(world.vm(1).coordinator.view().primary == UpstreamName { "replica-1" });
     }
 
+    TEST_CASE("it is written down only when views of VMs that cannot reach it have ended")
+    {
+        // Guards against the same where no upstream of the new term tells a VM that its view is over.
+        LeadershipWorld world { {} };
+        settle(world);
+        keepOldView(world);
+        world.vm(2).cutFrom = { UpstreamName { "replica-1" } };
+        world.vm(0).storeAwayUntil = world.now + 300ms;
+        world.takeLead("replica-1");
+        CHECK(mostPrimariesInUse(world, 6s) == 1);
+        CHECK(world.vm(0).coordinator.view().primary == UpstreamName { "replica-1" });
+    }
+
     TEST_CASE("it is written down under a claim only when views of the former primary have ended")
     {
         // Guards against a claim that is settled by a leader whom its holder did not promote.
