--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cyclamendrift/leadership/leadership_events.h>
+#include <cyclamendrift/leadership/pending_promotions.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,13 +21,27 @@
     Duration viewLifetime = std::chrono::milliseconds { 1000 };
     /// Added by the promoter for differences between clocks' rates and for statements on their way.
     Duration viewMargin = std::chrono::milliseconds { 100 };
-    /// A view of the store that is older than this is renewed by asking a replica. Above what a view that
-    /// came by a sibling is old at most while all is well: two intervals of reading and a round trip.
+    /// A VM that reads the store itself asks replicas to renew a view that is older than this: an interval of
+    /// reading and a slow answer.
+    Duration ownReadingSilence = std::chrono::milliseconds { 400 };
+    /// The same where siblings read the store: two intervals of reading and a round trip.
     Duration storeSilence = std::chrono::milliseconds { 680 };
+    /// The same for a VM that siblings are to tell what replicas vouch for: questions take slots of the
+    /// upstreams, so few VMs ask while siblings can be reached.
+    Duration siblingSilence = std::chrono::milliseconds { 850 };
     /// Between two questions to the same upstream.
     Duration askInterval = std::chrono::milliseconds { 150 };
-    /// Between two questions to a replica while the store is silent.
-    Duration confirmInterval = std::chrono::milliseconds { 350 };
+    /// From a replica's confirmation to the next question to it while the store is silent; one that has not
+    /// confirmed is asked again after `askInterval`.
+    Duration confirmInterval = std::chrono::milliseconds { 200 };
+    /// For so long after the store was asked last, the word of one replica prolongs a view; from then on all
+    /// of them must give theirs, so that pausing any one of them ends it. A promoter that could not pause
+    /// them all waits it out.
+    Duration loneReplicaTime = std::chrono::milliseconds { 1000 };
+    /// A replica that left the directory without having announced its end counts for so long as one that is
+    /// out of reach: other VMs may list it still, or again. Covers the age of a listing and the time for
+    /// which missing entries are kept.
+    Duration missingReplicaKept = std::chrono::seconds { 10 };
     /// Between two tries to bring an upstream behind the primary that leads now.
     Duration settleInterval = std::chrono::milliseconds { 400 };
     /// The duty's holder asks a primary that no traffic has reached for so long.
@@ -34,16 +50,15 @@
     Duration deadAfter = std::chrono::milliseconds { 700 };
     /// Replicas' logs are compared over this time: one that grows shows that the primary lives.
     Duration growthTime = std::chrono::milliseconds { 200 };
-    /// How long a promoter waits for replicas that do not answer.
-    Duration pauseGrace = std::chrono::milliseconds { 600 };
     /// In a planned change, how long replicas may take to receive what the old primary has.
     Duration catchUpTime = std::chrono::milliseconds { 800 };
     /// Between two tries of a promotion that has not shown an effect.
     Duration promoteInterval = std::chrono::milliseconds { 500 };
-    /// Another replica is tried when the one that was named does not lead after this.
+    /// A replica that does not lead after this is given up. Another one is promoted as soon as no promotion
+    /// of the former may still take effect.
     Duration promoteTimeout = std::chrono::milliseconds { 2500 };
-    /// After so long a promotion that a former holder may have sent has taken effect or never will; it covers
-    /// the time limit of that call and the change itself.
+    /// After so long a promotion that was sent has taken effect or never will; it covers the time limit of
+    /// that call and the change itself.
     Duration promotionSettled = std::chrono::milliseconds { 4000 };
     /// A VM that gave up the duty does not take it again for so long.
     Duration yieldPause = std::chrono::seconds { 4 };
@@ -59,7 +74,12 @@
 ///
 /// Safety: a new primary leads only after every view of the old one has lapsed. A view comes either from the
 /// store, where a promoter claims the next term first, or from a replica, which the promoter pauses first;
-/// from both steps on it waits for the lifetime of views.
+/// from both steps on it waits for the lifetime of views. A replica prolongs a view that still holds; one
+/// that has ended comes back from the store alone.
+///
+/// One promotion at a time: the record names the replica that is to lead before the platform is asked to
+/// promote it, so whoever takes the duty over goes on with it. Another one is chosen, or written down as the
+/// primary, only when no promotion of the former one can take effect any more.
 ///
 ///     coordinator.onSnapshot(snapshot, now);
 ///     for (const auto& action : coordinator.tick(now)) begin(action);
@@ -81,15 +101,21 @@
     /// This VM's lease has lapsed, and with it every duty that it held, whatever was read before.
     void onLeaseLost(Instant now);
 
+    /// This VM is one of those that ask replicas for their siblings as well.
+    void setVouchesForSiblings(bool vouches) noexcept { this->vouchesForSiblings = vouches; }
+
     /// The store was read.
     void onSnapshot(const LeadershipSnapshot& snapshot, Instant now);
     /// The upstreams of the group that are there.
-    void onDirectory(UpstreamDirectory members);
+    void onDirectory(UpstreamDirectory members, Instant now);
     /// Traffic got an answer from an upstream, or has been failing to since some time.
     void onTraffic(const UpstreamName& upstream, Instant lastAnswer, std::optional<Instant> failingSince,
         bool contradictsView);
     /// An upstream answered a question, pause, resume or demotion that was sent at `askedAt`.
     void onStatus(const UpstreamName& upstream, const UpstreamStatus& status, Instant askedAt, Instant now);
+    /// A sibling has a view of the record with that revision that holds, and was vouched for at that instant.
+    /// The promoter has waited that view out as well, so one of this VM may come back by it.
+    void onSiblingView(std::uint64_t recordRevision, Instant vouchedAt);
     /// An upstream did not answer, or refused.
     void onSilence(const UpstreamName& upstream, Instant now);
     /// The record was changed as asked.
@@ -102,6 +128,17 @@
 
     /// Whom to send writes to, and until when.
     [[nodiscard]] LeaderView view() const;
+    /// When a view that holds was vouched for last, by the store or replicas; empty when none holds.
+    [[nodiscard]] std::optional<Instant> vouchedAt(Instant now) const;
+    /// The revision of the record that the view is of.
+    [[nodiscard]] std::uint64_t recordRevision() const noexcept { return this->known.recordRevision; }
+
+    /// How often views were kept up by replicas, and how often one ended before it was renewed.
+    struct Counters {
+        std::uint64_t replicaConfirmations = 0;
+        std::uint64_t viewsEnded = 0;
+    };
+    [[nodiscard]] const Counters& counters() const noexcept { return this->counts; }
 
     /// This VM needs its lease: it holds the duty, or it is its turn to take it.
     [[nodiscard]] bool needsLease(Instant now) const;
@@ -114,8 +151,12 @@
         UpstreamEntry entry;
         std::optional<UpstreamStatus> status;
         Instant statusAt = Instant::min();
+        /// When it was first heard to lead the term that it leads.
+        Instant leadsSince = Instant::min();
         Instant lastAnswer = Instant::min();
         Instant lastAsked = Instant::min();
+        /// When it was asked last and confirmed that it follows the record's primary.
+        Instant confirmedAt = Instant::min();
         /// Since when statements of callers, and this VM's own questions, have been failing.
         std::optional<Instant> trafficFailingSince;
         std::optional<Instant> questionsFailingSince;
@@ -126,26 +167,46 @@
                 || (this->questionsFailingSince && *this->questionsFailingSince > this->lastAnswer);
         }
     };
+    /// A replica that was paused for the replacement.
+    struct Pause {
+        Progress received;
+        /// When this VM knew of it first.
+        Instant since;
+        /// When the replica was asked last and still said so.
+        Instant lastSeen;
+    };
     /// How far a replacement of the primary has come.
     struct Replacement {
         Term term {};
         bool planned = false;
-        /// Another VM, or an earlier turn of this one, had begun it and may have sent a promotion.
-        bool takenOver = false;
         /// The change that writes the claim is not known to have taken effect yet.
         bool claimPending = true;
-        /// This VM has tried to write that the primary goes on leading.
-        bool stoodDown = false;
+        /// The upstream that this VM has tried to write down as the primary.
+        UpstreamName settledOn;
         /// When the record was seen to hold the claim.
         Instant claimedAt;
-        std::map<UpstreamName, Progress> paused;
-        std::optional<Instant> lastPausedAt;
+        /// Who was chosen before this VM took the claim over.
+        UpstreamName inherited;
+        std::map<UpstreamName, Pause> paused;
         std::optional<Progress> demotedAt;
-        UpstreamName chosen;
-        Instant chosenAt;
+        /// The replica that this VM promotes, and since when.
+        UpstreamName promoted;
+        Instant promotedSince;
         Instant lastPromote = Instant::min();
         std::vector<UpstreamName> refused;
     };
+    /// An upstream that says it leads.
+    struct Leader {
+        UpstreamName name;
+        Term term {};
+        /// When this VM heard of it first.
+        Instant since;
+    };
+    /// A replica that may be promoted.
+    struct Candidate {
+        UpstreamName name;
+        Progress received;
+    };
     /// A first look at the replicas' logs while the primary is silent.
     struct Growth {
         Instant since;
@@ -156,8 +217,13 @@
     [[nodiscard]] bool isTurnToTakeDuty(Instant now) const;
     void takeDutyIfFree(Instant now);
     void renewFromReplica(Instant now);
-    void askReplicas(Instant now);
     [[nodiscard]] bool isPrimary(const UpstreamName& name) const;
+    /// True while a replica may be there that the directory does not list.
+    [[nodiscard]] bool missesReplica(Instant now) const;
+    /// A replica confirmed, when it was asked at that instant, that it follows the record's primary.
+    void noteConfirmation(Member& replica, Instant askedAt, Instant now);
+    /// Forgets what replicas confirmed, as it was another record.
+    void forgetConfirmations() noexcept;
     void bootstrap(Instant now);
     void watchPrimary(Instant now);
     [[nodiscard]] bool primaryIsSilent(Instant now);
@@ -169,12 +235,38 @@
     void noteClaim(const LeadershipRecord& record, Instant now);
     void demoteFirst(Instant now);
     void pauseReplicas(Instant now);
-    [[nodiscard]] bool pausedEnough(Instant now) const;
+    void notePause(const UpstreamName& upstream, const UpstreamStatus& status, Instant askedAt, Instant now);
+    /// True when every replica is paused and has been for the lifetime of a view.
+    [[nodiscard]] bool allOutlastedViews(Instant now) const;
+    /// When every view of the old primary has ended, as far as is known now.
+    [[nodiscard]] Instant viewsEndAt(Instant now) const;
+    /// True once the replica is known to have been paused for as long as a view lives.
+    [[nodiscard]] bool outlastedViews(const Pause& pause) const noexcept;
+    /// True when every upstream but the old primary is paused.
+    [[nodiscard]] bool allPaused() const;
+    /// Who leads the highest term, if that is `least` or above.
+    [[nodiscard]] std::optional<Leader> newestLeader(Term least) const;
+    /// The replicas that may be promoted as far as this VM knows.
+    [[nodiscard]] std::vector<Candidate> candidates(Instant now);
+    /// The one that has received most, unless a promotion of another may still take effect.
+    [[nodiscard]] std::optional<Candidate> pick(Instant now);
+    /// Writes the choice down and, when every view of the old primary has ended, begins to promote it.
     void choose(Instant now);
     void promote(Instant now);
-    void finish(const UpstreamName& leader, Term term, Instant now);
+    /// Who leads shows by asking, whichever promotion took effect.
+    void askAll(Instant now);
+    void giveUpPromotion();
+    void finish(const Leader& leader, Instant now);
+    /// Deals with an upstream that leads a newer term than the record has; false when there is none.
+    [[nodiscard]] bool adoptLeader(Instant now);
+    /// When every view of the old primary has ended, whatever made that upstream lead.
+    [[nodiscard]] Instant viewsEndBefore(const Leader& leader) const;
+    /// Notes since when the record holds the claim, before `next` takes the place of what is known.
+    void noteStanding(const std::optional<LeadershipRecord>& next, Instant now);
     void settleOthers(Instant now);
     void write(LeadershipRecord record, Instant now);
+    /// True when no change that this VM has sent may still take effect.
+    [[nodiscard]] bool knowsRecord() const noexcept;
     /// Writes that `leader` leads in `term` and nobody claims the next one.
     void writeLeader(const UpstreamName& leader, Term term, Instant now);
     /// True when the member was last asked or told something `interval` ago or longer, which counts as asking
@@ -182,6 +274,12 @@
     [[nodiscard]] static bool takeTurn(Member& member, Duration interval, Instant now);
     void ask(Member& member, Instant now);
     void publishIfChanged(Instant now);
+    /// Notes when the view ends, comes back, or is vouched for by somebody else.
+    void noteValidity(Instant now);
+    /// True when the view is to be renewed by asking replicas.
+    [[nodiscard]] bool isSilent(Instant now) const noexcept;
+    /// A replica's word counts only where the view would have ended without it.
+    [[nodiscard]] ViewSource viewSource(Instant now) const noexcept;
     void note(std::string_view event, std::vector<std::pair<std::string, std::string>> fields);
     /// The record as it is known; throws LeadershipError when none was read.
     [[nodiscard]] const LeadershipRecord& record() const;
@@ -196,10 +294,23 @@
     bool readOnce = false;
     bool doubted = false;
     std::vector<Member> members;
-    /// When a replica confirmed the record's term last.
+    /// When upstreams left the directory that had not announced their end.
+    std::map<UpstreamName, Instant> missingSince;
+    /// What vouched for a view before this instant was wrong.
+    Instant disprovedAt = Instant::min();
+    /// Answers to statements of callers contradict the view.
+    bool trafficContradicts = false;
+    /// Up to when replicas have confirmed the record's term.
     Instant confirmedAt = Instant::min();
-    Instant lastConfirmAsked = Instant::min();
+    /// The replica that did; empty when a sibling told.
+    UpstreamName confirmedBy;
+    /// Up to when siblings have told that replicas did.
+    Instant siblingVouchedAt = Instant::min();
+    bool vouchesForSiblings = true;
     std::unique_ptr<Replacement> replacement;
+    /// Since when the record is known to have held a claim without a break.
+    std::optional<Instant> claimStandsSince;
+    PendingPromotions promotions;
     std::unique_ptr<Growth> growth;
     std::optional<Instant> dutyFreeSince;
     /// What was read before this instant says nothing of who holds the duty.
@@ -209,8 +320,14 @@
     Instant lastWrite = Instant::min();
     std::uint64_t changes = 0;
     std::string lastChange;
+    /// The revision that the last change expects.
+    std::uint64_t lastExpected = 0;
     LeaderView published;
     Instant lastPublished = Instant::min();
+    /// What was noted last of the view: whether it held, and who vouched for it.
+    bool notedAsHeld = false;
+    ViewSource notedSource = ViewSource::Store;
+    Counters counts;
     std::vector<LeadershipAction> actions;
 };
 
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -12,10 +12,31 @@
 // How often a view that did not change is handed on again with its new end.
 constexpr Duration publishInterval = std::chrono::milliseconds { 250 };
 
+std::string ageText(Instant since, Instant now)
+{
+    if (since == Instant::min())
+        return "none";
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
+}
+
 } // namespace
 
+std::string_view nameOf(ViewSource source) noexcept
+{
+    switch (source) {
+    case ViewSource::Store:
+        return "store";
+    case ViewSource::Sibling:
+        return "sibling";
+    case ViewSource::Replica:
+        return "replica";
+    }
+    return "unknown";
+}
+
 LeaderCoordinator::LeaderCoordinator(Options options)
     : options(std::move(options))
+    , promotions(this->options.settings.promotionSettled)
 {
 }
 
@@ -58,14 +79,14 @@
     if (this->readOnce && older)
         return;
     const bool sameRecord = this->readOnce && this->known.record == snapshot.record;
+    this->noteStanding(snapshot.record, now);
     this->known = snapshot;
     if (snapshot.askedAt < this->dutyKnownFrom)
         this->known.duty.reset();
     this->readOnce = true;
     this->doubted = false;
     if (!sameRecord) {
-        // What replicas confirmed was the record before.
-        this->confirmedAt = Instant::min();
+        this->forgetConfirmations();
         if (const auto& record = snapshot.record)
             this->note("leadership_read",
                 { { "primary", record->primary.string() }, { "term", textOf(record->term) },
@@ -77,6 +98,10 @@
     }
     if (snapshot.record)
         this->noteClaim(*snapshot.record, now);
+    // The answer to the change that settled it may have been lost.
+    const bool settled = snapshot.record && snapshot.record->isSettled();
+    if (this->replacement && settled && !this->replacement->claimPending)
+        this->replacement.reset();
     if (snapshot.duty || snapshot.askedAt < this->dutyKnownFrom)
         this->dutyFreeSince.reset();
     else if (!this->dutyFreeSince)
@@ -92,18 +117,31 @@
     this->growth.reset();
 }
 
-void LeaderCoordinator::onDirectory(UpstreamDirectory entries)
+void LeaderCoordinator::onDirectory(UpstreamDirectory entries, Instant now)
 {
-    std::erase_if(this->members, [&entries](const Member& member) {
-        return std::none_of(entries.begin(), entries.end(),
+    std::erase_if(this->members, [&](const Member& member) {
+        const bool listed = std::any_of(entries.begin(), entries.end(),
             [&member](const UpstreamEntry& entry) { return entry.name == member.entry.name; });
+        if (!listed && !member.entry.draining)
+            this->missingSince.emplace(member.entry.name, now);
+        return !listed;
     });
     for (auto& entry : entries) {
+        this->missingSince.erase(entry.name);
         if (auto* member = this->find(entry.name))
             member->entry = std::move(entry);
         else
             this->members.push_back({ .entry = std::move(entry) });
     }
+    std::erase_if(this->missingSince,
+        [&](const auto& item) { return now >= item.second + this->options.settings.missingReplicaKept; });
+}
+
+bool LeaderCoordinator::missesReplica(Instant now) const
+{
+    return std::any_of(this->missingSince.begin(), this->missingSince.end(), [&](const auto& item) {
+        return !this->isPrimary(item.first) && now < item.second + this->options.settings.missingReplicaKept;
+    });
 }
 
 void LeaderCoordinator::onTraffic(const UpstreamName& upstream, Instant lastAnswer,
@@ -114,6 +152,8 @@
         return;
     member->lastAnswer = std::max(member->lastAnswer, lastAnswer);
     member->trafficFailingSince = failingSince;
+    // What is told of one upstream is told of all of the group.
+    this->trafficContradicts = contradictsView;
     if (contradictsView)
         this->doubted = true;
 }
@@ -128,26 +168,68 @@
     member->questionsFailingSince.reset();
     if (askedAt < member->statusAt)
         return;
+    const bool ledBefore = member->status && member->status->isPrimary && member->status->term == status.term;
+    if (status.isPrimary && !ledBefore)
+        member->leadsSince = now;
     member->status = status;
     member->statusAt = askedAt;
     const auto& record = this->known.record;
     if (!record)
         return;
-    if (status.term > record->term)
+    // A newer primary leads, whatever the store or another replica said up to now.
+    if (status.term > record->term) {
         this->doubted = true;
+        this->disprovedAt = now;
+    }
+    // A promotion ends the pause of every replica, and one that lags answers as before until it hears of the
+    // new term. By then each view has ended; only what still holds may be prolonged.
     const bool confirms = !status.isPrimary && status.term == record->term && status.heldTerm <= record->term
-        && upstream != record->primary && record->isSettled();
+        && upstream != record->primary && this->view().holds(now);
     if (confirms)
-        this->confirmedAt = std::max(this->confirmedAt, askedAt);
-    if (this->replacement && status.heldTerm >= this->replacement->term && !status.isPrimary) {
-        const bool first = this->replacement->paused.insert_or_assign(upstream, status.received).second;
-        if (first)
-            this->replacement->lastPausedAt = now;
-    }
+        this->noteConfirmation(*member, askedAt, now);
+    if (this->replacement && !status.isPrimary)
+        this->notePause(upstream, status, askedAt, now);
     if (this->replacement && this->replacement->planned && upstream == record->primary && !status.isPrimary)
         this->replacement->demotedAt = status.received;
 }
 
+void LeaderCoordinator::noteConfirmation(Member& replica, Instant askedAt, Instant now)
+{
+    replica.confirmedAt = std::max(replica.confirmedAt, askedAt);
+    const bool suffices = askedAt < this->known.askedAt + this->options.settings.loneReplicaTime;
+    if (!suffices && this->missesReplica(now))
+        return;
+    auto confirmed = replica.confirmedAt;
+    for (const auto& member : this->members) {
+        if (!suffices && !this->isPrimary(member.entry.name))
+            confirmed = std::min(confirmed, member.confirmedAt);
+    }
+    if (confirmed <= this->confirmedAt)
+        return;
+    this->confirmedAt = confirmed;
+    this->confirmedBy = replica.entry.name;
+    ++this->counts.replicaConfirmations;
+}
+
+void LeaderCoordinator::onSiblingView(std::uint64_t recordRevision, Instant vouchedAt)
+{
+    if (recordRevision != this->known.recordRevision || vouchedAt <= this->siblingVouchedAt)
+        return;
+    this->siblingVouchedAt = vouchedAt;
+    if (vouchedAt <= this->confirmedAt)
+        return;
+    this->confirmedAt = vouchedAt;
+    this->confirmedBy = UpstreamName {};
+}
+
+void LeaderCoordinator::forgetConfirmations() noexcept
+{
+    this->confirmedAt = Instant::min();
+    this->siblingVouchedAt = Instant::min();
+    for (auto& member : this->members)
+        member.confirmedAt = Instant::min();
+}
+
 void LeaderCoordinator::onSilence(const UpstreamName& upstream, Instant now)
 {
     auto* member = this->find(upstream);
@@ -161,9 +243,13 @@
 
 void LeaderCoordinator::onWritten(const LeadershipRecord& record, std::uint64_t revision, Instant now)
 {
+    // An answer may be overtaken by a reading of what came after it.
+    if (revision < this->known.recordRevision)
+        return;
+    this->noteStanding(record, now);
     this->known.record = record;
     this->known.recordRevision = revision;
-    this->confirmedAt = Instant::min();
+    this->forgetConfirmations();
     if (record.isSettled()) {
         this->replacement.reset();
         // The swap itself read the store at a moment after it was sent; the next snapshot renews the view.
@@ -175,10 +261,9 @@
 
 void LeaderCoordinator::onPromotionRefused(const UpstreamName& upstream)
 {
-    if (this->replacement && this->replacement->chosen == upstream) {
-        this->replacement->refused.push_back(upstream);
-        this->replacement->chosen = UpstreamName {};
-    }
+    this->promotions.noteOutcome(upstream);
+    if (this->replacement && this->replacement->promoted == upstream)
+        this->giveUpPromotion();
 }
 
 LeaderView LeaderCoordinator::view() const
@@ -190,10 +275,19 @@
     view.phase = record.isSettled() ? LeaderView::Phase::Led : LeaderView::Phase::Changing;
     view.primary = record.primary;
     view.term = record.term;
-    view.validUntil = std::max(this->known.askedAt, this->confirmedAt) + this->options.settings.viewLifetime;
+    const auto vouchedAt = std::max(this->known.askedAt, this->confirmedAt);
+    if (vouchedAt > this->disprovedAt)
+        view.validUntil = vouchedAt + this->options.settings.viewLifetime;
     return view;
 }
 
+std::optional<Instant> LeaderCoordinator::vouchedAt(Instant now) const
+{
+    if (!this->view().holds(now))
+        return std::nullopt;
+    return std::max(this->known.askedAt, this->confirmedAt);
+}
+
 bool LeaderCoordinator::wantsSnapshot() const noexcept
 {
     return this->doubted || (this->known.record && !this->known.record->isSettled());
@@ -220,22 +314,64 @@
 
 void LeaderCoordinator::publishIfChanged(Instant now)
 {
+    this->noteValidity(now);
     const auto next = this->view();
     const bool changed = next.phase != this->published.phase || next.primary != this->published.primary
         || next.term != this->published.term;
     const bool renewed
         = next.validUntil > this->published.validUntil && now >= this->lastPublished + publishInterval;
-    if (!changed && !renewed)
+    const bool ended = next.validUntil < this->published.validUntil && this->published.holds(now);
+    if (!changed && !renewed && !ended)
         return;
     if (changed)
         this->note("leader_view",
             { { "primary", next.primary.string() }, { "term", textOf(next.term) },
-                { "phase", next.phase == LeaderView::Phase::Led ? "led" : "changing" } });
+                { "phase", next.phase == LeaderView::Phase::Led ? "led" : "changing" },
+                { "source", std::string { nameOf(this->viewSource(now)) } } });
     this->published = next;
     this->lastPublished = now;
     this->actions.emplace_back(PublishLeader { next });
 }
 
+ViewSource LeaderCoordinator::viewSource(Instant now) const noexcept
+{
+    const bool endedAtStore = now >= this->known.askedAt + this->options.settings.viewLifetime;
+    if (!endedAtStore || this->confirmedAt <= this->known.askedAt)
+        return this->known.source;
+    return this->confirmedBy.empty() ? ViewSource::Sibling : ViewSource::Replica;
+}
+
+void LeaderCoordinator::noteValidity(Instant now)
+{
+    const auto current = this->view();
+    if (current.phase != LeaderView::Phase::Led) {
+        this->notedAsHeld = false;
+        return;
+    }
+    const bool holds = current.holds(now);
+    const auto source = this->viewSource(now);
+    const bool sameView = current.primary == this->published.primary && current.term == this->published.term
+        && this->published.phase == LeaderView::Phase::Led;
+    const bool ended = this->notedAsHeld && !holds;
+    const bool back = sameView && !this->notedAsHeld && holds;
+    // Whether this VM or a sibling has read the store makes no difference to how far a view can be trusted.
+    const bool handedOver = sameView && holds && source != this->notedSource
+        && (source == ViewSource::Replica || this->notedSource == ViewSource::Replica);
+    if (ended)
+        ++this->counts.viewsEnded;
+    if (ended || back || handedOver)
+        this->note(ended ? "leader_view_ended"
+                : back   ? "leader_view_back"
+                         : "leader_view_source",
+            { { "primary", current.primary.string() }, { "term", textOf(current.term) },
+                { "source", std::string { nameOf(source) } },
+                { "replica", source == ViewSource::Replica ? this->confirmedBy.string() : "" },
+                { "store_age_ms", ageText(this->known.askedAt, now) },
+                { "replica_age_ms", ageText(this->confirmedAt, now) } });
+    this->notedAsHeld = holds;
+    this->notedSource = source;
+}
+
 bool LeaderCoordinator::needsLease(Instant now) const
 {
     const bool holds = this->known.duty && this->known.duty->holder == this->options.vm;
@@ -258,23 +394,24 @@
     this->actions.emplace_back(TakeDuty {});
 }
 
-void LeaderCoordinator::renewFromReplica(Instant now)
+bool LeaderCoordinator::isSilent(Instant now) const noexcept
 {
     const auto& settings = this->options.settings;
-    const auto& record = this->known.record;
-    if (!record || !record->isSettled())
-        return;
-    const bool storeSilent = now >= this->known.askedAt + settings.storeSilence;
-    if (!storeSilent || now < this->lastConfirmAsked + settings.confirmInterval)
-        return;
-    this->lastConfirmAsked = now;
-    this->askReplicas(now);
+    if (!this->vouchesForSiblings)
+        return now >= std::max(this->known.askedAt, this->siblingVouchedAt) + settings.siblingSilence;
+    const bool ownReading = this->known.source == ViewSource::Store;
+    return now >= this->known.askedAt + (ownReading ? settings.ownReadingSilence : settings.storeSilence);
 }
 
-void LeaderCoordinator::askReplicas(Instant now)
+void LeaderCoordinator::renewFromReplica(Instant now)
 {
+    const auto& settings = this->options.settings;
+    // What has ended cannot be prolonged.
+    if (!this->isSilent(now) || !this->view().holds(now))
+        return;
     for (auto& member : this->members) {
-        if (!this->isPrimary(member.entry.name) && !member.entry.draining)
+        const bool due = now >= member.confirmedAt + settings.confirmInterval;
+        if (due && !this->isPrimary(member.entry.name))
             this->ask(member, now);
     }
 }
@@ -315,11 +452,17 @@
     record.changeId = this->options.vm.string() + '/' + std::to_string(this->options.seed) + '/'
         + std::to_string(++this->changes);
     this->lastChange = record.changeId;
+    this->lastExpected = this->known.recordRevision;
     this->actions.emplace_back(WriteLeadership { .record = std::move(record),
         .expectedRevision = this->known.recordRevision,
         .dutyRevision = this->duty().revision });
 }
 
+bool LeaderCoordinator::knowsRecord() const noexcept
+{
+    return this->known.recordRevision > this->lastExpected;
+}
+
 void LeaderCoordinator::writeLeader(const UpstreamName& leader, Term term, Instant now)
 {
     this->write({ .term = term, .primary = leader, .claimedTerm = term }, now);
@@ -329,14 +472,8 @@
 {
     const auto& record = this->record();
     auto* primary = this->find(record.primary);
-    for (const auto& member : this->members) {
-        // A promotion whose outcome nobody wrote down has shown its effect.
-        const bool leads = member.status && member.status->isPrimary && member.status->term > record.term;
-        if (leads) {
-            this->writeLeader(member.entry.name, member.status->term, now);
-            return;
-        }
-    }
+    if (this->adoptLeader(now))
+        return;
     if (primary == nullptr)
         return this->claim(false, "the primary is gone from the directory", now);
     if (primary->entry.draining)
@@ -346,6 +483,8 @@
     if (resigned && primary->statusAt > this->known.askedAt - this->options.settings.viewLifetime)
         return this->claim(false, "the primary says that it is a replica", now);
     if (!this->primaryIsSilent(now)) {
+        // A claim that was never written has come to nothing.
+        this->replacement.reset();
         this->growth.reset();
         return;
     }
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -6,8 +6,8 @@
 #include <utility>
 
 // How the holder of a group's duty replaces its primary: claim the next term in the store, pause the
-// replicas, wait until every view of the old primary has ended, promote the replica that has received most,
-// write down who leads.
+// replicas, write down which of them has received most, wait until every view of the old primary has ended,
+// promote it, write down who leads. See promotion.cpp for the choice and what follows it.
 namespace cyclamendrift {
 
 namespace {
@@ -19,18 +19,21 @@
 void LeaderCoordinator::claim(bool planned, std::string_view reason, Instant now)
 {
     const auto& record = this->record();
-    const bool someoneElse
-        = std::any_of(this->members.begin(), this->members.end(), [&record](const Member& member) {
-              return member.entry.name != record.primary && !member.entry.draining;
-          });
+    const bool someoneElse = std::any_of(
+        this->members.begin(), this->members.end(), [&record](const Member& member) {
+            const bool leads = member.status && member.status->isPrimary && member.status->term > record.term;
+            return member.entry.name != record.primary && (leads || !member.entry.draining);
+        });
     if (!someoneElse)
         return;
     if (now < this->lastWrite + this->options.settings.storeRetry)
         return;
     const auto term = next(record.term);
-    this->note("replacing_primary",
-        { { "primary", record.primary.string() }, { "term", textOf(term) },
-            { "reason", std::string { reason } } });
+    // A claim whose write has no answer yet is the same one.
+    if (!this->replacement)
+        this->note("replacing_primary",
+            { { "primary", record.primary.string() }, { "term", textOf(term) },
+                { "reason", std::string { reason } } });
     this->replacement = std::make_unique<Replacement>(Replacement { .term = term, .planned = planned });
     this->growth.reset();
     this->write({ .term = record.term, .primary = record.primary, .claimedTerm = term }, now);
@@ -43,24 +46,24 @@
     // on whoever wrote it before cannot change the record, and this VM knows that the record holds it.
     if (!this->replacement) {
         const auto* primary = this->find(record.primary);
-        this->replacement = std::make_unique<Replacement>(Replacement { .term = record.claimedTerm,
-            .planned = primary != nullptr && primary->entry.draining,
-            .takenOver = true });
+        this->replacement = std::make_unique<Replacement>(Replacement {
+            .term = record.claimedTerm, .planned = primary != nullptr && primary->entry.draining });
     }
     if (this->replacement->claimPending) {
-        this->write(
-            { .term = record.term, .primary = record.primary, .claimedTerm = record.claimedTerm }, now);
+        this->write({ .term = record.term,
+                        .primary = record.primary,
+                        .claimedTerm = record.claimedTerm,
+                        .chosen = record.chosen },
+            now);
         return;
     }
-    for (const auto& member : this->members) {
-        if (member.status && member.status->isPrimary && member.status->term >= record.claimedTerm)
-            return this->finish(member.entry.name, member.status->term, now);
-    }
+    if (const auto leader = this->newestLeader(record.claimedTerm))
+        return this->finish(*leader, now);
     if (this->primaryIsBack(now)) {
         this->standDown(now);
         return;
     }
-    if (this->replacement->stoodDown) {
+    if (!this->replacement->settledOn.empty()) {
         // Whether the record still holds the claim is not known any more; promoting now could make two
         // primaries.
         this->replacement.reset();
@@ -69,7 +72,7 @@
     if (this->replacement->planned)
         this->demoteFirst(now);
     this->pauseReplicas(now);
-    if (this->replacement->chosen.empty())
+    if (this->replacement->promoted.empty())
         this->choose(now);
     else
         this->promote(now);
@@ -79,8 +82,13 @@
 {
     if (!this->replacement || record.isSettled() || record.changeId != this->lastChange)
         return;
-    if (std::exchange(this->replacement->claimPending, false))
-        this->replacement->claimedAt = now;
+    if (!std::exchange(this->replacement->claimPending, false))
+        return;
+    this->replacement->claimedAt = now;
+    this->replacement->inherited = record.chosen;
+    // Whoever wrote that choice may have promoted it until this claim took its place.
+    if (!record.chosen.empty())
+        this->promotions.noteFormer(record.chosen, now);
 }
 
 bool LeaderCoordinator::primaryIsBack(Instant now)
@@ -88,11 +96,8 @@
     const auto& record = this->record();
     const auto& replacement = *this->replacement;
     auto* primary = this->find(record.primary);
-    const bool begun = !replacement.chosen.empty() || replacement.lastPromote != Instant::min();
-    if (primary == nullptr || replacement.planned || begun)
-        return false;
-    // A promotion that the former holder sent just before it was cut off may still be under way.
-    if (replacement.takenOver && now < replacement.claimedAt + this->options.settings.promotionSettled)
+    const bool begun = replacement.lastPromote != Instant::min();
+    if (primary == nullptr || replacement.planned || begun || this->promotions.anyBut(record.primary, now))
         return false;
     this->ask(*primary, now);
     return primary->status && primary->status->isPrimary && primary->statusAt > replacement.claimedAt
@@ -104,7 +109,7 @@
     // Nobody was promoted under this claim, and the old primary is there with its whole log: keeping it loses
     // nothing.
     const auto& record = this->record();
-    if (!std::exchange(this->replacement->stoodDown, true))
+    if (std::exchange(this->replacement->settledOn, record.primary) != record.primary)
         this->note("primary_is_back", { { "primary", record.primary.string() } });
     for (const auto& member : this->members) {
         if (member.entry.name != record.primary)
@@ -127,9 +132,16 @@
 {
     const auto& settings = this->options.settings;
     for (auto& member : this->members) {
-        if (member.entry.name == this->record().primary
-            || this->replacement->paused.contains(member.entry.name))
+        if (member.entry.name == this->record().primary)
             continue;
+        if (const auto pause = this->replacement->paused.find(member.entry.name);
+            pause != this->replacement->paused.end()) {
+            // It is asked once more at the end, as a restart in between would not show otherwise.
+            const bool due = now >= pause->second.since + settings.viewLifetime;
+            if (due && !this->outlastedViews(pause->second))
+                this->ask(member, now);
+            continue;
+        }
         if (!takeTurn(member, settings.askInterval, now))
             continue;
         // A replica that still receives what the demoted primary has written is left to it for a moment.
@@ -145,79 +157,49 @@
     }
 }
 
-bool LeaderCoordinator::pausedEnough(Instant now) const
+void LeaderCoordinator::notePause(
+    const UpstreamName& upstream, const UpstreamStatus& status, Instant askedAt, Instant now)
 {
-    const auto& replacement = *this->replacement;
-    if (replacement.paused.empty() || !replacement.lastPausedAt)
-        return false;
-    for (const auto& member : this->members) {
-        const bool open
-            = member.entry.name != this->record().primary && !replacement.paused.contains(member.entry.name);
-        if (open
-            && now < replacement.claimedAt + this->options.settings.pauseGrace
-                    + this->options.settings.catchUpTime)
-            return false;
+    auto& paused = this->replacement->paused;
+    // A restart ends a pause, and the replica may have vouched for the old primary since. It is paused anew.
+    if (status.heldTerm < this->replacement->term) {
+        paused.erase(upstream);
+        return;
     }
-    return true;
+    auto& pause = paused.try_emplace(upstream, Pause { .since = now }).first->second;
+    pause.received = status.received;
+    pause.lastSeen = askedAt;
 }
 
-void LeaderCoordinator::choose(Instant now)
+bool LeaderCoordinator::outlastedViews(const Pause& pause) const noexcept
 {
-    const auto& settings = this->options.settings;
-    auto& replacement = *this->replacement;
-    if (!this->pausedEnough(now))
-        return;
-    const auto pausedAt = replacement.lastPausedAt.value_or(now);
-    const auto lapsed
-        = std::max(replacement.claimedAt, pausedAt) + settings.viewLifetime + settings.viewMargin;
-    if (now < lapsed)
-        return;
-    const Member* best = nullptr;
-    Progress bestProgress;
-    for (const auto& [name, progress] : replacement.paused) {
-        const auto* member = this->find(name);
-        const bool refused = std::find(replacement.refused.begin(), replacement.refused.end(), name)
-            != replacement.refused.end();
-        if (member == nullptr || refused || member->entry.draining)
-            continue;
-        if (best == nullptr || progress > bestProgress) {
-            best = member;
-            bestProgress = progress;
-        }
-    }
-    if (best == nullptr) {
-        // Every one was refused; they may be running again by now.
-        replacement.refused.clear();
-        return;
-    }
-    replacement.chosen = best->entry.name;
-    replacement.chosenAt = now;
-    this->note("primary_chosen",
-        { { "upstream", best->entry.name.string() }, { "received", textOf(bestProgress) } });
-    this->promote(now);
+    return pause.lastSeen >= pause.since + this->options.settings.viewLifetime;
 }
 
-void LeaderCoordinator::promote(Instant now)
+bool LeaderCoordinator::allOutlastedViews(Instant now) const
 {
-    const auto& settings = this->options.settings;
-    auto& replacement = *this->replacement;
-    auto* chosen = this->find(replacement.chosen);
-    if (chosen == nullptr || now >= replacement.chosenAt + settings.promoteTimeout) {
-        replacement.refused.push_back(std::exchange(replacement.chosen, UpstreamName {}));
-        return;
-    }
-    if (now >= replacement.lastPromote + settings.promoteInterval) {
-        replacement.lastPromote = now;
-        this->actions.emplace_back(
-            PromoteUpstream { .upstream = replacement.chosen, .token = this->duty().token });
-    }
-    this->ask(*chosen, now);
+    const auto& paused = this->replacement->paused;
+    return !this->missesReplica(now)
+        && std::all_of(this->members.begin(), this->members.end(), [&](const Member& member) {
+               const auto pause = paused.find(member.entry.name);
+               return this->isPrimary(member.entry.name)
+                   || (pause != paused.end() && this->outlastedViews(pause->second));
+           });
 }
 
-void LeaderCoordinator::finish(const UpstreamName& leader, Term term, Instant now)
+Instant LeaderCoordinator::viewsEndAt(Instant now) const
 {
-    this->note("primary_replaced", { { "primary", leader.string() }, { "term", textOf(term) } });
-    this->writeLeader(leader, term, now);
+    const auto& settings = this->options.settings;
+    const auto& replacement = *this->replacement;
+    const auto lifetime = settings.viewLifetime + settings.viewMargin;
+    // A replica that could not be paused may alone vouch for the old primary to VMs that the store turns
+    // away.
+    if (!this->allOutlastedViews(now))
+        return replacement.claimedAt + settings.loneReplicaTime + lifetime;
+    auto from = replacement.claimedAt;
+    for (const auto& [name, pause] : replacement.paused)
+        from = std::max(from, pause.since);
+    return from + lifetime;
 }
 
 void LeaderCoordinator::settleOthers(Instant now)
--- a/src/platform/curl_client.cpp
+++ b/src/platform/curl_client.cpp
@@ -8,6 +8,7 @@
 #include <asio/use_awaitable.hpp>
 
 #include <curl/curl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -55,6 +56,8 @@
         , request(std::move(request))
         , onPiece(std::move(onPiece))
         , maxAnswerBytes(options.maxAnswerBytes)
+        , clock(options.clock)
+        , sendBy(options.clock() + this->request.timeout)
         , finished(executor, Instant::max())
     {
         if (!this->handle)
@@ -77,6 +80,10 @@
         this->set(CURLOPT_TIMEOUT_MS, millisecondsOf(this->request.timeout));
         this->set(CURLOPT_WRITEFUNCTION, &Transfer::write);
         this->set(CURLOPT_WRITEDATA, this);
+        this->set(CURLOPT_PREREQFUNCTION, &Transfer::mayBeSent);
+        this->set(CURLOPT_PREREQDATA, this);
+        if (options.resetsConnections)
+            this->set(CURLOPT_SOCKOPTFUNCTION, &Transfer::resetWhenClosed);
         if (this->request.body) {
             this->outgoing = *std::move(this->request.body);
             this->setBody();
@@ -124,6 +131,21 @@
         this->set(CURLOPT_SEEKDATA, this);
     }
 
+    static int resetWhenClosed(void*, curl_socket_t socket, curlsocktype)
+    {
+        const linger reset { .l_onoff = 1, .l_linger = 0 };
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+        return CURL_SOCKOPT_OK;
+    }
+
+    /// Is called when the connection is there and nothing was sent. libcurl's own timeout does not count time
+    /// spent suspended.
+    static int mayBeSent(void* data, char*, char*, int, int)
+    {
+        const auto& self = *static_cast<const Transfer*>(data);
+        return self.clock() < self.sendBy ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+    }
+
     static std::size_t read(char* buffer, std::size_t size, std::size_t count, void* data)
     {
         auto& self = *static_cast<Transfer*>(data);
@@ -166,7 +188,10 @@
         long requestSize = 0;
         curl_easy_getinfo(this->handle.get(), CURLINFO_REQUEST_SIZE, &requestSize);
         const auto kind = requestSize == 0 ? StoreError::Kind::Unreachable : StoreError::Kind::NoAnswer;
-        throw StoreError { kind, curl_easy_strerror(this->result) };
+        const auto* reason = this->result == CURLE_ABORTED_BY_CALLBACK
+            ? "its time was over before it could be sent"
+            : curl_easy_strerror(this->result);
+        throw StoreError { kind, reason };
     }
 
     std::unique_ptr<CURL, EasyDeleter> handle;
@@ -174,6 +199,8 @@
     CurlRequest request;
     PieceHandler onPiece;
     std::size_t maxAnswerBytes;
+    std::function<Instant()> clock;
+    Instant sendBy;
     std::string outgoing;
     std::size_t sent = 0;
     std::string body;
@@ -245,7 +272,7 @@
     {
         auto& self = *static_cast<Engine*>(data);
         if (what == CURL_POLL_REMOVE) {
-            self.sockets.erase(socket);
+            self.forget(socket);
             return 0;
         }
         auto& watched = self.sockets[socket];
@@ -256,6 +283,17 @@
         return 0;
     }
 
+    void forget(curl_socket_t socket)
+    {
+        const auto found = this->sockets.find(socket);
+        if (found == this->sockets.end())
+            return;
+        // A wait that is under way holds the duplicate, and with it the connection that libcurl closes.
+        std::error_code ignored;
+        found->second->descriptor.close(ignored);
+        this->sockets.erase(found);
+    }
+
     void wait(curl_socket_t socket, const std::shared_ptr<Watched>& watched)
     {
         if ((watched->wanted & CURL_POLL_IN) != 0 && !watched->readPending) {
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -115,12 +115,16 @@
     [[nodiscard]] asio::awaitable<bool> askReaders();
     [[nodiscard]] asio::awaitable<bool> askReader(SiblingAddress address);
     void takeReadings(const wire::ReadingsAnswer& answer, Instant askedAt);
+    /// True when every group has a view that was vouched for less than `usable` ago.
+    [[nodiscard]] bool viewsAreFresh(Duration usable) const;
+    /// Writes the views that replicas have vouched for since the leadership was read.
+    void writeViews(wire::ReadingsAnswer& answer) const;
 
     // control_leadership
     /// Returns how long to wait before the next try, when it failed.
     [[nodiscard]] asio::awaitable<std::optional<Duration>> readLeadership();
     [[nodiscard]] static asio::awaitable<void> followLeadership(std::shared_ptr<State> self);
-    void takeLeadership(const StoreListing& listing, Instant askedAt);
+    void takeLeadership(const StoreListing& listing, Instant askedAt, ViewSource source);
     void tick();
     void perform(const ServiceName& service, const LeadershipAction& action);
     [[nodiscard]] static asio::awaitable<void> order(
--- a/tests/leadership/leadership_world.cpp
+++ b/tests/leadership/leadership_world.cpp
@@ -18,6 +18,7 @@
 
 LeadershipWorld::LeadershipWorld(Options options)
     : random(options.seed)
+    , siblingsTalk(options.siblingsTalk)
 {
     UpstreamDirectory directory;
     for (std::size_t index = 0; index <= options.replicas; ++index) {
@@ -34,7 +35,7 @@
         this->vms.push_back(
             { .name = name, .coordinator = LeaderCoordinator { { .vm = name, .seed = options.seed } } });
         this->vms.back().coordinator.setRank(index);
-        this->vms.back().coordinator.onDirectory(directory);
+        this->vms.back().coordinator.onDirectory(directory, this->now);
     }
 }
 
@@ -84,11 +85,45 @@
     for (auto& [name, member] : this->members) {
         if (member.primary || !member.running || member.held > source->term)
             continue;
+        const bool hearsOfNewTerm = this->now >= member.receivesSince + member.lag;
+        if (member.term < source->term && !hearsOfNewTerm)
+            continue;
         member.term = source->term;
         member.received = source->received - 1;
     }
 }
 
+void LeadershipWorld::release(GroupMember& member) const
+{
+    if (member.held != 0)
+        member.receivesSince = this->now;
+    member.held = 0;
+}
+
+void LeadershipWorld::restart(const std::string& name)
+{
+    auto& member = this->member(name);
+    member.held = 0;
+    member.receivesSince = this->now;
+}
+
+void LeadershipWorld::takeLead(const std::string& name)
+{
+    auto& member = this->member(name);
+    if (member.primary || !member.running)
+        return;
+    std::uint64_t newest = 0;
+    for (const auto& [_, other] : this->members)
+        newest = std::max(newest, other.term);
+    member.primary = true;
+    member.term = newest + 1;
+    // A promotion ends the pause of all replicas of the group.
+    for (auto& [_, other] : this->members) {
+        this->release(other);
+        other.receivesSince = this->now;
+    }
+}
+
 const GroupMember* LeadershipWorld::leader() const
 {
     const GroupMember* best = nullptr;
@@ -110,14 +145,34 @@
     });
 }
 
+std::set<UpstreamName> LeadershipWorld::primariesInUse() const
+{
+    std::set<UpstreamName> primaries;
+    for (const auto& vm : this->vms) {
+        const auto view = vm.coordinator.view();
+        if (view.holds(this->now))
+            primaries.insert(view.primary);
+    }
+    return primaries;
+}
+
+std::size_t LeadershipWorld::noted(const std::string& event) const
+{
+    return static_cast<std::size_t>(std::count_if(this->notes.begin(), this->notes.end(),
+        [&event](const std::string& line) { return line.ends_with(' ' + event); }));
+}
+
 bool LeadershipWorld::storeReachable(const VmModel& vm) const
 {
     return !this->storeDown && this->now >= vm.storeAwayUntil;
 }
 
-void LeadershipWorld::later(std::function<void()> run)
+void LeadershipWorld::later(std::function<void()> run, Duration most, Duration least)
 {
-    const std::chrono::milliseconds delay { std::uniform_int_distribution<int> { 2, 30 }(this->random) };
+    const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(most).count();
+    const auto shortest = std::chrono::duration_cast<std::chrono::milliseconds>(least).count();
+    const std::chrono::milliseconds delay { std::uniform_int_distribution<std::int64_t> { shortest, longest }(
+        this->random) };
     this->events.push_back({ .at = this->now + delay, .run = std::move(run) });
 }
 
@@ -141,8 +196,11 @@
 void LeadershipWorld::readStore(VmModel& vm)
 {
     vm.nextRead = this->now + readInterval;
-    if (!this->storeReachable(vm))
+    if (!this->storeReachable(vm)) {
+        if (this->siblingsTalk)
+            this->askSibling(vm);
         return;
+    }
     const bool lapsed = vm.leaseUntil != Instant::min() && this->now >= vm.leaseUntil + leaseMargin;
     if (lapsed)
         vm.coordinator.onLeaseLost(this->now);
@@ -165,6 +223,22 @@
     });
 }
 
+void LeadershipWorld::askSibling(VmModel& vm)
+{
+    auto& sibling
+        = this->vms.at(std::uniform_int_distribution<std::size_t> { 0, this->vms.size() - 1 }(this->random));
+    this->later([this, &vm, &sibling, askedAt = this->now] {
+        const auto vouchedAt = sibling.coordinator.vouchedAt(this->now);
+        if (!vouchedAt || this->now < sibling.frozenUntil)
+            return;
+        const auto age = this->now - *vouchedAt;
+        this->later([this, &vm, revision = sibling.coordinator.recordRevision(), told = askedAt - age] {
+            if (this->now >= vm.frozenUntil)
+                vm.coordinator.onSiblingView(revision, told);
+        });
+    });
+}
+
 UpstreamStatus LeadershipWorld::statusOf(const GroupMember& member) const
 {
     return { .isPrimary = member.primary,
@@ -177,21 +251,24 @@
     VmModel& vm, const UpstreamName& upstream, const std::function<void(GroupMember&)>& order)
 {
     const auto askedAt = this->now;
-    this->later([this, &vm, upstream, order, askedAt] {
-        auto& member = this->members.at(upstream);
-        const bool reached = member.running && !vm.cutFrom.contains(upstream);
-        if (reached)
-            order(member);
-        const auto status = this->statusOf(member);
-        this->later([this, &vm, upstream, reached, status, askedAt] {
-            if (this->now < vm.frozenUntil)
-                return;
+    this->later(
+        [this, &vm, upstream, order, askedAt] {
+            auto& member = this->members.at(upstream);
+            const bool reached = member.running && !vm.cutFrom.contains(upstream);
             if (reached)
-                vm.coordinator.onStatus(upstream, status, askedAt, this->now);
-            else
-                vm.coordinator.onSilence(upstream, this->now);
-        });
-    });
+                order(member);
+            const auto status = this->statusOf(member);
+            const auto answer = [this, &vm, upstream, reached, status, askedAt] {
+                if (this->now < vm.frozenUntil)
+                    return;
+                if (reached)
+                    vm.coordinator.onStatus(upstream, status, askedAt, this->now);
+                else
+                    vm.coordinator.onSilence(upstream, this->now);
+            };
+            this->later(answer, this->slowestAnswer);
+        },
+        this->slowestAnswer);
 }
 
 void LeadershipWorld::perform(VmModel& vm, const LeadershipAction& action)
@@ -206,7 +283,7 @@
         });
     }
     if (const auto* resume = std::get_if<ResumeReplica>(&action))
-        this->tell(vm, resume->upstream, [](GroupMember& member) { member.held = 0; });
+        this->tell(vm, resume->upstream, [this](GroupMember& member) { this->release(member); });
     if (const auto* demote = std::get_if<DemotePrimary>(&action)) {
         const auto term = static_cast<std::uint64_t>(demote->term);
         this->tell(vm, demote->upstream, [term](GroupMember& member) {
@@ -226,6 +303,8 @@
         if (this->duty && this->duty->holder == vm.name)
             this->duty.reset();
     }
+    if (const auto* note = std::get_if<LeadershipNote>(&action))
+        this->notes.push_back(vm.name.string() + ' ' + note->event);
     if (const auto* change = std::get_if<WriteLeadership>(&action))
         this->write(vm, *change);
     if (const auto* change = std::get_if<PromoteUpstream>(&action))
@@ -259,25 +338,19 @@
     // A VM checks its lease once more as it sends; what was sent arrives later whatever happens to it.
     if (this->now >= vm.leaseUntil)
         return;
-    this->later([this, change] {
+    if (!this->record || this->record->record.chosen != change.upstream)
+        this->violations.push_back("a promotion was sent that the record does not name");
+    const auto carryOut = [this, change] {
         if (!this->tokens.empty() && change.token < this->tokens.back())
             this->violations.push_back("a promotion came with a lower token than one before");
         this->tokens.push_back(change.token);
         auto& named = this->members.at(change.upstream);
         if (named.primary || !named.running)
             return;
-        this->events.push_back({ .at = this->now + promoteTime, .run = [this, upstream = change.upstream] {
-                                    auto& member = this->members.at(upstream);
-                                    std::uint64_t newest = 0;
-                                    for (const auto& [name, other] : this->members)
-                                        newest = std::max(newest, other.term);
-                                    if (member.primary || !member.running)
-                                        return;
-                                    member.primary = true;
-                                    member.term = newest + 1;
-                                    member.held = 0;
-                                } });
-    });
+        this->events.push_back({ .at = this->now + promoteTime,
+            .run = [this, upstream = change.upstream] { this->takeLead(upstream.string()); } });
+    };
+    this->later(carryOut, this->slowestPromotion, this->fastestPromotion);
 }
 
 void LeadershipWorld::check()
--- a/tests/leadership/leadership_world.h
+++ b/tests/leadership/leadership_world.h
@@ -22,6 +22,10 @@
     std::uint64_t term = 1;
     std::uint64_t received = 100;
     std::uint64_t held = 0;
+    /// What it has received from a new primary reaches it, and with it the new term, this much later.
+    Duration lag {};
+    /// Since when it could have received from the primary that leads now.
+    Instant receivesSince = Instant::min();
 };
 
 struct VmModel {
@@ -45,10 +49,16 @@
         std::size_t vms = 3;
         std::size_t replicas = 2;
         std::uint64_t seed = 1;
+        /// A VM that the store turns away asks another VM for its view.
+        bool siblingsTalk = false;
     };
 
     explicit LeadershipWorld(Options options);
 
+    /// A replica starts again with its log; it knows of no pause.
+    void restart(const std::string& name);
+    /// An upstream that runs leads the next term, as after a promotion that no VM waits for.
+    void takeLead(const std::string& name);
     /// Lets time pass in steps of 10 ms.
     void pass(Duration duration);
     /// Passes time until the condition holds; returns how long it took, or nothing when it never did.
@@ -60,13 +70,24 @@
     [[nodiscard]] const GroupMember* leader() const;
     /// True when every VM that runs has a view that holds and names the leader.
     [[nodiscard]] bool allFollowLeader() const;
+    /// The primaries that VMs may act on now.
+    [[nodiscard]] std::set<UpstreamName> primariesInUse() const;
+    /// How often VMs have noted the event.
+    [[nodiscard]] std::size_t noted(const std::string& event) const;
     [[nodiscard]] std::size_t promotions() const { return this->tokens.size(); }
 
     Instant now { std::chrono::seconds { 1000 } };
     bool storeDown = false;
     /// One in so many writes of the store is done and not answered; 0 for none.
     std::size_t loseAnswers = 0;
-    /// What went wrong: a view of an old primary that still held after a newer one led, or a token that fell.
+    /// Events that VMs noted, as "<vm> <event>".
+    std::vector<std::string> notes;
+    /// Longest time that an upstream's answer, and the platform's carrying out of a promotion, take.
+    Duration slowestAnswer = std::chrono::milliseconds { 30 };
+    Duration slowestPromotion = std::chrono::milliseconds { 30 };
+    Duration fastestPromotion = std::chrono::milliseconds { 2 };
+    /// What went wrong: a view of an old primary that still held after a newer one led, a token that fell, or
+    /// a promotion that a successor would not know of.
     std::vector<std::string> violations;
 
 private:
@@ -87,17 +108,22 @@
     void step();
     void runVm(VmModel& vm);
     void readStore(VmModel& vm);
+    void askSibling(VmModel& vm);
     void perform(VmModel& vm, const LeadershipAction& action);
     void tell(VmModel& vm, const UpstreamName& upstream, const std::function<void(GroupMember&)>& order);
     void write(VmModel& vm, const WriteLeadership& change);
     void promote(VmModel& vm, const PromoteUpstream& change);
-    void later(std::function<void()> run);
+    void later(std::function<void()> run, Duration most = std::chrono::milliseconds { 30 },
+        Duration least = std::chrono::milliseconds { 2 });
     void replicate();
+    /// Ends a replica's pause.
+    void release(GroupMember& member) const;
     void check();
     [[nodiscard]] bool storeReachable(const VmModel& vm) const;
     [[nodiscard]] UpstreamStatus statusOf(const GroupMember& member) const;
 
     std::mt19937_64 random;
+    bool siblingsTalk = false;
     std::map<UpstreamName, GroupMember> members;
     std::deque<VmModel> vms;
     std::deque<Event> events;
