Count calls to the store by what they do and for what, and bytes between siblings

Cause: store_calls_total counted answered calls by a loose kind, so neither pages of a listing nor calls to a store that refuses showed, though the platform charges both; nothing told what VMs send each other. Change: MeteredStore passes calls on and counts each; sibling_bytes_total counts questions and answers by call, and whether they leave the availability zone.

--- a/include/cyclamendrift/platform/store.h
+++ b/include/cyclamendrift/platform/store.h
@@ -36,6 +36,8 @@
 struct StoreListing {
     std::vector<StoreEntry> entries;
     std::uint64_t revision = 0;
+    /// Calls that it took.
+    std::uint64_t pages = 1;
 };
 
 /// How fresh a listing must be.
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -20,6 +20,7 @@
     std::vector<UpstreamEvidence> evidence;
     std::map<TeamName, std::uint64_t> demand;
     EngineCounters counters;
+    SiblingTraffic siblingTraffic;
     std::size_t callers = 0;
     std::size_t connections = 0;
 };
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -28,6 +28,16 @@
 /// What the records say of the VMs' strength.
 [[nodiscard]] std::map<VmName, VmStrength> strengthsOf(const SiblingList& siblings);
 
+/// A kind of question to siblings, and whether it leaves this VM's availability zone.
+struct SiblingTrafficKind {
+    std::string method;
+    bool crossesZones = false;
+
+    friend auto operator<=>(const SiblingTrafficKind&, const SiblingTrafficKind&) = default;
+};
+/// Bytes of questions and their answers, without frames.
+using SiblingTraffic = std::map<SiblingTrafficKind, std::uint64_t>;
+
 /// What session proxies ask each other: parts of their shares of limits, what they read from the store, and
 /// statements to run at the home of their service. Lives on the traffic thread; call() may be used on any.
 class SiblingExchange {
@@ -35,6 +45,7 @@
     struct Options {
         asio::io_context& context;
         VmName self;
+        ZoneName zone;
         std::string listenHost;
         std::uint16_t listenPort = 0;
         /// Takes operations out of this VM's share for a sibling; on the traffic thread.
@@ -56,6 +67,8 @@
     void open(const std::string& secret);
     [[nodiscard]] bool isOpen() const noexcept;
     void setSiblings(SiblingList siblings);
+    /// What this VM has asked siblings so far; on the traffic thread.
+    [[nodiscard]] const SiblingTraffic& traffic() const noexcept;
 
     /// Asks siblings for operations, one after the other, and reports what all of them gave; on the traffic
     /// thread.
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -40,9 +40,8 @@
     const auto key = this->options.format.configurationKey();
     const auto askedAt = bootNow();
     try {
-        const auto listing = co_await this->options.store.listing(key, ReadFreshness::Linearizable);
+        const auto listing = co_await this->store.listing(key, ReadFreshness::Linearizable);
         this->configurationConfirmedAt = askedAt;
-        ++this->storeCalls["configuration"];
         this->configurationSource.succeeded();
         const auto entry = std::find_if(listing.entries.begin(), listing.entries.end(),
             [&key](const StoreEntry& candidate) { return candidate.key == key; });
@@ -69,7 +68,7 @@
     try {
         // From the moment of the reading on, and not from the configuration's last change: the store forgets
         // its history after some seconds, and refuses a watch from before.
-        auto watch = this->options.store.watch(key, this->configurationReadAt + 1, onChange);
+        auto watch = this->store.watch(key, this->configurationReadAt + 1, onChange);
         co_await asio::co_spawn(this->options.context, std::move(watch),
             asio::bind_cancellation_slot(this->configurationWatch.slot(), asio::use_awaitable));
     } catch (const StoreError& error) {
@@ -110,8 +109,7 @@
             const auto freshness = self->directoryRead ? ReadFreshness::MayLag : ReadFreshness::Linearizable;
             const auto askedAt = bootNow();
             const auto listing
-                = co_await self->options.store.listing(self->options.format.upstreamPrefix(), freshness);
-            ++self->storeCalls["directory"];
+                = co_await self->store.listing(self->options.format.upstreamPrefix(), freshness);
             self->directorySource.succeeded();
             self->directoryConfirmedAt = askedAt;
             self->takeDirectory(listing);
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -26,8 +26,7 @@
     const auto askedAt = bootNow();
     try {
         auto listing
-            = co_await this->options.store.listing(store_key::leadershipPrefix, ReadFreshness::Linearizable);
-        ++this->storeCalls["leadership"];
+            = co_await this->store.listing(store_key::leadershipPrefix, ReadFreshness::Linearizable);
         this->leadershipSource.succeeded();
         this->leadershipListing = std::move(listing);
         this->leadershipAskedAt = askedAt;
@@ -122,6 +121,7 @@
     }
     this->demand.note(report.demand, bootNow());
     this->counters = report.counters;
+    this->siblingTraffic = report.siblingTraffic;
     this->callers = report.callers;
     this->connections = report.connections;
     // Parts grow some time after the list that they follow from.
@@ -208,8 +208,7 @@
             .expectedRevision = 0,
             .value = self->options.vm.string(),
             .lease = self->lease };
-        const auto outcome = co_await self->options.store.compareAndSwap(std::move(swap));
-        ++self->storeCalls["duty"];
+        const auto outcome = co_await self->store.compareAndSwap(std::move(swap));
         const bool taken = std::holds_alternative<Swapped>(outcome);
         logEvent(LogLevel::Info, "duty_tried",
             { { "service", service.string() }, { "taken", taken ? "yes" : "no" } });
@@ -225,7 +224,7 @@
 {
     try {
         SwapOptions swap { .key = store_key::dutyPrefix + service.string(), .expectedRevision = revision };
-        static_cast<void>(co_await self->options.store.compareAndSwap(std::move(swap)));
+        static_cast<void>(co_await self->store.compareAndSwap(std::move(swap)));
     } catch (const StoreError& error) {
         logEvent(LogLevel::Warn, "duty_not_yielded",
             { { "service", service.string() }, { "reason", error.what() } });
@@ -242,8 +241,7 @@
         // A VM whose duty has passed to another must not change the record any more.
         swap.guards.push_back(
             { .key = store_key::dutyPrefix + service.string(), .revision = change.dutyRevision });
-        const auto outcome = co_await self->options.store.compareAndSwap(std::move(swap));
-        ++self->storeCalls["record"];
+        const auto outcome = co_await self->store.compareAndSwap(std::move(swap));
         const auto* swapped = std::get_if<Swapped>(&outcome);
         logEvent(LogLevel::Info, "record_written",
             { { "service", service.string() }, { "change", change.record.changeId },
@@ -268,7 +266,6 @@
     using Answer = LeadershipPort::PromotionAnswer;
     const auto answer
         = co_await self->options.leadership.promote(service, change.upstream, self->options.vm, change.token);
-    ++self->storeCalls["promotion"];
     logEvent(LogLevel::Info, "promotion_sent",
         { { "service", service.string() }, { "upstream", change.upstream.string() },
             { "token", std::to_string(change.token) },
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -45,13 +45,12 @@
         }
         try {
             if (self->lease == LeaseId::None) {
-                self->lease = co_await self->options.store.grantLease(settings.leaseTime);
+                self->lease = co_await self->store.grantLease(settings.leaseTime);
                 logEvent(LogLevel::Info, "lease_granted",
                     { { "lease", std::to_string(static_cast<std::uint64_t>(self->lease)) } });
             } else {
-                co_await self->options.store.keepAlive(self->lease);
+                co_await self->store.keepAlive(self->lease);
             }
-            ++self->storeCalls["lease"];
             self->leaseUntil = askedAt + settings.leaseTime - settings.leaseMargin;
             self->leaseSource.succeeded();
         } catch (const StoreError& error) {
@@ -86,10 +85,10 @@
                                                                             : settings.leaseRenewal;
         try {
             if (self->recordLease == LeaseId::None) {
-                self->recordLease = co_await self->options.store.grantLease(settings.recordTime);
+                self->recordLease = co_await self->store.grantLease(settings.recordTime);
                 renewAt = bootNow() + settings.recordRenewal;
             } else if (bootNow() >= renewAt) {
-                co_await self->options.store.keepAlive(self->recordLease);
+                co_await self->store.keepAlive(self->recordLease);
                 renewAt = bootNow() + settings.recordRenewal;
             }
             co_await self->tellOwnRecord();
@@ -141,8 +140,7 @@
         .expectedRevision = this->ownRecordRevision,
         .value = record.SerializeAsString(),
         .lease = lease };
-    const auto outcome = co_await this->options.store.compareAndSwap(std::move(swap));
-    ++this->storeCalls["vm_record"];
+    const auto outcome = co_await this->store.compareAndSwap(std::move(swap));
     if (const auto* swapped = std::get_if<Swapped>(&outcome)) {
         this->ownRecordRevision = swapped->revision;
         this->toldUnder = lease;
@@ -157,15 +155,14 @@
 {
     if (this->siblingsOpen)
         co_return;
-    auto entry = co_await this->options.store.get(store_key::siblingSecret);
-    ++this->storeCalls["secret"];
+    auto entry = co_await this->store.get(store_key::siblingSecret);
     if (!entry) {
         SwapOptions swap { .key = store_key::siblingSecret, .expectedRevision = 0, .value = newSecret() };
-        const auto outcome = co_await this->options.store.compareAndSwap(std::move(swap));
+        const auto outcome = co_await this->store.compareAndSwap(std::move(swap));
         if (std::holds_alternative<SwapConflict>(outcome))
             entry = std::get<SwapConflict>(outcome).current;
         else
-            entry = co_await this->options.store.get(store_key::siblingSecret);
+            entry = co_await this->store.get(store_key::siblingSecret);
     }
     if (!entry)
         co_return;
@@ -183,8 +180,7 @@
             if (!told) {
                 const auto askedAt = bootNow();
                 const auto listing
-                    = co_await self->options.store.listing(store_key::vmPrefix, ReadFreshness::Linearizable);
-                ++self->storeCalls["vms"];
+                    = co_await self->store.listing(store_key::vmPrefix, ReadFreshness::Linearizable);
                 self->vmSource.succeeded();
                 self->vmsConfirmedAt = askedAt;
                 self->takeVms(listing);
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -95,7 +95,6 @@
     wire::ReadingsAnswer answer;
     try {
         const auto body = co_await this->options.traffic.askForReadings(address, request.SerializeAsString());
-        ++this->storeCalls["asked_of_sibling"];
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
     } catch (const Error& error) {
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/membership/reader_choice.h>
 #include <cyclamendrift/runtime/asio_timer_service.h>
+#include <cyclamendrift/session_proxy/metered_store.h>
 #include <cyclamendrift/session_proxy/session_control.h>
 
 #include <asio/awaitable.hpp>
@@ -63,6 +64,7 @@
         std::shared_ptr<State> self, std::string request);
 
     Options options;
+    MeteredStore store;
     AsioTimerService timers;
     bool stopped = false;
 
@@ -89,7 +91,7 @@
     EngineCounters counters;
     std::size_t callers = 0;
     std::size_t connections = 0;
-    std::map<std::string, std::uint64_t> storeCalls;
+    SiblingTraffic siblingTraffic;
 
 private:
     template <class Work> void spawn(Work work)
@@ -97,6 +99,8 @@
         asio::co_spawn(this->options.context, std::move(work), asio::detached);
     }
     [[nodiscard]] asio::awaitable<void> sleep(Duration duration);
+    /// What a key or prefix of the store is for, as the metrics name it.
+    [[nodiscard]] std::string_view purposeOf(std::string_view key) const;
 
     // control_configuration
     [[nodiscard]] asio::awaitable<bool> readConfiguration();
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -51,6 +51,8 @@
 
 SessionControl::State::State(Options given)
     : options(std::move(given))
+    , store({ .store = this->options.store,
+          .purposeOf = [this](std::string_view key) { return this->purposeOf(key); } })
     , timers(options.context.get_executor())
     , configurationSource("configuration", options.settings)
     , directorySource("directory", options.settings)
@@ -61,6 +63,21 @@
 {
 }
 
+std::string_view SessionControl::State::purposeOf(std::string_view key) const
+{
+    if (key.starts_with(store_key::recordPrefix))
+        return "leadership_record";
+    if (key.starts_with(store_key::dutyPrefix))
+        return "duty";
+    if (key.starts_with(store_key::leadershipPrefix))
+        return "leadership";
+    if (key.starts_with(store_key::vmPrefix))
+        return "vms";
+    if (key == store_key::siblingSecret)
+        return "secret";
+    return key == this->options.format.configurationKey() ? "configuration" : "directory";
+}
+
 asio::awaitable<void> SessionControl::State::sleep(Duration duration)
 {
     if (duration <= Duration {})
@@ -129,7 +146,7 @@
         if (one == LeaseId::None)
             continue;
         try {
-            co_await this->options.store.revokeLease(one);
+            co_await this->store.revokeLease(one);
         } catch (const StoreError& error) {
             logEvent(LogLevel::Warn, "lease_not_ended", { { "reason", error.what() } });
         }
@@ -197,8 +214,12 @@
     count("view_confirmations_total", "Times a replica confirmed who leads while the store was silent.",
         views.replicaConfirmations);
     count("views_ended_total", "Times a view of who leads ended before it was renewed.", views.viewsEnded);
-    for (const auto& [kind, calls] : own.storeCalls)
-        count("store_calls_total", "Calls for what the store holds, by kind.", calls, { { "kind", kind } });
+    for (const auto& [kind, calls] : own.store.counts())
+        count("store_calls_total", "Calls to the store, failed ones too, by what they do and for what.", calls,
+            { { "call", std::string { kind.first } }, { "purpose", std::string { kind.second } } });
+    for (const auto& [kind, bytes] : own.siblingTraffic)
+        count("sibling_bytes_total", "Bytes of questions to siblings and their answers, without frames.", bytes,
+            { { "call", kind.method }, { "availability_zone", kind.crossesZones ? "other" : "own" } });
     return registry.prometheusText();
 }
 
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -48,6 +48,7 @@
         , timers(options.context.get_executor())
         , exchange({ .context = options.context,
               .self = options.vm,
+              .zone = options.zone,
               .listenHost = options.siblingHost,
               .listenPort = options.siblingPort,
               .giveTokens
@@ -364,6 +365,7 @@
         take({ .evidence = engine.evidence(),
             .demand = engine.takeDemand(),
             .counters = engine.counters(),
+            .siblingTraffic = this->state->exchange.traffic(),
             .callers = engine.callers(),
             .connections = engine.connections() });
     });
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -59,6 +59,19 @@
         co_return answer.SerializeAsString();
     }
 
+    /// Asks a sibling and counts what went both ways.
+    [[nodiscard]] asio::awaitable<std::string> ask(SiblingAddress address, SiblingCall call)
+    {
+        const auto listed = this->siblings.find(address.vm);
+        const bool crosses
+            = listed == this->siblings.end() || listed->second.strength.zone != this->options.zone;
+        auto& bytes = this->traffic[{ .method = call.method, .crossesZones = crosses }];
+        bytes += call.body.size();
+        auto answer = co_await this->client->call(std::move(address), std::move(call));
+        bytes += answer.size();
+        co_return answer;
+    }
+
     [[nodiscard]] asio::awaitable<std::uint32_t> askOne(TeamName team, VmName vm, std::uint32_t wanted)
     {
         const auto sibling = this->siblings.find(vm);
@@ -72,7 +85,7 @@
             .deadline = std::chrono::steady_clock::now() + tokenTimeout };
         std::uint32_t given = 0;
         try {
-            const auto body = co_await this->client->call(sibling->second.address, std::move(call));
+            const auto body = co_await this->ask(sibling->second.address, std::move(call));
             wire::TokenAnswer answer;
             if (answer.ParseFromString(body))
                 given = answer.given();
@@ -92,7 +105,7 @@
         if (sibling == this->siblings.end() || !this->client)
             co_return HandFailure::NotTaken;
         try {
-            co_return co_await this->client->call(sibling->second.address, std::move(call));
+            co_return co_await this->ask(sibling->second.address, std::move(call));
         } catch (const RequestError& error) {
             co_return error.outcome() == Outcome::NotRun ? HandFailure::NotTaken : HandFailure::Lost;
         } catch (const SiblingError& error) {
@@ -134,6 +147,7 @@
 
     Options options;
     SiblingList siblings;
+    SiblingTraffic traffic;
     LimitHolders holders;
     DonorChoice donors;
     std::unique_ptr<SiblingClient> client;
@@ -192,6 +206,8 @@
     this->state->siblings = std::move(siblings);
 }
 
+const SiblingTraffic& SiblingExchange::traffic() const noexcept { return this->state->traffic; }
+
 void SiblingExchange::askForTokens(
     const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done)
 {
@@ -208,7 +224,7 @@
     SiblingCall call { .method = shareReadingsMethod,
         .body = std::move(request),
         .deadline = std::chrono::steady_clock::now() + readingsTimeout };
-    co_return co_await this->state->client->call(std::move(sibling), std::move(call));
+    co_return co_await this->state->ask(std::move(sibling), std::move(call));
 }
 
 void SiblingExchange::handOn(
