Let few VMs read the store for a large fleet, and lists travel only when they change

Change: siblings pass the list of upstreams and the configuration on too; SharedListing sends a listing's age while its entries are the same, and differences to earlier ones; listings that may lag are used where their revision shows that they lack nothing; a VM that starts finds siblings first and takes what they have; at a first start records are told before others are looked for; while most of those next to read say that the store does not answer them, the others call it seldom (StoreGate); one VM in 128 reads. VMs whose records vanish together stay listed for 3 s (VanishedVms): leases lapse in an outage, and lists on the way back moved homes and limits at each step.

--- a/include/cyclamendrift/membership/reader_choice.h
+++ b/include/cyclamendrift/membership/reader_choice.h
@@ -28,13 +28,27 @@
     /// True for the readers and those that come after them in the order, which would take their place.
     [[nodiscard]] bool isNextToRead(const VmName& vm) const;
 
-    /// This VM did not answer, or had read nothing lately; others take its place until then.
-    void passOver(const VmName& reader, Instant until);
+    /// The VM of that turn among the readers and those next to them; for a VM that is none of these.
+    [[nodiscard]] const VmName& nextToAsk(std::size_t turn) const;
+
+    /// This VM did not answer; others take its place until then.
+    void passOver(const VmName& reader, Instant until) { this->silent.add(reader, until); }
+    /// This VM answered that the store has not answered it lately; others take its place until then.
+    void passOverWithoutStore(const VmName& reader, Instant until) { this->withoutStore.add(reader, until); }
+    /// This VM has read the store.
+    void hasRead(const VmName& reader) { this->withoutStore.add(reader, Instant::min()); }
+
+    /// True when most of those that are next to read have answered that they are without the store: it is
+    /// more likely away for all than for these alone.
+    [[nodiscard]] bool storeSeemsAway(Instant now) const;
 
 private:
+    [[nodiscard]] std::size_t nextToRead() const noexcept;
+
     std::vector<VmName> order;
     std::size_t readers = 1;
-    PassedOver<VmName> passedOver;
+    PassedOver<VmName> silent;
+    PassedOver<VmName> withoutStore;
 };
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -28,11 +28,16 @@
     /// Entries of live upstreams lapse while the store is away and come back within two seconds of its
     /// return.
     Duration missingEntryKept = std::chrono::milliseconds { 2500 };
-    /// A configuration that nobody has confirmed for so long is read from the store again; operators are
-    /// promised three seconds.
-    Duration configurationUnconfirmed = std::chrono::milliseconds { 1400 };
-    /// Between two reads of the list of VMs; it bounds for how long two VMs may use the same part of a limit.
-    Duration vmListInterval = std::chrono::milliseconds { 1000 };
+    /// What nobody has confirmed for so long a VM reads from the store itself. Operators are promised that a
+    /// configuration is in force within three seconds; siblings confirm it after a watch and a question.
+    Duration configurationUnconfirmed = std::chrono::milliseconds { 1900 };
+    Duration directoryUnconfirmed = std::chrono::milliseconds { 2500 };
+    Duration vmsUnconfirmed = std::chrono::milliseconds { 2200 };
+    /// Between two reads of the list of VMs. With the age of the reading that proves a list, and a question
+    /// to the reader, it bounds for how long two VMs may use the same part of a limit.
+    Duration vmListInterval = std::chrono::milliseconds { 600 };
+    /// A reading of who leads proves other listings for so long.
+    Duration provenBy = std::chrono::milliseconds { 500 };
     /// Time to live of the lease under which duties are held, and the pause between renewals; two may fail
     /// before it lapses. It is how long a dead holder's duty stays taken.
     Duration leaseTime = std::chrono::milliseconds { 1800 };
@@ -52,11 +57,18 @@
     Duration longestBackoff = std::chrono::milliseconds { 800 };
     /// One VM for so many reads who leads from the store, and the others ask it: each call to the store is
     /// paid for, and its rates grow more slowly than the fleet.
-    std::size_t vmsPerReader = 48;
+    std::size_t vmsPerReader = 128;
     /// What a sibling read longer ago than this is no use.
     Duration readingsUsable = std::chrono::milliseconds { 550 };
     /// A reader that did not answer, or had nothing of use, is not asked again for so long.
     Duration readerPause = std::chrono::milliseconds { 1000 };
+    /// The same for a reader that answers but is itself without the store.
+    Duration withoutStorePause = std::chrono::milliseconds { 600 };
+    /// A VM that starts asks siblings for so long, this often, before it reads everything from the store.
+    Duration startPatience = std::chrono::milliseconds { 400 };
+    Duration startRetry = std::chrono::milliseconds { 25 };
+    /// VMs that start for the first time do so within some 300 ms.
+    Duration firstStartPause = std::chrono::milliseconds { 350 };
     /// Ticks of the coordinators.
     Duration tickInterval = std::chrono::milliseconds { 50 };
 };
--- a/src/membership/reader_choice.cpp
+++ b/src/membership/reader_choice.cpp
@@ -20,7 +20,7 @@
             break;
         if (vm == self)
             return std::nullopt;
-        if (!this->passedOver.contains(vm, now))
+        if (!this->silent.contains(vm, now) && !this->withoutStore.contains(vm, now))
             reading.push_back(vm);
     }
     if (reading.empty())
@@ -28,13 +28,28 @@
     return reading[rank % reading.size()];
 }
 
+std::size_t ReaderChoice::nextToRead() const noexcept
+{
+    return std::min(this->order.size(), 2 * this->readers + 1);
+}
+
 bool ReaderChoice::isNextToRead(const VmName& vm) const
 {
-    const auto first = std::min(this->order.size(), 2 * this->readers + 1);
-    const auto end = this->order.begin() + static_cast<std::ptrdiff_t>(first);
+    const auto end = this->order.begin() + static_cast<std::ptrdiff_t>(this->nextToRead());
     return std::find(this->order.begin(), end, vm) != end;
 }
 
-void ReaderChoice::passOver(const VmName& reader, Instant until) { this->passedOver.add(reader, until); }
+const VmName& ReaderChoice::nextToAsk(std::size_t turn) const
+{
+    return this->order.at(turn % this->nextToRead());
+}
+
+bool ReaderChoice::storeSeemsAway(Instant now) const
+{
+    const auto end = this->order.begin() + static_cast<std::ptrdiff_t>(this->nextToRead());
+    const auto without = std::count_if(this->order.begin(), end,
+        [this, now](const VmName& vm) { return this->withoutStore.contains(vm, now); });
+    return static_cast<std::size_t>(without) > this->readers;
+}
 
 } // namespace cyclamendrift
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -35,13 +35,33 @@
     }
 }
 
+asio::awaitable<SessionControl::State::ProvenListing> SessionControl::State::readProven(std::string prefix)
+{
+    // A listing that may lag costs a tenth. Its revision shows whether it lacks anything: who leads is read
+    // in full three times a second, and a listing of a later revision is as fresh as that reading.
+    const auto provenAt = this->leadership.confirmedAt();
+    const auto revision = this->leadership.current().revision;
+    if (bootNow() < provenAt + this->options.settings.provenBy) {
+        auto listing = co_await this->store.listing(prefix, ReadFreshness::MayLag);
+        this->storeGate.answered(bootNow());
+        if (listing.revision >= revision)
+            co_return ProvenListing { .listing = std::move(listing), .provenAt = provenAt };
+        logEvent(LogLevel::Info, "listing_lags",
+            { { "prefix", prefix }, { "revision", std::to_string(listing.revision) },
+                { "expected", std::to_string(revision) } });
+    }
+    const auto askedAt = bootNow();
+    auto listing = co_await this->store.listing(std::move(prefix), ReadFreshness::Linearizable);
+    this->storeGate.answered(bootNow());
+    co_return ProvenListing { .listing = std::move(listing), .provenAt = askedAt };
+}
+
 asio::awaitable<bool> SessionControl::State::readConfiguration()
 {
     const auto key = this->options.format.configurationKey();
-    const auto askedAt = bootNow();
     try {
-        const auto listing = co_await this->store.listing(key, ReadFreshness::Linearizable);
-        this->configurationConfirmedAt = askedAt;
+        const auto [listing, provenAt] = co_await this->readProven(key);
+        this->configurationConfirmedAt = std::max(this->configurationConfirmedAt, provenAt);
         this->configurationSource.succeeded();
         const auto entry = std::find_if(listing.entries.begin(), listing.entries.end(),
             [&key](const StoreEntry& candidate) { return candidate.key == key; });
@@ -49,7 +69,6 @@
         if (found)
             this->takeConfiguration(entry->value, entry->revision);
         this->configurationReadAt = listing.revision;
-        this->configurationWanted = false;
         co_return found;
     } catch (const StoreError& error) {
         static_cast<void>(this->configurationSource.failed(error.what()));
@@ -86,7 +105,7 @@
         // here.
         const bool unconfirmed
             = bootNow() >= self->configurationConfirmedAt + settings.configurationUnconfirmed;
-        if (self->isReader() || self->configurationWanted || unconfirmed)
+        if (self->isReader() || (unconfirmed && self->mayCallStore()))
             current = co_await self->readConfiguration();
         if (current && self->isReader()) {
             co_await self->watchConfiguration();
@@ -101,35 +120,51 @@
 
 asio::awaitable<void> SessionControl::State::followDirectory(std::shared_ptr<State> self)
 {
+    const auto& settings = self->options.settings;
     while (!self->stopped) {
-        auto pause = self->options.settings.directoryInterval;
-        try {
-            // The first reading must not miss anything; later ones may lag, as an upstream announces its end
-            // early.
-            const auto freshness = self->directoryRead ? ReadFreshness::MayLag : ReadFreshness::Linearizable;
-            const auto askedAt = bootNow();
-            const auto listing
-                = co_await self->store.listing(self->options.format.upstreamPrefix(), freshness);
-            self->directorySource.succeeded();
-            self->directoryConfirmedAt = askedAt;
-            self->takeDirectory(listing);
-        } catch (const StoreError& error) {
-            pause = self->directorySource.failed(error.what());
+        auto pause = settings.directoryInterval;
+        const bool unconfirmed
+            = bootNow() >= self->directoryListing.confirmedAt() + settings.directoryUnconfirmed;
+        if (self->isReader() || (unconfirmed && self->mayCallStore())) {
+            if (const auto failed = co_await self->readDirectory())
+                pause = *failed;
+        } else if (!self->missingSince.empty()) {
+            // An entry that stays away is dropped after its time, whether or not anything else changes.
+            self->takeDirectory();
         }
         co_await self->sleep(pause);
     }
 }
 
-void SessionControl::State::takeDirectory(const StoreListing& listing)
+asio::awaitable<std::optional<Duration>> SessionControl::State::readDirectory()
+{
+    const auto prefix = this->options.format.upstreamPrefix();
+    try {
+        // The first reading must not miss anything; later ones may lag, as an upstream announces its end
+        // early.
+        const auto askedAt = bootNow();
+        if (!this->directoryRead) {
+            auto [listing, provenAt] = co_await this->readProven(prefix);
+            static_cast<void>(this->directoryListing.takeReading(std::move(listing), provenAt));
+        } else {
+            auto listing = co_await this->store.listing(prefix, ReadFreshness::MayLag);
+            this->storeGate.answered(bootNow());
+            static_cast<void>(this->directoryListing.takeReading(std::move(listing), askedAt));
+        }
+        this->directorySource.succeeded();
+        this->takeDirectory();
+        co_return std::nullopt;
+    } catch (const StoreError& error) {
+        co_return this->directorySource.failed(error.what());
+    }
+}
+
+void SessionControl::State::takeDirectory()
 {
-    // A listing that may lag can be older than the one before.
-    if (this->directoryRead && listing.revision < this->directoryListing.revision)
-        return;
-    this->directoryListing = listing;
     const auto now = bootNow();
     UpstreamDirectory next;
     std::set<UpstreamName> present;
-    for (const auto& entry : listing.entries) {
+    for (const auto& entry : this->directoryListing.current().entries) {
         try {
             auto upstream = this->options.format.readUpstream(entry.key, entry.value);
             present.insert(upstream.name);
@@ -174,7 +209,7 @@
     }
     logEvent(LogLevel::Info, "directory_taken",
         { { "upstreams", std::to_string(this->directory.size()) }, { "leaving", leaving },
-            { "revision", std::to_string(this->directoryListing.revision) } });
+            { "revision", std::to_string(this->directoryListing.current().revision) } });
     for (const auto& [service, members] : groups) {
         if (!this->coordinators.contains(service)) {
             this->coordinators.emplace(
@@ -184,6 +219,9 @@
     for (auto& [service, coordinator] : this->coordinators)
         coordinator.onDirectory(groups[service], bootNow());
     this->options.traffic.setDirectory(this->directory);
+    // A new group's leader may have been read already.
+    if (this->leadership.confirmedAt() != Instant::min())
+        this->takeLeadership(this->leadershipReadFrom);
 }
 
 } // namespace cyclamendrift
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -25,12 +25,11 @@
 {
     const auto askedAt = bootNow();
     try {
-        auto listing
-            = co_await this->store.listing(store_key::leadershipPrefix, ReadFreshness::Linearizable);
+        auto listing = co_await this->store.listing(store_key::leadershipPrefix, ReadFreshness::Linearizable);
+        this->storeGate.answered(bootNow());
         this->leadershipSource.succeeded();
-        this->leadershipListing = std::move(listing);
-        this->leadershipAskedAt = askedAt;
-        this->takeLeadership(this->leadershipListing, askedAt, ViewSource::Store);
+        static_cast<void>(this->leadership.takeReading(std::move(listing), askedAt));
+        this->takeLeadership(ViewSource::Store);
         co_return std::nullopt;
     } catch (const StoreError& error) {
         co_return this->leadershipSource.failed(error.what());
@@ -43,8 +42,8 @@
     Instant storeAgainAt = Instant::min();
     while (!self->stopped) {
         const auto askedAt = bootNow();
-        const bool told = co_await self->askReaders();
-        if (!told && askedAt >= storeAgainAt) {
+        const bool told = co_await self->askReaders(settings.readerPause);
+        if (!told && askedAt >= storeAgainAt && self->mayCallStore()) {
             if (const auto failed = co_await self->readLeadership())
                 storeAgainAt = askedAt + *failed;
         }
@@ -60,14 +59,16 @@
     }
 }
 
-void SessionControl::State::takeLeadership(const StoreListing& listing, Instant askedAt, ViewSource source)
+void SessionControl::State::takeLeadership(ViewSource source)
 {
+    this->leadershipReadFrom = source;
+    const auto askedAt = this->leadership.confirmedAt();
     std::map<ServiceName, LeadershipSnapshot> snapshots;
     for (auto& [service, coordinator] : this->coordinators) {
         snapshots[service].askedAt = askedAt;
         snapshots[service].source = source;
     }
-    for (const auto& entry : listing.entries) {
+    for (const auto& entry : this->leadership.current().entries) {
         const std::string_view key { entry.key };
         if (key.starts_with(store_key::recordPrefix)) {
             const ServiceName service { entry.key.substr(
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
+#include <utility>
 
 namespace cyclamendrift {
 
@@ -26,6 +28,27 @@
 
 } // namespace
 
+SiblingList siblingsFrom(const StoreListing& listing)
+{
+    SiblingList next;
+    for (const auto& entry : listing.entries) {
+        wire::VmRecord record;
+        if (!record.ParseFromString(entry.value) || record.name().empty()) {
+            logEvent(LogLevel::Error, "vm_record_unreadable", { { "key", entry.key } });
+            continue;
+        }
+        const VmName vm { record.name() };
+        auto& sibling = next[vm];
+        sibling.address = {
+            .vm = vm, .host = record.sibling_host(), .port = static_cast<std::uint16_t>(record.sibling_port())
+        };
+        sibling.strength = { .zone = ZoneName { record.availability_zone() }, .cores = record.cores() };
+        for (const auto& team : record.demand())
+            sibling.demand[TeamName { team.team() }] = team.operations_per_second();
+    }
+    return next;
+}
+
 asio::awaitable<void> SessionControl::State::keepLease(std::shared_ptr<State> self)
 {
     const auto& settings = self->options.settings;
@@ -108,7 +131,7 @@
 asio::awaitable<void> SessionControl::State::tellOwnRecord()
 {
     // The list is read first: it may hold what an earlier process of this VM had measured.
-    if (this->vmListing.revision == 0)
+    if (this->vms.confirmedAt() == Instant::min() && !this->firstOfFleet)
         co_return;
     // In a large fleet demand decides nothing, and 70 VMs that tell theirs would be most of what the store
     // and siblings carry.
@@ -166,8 +189,13 @@
     }
     if (!entry)
         co_return;
-    this->siblingsOpen = true;
-    this->options.traffic.openSiblings(entry->value);
+    this->openSiblings(entry->value);
+}
+
+void SessionControl::State::openSiblings(const std::string& secret)
+{
+    if (!std::exchange(this->siblingsOpen, true))
+        this->options.traffic.openSiblings(secret);
 }
 
 asio::awaitable<void> SessionControl::State::followVms(std::shared_ptr<State> self)
@@ -175,51 +203,50 @@
     const auto& settings = self->options.settings;
     while (!self->stopped) {
         auto pause = settings.vmListInterval;
-        const bool told = !self->isReader() && bootNow() < self->vmsConfirmedAt + 2 * settings.vmListInterval;
-        try {
-            if (!told) {
-                const auto askedAt = bootNow();
-                const auto listing
-                    = co_await self->store.listing(store_key::vmPrefix, ReadFreshness::Linearizable);
+        const bool told = !self->isReader() && bootNow() < self->vms.confirmedAt() + settings.vmsUnconfirmed;
+        if (!told && self->mayCallStore()) {
+            try {
+                auto [listing, provenAt] = co_await self->readProven(store_key::vmPrefix);
                 self->vmSource.succeeded();
-                self->vmsConfirmedAt = askedAt;
-                self->takeVms(listing);
+                if (self->vms.takeReading(std::move(listing), provenAt) == SharedListing::Change::Entries)
+                    self->takeVms();
+            } catch (const StoreError& error) {
+                pause = std::max(pause, self->vmSource.failed(error.what()));
             }
-        } catch (const StoreError& error) {
-            pause = std::max(pause, self->vmSource.failed(error.what()));
         }
+        if (self->vanished.arePending())
+            self->takeVms();
+        // Parts that are to grow do so some time after the list that they follow from.
+        self->divideLimits();
+        // A reader whose place this VM took may be back.
+        if (!self->isReader())
+            self->configurationWatch.emit(asio::cancellation_type::all);
         co_await self->sleep(pause);
     }
 }
 
-void SessionControl::State::takeVms(const StoreListing& listing)
+void SessionControl::State::keepVanished(SiblingList& next)
 {
-    if (listing.revision < this->vmListing.revision)
-        return;
-    this->vmListing = listing;
-    SiblingList next;
-    for (const auto& entry : listing.entries) {
-        wire::VmRecord record;
-        if (!record.ParseFromString(entry.value) || record.name().empty()) {
-            logEvent(LogLevel::Error, "vm_record_unreadable", { { "key", entry.key } });
-            continue;
-        }
-        const VmName vm { record.name() };
-        auto& sibling = next[vm];
-        sibling.address = {
-            .vm = vm, .host = record.sibling_host(), .port = static_cast<std::uint16_t>(record.sibling_port())
-        };
-        sibling.strength = { .zone = ZoneName { record.availability_zone() }, .cores = record.cores() };
-        for (const auto& team : record.demand())
-            sibling.demand[TeamName { team.team() }] = team.operations_per_second();
-    }
+    std::vector<VmName> known;
+    std::set<VmName> listed;
+    for (const auto& [vm, sibling] : this->siblings)
+        known.push_back(vm);
+    for (const auto& [vm, sibling] : next)
+        listed.insert(vm);
+    for (const auto& vm : this->vanished.keep(known, listed, bootNow()))
+        next.emplace(vm, this->siblings.at(vm));
+}
+
+void SessionControl::State::takeVms()
+{
+    auto next = siblingsFrom(this->vms.current());
+    this->keepVanished(next);
     if (next.size() != this->siblings.size())
         logEvent(LogLevel::Info, "vms_changed", { { "vms", std::to_string(next.size()) } });
     this->siblings = std::move(next);
     const auto strengths = strengthsOf(this->siblings);
     this->holders = LimitHolders { strengths };
-    const auto readers = 1 + strengths.size() / this->options.settings.vmsPerReader;
-    this->readerChoice.setOrder(strongestFirst(strengths), readers);
+    this->chooseReaders(strengths);
     const auto own = this->siblings.find(this->options.vm);
     const bool listed = own != this->siblings.end();
     if (listed && this->toldUnder == LeaseId::None)
@@ -232,11 +259,16 @@
         : nullptr;
     this->options.traffic.setPlace(this->place);
     this->options.traffic.setSiblings(this->siblings);
-    if (!this->isReader())
-        this->configurationWatch.emit(asio::cancellation_type::all);
     this->divideLimits();
 }
 
+void SessionControl::State::chooseReaders(const std::map<VmName, VmStrength>& strengths)
+{
+    const auto readers = 1 + strengths.size() / this->options.settings.vmsPerReader;
+    this->readerChoice.setOrder(strongestFirst(strengths), readers);
+    this->storeGate.setFleet(strengths.size());
+}
+
 void SessionControl::State::divideLimits()
 {
     if (!this->routes)
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -1,6 +1,7 @@
 #include "control_state.h"
 
 #include <cyclamendrift/core/request_error.h>
+#include <cyclamendrift/platform/store_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/schema/duration_codec.h>
 #include <cyclamendrift/telemetry/event_log.h>
@@ -8,143 +9,172 @@
 #include <sharing.pb.h>
 
 #include <algorithm>
-#include <cstddef>
+#include <iterator>
 
 namespace cyclamendrift {
 
 namespace {
 
-std::uint64_t microsecondsSince(Instant instant)
-{
-    // What was never read is older than anything that is of use.
-    constexpr Duration never = std::chrono::hours { 1 };
-    return wireMicroseconds(instant == Instant::min() ? never : bootNow() - instant);
-}
+// Questions to siblings that do not answer, in one round. A second one still leaves time to read the store
+// before this VM's views of primaries end.
+constexpr int silentReadersAsked = 2;
 
-Duration ageOf(const wire::StoredListing& message) { return durationFrom(message.age_us()); }
+} // namespace
 
-void write(const StoreEntry& entry, wire::StoredEntry& message)
+std::optional<VmName> SessionControl::State::readerToAsk() const
 {
-    message.set_key(entry.key);
-    message.set_value(entry.value);
-    message.set_revision(entry.revision);
+    if (!this->siblingsOpen)
+        return std::nullopt;
+    return this->readerChoice.readerFor(this->options.vm, this->place.rank, bootNow());
 }
 
-void writeRevision(std::uint64_t revision, Instant confirmedAt, wire::StoredListing& message)
-{
-    message.set_age_us(microsecondsSince(confirmedAt));
-    message.set_revision(revision);
-}
+bool SessionControl::State::isReader() const { return !this->readerToAsk(); }
 
-/// Writes a listing; its entries only when they are wanted.
-void write(const StoreListing& listing, Instant confirmedAt, bool withEntries, wire::StoredListing& message)
+asio::awaitable<bool> SessionControl::State::findSiblings()
 {
-    writeRevision(listing.revision, confirmedAt, message);
-    if (!withEntries)
-        return;
-    for (const auto& entry : listing.entries)
-        write(entry, *message.add_entries());
+    // What lags here costs a question to a VM that is gone, and nothing else: what this VM works with comes
+    // from siblings or from the store in full.
+    StoreListing secret;
+    StoreListing listed;
+    try {
+        secret = co_await this->store.listing(store_key::siblingSecret, ReadFreshness::MayLag);
+        listed = co_await this->store.listing(store_key::vmPrefix, ReadFreshness::MayLag);
+        this->storeGate.answered(bootNow());
+    } catch (const StoreError& error) {
+        logEvent(LogLevel::Warn, "siblings_not_found", { { "reason", error.what() } });
+    }
+    if (secret.entries.empty() || listed.entries.empty())
+        co_return false;
+    this->siblings = siblingsFrom(listed);
+    this->place.rank = static_cast<std::size_t>(
+        std::distance(this->siblings.begin(), this->siblings.lower_bound(this->options.vm)));
+    this->chooseReaders(strengthsOf(this->siblings));
+    this->openSiblings(secret.entries.front().value);
+    co_return true;
 }
 
-StoreListing listingFrom(const wire::StoredListing& message)
+asio::awaitable<void> SessionControl::State::begin(std::shared_ptr<State> self)
 {
-    StoreListing listing;
-    listing.revision = message.revision();
-    for (const auto& entry : message.entries())
-        listing.entries.push_back(
-            { .key = entry.key(), .value = entry.value(), .revision = entry.revision() });
-    return listing;
+    const auto& settings = self->options.settings;
+    const bool found = co_await self->findSiblings();
+    self->spawn(keepRecord(self));
+    // When all VMs start for the first time, each tells its record before it looks for the others.
+    if (!found) {
+        self->firstOfFleet = true;
+        co_await self->sleep(settings.firstStartPause);
+        static_cast<void>(co_await self->findSiblings());
+    }
+    const auto patientUntil = bootNow() + settings.startPatience;
+    while (!self->stopped && !self->isReader() && bootNow() < patientUntil) {
+        if (co_await self->askReaders(settings.startRetry))
+            break;
+        co_await self->sleep(settings.startRetry);
+    }
+    self->begun = true;
+    self->spawn(followLeadership(self));
+    self->spawn(followConfiguration(self));
+    self->spawn(followDirectory(self));
+    self->spawn(keepLease(self));
+    self->spawn(followVms(self));
 }
 
-} // namespace
-
-std::optional<VmName> SessionControl::State::readerToAsk() const
+bool SessionControl::State::mayCallStore()
 {
-    if (!this->siblingsOpen)
-        return std::nullopt;
-    return this->readerChoice.readerFor(this->options.vm, this->place.rank, bootNow());
+    const auto now = bootNow();
+    return !this->siblingsOpen || this->readerChoice.isNextToRead(this->options.vm)
+        || !this->readerChoice.storeSeemsAway(now) || this->storeGate.mayTry(now);
 }
 
-bool SessionControl::State::isReader() const { return !this->readerToAsk(); }
-
-asio::awaitable<bool> SessionControl::State::askReaders()
+asio::awaitable<bool> SessionControl::State::askReaders(Duration pause)
 {
-    // A second question still leaves time to read the store before this VM's views of primaries end.
-    constexpr int readersTried = 2;
-    for (int tried = 0; tried < readersTried; ++tried) {
-        const auto reader = this->readerToAsk();
+    const auto& settings = this->options.settings;
+    // While the store is away, what replicas vouch for still has to come from somebody.
+    bool away = this->readerChoice.storeSeemsAway(bootNow());
+    for (int silent = 0; silent < silentReadersAsked;) {
+        // This VM's own readings must not grow older than those that siblings can use.
+        auto reader = this->readerToAsk();
         if (!reader)
-            break;
+            co_return false;
+        if (away)
+            reader = this->readerChoice.nextToAsk(this->place.rank + this->readerTurn++);
         const auto address = this->siblings.at(*reader).address;
-        if (co_await this->askReader(address))
+        const auto answer = co_await this->askReader(address);
+        const auto now = bootNow();
+        if (answer == ReaderAnswer::Fresh) {
+            this->readerChoice.hasRead(*reader);
             co_return true;
-        this->readerChoice.passOver(*reader, bootNow() + this->options.settings.readerPause);
+        }
+        if (answer == ReaderAnswer::WithoutStore) {
+            this->readerChoice.passOverWithoutStore(*reader, now + settings.withoutStorePause);
+        } else {
+            this->readerChoice.passOver(*reader, now + pause);
+            ++silent;
+        }
+        if (away || this->readerChoice.storeSeemsAway(now))
+            break;
     }
-    co_return false;
+    // Readers that are without the store pass on what replicas vouch for.
+    co_return this->viewsAreFresh(settings.readingsUsable);
 }
 
-asio::awaitable<bool> SessionControl::State::askReader(SiblingAddress address)
+asio::awaitable<SessionControl::State::ReaderAnswer> SessionControl::State::askReader(SiblingAddress address)
 {
     wire::ReadingsRequest request;
     request.set_configuration_revision(this->configurationRevision);
-    request.set_vms_revision(this->vmListing.revision);
-    request.set_directory_revision(this->directoryListing.revision);
-    request.set_wants_configuration(this->configurationSource.isLost());
-    request.set_wants_directory(this->directorySource.isLost());
+    this->leadership.writeKnown(*request.mutable_leadership());
+    this->vms.writeKnown(*request.mutable_vms());
+    this->directoryListing.writeKnown(*request.mutable_directory());
     const auto askedAt = bootNow();
     wire::ReadingsAnswer answer;
     try {
         const auto body = co_await this->options.traffic.askForReadings(address, request.SerializeAsString());
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
+        this->takeReadings(answer, askedAt);
     } catch (const Error& error) {
-        logEvent(LogLevel::Info, "reader_not_reached",
+        // While all VMs start, readers may not be there yet.
+        logEvent(this->begun ? LogLevel::Info : LogLevel::Debug, "reader_not_reached",
             { { "vm", address.vm.string() }, { "reason", error.what() } });
-        co_return false;
+        co_return ReaderAnswer::None;
     }
-    this->takeReadings(answer, askedAt);
     const auto usable = this->options.settings.readingsUsable;
-    co_return ageOf(answer.leadership()) < usable || this->viewsAreFresh(usable);
+    if (durationFrom(answer.leadership().age_us()) < usable)
+        co_return ReaderAnswer::Fresh;
+    co_return durationFrom(answer.store_age_us()) < usable ? ReaderAnswer::None : ReaderAnswer::WithoutStore;
 }
 
 bool SessionControl::State::viewsAreFresh(Duration usable) const
 {
     const auto now = bootNow();
-    return std::all_of(this->coordinators.begin(), this->coordinators.end(), [now, usable](const auto& item) {
-        const auto vouchedAt = item.second.vouchedAt(now);
-        return vouchedAt && now - *vouchedAt < usable;
-    });
+    return !this->coordinators.empty()
+        && std::all_of(this->coordinators.begin(), this->coordinators.end(), [now, usable](const auto& item) {
+               const auto vouchedAt = item.second.vouchedAt(now);
+               return vouchedAt && now - *vouchedAt < usable;
+           });
 }
 
 void SessionControl::State::takeReadings(const wire::ReadingsAnswer& answer, Instant askedAt)
 {
-    // The sibling reckoned each age after this VM had asked, so nothing is older than these instants say.
-    const auto leadershipAt = askedAt - ageOf(answer.leadership());
-    if (leadershipAt > this->leadershipAskedAt) {
-        this->leadershipListing = listingFrom(answer.leadership());
-        this->leadershipAskedAt = leadershipAt;
-        this->takeLeadership(this->leadershipListing, leadershipAt, ViewSource::Sibling);
-    }
+    // Upstreams come first, as who leads is kept for each of their groups.
+    if (this->directoryListing.takeAnswer(answer.directory(), askedAt) != SharedListing::Change::None)
+        this->takeDirectory();
+    const auto confirmedBefore = this->leadership.confirmedAt();
+    const auto change = this->leadership.takeAnswer(answer.leadership(), askedAt);
+    if (change == SharedListing::Change::Entries || this->leadership.confirmedAt() > confirmedBefore)
+        this->takeLeadership(ViewSource::Sibling);
     for (const auto& view : answer.views()) {
         const auto coordinator = this->coordinators.find(ServiceName { view.service() });
         if (coordinator != this->coordinators.end())
             coordinator->second.onSiblingView(view.record_revision(), askedAt - durationFrom(view.age_us()));
     }
-    const auto& vms = answer.vms();
-    if (vms.entries_size() > 0 && vms.revision() > this->vmListing.revision)
-        this->takeVms(listingFrom(vms));
-    if (vms.revision() == this->vmListing.revision)
-        this->vmsConfirmedAt = std::max(this->vmsConfirmedAt, askedAt - ageOf(vms));
+    if (this->vms.takeAnswer(answer.vms(), askedAt) == SharedListing::Change::Entries)
+        this->takeVms();
     const auto& configuration = answer.configuration();
     if (configuration.entries_size() > 0)
         this->takeConfiguration(configuration.entries(0).value(), configuration.revision());
     if (configuration.revision() == this->configurationRevision)
         this->configurationConfirmedAt
-            = std::max(this->configurationConfirmedAt, askedAt - ageOf(configuration));
-    this->configurationWanted = configuration.revision() > this->configurationRevision;
-    const auto& directory = answer.directory();
-    if (directory.entries_size() > 0 && directory.revision() > this->directoryListing.revision)
-        this->takeDirectory(listingFrom(directory));
+            = std::max(this->configurationConfirmedAt, askedAt - durationFrom(configuration.age_us()));
 }
 
 void SessionControl::State::writeViews(wire::ReadingsAnswer& answer) const
@@ -152,12 +182,12 @@
     const auto now = bootNow();
     for (const auto& [service, coordinator] : this->coordinators) {
         const auto vouchedAt = coordinator.vouchedAt(now);
-        if (!vouchedAt || *vouchedAt <= this->leadershipAskedAt)
+        if (!vouchedAt || *vouchedAt <= this->leadership.confirmedAt())
             continue;
         auto& view = *answer.add_views();
         view.set_service(service.string());
         view.set_record_revision(coordinator.recordRevision());
-        view.set_age_us(microsecondsSince(*vouchedAt));
+        view.set_age_us(wireAge(*vouchedAt, now));
     }
 }
 
@@ -165,25 +195,24 @@
     std::shared_ptr<State> self, std::string body)
 {
     wire::ReadingsRequest request;
-    if (!request.ParseFromString(body) || self->leadershipAskedAt == Instant::min()) {
+    if (!request.ParseFromString(body) || self->leadership.confirmedAt() == Instant::min()) {
         throw notRun(RefusalReason::StoreUnavailable, "nothing was read here yet");
     }
+    const auto now = bootNow();
     wire::ReadingsAnswer answer;
-    write(self->leadershipListing, self->leadershipAskedAt, true, *answer.mutable_leadership());
+    answer.set_store_age_us(wireAge(self->storeGate.lastAnswer(), now));
+    self->leadership.writeAnswer(request.leadership(), now, *answer.mutable_leadership());
+    self->vms.writeAnswer(request.vms(), now, *answer.mutable_vms());
+    self->directoryListing.writeAnswer(request.directory(), now, *answer.mutable_directory());
     self->writeViews(answer);
     auto& configuration = *answer.mutable_configuration();
-    writeRevision(self->configurationRevision, self->configurationConfirmedAt, configuration);
-    const bool newer = self->configurationRevision > request.configuration_revision();
-    if (newer && request.wants_configuration()) {
+    configuration.set_age_us(wireAge(self->configurationConfirmedAt, now));
+    configuration.set_revision(self->configurationRevision);
+    if (self->configurationRevision > request.configuration_revision()) {
         auto& document = *configuration.add_entries();
         document.set_value(self->configurationValue);
         document.set_revision(self->configurationRevision);
     }
-    write(self->vmListing, self->vmsConfirmedAt, self->vmListing.revision > request.vms_revision(),
-        *answer.mutable_vms());
-    const bool newerDirectory = self->directoryListing.revision > request.directory_revision();
-    write(self->directoryListing, self->directoryConfirmedAt, newerDirectory && request.wants_directory(),
-        *answer.mutable_directory());
     co_return answer.SerializeAsString();
 }
 
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <cyclamendrift/membership/reader_choice.h>
+#include <cyclamendrift/membership/store_gate.h>
+#include <cyclamendrift/membership/vanished_vms.h>
 #include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/session_proxy/metered_store.h>
 #include <cyclamendrift/session_proxy/session_control.h>
+#include <cyclamendrift/session_proxy/shared_listing.h>
 
 #include <asio/awaitable.hpp>
 #include <asio/cancellation_signal.hpp>
@@ -33,6 +36,9 @@
 inline constexpr auto siblingSecret = "cyclamendrift/sibling-secret";
 } // namespace store_key
 
+/// The VMs that the records in a listing describe; one that cannot be read is logged and left out.
+[[nodiscard]] SiblingList siblingsFrom(const StoreListing& listing);
+
 /// One dependency and how calls to it fare; logs when it is lost and when it is back.
 class Dependency {
 public:
@@ -88,6 +94,8 @@
     LimitHolders holders;
     /// The VMs in the order in which they are to read the store for the others.
     ReaderChoice readerChoice;
+    StoreGate storeGate;
+    VanishedVms vanished;
     EngineCounters counters;
     std::size_t callers = 0;
     std::size_t connections = 0;
@@ -103,21 +111,45 @@
     [[nodiscard]] std::string_view purposeOf(std::string_view key) const;
 
     // control_configuration
+    struct ProvenListing {
+        StoreListing listing;
+        /// The entries hold everything that was acknowledged before.
+        Instant provenAt;
+    };
+    /// Reads a prefix at the lower price where the answer shows that it lacks nothing, and in full otherwise.
+    [[nodiscard]] asio::awaitable<ProvenListing> readProven(std::string prefix);
     [[nodiscard]] asio::awaitable<bool> readConfiguration();
     [[nodiscard]] asio::awaitable<void> watchConfiguration();
     [[nodiscard]] static asio::awaitable<void> followConfiguration(std::shared_ptr<State> self);
     [[nodiscard]] static asio::awaitable<void> followDirectory(std::shared_ptr<State> self);
     void takeConfiguration(const std::string& value, std::uint64_t revision);
-    void takeDirectory(const StoreListing& listing);
+    /// Returns how long to wait before the next try, when it failed.
+    [[nodiscard]] asio::awaitable<std::optional<Duration>> readDirectory();
+    void takeDirectory();
     void handOnDirectory();
 
     // control_readings
     [[nodiscard]] bool isReader() const;
     /// The VM that reads the store for this one; empty when this one reads it itself.
     [[nodiscard]] std::optional<VmName> readerToAsk() const;
-    /// Asks VMs that read the store what they have; false when none of them had read it lately.
-    [[nodiscard]] asio::awaitable<bool> askReaders();
-    [[nodiscard]] asio::awaitable<bool> askReader(SiblingAddress address);
+    enum class ReaderAnswer : std::uint8_t {
+        /// The reader has read the store lately.
+        Fresh,
+        /// The store has not answered the reader lately.
+        WithoutStore,
+        None,
+    };
+    /// Finds siblings in the store and takes what they have read, so that a VM which starts needs few calls;
+    /// then keeps it up.
+    [[nodiscard]] static asio::awaitable<void> begin(std::shared_ptr<State> self);
+    /// Looks for siblings in the store; false when it names none.
+    [[nodiscard]] asio::awaitable<bool> findSiblings();
+    /// False when siblings say that the store is away and it is not this VM's turn to try.
+    [[nodiscard]] bool mayCallStore();
+    /// Asks VMs that read the store what they have; false when none of them had read it lately. One that does
+    /// not answer is passed over for `pause`.
+    [[nodiscard]] asio::awaitable<bool> askReaders(Duration pause);
+    [[nodiscard]] asio::awaitable<ReaderAnswer> askReader(SiblingAddress address);
     void takeReadings(const wire::ReadingsAnswer& answer, Instant askedAt);
     /// True when every group has a view that was vouched for less than `usable` ago.
     [[nodiscard]] bool viewsAreFresh(Duration usable) const;
@@ -128,7 +160,7 @@
     /// Returns how long to wait before the next try, when it failed.
     [[nodiscard]] asio::awaitable<std::optional<Duration>> readLeadership();
     [[nodiscard]] static asio::awaitable<void> followLeadership(std::shared_ptr<State> self);
-    void takeLeadership(const StoreListing& listing, Instant askedAt, ViewSource source);
+    void takeLeadership(ViewSource source);
     void tick();
     void perform(const ServiceName& service, const LeadershipAction& action);
     [[nodiscard]] static asio::awaitable<void> order(
@@ -150,7 +182,11 @@
     [[nodiscard]] static asio::awaitable<void> followVms(std::shared_ptr<State> self);
     [[nodiscard]] asio::awaitable<void> tellOwnRecord();
     [[nodiscard]] asio::awaitable<void> learnSecret();
-    void takeVms(const StoreListing& listing);
+    void openSiblings(const std::string& secret);
+    void takeVms();
+    /// Puts VMs back whose records have lapsed with many others.
+    void keepVanished(SiblingList& next);
+    void chooseReaders(const std::map<VmName, VmStrength>& strengths);
     void divideLimits();
 
     std::unique_ptr<TimerService::Subscription> ticks;
@@ -169,21 +205,22 @@
     Dependency recordSource;
     bool siblingsOpen = false;
     /// What was read from the store, here or by a sibling, for siblings that ask.
-    StoreListing leadershipListing;
-    Instant leadershipAskedAt = Instant::min();
-    StoreListing vmListing;
-    StoreListing directoryListing;
+    SharedListing leadership;
+    ViewSource leadershipReadFrom = ViewSource::Store;
+    SharedListing vms;
+    SharedListing directoryListing;
     std::string configurationValue;
-    /// When these were known to be current.
-    Instant vmsConfirmedAt = Instant::min();
     Instant configurationConfirmedAt = Instant::min();
-    Instant directoryConfirmedAt = Instant::min();
-    /// A sibling has a newer configuration than this VM.
-    bool configurationWanted = false;
     /// Ends the watch of the configuration.
     asio::cancellation_signal configurationWatch;
     std::uint64_t ownRecordRevision = 0;
     LeaseId toldUnder = LeaseId::None;
+    /// What is known is kept up; before that it is gathered from siblings.
+    bool begun = false;
+    /// No sibling had told its record when this VM started.
+    bool firstOfFleet = false;
+    /// Counts questions to siblings while the store is away.
+    std::size_t readerTurn = 0;
     std::function<void()> whenReady;
     Instant startedAt = Instant::min();
 };
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -92,12 +92,7 @@
     const auto self = this->shared_from_this();
     this->whenReady = std::move(ready);
     this->startedAt = bootNow();
-    this->spawn(followConfiguration(self));
-    this->spawn(followDirectory(self));
-    this->spawn(followLeadership(self));
-    this->spawn(keepLease(self));
-    this->spawn(keepRecord(self));
-    this->spawn(followVms(self));
+    this->spawn(begin(self));
     const std::weak_ptr<State> weak = self;
     this->ticks = this->timers.every(this->options.settings.tickInterval, [weak](Instant) {
         if (const auto alive = weak.lock())
@@ -215,11 +210,11 @@
         views.replicaConfirmations);
     count("views_ended_total", "Times a view of who leads ended before it was renewed.", views.viewsEnded);
     for (const auto& [kind, calls] : own.store.counts())
-        count("store_calls_total", "Calls to the store, failed ones too, by what they do and for what.", calls,
-            { { "call", std::string { kind.first } }, { "purpose", std::string { kind.second } } });
+        count("store_calls_total", "Calls to the store, failed ones too, by what they do and for what.",
+            calls, { { "call", std::string { kind.first } }, { "purpose", std::string { kind.second } } });
     for (const auto& [kind, bytes] : own.siblingTraffic)
-        count("sibling_bytes_total", "Bytes of questions to siblings and their answers, without frames.", bytes,
-            { { "call", kind.method }, { "availability_zone", kind.crossesZones ? "other" : "own" } });
+        count("sibling_bytes_total", "Bytes of questions to siblings and their answers, without frames.",
+            bytes, { { "call", kind.method }, { "availability_zone", kind.crossesZones ? "other" : "own" } });
     return registry.prometheusText();
 }
 
--- /dev/null
+++ b/src/session_proxy/shared_listing.cpp
@@ -0,0 +1,180 @@
+#include <cyclamendrift/session_proxy/shared_listing.h>
+
+#include <cyclamendrift/schema/duration_codec.h>
+
+#include <sharing.pb.h>
+#include <sodium.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+// The list of VMs changes about once a second while a fleet is restarted in turn, and siblings ask three
+// times a second.
+constexpr std::size_t earlierKept = 12;
+
+/// Any fixed key does; all processes must use the same one.
+constexpr std::array<unsigned char, crypto_shorthash_KEYBYTES> digestKey { 'l', 'i', 's', 't', 'i', 'n',
+    'g' };
+
+void append(std::string& text, std::uint64_t number)
+{
+    for (std::size_t index = 0; index < sizeof(number); ++index)
+        text += static_cast<char>(number >> (8 * index));
+}
+
+StoreEntry entryFrom(const wire::StoredEntry& message)
+{
+    return { .key = message.key(), .value = message.value(), .revision = message.revision() };
+}
+
+void write(const StoreEntry& entry, wire::StoredEntry& message)
+{
+    message.set_key(entry.key);
+    message.set_value(entry.value);
+    message.set_revision(entry.revision);
+}
+
+} // namespace
+
+std::uint64_t digestOf(const std::vector<StoreEntry>& entries)
+{
+    // Stores may list in any order.
+    std::map<std::string_view, std::uint64_t> revisions;
+    for (const auto& entry : entries)
+        revisions.emplace(entry.key, entry.revision);
+    std::string text;
+    for (const auto& [key, revision] : revisions) {
+        append(text, key.size());
+        text += key;
+        append(text, revision);
+    }
+    std::array<unsigned char, crypto_shorthash_BYTES> hash {};
+    const auto* bytes = reinterpret_cast<const unsigned char*>(text.data());
+    crypto_shorthash(hash.data(), bytes, text.size(), digestKey.data());
+    std::uint64_t digest = 0;
+    std::memcpy(&digest, hash.data(), sizeof(digest));
+    return std::max<std::uint64_t>(digest, 1);
+}
+
+std::uint64_t wireAge(Instant instant, Instant now)
+{
+    // What was never read is older than anything that is of use.
+    constexpr Duration never = std::chrono::hours { 1 };
+    return wireMicroseconds(instant == Instant::min() ? never : now - instant);
+}
+
+SharedListing::Change SharedListing::take(StoreListing next, std::uint64_t nextDigest, Instant at)
+{
+    if (next.revision < this->listing.revision)
+        return Change::None;
+    this->confirmed = std::max(this->confirmed, at);
+    if (nextDigest == this->digest) {
+        this->listing.revision = next.revision;
+        return Change::Confirmed;
+    }
+    this->keepEarlier();
+    this->listing = std::move(next);
+    this->digest = nextDigest;
+    return Change::Entries;
+}
+
+void SharedListing::keepEarlier()
+{
+    if (this->digest == 0)
+        return;
+    auto& last = this->earlier.emplace_back(Earlier { .digest = this->digest });
+    for (const auto& entry : this->listing.entries)
+        last.revisions.emplace(entry.key, entry.revision);
+    if (this->earlier.size() > earlierKept)
+        this->earlier.pop_front();
+}
+
+SharedListing::Change SharedListing::takeReading(StoreListing listing, Instant askedAt)
+{
+    const auto digest = digestOf(listing.entries);
+    return this->take(std::move(listing), digest, askedAt);
+}
+
+SharedListing::Change SharedListing::takeAnswer(const wire::StoredListing& answer, Instant askedAt)
+{
+    if (answer.digest() == 0)
+        return Change::None;
+    // The sibling reckoned the age after this VM had asked, so nothing is older than this instant says.
+    const auto at = askedAt - durationFrom(answer.age_us());
+    if (answer.digest() == this->digest && answer.entries_size() == 0)
+        return this->take({ .revision = answer.revision() }, this->digest, at);
+    StoreListing listing { .revision = answer.revision() };
+    listing.entries = this->entriesFrom(answer);
+    if (digestOf(listing.entries) != answer.digest()) {
+        // A sibling with older entries sends none; then there is nothing to be wrong.
+        if (answer.revision() < this->listing.revision)
+            return Change::None;
+        throw ListingError { "the entries are not those that the sibling's digest is of" };
+    }
+    return this->take(std::move(listing), answer.digest(), at);
+}
+
+std::vector<StoreEntry> SharedListing::entriesFrom(const wire::StoredListing& answer) const
+{
+    std::map<std::string, StoreEntry> entries;
+    if (answer.base() != 0) {
+        if (answer.base() != this->digest)
+            throw ListingError { "the sibling's difference is to entries that are not those here" };
+        for (const auto& entry : this->listing.entries)
+            entries.emplace(entry.key, entry);
+        for (const auto& key : answer.removed())
+            entries.erase(key);
+    }
+    for (const auto& entry : answer.entries())
+        entries.insert_or_assign(entry.key(), entryFrom(entry));
+    std::vector<StoreEntry> result;
+    result.reserve(entries.size());
+    for (auto& [key, entry] : entries)
+        result.push_back(std::move(entry));
+    return result;
+}
+
+void SharedListing::writeKnown(wire::KnownListing& known) const
+{
+    known.set_revision(this->listing.revision);
+    known.set_digest(this->digest);
+}
+
+void SharedListing::writeAnswer(
+    const wire::KnownListing& known, Instant now, wire::StoredListing& answer) const
+{
+    answer.set_age_us(wireAge(this->confirmed, now));
+    answer.set_revision(this->listing.revision);
+    answer.set_digest(this->digest);
+    if (this->digest == known.digest() || this->listing.revision < known.revision())
+        return;
+    const auto base = std::find_if(this->earlier.begin(), this->earlier.end(),
+        [&known](const Earlier& candidate) { return candidate.digest == known.digest(); });
+    if (base == this->earlier.end()) {
+        for (const auto& entry : this->listing.entries)
+            write(entry, *answer.add_entries());
+        return;
+    }
+    answer.set_base(base->digest);
+    auto removed = base->revisions;
+    for (const auto& entry : this->listing.entries) {
+        const auto before = removed.find(entry.key);
+        if (before == removed.end() || before->second != entry.revision)
+            write(entry, *answer.add_entries());
+        if (before != removed.end())
+            removed.erase(before);
+    }
+    for (const auto& [key, revision] : removed)
+        answer.add_removed(key);
+}
+
+} // namespace cyclamendrift
--- /dev/null
+++ b/tests/session_proxy/shared_listing_test.cpp
@@ -0,0 +1,156 @@
+#include <cyclamendrift/session_proxy/shared_listing.h>
+
+#include <sharing.pb.h>
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Change = SharedListing::Change;
+
+constexpr Instant start { 100s };
+
+StoreListing listingOf(std::size_t vms, std::uint64_t revision)
+{
+    StoreListing listing { .revision = revision };
+    for (std::size_t index = 0; index < vms; ++index)
+        listing.entries.push_back({ .key = "vms/vm-" + std::to_string(index),
+            .value = std::string(60, 'r'),
+            .revision = index + 1 });
+    return listing;
+}
+
+wire::StoredListing answerTo(const SharedListing& asker, const SharedListing& reader, Instant now)
+{
+    wire::KnownListing known;
+    asker.writeKnown(known);
+    wire::StoredListing answer;
+    reader.writeAnswer(known, now, answer);
+    return answer;
+}
+
+} // namespace
+
+TEST_SUITE("listings that siblings pass on")
+{
+    TEST_CASE("195 VMs whose list did not change hear its age alone")
+    {
+        // Guards against whole lists to each VM every second, as the store's revision grows all the time.
+        SharedListing reader;
+        CHECK(reader.takeReading(listingOf(195, 1000), start) == Change::Entries);
+        SharedListing asker;
+        auto answer = answerTo(asker, reader, start + 100ms);
+        CHECK(answer.entries_size() == 195);
+        CHECK(asker.takeAnswer(answer, start + 100ms) == Change::Entries);
+        CHECK(reader.takeReading(listingOf(195, 1400), start + 1s) == Change::Confirmed);
+        answer = answerTo(asker, reader, start + 1100ms);
+        CHECK(answer.entries_size() == 0);
+        CHECK(answer.ByteSizeLong() < 30);
+        CHECK(asker.takeAnswer(answer, start + 1100ms) == Change::Confirmed);
+        CHECK(asker.confirmedAt() == start + 1s);
+        CHECK(asker.current().revision == 1400);
+        CHECK(asker.current().entries.size() == 195);
+    }
+
+    TEST_CASE("a VM that is gone shows, though no entry is new")
+    {
+        SharedListing reader;
+        static_cast<void>(reader.takeReading(listingOf(195, 1000), start));
+        SharedListing asker;
+        static_cast<void>(asker.takeAnswer(answerTo(asker, reader, start), start));
+        CHECK(reader.takeReading(listingOf(194, 1001), start + 1s) == Change::Entries);
+        CHECK(asker.takeAnswer(answerTo(asker, reader, start + 1s), start + 1s) == Change::Entries);
+        CHECK(asker.current().entries.size() == 194);
+    }
+
+    TEST_CASE("while 195 VMs are restarted ten at a time, each hears what changed alone")
+    {
+        // Guards against whole lists to each VM at every step of a rolling restart.
+        SharedListing reader;
+        SharedListing asker;
+        auto listing = listingOf(195, 1000);
+        static_cast<void>(reader.takeReading(listing, start));
+        static_cast<void>(asker.takeAnswer(answerTo(asker, reader, start), start));
+        for (std::size_t step = 0; step < 4; ++step) {
+            listing.revision += 100;
+            for (std::size_t index = 0; index < 10; ++index)
+                listing.entries[10 * step + index].revision = listing.revision;
+            static_cast<void>(reader.takeReading(listing, start + 1s));
+        }
+        listing.entries.erase(listing.entries.begin(), listing.entries.begin() + 5);
+        listing.revision += 100;
+        static_cast<void>(reader.takeReading(listing, start + 2s));
+        const auto answer = answerTo(asker, reader, start + 2s);
+        CHECK(answer.entries_size() == 35);
+        CHECK(answer.removed_size() == 5);
+        CHECK(asker.takeAnswer(answer, start + 2s) == Change::Entries);
+        CHECK(digestOf(asker.current().entries) == digestOf(listing.entries));
+    }
+
+    TEST_CASE("a difference to entries of another VM is refused and the last good listing stays")
+    {
+        SharedListing reader;
+        static_cast<void>(reader.takeReading(listingOf(12, 1000), start));
+        SharedListing first;
+        static_cast<void>(first.takeAnswer(answerTo(first, reader, start), start));
+        static_cast<void>(reader.takeReading(listingOf(13, 1100), start));
+        const auto difference = answerTo(first, reader, start);
+        CHECK(difference.base() != 0);
+        SharedListing other;
+        static_cast<void>(other.takeReading(listingOf(10, 900), start));
+        CHECK_THROWS_AS(static_cast<void>(other.takeAnswer(difference, start)), ListingError);
+        CHECK(other.current().entries.size() == 10);
+    }
+
+    TEST_CASE("an older listing changes nothing")
+    {
+        // Guards against going back to what an earlier reader had.
+        SharedListing asker;
+        static_cast<void>(asker.takeReading(listingOf(10, 1000), start));
+        SharedListing reader;
+        static_cast<void>(reader.takeReading(listingOf(12, 900), start + 5s));
+        const auto answer = answerTo(asker, reader, start + 5s);
+        CHECK(answer.entries_size() == 0);
+        CHECK(asker.takeAnswer(answer, start + 5s) == Change::None);
+        CHECK(asker.takeReading(listingOf(12, 900), start + 5s) == Change::None);
+        CHECK(asker.confirmedAt() == start);
+        CHECK(asker.current().entries.size() == 10);
+    }
+
+    TEST_CASE("a listing that was cut is refused and the last good one stays")
+    {
+        SharedListing reader;
+        static_cast<void>(reader.takeReading(listingOf(12, 1000), start));
+        SharedListing asker;
+        static_cast<void>(asker.takeReading(listingOf(10, 900), start));
+        auto answer = answerTo(asker, reader, start);
+        answer.mutable_entries()->RemoveLast();
+        CHECK_THROWS_AS(static_cast<void>(asker.takeAnswer(answer, start)), ListingError);
+        CHECK(asker.current().entries.size() == 10);
+    }
+
+    TEST_CASE("an answer of a version that tells no digest changes nothing")
+    {
+        SharedListing asker;
+        static_cast<void>(asker.takeReading(listingOf(10, 900), start));
+        wire::StoredListing answer;
+        answer.set_revision(2000);
+        CHECK(asker.takeAnswer(answer, start + 1s) == Change::None);
+        CHECK(asker.current().entries.size() == 10);
+    }
+
+    TEST_CASE("an empty listing that was read is known, one that was not is not")
+    {
+        SharedListing reader;
+        SharedListing asker;
+        CHECK(asker.takeAnswer(answerTo(asker, reader, start), start) == Change::None);
+        CHECK(reader.takeReading({ .revision = 5 }, start) == Change::Entries);
+        CHECK(asker.takeAnswer(answerTo(asker, reader, start + 1s), start + 1s) == Change::Entries);
+        CHECK(asker.confirmedAt() == start);
+    }
+}
