Choose homes among the strongest VMs, and take callers once the VMs are known

Cause: with 20 services nearly every VM of 195 was home of some service, so every VM kept a link to most others (17 MB a process at its peak, 4 MB with 8 VMs). Change: homes are chosen among the strongest VMs that have a quarter of all processors, sixteen at the least; a VM is ready once the list of VMs is there, for three seconds at most. The secret of siblings is looked for in a listing that may lag first.

--- a/include/cyclamendrift/pooling/group_homes.h
+++ b/include/cyclamendrift/pooling/group_homes.h
@@ -15,13 +15,14 @@
 /// an upstream, which fits the next caller's team once in twenty times, and 70 VMs together queue far more
 /// statements at an upstream than it can do in time. A few homes keep connections open for most teams and see
 /// enough answers to know what the upstream bears. A VM whose even part of the connections suffices for its
-/// callers does without homes. Used on one thread, as it remembers what it chose.
+/// callers does without homes. Homes are chosen among the strongest VMs, as each VM keeps a link to each home
+/// that it speaks to. Used on one thread, as it remembers what it chose.
 ///
 ///     const auto order = homes.orderFor(service, team, connectionCap);
 ///     if (order.front() != homes.self()) handOn(order.front(), work);
 class GroupHomes {
 public:
-    GroupHomes(VmName self, std::map<VmName, VmStrength> listed);
+    GroupHomes(VmName self, const std::map<VmName, VmStrength>& listed);
 
     /// True when so many VMs are more than the homes of a service; with fewer every VM would be one.
     [[nodiscard]] static bool areUseful(std::size_t vms) noexcept;
@@ -53,7 +54,8 @@
     [[nodiscard]] std::size_t shareAmong(const std::vector<VmName>& homes, std::uint32_t connectionCap) const;
 
     VmName own;
-    std::map<VmName, VmStrength> listed;
+    /// The VMs among which homes are chosen.
+    std::map<VmName, VmStrength> candidates;
     std::map<ServiceName, Choice> choices;
 };
 
--- a/src/pooling/group_homes.cpp
+++ b/src/pooling/group_homes.cpp
@@ -20,6 +20,27 @@
 // One in eight connections is left to VMs that reach no home and to questions about the status.
 constexpr std::uint32_t leftToOthers = 8;
 
+// Homes are chosen among the strongest VMs that have this part of all processors, and at least so many of
+// them: the work of a home is about that of the VM that hands it on, and VMs are bought for bursts.
+constexpr double partOfProcessors = 0.25;
+constexpr std::size_t leastCandidates = 2 * mostHomes;
+
+std::map<VmName, VmStrength> strongestOf(const std::map<VmName, VmStrength>& listed)
+{
+    double all = 0;
+    for (const auto& [vm, strength] : listed)
+        all += strength.cores;
+    std::map<VmName, VmStrength> chosen;
+    double cores = 0;
+    for (const auto& vm : strongestFirst(listed)) {
+        if (chosen.size() >= leastCandidates && cores >= partOfProcessors * all)
+            break;
+        cores += listed.at(vm).cores;
+        chosen.emplace(vm, listed.at(vm));
+    }
+    return chosen;
+}
+
 /// Rendezvous weight in proportion to a VM's strength: one with four times the processor is chosen four times
 /// as often.
 double weightOf(const VmName& vm, const VmStrength& strength, const std::string& subject)
@@ -36,9 +57,9 @@
 
 } // namespace
 
-GroupHomes::GroupHomes(VmName self, std::map<VmName, VmStrength> listed)
+GroupHomes::GroupHomes(VmName self, const std::map<VmName, VmStrength>& listed)
     : own(std::move(self))
-    , listed(std::move(listed))
+    , candidates(strongestOf(listed))
 {
 }
 
@@ -63,8 +84,8 @@
 {
     const auto subject = "homes/" + service.string();
     std::vector<std::pair<double, VmName>> ranked;
-    ranked.reserve(this->listed.size());
-    for (const auto& [vm, strength] : this->listed)
+    ranked.reserve(this->candidates.size());
+    for (const auto& [vm, strength] : this->candidates)
         ranked.emplace_back(weightOf(vm, strength, subject), vm);
     const auto count = std::min(ranked.size(), homesFor(connectionCap));
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -178,7 +178,13 @@
 {
     if (this->siblingsOpen)
         co_return;
-    auto entry = co_await this->store.get(store_key::siblingSecret);
+    // It never changes, so a listing that lags says all or nothing.
+    std::optional<StoreEntry> entry;
+    const auto listed = co_await this->store.listing(store_key::siblingSecret, ReadFreshness::MayLag);
+    if (!listed.entries.empty())
+        entry = listed.entries.front();
+    else
+        entry = co_await this->store.get(store_key::siblingSecret);
     if (!entry) {
         SwapOptions swap { .key = store_key::siblingSecret, .expectedRevision = 0, .value = newSecret() };
         const auto outcome = co_await this->store.compareAndSwap(std::move(swap));
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -119,9 +119,13 @@
     // When the whole system starts for the first time nobody leads yet for a moment. A group that goes on
     // without a primary must not keep the others from being served.
     const bool patient = bootNow() < this->startedAt + leaderPatience;
+    // Without the list of VMs nobody can be asked for operations of a team's limit, and callers would be
+    // refused within their team's rate.
+    const bool vmsRead = this->vms.confirmedAt() != Instant::min();
     return !patient
-        || std::all_of(this->coordinators.begin(), this->coordinators.end(),
-            [](const auto& item) { return item.second.view().phase != LeaderView::Phase::Unknown; });
+        || (vmsRead
+            && std::all_of(this->coordinators.begin(), this->coordinators.end(),
+                [](const auto& item) { return item.second.view().phase != LeaderView::Phase::Unknown; }));
 }
 
 void SessionControl::State::stop()
