Find the readers that are left in a partition or restart, and pack configurations for siblings

Change: who is next to read follows from the VMs that answer; any VMs that say they are without the store count; a reader that does not answer is asked ever more seldom, one that has old readings only once later. Configurations are compressed.

--- a/include/cyclamendrift/membership/reader_choice.h
+++ b/include/cyclamendrift/membership/reader_choice.h
@@ -5,6 +5,7 @@
 #include <cyclamendrift/core/passed_over.h>
 
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -16,7 +17,7 @@
 ///
 ///     choice.setOrder(strongestFirst(strengths), readers);
 ///     while (const auto reader = choice.readerFor(self, rank, now))
-///         if (!answers(*reader)) choice.passOver(*reader, now + pause);
+///         if (!answers(*reader)) choice.passOver(*reader, pause, now);
 class ReaderChoice {
 public:
     /// Takes the order of all VMs in, and how many of them read.
@@ -25,29 +26,33 @@
     /// The VM to ask; empty when this VM is to read the store itself. `rank` spreads the VMs over readers.
     [[nodiscard]] std::optional<VmName> readerFor(const VmName& self, std::size_t rank, Instant now) const;
 
-    /// True for the readers and those that come after them in the order, which would take their place.
-    [[nodiscard]] bool isNextToRead(const VmName& vm) const;
+    /// True for the readers and those that come after them in the order, which would take their place,
+    /// without those that do not answer.
+    [[nodiscard]] bool isNextToRead(const VmName& vm, Instant now) const;
 
-    /// The VM of that turn among the readers and those next to them; for a VM that is none of these.
-    [[nodiscard]] const VmName& nextToAsk(std::size_t turn) const;
+    /// Another one of these at each turn, and never `self`; empty when there is none.
+    [[nodiscard]] std::optional<VmName> nextToAsk(const VmName& self, std::size_t turn, Instant now) const;
 
-    /// This VM did not answer; others take its place until then.
-    void passOver(const VmName& reader, Instant until) { this->silent.add(reader, until); }
+    /// This VM did not answer; others take its place for `pause`, and longer each time that it happens again.
+    void passOver(const VmName& reader, Duration pause, Instant now);
+    /// This VM answered, but with readings that are too old; others take its place until then.
+    void passOverOnce(const VmName& reader, Instant until) { this->silent.add(reader, until); }
     /// This VM answered that the store has not answered it lately; others take its place until then.
     void passOverWithoutStore(const VmName& reader, Instant until) { this->withoutStore.add(reader, until); }
     /// This VM has read the store.
-    void hasRead(const VmName& reader) { this->withoutStore.add(reader, Instant::min()); }
+    void hasRead(const VmName& reader);
 
-    /// True when most of those that are next to read have answered that they are without the store: it is
-    /// more likely away for all than for these alone.
+    /// True when more VMs than there are readers have answered that they are without the store: it is more
+    /// likely away for all than for these alone.
     [[nodiscard]] bool storeSeemsAway(Instant now) const;
 
 private:
-    [[nodiscard]] std::size_t nextToRead() const noexcept;
+    [[nodiscard]] std::vector<VmName> nextToRead(Instant now) const;
 
     std::vector<VmName> order;
     std::size_t readers = 1;
     PassedOver<VmName> silent;
+    std::map<VmName, int> silences;
     PassedOver<VmName> withoutStore;
 };
 
--- a/src/membership/reader_choice.cpp
+++ b/src/membership/reader_choice.cpp
@@ -6,6 +6,13 @@
 
 namespace cyclamendrift {
 
+namespace {
+
+// A question to a VM behind a partition costs its whole time limit.
+constexpr int mostDoublings = 3;
+
+} // namespace
+
 void ReaderChoice::setOrder(std::vector<VmName> vms, std::size_t wanted)
 {
     this->order = std::move(vms);
@@ -28,26 +35,47 @@
     return reading[rank % reading.size()];
 }
 
-std::size_t ReaderChoice::nextToRead() const noexcept
+std::vector<VmName> ReaderChoice::nextToRead(Instant now) const
+{
+    std::vector<VmName> next;
+    for (const auto& vm : this->order) {
+        if (next.size() == 2 * this->readers + 1)
+            break;
+        if (!this->silent.contains(vm, now))
+            next.push_back(vm);
+    }
+    return next;
+}
+
+bool ReaderChoice::isNextToRead(const VmName& vm, Instant now) const
+{
+    const auto next = this->nextToRead(now);
+    return std::find(next.begin(), next.end(), vm) != next.end();
+}
+
+void ReaderChoice::passOver(const VmName& reader, Duration pause, Instant now)
 {
-    return std::min(this->order.size(), 2 * this->readers + 1);
+    auto& before = this->silences[reader];
+    this->silent.add(reader, now + pause * (1 << before));
+    before = std::min(before + 1, mostDoublings);
 }
 
-bool ReaderChoice::isNextToRead(const VmName& vm) const
+void ReaderChoice::hasRead(const VmName& reader)
 {
-    const auto end = this->order.begin() + static_cast<std::ptrdiff_t>(this->nextToRead());
-    return std::find(this->order.begin(), end, vm) != end;
+    this->silences.erase(reader);
+    this->withoutStore.add(reader, Instant::min());
 }
 
-const VmName& ReaderChoice::nextToAsk(std::size_t turn) const
+std::optional<VmName> ReaderChoice::nextToAsk(const VmName& self, std::size_t turn, Instant now) const
 {
-    return this->order.at(turn % this->nextToRead());
+    auto next = this->nextToRead(now);
+    std::erase(next, self);
+    return next.empty() ? std::nullopt : std::optional { next[turn % next.size()] };
 }
 
 bool ReaderChoice::storeSeemsAway(Instant now) const
 {
-    const auto end = this->order.begin() + static_cast<std::ptrdiff_t>(this->nextToRead());
-    const auto without = std::count_if(this->order.begin(), end,
+    const auto without = std::count_if(this->order.begin(), this->order.end(),
         [this, now](const VmName& vm) { return this->withoutStore.contains(vm, now); });
     return static_cast<std::size_t>(without) > this->readers;
 }
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -4,20 +4,22 @@
 #include <cyclamendrift/platform/store_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/schema/duration_codec.h>
+#include <cyclamendrift/session_proxy/packing.h>
 #include <cyclamendrift/telemetry/event_log.h>
 
 #include <sharing.pb.h>
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace cyclamendrift {
 
 namespace {
 
-// Questions to siblings that do not answer, in one round. A second one still leaves time to read the store
+// Questions to siblings that do not answer, in one round. A third one still leaves time to read the store
 // before this VM's views of primaries end.
-constexpr int silentReadersAsked = 2;
+constexpr int silentReadersAsked = 3;
 
 } // namespace
 
@@ -81,7 +83,7 @@
 bool SessionControl::State::mayCallStore()
 {
     const auto now = bootNow();
-    return !this->siblingsOpen || this->readerChoice.isNextToRead(this->options.vm)
+    return !this->siblingsOpen || this->readerChoice.isNextToRead(this->options.vm, now)
         || !this->readerChoice.storeSeemsAway(now) || this->storeGate.mayTry(now);
 }
 
@@ -95,8 +97,12 @@
         auto reader = this->readerToAsk();
         if (!reader)
             co_return false;
-        if (away)
-            reader = this->readerChoice.nextToAsk(this->place.rank + this->readerTurn++);
+        if (away) {
+            const auto turn = this->place.rank + this->readerTurn++;
+            reader = this->readerChoice.nextToAsk(this->options.vm, turn, bootNow());
+            if (!reader)
+                break;
+        }
         const auto address = this->siblings.at(*reader).address;
         const auto answer = co_await this->askReader(address);
         const auto now = bootNow();
@@ -106,8 +112,10 @@
         }
         if (answer == ReaderAnswer::WithoutStore) {
             this->readerChoice.passOverWithoutStore(*reader, now + settings.withoutStorePause);
+        } else if (answer == ReaderAnswer::Old) {
+            this->readerChoice.passOverOnce(*reader, now + settings.leadershipInterval);
         } else {
-            this->readerChoice.passOver(*reader, now + pause);
+            this->readerChoice.passOver(*reader, pause, now);
             ++silent;
         }
         if (away || this->readerChoice.storeSeemsAway(now))
@@ -121,6 +129,7 @@
 {
     wire::ReadingsRequest request;
     request.set_configuration_revision(this->configurationRevision);
+    request.set_takes_packed(true);
     this->leadership.writeKnown(*request.mutable_leadership());
     this->vms.writeKnown(*request.mutable_vms());
     this->directoryListing.writeKnown(*request.mutable_directory());
@@ -140,7 +149,7 @@
     const auto usable = this->options.settings.readingsUsable;
     if (durationFrom(answer.leadership().age_us()) < usable)
         co_return ReaderAnswer::Fresh;
-    co_return durationFrom(answer.store_age_us()) < usable ? ReaderAnswer::None : ReaderAnswer::WithoutStore;
+    co_return durationFrom(answer.store_age_us()) < usable ? ReaderAnswer::Old : ReaderAnswer::WithoutStore;
 }
 
 bool SessionControl::State::viewsAreFresh(Duration usable) const
@@ -170,8 +179,11 @@
     if (this->vms.takeAnswer(answer.vms(), askedAt) == SharedListing::Change::Entries)
         this->takeVms();
     const auto& configuration = answer.configuration();
-    if (configuration.entries_size() > 0)
-        this->takeConfiguration(configuration.entries(0).value(), configuration.revision());
+    if (configuration.entries_size() > 0) {
+        const auto& document = configuration.entries(0);
+        this->takeConfiguration(
+            document.packed() ? unpack(document.value()) : document.value(), configuration.revision());
+    }
     if (configuration.revision() == this->configurationRevision)
         this->configurationConfirmedAt
             = std::max(this->configurationConfirmedAt, askedAt - durationFrom(configuration.age_us()));
@@ -191,6 +203,13 @@
     }
 }
 
+const std::string& SessionControl::State::packedConfiguration()
+{
+    if (std::exchange(this->packedRevision, this->configurationRevision) != this->configurationRevision)
+        this->configurationPacked = pack(this->configurationValue);
+    return this->configurationPacked;
+}
+
 asio::awaitable<std::string> SessionControl::State::shareReadings(
     std::shared_ptr<State> self, std::string body)
 {
@@ -210,7 +229,8 @@
     configuration.set_revision(self->configurationRevision);
     if (self->configurationRevision > request.configuration_revision()) {
         auto& document = *configuration.add_entries();
-        document.set_value(self->configurationValue);
+        document.set_packed(request.takes_packed());
+        document.set_value(request.takes_packed() ? self->packedConfiguration() : self->configurationValue);
         document.set_revision(self->configurationRevision);
     }
     co_return answer.SerializeAsString();
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -137,6 +137,8 @@
         Fresh,
         /// The store has not answered the reader lately.
         WithoutStore,
+        /// The store answers the reader, but it has not read lately.
+        Old,
         None,
     };
     /// Finds siblings in the store and takes what they have read, so that a VM which starts needs few calls;
@@ -155,6 +157,7 @@
     [[nodiscard]] bool viewsAreFresh(Duration usable) const;
     /// Writes the views that replicas have vouched for since the leadership was read.
     void writeViews(wire::ReadingsAnswer& answer) const;
+    [[nodiscard]] const std::string& packedConfiguration();
 
     // control_leadership
     /// Returns how long to wait before the next try, when it failed.
@@ -210,6 +213,9 @@
     SharedListing vms;
     SharedListing directoryListing;
     std::string configurationValue;
+    /// The same, packed for siblings, and the revision that it is of.
+    std::string configurationPacked;
+    std::uint64_t packedRevision = 0;
     Instant configurationConfirmedAt = Instant::min();
     /// Ends the watch of the configuration.
     asio::cancellation_signal configurationWatch;
--- a/tests/membership/reader_choice_test.cpp
+++ b/tests/membership/reader_choice_test.cpp
@@ -28,7 +28,7 @@
         ReaderChoice choice;
         choice.setOrder(order, readers);
         if (firstOneFails && rank != 0)
-            choice.passOver(order[0], now + 1s);
+            choice.passOver(order[0], 1s, now);
         reading += choice.readerFor(order[rank], rank, now) ? 0 : 1;
     }
     return reading;
@@ -61,12 +61,12 @@
     {
         ReaderChoice choice;
         choice.setOrder(vmsOf(81), 2);
-        CHECK(choice.isNextToRead(VmName { "vm-0" }));
-        CHECK(choice.isNextToRead(VmName { "vm-4" }));
-        CHECK_FALSE(choice.isNextToRead(VmName { "vm-5" }));
+        CHECK(choice.isNextToRead(VmName { "vm-0" }, Instant { 100s }));
+        CHECK(choice.isNextToRead(VmName { "vm-4" }, Instant { 100s }));
+        CHECK_FALSE(choice.isNextToRead(VmName { "vm-5" }, Instant { 100s }));
         choice.setOrder(vmsOf(2), 1);
-        CHECK(choice.isNextToRead(VmName { "vm-1" }));
-        CHECK_FALSE(choice.isNextToRead(VmName { "vm-2" }));
+        CHECK(choice.isNextToRead(VmName { "vm-1" }, Instant { 100s }));
+        CHECK_FALSE(choice.isNextToRead(VmName { "vm-2" }, Instant { 100s }));
     }
 
     TEST_CASE("a reader that was passed over is asked again after its pause")
@@ -74,18 +74,55 @@
         ReaderChoice choice;
         choice.setOrder(vmsOf(6), 1);
         const Instant now { 100s };
-        choice.passOver(VmName { "vm-0" }, now + 1s);
+        choice.passOver(VmName { "vm-0" }, 1s, now);
         CHECK(choice.readerFor(VmName { "vm-5" }, 5, now) == VmName { "vm-1" });
         CHECK_FALSE(choice.readerFor(VmName { "vm-1" }, 1, now));
         CHECK(choice.readerFor(VmName { "vm-5" }, 5, now + 1s) == VmName { "vm-0" });
     }
 
+    TEST_CASE("a reader behind a partition is asked ever more seldom until it answers")
+    {
+        // Guards against a time limit that half of the fleet waits out every second while a partition lasts.
+        ReaderChoice choice;
+        choice.setOrder(vmsOf(6), 1);
+        const VmName self { "vm-5" };
+        const VmName first { "vm-0" };
+        const VmName second { "vm-1" };
+        const Instant now { 100s };
+        choice.passOver(first, 1s, now);
+        CHECK(choice.readerFor(self, 5, now + 1s) == first);
+        choice.passOver(first, 1s, now + 1s);
+        CHECK(choice.readerFor(self, 5, now + 2900ms) == second);
+        CHECK(choice.readerFor(self, 5, now + 3s) == first);
+        choice.hasRead(first);
+        choice.passOver(first, 1s, now + 3s);
+        CHECK(choice.readerFor(self, 5, now + 4s) == first);
+    }
+
+    TEST_CASE("while most of the first VMs restart, those after them take their place in an outage as well")
+    {
+        // Guards against a fleet that takes VMs which do not answer for a store that may be there, and tries
+        // it with every VM.
+        ReaderChoice choice;
+        choice.setOrder(vmsOf(195), 2);
+        const Instant now { 100s };
+        for (const auto* vm : { "vm-0", "vm-1", "vm-2", "vm-3" })
+            choice.passOver(VmName { vm }, 1s, now);
+        CHECK(choice.isNextToRead(VmName { "vm-8" }, now));
+        CHECK_FALSE(choice.isNextToRead(VmName { "vm-9" }, now));
+        CHECK(choice.nextToAsk(VmName { "vm-100" }, 0, now) == VmName { "vm-4" });
+        CHECK(choice.nextToAsk(VmName { "vm-4" }, 0, now) == VmName { "vm-5" });
+        for (const auto* vm : { "vm-4", "vm-5", "vm-6" })
+            choice.passOverWithoutStore(VmName { vm }, now + 1s);
+        CHECK(choice.storeSeemsAway(now));
+    }
+
     TEST_CASE("a VM that can ask nobody reads for itself")
     {
         ReaderChoice choice;
         CHECK_FALSE(choice.readerFor(VmName { "vm-0" }, 0, Instant { 100s }));
         choice.setOrder(vmsOf(2), 1);
-        choice.passOver(VmName { "vm-0" }, Instant { 101s });
+        choice.passOver(VmName { "vm-0" }, 1s, Instant { 100s });
         CHECK_FALSE(choice.readerFor(VmName { "vm-1" }, 1, Instant { 100s }));
     }
 }
--- a/tests/membership/store_gate_test.cpp
+++ b/tests/membership/store_gate_test.cpp
@@ -82,7 +82,7 @@
         const auto vms = vmsOf(195);
         choice.setOrder(vms, 2);
         for (std::size_t index = 0; index < 5; ++index)
-            choice.passOver(vms[index], start + 1s);
+            choice.passOver(vms[index], 1s, start);
         CHECK_FALSE(choice.storeSeemsAway(start));
     }
 }
