Let a VM that was killed go on with its record and its lease

Change: the record that a VM finds of itself when it starts is kept up under its lease, if that has not lapsed.

--- a/include/cyclamendrift/platform/store.h
+++ b/include/cyclamendrift/platform/store.h
@@ -14,16 +14,18 @@
 /// The platform's key-value service.
 namespace cyclamendrift {
 
+/// A lease of the store; keys written under it vanish when it lapses.
+enum class LeaseId : std::uint64_t { None = 0 };
+
 /// A key with its value and the revision of the store at which it was last changed.
 struct StoreEntry {
     std::string key;
     std::string value;
     std::uint64_t revision = 0;
+    /// The lease that it was written under, from stores that tell it.
+    LeaseId lease = LeaseId::None;
 };
 
-/// A lease of the store; keys written under it vanish when it lapses.
-enum class LeaseId : std::uint64_t { None = 0 };
-
 /// One change to the store; `value` is empty when the key was deleted. An empty key tells that nothing under
 /// the prefix has changed up to `revision`; not every store tells so.
 struct StoreChange {
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -107,6 +107,10 @@
         auto pause = self->toldUnder != LeaseId::None && self->siblingsOpen ? settings.recordInterval
                                                                             : settings.leaseRenewal;
         try {
+            if (self->earlierRecord) {
+                co_await self->adoptEarlierRecord();
+                renewAt = bootNow() + settings.recordRenewal;
+            }
             if (self->recordLease == LeaseId::None) {
                 self->recordLease = co_await self->store.grantLease(settings.recordTime);
                 renewAt = bootNow() + settings.recordRenewal;
@@ -145,7 +149,25 @@
         co_await this->writeOwnRecord(rates);
 }
 
-asio::awaitable<void> SessionControl::State::writeOwnRecord(const DemandByTeam& rates)
+asio::awaitable<void> SessionControl::State::adoptEarlierRecord()
+{
+    const auto earlier = *std::exchange(this->earlierRecord, std::nullopt);
+    if (earlier.lease == LeaseId::None)
+        co_return;
+    try {
+        co_await this->store.keepAlive(earlier.lease);
+    } catch (const StoreError& error) {
+        // It has lapsed, or nobody knows; a new one is as good.
+        logEvent(LogLevel::Info, "earlier_record_left", { { "reason", error.what() } });
+        co_return;
+    }
+    this->recordLease = earlier.lease;
+    this->ownRecordRevision = earlier.revision;
+    if (earlier.value == this->ownRecord({}))
+        this->toldUnder = earlier.lease;
+}
+
+std::string SessionControl::State::ownRecord(const DemandByTeam& rates) const
 {
     wire::VmRecord record;
     record.set_name(this->options.vm.string());
@@ -158,10 +180,15 @@
         entry.set_team(team.string());
         entry.set_operations_per_second(rate);
     }
+    return record.SerializeAsString();
+}
+
+asio::awaitable<void> SessionControl::State::writeOwnRecord(const DemandByTeam& rates)
+{
     const auto lease = this->recordLease;
     SwapOptions swap { .key = store_key::vmPrefix + this->options.vm.string(),
         .expectedRevision = this->ownRecordRevision,
-        .value = record.SerializeAsString(),
+        .value = this->ownRecord(rates),
         .lease = lease };
     const auto outcome = co_await this->store.compareAndSwap(std::move(swap));
     if (const auto* swapped = std::get_if<Swapped>(&outcome)) {
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -47,6 +47,11 @@
     }
     if (secret.entries.empty() || listed.entries.empty())
         co_return false;
+    const auto own = std::find_if(listed.entries.begin(), listed.entries.end(),
+        [key = store_key::vmPrefix + this->options.vm.string()](
+            const StoreEntry& entry) { return entry.key == key; });
+    if (own != listed.entries.end())
+        this->earlierRecord = *own;
     this->siblings = siblingsFrom(listed);
     this->place.rank = static_cast<std::size_t>(
         std::distance(this->siblings.begin(), this->siblings.lower_bound(this->options.vm)));
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -182,6 +182,10 @@
     [[nodiscard]] bool needsLease(Instant now) const;
     [[nodiscard]] static asio::awaitable<void> keepRecord(std::shared_ptr<State> self);
     [[nodiscard]] asio::awaitable<void> writeOwnRecord(const DemandByTeam& told);
+    /// What this VM tells of itself.
+    [[nodiscard]] std::string ownRecord(const DemandByTeam& told) const;
+    /// Goes on with the record and the lease of an earlier process of this VM, when they still stand.
+    [[nodiscard]] asio::awaitable<void> adoptEarlierRecord();
     [[nodiscard]] static asio::awaitable<void> followVms(std::shared_ptr<State> self);
     [[nodiscard]] asio::awaitable<void> tellOwnRecord();
     [[nodiscard]] asio::awaitable<void> learnSecret();
@@ -220,6 +224,8 @@
     /// Ends the watch of the configuration.
     asio::cancellation_signal configurationWatch;
     std::uint64_t ownRecordRevision = 0;
+    /// The record of an earlier process of this VM that was found at the start.
+    std::optional<StoreEntry> earlierRecord;
     LeaseId toldUnder = LeaseId::None;
     /// What is known is kept up; before that it is gathered from siblings.
     bool begun = false;
--- a/standins/memory_store.cpp
+++ b/standins/memory_store.cpp
@@ -47,7 +47,10 @@
     const auto found = this->entries.find(key);
     if (found == this->entries.end())
         co_return std::nullopt;
-    co_return StoreEntry { .key = key, .value = found->second.value, .revision = found->second.revision };
+    co_return StoreEntry { .key = key,
+        .value = found->second.value,
+        .revision = found->second.revision,
+        .lease = found->second.lease };
 }
 
 asio::awaitable<std::vector<StoreEntry>> MemoryStore::list(std::string prefix)
@@ -57,8 +60,10 @@
     for (auto entry = this->entries.lower_bound(prefix); entry != this->entries.end(); ++entry) {
         if (!entry->first.starts_with(prefix))
             break;
-        result.push_back(
-            { .key = entry->first, .value = entry->second.value, .revision = entry->second.revision });
+        result.push_back({ .key = entry->first,
+            .value = entry->second.value,
+            .revision = entry->second.revision,
+            .lease = entry->second.lease });
     }
     co_return result;
 }
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -9,10 +9,12 @@
 
 #include <cyclamendrift/session_proxy/session_daemon.h>
 
+#include <asio/co_spawn.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
 #include <asio/read_until.hpp>
+#include <asio/use_future.hpp>
 #include <asio/write.hpp>
 
 #include <doctest/doctest.h>
@@ -295,6 +297,33 @@
         CHECK(other.run("READ bed-2").starts_with("ROW taken"));
     }
 
+    TEST_CASE("a VM that was killed goes on with its record under the lease that it had")
+    {
+        // Guards against a record that lapses later, and new leases and records of a whole fleet, after each
+        // restart.
+        Surroundings surroundings;
+        auto& store = surroundings.kv.store();
+        const std::string key { "cyclamendrift/vms/vm-1" };
+        const auto onPlatform = [&surroundings](auto call) {
+            return asio::co_spawn(surroundings.context, std::move(call), asio::use_future).get();
+        };
+        const auto lease = onPlatform(store.grantLease(12s));
+        SwapOptions left { .key = key, .value = "of an earlier process", .lease = lease };
+        static_cast<void>(onPlatform(store.compareAndSwap(std::move(left))));
+        SwapOptions secret { .key = "cyclamendrift/sibling-secret", .value = "secret" };
+        static_cast<void>(onPlatform(store.compareAndSwap(std::move(secret))));
+        const Running proxy { surroundings, "vm-1" };
+        const Caller caller { proxy };
+        auto record = onPlatform(store.get(key));
+        for (int tries = 0; tries < 200 && record && record->value == "of an earlier process"; ++tries) {
+            std::this_thread::sleep_for(20ms);
+            record = onPlatform(store.get(key));
+        }
+        REQUIRE(record.has_value());
+        CHECK(record->value != "of an earlier process");
+        CHECK(record->lease == lease);
+    }
+
     TEST_CASE("a store that has forgotten its history is asked no more often than before")
     {
         // The store drops its history, and the watch of the configuration is cut soon after. Nothing changed
--- a/tests/adapter/kv_server.cpp
+++ b/tests/adapter/kv_server.cpp
@@ -39,7 +39,8 @@
 Json itemOf(const StoreEntry& entry)
 {
     return { { "key", entry.key }, { "value", toBase64(entry.value, Base64Form::Standard) },
-        { "rev", entry.revision }, { "created", entry.revision }, { "lease", 0 } };
+        { "rev", entry.revision }, { "created", entry.revision },
+        { "lease", static_cast<std::uint64_t>(entry.lease) } };
 }
 
 HttpResponse respond(const Json& json, unsigned status = 200)
