--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -107,7 +107,7 @@
         auto pause = self->toldUnder != LeaseId::None && self->siblingsOpen ? settings.recordInterval
                                                                             : settings.leaseRenewal;
         try {
-            if (self->earlierRecord) {
+            if (self->earlierRecord.lease != LeaseId::None) {
                 co_await self->adoptEarlierRecord();
                 renewAt = bootNow() + settings.recordRenewal;
             }
@@ -151,7 +151,7 @@
 
 asio::awaitable<void> SessionControl::State::adoptEarlierRecord()
 {
-    const auto earlier = *std::exchange(this->earlierRecord, std::nullopt);
+    const auto earlier = std::exchange(this->earlierRecord, {});
     if (earlier.lease == LeaseId::None)
         co_return;
     try {
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -224,8 +224,8 @@
     /// Ends the watch of the configuration.
     asio::cancellation_signal configurationWatch;
     std::uint64_t ownRecordRevision = 0;
-    /// The record of an earlier process of this VM that was found at the start.
-    std::optional<StoreEntry> earlierRecord;
+    /// The record of an earlier process of this VM that was found at the start; without a lease if none was.
+    StoreEntry earlierRecord;
     LeaseId toldUnder = LeaseId::None;
     /// What is known is kept up; before that it is gathered from siblings.
     bool begun = false;
