Keep whole lists for siblings within a part of the link, and pack them

All VMs have links of 20 Mbit/s; when all start, or a list changes, they ask one reader for whole lists at once, the answers fill its link, time out after 120 ms, and are asked for again. Change: whole lists are compressed once for all that ask, and a reader sends no more of them than a quarter of its link bears; beyond it an answer tells the age alone and the entries come with a later question. Who leads is never held back.

--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -84,6 +84,8 @@
         ZoneName zone;
         /// Processor cores that this VM may use.
         double cores = 1;
+        /// Bytes that its link bears in a second.
+        double linkBytesPerSecond = 1.25e8;
         /// Unique to this process.
         std::uint64_t process = 0;
         /// Where siblings reach this VM; told in its record.
--- a/include/cyclamendrift/session_proxy/shared_listing.h
+++ b/include/cyclamendrift/session_proxy/shared_listing.h
@@ -42,7 +42,16 @@
     Change takeAnswer(const wire::StoredListing& answer, Instant askedAt);
 
     void writeKnown(wire::KnownListing& known) const;
-    void writeAnswer(const wire::KnownListing& known, Instant now, wire::StoredListing& answer) const;
+    /// How an answer is written.
+    struct AnswerOptions {
+        Instant now;
+        /// The asker can read packed entries.
+        bool packed = false;
+    };
+    void writeAnswer(
+        const wire::KnownListing& known, const AnswerOptions& options, wire::StoredListing& answer) const;
+    /// Takes the entries out of an answer; the asker gets them when it asks again.
+    static void withhold(wire::StoredListing& answer);
 
     [[nodiscard]] const StoreListing& current() const noexcept { return this->listing; }
     /// When the entries were known to be current; Instant::min() before any were read.
@@ -58,11 +67,14 @@
 
     [[nodiscard]] Change take(StoreListing next, std::uint64_t nextDigest, Instant at);
     void keepEarlier();
+    void writeAll(bool packed, wire::StoredListing& answer) const;
     [[nodiscard]] std::vector<StoreEntry> entriesFrom(const wire::StoredListing& answer) const;
 
     StoreListing listing;
     std::uint64_t digest = 0;
     std::deque<Earlier> earlier;
+    /// All entries, packed once for all that ask.
+    mutable std::string packedEntries;
     Instant confirmed = Instant::min();
 };
 
--- a/include/cyclamendrift/settings/session_settings.h
+++ b/include/cyclamendrift/settings/session_settings.h
@@ -17,6 +17,8 @@
     VmSettings vm;
     /// `[processor] share` of each core times `[processor] cores`: what this VM may use.
     double cores = 1;
+    /// `[link] megabits_per_second`, in bytes: what this VM's link bears.
+    double linkBytesPerSecond = 1.25e8;
     /// `[callers]`: where sessions come in.
     ListenSettings callers;
     /// `[readiness]`: where the balancer asks, and the path it asks for.
--- a/src/pooling/group_homes.cpp
+++ b/src/pooling/group_homes.cpp
@@ -23,7 +23,7 @@
 // Homes are chosen among the strongest VMs that have this part of all processors, and at least so many of
 // them: the work of a home is about that of the VM that hands it on, and VMs are bought for bursts.
 constexpr double partOfProcessors = 0.25;
-constexpr std::size_t leastCandidates = 2 * mostHomes;
+constexpr std::size_t leastCandidates = std::size_t { 2 } * mostHomes;
 
 std::map<VmName, VmStrength> strongestOf(const std::map<VmName, VmStrength>& listed)
 {
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -10,6 +10,7 @@
 #include <sharing.pb.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <iterator>
 #include <utility>
 
@@ -21,6 +22,9 @@
 // before this VM's views of primaries end.
 constexpr int silentReadersAsked = 3;
 
+// Bytes of a listing of which the age alone travels, or a small difference.
+constexpr std::size_t smallListing = 256;
+
 } // namespace
 
 std::optional<VmName> SessionControl::State::readerToAsk() const
@@ -208,6 +212,18 @@
     }
 }
 
+void SessionControl::State::keepToBudget(wire::ReadingsAnswer& answer, Instant now)
+{
+    // Who leads is small and must not wait: views of primaries hang on it.
+    for (auto* listing : { answer.mutable_directory(), answer.mutable_vms() }) {
+        if (listing->ByteSizeLong() > smallListing && !this->listingBudget.take(listing->ByteSizeLong(), now))
+            SharedListing::withhold(*listing);
+    }
+    auto& configuration = *answer.mutable_configuration();
+    if (configuration.entries_size() > 0 && !this->listingBudget.take(configuration.ByteSizeLong(), now))
+        configuration.clear_entries();
+}
+
 const std::string& SessionControl::State::packedConfiguration()
 {
     if (std::exchange(this->packedRevision, this->configurationRevision) != this->configurationRevision)
@@ -225,9 +241,10 @@
     const auto now = bootNow();
     wire::ReadingsAnswer answer;
     answer.set_store_age_us(wireAge(self->storeGate.lastAnswer(), now));
-    self->leadership.writeAnswer(request.leadership(), now, *answer.mutable_leadership());
-    self->vms.writeAnswer(request.vms(), now, *answer.mutable_vms());
-    self->directoryListing.writeAnswer(request.directory(), now, *answer.mutable_directory());
+    const SharedListing::AnswerOptions how { .now = now, .packed = request.takes_packed() };
+    self->leadership.writeAnswer(request.leadership(), how, *answer.mutable_leadership());
+    self->vms.writeAnswer(request.vms(), how, *answer.mutable_vms());
+    self->directoryListing.writeAnswer(request.directory(), how, *answer.mutable_directory());
     self->writeViews(answer);
     auto& configuration = *answer.mutable_configuration();
     configuration.set_age_us(wireAge(self->configurationConfirmedAt, now));
@@ -238,6 +255,8 @@
         document.set_value(request.takes_packed() ? self->packedConfiguration() : self->configurationValue);
         document.set_revision(self->configurationRevision);
     }
+    if (request.takes_packed())
+        self->keepToBudget(answer, now);
     co_return answer.SerializeAsString();
 }
 
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -4,6 +4,7 @@
 #include <cyclamendrift/membership/store_gate.h>
 #include <cyclamendrift/membership/vanished_vms.h>
 #include <cyclamendrift/runtime/asio_timer_service.h>
+#include <cyclamendrift/session_proxy/byte_budget.h>
 #include <cyclamendrift/session_proxy/metered_store.h>
 #include <cyclamendrift/session_proxy/session_control.h>
 #include <cyclamendrift/session_proxy/shared_listing.h>
@@ -158,6 +159,8 @@
     /// Writes the views that replicas have vouched for since the leadership was read.
     void writeViews(wire::ReadingsAnswer& answer) const;
     [[nodiscard]] const std::string& packedConfiguration();
+    /// Leaves out of an answer what this VM's link has no room for now.
+    void keepToBudget(wire::ReadingsAnswer& answer, Instant now);
 
     // control_leadership
     /// Returns how long to wait before the next try, when it failed.
@@ -216,6 +219,7 @@
     ViewSource leadershipReadFrom = ViewSource::Store;
     SharedListing vms;
     SharedListing directoryListing;
+    ByteBudget listingBudget;
     std::string configurationValue;
     /// The same, packed for siblings, and the revision that it is of.
     std::string configurationPacked;
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -23,6 +23,9 @@
 // Two rounds of duty, status and record, which take half a second each on a new system.
 constexpr Duration leaderPatience = std::chrono::seconds { 3 };
 
+// Of this VM's link for whole lists that siblings want; the rest is for statements.
+constexpr double partOfLink = 0.25;
+
 constexpr auto metricPrefix = "cyclamendrift_";
 
 } // namespace
@@ -60,6 +63,7 @@
     , leaseSource("lease", options.settings)
     , vmSource("vms", options.settings)
     , recordSource("record", options.settings)
+    , listingBudget(options.linkBytesPerSecond * partOfLink)
 {
 }
 
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -70,6 +70,7 @@
               .vm = options.settings.vm.name,
               .zone = options.settings.vm.zone,
               .cores = options.settings.cores,
+              .linkBytesPerSecond = options.settings.linkBytesPerSecond,
               .process = process,
               .siblingHost = options.settings.siblings.address,
               .siblingPort = options.settings.siblings.port,
--- a/src/session_proxy/shared_listing.cpp
+++ b/src/session_proxy/shared_listing.cpp
@@ -1,6 +1,7 @@
 #include <cyclamendrift/session_proxy/shared_listing.h>
 
 #include <cyclamendrift/schema/duration_codec.h>
+#include <cyclamendrift/session_proxy/packing.h>
 
 #include <sharing.pb.h>
 #include <sodium.h>
@@ -84,6 +85,7 @@
     this->keepEarlier();
     this->listing = std::move(next);
     this->digest = nextDigest;
+    this->packedEntries.clear();
     return Change::Entries;
 }
 
@@ -106,11 +108,12 @@
 
 SharedListing::Change SharedListing::takeAnswer(const wire::StoredListing& answer, Instant askedAt)
 {
-    if (answer.digest() == 0)
+    if (answer.digest() == 0 || answer.withheld())
         return Change::None;
     // The sibling reckoned the age after this VM had asked, so nothing is older than this instant says.
     const auto at = askedAt - durationFrom(answer.age_us());
-    if (answer.digest() == this->digest && answer.entries_size() == 0)
+    const bool withoutEntries = answer.entries_size() == 0 && answer.packed_entries().empty();
+    if (answer.digest() == this->digest && withoutEntries)
         return this->take({ .revision = answer.revision() }, this->digest, at);
     StoreListing listing { .revision = answer.revision() };
     listing.entries = this->entriesFrom(answer);
@@ -134,7 +137,11 @@
         for (const auto& key : answer.removed())
             entries.erase(key);
     }
-    for (const auto& entry : answer.entries())
+    wire::StoredListing unpacked;
+    if (!answer.packed_entries().empty() && !unpacked.ParseFromString(unpack(answer.packed_entries())))
+        throw ListingError { "the packed entries cannot be read" };
+    const auto& sent = answer.packed_entries().empty() ? answer.entries() : unpacked.entries();
+    for (const auto& entry : sent)
         entries.insert_or_assign(entry.key(), entryFrom(entry));
     std::vector<StoreEntry> result;
     result.reserve(entries.size());
@@ -149,21 +156,43 @@
     known.set_digest(this->digest);
 }
 
+void SharedListing::withhold(wire::StoredListing& answer)
+{
+    answer.clear_entries();
+    answer.clear_packed_entries();
+    answer.clear_base();
+    answer.clear_removed();
+    answer.set_withheld(true);
+}
+
+void SharedListing::writeAll(bool packed, wire::StoredListing& answer) const
+{
+    if (!packed || (this->packedEntries.empty() && this->listing.entries.empty())) {
+        for (const auto& entry : this->listing.entries)
+            write(entry, *answer.add_entries());
+        return;
+    }
+    if (this->packedEntries.empty()) {
+        wire::StoredListing all;
+        for (const auto& entry : this->listing.entries)
+            write(entry, *all.add_entries());
+        this->packedEntries = pack(all.SerializeAsString());
+    }
+    answer.set_packed_entries(this->packedEntries);
+}
+
 void SharedListing::writeAnswer(
-    const wire::KnownListing& known, Instant now, wire::StoredListing& answer) const
+    const wire::KnownListing& known, const AnswerOptions& options, wire::StoredListing& answer) const
 {
-    answer.set_age_us(wireAge(this->confirmed, now));
+    answer.set_age_us(wireAge(this->confirmed, options.now));
     answer.set_revision(this->listing.revision);
     answer.set_digest(this->digest);
     if (this->digest == known.digest() || this->listing.revision < known.revision())
         return;
     const auto base = std::find_if(this->earlier.begin(), this->earlier.end(),
         [&known](const Earlier& candidate) { return candidate.digest == known.digest(); });
-    if (base == this->earlier.end()) {
-        for (const auto& entry : this->listing.entries)
-            write(entry, *answer.add_entries());
-        return;
-    }
+    if (base == this->earlier.end())
+        return this->writeAll(options.packed, answer);
     answer.set_base(base->digest);
     auto removed = base->revisions;
     for (const auto& entry : this->listing.entries) {
--- a/src/settings/session_settings.cpp
+++ b/src/settings/session_settings.cpp
@@ -48,11 +48,23 @@
     return share * cores;
 }
 
+/// Reads `[link]`, in bytes a second.
+double readLink(SettingsReader& reader)
+{
+    constexpr double mostMegabits = 1e6;
+    constexpr double bytesOfMegabit = 1e6 / 8;
+    double megabits = 1000;
+    reader.enter("link");
+    reader.positive("megabits_per_second", megabits, mostMegabits);
+    return megabits * bytesOfMegabit;
+}
+
 SessionSettings readAll(SettingsReader& reader)
 {
     SessionSettings settings;
     readVm(reader, settings.vm);
     settings.cores = readProcessor(reader);
+    settings.linkBytesPerSecond = readLink(reader);
     reader.enter("callers");
     readEndpoint(reader, settings.callers);
     reader.enter("readiness");
--- a/tests/session_proxy/shared_listing_test.cpp
+++ b/tests/session_proxy/shared_listing_test.cpp
@@ -30,7 +30,7 @@
     wire::KnownListing known;
     asker.writeKnown(known);
     wire::StoredListing answer;
-    reader.writeAnswer(known, now, answer);
+    reader.writeAnswer(known, { .now = now }, answer);
     return answer;
 }
 
@@ -107,6 +107,36 @@
         CHECK(other.current().entries.size() == 10);
     }
 
+    TEST_CASE("all entries travel packed to a sibling that can read them, and are refused when they were cut")
+    {
+        SharedListing reader;
+        static_cast<void>(reader.takeReading(listingOf(195, 1000), start));
+        SharedListing asker;
+        wire::StoredListing answer;
+        reader.writeAnswer({}, { .now = start, .packed = true }, answer);
+        CHECK(answer.entries_size() == 0);
+        CHECK(answer.ByteSizeLong() < answerTo(asker, reader, start).ByteSizeLong() / 3);
+        auto cut = answer;
+        cut.mutable_packed_entries()->resize(answer.packed_entries().size() / 2);
+        CHECK_THROWS_AS(static_cast<void>(asker.takeAnswer(cut, start)), Error);
+        CHECK(asker.takeAnswer(answer, start) == Change::Entries);
+        CHECK(digestOf(asker.current().entries) == digestOf(reader.current().entries));
+    }
+
+    TEST_CASE("entries that the sibling has no room for now leave the asker as it was")
+    {
+        SharedListing reader;
+        static_cast<void>(reader.takeReading(listingOf(12, 1000), start));
+        SharedListing asker;
+        static_cast<void>(asker.takeReading(listingOf(10, 900), start));
+        auto answer = answerTo(asker, reader, start + 1s);
+        SharedListing::withhold(answer);
+        CHECK(answer.ByteSizeLong() < 40);
+        CHECK(asker.takeAnswer(answer, start + 1s) == Change::None);
+        CHECK(asker.current().entries.size() == 10);
+        CHECK(asker.confirmedAt() == start);
+    }
+
     TEST_CASE("an older listing changes nothing")
     {
         // Guards against going back to what an earlier reader had.
--- a/tests/settings/session_settings_test.cpp
+++ b/tests/settings/session_settings_test.cpp
@@ -70,6 +70,15 @@
         CHECK(problemsOf(whole + "[processor]\nshare = 1.5\n").find("up to 1") != std::string::npos);
     }
 
+    TEST_CASE("a VM's link is given in megabits and must bear something")
+    {
+        const auto settings
+            = parseSessionSettings(whole + "[link]\nmegabits_per_second = 20.0\n", "node.toml");
+        CHECK(settings.linkBytesPerSecond == doctest::Approx(2500000));
+        CHECK(problemsOf(whole + "[link]\nmegabits_per_second = 0\n").find("megabits_per_second")
+            != std::string::npos);
+    }
+
     TEST_CASE("each mistake is told with its line and column, all at once")
     {
         auto text = whole;
