--- a/src/pooling/caller_session.h
+++ b/src/pooling/caller_session.h
@@ -38,6 +38,8 @@
     /// The home that it was handed to, and when.
     std::optional<VmName> handedTo;
     Instant handedAt;
+    /// The home that has it now, or null.
+    [[nodiscard]] const VmName* home() const { return this->handedTo ? &*this->handedTo : nullptr; }
     /// The prepared statement that it runs, if it runs one.
     std::optional<PreparedShape> shape;
     /// When to send it again on the connection that holds its transaction.
--- a/src/pooling/engine_homes.cpp
+++ b/src/pooling/engine_homes.cpp
@@ -145,9 +145,10 @@
 {
     std::map<VmName, Instant> oldest;
     for (const auto& [id, session] : this->callers) {
-        if (!session.work || !session.work->handedTo)
+        const auto* home = session.work ? session.work->home() : nullptr;
+        if (home == nullptr)
             continue;
-        auto& since = oldest.try_emplace(*session.work->handedTo, session.work->handedAt).first->second;
+        auto& since = oldest.try_emplace(*home, session.work->handedAt).first->second;
         since = std::min(since, session.work->handedAt);
     }
     this->homeHealth.noteWaiting(oldest);
