--- a/include/cyclamendrift/membership/store_gate.h
+++ b/include/cyclamendrift/membership/store_gate.h
@@ -25,7 +25,7 @@
     /// wait.
     [[nodiscard]] bool mayTry(Instant now);
 
-    /// How long the store has not answered this VM.
+    /// When the store answered this VM last; Instant::min() if it never did.
     [[nodiscard]] Instant lastAnswer() const noexcept { return this->answeredAt; }
 
 private:
--- a/include/cyclamendrift/session_proxy/metered_store.h
+++ b/include/cyclamendrift/session_proxy/metered_store.h
@@ -18,6 +18,8 @@
         Store& store;
         /// What a key or prefix is for; the text becomes a label.
         std::function<std::string_view(std::string_view key)> purposeOf;
+        /// Called after each listing that came; may be empty.
+        std::function<void()> onListing {};
     };
     /// What a call does, and for what.
     using Kind = std::pair<std::string_view, std::string_view>;
--- a/src/membership/home_map.cpp
+++ b/src/membership/home_map.cpp
@@ -1,10 +1,8 @@
 #include <cyclamendrift/membership/home_map.h>
 
-#include <sodium.h>
+#include <cyclamendrift/core/stable_hash.h>
 
 #include <algorithm>
-#include <array>
-#include <cstring>
 #include <string>
 #include <utility>
 
@@ -12,10 +10,6 @@
 
 namespace {
 
-/// Any fixed key does; all processes must use the same one.
-constexpr std::array<unsigned char, crypto_shorthash_KEYBYTES> rendezvousKey { 'c', 'y', 'c', 'l', 'a', 'm',
-    'e', 'n', 'd', 'r', 'i', 'f', 't', 0, 0, 1 };
-
 /// Something that stands for a VM, with that VM's weight.
 template <class Item> struct Ranked {
     std::uint64_t weight = 0;
@@ -43,13 +37,7 @@
 
 std::uint64_t rendezvousWeight(const VmName& vm, std::string_view subject)
 {
-    const auto text = vm.string() + '\n' + std::string { subject };
-    std::array<unsigned char, crypto_shorthash_BYTES> hash {};
-    const auto* bytes = reinterpret_cast<const unsigned char*>(text.data());
-    crypto_shorthash(hash.data(), bytes, text.size(), rendezvousKey.data());
-    std::uint64_t weight = 0;
-    std::memcpy(&weight, hash.data(), sizeof(weight));
-    return weight;
+    return stableHash(vm.string() + '\n' + std::string { subject });
 }
 
 void rankByRendezvous(std::vector<VmName>& vms, std::string_view subject)
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -18,6 +18,7 @@
         return;
     this->configurationRevision = revision;
     this->configurationValue = value;
+    this->configurationPacked.clear();
     try {
         auto table = std::make_shared<const RouteTable>(this->options.format.readRoutes(value));
         if (this->routes && table->version <= this->routes->version)
@@ -43,7 +44,6 @@
     const auto revision = this->leadership.current().revision;
     if (bootNow() < provenAt + this->options.settings.provenBy) {
         auto listing = co_await this->store.listing(prefix, ReadFreshness::MayLag);
-        this->storeGate.answered(bootNow());
         if (listing.revision >= revision)
             co_return ProvenListing { .listing = std::move(listing), .provenAt = provenAt };
         logEvent(LogLevel::Info, "listing_lags",
@@ -52,7 +52,6 @@
     }
     const auto askedAt = bootNow();
     auto listing = co_await this->store.listing(std::move(prefix), ReadFreshness::Linearizable);
-    this->storeGate.answered(bootNow());
     co_return ProvenListing { .listing = std::move(listing), .provenAt = askedAt };
 }
 
@@ -148,7 +147,6 @@
             static_cast<void>(this->directoryListing.takeReading(std::move(listing), provenAt));
         } else {
             auto listing = co_await this->store.listing(prefix, ReadFreshness::MayLag);
-            this->storeGate.answered(bootNow());
             static_cast<void>(this->directoryListing.takeReading(std::move(listing), askedAt));
         }
         this->directorySource.succeeded();
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -26,7 +26,6 @@
     const auto askedAt = bootNow();
     try {
         auto listing = co_await this->store.listing(store_key::leadershipPrefix, ReadFreshness::Linearizable);
-        this->storeGate.answered(bootNow());
         this->leadershipSource.succeeded();
         static_cast<void>(this->leadership.takeReading(std::move(listing), askedAt));
         this->takeLeadership(ViewSource::Store);
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -45,7 +45,6 @@
     try {
         secret = co_await this->store.listing(store_key::siblingSecret, ReadFreshness::MayLag);
         listed = co_await this->store.listing(store_key::vmPrefix, ReadFreshness::MayLag);
-        this->storeGate.answered(bootNow());
     } catch (const StoreError& error) {
         logEvent(LogLevel::Warn, "siblings_not_found", { { "reason", error.what() } });
     }
@@ -100,7 +99,7 @@
 {
     const auto& settings = this->options.settings;
     // While the store is away, what replicas vouch for still has to come from somebody.
-    bool away = this->readerChoice.storeSeemsAway(bootNow());
+    const bool away = this->readerChoice.storeSeemsAway(bootNow());
     for (int silent = 0; silent < silentReadersAsked;) {
         // This VM's own readings must not grow older than those that siblings can use.
         auto reader = this->readerToAsk();
@@ -226,7 +225,7 @@
 
 const std::string& SessionControl::State::packedConfiguration()
 {
-    if (std::exchange(this->packedRevision, this->configurationRevision) != this->configurationRevision)
+    if (this->configurationPacked.empty())
         this->configurationPacked = pack(this->configurationValue);
     return this->configurationPacked;
 }
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -57,8 +57,9 @@
     bool lost = false;
 };
 
-/// Sources: control_configuration (routes and upstreams), control_leadership (who leads), control_membership
-/// (lease, VMs, limits), session_control (start and stop).
+/// Sources: control_configuration (routes and upstreams), control_readings (what siblings have read, for a
+/// start and after it), control_leadership (who leads), control_membership (lease, VMs, limits),
+/// session_control (start and stop).
 class SessionControl::State : public std::enable_shared_from_this<State> {
 public:
     explicit State(Options options);
@@ -221,9 +222,8 @@
     SharedListing directoryListing;
     ByteBudget listingBudget;
     std::string configurationValue;
-    /// The same, packed for siblings, and the revision that it is of.
+    /// The same, packed when a sibling first wants it; empty before.
     std::string configurationPacked;
-    std::uint64_t packedRevision = 0;
     Instant configurationConfirmedAt = Instant::min();
     /// Ends the watch of the configuration.
     asio::cancellation_signal configurationWatch;
--- a/src/session_proxy/metered_store.cpp
+++ b/src/session_proxy/metered_store.cpp
@@ -40,6 +40,8 @@
     auto listing = co_await this->options.store.listing(std::move(prefix), freshness);
     // The first page was counted before it was known to come.
     this->count(call, purpose, listing.pages - 1);
+    if (this->options.onListing)
+        this->options.onListing();
     co_return listing;
 }
 
--- a/src/session_proxy/packing.cpp
+++ b/src/session_proxy/packing.cpp
@@ -1,5 +1,7 @@
 #include <cyclamendrift/session_proxy/packing.h>
 
+#include <cyclamendrift/core/little_endian.h>
+
 #include <google/protobuf/io/gzip_stream.h>
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 
@@ -19,19 +21,11 @@
 // The document's length goes ahead of its bytes, as the library takes a stream that was cut for its end.
 constexpr std::size_t lengthBytes = sizeof(std::uint64_t);
 
-std::string encodedLength(std::uint64_t length)
-{
-    std::string text;
-    for (std::size_t index = 0; index < lengthBytes; ++index)
-        text += static_cast<char>(length >> (8 * index));
-    return text;
-}
-
 } // namespace
 
 std::string pack(std::string_view document)
 {
-    std::string packed = encodedLength(document.size());
+    std::string packed = littleEndian(document.size());
     io::StringOutputStream bytes { &packed };
     io::GzipOutputStream stream { &bytes };
     while (!document.empty()) {
@@ -65,7 +59,7 @@
         if (document.size() > longestDocument)
             throw PackingError { "the packed document is too long" };
     }
-    if (encodedLength(document.size()) != length)
+    if (littleEndian(document.size()) != length)
         throw PackingError { "the packed document is cut or foreign" };
     return document;
 }
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -55,7 +55,8 @@
 SessionControl::State::State(Options given)
     : options(std::move(given))
     , store({ .store = this->options.store,
-          .purposeOf = [this](std::string_view key) { return this->purposeOf(key); } })
+          .purposeOf = [this](std::string_view key) { return this->purposeOf(key); },
+          .onListing = [this] { this->storeGate.answered(bootNow()); } })
     , timers(options.context.get_executor())
     , configurationSource("configuration", options.settings)
     , directorySource("directory", options.settings)
--- a/src/session_proxy/shared_listing.cpp
+++ b/src/session_proxy/shared_listing.cpp
@@ -1,14 +1,13 @@
 #include <cyclamendrift/session_proxy/shared_listing.h>
 
+#include <cyclamendrift/core/little_endian.h>
+#include <cyclamendrift/core/stable_hash.h>
 #include <cyclamendrift/schema/duration_codec.h>
 #include <cyclamendrift/session_proxy/packing.h>
 
 #include <sharing.pb.h>
-#include <sodium.h>
 
 #include <algorithm>
-#include <array>
-#include <cstring>
 #include <map>
 #include <string>
 #include <string_view>
@@ -22,16 +21,6 @@
 // times a second.
 constexpr std::size_t earlierKept = 12;
 
-/// Any fixed key does; all processes must use the same one.
-constexpr std::array<unsigned char, crypto_shorthash_KEYBYTES> digestKey { 'l', 'i', 's', 't', 'i', 'n',
-    'g' };
-
-void append(std::string& text, std::uint64_t number)
-{
-    for (std::size_t index = 0; index < sizeof(number); ++index)
-        text += static_cast<char>(number >> (8 * index));
-}
-
 StoreEntry entryFrom(const wire::StoredEntry& message)
 {
     return { .key = message.key(), .value = message.value(), .revision = message.revision() };
@@ -54,16 +43,11 @@
         revisions.emplace(entry.key, entry.revision);
     std::string text;
     for (const auto& [key, revision] : revisions) {
-        append(text, key.size());
+        text += littleEndian(key.size());
         text += key;
-        append(text, revision);
+        text += littleEndian(revision);
     }
-    std::array<unsigned char, crypto_shorthash_BYTES> hash {};
-    const auto* bytes = reinterpret_cast<const unsigned char*>(text.data());
-    crypto_shorthash(hash.data(), bytes, text.size(), digestKey.data());
-    std::uint64_t digest = 0;
-    std::memcpy(&digest, hash.data(), sizeof(digest));
-    return std::max<std::uint64_t>(digest, 1);
+    return std::max<std::uint64_t>(stableHash(text), 1);
 }
 
 std::uint64_t wireAge(Instant instant, Instant now)
@@ -167,7 +151,7 @@
 
 void SharedListing::writeAll(bool packed, wire::StoredListing& answer) const
 {
-    if (!packed || (this->packedEntries.empty() && this->listing.entries.empty())) {
+    if (!packed || this->listing.entries.empty()) {
         for (const auto& entry : this->listing.entries)
             write(entry, *answer.add_entries());
         return;
--- a/src/siblings/message_key.cpp
+++ b/src/siblings/message_key.cpp
@@ -1,7 +1,8 @@
 #include "message_key.h"
 
+#include <cyclamendrift/core/little_endian.h>
+
 #include <cstddef>
-#include <cstdint>
 #include <stdexcept>
 
 namespace cyclamendrift {
@@ -59,13 +60,11 @@
     Bytes result {};
     crypto_generichash_init(&state, this->key.data(), this->key.size(), result.size());
     for (const auto field : fields) {
-        const std::uint64_t size = field.size();
-        std::array<unsigned char, sizeof(size)> sizeBytes {};
-        for (std::size_t index = 0; index < sizeBytes.size(); ++index)
-            sizeBytes[index] = static_cast<unsigned char>(size >> (8 * index));
-        crypto_generichash_update(&state, sizeBytes.data(), sizeBytes.size());
-        const auto* bytes = reinterpret_cast<const unsigned char*>(field.data());
-        crypto_generichash_update(&state, bytes, field.size());
+        const auto size = littleEndian(field.size());
+        for (const auto part : { std::string_view { size }, field }) {
+            const auto* bytes = reinterpret_cast<const unsigned char*>(part.data());
+            crypto_generichash_update(&state, bytes, part.size());
+        }
     }
     crypto_generichash_final(&state, result.data(), result.size());
     return result;
--- a/tests/membership/reader_choice_test.cpp
+++ b/tests/membership/reader_choice_test.cpp
@@ -1,3 +1,5 @@
+#include "vm_names.h"
+
 #include <cyclamendrift/membership/reader_choice.h>
 
 #include <doctest/doctest.h>
@@ -10,14 +12,6 @@
 
 namespace {
 
-std::vector<VmName> vmsOf(std::size_t count)
-{
-    std::vector<VmName> vms;
-    for (std::size_t index = 0; index < count; ++index)
-        vms.emplace_back("vm-" + std::to_string(index));
-    return vms;
-}
-
 /// How many VMs read the store for themselves when each of them passes over the first VM of the order.
 std::size_t readingThemselves(std::size_t vms, std::size_t readers, bool firstOneFails)
 {
--- a/tests/membership/store_gate_test.cpp
+++ b/tests/membership/store_gate_test.cpp
@@ -1,3 +1,5 @@
+#include "vm_names.h"
+
 #include <cyclamendrift/membership/reader_choice.h>
 #include <cyclamendrift/membership/store_gate.h>
 
@@ -14,14 +16,6 @@
 constexpr Instant start { 100s };
 constexpr Duration step = 50ms;
 
-std::vector<VmName> vmsOf(std::size_t count)
-{
-    std::vector<VmName> vms;
-    for (std::size_t index = 0; index < count; ++index)
-        vms.emplace_back("vm-" + std::to_string(index));
-    return vms;
-}
-
 /// Calls that `vms` VMs make, of which each wants to call at every step, while all readers say that the store
 /// is away.
 std::size_t triesOf(std::size_t vms, Duration outage)
--- a/tests/membership/vanished_vms_test.cpp
+++ b/tests/membership/vanished_vms_test.cpp
@@ -1,3 +1,5 @@
+#include "vm_names.h"
+
 #include <cyclamendrift/membership/vanished_vms.h>
 
 #include <doctest/doctest.h>
@@ -13,14 +15,6 @@
 
 constexpr Instant start { 100s };
 
-std::vector<VmName> vmsOf(std::size_t count)
-{
-    std::vector<VmName> vms;
-    for (std::size_t index = 0; index < count; ++index)
-        vms.emplace_back("vm-" + std::to_string(index));
-    return vms;
-}
-
 std::set<VmName> firstOf(const std::vector<VmName>& vms, std::size_t count)
 {
     return { vms.begin(), vms.begin() + static_cast<std::ptrdiff_t>(count) };
