Keep statements out of availability zones that operators evacuate

Cause: nothing read the operators' request to evacuate an availability zone. Change: the requests are read in the configuration's own listing and watch, whose prefix now covers all that operators write, so they cost no further calls; siblings pass them on as a listing of their own with its age. What only an evacuated primary could run is refused at once. A coordinator replaces a primary there by a planned change, in which replicas get up to 3 s to catch up as the old primary goes on running; it promotes nothing in such a zone, and keeps the primary when no other zone has a successor. Leadership's simulation lets replicas receive from a primary that stepped down, as upstreams do; without it no replica ever caught up.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -54,6 +55,9 @@
     Duration logGrowthWindow = std::chrono::milliseconds { 200 };
     /// In a planned change, how long replicas may take to receive what the old primary has written.
     Duration catchUpTimeout = std::chrono::milliseconds { 800 };
+    /// The same when the change is due to an evacuation. The old primary does not shut down, so replicas can
+    /// still receive from it.
+    Duration evacuationCatchUpTimeout = std::chrono::milliseconds { 3000 };
     /// Between two attempts of a promotion that has shown no effect.
     Duration promotionRetryInterval = std::chrono::milliseconds { 500 };
     /// A promoted replica that does not lead after this time is abandoned. Another one is promoted as soon as
@@ -117,6 +121,9 @@
     void onSnapshot(const LeadershipSnapshot& snapshot, Instant now);
     /// The directory now lists these upstreams of the group.
     void onDirectory(UpstreamDirectory members, Instant now);
+    /// Operators evacuate these availability zones: a primary there is replaced by a planned change, and no
+    /// replica there is promoted.
+    void setEvacuatedZones(std::set<ZoneName> zones) { this->evacuatedZones = std::move(zones); }
     /// Reports the traffic to an upstream: when it last answered, since when statements have been failing,
     /// and whether an answer contradicts the view.
     void onTraffic(const UpstreamName& upstream, Instant lastAnswer, std::optional<Instant> failingSince,
@@ -234,6 +241,11 @@
     void acquireLeaseIfFree(Instant now);
     void renewFromReplicas(Instant now);
     [[nodiscard]] bool isPrimary(const UpstreamName& name) const;
+    [[nodiscard]] bool isInEvacuatedZone(const UpstreamEntry& entry) const;
+    /// True when the upstream neither shuts down nor is in an evacuated availability zone.
+    [[nodiscard]] bool mayLead(const UpstreamEntry& entry) const;
+    /// True when an upstream other than the primary may lead.
+    [[nodiscard]] bool hasSuccessor() const;
     /// True while a replica may exist that the directory does not list.
     [[nodiscard]] bool hasMissingReplica(Instant now) const;
     /// The instant up to which every replica has confirmed that it follows the record's primary.
@@ -318,6 +330,7 @@
     bool hasSnapshot = false;
     bool recordMayBeStale = false;
     std::vector<Member> members;
+    std::set<ZoneName> evacuatedZones;
     /// When upstreams disappeared from the directory that had not been marked as draining.
     std::map<UpstreamName, Instant> missingSince;
     /// Confirmations from before this instant were wrong.
--- a/include/cyclamendrift/pooling/session_engine.h
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -114,6 +115,9 @@
     void setRoutes(std::shared_ptr<const RouteTable> routes, Instant now);
     void setDirectory(const UpstreamDirectory& directory, Instant now);
     void setLeader(const ServiceName& service, const LeaderView& view, Instant now);
+    /// Operators evacuate these availability zones: their upstreams get no new statements, and transactions
+    /// that are open there are aborted after EngineSettings::evacuationGrace.
+    void setEvacuatedZones(const std::set<ZoneName>& zones, Instant now);
     void setPlace(const FleetPlace& place, Instant now);
     void setShares(const std::map<TeamName, TeamShare::Rule>& shares, Instant now);
 
--- a/include/cyclamendrift/session_proxy/ports.h
+++ b/include/cyclamendrift/session_proxy/ports.h
@@ -101,14 +101,28 @@
     using Error::Error;
 };
 
+/// An operator's request to evacuate an availability zone. It holds as long as its key exists.
+struct EvacuationRequest {
+    ZoneName zone;
+    /// False when the value is not in the platform's form; the request holds all the same.
+    bool wellFormed = true;
+};
+
 /// Where the platform keeps what operators and upstreams write, and how to read it.
 class PlatformFormat {
 public:
     virtual ~PlatformFormat() = default;
+    /// Prefix of all keys that operators write; includes the configuration's key and `evacuationPrefix()`.
+    [[nodiscard]] virtual std::string operatorPrefix() const = 0;
     [[nodiscard]] virtual std::string configurationKey() const = 0;
+    [[nodiscard]] virtual std::string evacuationPrefix() const = 0;
     [[nodiscard]] virtual std::string upstreamPrefix() const = 0;
     /// Throws FormatError.
     [[nodiscard]] virtual RouteTable readRoutes(std::string_view value) const = 0;
+    /// Throws FormatError when the key names no availability zone.
+    [[nodiscard]] virtual EvacuationRequest readEvacuation(
+        std::string_view key, std::string_view value) const
+        = 0;
     /// Throws FormatError when the entry names no upstream that can be used.
     [[nodiscard]] virtual UpstreamEntry readUpstream(std::string_view key, std::string_view value) const = 0;
 };
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -57,6 +58,7 @@
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     void setDirectory(UpstreamDirectory directory);
     void setLeader(ServiceName service, const LeaderView& view);
+    void setEvacuatedZones(std::set<ZoneName> zones);
     void setPlace(const FleetPlace& place);
     void setShares(std::map<TeamName, TeamShare::Rule> shares);
     /// Begins to serve siblings that know the secret.
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -32,6 +32,23 @@
     return this->latestSnapshot.record && this->latestSnapshot.record->primary == name;
 }
 
+bool LeaderCoordinator::isInEvacuatedZone(const UpstreamEntry& entry) const
+{
+    return this->evacuatedZones.contains(entry.zone);
+}
+
+bool LeaderCoordinator::mayLead(const UpstreamEntry& entry) const
+{
+    return !entry.draining && !this->isInEvacuatedZone(entry);
+}
+
+bool LeaderCoordinator::hasSuccessor() const
+{
+    return std::any_of(this->members.begin(), this->members.end(), [this](const Member& member) {
+        return !this->isPrimary(member.entry.name) && this->mayLead(member.entry);
+    });
+}
+
 LeaderCoordinator::Member* LeaderCoordinator::find(const UpstreamName& name)
 {
     const auto match = std::find_if(this->members.begin(), this->members.end(),
@@ -309,6 +326,9 @@
         return this->claimNextTerm(false, "the primary is not listed in the directory", now);
     if (primary->entry.draining)
         return this->claimNextTerm(true, "the primary is draining", now);
+    // Without a successor the primary stays, so that it can serve again when the evacuation is withdrawn.
+    if (this->isInEvacuatedZone(primary->entry) && this->hasSuccessor())
+        return this->claimNextTerm(true, "the primary's availability zone is evacuated", now);
     const bool steppedDown
         = primary->status && !primary->status->isPrimary && primary->status->term <= record.term;
     if (steppedDown && primary->statusAt > this->latestSnapshot.askedAt - this->options.settings.viewLifetime)
--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -45,7 +45,7 @@
     for (const auto& [name, pause] : paused) {
         const auto* member = this->find(name);
         const bool wasRefused = std::find(refused.begin(), refused.end(), name) != refused.end();
-        if (member == nullptr || wasRefused || member->entry.draining)
+        if (member == nullptr || wasRefused || !this->mayLead(member->entry))
             continue;
         found.push_back({ .name = name, .received = pause.received });
     }
@@ -105,7 +105,8 @@
     // A further promotion of a replica that no longer answers would only prolong the wait until it is
     // settled.
     const bool answers = promoted->lastAnswer >= replacement.lastPromotionAt;
-    if (answers && now >= replacement.lastPromotionAt + settings.promotionRetryInterval) {
+    const bool evacuated = this->isInEvacuatedZone(promoted->entry);
+    if (answers && !evacuated && now >= replacement.lastPromotionAt + settings.promotionRetryInterval) {
         replacement.lastPromotionAt = now;
         this->pendingPromotions.recordSent(replacement.promoted, now);
         this->actions.emplace_back(
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -19,12 +19,12 @@
 void LeaderCoordinator::claimNextTerm(bool planned, std::string_view reason, Instant now)
 {
     const auto& record = this->record();
-    const bool hasOtherUpstream = std::any_of(
-        this->members.begin(), this->members.end(), [&record](const Member& member) {
-            const bool leads = member.status && member.status->isPrimary && member.status->term > record.term;
-            return member.entry.name != record.primary && (leads || !member.entry.draining);
-        });
-    if (!hasOtherUpstream)
+    const bool otherLeads
+        = std::any_of(this->members.begin(), this->members.end(), [&record](const Member& member) {
+              return member.entry.name != record.primary && member.status && member.status->isPrimary
+                  && member.status->term > record.term;
+          });
+    if (!otherLeads && !this->hasSuccessor())
         return;
     if (now < this->lastWriteAt + this->options.settings.storeRetryInterval)
         return;
@@ -47,7 +47,7 @@
     if (!this->replacement) {
         const auto* primary = this->find(record.primary);
         this->replacement = std::make_unique<Replacement>(Replacement {
-            .term = record.claimedTerm, .planned = primary != nullptr && primary->entry.draining });
+            .term = record.claimedTerm, .planned = primary != nullptr && !this->mayLead(primary->entry) });
     }
     if (this->replacement->claimPending) {
         this->writeRecord({ .term = record.term,
@@ -149,8 +149,11 @@
         // A replica that is still receiving what the demoted primary has written may continue for
         // `catchUpTimeout`.
         const auto& demoted = this->replacement->demotedProgress;
-        const bool mayCatchUp
-            = this->replacement->planned && now < this->replacement->claimedAt + settings.catchUpTimeout;
+        const auto* primary = this->find(this->record().primary);
+        const bool primaryStays
+            = primary != nullptr && !primary->entry.draining && !primary->isFailing();
+        const auto timeout = primaryStays ? settings.evacuationCatchUpTimeout : settings.catchUpTimeout;
+        const bool mayCatchUp = this->replacement->planned && now < this->replacement->claimedAt + timeout;
         const bool caughtUp = demoted && member.status && member.status->received >= *demoted;
         if (mayCatchUp && !caughtUp)
             this->actions.emplace_back(AskStatus { member.entry.name });
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -159,6 +159,17 @@
             this->release(connection);
         return;
     }
+    if (this->isEvacuated(this->upstreamOf(connection))) {
+        // Closing the connection rolls the transaction back without a further statement.
+        if (connection.steps.front().kind == StepKind::Drop)
+            return this->close(connection);
+        if (auto* user = connection.user ? this->findCaller(*connection.user) : nullptr) {
+            if (!user->pinned)
+                return this->requeueElsewhere(connection, *user);
+            if (this->hasEvacuationGraceEnded(connection))
+                return this->dropTransaction(*user, "the upstream's availability zone is evacuated");
+        }
+    }
     connection.sentAt = this->now;
     connection.answerBy = this->now + this->options.settings.setupTimeout;
     // All setup steps are sent at once; the statements after them wait for their success.
@@ -332,7 +343,7 @@
     auto& upstream = this->upstreamOf(connection);
     const bool beyondShare = upstream.connections.size() > this->connectionShareOf(upstream);
     const bool mustShrink = beyondShare && this->now < upstream.noBorrowingUntil;
-    const bool unusable = !upstream.listed || upstream.entry.draining;
+    const bool unusable = !upstream.listed || upstream.entry.draining || this->isEvacuated(upstream);
     const auto service = connection.service;
     if (mustShrink || unusable)
         this->close(connection);
@@ -442,7 +453,7 @@
         const bool hasOwners = this->ownersFor(this->connectionCapOf(connection.service)) != nullptr;
         const auto timeout = hasOwners ? settings.ownerIdleTimeout : settings.idleTimeout;
         const bool idleTooLong = this->now - connection.idleSince >= timeout;
-        if (idleTooLong || !upstream.listed || upstream.entry.draining)
+        if (idleTooLong || !upstream.listed || upstream.entry.draining || this->isEvacuated(upstream))
             this->close(connection);
     }
 }
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -19,6 +19,8 @@
 // upstream.
 constexpr double laggingReplicaCost = 0.6;
 
+constexpr auto evacuatedReason = "the availability zone of the upstreams is evacuated";
+
 // One connection is reserved for status queries.
 std::size_t usableConnections(std::uint32_t connectionCap)
 {
@@ -35,6 +37,11 @@
             adviceText("the primary is being replaced", this->options.settings.primaryChangeRetryAfter));
         return;
     }
+    if (this->isStoppedByEvacuation(group, session)) {
+        this->refuse(session, StatementError::Busy,
+            adviceText(evacuatedReason, this->options.settings.evacuationRetryAfter));
+        return;
+    }
     group.waiting.push_back(session.id);
     this->dispatchWaiting(group);
 }
@@ -121,7 +128,7 @@
 bool SessionEngine::State::canServe(const GroupState& group, const UpstreamState& upstream,
     const CallerSession& session, const std::optional<ReplicaRequirement>& requirement) const
 {
-    if (!upstream.listed || upstream.entry.draining)
+    if (!upstream.listed || upstream.entry.draining || this->isEvacuated(upstream))
         return false;
     if (this->now < upstream.unreachableUntil || this->now < upstream.busyUntil)
         return false;
@@ -321,12 +328,16 @@
         const bool leaderless = this->isLeaderless(group, *session);
         const auto maxWait
             = (work.dispatchDeadline - work.arrivedAt) / this->options.settings.leaderlessWaitDivisor;
+        const bool evacuated = this->isStoppedByEvacuation(group, *session);
         const bool cannotBeServed = leaderless
             && (group.view.phase == LeaderView::Phase::Changing || this->now >= work.arrivedAt + maxWait);
-        if (!cannotBeServed && this->now < work.dispatchDeadline)
+        if (!cannotBeServed && !evacuated && this->now < work.dispatchDeadline)
             continue;
         std::erase(group.waiting, id);
-        if (leaderless)
+        if (evacuated)
+            this->refuse(*session, StatementError::Busy,
+                adviceText(evacuatedReason, this->options.settings.evacuationRetryAfter));
+        else if (leaderless)
             this->refuse(*session, StatementError::Busy,
                 adviceText("no primary is known to lead", this->options.settings.primaryChangeRetryAfter));
         else
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -43,7 +44,7 @@
 };
 
 /// State of a SessionEngine. Its functions are defined in engine_callers (statements of callers),
-/// engine_dispatch (selection of upstreams), engine_forwarding (statements forwarded to owner VMs, and
+/// engine_dispatch (selection of upstreams), engine_evacuation (evacuated availability zones), engine_forwarding (statements forwarded to owner VMs, and
 /// statements of siblings), engine_connections (connections, sending and connection losses),
 /// engine_contradictions (answers that contradict the view of the primary), engine_answers (answers of
 /// upstreams) and session_engine (configuration, views and timers).
@@ -83,6 +84,17 @@
     void serveSameTeam(PooledConnection& connection);
     void refuseOverdueStatements(GroupState& group);
 
+    // engine_evacuation
+    void setEvacuatedZones(const std::set<ZoneName>& zones);
+    [[nodiscard]] bool isEvacuated(const UpstreamState& upstream) const;
+    /// True when an evacuation has stopped every upstream that could run the session's statement.
+    [[nodiscard]] bool isStoppedByEvacuation(const GroupState& group, const CallerSession& session) const;
+    /// True when no statement may be sent on a connection that holds a transaction, because the zone of its
+    /// upstream has been under evacuation for too long.
+    [[nodiscard]] bool hasEvacuationGraceEnded(const PooledConnection& connection) const;
+    /// Aborts idle transactions in zones whose time has run out.
+    void abortEvacuatedTransactions();
+
     // engine_forwarding
     void forwardedStatementReceived(ForwardedStatement work);
     void forwardedStatementAnswered(CallerId caller, CallerId remoteSession, Reply reply);
@@ -131,6 +143,8 @@
     /// Instant::max() unless this VM is shutting down.
     Instant closeIdleFrom = Instant::max();
     Instant abortAt = Instant::max();
+    /// The availability zones that are evacuated, and since when this VM has known it.
+    std::map<ZoneName, Instant> evacuatedSince;
     std::vector<EngineAction> actions;
 
 private:
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -174,6 +174,12 @@
     engine.dispatchWaiting(group);
 }
 
+void SessionEngine::setEvacuatedZones(const std::set<ZoneName>& zones, Instant now)
+{
+    this->state->now = now;
+    this->state->setEvacuatedZones(zones);
+}
+
 void SessionEngine::setPlace(const FleetPlace& place, Instant now)
 {
     this->state->now = now;
@@ -221,6 +227,7 @@
     auto& engine = *this->state;
     engine.now = now;
     engine.checkTimeouts();
+    engine.abortEvacuatedTransactions();
     engine.tickGroups();
     engine.closeIdleConnections();
     engine.checkSilentOwners();
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -8,6 +8,7 @@
 #include <asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace cyclamendrift {
@@ -59,7 +60,7 @@
 {
     const auto key = this->options.format.configurationKey();
     try {
-        const auto [listing, provenAt] = co_await this->readProven(key);
+        const auto [listing, provenAt] = co_await this->readProven(this->options.format.operatorPrefix());
         this->configurationConfirmedAt = std::max(this->configurationConfirmedAt, provenAt);
         this->configurationSource.succeeded();
         const auto entry = std::find_if(listing.entries.begin(), listing.entries.end(),
@@ -68,6 +69,12 @@
         if (found)
             this->takeConfiguration(entry->value, entry->revision);
         this->configurationReadAt = listing.revision;
+        StoreListing requests { .revision = listing.revision };
+        std::copy_if(listing.entries.begin(), listing.entries.end(), std::back_inserter(requests.entries),
+            [prefix = this->options.format.evacuationPrefix()](
+                const StoreEntry& candidate) { return candidate.key.starts_with(prefix); });
+        if (this->evacuations.takeReading(std::move(requests), provenAt) == SharedListing::Change::Entries)
+            this->takeEvacuations();
         co_return found;
     } catch (const StoreError& error) {
         static_cast<void>(this->configurationSource.failed(error.what()));
@@ -75,18 +82,66 @@
     }
 }
 
-asio::awaitable<void> SessionControl::State::watchConfiguration()
+void SessionControl::State::takeOperatorChange(const StoreChange& change)
 {
-    const auto onChange = [this](const StoreChange& change) {
-        this->configurationConfirmedAt = bootNow();
+    const auto now = bootNow();
+    this->configurationConfirmedAt = now;
+    if (change.key == this->options.format.configurationKey() && change.value)
+        this->takeConfiguration(*change.value, change.revision);
+    auto requests = this->evacuations.current();
+    // A sibling may have told of a later state already.
+    if (change.revision <= requests.revision)
+        return;
+    requests.revision = change.revision;
+    if (change.key.starts_with(this->options.format.evacuationPrefix())) {
+        std::erase_if(
+            requests.entries, [&change](const StoreEntry& entry) { return entry.key == change.key; });
         if (change.value)
-            this->takeConfiguration(*change.value, change.revision);
-    };
-    const auto key = this->options.format.configurationKey();
+            requests.entries.push_back(
+                { .key = change.key, .value = *change.value, .revision = change.revision });
+    }
+    if (this->evacuations.takeReading(std::move(requests), now) == SharedListing::Change::Entries)
+        this->takeEvacuations();
+}
+
+void SessionControl::State::takeEvacuations()
+{
+    std::set<ZoneName> zones;
+    std::string names;
+    for (const auto& entry : this->evacuations.current().entries) {
+        try {
+            auto request = this->options.format.readEvacuation(entry.key, entry.value);
+            if (!request.wellFormed)
+                logEvent(LogLevel::Warn, "evacuation_malformed", { { "key", entry.key } });
+            names += (names.empty() ? "" : ",") + request.zone.string();
+            zones.insert(std::move(request.zone));
+        } catch (const FormatError& error) {
+            logEvent(LogLevel::Warn, "evacuation_set_aside",
+                { { "key", entry.key }, { "reason", error.what() } });
+        }
+    }
+    if (zones == this->evacuatedZones)
+        return;
+    this->evacuatedZones = std::move(zones);
+    const auto affected = std::count_if(this->directory.begin(), this->directory.end(),
+        [this](const UpstreamEntry& entry) { return this->evacuatedZones.contains(entry.zone); });
+    logEvent(LogLevel::Info, "evacuations_taken",
+        { { "availability_zones", names }, { "upstreams", std::to_string(affected) },
+            { "revision", std::to_string(this->evacuations.current().revision) } });
+    for (auto& [service, coordinator] : this->coordinators)
+        coordinator.setEvacuatedZones(this->evacuatedZones);
+    this->options.traffic.setEvacuatedZones(this->evacuatedZones);
+    this->tick();
+}
+
+asio::awaitable<void> SessionControl::State::watchConfiguration()
+{
+    const auto onChange = [this](const StoreChange& change) { this->takeOperatorChange(change); };
+    const auto prefix = this->options.format.operatorPrefix();
     try {
         // From the moment of the reading on, and not from the configuration's last change: the store forgets
         // its history after some seconds, and refuses a watch from before.
-        auto watch = this->store.watch(key, this->configurationReadAt + 1, onChange);
+        auto watch = this->store.watch(prefix, this->configurationReadAt + 1, onChange);
         co_await asio::co_spawn(this->options.context, std::move(watch),
             asio::bind_cancellation_slot(this->configurationWatch.slot(), asio::use_awaitable));
     } catch (const StoreError& error) {
@@ -102,8 +157,9 @@
         bool current = false;
         // A sibling that reads the store may have lost it itself; what nobody has confirmed lately is read
         // here.
-        const bool unconfirmed
-            = bootNow() >= self->configurationConfirmedAt + settings.configurationUnconfirmed;
+        const auto confirmedAt
+            = std::min(self->configurationConfirmedAt, self->evacuations.confirmedAt());
+        const bool unconfirmed = bootNow() >= confirmedAt + settings.configurationUnconfirmed;
         if (self->isReader() || (unconfirmed && self->mayCallStore()))
             current = co_await self->readConfiguration();
         if (current && self->isReader()) {
@@ -209,10 +265,10 @@
         { { "upstreams", std::to_string(this->directory.size()) }, { "leaving", leaving },
             { "revision", std::to_string(this->directoryListing.current().revision) } });
     for (const auto& [service, members] : groups) {
-        if (!this->coordinators.contains(service)) {
-            this->coordinators.emplace(
-                service, LeaderCoordinator { { .vm = this->options.vm, .seed = this->options.process } });
-        }
+        const auto [coordinator, added] = this->coordinators.try_emplace(
+            service, LeaderCoordinator::Options { .vm = this->options.vm, .seed = this->options.process });
+        if (added)
+            coordinator->second.setEvacuatedZones(this->evacuatedZones);
     }
     for (auto& [service, coordinator] : this->coordinators)
         coordinator.onDirectory(groups[service], bootNow());
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -141,6 +141,7 @@
     this->leadership.writeKnown(*request.mutable_leadership());
     this->vms.writeKnown(*request.mutable_vms());
     this->directoryListing.writeKnown(*request.mutable_directory());
+    this->evacuations.writeKnown(*request.mutable_evacuations());
     const auto askedAt = bootNow();
     wire::ReadingsAnswer answer;
     try {
@@ -186,6 +187,8 @@
     }
     if (this->vms.takeAnswer(answer.vms(), askedAt) == SharedListing::Change::Entries)
         this->takeVms();
+    if (this->evacuations.takeAnswer(answer.evacuations(), askedAt) == SharedListing::Change::Entries)
+        this->takeEvacuations();
     const auto& configuration = answer.configuration();
     if (configuration.entries_size() > 0) {
         const auto& document = configuration.entries(0);
@@ -244,6 +247,7 @@
     self->leadership.writeAnswer(request.leadership(), how, *answer.mutable_leadership());
     self->vms.writeAnswer(request.vms(), how, *answer.mutable_vms());
     self->directoryListing.writeAnswer(request.directory(), how, *answer.mutable_directory());
+    self->evacuations.writeAnswer(request.evacuations(), how, *answer.mutable_evacuations());
     self->writeViews(answer);
     auto& configuration = *answer.mutable_configuration();
     configuration.set_age_us(wireAge(self->configurationConfirmedAt, now));
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -57,7 +58,8 @@
     bool lost = false;
 };
 
-/// Sources: control_configuration (routes and upstreams), control_readings (what siblings have read, for a
+/// Sources: control_configuration (routes, upstreams and
+/// evacuations), control_readings (what siblings have read, for a
 /// start and after it), control_leadership (who leads), control_membership (lease, VMs, limits),
 /// session_control (start and stop).
 class SessionControl::State : public std::enable_shared_from_this<State> {
@@ -80,6 +82,7 @@
     std::shared_ptr<const RouteTable> routes;
     UpstreamDirectory directory;
     bool directoryRead = false;
+    std::set<ZoneName> evacuatedZones;
     // Leadership.
     std::map<ServiceName, LeaderCoordinator> coordinators;
     bool leadershipRead = false;
@@ -125,6 +128,10 @@
     [[nodiscard]] static asio::awaitable<void> followConfiguration(std::shared_ptr<State> self);
     [[nodiscard]] static asio::awaitable<void> followDirectory(std::shared_ptr<State> self);
     void takeConfiguration(const std::string& value, std::uint64_t revision);
+    /// Takes in a change of what operators have written.
+    void takeOperatorChange(const StoreChange& change);
+    /// Puts the latest listing of evacuations into effect.
+    void takeEvacuations();
     /// Returns how long to wait before the next try, when it failed.
     [[nodiscard]] asio::awaitable<std::optional<Duration>> readDirectory();
     void takeDirectory();
@@ -220,6 +227,7 @@
     ViewSource leadershipReadFrom = ViewSource::Store;
     SharedListing vms;
     SharedListing directoryListing;
+    SharedListing evacuations;
     ByteBudget listingBudget;
     std::string configurationValue;
     /// The same, packed when a sibling first wants it; empty before.
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -80,7 +80,7 @@
         return "vms";
     if (key == store_key::siblingSecret)
         return "secret";
-    return key == this->options.format.configurationKey() ? "configuration" : "directory";
+    return key == this->options.format.operatorPrefix() ? "configuration" : "directory";
 }
 
 asio::awaitable<void> SessionControl::State::sleep(Duration duration)
@@ -124,11 +124,13 @@
     // When the whole system starts for the first time nobody leads yet for a moment. A group that goes on
     // without a primary must not keep the others from being served.
     const bool patient = bootNow() < this->startedAt + leaderPatience;
+    // An evacuation may have been requested before this VM started.
+    const bool evacuationsRead = this->evacuations.confirmedAt() != Instant::min();
     // Without the list of VMs nobody can be asked for operations of a team's limit, and callers would be
     // refused within their team's rate.
     const bool vmsRead = this->vms.confirmedAt() != Instant::min();
     return !patient
-        || (vmsRead
+        || (vmsRead && evacuationsRead
             && std::all_of(this->coordinators.begin(), this->coordinators.end(),
                 [](const auto& item) { return item.second.view().phase != LeaderView::Phase::Unknown; }));
 }
@@ -206,6 +208,8 @@
     constexpr auto readsHelp = "Reads answered, by the kind of upstream.";
     count("reads_total", readsHelp, own.counters.readsOnReplicas, { { "at", "replica" } });
     count("reads_total", readsHelp, own.counters.readsOnPrimary, { { "at", "primary" } });
+    show("evacuated_availability_zones", "Availability zones that operators evacuate.",
+        own.evacuatedZones.size());
     show("sessions", "Callers' sessions that are open.", own.callers);
     show("upstream_connections", "Connections to upstreams that are open.", own.connections);
     show("configuration_version", "Version of the routes in force; 0 before any were read.",
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -337,6 +337,14 @@
     });
 }
 
+void SessionTraffic::setEvacuatedZones(std::set<ZoneName> zones)
+{
+    asio::post(this->state->options.context, [this, zones = std::move(zones)] {
+        this->state->engine.setEvacuatedZones(zones, bootNow());
+        this->performAll();
+    });
+}
+
 void SessionTraffic::setPlace(const FleetPlace& place)
 {
     asio::post(
--- a/tests/adapter/operator_format_test.cpp
+++ b/tests/adapter/operator_format_test.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+#include <vector>
+
 using namespace cyclamendrift;
 using namespace cyclamendrift::platform;
 using namespace std::chrono_literals;
@@ -66,6 +69,30 @@
         CHECK(entry.startedAtMs == 1700000000123);
     }
 
+    TEST_CASE("the key of an evacuation names the availability zone, whatever its value holds")
+    {
+        // Guards against an evacuation that is ignored because of its body.
+        const auto request = format.readEvacuation("op/evacuate/palermo", "{}");
+        CHECK(request.zone == ZoneName { "palermo" });
+        CHECK(request.wellFormed);
+        for (const auto* text : { "", "[]", "7", "\xff" }) {
+            const auto malformed = format.readEvacuation("op/evacuate/catania/1", text);
+            CHECK(malformed.zone == ZoneName { "catania/1" });
+            CHECK_FALSE(malformed.wellFormed);
+        }
+        CHECK(format.evacuationPrefix().starts_with(format.operatorPrefix()));
+        CHECK(format.configurationKey().starts_with(format.operatorPrefix()));
+    }
+
+    TEST_CASE("an evacuation whose key names no availability zone is set aside")
+    {
+        // Guards against names that logs and siblings cannot carry.
+        const std::vector<std::string> keys { "op/evacuate/", "op/evacuate/" + std::string(10000, 'z'),
+            "op/evacuate/\xff\xfe" };
+        for (const auto& key : keys)
+            CHECK_THROWS_AS(static_cast<void>(format.readEvacuation(key, "{}")), FormatError);
+    }
+
     TEST_CASE("entries of other writers are set aside")
     {
         // Something else writes under the same prefix. One entry that is taken for an upstream sends
--- a/tests/leadership/leadership_simulation.cpp
+++ b/tests/leadership/leadership_simulation.cpp
@@ -25,6 +25,7 @@
         SimulatedUpstream member;
         member.entry.name = UpstreamName { index == 0 ? "primary" : "replica-" + std::to_string(index) };
         member.entry.service = ServiceName { "register" };
+        member.entry.zone = ZoneName { member.entry.name.string() };
         member.entry.claimsPrimary = index == 0;
         member.primary = index == 0;
         directory.push_back(member.entry);
@@ -81,7 +82,7 @@
 {
     const auto* source = this->leader();
     if (source == nullptr)
-        return;
+        return this->replicateFromDemoted();
     this->member(source->entry.name.string()).received += 1;
     for (auto& [name, member] : this->members) {
         if (member.primary || !member.running || member.pausedBelowTerm > source->term)
@@ -94,6 +95,21 @@
     }
 }
 
+void LeadershipSimulation::replicateFromDemoted()
+{
+    const SimulatedUpstream* source = nullptr;
+    for (const auto& [name, member] : this->members) {
+        if (member.demoted && member.running && (source == nullptr || member.term > source->term))
+            source = &member;
+    }
+    if (source == nullptr)
+        return;
+    for (auto& [name, member] : this->members) {
+        if (member.running && member.term == source->term && member.pausedBelowTerm <= source->term)
+            member.received = std::max(member.received, source->received);
+    }
+}
+
 void LeadershipSimulation::endPause(SimulatedUpstream& member) const
 {
     if (member.pausedBelowTerm != 0)
@@ -117,6 +133,7 @@
     for (const auto& [_, other] : this->members)
         newest = std::max(newest, other.term);
     member.primary = true;
+    member.demoted = false;
     member.term = newest + 1;
     // A promotion ends the pause of all replicas of the group.
     for (auto& [_, other] : this->members) {
@@ -125,6 +142,18 @@
     }
 }
 
+void LeadershipSimulation::setEvacuatedZones(const std::set<ZoneName>& zones, Duration maxTime)
+{
+    for (auto& vm : this->vms) {
+        this->schedule(
+            [this, &vm, zones] {
+                this->knownEvacuations[vm.name] = zones;
+                vm.coordinator.setEvacuatedZones(zones);
+            },
+            maxTime);
+    }
+}
+
 const SimulatedUpstream* LeadershipSimulation::leader() const
 {
     const SimulatedUpstream* best = nullptr;
@@ -290,8 +319,10 @@
     if (const auto* demote = std::get_if<DemotePrimary>(&action)) {
         const auto term = static_cast<std::uint64_t>(demote->term);
         this->sendOrder(vm, demote->upstream, [term](SimulatedUpstream& member) {
-            if (member.primary && member.term < term)
+            if (member.primary && member.term < term) {
                 member.primary = false;
+                member.demoted = true;
+            }
         });
     }
     if (std::holds_alternative<AcquireCoordinatorLease>(action) && this->storeReachable(vm)) {
@@ -345,6 +376,8 @@
         return;
     if (!this->record || this->record->record.chosen != change.upstream)
         this->violations.push_back("a promotion was sent for an upstream that the record does not name");
+    if (this->knownEvacuations[vm.name].contains(ZoneName { change.upstream.string() }))
+        this->violations.push_back("a promotion was sent into an evacuated availability zone");
     const auto accept = [this, change] {
         if (!this->tokens.empty() && change.token < this->tokens.back())
             this->violations.push_back("a promotion had a lower fencing token than an earlier one");
--- a/tests/leadership/leadership_simulation.h
+++ b/tests/leadership/leadership_simulation.h
@@ -20,6 +20,8 @@
     UpstreamEntry entry;
     bool running = true;
     bool primary = false;
+    /// It was told to step down. Replicas still receive what it has written.
+    bool demoted = false;
     std::uint64_t term = 1;
     std::uint64_t received = 100;
     std::uint64_t pausedBelowTerm = 0;
@@ -60,6 +62,9 @@
     void restart(const std::string& name);
     /// A running upstream starts to lead the next term, as after a promotion that no VM waits for.
     void becomePrimary(const std::string& name);
+    /// Operators evacuate these availability zones from now on; every VM learns of it within `maxTime`. The
+    /// zone of each upstream bears the upstream's name.
+    void setEvacuatedZones(const std::set<ZoneName>& zones, Duration maxTime = std::chrono::milliseconds { 300 });
     /// Advances virtual time in steps of 10 ms.
     void advance(Duration duration);
     /// Advances virtual time until the condition is true; returns how long that took, or nothing when it
@@ -89,7 +94,8 @@
     Duration maxPromotionTime = std::chrono::milliseconds { 30 };
     Duration minPromotionTime = std::chrono::milliseconds { 2 };
     /// Violations found: a view of an old primary that was still valid after a newer one led, a fencing token
-    /// that decreased, or a promotion of an upstream that the record does not name.
+    /// that decreased, or a promotion of an upstream that the record does not name or whose availability zone the
+    /// coordinator knows to be evacuated.
     std::vector<std::string> violations;
 
 private:
@@ -119,6 +125,7 @@
     void schedule(std::function<void()> run, Duration maxTime = std::chrono::milliseconds { 30 },
         Duration minTime = std::chrono::milliseconds { 2 });
     void replicate();
+    void replicateFromDemoted();
     /// Ends a replica's pause.
     void endPause(SimulatedUpstream& member) const;
     void checkInvariants();
@@ -132,6 +139,7 @@
     std::deque<Event> events;
     std::optional<StoredRecord> record;
     std::optional<StoredLease> coordinatorLease;
+    std::map<VmName, std::set<ZoneName>> knownEvacuations;
     std::uint64_t revision = 10;
     std::vector<std::uint64_t> tokens;
 };
--- a/tests/pooling/pool_simulation.cpp
+++ b/tests/pooling/pool_simulation.cpp
@@ -111,6 +111,13 @@
     this->performActions();
 }
 
+void PoolSimulation::setEvacuatedZones(const std::set<ZoneName>& zones)
+{
+    this->forEachEngine(
+        [&](SessionEngine& sessionEngine) { sessionEngine.setEvacuatedZones(zones, this->now); });
+    this->performActions();
+}
+
 void PoolSimulation::setPrimary(const std::string& upstream, std::uint64_t term)
 {
     this->view = {
--- a/tests/pooling/pool_simulation.h
+++ b/tests/pooling/pool_simulation.h
@@ -102,6 +102,7 @@
     /// is.
     void promote(const std::string& upstream);
     void publishDirectory();
+    void setEvacuatedZones(const std::set<ZoneName>& zones);
     /// Passes `routes` to the engines as their next version.
     void publishRoutes();
 
