Bound what the whole fleet sends to a cold upstream

Change: ColdStartLimit gives each of the VMs that hold connections to an upstream an even share of three quarters of its rate, as a minimum time between two statements; no VM asks another one. There are no more senders than statements in a second. A VM that does not know the others sends nothing. Statements of open transactions are paced too. What only a cold upstream could run, and this VM may not send it, is refused at once. Ways weighed: one sender for each upstream needs every write of a cold primary forwarded to it; a token bucket for each VM, all full at the same moment, passes the bound from 20 VMs on.

--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -45,8 +45,9 @@
     /// For this long after this VM has learned of the evacuation of an availability zone, transactions that
     /// are open there may go on. Operators expect the zone to be free of statements within some seconds.
     Duration evacuationGrace = std::chrono::milliseconds { 1000 };
-    /// Retry advice while every upstream that could run a statement is in an evacuated availability zone.
-    Duration evacuationRetryAfter = std::chrono::milliseconds { 1000 };
+    /// Retry advice when every upstream that could run a statement is in an evacuated availability zone, or
+    /// is cold and gets its statements from other VMs.
+    Duration stoppedRetryAfter = std::chrono::milliseconds { 1000 };
     /// Subtracted from the staleness that a route allows, to cover the time until a statement reaches the
     /// upstream.
     Duration stalenessMargin = std::chrono::milliseconds { 100 };
--- a/include/cyclamendrift/pooling/route_table.h
+++ b/include/cyclamendrift/pooling/route_table.h
@@ -59,6 +59,9 @@
     std::map<TeamName, TeamLimit> limits;
     /// Maximum number of connections to one upstream across all VMs, by service.
     std::map<ServiceName, std::uint32_t> connectionCaps;
+    /// Maximum number of statements per second that a cold upstream gets from all VMs, by service. A service
+    /// that is not listed has no such limit.
+    std::map<ServiceName, double> coldStartRates;
     /// A transaction that has been idle for longer may be aborted.
     Duration maxTransactionIdleTime = std::chrono::seconds { 3 };
 
--- a/include/cyclamendrift/pooling/upstream_directory.h
+++ b/include/cyclamendrift/pooling/upstream_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cyclamendrift/core/identifier.h>
+#include <cyclamendrift/core/instant.h>
 
 #include <cstdint>
 #include <string>
@@ -27,6 +28,8 @@
     /// Start time in milliseconds since 1970; tells a restart under the same name from an upstream that kept
     /// running.
     std::int64_t startedAtMs = 0;
+    /// How much longer it expects to be cold, that is to need more time for each statement; 0 when it is not.
+    Duration coldFor {};
 
     friend bool operator==(const UpstreamEntry&, const UpstreamEntry&) = default;
 };
--- a/include/cyclamendrift/session_proxy/ports.h
+++ b/include/cyclamendrift/session_proxy/ports.h
@@ -121,8 +121,7 @@
     [[nodiscard]] virtual RouteTable readRoutes(std::string_view value) const = 0;
     /// Throws FormatError when the key names no availability zone.
     [[nodiscard]] virtual EvacuationRequest readEvacuation(
-        std::string_view key, std::string_view value) const
-        = 0;
+        std::string_view key, std::string_view value) const = 0;
     /// Throws FormatError when the entry names no upstream that can be used.
     [[nodiscard]] virtual UpstreamEntry readUpstream(std::string_view key, std::string_view value) const = 0;
 };
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -150,8 +150,7 @@
         // `catchUpTimeout`.
         const auto& demoted = this->replacement->demotedProgress;
         const auto* primary = this->find(this->record().primary);
-        const bool primaryStays
-            = primary != nullptr && !primary->entry.draining && !primary->isFailing();
+        const bool primaryStays = primary != nullptr && !primary->entry.draining && !primary->isFailing();
         const auto timeout = primaryStays ? settings.evacuationCatchUpTimeout : settings.catchUpTimeout;
         const bool mayCatchUp = this->replacement->planned && now < this->replacement->claimedAt + timeout;
         const bool caughtUp = demoted && member.status && member.status->received >= *demoted;
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -1,6 +1,9 @@
 #include "engine_state.h"
 
+#include <cyclamendrift/core/stable_hash.h>
+
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -19,8 +22,6 @@
 // upstream.
 constexpr double laggingReplicaCost = 0.6;
 
-constexpr auto evacuatedReason = "the availability zone of the upstreams is evacuated";
-
 // One connection is reserved for status queries.
 std::size_t usableConnections(std::uint32_t connectionCap)
 {
@@ -37,9 +38,9 @@
             adviceText("the primary is being replaced", this->options.settings.primaryChangeRetryAfter));
         return;
     }
-    if (this->isStoppedByEvacuation(group, session)) {
-        this->refuse(session, StatementError::Busy,
-            adviceText(evacuatedReason, this->options.settings.evacuationRetryAfter));
+    if (const auto* reason = this->stopReason(group, session)) {
+        this->refuse(
+            session, StatementError::Busy, adviceText(reason, this->options.settings.stoppedRetryAfter));
         return;
     }
     group.waiting.push_back(session.id);
@@ -95,6 +96,7 @@
     if (sameTeam->work->arrivedAt > first->work->arrivedAt + this->options.settings.teamAffinityWindow)
         return;
     std::erase(group.waiting, sameTeam->id);
+    this->upstreamOf(connection).coldStart.recordStart(this->now);
     this->runOn(connection, *sameTeam);
 }
 
@@ -118,6 +120,7 @@
     }
     if (best == nullptr)
         return;
+    best->coldStart.recordStart(this->now);
     std::erase(group.waiting, session.id);
     if (auto* connection = this->idleConnection(*best, session.team))
         this->runOn(*connection, session);
@@ -132,7 +135,7 @@
         return false;
     if (this->now < upstream.unreachableUntil || this->now < upstream.busyUntil)
         return false;
-    if (this->runningAt(upstream) >= upstream.limit.current())
+    if (this->runningAt(upstream) >= upstream.limit.current() || !upstream.coldStart.mayStart(this->now))
         return false;
     if (session.work->skipped.contains(upstream.entry.name, this->now))
         return false;
@@ -313,8 +316,50 @@
 
 void SessionEngine::State::runPinned(CallerSession& session)
 {
-    if (auto* connection = session.pinned ? this->findConnection(*session.pinned) : nullptr)
-        this->runOn(*connection, session);
+    auto* connection = session.pinned ? this->findConnection(*session.pinned) : nullptr;
+    if (connection == nullptr)
+        return;
+    auto& coldStart = this->upstreamOf(*connection).coldStart;
+    if (!coldStart.mayStart(this->now)) {
+        if (coldStart.startAt() >= session.work->deadline)
+            return this->dropTransaction(session, "the upstream is cold");
+        session.work->retryAt = coldStart.startAt();
+        return;
+    }
+    session.work->retryAt = Instant::max();
+    coldStart.recordStart(this->now);
+    this->runOn(*connection, session);
+}
+
+void SessionEngine::State::updateColdStartLimits()
+{
+    for (auto& [service, group] : this->groups) {
+        const auto rate = this->routes->coldStartRates.find(service);
+        for (auto& [name, upstream] : group.upstreams) {
+            if (rate == this->routes->coldStartRates.end() || this->now >= upstream.coldUntil)
+                upstream.coldStart = {};
+            else
+                upstream.coldStart.setRate(rate->second, this->holderRankAt(upstream), upstream.coldUntil);
+        }
+    }
+}
+
+HolderRank SessionEngine::State::holderRankAt(const UpstreamState& upstream) const
+{
+    // Each upstream begins with another holder, so that the shares of several ones differ.
+    const auto turn = static_cast<std::size_t>(stableHash(upstream.entry.name.view()));
+    const auto cap = this->connectionCapOf(upstream.entry.service);
+    if (auto* owners = this->ownersFor(cap)) {
+        const auto& all = owners->ownersOf(upstream.entry.service, cap);
+        const auto own = std::find(all.begin(), all.end(), owners->self());
+        // A VM that is no owner holds a single connection for the case that it reaches no owner.
+        if (own == all.end())
+            return {};
+        const auto index = static_cast<std::size_t>(std::distance(all.begin(), own));
+        return { .rank = (index + turn) % all.size(), .holders = all.size() };
+    }
+    const auto vms = this->place.vms;
+    return vms == 0 ? HolderRank {} : HolderRank { .rank = (this->place.rank + turn) % vms, .holders = vms };
 }
 
 void SessionEngine::State::refuseOverdueStatements(GroupState& group)
@@ -328,15 +373,15 @@
         const bool leaderless = this->isLeaderless(group, *session);
         const auto maxWait
             = (work.dispatchDeadline - work.arrivedAt) / this->options.settings.leaderlessWaitDivisor;
-        const bool evacuated = this->isStoppedByEvacuation(group, *session);
+        const auto* stopped = this->stopReason(group, *session);
         const bool cannotBeServed = leaderless
             && (group.view.phase == LeaderView::Phase::Changing || this->now >= work.arrivedAt + maxWait);
-        if (!cannotBeServed && !evacuated && this->now < work.dispatchDeadline)
+        if (!cannotBeServed && stopped == nullptr && this->now < work.dispatchDeadline)
             continue;
         std::erase(group.waiting, id);
-        if (evacuated)
+        if (stopped != nullptr)
             this->refuse(*session, StatementError::Busy,
-                adviceText(evacuatedReason, this->options.settings.evacuationRetryAfter));
+                adviceText(stopped, this->options.settings.stoppedRetryAfter));
         else if (leaderless)
             this->refuse(*session, StatementError::Busy,
                 adviceText("no primary is known to lead", this->options.settings.primaryChangeRetryAfter));
--- a/src/pooling/engine_evacuation.cpp
+++ b/src/pooling/engine_evacuation.cpp
@@ -21,20 +21,23 @@
     return this->evacuatedSince.contains(upstream.entry.zone);
 }
 
-bool SessionEngine::State::isStoppedByEvacuation(const GroupState& group, const CallerSession& session) const
+const char* SessionEngine::State::stopReason(const GroupState& group, const CallerSession& session) const
 {
-    if (this->evacuatedSince.empty())
-        return false;
+    if (this->evacuatedSince.empty() && this->routes->coldStartRates.empty())
+        return nullptr;
     const bool needsPrimary = !this->replicaRequirement(group, session);
-    bool stopped = false;
+    const char* reason = nullptr;
     for (const auto& [name, upstream] : group.upstreams) {
         if (!upstream.listed || upstream.entry.draining || (needsPrimary && group.view.primary != name))
             continue;
-        if (!this->isEvacuated(upstream))
-            return false;
-        stopped = true;
+        if (this->isEvacuated(upstream))
+            reason = "the availability zone of the upstreams is evacuated";
+        else if (upstream.coldStart.isExcluded(this->now))
+            reason = "the upstreams are cold";
+        else
+            return nullptr;
     }
-    return stopped;
+    return reason;
 }
 
 bool SessionEngine::State::hasEvacuationGraceEnded(const PooledConnection& connection) const
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -44,10 +44,10 @@
 };
 
 /// State of a SessionEngine. Its functions are defined in engine_callers (statements of callers),
-/// engine_dispatch (selection of upstreams), engine_evacuation (evacuated availability zones), engine_forwarding (statements forwarded to owner VMs, and
-/// statements of siblings), engine_connections (connections, sending and connection losses),
-/// engine_contradictions (answers that contradict the view of the primary), engine_answers (answers of
-/// upstreams) and session_engine (configuration, views and timers).
+/// engine_dispatch (selection of upstreams), engine_evacuation (evacuated availability zones),
+/// engine_forwarding (statements forwarded to owner VMs, and statements of siblings), engine_connections
+/// (connections, sending and connection losses), engine_contradictions (answers that contradict the view of
+/// the primary), engine_answers (answers of upstreams) and session_engine (configuration, views and timers).
 class SessionEngine::State {
 public:
     explicit State(Options options)
@@ -82,13 +82,16 @@
     void dispatchWaiting(GroupState& group);
     void runPinned(CallerSession& session);
     void serveSameTeam(PooledConnection& connection);
+    /// Divides the rates of cold upstreams among the VMs that hold connections to them.
+    void updateColdStartLimits();
     void refuseOverdueStatements(GroupState& group);
 
     // engine_evacuation
     void setEvacuatedZones(const std::set<ZoneName>& zones);
     [[nodiscard]] bool isEvacuated(const UpstreamState& upstream) const;
-    /// True when an evacuation has stopped every upstream that could run the session's statement.
-    [[nodiscard]] bool isStoppedByEvacuation(const GroupState& group, const CallerSession& session) const;
+    /// Why no upstream may get the session's statement from this VM, however long it waits; null when one
+    /// may.
+    [[nodiscard]] const char* stopReason(const GroupState& group, const CallerSession& session) const;
     /// True when no statement may be sent on a connection that holds a transaction, because the zone of its
     /// upstream has been under evacuation for too long.
     [[nodiscard]] bool hasEvacuationGraceEnded(const PooledConnection& connection) const;
@@ -174,6 +177,8 @@
     void answerRemoteSession(CallerSession& session, Reply reply);
     /// The owners of services with that connection cap; null where every VM serves its callers by itself.
     [[nodiscard]] ServiceOwners* ownersFor(std::uint32_t connectionCap) const;
+    /// Position of this VM among the VMs that hold connections to an upstream.
+    [[nodiscard]] HolderRank holderRankAt(const UpstreamState& upstream) const;
     [[nodiscard]] std::uint32_t connectionCapOf(const ServiceName& service) const;
 
     // engine_dispatch
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -3,6 +3,7 @@
 #include <cyclamendrift/connections/concurrency_limit.h>
 #include <cyclamendrift/core/instant.h>
 #include <cyclamendrift/core/progress.h>
+#include <cyclamendrift/pooling/cold_start_limit.h>
 #include <cyclamendrift/pooling/engine_actions.h>
 #include <cyclamendrift/pooling/leader_view.h>
 #include <cyclamendrift/pooling/progress_history.h>
@@ -83,6 +84,9 @@
     Instant lastAnswer = Instant::min();
     std::optional<Instant> failingSince;
     ConcurrencyLimit limit;
+    ColdStartLimit coldStart;
+    /// When it will be warm, by its latest directory entry.
+    Instant coldUntil = Instant::min();
     /// Latest reported progress of its log.
     Progress knownProgress;
     /// How far it lagged behind the primary at that time.
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -130,6 +130,7 @@
     if (routes->version <= this->state->routes->version)
         return;
     this->state->routes = std::move(routes);
+    this->state->updateColdStartLimits();
 }
 
 void SessionEngine::setDirectory(const UpstreamDirectory& directory, Instant now)
@@ -143,8 +144,11 @@
     for (const auto& entry : directory) {
         auto& upstream = engine.group(entry.service).upstreams[entry.name];
         upstream.listed = true;
+        if (entry.coldFor > Duration {} && upstream.entry != entry)
+            upstream.coldUntil = now + entry.coldFor;
         upstream.entry = entry;
     }
+    engine.updateColdStartLimits();
     for (auto& [service, group] : engine.groups) {
         std::erase_if(group.upstreams,
             [](const auto& item) { return !item.second.listed && item.second.connections.empty(); });
@@ -184,6 +188,7 @@
 {
     this->state->now = now;
     this->state->place = place;
+    this->state->updateColdStartLimits();
 }
 
 void SessionEngine::setShares(const std::map<TeamName, TeamShare::Rule>& shares, Instant now)
@@ -269,7 +274,6 @@
 {
     if (!session.pinned || this->now < session.work->retryAt)
         return;
-    session.work->retryAt = Instant::max();
     this->runPinned(session);
 }
 
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -116,8 +116,8 @@
             names += (names.empty() ? "" : ",") + request.zone.string();
             zones.insert(std::move(request.zone));
         } catch (const FormatError& error) {
-            logEvent(LogLevel::Warn, "evacuation_set_aside",
-                { { "key", entry.key }, { "reason", error.what() } });
+            logEvent(
+                LogLevel::Warn, "evacuation_set_aside", { { "key", entry.key }, { "reason", error.what() } });
         }
     }
     if (zones == this->evacuatedZones)
@@ -157,8 +157,7 @@
         bool current = false;
         // A sibling that reads the store may have lost it itself; what nobody has confirmed lately is read
         // here.
-        const auto confirmedAt
-            = std::min(self->configurationConfirmedAt, self->evacuations.confirmedAt());
+        const auto confirmedAt = std::min(self->configurationConfirmedAt, self->evacuations.confirmedAt());
         const bool unconfirmed = bootNow() >= confirmedAt + settings.configurationUnconfirmed;
         if (self->isReader() || (unconfirmed && self->mayCallStore()))
             current = co_await self->readConfiguration();
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -386,6 +386,54 @@
         }
     }
 
+    TEST_CASE("an evacuated zone gets no statements until the request is withdrawn, not even from a VM that "
+              "starts later")
+    {
+        // Guards against a primary that stays in the zone, against a VM that starts without the request, and
+        // against a malformed request that hides the others.
+        Surroundings surroundings;
+        surroundings.perform([&] {
+            for (std::size_t index = 1; index < 3; ++index)
+                surroundings.upstreams.node(index).zone = "catania";
+            for (std::size_t index = 0; index < 3; ++index)
+                surroundings.tellEntry(index);
+        });
+        const Running proxy { surroundings, "vm-1" };
+        Caller caller { proxy };
+        CHECK(caller.runUntilDone("WRITE bed-1 taken"));
+        surroundings.perform([&] {
+            surroundings.kv.put("op/evacuate/", "7");
+            surroundings.kv.put("op/evacuate/palermo", "{}");
+        });
+        for (int tries = 0; tries < 200; ++tries) {
+            if (caller.run("WRITE bed-1 free").find("evacuated") != std::string::npos)
+                break;
+            std::this_thread::sleep_for(10ms);
+        }
+        CHECK(caller.runUntilDone("WRITE bed-1 taken"));
+        std::size_t before = 0;
+        surroundings.perform([&] { before = surroundings.upstreams.node(0).statements; });
+        const Running later { surroundings, "vm-2" };
+        Caller other { later, "lists" };
+        for (int index = 0; index < 20; ++index)
+            CHECK(other.runUntilDone("READ bed-1"));
+        CHECK(caller.run("READ bed-1").starts_with("ROW taken"));
+        CHECK(metricOf(later, "cyclamendrift_evacuated_availability_zones") == 1);
+        surroundings.perform([&] {
+            CHECK(surroundings.upstreams.node(0).statements == before);
+            surroundings.kv.put("op/evacuate/catania", "{}");
+            surroundings.kv.remove("op/evacuate/palermo");
+        });
+        // Now only the first zone can have the primary.
+        for (int tries = 0; tries < 200; ++tries) {
+            if (caller.run("WRITE bed-1 free").find("ERROR") != std::string::npos)
+                break;
+            std::this_thread::sleep_for(10ms);
+        }
+        CHECK(caller.runUntilDone("WRITE bed-1 free"));
+        surroundings.perform([&] { CHECK(surroundings.upstreams.node(0).statements > before); });
+    }
+
     TEST_CASE("a withdrawn key stops working on an open session, and a store that refuses calls stops nobody")
     {
         Surroundings surroundings;
--- a/tests/adapter/kv_server.cpp
+++ b/tests/adapter/kv_server.cpp
@@ -70,6 +70,16 @@
     asio::co_spawn(this->context, write(*this, key, value), asio::detached);
 }
 
+void KvServer::remove(const std::string& key)
+{
+    const auto erase = [](KvServer& self, std::string name) -> asio::awaitable<void> {
+        const auto current = co_await self.memory.get(name);
+        SwapOptions swap { .key = name, .expectedRevision = current ? current->revision : 0 };
+        static_cast<void>(co_await self.memory.compareAndSwap(std::move(swap)));
+    };
+    asio::co_spawn(this->context, erase(*this, key), asio::detached);
+}
+
 asio::awaitable<HttpResponse> KvServer::handle(HttpRequest request)
 {
     HttpResponse response;
--- a/tests/adapter/kv_server.h
+++ b/tests/adapter/kv_server.h
@@ -22,6 +22,8 @@
 
     /// Writes as an operator or a database would.
     void put(const std::string& key, const std::string& value);
+    /// Deletes a key, as an operator would.
+    void remove(const std::string& key);
     /// Answers every call with this status, without doing anything; 0 to serve again.
     unsigned refuseWith = 0;
     /// Called with service and id of a promotion; returns whether that database is running.
--- a/tests/adapter/line_upstreams.cpp
+++ b/tests/adapter/line_upstreams.cpp
@@ -48,8 +48,8 @@
 {
     const auto& node = this->servers.at(index)->node;
     std::ostringstream text;
-    text << R"({"service":")" << this->service << R"(","address":"127.0.0.1:)" << node.port
-         << R"(","zone":"palermo","version":"v1","slots":3,"state":"ready","coldLeftMs":0,"dbRole":")"
+    text << R"({"service":")" << this->service << R"(","address":"127.0.0.1:)" << node.port << R"(","zone":")"
+         << node.zone << R"(","version":"v1","slots":3,"state":"ready","coldLeftMs":0,"dbRole":")"
          << (node.primary ? "primary" : "replica") << R"(","seq":1})";
     return text.str();
 }
@@ -189,6 +189,7 @@
 std::string LineUpstreams::data(Session& session, const std::string& id, const std::string& text)
 {
     auto& node = session.server->node;
+    ++node.statements;
     std::istringstream words { text };
     std::string verb;
     std::string item;
--- a/tests/adapter/line_upstreams.h
+++ b/tests/adapter/line_upstreams.h
@@ -6,6 +6,7 @@
 #include <asio/ip/tcp.hpp>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -31,6 +32,9 @@
         std::uint64_t position = 100;
         std::uint64_t held = 0;
         bool running = true;
+        std::string zone = "palermo";
+        /// Callers' statements that reached it.
+        std::size_t statements = 0;
         std::map<std::string, std::string> items;
     };
 
--- a/tests/leadership/evacuation_test.cpp
+++ b/tests/leadership/evacuation_test.cpp
@@ -39,9 +39,8 @@
         LeadershipSimulation simulation { {} };
         awaitLeader(simulation);
         simulation.setEvacuatedZones({ zoneOfPrimary });
-        REQUIRE(simulation.advanceUntil(4s, [&] {
-            return simulation.allFollowLeader() && !isLedBy(simulation, "primary");
-        }));
+        REQUIRE(simulation.advanceUntil(
+            4s, [&] { return simulation.allFollowLeader() && !isLedBy(simulation, "primary"); }));
         const auto written = simulation.member("primary").received;
         CHECK(simulation.leader()->received >= written);
         CHECK(simulation.violations.empty());
--- a/tests/leadership/leadership_simulation.h
+++ b/tests/leadership/leadership_simulation.h
@@ -64,7 +64,8 @@
     void becomePrimary(const std::string& name);
     /// Operators evacuate these availability zones from now on; every VM learns of it within `maxTime`. The
     /// zone of each upstream bears the upstream's name.
-    void setEvacuatedZones(const std::set<ZoneName>& zones, Duration maxTime = std::chrono::milliseconds { 300 });
+    void setEvacuatedZones(
+        const std::set<ZoneName>& zones, Duration maxTime = std::chrono::milliseconds { 300 });
     /// Advances virtual time in steps of 10 ms.
     void advance(Duration duration);
     /// Advances virtual time until the condition is true; returns how long that took, or nothing when it
@@ -94,8 +95,8 @@
     Duration maxPromotionTime = std::chrono::milliseconds { 30 };
     Duration minPromotionTime = std::chrono::milliseconds { 2 };
     /// Violations found: a view of an old primary that was still valid after a newer one led, a fencing token
-    /// that decreased, or a promotion of an upstream that the record does not name or whose availability zone the
-    /// coordinator knows to be evacuated.
+    /// that decreased, or a promotion of an upstream that the record does not name or whose availability zone
+    /// the coordinator knows to be evacuated.
     std::vector<std::string> violations;
 
 private:
--- a/tests/pooling/evacuation_test.cpp
+++ b/tests/pooling/evacuation_test.cpp
@@ -25,9 +25,8 @@
 std::size_t executedAt(const PoolSimulation& simulation, const std::string& upstream)
 {
     const auto& all = simulation.executed();
-    return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const ExecutedStatement& one) {
-        return one.upstream == UpstreamName { upstream };
-    }));
+    return static_cast<std::size_t>(std::count_if(all.begin(), all.end(),
+        [&](const ExecutedStatement& one) { return one.upstream == UpstreamName { upstream }; }));
 }
 
 void checkRefusedWithRetryAdvice(const Reply& reply)
@@ -215,7 +214,8 @@
 
     TEST_CASE("an owner VM refuses a forwarded write of an evacuated primary and the entry VM passes it on")
     {
-        // Guards against statements that an owner VM still runs for siblings which do not know of the request.
+        // Guards against statements that an owner VM still runs for siblings which do not know of the
+        // request.
         PoolSimulation simulation { { .forwardToOwner = true } };
         placeInThreeZones(simulation);
         const auto caller = simulation.connect();
