Suspect the other VMs of an availability zone when one of its owner VMs cannot be reached

Hypothesis: an owner that fails its liveness check speaks for the other candidates of its zone; those that have not answered for 150 ms are passed over and checked at once, so being wrong costs the round trip of a check. Tests: a unit test of the suspicion, one of the candidates beside a VM.

--- a/include/cyclamendrift/pooling/owner_health.h
+++ b/include/cyclamendrift/pooling/owner_health.h
@@ -10,7 +10,8 @@
 
 /// Tracks which owner VMs can be reached. A statement may take long because it is slow, or because the
 /// network to its owner is interrupted. An owner that has not answered for a while therefore gets a liveness
-/// check; one that fails the check counts as unreachable until it answers again.
+/// check; one that fails the check counts as unreachable until it answers again. VMs of one availability zone
+/// tend to fail together, so the others of that zone are suspected and checked as well.
 ///
 ///     for (const auto& owner : health.beginDueChecks(now))
 ///         checkLiveness(owner);
@@ -26,6 +27,10 @@
     /// Records the result of a check. Returns true when the owner has become unreachable by it.
     [[nodiscard]] bool checkEnded(const VmName& owner, bool alive, Instant now);
 
+    /// Suspects VMs that share an availability zone with one that has become unreachable, unless they have
+    /// answered lately. They count as unreachable until they have been checked.
+    void suspect(const std::vector<VmName>& sameZone, Instant now);
+
     [[nodiscard]] bool isUnreachable(const VmName& owner) const;
 
 private:
@@ -35,6 +40,7 @@
         Instant nextCheckAt = Instant::min();
         bool checking = false;
         bool unreachable = false;
+        bool suspected = false;
         /// Start of the time in which it has been unreachable.
         Instant unreachableSince = Instant::min();
     };
--- a/include/cyclamendrift/pooling/service_owners.h
+++ b/include/cyclamendrift/pooling/service_owners.h
@@ -39,6 +39,10 @@
     [[nodiscard]] const std::vector<VmName>& rankedOwners(
         const ServiceName& service, const TeamName& team, std::uint32_t connectionCap);
 
+    /// The other VMs in the availability zone of `vm` among which owners are selected; empty for a VM that is
+    /// not listed.
+    [[nodiscard]] std::vector<VmName> candidatesBeside(const VmName& vm) const;
+
     /// Maximum number of connections that this VM may hold to one upstream.
     [[nodiscard]] std::size_t connectionShareOf(const ServiceName& service, std::uint32_t connectionCap);
 
--- a/src/pooling/engine_forwarding.cpp
+++ b/src/pooling/engine_forwarding.cpp
@@ -165,6 +165,8 @@
     if (!becameUnreachable)
         return;
     this->log("home_out_of_reach", { { "vm", owner.string() } });
+    if (const auto* owners = this->place.owners.get())
+        this->ownerHealth.suspect(owners->candidatesBeside(owner), this->now);
 }
 
 void SessionEngine::State::forwardingFailed(CallerId caller, CallerId remoteSession, ForwardFailure failure)
--- a/src/pooling/owner_health.cpp
+++ b/src/pooling/owner_health.cpp
@@ -25,7 +25,8 @@
         this->owners[owner].waitingSince = since;
     std::erase_if(this->owners, [](const auto& item) {
         const auto& state = item.second;
-        return state.waitingSince == Instant::max() && !state.checking && !state.unreachable;
+        return state.waitingSince == Instant::max() && !state.checking && !state.unreachable
+            && !state.suspected;
     });
 }
 
@@ -36,6 +37,18 @@
         return;
     match->second.lastAnswerAt = now;
     match->second.unreachable = false;
+    match->second.suspected = false;
+}
+
+void OwnerHealth::suspect(const std::vector<VmName>& sameZone, Instant now)
+{
+    for (const auto& vm : sameZone) {
+        auto& state = this->owners[vm];
+        if (state.unreachable || state.suspected || now < state.lastAnswerAt + answerWait)
+            continue;
+        state.suspected = true;
+        state.nextCheckAt = now;
+    }
 }
 
 std::vector<VmName> OwnerHealth::beginDueChecks(Instant now)
@@ -46,7 +59,8 @@
             state.unreachable = false;
         const bool waits = state.waitingSince != Instant::max()
             && now >= std::max(state.waitingSince, state.lastAnswerAt) + answerWait;
-        if (state.checking || now < state.nextCheckAt || (!waits && !state.unreachable))
+        const bool needsCheck = waits || state.unreachable || state.suspected;
+        if (state.checking || now < state.nextCheckAt || !needsCheck)
             continue;
         state.checking = true;
         selected.push_back(owner);
@@ -61,6 +75,7 @@
         return false;
     auto& state = match->second;
     state.checking = false;
+    state.suspected = false;
     state.nextCheckAt = now + recheckInterval;
     if (alive) {
         state.lastAnswerAt = now;
@@ -77,7 +92,7 @@
 bool OwnerHealth::isUnreachable(const VmName& owner) const
 {
     const auto match = this->owners.find(owner);
-    return match != this->owners.end() && match->second.unreachable;
+    return match != this->owners.end() && (match->second.unreachable || match->second.suspected);
 }
 
 } // namespace cyclamendrift
--- a/src/pooling/service_owners.cpp
+++ b/src/pooling/service_owners.cpp
@@ -110,6 +110,19 @@
     return ranking;
 }
 
+std::vector<VmName> ServiceOwners::candidatesBeside(const VmName& vm) const
+{
+    std::vector<VmName> found;
+    const auto match = this->candidates.find(vm);
+    if (match == this->candidates.end())
+        return found;
+    for (const auto& [candidate, capacity] : this->candidates) {
+        if (candidate != vm && candidate != this->selfName && capacity.zone == match->second.zone)
+            found.push_back(candidate);
+    }
+    return found;
+}
+
 std::size_t ServiceOwners::connectionShareOf(const ServiceName& service, std::uint32_t connectionCap)
 {
     return this->selectionFor(service, connectionCap).share;
--- a/tests/pooling/owner_health_test.cpp
+++ b/tests/pooling/owner_health_test.cpp
@@ -38,6 +38,33 @@
         CHECK(simulation.executionCount("c/1") == 1);
     }
 
+    TEST_CASE("the other VMs of a lost zone are passed over until they have been checked")
+    {
+        // Guards against one statement per VM that waits out its time while a whole zone is without power.
+        const std::vector<VmName> sameZone { VmName { "vm-2" }, VmName { "vm-3" } };
+        OwnerHealth health;
+        health.recordWaiting({ { owner, start }, { sameZone[1], start } });
+        REQUIRE(health.beginDueChecks(start + 150ms) == std::vector { owner, sameZone[1] });
+        CHECK_FALSE(health.checkEnded(sameZone[1], true, start + 153ms));
+        REQUIRE(health.checkEnded(owner, false, start + 250ms));
+        health.suspect(sameZone, start + 250ms);
+        CHECK(health.isUnreachable(sameZone[0]));
+        // It answered a moment ago.
+        CHECK_FALSE(health.isUnreachable(sameZone[1]));
+        health.recordWaiting({});
+        CHECK(health.beginDueChecks(start + 250ms) == std::vector { sameZone[0] });
+        SUBCASE("a VM that answers is used again at once")
+        {
+            CHECK_FALSE(health.checkEnded(sameZone[0], true, start + 253ms));
+            CHECK_FALSE(health.isUnreachable(sameZone[0]));
+        }
+        SUBCASE("a VM that does not answer stays unreachable")
+        {
+            CHECK(health.checkEnded(sameZone[0], false, start + 350ms));
+            CHECK(health.isUnreachable(sameZone[0]));
+        }
+    }
+
     TEST_CASE("nothing is forwarded to an unreachable owner until a liveness check succeeds")
     {
         // Guards against losing one statement per pause to find out whether the owner is reachable again.
--- a/tests/pooling/service_owners_test.cpp
+++ b/tests/pooling/service_owners_test.cpp
@@ -28,6 +28,16 @@
 
 TEST_SUITE("service owners")
 {
+    TEST_CASE("the candidates beside a VM are those of its availability zone, without this VM")
+    {
+        auto listed = fleetOf(6);
+        for (const auto* name : { "vm-1", "vm-3", "vm-4" })
+            listed.at(VmName { name }).zone = ZoneName { "palermo" };
+        const ServiceOwners owners { VmName { "vm-1" }, listed };
+        CHECK(owners.candidatesBeside(VmName { "vm-3" }) == std::vector { VmName { "vm-4" } });
+        CHECK(owners.candidatesBeside(VmName { "vm-none" }).empty());
+    }
+
     TEST_CASE("every VM selects the same owners and spreads the teams over all of them")
     {
         ServiceOwners one { VmName { "vm-1" }, fleetOf(70) };
