--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -20,55 +20,55 @@
 struct ControlSettings {
     /// Between two reads of who leads; a view must outlive two of them.
     Duration leadershipInterval = std::chrono::milliseconds { 300 };
-    /// While what is known is doubted.
-    Duration doubtedInterval = std::chrono::milliseconds { 100 };
+    /// While what is known is recordMayBeStale.
+    Duration rereadInterval = std::chrono::milliseconds { 100 };
     /// Between two looks at the list of upstreams; with a listing that may be some seconds old a leaving
     /// upstream is known before it ends.
     Duration directoryInterval = std::chrono::milliseconds { 1000 };
     /// Entries of live upstreams lapse while the store is away and come back within two seconds of its
     /// return.
-    Duration missingEntryKept = std::chrono::milliseconds { 2500 };
+    Duration missingEntryRetention = std::chrono::milliseconds { 2500 };
     /// What nobody has confirmed for so long a VM reads from the store itself. Operators are promised that a
     /// configuration is in force within three seconds; siblings confirm it after a watch and a question.
-    Duration configurationUnconfirmed = std::chrono::milliseconds { 1900 };
-    Duration directoryUnconfirmed = std::chrono::milliseconds { 2500 };
-    Duration vmsUnconfirmed = std::chrono::milliseconds { 2200 };
+    Duration maxConfigurationAge = std::chrono::milliseconds { 1900 };
+    Duration maxDirectoryAge = std::chrono::milliseconds { 2500 };
+    Duration maxVmListAge = std::chrono::milliseconds { 2200 };
     /// Between two reads of the list of VMs. With the age of the reading that proves a list, and a question
     /// to the reader, it bounds for how long two VMs may use the same part of a limit.
     Duration vmListInterval = std::chrono::milliseconds { 600 };
     /// A reading of who leads proves other listings for so long.
-    Duration provenBy = std::chrono::milliseconds { 500 };
+    Duration maxProofAge = std::chrono::milliseconds { 500 };
     /// Time to live of the lease under which duties are held, and the pause between renewals; two may fail
     /// before it lapses. It is how long a dead holder's duty stays taken.
-    Duration leaseTime = std::chrono::milliseconds { 1800 };
+    Duration leaseDuration = std::chrono::milliseconds { 1800 };
     Duration leaseRenewal = std::chrono::milliseconds { 500 };
     /// Time to live of the lease of this VM's record, and the pause between renewals. A VM that the store
     /// turns away goes on serving: were it taken off the list at once, the others would use its connections
     /// and its part of limits a second time. Store faults last up to some ten seconds.
-    Duration recordTime = std::chrono::seconds { 12 };
-    Duration recordRenewal = std::chrono::seconds { 3 };
+    Duration recordLeaseDuration = std::chrono::seconds { 12 };
+    Duration recordLeaseRenewal = std::chrono::seconds { 3 };
     /// Between two looks at whether demand has changed enough for the record to be written anew; each write
     /// is paid for, and the measured demand is a mean over two seconds anyway.
     Duration recordInterval = std::chrono::milliseconds { 1500 };
     /// How soon this VM stops to trust its lease, before the store would drop it.
     Duration leaseMargin = std::chrono::milliseconds { 150 };
     /// First and longest pause after the store failed.
-    Duration firstBackoff = std::chrono::milliseconds { 100 };
-    Duration longestBackoff = std::chrono::milliseconds { 800 };
+    Duration minBackoff = std::chrono::milliseconds { 100 };
+    Duration maxBackoff = std::chrono::milliseconds { 800 };
     /// One VM for so many reads who leads from the store, and the others ask it: each call to the store is
     /// paid for, and its rates grow more slowly than the fleet.
     std::size_t vmsPerReader = 128;
     /// What a sibling read longer ago than this is no use.
-    Duration readingsUsable = std::chrono::milliseconds { 550 };
+    Duration maxReadingsAge = std::chrono::milliseconds { 550 };
     /// A reader that did not answer, or had nothing of use, is not asked again for so long.
-    Duration readerPause = std::chrono::milliseconds { 1000 };
+    Duration silentReaderBackoff = std::chrono::milliseconds { 1000 };
     /// The same for a reader that answers but is itself without the store.
-    Duration withoutStorePause = std::chrono::milliseconds { 600 };
+    Duration storelessReaderBackoff = std::chrono::milliseconds { 600 };
     /// A VM that starts asks siblings for so long, this often, before it reads everything from the store.
-    Duration startPatience = std::chrono::milliseconds { 400 };
-    Duration startRetry = std::chrono::milliseconds { 25 };
+    Duration bootstrapTimeout = std::chrono::milliseconds { 400 };
+    Duration bootstrapRetryInterval = std::chrono::milliseconds { 25 };
     /// VMs that start for the first time do so within some 300 ms.
-    Duration firstStartPause = std::chrono::milliseconds { 350 };
+    Duration firstStartDelay = std::chrono::milliseconds { 350 };
     /// Ticks of the coordinators.
     Duration tickInterval = std::chrono::milliseconds { 50 };
 };
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -65,7 +65,7 @@
     void openSiblings(std::string secret);
     void setSiblings(SiblingList siblings);
     /// Asks a sibling for what it read from the store; throws SiblingError or RequestError.
-    [[nodiscard]] asio::awaitable<std::string> askForReadings(SiblingAddress sibling, std::string request);
+    [[nodiscard]] asio::awaitable<std::string> requestReadings(SiblingAddress sibling, std::string request);
     /// Asks for a report; `take` is called on the traffic thread.
     void report(std::function<void(TrafficReport)> take);
     /// Begins a planned stop.
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -20,13 +20,13 @@
 /// Another VM of the system, as its record in the store describes it.
 struct SiblingInfo {
     SiblingAddress address;
-    VmCapacity strength;
+    VmCapacity capacity;
     DemandByTeam demand;
 };
 using SiblingList = std::map<VmName, SiblingInfo>;
 
-/// What the records say of the VMs' strength.
-[[nodiscard]] std::map<VmName, VmCapacity> strengthsOf(const SiblingList& siblings);
+/// What the records say of the VMs' capacity.
+[[nodiscard]] std::map<VmName, VmCapacity> capacitiesOf(const SiblingList& siblings);
 
 /// A kind of question to siblings, and whether it leaves this VM's availability zone.
 struct SiblingTrafficKind {
@@ -55,10 +55,10 @@
         /// Runs a statement for a sibling until a deadline; on the traffic thread.
         std::function<asio::awaitable<std::string>(std::string, Instant)> runForSibling;
         /// A sibling goes on no more with a guest; on the traffic thread.
-        std::function<void(const std::string&)> letGuestGo;
+        std::function<void(const std::string&)> releaseRemoteSession;
     };
     /// The answer of a home, or why there is none.
-    using HomeAnswer = std::variant<std::string, ForwardFailure>;
+    using OwnerAnswer = std::variant<std::string, ForwardFailure>;
 
     explicit SiblingExchange(Options options);
     ~SiblingExchange();
@@ -72,18 +72,18 @@
 
     /// Asks siblings for operations, one after the other, and reports what all of them gave; on the traffic
     /// thread.
-    void askForTokens(const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done);
+    void requestTokens(const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done);
 
     /// Asks a sibling for what it read from the store; throws SiblingError or RequestError.
-    [[nodiscard]] asio::awaitable<std::string> askForReadings(SiblingAddress sibling, std::string request);
+    [[nodiscard]] asio::awaitable<std::string> requestReadings(SiblingAddress sibling, std::string request);
 
     /// Has a home run a statement and reports its answer; on the traffic thread.
-    void handOn(
-        const VmName& home, std::string work, Duration timeLimit, std::function<void(HomeAnswer)> done);
+    void forward(
+        const VmName& owner, std::string work, Duration timeLimit, std::function<void(OwnerAnswer)> done);
     /// Asks a home for a sign of life and reports whether it gave one; on the traffic thread.
-    void askForSignOfLife(const VmName& home, std::function<void(bool)> done);
+    void checkLiveness(const VmName& owner, std::function<void(bool)> done);
     /// Tells a home that a guest is not needed any more; on the traffic thread.
-    void tellGuestLeft(const VmName& home, std::string guest);
+    void releaseRemoteSession(const VmName& owner, std::string body);
 
     /// Takes no further calls.
     void close();
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -13,7 +13,7 @@
 
 namespace cyclamendrift {
 
-void SessionControl::State::takeConfiguration(const std::string& value, std::uint64_t revision)
+void SessionControl::State::applyConfiguration(const std::string& value, std::uint64_t revision)
 {
     if (revision <= this->configurationRevision)
         return;
@@ -43,7 +43,7 @@
     // in full three times a second, and a listing of a later revision is as fresh as that reading.
     const auto provenAt = this->leadership.confirmedAt();
     const auto revision = this->leadership.current().revision;
-    if (bootNow() < provenAt + this->options.settings.provenBy) {
+    if (bootNow() < provenAt + this->options.settings.maxProofAge) {
         auto listing = co_await this->store.listing(prefix, ReadFreshness::MayLag);
         if (listing.revision >= revision)
             co_return ProvenListing { .listing = std::move(listing), .provenAt = provenAt };
@@ -67,14 +67,14 @@
             [&key](const StoreEntry& candidate) { return candidate.key == key; });
         const bool found = entry != listing.entries.end();
         if (found)
-            this->takeConfiguration(entry->value, entry->revision);
+            this->applyConfiguration(entry->value, entry->revision);
         this->configurationReadAt = listing.revision;
         StoreListing requests { .revision = listing.revision };
         std::copy_if(listing.entries.begin(), listing.entries.end(), std::back_inserter(requests.entries),
             [prefix = this->options.format.evacuationPrefix()](
                 const StoreEntry& candidate) { return candidate.key.starts_with(prefix); });
         if (this->evacuations.takeReading(std::move(requests), provenAt) == SharedListing::Change::Entries)
-            this->takeEvacuations();
+            this->applyEvacuations();
         co_return found;
     } catch (const StoreError& error) {
         static_cast<void>(this->configurationSource.failed(error.what()));
@@ -82,12 +82,12 @@
     }
 }
 
-void SessionControl::State::takeOperatorChange(const StoreChange& change)
+void SessionControl::State::applyOperatorChange(const StoreChange& change)
 {
     const auto now = bootNow();
     this->configurationConfirmedAt = now;
     if (change.key == this->options.format.configurationKey() && change.value)
-        this->takeConfiguration(*change.value, change.revision);
+        this->applyConfiguration(*change.value, change.revision);
     auto requests = this->evacuations.current();
     // A sibling may have told of a later state already.
     if (change.revision <= requests.revision)
@@ -101,10 +101,10 @@
                 { .key = change.key, .value = *change.value, .revision = change.revision });
     }
     if (this->evacuations.takeReading(std::move(requests), now) == SharedListing::Change::Entries)
-        this->takeEvacuations();
+        this->applyEvacuations();
 }
 
-void SessionControl::State::takeEvacuations()
+void SessionControl::State::applyEvacuations()
 {
     std::set<ZoneName> zones;
     std::string names;
@@ -136,7 +136,7 @@
 
 asio::awaitable<void> SessionControl::State::watchConfiguration()
 {
-    const auto onChange = [this](const StoreChange& change) { this->takeOperatorChange(change); };
+    const auto onChange = [this](const StoreChange& change) { this->applyOperatorChange(change); };
     const auto prefix = this->options.format.operatorPrefix();
     try {
         // From the moment of the reading on, and not from the configuration's last change: the store forgets
@@ -158,16 +158,16 @@
         // A sibling that reads the store may have lost it itself; what nobody has confirmed lately is read
         // here.
         const auto confirmedAt = std::min(self->configurationConfirmedAt, self->evacuations.confirmedAt());
-        const bool unconfirmed = bootNow() >= confirmedAt + settings.configurationUnconfirmed;
+        const bool unconfirmed = bootNow() >= confirmedAt + settings.maxConfigurationAge;
         if (self->isReader() || (unconfirmed && self->mayCallStore()))
             current = co_await self->readConfiguration();
         if (current && self->isReader()) {
             co_await self->watchConfiguration();
             // A store that ends each watch at once must not be asked without end.
-            co_await self->sleep(settings.doubtedInterval);
+            co_await self->sleep(settings.rereadInterval);
         } else {
             co_await self->sleep(
-                self->configurationSource.isLost() ? settings.longestBackoff / 2 : settings.doubtedInterval);
+                self->configurationSource.isLost() ? settings.maxBackoff / 2 : settings.rereadInterval);
         }
     }
 }
@@ -177,14 +177,13 @@
     const auto& settings = self->options.settings;
     while (!self->stopped) {
         auto pause = settings.directoryInterval;
-        const bool unconfirmed
-            = bootNow() >= self->directoryListing.confirmedAt() + settings.directoryUnconfirmed;
+        const bool unconfirmed = bootNow() >= self->directoryListing.confirmedAt() + settings.maxDirectoryAge;
         if (self->isReader() || (unconfirmed && self->mayCallStore())) {
             if (const auto failed = co_await self->readDirectory())
                 pause = *failed;
         } else if (!self->missingSince.empty()) {
             // An entry that stays away is dropped after its time, whether or not anything else changes.
-            self->takeDirectory();
+            self->applyDirectory();
         }
         co_await self->sleep(pause);
     }
@@ -205,14 +204,14 @@
             static_cast<void>(this->directoryListing.takeReading(std::move(listing), askedAt));
         }
         this->directorySource.succeeded();
-        this->takeDirectory();
+        this->applyDirectory();
         co_return std::nullopt;
     } catch (const StoreError& error) {
         co_return this->directorySource.failed(error.what());
     }
 }
 
-void SessionControl::State::takeDirectory()
+void SessionControl::State::applyDirectory()
 {
     const auto now = bootNow();
     UpstreamDirectory next;
@@ -236,7 +235,7 @@
             continue;
         }
         const auto since = this->missingSince.try_emplace(known.name, now).first->second;
-        if (now < since + this->options.settings.missingEntryKept)
+        if (now < since + this->options.settings.missingEntryRetention)
             next.push_back(known);
         else
             this->missingSince.erase(known.name);
@@ -247,10 +246,10 @@
     if (next == this->directory)
         return;
     this->directory = std::move(next);
-    this->handOnDirectory();
+    this->publishDirectory();
 }
 
-void SessionControl::State::handOnDirectory()
+void SessionControl::State::publishDirectory()
 {
     std::map<ServiceName, UpstreamDirectory> groups;
     for (const auto& entry : this->directory)
@@ -274,7 +273,7 @@
     this->options.traffic.setDirectory(this->directory);
     // A new group's leader may have been read already.
     if (this->leadership.confirmedAt() != Instant::min())
-        this->takeLeadership(this->leadershipReadFrom);
+        this->applyLeadership(this->leadershipReadFrom);
 }
 
 } // namespace cyclamendrift
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-void logNote(const ServiceName& service, const LogLeadershipEvent& note)
+void logLeadershipEvent(const ServiceName& service, const LogLeadershipEvent& note)
 {
     std::vector<LogField> fields { { "service", service.string() } };
     for (const auto& [key, value] : note.fields)
@@ -28,7 +28,7 @@
         auto listing = co_await this->store.listing(store_key::leadershipPrefix, ReadFreshness::Linearizable);
         this->leadershipSource.succeeded();
         static_cast<void>(this->leadership.takeReading(std::move(listing), askedAt));
-        this->takeLeadership(ViewSource::Store);
+        this->applyLeadership(ViewSource::Store);
         co_return std::nullopt;
     } catch (const StoreError& error) {
         co_return this->leadershipSource.failed(error.what());
@@ -41,24 +41,25 @@
     Instant storeAgainAt = Instant::min();
     while (!self->stopped) {
         const auto askedAt = bootNow();
-        const bool told = co_await self->askReaders(settings.readerPause);
+        const bool told = co_await self->askReaders(settings.silentReaderBackoff);
         if (!told && askedAt >= storeAgainAt && self->mayCallStore()) {
             if (const auto failed = co_await self->readLeadership())
                 storeAgainAt = askedAt + *failed;
         }
-        // What is doubted, such as a record this VM has just changed, is read again soon.
+        // What is recordMayBeStale, such as a record this VM has just changed, is read again soon.
         const auto next = askedAt + settings.leadershipInterval;
-        co_await self->sleep(settings.doubtedInterval);
-        const auto doubted = [&self] {
+        co_await self->sleep(settings.rereadInterval);
+        const auto recordMayBeStale = [&self] {
             return std::any_of(self->coordinators.begin(), self->coordinators.end(),
                 [](const auto& item) { return item.second.needsSnapshot(); });
         };
-        while (!self->stopped && bootNow() < next && !(doubted() && !self->leadershipSource.isLost()))
-            co_await self->sleep(settings.doubtedInterval);
+        while (
+            !self->stopped && bootNow() < next && !(recordMayBeStale() && !self->leadershipSource.isLost()))
+            co_await self->sleep(settings.rereadInterval);
     }
 }
 
-void SessionControl::State::takeLeadership(ViewSource source)
+void SessionControl::State::applyLeadership(ViewSource source)
 {
     this->leadershipReadFrom = source;
     const auto askedAt = this->leadership.confirmedAt();
@@ -79,8 +80,9 @@
                 logEvent(LogLevel::Error, "record_unreadable",
                     { { "key", entry.key }, { "reason", error.what() } });
             }
-        } else if (key.starts_with(store_key::dutyPrefix)) {
-            const ServiceName service { entry.key.substr(std::string_view { store_key::dutyPrefix }.size()) };
+        } else if (key.starts_with(store_key::coordinatorLeasePrefix)) {
+            const ServiceName service { entry.key.substr(
+                std::string_view { store_key::coordinatorLeasePrefix }.size()) };
             // The key is never rewritten, so its revision is that of its creation and grows with each holder.
             snapshots[service].coordinatorLease = CoordinatorLease {
                 .holder = VmName { entry.value }, .token = entry.revision, .revision = entry.revision
@@ -100,7 +102,7 @@
         std::exchange(this->whenReady, nullptr)();
     const auto now = bootNow();
     std::size_t index = 0;
-    const bool vouches = !this->siblingsOpen || this->readerChoice.isReaderOrStandby(this->options.vm, now);
+    const bool vouches = !this->siblingsOpen || this->readerSelector.isReaderOrStandby(this->options.vm, now);
     for (auto& [service, coordinator] : this->coordinators) {
         // Each group begins with another VM, so that the duties spread.
         coordinator.setRank((this->place.rank + index++) % std::max<std::size_t>(this->place.vms, 1));
@@ -111,7 +113,7 @@
     }
 }
 
-void SessionControl::State::takeReport(const TrafficReport& report)
+void SessionControl::State::applyReport(const TrafficReport& report)
 {
     for (const auto& upstreamHealth : report.upstreamHealth) {
         const auto coordinator = this->coordinators.find(upstreamHealth.service);
@@ -126,10 +128,10 @@
     this->connections = report.connections;
     // Parts grow some time after the list that they follow from.
     auto shares = this->shares.current();
-    if (shares == this->handedOn)
+    if (shares == this->publishedShares)
         return;
-    this->handedOn = std::move(shares);
-    this->options.traffic.setShares(this->handedOn);
+    this->publishedShares = std::move(shares);
+    this->options.traffic.setShares(this->publishedShares);
 }
 
 void SessionControl::State::perform(const ServiceName& service, const LeadershipAction& action)
@@ -155,11 +157,12 @@
         }
         void operator()(const AcquireCoordinatorLease&) const
         {
-            this->control.spawn(State::takeDuty(this->self, this->service));
+            this->control.spawn(State::acquireCoordinatorLease(this->self, this->service));
         }
         void operator()(const ReleaseCoordinatorLease& coordinatorLease) const
         {
-            this->control.spawn(State::yieldDuty(this->self, this->service, coordinatorLease.revision));
+            this->control.spawn(
+                State::releaseCoordinatorLease(this->self, this->service, coordinatorLease.revision));
         }
         void operator()(const WriteLeadershipRecord& change) const
         {
@@ -173,7 +176,7 @@
         {
             this->control.options.traffic.setLeader(this->service, leader.view);
         }
-        void operator()(const LogLeadershipEvent& note) const { logNote(this->service, note); }
+        void operator()(const LogLeadershipEvent& note) const { logLeadershipEvent(this->service, note); }
 
         void send(const UpstreamName& upstream, UpstreamOrder order) const
         {
@@ -199,12 +202,13 @@
         coordinator.onStatusFailed(upstream, bootNow());
 }
 
-asio::awaitable<void> SessionControl::State::takeDuty(std::shared_ptr<State> self, ServiceName service)
+asio::awaitable<void> SessionControl::State::acquireCoordinatorLease(
+    std::shared_ptr<State> self, ServiceName service)
 {
     if (self->lease == LeaseId::None)
         co_return;
     try {
-        SwapOptions swap { .key = store_key::dutyPrefix + service.string(),
+        SwapOptions swap { .key = store_key::coordinatorLeasePrefix + service.string(),
             .expectedRevision = 0,
             .value = self->options.vm.string(),
             .lease = self->lease };
@@ -219,11 +223,12 @@
     }
 }
 
-asio::awaitable<void> SessionControl::State::yieldDuty(
+asio::awaitable<void> SessionControl::State::releaseCoordinatorLease(
     std::shared_ptr<State> self, ServiceName service, std::uint64_t revision)
 {
     try {
-        SwapOptions swap { .key = store_key::dutyPrefix + service.string(), .expectedRevision = revision };
+        SwapOptions swap { .key = store_key::coordinatorLeasePrefix + service.string(),
+            .expectedRevision = revision };
         static_cast<void>(co_await self->store.compareAndSwap(std::move(swap)));
     } catch (const StoreError& error) {
         logEvent(LogLevel::Warn, "duty_not_yielded",
@@ -239,8 +244,8 @@
             .expectedRevision = change.expectedRevision,
             .value = change.record.encode() };
         // A VM whose duty has passed to another must not change the record any more.
-        swap.guards.push_back(
-            { .key = store_key::dutyPrefix + service.string(), .revision = change.leaseRevision });
+        swap.guards.push_back({ .key = store_key::coordinatorLeasePrefix + service.string(),
+            .revision = change.leaseRevision });
         const auto outcome = co_await self->store.compareAndSwap(std::move(swap));
         const auto* swapped = std::get_if<Swapped>(&outcome);
         logEvent(LogLevel::Info, "record_written",
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 /// A secret that only those can know who may read the store.
-std::string newSecret()
+std::string generateSecret()
 {
     constexpr std::size_t words = 8;
     std::random_device source;
@@ -42,7 +42,7 @@
         sibling.address = {
             .vm = vm, .host = record.sibling_host(), .port = static_cast<std::uint16_t>(record.sibling_port())
         };
-        sibling.strength = { .zone = ZoneName { record.availability_zone() }, .cores = record.cores() };
+        sibling.capacity = { .zone = ZoneName { record.availability_zone() }, .cores = record.cores() };
         for (const auto& team : record.demand())
             sibling.demand[TeamName { team.team() }] = team.operations_per_second();
     }
@@ -59,7 +59,7 @@
         auto pause = settings.leaseRenewal;
         const auto askedAt = bootNow();
         if (self->needsLease(askedAt))
-            neededUntil = askedAt + 2 * settings.leaseTime;
+            neededUntil = askedAt + 2 * settings.leaseDuration;
         if (askedAt >= neededUntil) {
             self->lease = LeaseId::None;
             self->leaseUntil = Instant::min();
@@ -68,13 +68,13 @@
         }
         try {
             if (self->lease == LeaseId::None) {
-                self->lease = co_await self->store.grantLease(settings.leaseTime);
+                self->lease = co_await self->store.grantLease(settings.leaseDuration);
                 logEvent(LogLevel::Info, "lease_granted",
                     { { "lease", std::to_string(static_cast<std::uint64_t>(self->lease)) } });
             } else {
                 co_await self->store.keepAlive(self->lease);
             }
-            self->leaseUntil = askedAt + settings.leaseTime - settings.leaseMargin;
+            self->leaseUntil = askedAt + settings.leaseDuration - settings.leaseMargin;
             self->leaseSource.succeeded();
         } catch (const StoreError& error) {
             if (error.kind() == StoreError::Kind::LeaseGone) {
@@ -83,7 +83,7 @@
                 self->leaseUntil = Instant::min();
                 for (auto& [service, coordinator] : self->coordinators)
                     coordinator.onVmLeaseExpired(bootNow());
-                pause = settings.firstBackoff;
+                pause = settings.minBackoff;
             } else {
                 pause = self->leaseSource.failed(error.what());
             }
@@ -104,49 +104,50 @@
     Instant renewAt = Instant::min();
     while (!self->stopped) {
         // Until the first record stands others neither count on this VM nor reach it.
-        auto pause = self->toldUnder != LeaseId::None && self->siblingsOpen ? settings.recordInterval
-                                                                            : settings.leaseRenewal;
+        auto pause = self->publishedUnder != LeaseId::None && self->siblingsOpen ? settings.recordInterval
+                                                                                 : settings.leaseRenewal;
         try {
             if (self->earlierRecord.lease != LeaseId::None) {
                 co_await self->adoptEarlierRecord();
-                renewAt = bootNow() + settings.recordRenewal;
+                renewAt = bootNow() + settings.recordLeaseRenewal;
             }
             if (self->recordLease == LeaseId::None) {
-                self->recordLease = co_await self->store.grantLease(settings.recordTime);
-                renewAt = bootNow() + settings.recordRenewal;
+                self->recordLease = co_await self->store.grantLease(settings.recordLeaseDuration);
+                renewAt = bootNow() + settings.recordLeaseRenewal;
             } else if (bootNow() >= renewAt) {
                 co_await self->store.keepAlive(self->recordLease);
-                renewAt = bootNow() + settings.recordRenewal;
+                renewAt = bootNow() + settings.recordLeaseRenewal;
             }
-            co_await self->tellOwnRecord();
-            co_await self->learnSecret();
+            co_await self->publishOwnRecord();
+            co_await self->fetchSecret();
             self->recordSource.succeeded();
         } catch (const StoreError& error) {
             pause = self->recordSource.failed(error.what());
             if (error.kind() == StoreError::Kind::LeaseGone) {
                 self->recordLease = LeaseId::None;
-                pause = settings.firstBackoff;
+                pause = settings.minBackoff;
             }
         }
         co_await self->sleep(pause);
     }
 }
 
-asio::awaitable<void> SessionControl::State::tellOwnRecord()
+asio::awaitable<void> SessionControl::State::publishOwnRecord()
 {
     // The list is read first: it may hold what an earlier process of this VM had measured.
-    if (this->vms.confirmedAt() == Instant::min() && !this->firstOfFleet)
+    if (this->vms.confirmedAt() == Instant::min() && !this->isFirstStart)
         co_return;
     // In a large fleet demand decides nothing, and 70 VMs that tell theirs would be most of what the store
     // and siblings carry.
     const auto rates = this->holders.includesAllVms() ? this->demand.rates() : DemandByTeam {};
-    const bool told = this->toldUnder == this->recordLease;
+    const bool told = this->publishedUnder == this->recordLease;
     if (told
-        && (!this->holders.includesAllVms() || !DemandMeter::differsSignificantly(this->toldDemand, rates)))
+        && (!this->holders.includesAllVms()
+            || !DemandMeter::differsSignificantly(this->publishedDemand, rates)))
         co_return;
     co_await this->writeOwnRecord(rates);
     // The first try may meet the record of an earlier process, or a write of this one whose answer was lost.
-    if (this->toldUnder != this->recordLease)
+    if (this->publishedUnder != this->recordLease)
         co_await this->writeOwnRecord(rates);
 }
 
@@ -165,7 +166,7 @@
     this->recordLease = earlier.lease;
     this->ownRecordRevision = earlier.revision;
     if (earlier.value == this->ownRecord({}))
-        this->toldUnder = earlier.lease;
+        this->publishedUnder = earlier.lease;
 }
 
 std::string SessionControl::State::ownRecord(const DemandByTeam& rates) const
@@ -194,15 +195,15 @@
     const auto outcome = co_await this->store.compareAndSwap(std::move(swap));
     if (const auto* swapped = std::get_if<Swapped>(&outcome)) {
         this->ownRecordRevision = swapped->revision;
-        this->toldUnder = lease;
-        this->toldDemand = rates;
+        this->publishedUnder = lease;
+        this->publishedDemand = rates;
         co_return;
     }
     const auto& current = std::get<SwapConflict>(outcome).current;
     this->ownRecordRevision = current ? current->revision : 0;
 }
 
-asio::awaitable<void> SessionControl::State::learnSecret()
+asio::awaitable<void> SessionControl::State::fetchSecret()
 {
     if (this->siblingsOpen)
         co_return;
@@ -214,7 +215,9 @@
     else
         entry = co_await this->store.get(store_key::siblingSecret);
     if (!entry) {
-        SwapOptions swap { .key = store_key::siblingSecret, .expectedRevision = 0, .value = newSecret() };
+        SwapOptions swap {
+            .key = store_key::siblingSecret, .expectedRevision = 0, .value = generateSecret()
+        };
         const auto outcome = co_await this->store.compareAndSwap(std::move(swap));
         if (std::holds_alternative<SwapConflict>(outcome))
             entry = std::get<SwapConflict>(outcome).current;
@@ -237,19 +240,19 @@
     const auto& settings = self->options.settings;
     while (!self->stopped) {
         auto pause = settings.vmListInterval;
-        const bool told = !self->isReader() && bootNow() < self->vms.confirmedAt() + settings.vmsUnconfirmed;
+        const bool told = !self->isReader() && bootNow() < self->vms.confirmedAt() + settings.maxVmListAge;
         if (!told && self->mayCallStore()) {
             try {
                 auto [listing, provenAt] = co_await self->readProven(store_key::vmPrefix);
                 self->vmSource.succeeded();
                 if (self->vms.takeReading(std::move(listing), provenAt) == SharedListing::Change::Entries)
-                    self->takeVms();
+                    self->applyVms();
             } catch (const StoreError& error) {
                 pause = std::max(pause, self->vmSource.failed(error.what()));
             }
         }
-        if (self->vanished.hasPending())
-            self->takeVms();
+        if (self->missingVms.hasPending())
+            self->applyVms();
         // Parts that are to grow do so some time after the list that they follow from.
         self->divideLimits();
         // A reader whose place this VM took may be back.
@@ -259,7 +262,7 @@
     }
 }
 
-void SessionControl::State::keepVanished(SiblingList& next)
+void SessionControl::State::retainMissingVms(SiblingList& next)
 {
     std::vector<VmName> known;
     std::set<VmName> listed;
@@ -267,40 +270,40 @@
         known.push_back(vm);
     for (const auto& [vm, sibling] : next)
         listed.insert(vm);
-    for (const auto& vm : this->vanished.retain(known, listed, bootNow()))
+    for (const auto& vm : this->missingVms.retain(known, listed, bootNow()))
         next.emplace(vm, this->siblings.at(vm));
 }
 
-void SessionControl::State::takeVms()
+void SessionControl::State::applyVms()
 {
     auto next = siblingsFrom(this->vms.current());
-    this->keepVanished(next);
+    this->retainMissingVms(next);
     if (next.size() != this->siblings.size())
         logEvent(LogLevel::Info, "vms_changed", { { "vms", std::to_string(next.size()) } });
     this->siblings = std::move(next);
-    const auto strengths = strengthsOf(this->siblings);
-    this->holders = LimitHolders { strengths };
-    this->chooseReaders(strengths);
+    const auto capacities = capacitiesOf(this->siblings);
+    this->holders = LimitHolders { capacities };
+    this->chooseReaders(capacities);
     const auto own = this->siblings.find(this->options.vm);
     const bool listed = own != this->siblings.end();
-    if (listed && this->toldUnder == LeaseId::None)
+    if (listed && this->publishedUnder == LeaseId::None)
         this->demand.begin(own->second.demand);
     this->place.rank = listed ? static_cast<std::size_t>(std::distance(this->siblings.begin(), own))
                               : this->siblings.size();
     this->place.vms = this->siblings.size() + (listed ? 0 : 1);
-    this->place.owners = ServiceOwners::areUseful(strengths.size())
-        ? std::make_shared<ServiceOwners>(this->options.vm, strengths)
+    this->place.owners = ServiceOwners::areUseful(capacities.size())
+        ? std::make_shared<ServiceOwners>(this->options.vm, capacities)
         : nullptr;
     this->options.traffic.setPlace(this->place);
     this->options.traffic.setSiblings(this->siblings);
     this->divideLimits();
 }
 
-void SessionControl::State::chooseReaders(const std::map<VmName, VmCapacity>& strengths)
+void SessionControl::State::chooseReaders(const std::map<VmName, VmCapacity>& capacities)
 {
-    const auto readers = 1 + strengths.size() / this->options.settings.vmsPerReader;
-    this->readerChoice.setOrder(rankByCores(strengths), readers);
-    this->storeGate.setFleetSize(strengths.size());
+    const auto readers = 1 + capacities.size() / this->options.settings.vmsPerReader;
+    this->readerSelector.setOrder(rankByCores(capacities), readers);
+    this->storeThrottle.setFleetSize(capacities.size());
 }
 
 void SessionControl::State::divideLimits()
@@ -316,8 +319,8 @@
     } else {
         this->shares.updateByHolders(this->routes->limits, this->options.vm, this->holders, now);
     }
-    this->handedOn = this->shares.current();
-    this->options.traffic.setShares(this->handedOn);
+    this->publishedShares = this->shares.current();
+    this->options.traffic.setShares(this->publishedShares);
 }
 
 } // namespace cyclamendrift
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -31,7 +31,7 @@
 {
     if (!this->siblingsOpen)
         return std::nullopt;
-    return this->readerChoice.readerFor(this->options.vm, this->place.rank, bootNow());
+    return this->readerSelector.readerFor(this->options.vm, this->place.rank, bootNow());
 }
 
 bool SessionControl::State::isReader() const { return !this->readerToAsk(); }
@@ -58,29 +58,29 @@
     this->siblings = siblingsFrom(listed);
     this->place.rank = static_cast<std::size_t>(
         std::distance(this->siblings.begin(), this->siblings.lower_bound(this->options.vm)));
-    this->chooseReaders(strengthsOf(this->siblings));
+    this->chooseReaders(capacitiesOf(this->siblings));
     this->openSiblings(secret.entries.front().value);
     co_return true;
 }
 
-asio::awaitable<void> SessionControl::State::begin(std::shared_ptr<State> self)
+asio::awaitable<void> SessionControl::State::bootstrap(std::shared_ptr<State> self)
 {
     const auto& settings = self->options.settings;
     const bool found = co_await self->findSiblings();
     self->spawn(keepRecord(self));
     // When all VMs start for the first time, each tells its record before it looks for the others.
     if (!found) {
-        self->firstOfFleet = true;
-        co_await self->sleep(settings.firstStartPause);
+        self->isFirstStart = true;
+        co_await self->sleep(settings.firstStartDelay);
         static_cast<void>(co_await self->findSiblings());
     }
-    const auto patientUntil = bootNow() + settings.startPatience;
-    while (!self->stopped && !self->isReader() && bootNow() < patientUntil) {
-        if (co_await self->askReaders(settings.startRetry))
+    const auto askSiblingsUntil = bootNow() + settings.bootstrapTimeout;
+    while (!self->stopped && !self->isReader() && bootNow() < askSiblingsUntil) {
+        if (co_await self->askReaders(settings.bootstrapRetryInterval))
             break;
-        co_await self->sleep(settings.startRetry);
+        co_await self->sleep(settings.bootstrapRetryInterval);
     }
-    self->begun = true;
+    self->bootstrapped = true;
     self->spawn(followLeadership(self));
     self->spawn(followConfiguration(self));
     self->spawn(followDirectory(self));
@@ -91,15 +91,15 @@
 bool SessionControl::State::mayCallStore()
 {
     const auto now = bootNow();
-    return !this->siblingsOpen || this->readerChoice.isReaderOrStandby(this->options.vm, now)
-        || !this->readerChoice.storeSeemsUnavailable(now) || this->storeGate.allowCall(now);
+    return !this->siblingsOpen || this->readerSelector.isReaderOrStandby(this->options.vm, now)
+        || !this->readerSelector.storeSeemsUnavailable(now) || this->storeThrottle.allowCall(now);
 }
 
 asio::awaitable<bool> SessionControl::State::askReaders(Duration pause)
 {
     const auto& settings = this->options.settings;
     // While the store is away, what replicas vouch for still has to come from somebody.
-    const bool away = this->readerChoice.storeSeemsUnavailable(bootNow());
+    const bool away = this->readerSelector.storeSeemsUnavailable(bootNow());
     for (int silent = 0; silent < silentReadersAsked;) {
         // This VM's own readings must not grow older than those that siblings can use.
         auto reader = this->readerToAsk();
@@ -107,7 +107,7 @@
             co_return false;
         if (away) {
             const auto turn = this->place.rank + this->readerTurn++;
-            reader = this->readerChoice.candidateToAsk(this->options.vm, turn, bootNow());
+            reader = this->readerSelector.candidateToAsk(this->options.vm, turn, bootNow());
             if (!reader)
                 break;
         }
@@ -115,22 +115,22 @@
         const auto answer = co_await this->askReader(address);
         const auto now = bootNow();
         if (answer == ReaderAnswer::Fresh) {
-            this->readerChoice.recordStoreRead(*reader);
+            this->readerSelector.recordStoreRead(*reader);
             co_return true;
         }
         if (answer == ReaderAnswer::WithoutStore) {
-            this->readerChoice.skipWithoutStore(*reader, now + settings.withoutStorePause);
+            this->readerSelector.skipWithoutStore(*reader, now + settings.storelessReaderBackoff);
         } else if (answer == ReaderAnswer::Old) {
-            this->readerChoice.skipUntil(*reader, now + settings.leadershipInterval);
+            this->readerSelector.skipUntil(*reader, now + settings.leadershipInterval);
         } else {
-            this->readerChoice.skipWithBackoff(*reader, pause, now);
+            this->readerSelector.skipWithBackoff(*reader, pause, now);
             ++silent;
         }
-        if (away || this->readerChoice.storeSeemsUnavailable(now))
+        if (away || this->readerSelector.storeSeemsUnavailable(now))
             break;
     }
     // Readers that are without the store pass on what replicas vouch for.
-    co_return this->viewsAreFresh(settings.readingsUsable);
+    co_return this->viewsAreFresh(settings.maxReadingsAge);
 }
 
 asio::awaitable<SessionControl::State::ReaderAnswer> SessionControl::State::askReader(SiblingAddress address)
@@ -145,17 +145,18 @@
     const auto askedAt = bootNow();
     wire::ReadingsAnswer answer;
     try {
-        const auto body = co_await this->options.traffic.askForReadings(address, request.SerializeAsString());
+        const auto body
+            = co_await this->options.traffic.requestReadings(address, request.SerializeAsString());
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
-        this->takeReadings(answer, askedAt);
+        this->applyReadings(answer, askedAt);
     } catch (const Error& error) {
         // While all VMs start, readers may not be there yet.
-        logEvent(this->begun ? LogLevel::Info : LogLevel::Debug, "reader_not_reached",
+        logEvent(this->bootstrapped ? LogLevel::Info : LogLevel::Debug, "reader_not_reached",
             { { "vm", address.vm.string() }, { "reason", error.what() } });
         co_return ReaderAnswer::None;
     }
-    const auto usable = this->options.settings.readingsUsable;
+    const auto usable = this->options.settings.maxReadingsAge;
     if (durationFrom(answer.leadership().age_us()) < usable)
         co_return ReaderAnswer::Fresh;
     co_return durationFrom(answer.store_age_us()) < usable ? ReaderAnswer::Old : ReaderAnswer::WithoutStore;
@@ -171,28 +172,28 @@
            });
 }
 
-void SessionControl::State::takeReadings(const wire::ReadingsAnswer& answer, Instant askedAt)
+void SessionControl::State::applyReadings(const wire::ReadingsAnswer& answer, Instant askedAt)
 {
     // Upstreams come first, as who leads is kept for each of their groups.
     if (this->directoryListing.takeAnswer(answer.directory(), askedAt) != SharedListing::Change::None)
-        this->takeDirectory();
+        this->applyDirectory();
     const auto confirmedBefore = this->leadership.confirmedAt();
     const auto change = this->leadership.takeAnswer(answer.leadership(), askedAt);
     if (change == SharedListing::Change::Entries || this->leadership.confirmedAt() > confirmedBefore)
-        this->takeLeadership(ViewSource::Sibling);
+        this->applyLeadership(ViewSource::Sibling);
     for (const auto& view : answer.views()) {
         const auto coordinator = this->coordinators.find(ServiceName { view.service() });
         if (coordinator != this->coordinators.end())
             coordinator->second.onSiblingView(view.record_revision(), askedAt - durationFrom(view.age_us()));
     }
     if (this->vms.takeAnswer(answer.vms(), askedAt) == SharedListing::Change::Entries)
-        this->takeVms();
+        this->applyVms();
     if (this->evacuations.takeAnswer(answer.evacuations(), askedAt) == SharedListing::Change::Entries)
-        this->takeEvacuations();
+        this->applyEvacuations();
     const auto& configuration = answer.configuration();
     if (configuration.entries_size() > 0) {
         const auto& document = configuration.entries(0);
-        this->takeConfiguration(
+        this->applyConfiguration(
             document.packed() ? unpack(document.value()) : document.value(), configuration.revision());
     }
     if (configuration.revision() == this->configurationRevision)
@@ -214,7 +215,7 @@
     }
 }
 
-void SessionControl::State::keepToBudget(wire::ReadingsAnswer& answer, Instant now)
+void SessionControl::State::limitToBudget(wire::ReadingsAnswer& answer, Instant now)
 {
     // Who leads is small and must not wait: views of primaries hang on it.
     for (auto* listing : { answer.mutable_directory(), answer.mutable_vms() }) {
@@ -242,7 +243,7 @@
     }
     const auto now = bootNow();
     wire::ReadingsAnswer answer;
-    answer.set_store_age_us(wireAge(self->storeGate.lastAnswer(), now));
+    answer.set_store_age_us(wireAge(self->storeThrottle.lastAnswer(), now));
     const SharedListing::AnswerOptions how { .now = now, .packed = request.takes_packed() };
     self->leadership.writeAnswer(request.leadership(), how, *answer.mutable_leadership());
     self->vms.writeAnswer(request.vms(), how, *answer.mutable_vms());
@@ -259,7 +260,7 @@
         document.set_revision(self->configurationRevision);
     }
     if (request.takes_packed())
-        self->keepToBudget(answer, now);
+        self->limitToBudget(answer, now);
     co_return answer.SerializeAsString();
 }
 
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -33,7 +33,7 @@
 namespace store_key {
 inline constexpr auto leadershipPrefix = "cyclamendrift/leadership/";
 inline constexpr auto recordPrefix = "cyclamendrift/leadership/record/";
-inline constexpr auto dutyPrefix = "cyclamendrift/leadership/duty/";
+inline constexpr auto coordinatorLeasePrefix = "cyclamendrift/leadership/duty/";
 inline constexpr auto vmPrefix = "cyclamendrift/vms/";
 inline constexpr auto siblingSecret = "cyclamendrift/sibling-secret";
 } // namespace store_key
@@ -92,15 +92,15 @@
     LeaseId recordLease = LeaseId::None;
     Instant leaseUntil = Instant::min();
     LimitShares shares;
-    std::map<TeamName, TeamShare::Rule> handedOn;
+    std::map<TeamName, TeamShare::Rule> publishedShares;
     DemandMeter demand;
-    DemandByTeam toldDemand;
+    DemandByTeam publishedDemand;
     SiblingList siblings;
     LimitHolders holders;
     /// The VMs in the order in which they are to read the store for the others.
-    StoreReaderSelector readerChoice;
-    StoreCallThrottle storeGate;
-    MissingVms vanished;
+    StoreReaderSelector readerSelector;
+    StoreCallThrottle storeThrottle;
+    MissingVms missingVms;
     EngineCounters counters;
     std::size_t callers = 0;
     std::size_t connections = 0;
@@ -127,15 +127,15 @@
     [[nodiscard]] asio::awaitable<void> watchConfiguration();
     [[nodiscard]] static asio::awaitable<void> followConfiguration(std::shared_ptr<State> self);
     [[nodiscard]] static asio::awaitable<void> followDirectory(std::shared_ptr<State> self);
-    void takeConfiguration(const std::string& value, std::uint64_t revision);
+    void applyConfiguration(const std::string& value, std::uint64_t revision);
     /// Takes in a change of what operators have written.
-    void takeOperatorChange(const StoreChange& change);
+    void applyOperatorChange(const StoreChange& change);
     /// Puts the latest listing of evacuations into effect.
-    void takeEvacuations();
+    void applyEvacuations();
     /// Returns how long to wait before the next try, when it failed.
     [[nodiscard]] asio::awaitable<std::optional<Duration>> readDirectory();
-    void takeDirectory();
-    void handOnDirectory();
+    void applyDirectory();
+    void publishDirectory();
 
     // control_readings
     [[nodiscard]] bool isReader() const;
@@ -152,7 +152,7 @@
     };
     /// Finds siblings in the store and takes what they have read, so that a VM which starts needs few calls;
     /// then keeps it up.
-    [[nodiscard]] static asio::awaitable<void> begin(std::shared_ptr<State> self);
+    [[nodiscard]] static asio::awaitable<void> bootstrap(std::shared_ptr<State> self);
     /// Looks for siblings in the store; false when it names none.
     [[nodiscard]] asio::awaitable<bool> findSiblings();
     /// False when siblings say that the store is away and it is not this VM's turn to try.
@@ -161,32 +161,33 @@
     /// not answer is passed over for `pause`.
     [[nodiscard]] asio::awaitable<bool> askReaders(Duration pause);
     [[nodiscard]] asio::awaitable<ReaderAnswer> askReader(SiblingAddress address);
-    void takeReadings(const wire::ReadingsAnswer& answer, Instant askedAt);
+    void applyReadings(const wire::ReadingsAnswer& answer, Instant askedAt);
     /// True when every group has a view that was vouched for less than `usable` ago.
     [[nodiscard]] bool viewsAreFresh(Duration usable) const;
     /// Writes the views that replicas have vouched for since the leadership was read.
     void writeViews(wire::ReadingsAnswer& answer) const;
     [[nodiscard]] const std::string& packedConfiguration();
     /// Leaves out of an answer what this VM's link has no room for now.
-    void keepToBudget(wire::ReadingsAnswer& answer, Instant now);
+    void limitToBudget(wire::ReadingsAnswer& answer, Instant now);
 
     // control_leadership
     /// Returns how long to wait before the next try, when it failed.
     [[nodiscard]] asio::awaitable<std::optional<Duration>> readLeadership();
     [[nodiscard]] static asio::awaitable<void> followLeadership(std::shared_ptr<State> self);
-    void takeLeadership(ViewSource source);
+    void applyLeadership(ViewSource source);
     void tick();
     void perform(const ServiceName& service, const LeadershipAction& action);
     [[nodiscard]] static asio::awaitable<void> order(
         std::shared_ptr<State> self, ServiceName service, UpstreamName upstream, UpstreamOrder order);
-    [[nodiscard]] static asio::awaitable<void> takeDuty(std::shared_ptr<State> self, ServiceName service);
-    [[nodiscard]] static asio::awaitable<void> yieldDuty(
+    [[nodiscard]] static asio::awaitable<void> acquireCoordinatorLease(
+        std::shared_ptr<State> self, ServiceName service);
+    [[nodiscard]] static asio::awaitable<void> releaseCoordinatorLease(
         std::shared_ptr<State> self, ServiceName service, std::uint64_t revision);
     [[nodiscard]] static asio::awaitable<void> writeRecord(
         std::shared_ptr<State> self, ServiceName service, WriteLeadershipRecord change);
     [[nodiscard]] static asio::awaitable<void> promote(
         std::shared_ptr<State> self, ServiceName service, PromoteUpstream change);
-    void takeReport(const TrafficReport& report);
+    void applyReport(const TrafficReport& report);
 
     // control_membership
     [[nodiscard]] static asio::awaitable<void> keepLease(std::shared_ptr<State> self);
@@ -198,13 +199,13 @@
     /// Goes on with the record and the lease of an earlier process of this VM, when they still stand.
     [[nodiscard]] asio::awaitable<void> adoptEarlierRecord();
     [[nodiscard]] static asio::awaitable<void> followVms(std::shared_ptr<State> self);
-    [[nodiscard]] asio::awaitable<void> tellOwnRecord();
-    [[nodiscard]] asio::awaitable<void> learnSecret();
+    [[nodiscard]] asio::awaitable<void> publishOwnRecord();
+    [[nodiscard]] asio::awaitable<void> fetchSecret();
     void openSiblings(const std::string& secret);
-    void takeVms();
+    void applyVms();
     /// Puts VMs back whose records have lapsed with many others.
-    void keepVanished(SiblingList& next);
-    void chooseReaders(const std::map<VmName, VmCapacity>& strengths);
+    void retainMissingVms(SiblingList& next);
+    void chooseReaders(const std::map<VmName, VmCapacity>& capacities);
     void divideLimits();
 
     std::unique_ptr<TimerService::Subscription> ticks;
@@ -238,11 +239,11 @@
     std::uint64_t ownRecordRevision = 0;
     /// The record of an earlier process of this VM that was found at the start; without a lease if none was.
     StoreEntry earlierRecord;
-    LeaseId toldUnder = LeaseId::None;
+    LeaseId publishedUnder = LeaseId::None;
     /// What is known is kept up; before that it is gathered from siblings.
-    bool begun = false;
+    bool bootstrapped = false;
     /// No sibling had told its record when this VM started.
-    bool firstOfFleet = false;
+    bool isFirstStart = false;
     /// Counts questions to siblings while the store is away.
     std::size_t readerTurn = 0;
     std::function<void()> whenReady;
--- a/src/session_proxy/home_codec.cpp
+++ b/src/session_proxy/forwarding_codec.cpp
@@ -1,4 +1,4 @@
-#include "home_codec.h"
+#include "forwarding_codec.h"
 
 #include <cyclamendrift/core/request_error.h>
 #include <cyclamendrift/schema/duration_codec.h>
@@ -8,7 +8,7 @@
 
 #include <utility>
 
-namespace cyclamendrift::home_codec {
+namespace cyclamendrift::forwarding_codec {
 
 namespace {
 
@@ -182,14 +182,14 @@
     return reply;
 }
 
-std::string encodeGuest(CallerId remoteSession)
+std::string encodeRelease(CallerId remoteSession)
 {
     wire::GuestLeft message;
     message.set_guest(static_cast<std::uint64_t>(remoteSession));
     return message.SerializeAsString();
 }
 
-CallerId decodeGuest(const std::string& body)
+CallerId decodeRelease(const std::string& body)
 {
     wire::GuestLeft message;
     if (!message.ParseFromString(body))
@@ -197,4 +197,4 @@
     return CallerId { message.guest() };
 }
 
-} // namespace cyclamendrift::home_codec
+} // namespace cyclamendrift::forwarding_codec
--- a/src/session_proxy/home_codec.h
+++ b/src/session_proxy/forwarding_codec.h
@@ -7,7 +7,7 @@
 
 /// Statements that are handed to the home of their service, and its answers, as siblings exchange them.
 /// Decoding throws RequestError: nothing was run.
-namespace cyclamendrift::home_codec {
+namespace cyclamendrift::forwarding_codec {
 
 [[nodiscard]] std::string encode(const ForwardedStatement& work);
 [[nodiscard]] ForwardedStatement decodeWork(const std::string& body);
@@ -15,7 +15,7 @@
 [[nodiscard]] std::string encode(const Reply& reply);
 [[nodiscard]] Reply decodeReply(const std::string& body);
 
-[[nodiscard]] std::string encodeGuest(CallerId guest);
-[[nodiscard]] CallerId decodeGuest(const std::string& body);
+[[nodiscard]] std::string encodeRelease(CallerId guest);
+[[nodiscard]] CallerId decodeRelease(const std::string& body);
 
-} // namespace cyclamendrift::home_codec
+} // namespace cyclamendrift::forwarding_codec
--- a/src/session_proxy/packing.cpp
+++ b/src/session_proxy/packing.cpp
@@ -16,7 +16,7 @@
 
 namespace io = google::protobuf::io;
 
-constexpr std::size_t longestDocument = std::size_t { 16 } << 20U;
+constexpr std::size_t maxDocumentBytes = std::size_t { 16 } << 20U;
 
 // The document's length goes ahead of its bytes, as the library takes a stream that was cut for its end.
 constexpr std::size_t lengthBytes = sizeof(std::uint64_t);
@@ -56,7 +56,7 @@
     int size = 0;
     while (stream.Next(&part, &size)) {
         document.append(static_cast<const char*>(part), static_cast<std::size_t>(size));
-        if (document.size() > longestDocument)
+        if (document.size() > maxDocumentBytes)
             throw PackingError { "the packed document is too long" };
     }
     if (littleEndian(document.size()) != length)
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -21,10 +21,10 @@
 // How often the control side looks at what traffic saw; a failing primary is noticed this much later.
 constexpr Duration reportInterval = std::chrono::milliseconds { 150 };
 // Two rounds of duty, status and record, which take half a second each on a new system.
-constexpr Duration leaderPatience = std::chrono::seconds { 3 };
+constexpr Duration maxLeaderWait = std::chrono::seconds { 3 };
 
 // Of this VM's link for whole lists that siblings want; the rest is for statements.
-constexpr double partOfLink = 0.25;
+constexpr double listingLinkFraction = 0.25;
 
 constexpr auto metricPrefix = "cyclamendrift_";
 
@@ -47,8 +47,8 @@
 {
     if (!std::exchange(this->lost, true))
         logEvent(LogLevel::Warn, "dependency_lost", { { "dependency", this->name }, { "reason", reason } });
-    this->backoff = this->backoff == Duration {} ? this->settings.firstBackoff
-                                                 : std::min(this->backoff * 2, this->settings.longestBackoff);
+    this->backoff = this->backoff == Duration {} ? this->settings.minBackoff
+                                                 : std::min(this->backoff * 2, this->settings.maxBackoff);
     return this->backoff;
 }
 
@@ -56,7 +56,7 @@
     : options(std::move(given))
     , store({ .store = this->options.store,
           .purposeOf = [this](std::string_view key) { return this->purposeOf(key); },
-          .onListing = [this] { this->storeGate.answered(bootNow()); } })
+          .onListing = [this] { this->storeThrottle.answered(bootNow()); } })
     , timers(options.context.get_executor())
     , configurationSource("configuration", options.settings)
     , directorySource("directory", options.settings)
@@ -64,7 +64,7 @@
     , leaseSource("lease", options.settings)
     , vmSource("vms", options.settings)
     , recordSource("record", options.settings)
-    , listingBudget(options.linkBytesPerSecond * partOfLink)
+    , listingBudget(options.linkBytesPerSecond * listingLinkFraction)
 {
 }
 
@@ -72,7 +72,7 @@
 {
     if (key.starts_with(store_key::recordPrefix))
         return "leadership_record";
-    if (key.starts_with(store_key::dutyPrefix))
+    if (key.starts_with(store_key::coordinatorLeasePrefix))
         return "duty";
     if (key.starts_with(store_key::leadershipPrefix))
         return "leadership";
@@ -97,7 +97,7 @@
     const auto self = this->shared_from_this();
     this->whenReady = std::move(ready);
     this->startedAt = bootNow();
-    this->spawn(begin(self));
+    this->spawn(bootstrap(self));
     const std::weak_ptr<State> weak = self;
     this->ticks = this->timers.every(this->options.settings.tickInterval, [weak](Instant) {
         if (const auto alive = weak.lock())
@@ -112,7 +112,7 @@
             if (!control)
                 return;
             asio::post(control->options.context,
-                [control, report = std::move(report)] { control->takeReport(report); });
+                [control, report = std::move(report)] { control->applyReport(report); });
         });
     });
 }
@@ -123,13 +123,13 @@
         return false;
     // When the whole system starts for the first time nobody leads yet for a moment. A group that goes on
     // without a primary must not keep the others from being served.
-    const bool patient = bootNow() < this->startedAt + leaderPatience;
+    const bool mayWaitForLeaders = bootNow() < this->startedAt + maxLeaderWait;
     // An evacuation may have been requested before this VM started.
     const bool evacuationsRead = this->evacuations.confirmedAt() != Instant::min();
     // Without the list of VMs nobody can be asked for operations of a team's limit, and callers would be
     // refused within their team's rate.
     const bool vmsRead = this->vms.confirmedAt() != Instant::min();
-    return !patient
+    return !mayWaitForLeaders
         || (vmsRead && evacuationsRead
             && std::all_of(this->coordinators.begin(), this->coordinators.end(),
                 [](const auto& item) { return item.second.view().phase != LeaderView::Phase::Unknown; }));
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -23,9 +23,9 @@
 constexpr int notFound = 404;
 // The balancer takes a VM out after two misses of a question a second; sessions that come in until then are
 // served.
-constexpr Duration balancerNotice = std::chrono::milliseconds { 2300 };
+constexpr Duration balancerDetectionTime = std::chrono::milliseconds { 2300 };
 // Left of the grace period when the last sessions are cut, so that the process itself ends in time.
-constexpr Duration endReserve = std::chrono::milliseconds { 500 };
+constexpr Duration shutdownReserve = std::chrono::milliseconds { 500 };
 
 // What is left of a coroutine is destroyed through the context that it ran on last, which may be the other
 // one; a coroutine waits across the contexts at most twice.
@@ -33,7 +33,7 @@
 
 using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
 
-std::uint64_t drawProcessNumber()
+std::uint64_t generateProcessNumber()
 {
     std::random_device source;
     return (std::uint64_t { source() } << 32U) | source();
@@ -162,7 +162,7 @@
         const auto grace = this->options.settings.grace;
         logEvent(LogLevel::Info, "draining");
         this->traffic.drain(
-            now + std::min(balancerNotice, grace / 2), now + grace / 2, now + grace - endReserve);
+            now + std::min(balancerDetectionTime, grace / 2), now + grace / 2, now + grace - shutdownReserve);
     }
 
     void onDrained()
@@ -172,13 +172,13 @@
             this->controlContext.stop();
         });
         // The store may be away; its answer is not worth being killed for.
-        this->leaveTimer.expires_after(endReserve / 2);
-        this->leaveTimer.async_wait([this](const asio::error_code&) { this->controlContext.stop(); });
+        this->leaseReleaseTimer.expires_after(shutdownReserve / 2);
+        this->leaseReleaseTimer.async_wait([this](const asio::error_code&) { this->controlContext.stop(); });
     }
 
     SessionDaemonOptions options;
     /// Tells this process from every other one, as its part of what it draws at random.
-    std::uint64_t process = drawProcessNumber();
+    std::uint64_t process = generateProcessNumber();
     EndableContext trafficContext { 1 };
     EndableContext controlContext { 1 };
     WorkGuard trafficGuard;
@@ -188,7 +188,7 @@
     SessionControl control;
     HttpServer readiness;
     HttpServer metrics;
-    asio::steady_timer leaveTimer { controlContext };
+    asio::steady_timer leaseReleaseTimer { controlContext };
     bool draining = false;
     DaemonExit exit = DaemonExit::Graceful;
 };
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -1,6 +1,6 @@
 #include <cyclamendrift/session_proxy/session_traffic.h>
 
-#include "home_codec.h"
+#include "forwarding_codec.h"
 
 #include <cyclamendrift/core/request_error.h>
 #include <cyclamendrift/runtime/asio_timer_service.h>
@@ -29,8 +29,8 @@
 constexpr std::uint64_t linesPerSecond = 20;
 
 /// A statement of a sibling that waits for its answer here.
-struct GuestWait {
-    GuestWait(asio::io_context& context, Instant deadline)
+struct RemoteStatementWait {
+    RemoteStatementWait(asio::io_context& context, Instant deadline)
         : timer(context, deadline)
     {
     }
@@ -58,9 +58,9 @@
               .runForSibling
               = [this](std::string body,
                     Instant deadline) { return this->runForSibling(std::move(body), deadline); },
-              .letGuestGo =
+              .releaseRemoteSession =
                   [this](const std::string& body) {
-                      this->engine.remoteSessionReleased(home_codec::decodeGuest(body), bootNow());
+                      this->engine.remoteSessionReleased(forwarding_codec::decodeRelease(body), bootNow());
                       this->performAll();
                   } })
     {
@@ -89,7 +89,7 @@
     std::unique_ptr<TimerService::Subscription> ticks;
     DrainTimes drain;
     LineBudget lines { linesPerSecond };
-    std::map<CallerId, std::shared_ptr<GuestWait>> guests;
+    std::map<CallerId, std::shared_ptr<RemoteStatementWait>> remoteWaits;
     bool listening = true;
     bool performing = false;
 };
@@ -184,7 +184,7 @@
 
 void SessionTraffic::State::perform(const RequestTokens& action)
 {
-    this->exchange.askForTokens(action.team, action.wanted, [this, team = action.team](std::uint32_t given) {
+    this->exchange.requestTokens(action.team, action.wanted, [this, team = action.team](std::uint32_t given) {
         this->engine.tokensReceived(team, given, bootNow());
         this->performAll();
     });
@@ -193,12 +193,12 @@
 void SessionTraffic::State::perform(const ForwardStatement& action)
 {
     const auto done = [this, caller = action.caller, remoteSession = action.work.remoteSession](
-                          SiblingExchange::HomeAnswer answer) {
+                          SiblingExchange::OwnerAnswer answer) {
         const auto now = bootNow();
         if (const auto* body = std::get_if<std::string>(&answer)) {
             try {
                 this->engine.forwardedStatementAnswered(
-                    caller, remoteSession, home_codec::decodeReply(*body), now);
+                    caller, remoteSession, forwarding_codec::decodeReply(*body), now);
             } catch (const RequestError& error) {
                 logEvent(LogLevel::Error, "home_answer_unreadable", { { "reason", error.what() } });
                 this->engine.forwardingFailed(caller, remoteSession, ForwardFailure::Lost, now);
@@ -208,12 +208,12 @@
         }
         this->performAll();
     };
-    this->exchange.handOn(action.owner, home_codec::encode(action.work), action.timeLimit, done);
+    this->exchange.forward(action.owner, forwarding_codec::encode(action.work), action.timeLimit, done);
 }
 
 void SessionTraffic::State::perform(const CheckOwnerLiveness& action)
 {
-    this->exchange.askForSignOfLife(action.owner, [this, owner = action.owner](bool alive) {
+    this->exchange.checkLiveness(action.owner, [this, owner = action.owner](bool alive) {
         this->engine.ownerLivenessChecked(owner, alive, bootNow());
         this->performAll();
     });
@@ -221,13 +221,13 @@
 
 void SessionTraffic::State::perform(const ReleaseRemoteSession& action)
 {
-    this->exchange.tellGuestLeft(action.owner, home_codec::encodeGuest(action.remoteSession));
+    this->exchange.releaseRemoteSession(action.owner, forwarding_codec::encodeRelease(action.remoteSession));
 }
 
 void SessionTraffic::State::perform(const AnswerRemoteSession& action)
 {
-    const auto wait = this->guests.find(action.remoteSession);
-    if (wait == this->guests.end())
+    const auto wait = this->remoteWaits.find(action.remoteSession);
+    if (wait == this->remoteWaits.end())
         return;
     wait->second->reply = action.reply;
     wait->second->timer.cancel();
@@ -250,21 +250,21 @@
 
 asio::awaitable<std::string> SessionTraffic::State::runForSibling(std::string body, Instant deadline)
 {
-    auto work = home_codec::decodeWork(body);
+    auto work = forwarding_codec::decodeWork(body);
     const auto remoteSession = work.remoteSession;
-    const auto wait = std::make_shared<GuestWait>(this->options.context, deadline);
-    this->guests[remoteSession] = wait;
+    const auto wait = std::make_shared<RemoteStatementWait>(this->options.context, deadline);
+    this->remoteWaits[remoteSession] = wait;
     this->engine.forwardedStatementReceived(std::move(work), bootNow());
     this->performAll();
     if (!wait->reply) {
         std::error_code ignored;
         co_await wait->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    const auto entry = this->guests.find(remoteSession);
-    if (entry != this->guests.end() && entry->second == wait)
-        this->guests.erase(entry);
+    const auto entry = this->remoteWaits.find(remoteSession);
+    if (entry != this->remoteWaits.end() && entry->second == wait)
+        this->remoteWaits.erase(entry);
     if (const auto reply = wait->reply)
-        co_return home_codec::encode(*reply);
+        co_return forwarding_codec::encode(*reply);
     throw outcomeUnknown(
         RefusalReason::DeadlineExceeded, "the statement goes on, but its caller's time is over");
 }
@@ -370,10 +370,10 @@
     });
 }
 
-asio::awaitable<std::string> SessionTraffic::askForReadings(SiblingAddress sibling, std::string request)
+asio::awaitable<std::string> SessionTraffic::requestReadings(SiblingAddress sibling, std::string request)
 {
     // The exchange lives on the traffic thread.
-    auto started = this->state->exchange.askForReadings(std::move(sibling), std::move(request));
+    auto started = this->state->exchange.requestReadings(std::move(sibling), std::move(request));
     co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
 }
 
--- a/src/session_proxy/shared_listing.cpp
+++ b/src/session_proxy/shared_listing.cpp
@@ -19,7 +19,7 @@
 
 // The list of VMs changes about once a second while a fleet is restarted in turn, and siblings ask three
 // times a second.
-constexpr std::size_t earlierKept = 12;
+constexpr std::size_t maxEarlierListings = 12;
 
 StoreEntry entryFrom(const wire::StoredEntry& message)
 {
@@ -80,7 +80,7 @@
     auto& last = this->earlier.emplace_back(Earlier { .digest = this->digest });
     for (const auto& entry : this->listing.entries)
         last.revisions.emplace(entry.key, entry.revision);
-    if (this->earlier.size() > earlierKept)
+    if (this->earlier.size() > maxEarlierListings)
         this->earlier.pop_front();
 }
 
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -20,17 +20,17 @@
 constexpr auto giveTokensMethod = "GiveTokens";
 constexpr auto shareReadingsMethod = "ShareReadings";
 constexpr auto runForSiblingMethod = "RunForSibling";
-constexpr auto letGuestGoMethod = "LetGuestGo";
-constexpr auto signOfLifeMethod = "SignOfLife";
+constexpr auto releaseMethod = "LetGuestGo";
+constexpr auto livenessMethod = "SignOfLife";
 // A sibling in another availability zone answers in 3 ms, a weak one that is busy within some ten.
-constexpr Duration signOfLifeTimeout = std::chrono::milliseconds { 100 };
+constexpr Duration livenessTimeout = std::chrono::milliseconds { 100 };
 // Whether a home heard that a guest has left matters little: it notices a transaction that rests by itself.
-constexpr Duration letGoTimeout = std::chrono::milliseconds { 200 };
+constexpr Duration releaseTimeout = std::chrono::milliseconds { 200 };
 // A sibling in another availability zone answers in 3 ms; the operation that waits has some 50 ms.
 constexpr Duration tokenTimeout = std::chrono::milliseconds { 25 };
 constexpr Duration readingsTimeout = std::chrono::milliseconds { 120 };
 // Each further question costs the waiting operation a round trip.
-constexpr std::size_t siblingsAsked = 4;
+constexpr std::size_t maxDonorsAsked = 4;
 
 [[noreturn]] void refuse(const char* message) { throw notRun(RefusalReason::BadRequest, message); }
 
@@ -48,11 +48,11 @@
             co_return co_await this->options.shareReadings(std::move(call.body));
         if (call.method == runForSiblingMethod)
             co_return co_await this->options.runForSibling(std::move(call.body), call.deadline);
-        if (call.method == letGuestGoMethod) {
-            this->options.letGuestGo(call.body);
+        if (call.method == releaseMethod) {
+            this->options.releaseRemoteSession(call.body);
             co_return std::string {};
         }
-        if (call.method == signOfLifeMethod)
+        if (call.method == livenessMethod)
             co_return std::string {};
         if (call.method != giveTokensMethod)
             refuse("the method is not known");
@@ -69,7 +69,7 @@
     {
         const auto listed = this->siblings.find(address.vm);
         const bool crosses
-            = listed == this->siblings.end() || listed->second.strength.zone != this->options.zone;
+            = listed == this->siblings.end() || listed->second.capacity.zone != this->options.zone;
         auto& bytes = this->traffic[{ .method = call.method, .crossesZones = crosses }];
         bytes += call.body.size();
         auto answer = co_await this->client->call(std::move(address), std::move(call));
@@ -77,7 +77,8 @@
         co_return answer;
     }
 
-    [[nodiscard]] asio::awaitable<std::uint32_t> askOne(TeamName team, VmName vm, std::uint32_t wanted)
+    [[nodiscard]] asio::awaitable<std::uint32_t> requestFromDonor(
+        TeamName team, VmName vm, std::uint32_t wanted)
     {
         const auto sibling = this->siblings.find(vm);
         if (sibling == this->siblings.end())
@@ -105,9 +106,9 @@
         co_return given;
     }
 
-    [[nodiscard]] asio::awaitable<HomeAnswer> askHome(VmName home, SiblingCall call)
+    [[nodiscard]] asio::awaitable<OwnerAnswer> callOwner(VmName owner, SiblingCall call)
     {
-        const auto sibling = this->siblings.find(home);
+        const auto sibling = this->siblings.find(owner);
         if (sibling == this->siblings.end() || !this->client)
             co_return ForwardFailure::NotAccepted;
         try {
@@ -120,31 +121,31 @@
         }
     }
 
-    [[nodiscard]] static asio::awaitable<void> askForSignOfLife(
-        std::shared_ptr<State> self, VmName home, std::function<void(bool)> done)
+    [[nodiscard]] static asio::awaitable<void> checkLiveness(
+        std::shared_ptr<State> self, VmName owner, std::function<void(bool)> done)
     {
-        bool gaveSign = false;
-        const auto sibling = self->siblings.find(home);
+        bool alive = false;
+        const auto sibling = self->siblings.find(owner);
         if (sibling != self->siblings.end() && self->client) {
-            SiblingCall call { .method = signOfLifeMethod,
-                .deadline = std::chrono::steady_clock::now() + signOfLifeTimeout };
+            SiblingCall call { .method = livenessMethod,
+                .deadline = std::chrono::steady_clock::now() + livenessTimeout };
             try {
                 static_cast<void>(co_await self->ask(sibling->second.address, std::move(call)));
-                gaveSign = true;
+                alive = true;
             } catch (const RequestError&) {
                 // A refusal is a sign as well.
-                gaveSign = true;
+                alive = true;
             } catch (const SiblingError&) {
-                gaveSign = false;
+                alive = false;
             }
         }
-        done(gaveSign);
+        done(alive);
     }
 
-    [[nodiscard]] static asio::awaitable<void> handOn(
-        std::shared_ptr<State> self, VmName home, SiblingCall call, std::function<void(HomeAnswer)> done)
+    [[nodiscard]] static asio::awaitable<void> forward(
+        std::shared_ptr<State> self, VmName owner, SiblingCall call, std::function<void(OwnerAnswer)> done)
     {
-        auto answer = co_await self->askHome(std::move(home), std::move(call));
+        auto answer = co_await self->callOwner(std::move(owner), std::move(call));
         done(std::move(answer));
     }
 
@@ -153,21 +154,21 @@
         const auto now = bootNow();
         if (!this->holders.includesAllVms())
             return this->donors.select(
-                team, this->holders.donorsFor(team, this->options.self), siblingsAsked, now);
+                team, this->holders.donorsFor(team, this->options.self), maxDonorsAsked, now);
         std::map<VmName, DemandByTeam> listed;
         for (const auto& [vm, sibling] : this->siblings)
             listed[vm] = sibling.demand;
-        return this->donors.select(team, this->options.self, listed, siblingsAsked, now);
+        return this->donors.select(team, this->options.self, listed, maxDonorsAsked, now);
     }
 
-    [[nodiscard]] static asio::awaitable<void> askAround(std::shared_ptr<State> self, TeamName team,
+    [[nodiscard]] static asio::awaitable<void> requestFromDonors(std::shared_ptr<State> self, TeamName team,
         std::uint32_t wanted, std::function<void(std::uint32_t)> done)
     {
         const auto chosen = self->donorsFor(team);
         std::uint32_t given = 0;
         for (const auto& vm : chosen) {
             if (given < wanted)
-                given += co_await self->askOne(team, vm, wanted - given);
+                given += co_await self->requestFromDonor(team, vm, wanted - given);
         }
         done(given);
     }
@@ -181,12 +182,12 @@
     std::unique_ptr<SiblingServer> server;
 };
 
-std::map<VmName, VmCapacity> strengthsOf(const SiblingList& siblings)
+std::map<VmName, VmCapacity> capacitiesOf(const SiblingList& siblings)
 {
-    std::map<VmName, VmCapacity> strengths;
+    std::map<VmName, VmCapacity> capacities;
     for (const auto& [vm, sibling] : siblings)
-        strengths.emplace(vm, sibling.strength);
-    return strengths;
+        capacities.emplace(vm, sibling.capacity);
+    return capacities;
 }
 
 SiblingExchange::SiblingExchange(Options options)
@@ -229,22 +230,22 @@
 
 void SiblingExchange::setSiblings(SiblingList siblings)
 {
-    this->state->holders = LimitHolders { strengthsOf(siblings) };
+    this->state->holders = LimitHolders { capacitiesOf(siblings) };
     this->state->siblings = std::move(siblings);
 }
 
 const SiblingTraffic& SiblingExchange::traffic() const noexcept { return this->state->traffic; }
 
-void SiblingExchange::askForTokens(
+void SiblingExchange::requestTokens(
     const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done)
 {
     if (!this->isOpen())
         return done(0);
-    asio::co_spawn(this->state->options.context, State::askAround(this->state, team, wanted, std::move(done)),
-        asio::detached);
+    asio::co_spawn(this->state->options.context,
+        State::requestFromDonors(this->state, team, wanted, std::move(done)), asio::detached);
 }
 
-asio::awaitable<std::string> SiblingExchange::askForReadings(SiblingAddress sibling, std::string request)
+asio::awaitable<std::string> SiblingExchange::requestReadings(SiblingAddress sibling, std::string request)
 {
     if (!this->isOpen())
         throw SiblingError { SiblingError::Kind::Unreachable, "siblings are not served yet" };
@@ -254,29 +255,29 @@
     co_return co_await this->state->ask(std::move(sibling), std::move(call));
 }
 
-void SiblingExchange::handOn(
-    const VmName& home, std::string work, Duration timeLimit, std::function<void(HomeAnswer)> done)
+void SiblingExchange::forward(
+    const VmName& owner, std::string work, Duration timeLimit, std::function<void(OwnerAnswer)> done)
 {
     SiblingCall call { .method = runForSiblingMethod,
         .body = std::move(work),
         .deadline = std::chrono::steady_clock::now() + timeLimit };
     asio::co_spawn(this->state->options.context,
-        State::handOn(this->state, home, std::move(call), std::move(done)), asio::detached);
+        State::forward(this->state, owner, std::move(call), std::move(done)), asio::detached);
 }
 
-void SiblingExchange::askForSignOfLife(const VmName& home, std::function<void(bool)> done)
+void SiblingExchange::checkLiveness(const VmName& owner, std::function<void(bool)> done)
 {
-    asio::co_spawn(this->state->options.context, State::askForSignOfLife(this->state, home, std::move(done)),
+    asio::co_spawn(this->state->options.context, State::checkLiveness(this->state, owner, std::move(done)),
         asio::detached);
 }
 
-void SiblingExchange::tellGuestLeft(const VmName& home, std::string guest)
+void SiblingExchange::releaseRemoteSession(const VmName& owner, std::string body)
 {
-    SiblingCall call { .method = letGuestGoMethod,
-        .body = std::move(guest),
-        .deadline = std::chrono::steady_clock::now() + letGoTimeout };
+    SiblingCall call { .method = releaseMethod,
+        .body = std::move(body),
+        .deadline = std::chrono::steady_clock::now() + releaseTimeout };
     asio::co_spawn(this->state->options.context,
-        State::handOn(this->state, home, std::move(call), [](const HomeAnswer&) {}), asio::detached);
+        State::forward(this->state, owner, std::move(call), [](const OwnerAnswer&) {}), asio::detached);
 }
 
 void SiblingExchange::close()
