--- a/include/cyclamendrift/session_proxy/byte_budget.h
+++ b/include/cyclamendrift/session_proxy/byte_budget.h
@@ -6,8 +6,8 @@
 
 namespace cyclamendrift {
 
-/// Bytes that may be sent at a rate. What goes beyond it is to be sent later: a link that is full makes
-/// answers time out, and those who asked ask for the same again.
+/// Limits the rate at which bytes are sent. On a saturated link answers time out and are requested again, so
+/// what exceeds the rate is better sent later.
 ///
 ///     if (budget.take(answer.size(), now)) send(answer);
 class ByteBudget {
@@ -18,7 +18,7 @@
     {
     }
 
-    /// Takes bytes out unless those of before have used the budget up. One large amount may go beyond it.
+    /// Deducts `bytes` unless the budget is used up; a single amount may exceed what is left.
     [[nodiscard]] bool take(std::size_t bytes, Instant now) noexcept;
 
 private:
--- a/include/cyclamendrift/session_proxy/metered_store.h
+++ b/include/cyclamendrift/session_proxy/metered_store.h
@@ -11,17 +11,17 @@
 
 namespace cyclamendrift {
 
-/// Passes calls on to another store and counts them, failed ones too, by what they do and for what.
+/// Forwards calls to another store and counts them, failed ones included, by operation and purpose.
 class MeteredStore final : public Store {
 public:
     struct Options {
         Store& store;
-        /// What a key or prefix is for; the text becomes a label.
+        /// Returns the purpose of a key or prefix; used as a label.
         std::function<std::string_view(std::string_view key)> purposeOf;
-        /// Called after each listing that came; may be empty.
+        /// Called after each successful listing; may be empty.
         std::function<void()> onListing {};
     };
-    /// What a call does, and for what.
+    /// Operation and purpose of a call.
     using Kind = std::pair<std::string_view, std::string_view>;
     using Counts = std::map<Kind, std::uint64_t>;
 
--- a/include/cyclamendrift/session_proxy/packing.h
+++ b/include/cyclamendrift/session_proxy/packing.h
@@ -7,17 +7,17 @@
 
 namespace cyclamendrift {
 
-/// Packed bytes that cannot be read.
+/// Thrown when packed bytes cannot be read.
 class PackingError : public Error {
 public:
     using Error::Error;
 };
 
-/// Compresses a document that goes to many siblings; an operators' configuration becomes a fifth of its size.
+/// Compresses a document that is sent to many siblings.
 [[nodiscard]] std::string pack(std::string_view document);
 
-/// What was packed. Throws PackingError when the bytes are cut or foreign, or the document is longer than 16
-/// MB.
+/// Returns the document. Throws PackingError when the bytes are truncated or were not written by pack(), or
+/// when the document is longer than 16 MB.
 [[nodiscard]] std::string unpack(std::string_view packed);
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/session_proxy/ports.h
+++ b/include/cyclamendrift/session_proxy/ports.h
@@ -15,36 +15,35 @@
 #include <string_view>
 #include <variant>
 
-/// What a session proxy needs of its surroundings. An adapter implements these for the protocols of one
-/// platform.
+/// Interfaces of a session proxy to callers, upstreams and the platform. An adapter implements them for the
+/// protocols of one platform.
 namespace cyclamendrift {
 
-/// Is told what callers do; on the traffic thread.
+/// Receives events of callers; on the traffic thread.
 class CallerEvents {
 public:
     virtual ~CallerEvents() = default;
     virtual void connected(CallerId caller) = 0;
     virtual void started(CallerId caller, SessionStart start) = 0;
-    virtual void asked(CallerId caller, CallerQuery query) = 0;
-    virtual void left(CallerId caller) = 0;
+    virtual void statementReceived(CallerId caller, CallerQuery query) = 0;
+    virtual void disconnected(CallerId caller) = 0;
 };
 
-/// The sessions of callers; on the traffic thread.
+/// Sessions of callers; on the traffic thread.
 class CallerPort {
 public:
     virtual ~CallerPort() = default;
-    /// Begins to take callers.
+    /// Starts to accept callers.
     virtual void listen(CallerEvents& events) = 0;
     virtual void accept(CallerId caller) = 0;
     virtual void answer(CallerId caller, const Reply& reply) = 0;
-    /// Ends a session after what was answered has gone out; `left` is not called for it.
+    /// Closes a session after all replies were sent; `disconnected` is not called for it.
     virtual void close(CallerId caller, const std::optional<StatementFailure>& failure) = 0;
-    /// Takes no more callers; sessions go on.
+    /// Accepts no further callers; open sessions continue.
     virtual void stopListening() = 0;
 };
 
-/// Is told what happens to connections; on the traffic thread. Not called for a connection after it was
-/// closed.
+/// Receives events of connections; on the traffic thread. Not called for a connection after close().
 class UpstreamEvents {
 public:
     virtual ~UpstreamEvents() = default;
@@ -58,44 +57,44 @@
 class UpstreamPort {
 public:
     virtual ~UpstreamPort() = default;
-    virtual void use(UpstreamEvents& events) = 0;
+    virtual void setEvents(UpstreamEvents& events) = 0;
     virtual void open(ConnectionId connection, const UpstreamEntry& upstream, const TeamName& team) = 0;
     virtual void send(ConnectionId connection, const UpstreamStatement& statement) = 0;
     virtual void close(ConnectionId connection) = 0;
 };
 
-/// Tell the status alone.
+/// Report the status.
 struct ReportStatus { };
-/// Stop receiving below a term.
+/// Stop receiving from primaries of a term below `term`.
 struct PauseReplication {
     Term term {};
 };
-/// Receive again.
+/// Receive from the primary again.
 struct ResumeReplication { };
-/// Become a replica, if primary of a lower term.
+/// Become a replica if it is the primary of a term below `term`.
 struct StepDown {
     Term term {};
 };
-/// What an upstream can be told by the control side; each is answered with the status.
+/// An order to an upstream, which answers each with its status.
 using UpstreamOrder = std::variant<ReportStatus, PauseReplication, ResumeReplication, StepDown>;
 
 /// Orders to upstreams and to the platform about primaries; on the control thread.
 class LeadershipPort {
 public:
     virtual ~LeadershipPort() = default;
-    /// Empty when no whole answer came in time or the upstream refused.
+    /// Returns nothing when the upstream refused or did not answer in time.
     [[nodiscard]] virtual asio::awaitable<std::optional<UpstreamStatus>> order(
         UpstreamEntry upstream, UpstreamOrder order)
         = 0;
 
     enum class PromotionAnswer : std::uint8_t { Accepted, NotRunning, NoAnswer };
-    /// Names the upstream that takes over a service.
+    /// Asks the platform to promote an upstream of a service.
     [[nodiscard]] virtual asio::awaitable<PromotionAnswer> promote(
         ServiceName service, UpstreamName upstream, VmName holder, std::uint64_t token)
         = 0;
 };
 
-/// What the platform keeps in its store that cannot be read.
+/// Thrown when a value in the platform's store cannot be read.
 class FormatError : public Error {
 public:
     using Error::Error;
@@ -108,7 +107,7 @@
     bool wellFormed = true;
 };
 
-/// Where the platform keeps what operators and upstreams write, and how to read it.
+/// Keys and formats of what operators and upstreams write into the platform's store.
 class PlatformFormat {
 public:
     virtual ~PlatformFormat() = default;
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -16,66 +16,64 @@
 
 namespace cyclamendrift {
 
-/// How often the control side does what.
+/// Intervals, timeouts and maximum ages of a SessionControl.
 struct ControlSettings {
-    /// Between two reads of who leads; a view must outlive two of them.
+    /// Interval of reads of the leadership records; views must outlive two of them.
     Duration leadershipInterval = std::chrono::milliseconds { 300 };
-    /// While what is known is recordMayBeStale.
+    /// Interval of reads while a record may be stale or the last read failed.
     Duration rereadInterval = std::chrono::milliseconds { 100 };
-    /// Between two looks at the list of upstreams; with a listing that may be some seconds old a leaving
-    /// upstream is known before it ends.
+    /// Interval of reads of the upstreams. Upstreams announce their shutdown some seconds ahead.
     Duration directoryInterval = std::chrono::milliseconds { 1000 };
-    /// Entries of live upstreams lapse while the store is away and come back within two seconds of its
-    /// return.
+    /// Time for which an upstream without an entry stays listed. Entries expire while the store is
+    /// unavailable and are written again within two seconds of its return.
     Duration missingEntryRetention = std::chrono::milliseconds { 2500 };
-    /// What nobody has confirmed for so long a VM reads from the store itself. Operators are promised that a
-    /// configuration is in force within three seconds; siblings confirm it after a watch and a question.
+    /// A VM reads a listing from the store itself when no store reader has confirmed it for this long. The
+    /// configuration must be in force within three seconds of a change.
     Duration maxConfigurationAge = std::chrono::milliseconds { 1900 };
     Duration maxDirectoryAge = std::chrono::milliseconds { 2500 };
     Duration maxVmListAge = std::chrono::milliseconds { 2200 };
-    /// Between two reads of the list of VMs. With the age of the reading that proves a list, and a question
-    /// to the reader, it bounds for how long two VMs may use the same part of a limit.
+    /// Interval of reads of the list of VMs. It bounds, together with `maxProofAge` and the interval of
+    /// requests to store readers, for how long two VMs may use the same share of a limit.
     Duration vmListInterval = std::chrono::milliseconds { 600 };
-    /// A reading of who leads proves other listings for so long.
+    /// Maximum age of the reading of the leadership records that proves another listing to be current.
     Duration maxProofAge = std::chrono::milliseconds { 500 };
-    /// Time to live of the lease under which duties are held, and the pause between renewals; two may fail
-    /// before it lapses. It is how long a dead holder's duty stays taken.
+    /// Time to live of the lease under which coordinator leases are held, and the interval of its renewals,
+    /// of which two may fail. The coordinator leases of a failed VM expire after this time.
     Duration leaseDuration = std::chrono::milliseconds { 1800 };
     Duration leaseRenewal = std::chrono::milliseconds { 500 };
-    /// Time to live of the lease of this VM's record, and the pause between renewals. A VM that the store
-    /// turns away goes on serving: were it taken off the list at once, the others would use its connections
-    /// and its part of limits a second time. Store faults last up to some ten seconds.
+    /// Time to live of the lease of this VM's record, and the interval of its renewals. A VM that cannot
+    /// reach the store continues to serve. It stays listed meanwhile, so that the other VMs do not use its
+    /// connections and its shares of limits as well.
     Duration recordLeaseDuration = std::chrono::seconds { 12 };
     Duration recordLeaseRenewal = std::chrono::seconds { 3 };
-    /// Between two looks at whether demand has changed enough for the record to be written anew; each write
-    /// is paid for, and the measured demand is a mean over two seconds anyway.
+    /// Interval of checks whether demand has changed enough to write the record again. Each write is charged.
     Duration recordInterval = std::chrono::milliseconds { 1500 };
-    /// How soon this VM stops to trust its lease, before the store would drop it.
+    /// This VM treats its lease as expired this long before the store does.
     Duration leaseMargin = std::chrono::milliseconds { 150 };
-    /// First and longest pause after the store failed.
+    /// Backoff after a failed call to the store; doubles from the minimum to the maximum.
     Duration minBackoff = std::chrono::milliseconds { 100 };
     Duration maxBackoff = std::chrono::milliseconds { 800 };
-    /// One VM for so many reads who leads from the store, and the others ask it: each call to the store is
-    /// paid for, and its rates grow more slowly than the fleet.
+    /// Number of VMs for each store reader. Calls to the store are charged and limited in rate, so most VMs
+    /// get their readings from a sibling.
     std::size_t vmsPerReader = 128;
-    /// What a sibling read longer ago than this is no use.
+    /// Maximum age of readings that are accepted from a sibling.
     Duration maxReadingsAge = std::chrono::milliseconds { 550 };
-    /// A reader that did not answer, or had nothing of use, is not asked again for so long.
+    /// Time for which a store reader is skipped that did not answer.
     Duration silentReaderBackoff = std::chrono::milliseconds { 1000 };
-    /// The same for a reader that answers but is itself without the store.
+    /// The same for one that answers but cannot reach the store.
     Duration storelessReaderBackoff = std::chrono::milliseconds { 600 };
-    /// A VM that starts asks siblings for so long, this often, before it reads everything from the store.
+    /// A VM that starts asks siblings for this long, at this interval, before it reads the store itself.
     Duration bootstrapTimeout = std::chrono::milliseconds { 400 };
     Duration bootstrapRetryInterval = std::chrono::milliseconds { 25 };
-    /// VMs that start for the first time do so within some 300 ms.
+    /// Time that a VM waits for its siblings' records on the first start of a system.
     Duration firstStartDelay = std::chrono::milliseconds { 350 };
-    /// Ticks of the coordinators.
+    /// Interval of the coordinators' ticks.
     Duration tickInterval = std::chrono::milliseconds { 50 };
 };
 
-/// Everything that this VM knows and agrees on with others, on the control thread: the operators'
-/// configuration, the upstreams, who leads each group, the VMs and their shares of limits. Hands what it
-/// learns to the traffic side.
+/// Keeps the shared state of the fleet current on the control thread: the operators' configuration, the
+/// upstreams, the primary of each group, the VMs and their shares of limits. Passes changes to the traffic
+/// thread.
 class SessionControl {
 public:
     struct Options {
@@ -84,11 +82,11 @@
         ZoneName zone;
         /// Processor cores that this VM may use.
         double cores = 1;
-        /// Bytes that its link bears in a second.
+        /// Bandwidth of this VM's link in bytes per second.
         double linkBytesPerSecond = 1.25e8;
-        /// Unique to this process.
+        /// Number that identifies this process.
         std::uint64_t process = 0;
-        /// Where siblings reach this VM; told in its record.
+        /// Address at which siblings reach this VM; part of its record.
         std::string siblingHost;
         std::uint16_t siblingPort = 0;
         ControlSettings settings;
@@ -103,16 +101,16 @@
     SessionControl(const SessionControl&) = delete;
     SessionControl& operator=(const SessionControl&) = delete;
 
-    /// Begins its work; `ready` is called once callers can be served.
+    /// Starts the loops; calls `ready` once callers can be served.
     void start(std::function<void()> ready);
-    /// Gives up duties and the lease, then calls `done`; for a planned stop.
+    /// Releases the leases, then calls `done`; for a graceful shutdown.
     void leave(std::function<void()> done);
 
-    /// True once callers can be served: routes, upstreams and leaders were read. On the control thread.
+    /// True once routes, upstreams and primaries are known. On the control thread.
     [[nodiscard]] bool isReady() const;
-    /// Answers a sibling that asks for what was read from the store; may be called on any thread.
+    /// Answers a sibling's request for this VM's readings of the store; may be called on any thread.
     [[nodiscard]] asio::awaitable<std::string> shareReadings(std::string request);
-    /// The figures for the metrics page. On the control thread.
+    /// The text of the metrics page. On the control thread.
     [[nodiscard]] std::string metricsText() const;
 
 private:
--- a/include/cyclamendrift/session_proxy/session_daemon.h
+++ b/include/cyclamendrift/session_proxy/session_daemon.h
@@ -12,7 +12,7 @@
 
 namespace cyclamendrift {
 
-/// What an adapter provides.
+/// The ports that an adapter provides.
 struct SessionPorts {
     std::unique_ptr<CallerPort> callers;
     std::unique_ptr<UpstreamPort> upstreams;
@@ -21,26 +21,26 @@
     std::unique_ptr<PlatformFormat> format;
 };
 
-/// How a session proxy is run.
+/// Options of a SessionDaemon.
 struct SessionDaemonOptions {
     SessionSettings settings;
     /// Reads the settings again; throws SettingsError.
     std::function<SessionSettings()> reload;
-    /// Makes the ports: callers and upstreams on the first context, the rest on the second.
+    /// Creates the ports: callers and upstreams on the traffic context, the others on the control context.
     std::function<SessionPorts(asio::io_context& traffic, asio::io_context& control, const SessionSettings&)>
         makePorts;
 };
 
-/// A session proxy with its two threads.
+/// A session proxy: one thread for traffic and one for control.
 class SessionDaemon {
 public:
-    /// Binds its ports; throws Error when one can't be had.
+    /// Binds its ports; throws Error when one is not available.
     explicit SessionDaemon(SessionDaemonOptions options);
     ~SessionDaemon();
     SessionDaemon(const SessionDaemon&) = delete;
     SessionDaemon& operator=(const SessionDaemon&) = delete;
 
-    /// Serves until drain() has ended, or stop() is called.
+    /// Serves until a shutdown by drain() is complete.
     [[nodiscard]] DaemonExit run();
     /// Begins a graceful shutdown; a second call ends it at once. May be called from any thread.
     void drain();
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -16,7 +16,7 @@
 
 namespace cyclamendrift {
 
-/// What the control side wants to know of the traffic.
+/// Observations of the traffic thread for the control thread.
 struct TrafficReport {
     std::vector<UpstreamHealth> upstreamHealth;
     std::map<TeamName, std::uint64_t> demand;
@@ -26,24 +26,25 @@
     std::size_t connections = 0;
 };
 
-/// Drives one SessionEngine on the traffic thread: hands it what callers and upstreams send, carries out what
-/// it wants, and takes in what the control side knows. The public functions may be called from any thread.
+/// Drives one SessionEngine on the traffic thread: passes on the events of callers and upstreams and the
+/// state that the control thread publishes, and performs the engine's actions. The public functions may be
+/// called from any thread.
 class SessionTraffic final : private CallerEvents, private UpstreamEvents {
 public:
     struct Options {
         asio::io_context& context;
         VmName vm;
         ZoneName zone;
-        /// Unique to this process.
+        /// Number that identifies this process.
         std::uint64_t process = 0;
-        /// Where siblings reach this VM.
+        /// Address at which siblings reach this VM.
         std::string siblingHost;
         std::uint16_t siblingPort = 0;
         CallerPort& callers;
         UpstreamPort& upstreams;
-        /// Called on the traffic thread once a stop has let go of every caller.
+        /// Called on the traffic thread when a shutdown has closed all sessions.
         std::function<void()> onDrained;
-        /// Answers a sibling that asks for what was read from the store.
+        /// Answers a sibling's request for this VM's readings of the store.
         std::function<asio::awaitable<std::string>(std::string)> shareReadings;
     };
 
@@ -53,7 +54,7 @@
     SessionTraffic& operator=(const SessionTraffic&) = delete;
 
     void start();
-    /// Begins to take callers.
+    /// Starts to accept callers.
     void listen();
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     void setDirectory(UpstreamDirectory directory);
@@ -61,18 +62,18 @@
     void setEvacuatedZones(std::set<ZoneName> zones);
     void setPlace(const FleetPlace& place);
     void setShares(std::map<TeamName, TeamShare::Rule> shares);
-    /// Begins to serve siblings that know the secret.
+    /// Starts to serve siblings, which must present the secret.
     void openSiblings(std::string secret);
     void setSiblings(SiblingList siblings);
-    /// Asks a sibling for what it read from the store; throws SiblingError or RequestError.
+    /// Requests a sibling's readings of the store; throws SiblingError or RequestError.
     [[nodiscard]] asio::awaitable<std::string> requestReadings(SiblingAddress sibling, std::string request);
-    /// Asks for a report; `take` is called on the traffic thread.
+    /// Requests a report; `take` is called on the traffic thread.
     void report(std::function<void(TrafficReport)> take);
-    /// Begins a planned stop.
+    /// Starts a graceful shutdown.
     void drain(Instant stopListeningAt, Instant abortAt, Instant endAt);
 
 private:
-    /// Instant::max() while no stop is under way.
+    /// Instant::max() while no shutdown is in progress.
     struct DrainTimes {
         Instant stopListeningAt = Instant::max();
         Instant endAt = Instant::max();
@@ -80,8 +81,8 @@
 
     void connected(CallerId caller) override;
     void started(CallerId caller, SessionStart start) override;
-    void asked(CallerId caller, CallerQuery query) override;
-    void left(CallerId caller) override;
+    void statementReceived(CallerId caller, CallerQuery query) override;
+    void disconnected(CallerId caller) override;
     void opened(ConnectionId connection, std::optional<Progress> progress) override;
     void refused(ConnectionId connection, StatementError error) override;
     void lost(ConnectionId connection) override;
--- a/include/cyclamendrift/session_proxy/shared_listing.h
+++ b/include/cyclamendrift/session_proxy/shared_listing.h
@@ -17,49 +17,48 @@
 class StoredListing;
 } // namespace wire
 
-/// A sibling's listing that is not whole, or not of its own making.
+/// Thrown when a sibling's listing is truncated or does not match its digest.
 class ListingError : public Error {
 public:
     using Error::Error;
 };
 
-/// Entries of the store that VMs pass on to each other. To a sibling that has the same ones their age alone
-/// travels, to one that has some that were current a while ago the difference, so that a large fleet may ask
-/// often.
+/// A listing of the store that VMs pass on to each other. A sibling with the same entries gets only their
+/// age, one with recent entries only the difference, so that a large fleet can ask often.
 ///
 ///     listing.writeKnown(question);
 ///     if (listing.takeAnswer(answer, askedAt) == SharedListing::Change::Entries)
 ///         use(listing.current());
 class SharedListing {
 public:
-    /// What a reading or an answer has changed.
+    /// Effect of a reading or an answer.
     enum class Change : std::uint8_t { None, Confirmed, Entries };
 
-    /// Takes in what this VM has read itself, and asked for at that instant. An older one changes nothing.
+    /// Applies a listing that this VM requested from the store at `askedAt`; ignored when it is older.
     Change takeReading(StoreListing listing, Instant askedAt);
-    /// Takes in what a sibling answered to a question of that instant. An older one changes nothing; throws
-    /// ListingError when the entries are not those that it tells the digest of.
+    /// Applies a sibling's answer to a request that was sent at `askedAt`; ignored when it is older. Throws
+    /// ListingError when the entries do not match their digest.
     Change takeAnswer(const wire::StoredListing& answer, Instant askedAt);
 
     void writeKnown(wire::KnownListing& known) const;
-    /// How an answer is written.
+    /// Options of writeAnswer().
     struct AnswerOptions {
         Instant now;
-        /// The asker can read packed entries.
+        /// True when the sibling can read packed entries.
         bool packed = false;
     };
     void writeAnswer(
         const wire::KnownListing& known, const AnswerOptions& options, wire::StoredListing& answer) const;
-    /// Takes the entries out of an answer; the asker gets them when it asks again.
+    /// Removes the entries from an answer; the sibling gets them with a later request.
     static void withhold(wire::StoredListing& answer);
 
     [[nodiscard]] const StoreListing& current() const noexcept { return this->listing; }
-    /// When the entries were known to be current; Instant::min() before any were read.
+    /// When the entries were last known to be current; Instant::min() before the first reading.
     [[nodiscard]] Instant confirmedAt() const noexcept { return this->confirmed; }
 
 private:
     using Revisions = std::map<std::string, std::uint64_t>;
-    /// Keys and revisions of entries that were current before.
+    /// Keys and revisions of an earlier state of the listing.
     struct Earlier {
         std::uint64_t digest = 0;
         Revisions revisions;
@@ -73,15 +72,15 @@
     StoreListing listing;
     std::uint64_t digest = 0;
     std::deque<Earlier> earlier;
-    /// All entries, packed once for all that ask.
+    /// All entries in packed form; empty until a sibling requests them.
     mutable std::string packedEntries;
     Instant confirmed = Instant::min();
 };
 
-/// A number of the keys and revisions of entries; equal for equal entries, and never 0.
+/// A digest of the keys and revisions of entries; never 0.
 [[nodiscard]] std::uint64_t digestOf(const std::vector<StoreEntry>& entries);
 
-/// An instant's age in microseconds; an hour for what never was.
+/// Age of an instant in microseconds; one hour for Instant::min().
 [[nodiscard]] std::uint64_t wireAge(Instant instant, Instant now);
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -17,7 +17,7 @@
 
 namespace cyclamendrift {
 
-/// Another VM of the system, as its record in the store describes it.
+/// Another VM of the fleet, as described by its record in the store.
 struct SiblingInfo {
     SiblingAddress address;
     VmCapacity capacity;
@@ -25,21 +25,21 @@
 };
 using SiblingList = std::map<VmName, SiblingInfo>;
 
-/// What the records say of the VMs' capacity.
+/// The capacities in the VMs' records.
 [[nodiscard]] std::map<VmName, VmCapacity> capacitiesOf(const SiblingList& siblings);
 
-/// A kind of question to siblings, and whether it leaves this VM's availability zone.
+/// A method of sibling calls, and whether the calls cross availability zones.
 struct SiblingTrafficKind {
     std::string method;
     bool crossesZones = false;
 
     friend auto operator<=>(const SiblingTrafficKind&, const SiblingTrafficKind&) = default;
 };
-/// Bytes of questions and their answers, without frames.
+/// Bytes of requests and answers, without frames.
 using SiblingTraffic = std::map<SiblingTrafficKind, std::uint64_t>;
 
-/// What session proxies ask each other: parts of their shares of limits, what they read from the store, and
-/// statements to run at the home of their service. Lives on the traffic thread; call() may be used on any.
+/// Calls between session proxies: requests for tokens of limits and for readings of the store, and statements
+/// that are forwarded to owner VMs. Used on the traffic thread.
 class SiblingExchange {
 public:
     struct Options {
@@ -48,44 +48,43 @@
         ZoneName zone;
         std::string listenHost;
         std::uint16_t listenPort = 0;
-        /// Takes operations out of this VM's share for a sibling; on the traffic thread.
+        /// Deducts tokens from this VM's share for a sibling; on the traffic thread.
         std::function<std::uint32_t(const TeamName&, std::uint32_t)> giveTokens;
-        /// Answers a sibling that asks for what was read from the store; may resume on any thread.
+        /// Answers a sibling's request for this VM's readings of the store; may resume on any thread.
         std::function<asio::awaitable<std::string>(std::string)> shareReadings;
-        /// Runs a statement for a sibling until a deadline; on the traffic thread.
+        /// Runs a forwarded statement until a deadline; on the traffic thread.
         std::function<asio::awaitable<std::string>(std::string, Instant)> runForSibling;
-        /// A sibling goes on no more with a guest; on the traffic thread.
+        /// A sibling has released a remote session; on the traffic thread.
         std::function<void(const std::string&)> releaseRemoteSession;
     };
-    /// The answer of a home, or why there is none.
+    /// The answer of an owner VM, or the reason why there is none.
     using OwnerAnswer = std::variant<std::string, ForwardFailure>;
 
     explicit SiblingExchange(Options options);
     ~SiblingExchange();
 
-    /// Begins to listen; before that no sibling is reached and nothing is given.
+    /// Starts to listen; before that no sibling can be called and no call is answered.
     void open(const std::string& secret);
     [[nodiscard]] bool isOpen() const noexcept;
     void setSiblings(SiblingList siblings);
-    /// What this VM has asked siblings so far; on the traffic thread.
+    /// Bytes of this VM's calls so far; on the traffic thread.
     [[nodiscard]] const SiblingTraffic& traffic() const noexcept;
 
-    /// Asks siblings for operations, one after the other, and reports what all of them gave; on the traffic
-    /// thread.
+    /// Requests tokens from siblings, one after the other, and reports their sum; on the traffic thread.
     void requestTokens(const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done);
 
-    /// Asks a sibling for what it read from the store; throws SiblingError or RequestError.
+    /// Requests a sibling's readings of the store; throws SiblingError or RequestError.
     [[nodiscard]] asio::awaitable<std::string> requestReadings(SiblingAddress sibling, std::string request);
 
-    /// Has a home run a statement and reports its answer; on the traffic thread.
+    /// Forwards a statement to an owner VM and reports its answer; on the traffic thread.
     void forward(
         const VmName& owner, std::string work, Duration timeLimit, std::function<void(OwnerAnswer)> done);
-    /// Asks a home for a sign of life and reports whether it gave one; on the traffic thread.
+    /// Reports whether an owner VM responds to a liveness check; on the traffic thread.
     void checkLiveness(const VmName& owner, std::function<void(bool)> done);
-    /// Tells a home that a guest is not needed any more; on the traffic thread.
+    /// Tells an owner VM that a remote session has ended; on the traffic thread.
     void releaseRemoteSession(const VmName& owner, std::string body);
 
-    /// Takes no further calls.
+    /// Accepts no further calls.
     void close();
 
 private:
--- a/src/session_proxy/byte_budget.cpp
+++ b/src/session_proxy/byte_budget.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// What accrues in this time may be sent at once; a question waits for its answer about as long.
+// The amount that accrues in this time may be sent at once; about the time limit of a sibling's request.
 constexpr std::chrono::duration<double> burst { 0.1 };
 
 } // namespace
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -39,8 +39,8 @@
 
 asio::awaitable<SessionControl::State::ProvenListing> SessionControl::State::readProven(std::string prefix)
 {
-    // A listing that may lag costs a tenth. Its revision shows whether it lacks anything: who leads is read
-    // in full three times a second, and a listing of a later revision is as fresh as that reading.
+    // A listing that may lag costs a tenth. The leadership records are read with linearizable reads, so a
+    // listing of the same or a later revision lacks nothing that was acknowledged before that reading.
     const auto provenAt = this->leadership.confirmedAt();
     const auto revision = this->leadership.current().revision;
     if (bootNow() < provenAt + this->options.settings.maxProofAge) {
@@ -89,7 +89,7 @@
     if (change.key == this->options.format.configurationKey() && change.value)
         this->applyConfiguration(*change.value, change.revision);
     auto requests = this->evacuations.current();
-    // A sibling may have told of a later state already.
+    // A sibling may already have passed on a later state.
     if (change.revision <= requests.revision)
         return;
     requests.revision = change.revision;
@@ -139,13 +139,13 @@
     const auto onChange = [this](const StoreChange& change) { this->applyOperatorChange(change); };
     const auto prefix = this->options.format.operatorPrefix();
     try {
-        // From the moment of the reading on, and not from the configuration's last change: the store forgets
-        // its history after some seconds, and refuses a watch from before.
+        // The watch starts at the revision of the reading, not at the configuration's last change, because
+        // the store discards its history after some seconds and rejects a watch from an earlier revision.
         auto watch = this->store.watch(prefix, this->configurationReadAt + 1, onChange);
         co_await asio::co_spawn(this->options.context, std::move(watch),
             asio::bind_cancellation_slot(this->configurationWatch.slot(), asio::use_awaitable));
     } catch (const StoreError& error) {
-        // What was missed is read again before the next watch, whatever the reason for the break.
+        // The configuration is read again before the next watch, so no change is missed.
         logEvent(LogLevel::Debug, "configuration_watch_ended", { { "reason", error.what() } });
     }
 }
@@ -155,15 +155,15 @@
     const auto& settings = self->options.settings;
     while (!self->stopped) {
         bool current = false;
-        // A sibling that reads the store may have lost it itself; what nobody has confirmed lately is read
-        // here.
+        // Store readers may have lost the store themselves, so a configuration that nobody has confirmed for
+        // a while is read here.
         const auto confirmedAt = std::min(self->configurationConfirmedAt, self->evacuations.confirmedAt());
         const bool unconfirmed = bootNow() >= confirmedAt + settings.maxConfigurationAge;
         if (self->isReader() || (unconfirmed && self->mayCallStore()))
             current = co_await self->readConfiguration();
         if (current && self->isReader()) {
             co_await self->watchConfiguration();
-            // A store that ends each watch at once must not be asked without end.
+            // Limits the rate of watches when the store ends each of them at once.
             co_await self->sleep(settings.rereadInterval);
         } else {
             co_await self->sleep(
@@ -182,7 +182,7 @@
             if (const auto failed = co_await self->readDirectory())
                 pause = *failed;
         } else if (!self->missingSince.empty()) {
-            // An entry that stays away is dropped after its time, whether or not anything else changes.
+            // Drops entries that have been missing for `missingEntryRetention`, even if nothing else changes.
             self->applyDirectory();
         }
         co_await self->sleep(pause);
@@ -193,8 +193,8 @@
 {
     const auto prefix = this->options.format.upstreamPrefix();
     try {
-        // The first reading must not miss anything; later ones may lag, as an upstream announces its end
-        // early.
+        // The first reading must be complete. Later ones may lag, because an upstream announces its shutdown
+        // some seconds ahead.
         const auto askedAt = bootNow();
         if (!this->directoryRead) {
             auto [listing, provenAt] = co_await this->readProven(prefix);
@@ -223,7 +223,7 @@
             next.push_back(std::move(upstream));
             this->unreadable.erase(entry.key);
         } catch (const FormatError& error) {
-            // Told once for each content, as the listing comes back every second.
+            // Logged once for each value, because the listing is read every second.
             if (std::exchange(this->unreadable[entry.key], entry.value) != entry.value)
                 logEvent(LogLevel::Warn, "upstream_entry_set_aside",
                     { { "key", entry.key }, { "reason", error.what() } });
@@ -271,7 +271,7 @@
     for (auto& [service, coordinator] : this->coordinators)
         coordinator.onDirectory(groups[service], bootNow());
     this->options.traffic.setDirectory(this->directory);
-    // A new group's leader may have been read already.
+    // The leadership record of a new group may have been read already.
     if (this->leadership.confirmedAt() != Instant::min())
         this->applyLeadership(this->leadershipReadFrom);
 }
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -46,7 +46,7 @@
             if (const auto failed = co_await self->readLeadership())
                 storeAgainAt = askedAt + *failed;
         }
-        // What is recordMayBeStale, such as a record this VM has just changed, is read again soon.
+        // A record that may be stale, such as one that this VM has just changed, is read again early.
         const auto next = askedAt + settings.leadershipInterval;
         co_await self->sleep(settings.rereadInterval);
         const auto recordMayBeStale = [&self] {
@@ -83,7 +83,8 @@
         } else if (key.starts_with(store_key::coordinatorLeasePrefix)) {
             const ServiceName service { entry.key.substr(
                 std::string_view { store_key::coordinatorLeasePrefix }.size()) };
-            // The key is never rewritten, so its revision is that of its creation and grows with each holder.
+            // The key is never rewritten, so its revision is that of its creation and increases with each
+            // holder.
             snapshots[service].coordinatorLease = CoordinatorLease {
                 .holder = VmName { entry.value }, .token = entry.revision, .revision = entry.revision
             };
@@ -104,7 +105,7 @@
     std::size_t index = 0;
     const bool vouches = !this->siblingsOpen || this->readerSelector.isReaderOrStandby(this->options.vm, now);
     for (auto& [service, coordinator] : this->coordinators) {
-        // Each group begins with another VM, so that the duties spread.
+        // The ranks differ from group to group, which spreads the coordinator leases over the VMs.
         coordinator.setRank((this->place.rank + index++) % std::max<std::size_t>(this->place.vms, 1));
         coordinator.setVmLeaseExpiry(this->leaseUntil);
         coordinator.setConfirmsForSiblings(vouches);
@@ -126,7 +127,7 @@
     this->siblingTraffic = report.siblingTraffic;
     this->callers = report.callers;
     this->connections = report.connections;
-    // Parts grow some time after the list that they follow from.
+    // A share grows only some time after the list of VMs from which it is computed.
     auto shares = this->shares.current();
     if (shares == this->publishedShares)
         return;
@@ -217,7 +218,7 @@
         logEvent(LogLevel::Info, "duty_tried",
             { { "service", service.string() }, { "taken", taken ? "yes" : "no" } });
     } catch (const StoreError& error) {
-        // Whether it took effect shows in the next reading.
+        // The next reading shows whether the write took effect.
         logEvent(
             LogLevel::Warn, "duty_unknown", { { "service", service.string() }, { "reason", error.what() } });
     }
@@ -243,7 +244,7 @@
         SwapOptions swap { .key = store_key::recordPrefix + service.string(),
             .expectedRevision = change.expectedRevision,
             .value = change.record.encode() };
-        // A VM whose duty has passed to another must not change the record any more.
+        // Fails the write when another VM has acquired the coordinator lease.
         swap.guards.push_back({ .key = store_key::coordinatorLeasePrefix + service.string(),
             .revision = change.leaseRevision });
         const auto outcome = co_await self->store.compareAndSwap(std::move(swap));
@@ -254,7 +255,7 @@
         if (swapped != nullptr)
             self->coordinators.at(service).onRecordWritten(change.record, swapped->revision, bootNow());
     } catch (const StoreError& error) {
-        // The next reading shows whether it took effect.
+        // The next reading shows whether the write took effect.
         logEvent(LogLevel::Warn, "record_unknown",
             { { "service", service.string() }, { "change", change.record.changeId },
                 { "reason", error.what() } });
@@ -265,7 +266,7 @@
 asio::awaitable<void> SessionControl::State::promote(
     std::shared_ptr<State> self, ServiceName service, PromoteUpstream change)
 {
-    // The lease may have lapsed, or this VM been suspended, since the coordinator decided.
+    // The lease may have expired since the coordinator decided, for example while this VM was suspended.
     if (bootNow() >= self->leaseUntil)
         co_return;
     using Answer = LeadershipPort::PromotionAnswer;
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-/// A secret that only those can know who may read the store.
+/// The secret that siblings present to each other; only VMs with access to the store can read it.
 std::string generateSecret()
 {
     constexpr std::size_t words = 8;
@@ -52,8 +52,8 @@
 asio::awaitable<void> SessionControl::State::keepLease(std::shared_ptr<State> self)
 {
     const auto& settings = self->options.settings;
-    // The lease backs duties alone. Of 70 VMs at most one for each group holds any; were all to renew one,
-    // that would be a third of all calls to the store.
+    // Only VMs that hold or may acquire a coordinator lease need this lease. Renewals by all VMs would be a
+    // large part of the calls to the store.
     Instant neededUntil = Instant::min();
     while (!self->stopped) {
         auto pause = settings.leaseRenewal;
@@ -103,7 +103,8 @@
     const auto& settings = self->options.settings;
     Instant renewAt = Instant::min();
     while (!self->stopped) {
-        // Until the first record stands others neither count on this VM nor reach it.
+        // Siblings cannot reach this VM before its record is written, so the first attempts are more
+        // frequent.
         auto pause = self->publishedUnder != LeaseId::None && self->siblingsOpen ? settings.recordInterval
                                                                                  : settings.leaseRenewal;
         try {
@@ -134,11 +135,11 @@
 
 asio::awaitable<void> SessionControl::State::publishOwnRecord()
 {
-    // The list is read first: it may hold what an earlier process of this VM had measured.
+    // The list is read first, because it may contain the demand that an earlier process of this VM measured.
     if (this->vms.confirmedAt() == Instant::min() && !this->isFirstStart)
         co_return;
-    // In a large fleet demand decides nothing, and 70 VMs that tell theirs would be most of what the store
-    // and siblings carry.
+    // In a large fleet shares do not depend on demand, and records that change with it would be most of the
+    // traffic to the store and to siblings.
     const auto rates = this->holders.includesAllVms() ? this->demand.rates() : DemandByTeam {};
     const bool told = this->publishedUnder == this->recordLease;
     if (told
@@ -146,7 +147,8 @@
             || !DemandMeter::differsSignificantly(this->publishedDemand, rates)))
         co_return;
     co_await this->writeOwnRecord(rates);
-    // The first try may meet the record of an earlier process, or a write of this one whose answer was lost.
+    // The first attempt conflicts with the record of an earlier process, or with a write of this one whose
+    // answer was lost.
     if (this->publishedUnder != this->recordLease)
         co_await this->writeOwnRecord(rates);
 }
@@ -159,7 +161,7 @@
     try {
         co_await this->store.keepAlive(earlier.lease);
     } catch (const StoreError& error) {
-        // It has lapsed, or nobody knows; a new one is as good.
+        // The lease has expired or its state is unknown; a new lease and record replace it.
         logEvent(LogLevel::Info, "earlier_record_left", { { "reason", error.what() } });
         co_return;
     }
@@ -207,7 +209,7 @@
 {
     if (this->siblingsOpen)
         co_return;
-    // It never changes, so a listing that lags says all or nothing.
+    // The secret never changes, so a listing that lags contains either it or nothing.
     std::optional<StoreEntry> entry;
     const auto listed = co_await this->store.listing(store_key::siblingSecret, ReadFreshness::MayLag);
     if (!listed.entries.empty())
@@ -253,9 +255,9 @@
         }
         if (self->missingVms.hasPending())
             self->applyVms();
-        // Parts that are to grow do so some time after the list that they follow from.
+        // A share grows only some time after the list of VMs from which it is computed.
         self->divideLimits();
-        // A reader whose place this VM took may be back.
+        // The store reader that this VM stood in for may be back.
         if (!self->isReader())
             self->configurationWatch.emit(asio::cancellation_type::all);
         co_await self->sleep(pause);
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -18,11 +18,11 @@
 
 namespace {
 
-// Questions to siblings that do not answer, in one round. A third one still leaves time to read the store
-// before this VM's views of primaries end.
+// Maximum number of siblings without an answer in one round. After three of them there is still time to read
+// the store before this VM's views of primaries expire.
 constexpr int silentReadersAsked = 3;
 
-// Bytes of a listing of which the age alone travels, or a small difference.
+// Size up to which a listing is sent regardless of the budget: one without entries, or a small difference.
 constexpr std::size_t smallListing = 256;
 
 } // namespace
@@ -38,8 +38,8 @@
 
 asio::awaitable<bool> SessionControl::State::findSiblings()
 {
-    // What lags here costs a question to a VM that is gone, and nothing else: what this VM works with comes
-    // from siblings or from the store in full.
+    // A listing that lags may name VMs that no longer exist, which costs a request without an answer. The
+    // readings themselves come from siblings or from linearizable reads.
     StoreListing secret;
     StoreListing listed;
     try {
@@ -68,7 +68,7 @@
     const auto& settings = self->options.settings;
     const bool found = co_await self->findSiblings();
     self->spawn(keepRecord(self));
-    // When all VMs start for the first time, each tells its record before it looks for the others.
+    // When all VMs start for the first time, each writes its record before it looks for the others.
     if (!found) {
         self->isFirstStart = true;
         co_await self->sleep(settings.firstStartDelay);
@@ -98,10 +98,10 @@
 asio::awaitable<bool> SessionControl::State::askReaders(Duration pause)
 {
     const auto& settings = this->options.settings;
-    // While the store is away, what replicas vouch for still has to come from somebody.
+    // While the store is unavailable, siblings still pass on views that replicas have confirmed.
     const bool away = this->readerSelector.storeSeemsUnavailable(bootNow());
     for (int silent = 0; silent < silentReadersAsked;) {
-        // This VM's own readings must not grow older than those that siblings can use.
+        // A store reader must not rely on siblings, which rely on its readings.
         auto reader = this->readerToAsk();
         if (!reader)
             co_return false;
@@ -129,7 +129,7 @@
         if (away || this->readerSelector.storeSeemsUnavailable(now))
             break;
     }
-    // Readers that are without the store pass on what replicas vouch for.
+    // Readers that cannot reach the store pass on views that replicas have confirmed.
     co_return this->viewsAreFresh(settings.maxReadingsAge);
 }
 
@@ -151,7 +151,7 @@
             throw Error { "the answer cannot be read" };
         this->applyReadings(answer, askedAt);
     } catch (const Error& error) {
-        // While all VMs start, readers may not be there yet.
+        // While all VMs start, readers may not be listening yet.
         logEvent(this->bootstrapped ? LogLevel::Info : LogLevel::Debug, "reader_not_reached",
             { { "vm", address.vm.string() }, { "reason", error.what() } });
         co_return ReaderAnswer::None;
@@ -174,7 +174,7 @@
 
 void SessionControl::State::applyReadings(const wire::ReadingsAnswer& answer, Instant askedAt)
 {
-    // Upstreams come first, as who leads is kept for each of their groups.
+    // Upstreams come first, because leadership records are assigned to their groups.
     if (this->directoryListing.takeAnswer(answer.directory(), askedAt) != SharedListing::Change::None)
         this->applyDirectory();
     const auto confirmedBefore = this->leadership.confirmedAt();
@@ -217,7 +217,7 @@
 
 void SessionControl::State::limitToBudget(wire::ReadingsAnswer& answer, Instant now)
 {
-    // Who leads is small and must not wait: views of primaries hang on it.
+    // Leadership records are small and are always sent, because views of primaries depend on them.
     for (auto* listing : { answer.mutable_directory(), answer.mutable_vms() }) {
         if (listing->ByteSizeLong() > smallListing && !this->listingBudget.take(listing->ByteSizeLong(), now))
             SharedListing::withhold(*listing);
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -29,7 +29,7 @@
 
 namespace cyclamendrift {
 
-/// Keys under which the VMs keep what they share.
+/// Keys of the store that the VMs share.
 namespace store_key {
 inline constexpr auto leadershipPrefix = "cyclamendrift/leadership/";
 inline constexpr auto recordPrefix = "cyclamendrift/leadership/record/";
@@ -38,16 +38,17 @@
 inline constexpr auto siblingSecret = "cyclamendrift/sibling-secret";
 } // namespace store_key
 
-/// The VMs that the records in a listing describe; one that cannot be read is logged and left out.
+/// Parses the VM records of a listing. A record that cannot be read is logged and skipped.
 [[nodiscard]] SiblingList siblingsFrom(const StoreListing& listing);
 
-/// One dependency and how calls to it fare; logs when it is lost and when it is back.
+/// Availability of one dependency, as the outcomes of calls show it. Logs when it is lost and when it is
+/// back.
 class Dependency {
 public:
     Dependency(std::string name, const ControlSettings& settings);
 
     void succeeded();
-    /// Returns how long to wait before the next try.
+    /// Returns the backoff before the next attempt.
     [[nodiscard]] Duration failed(const char* reason);
     [[nodiscard]] bool isLost() const noexcept { return this->lost; }
 
@@ -58,10 +59,9 @@
     bool lost = false;
 };
 
-/// Sources: control_configuration (routes, upstreams and
-/// evacuations), control_readings (what siblings have read, for a
-/// start and after it), control_leadership (who leads), control_membership (lease, VMs, limits),
-/// session_control (start and stop).
+/// State of a SessionControl. Its functions are defined in control_configuration (routes, evacuations and
+/// upstreams), control_readings (exchange of store readings with siblings), control_leadership (primaries),
+/// control_membership (leases, VMs and limits) and session_control (start and stop).
 class SessionControl::State : public std::enable_shared_from_this<State> {
 public:
     explicit State(Options options);
@@ -87,7 +87,7 @@
     std::map<ServiceName, LeaderCoordinator> coordinators;
     bool leadershipRead = false;
     // Membership and limits.
-    /// The lease of duties, and the longer one of this VM's record.
+    /// The lease of coordinator leases, and the longer one of this VM's record.
     LeaseId lease = LeaseId::None;
     LeaseId recordLease = LeaseId::None;
     Instant leaseUntil = Instant::min();
@@ -97,7 +97,7 @@
     DemandByTeam publishedDemand;
     SiblingList siblings;
     LimitHolders holders;
-    /// The VMs in the order in which they are to read the store for the others.
+    /// Selects the VMs that read the store for the others.
     StoreReaderSelector readerSelector;
     StoreCallThrottle storeThrottle;
     MissingVms missingVms;
@@ -112,66 +112,67 @@
         asio::co_spawn(this->options.context, std::move(work), asio::detached);
     }
     [[nodiscard]] asio::awaitable<void> sleep(Duration duration);
-    /// What a key or prefix of the store is for, as the metrics name it.
+    /// The purpose of a key or prefix of the store, as a label of the metrics.
     [[nodiscard]] std::string_view purposeOf(std::string_view key) const;
 
     // control_configuration
     struct ProvenListing {
         StoreListing listing;
-        /// The entries hold everything that was acknowledged before.
+        /// The entries include every change that was acknowledged before this instant.
         Instant provenAt;
     };
-    /// Reads a prefix at the lower price where the answer shows that it lacks nothing, and in full otherwise.
+    /// Lists a prefix with a read that may lag and costs less, or with a linearizable one when the first
+    /// turns out to lag.
     [[nodiscard]] asio::awaitable<ProvenListing> readProven(std::string prefix);
     [[nodiscard]] asio::awaitable<bool> readConfiguration();
     [[nodiscard]] asio::awaitable<void> watchConfiguration();
     [[nodiscard]] static asio::awaitable<void> followConfiguration(std::shared_ptr<State> self);
     [[nodiscard]] static asio::awaitable<void> followDirectory(std::shared_ptr<State> self);
     void applyConfiguration(const std::string& value, std::uint64_t revision);
-    /// Takes in a change of what operators have written.
+    /// Applies a change of a key that operators write.
     void applyOperatorChange(const StoreChange& change);
     /// Puts the latest listing of evacuations into effect.
     void applyEvacuations();
-    /// Returns how long to wait before the next try, when it failed.
+    /// Returns the backoff before the next attempt, or nothing on success.
     [[nodiscard]] asio::awaitable<std::optional<Duration>> readDirectory();
     void applyDirectory();
     void publishDirectory();
 
     // control_readings
     [[nodiscard]] bool isReader() const;
-    /// The VM that reads the store for this one; empty when this one reads it itself.
+    /// The VM that reads the store for this one; empty when this VM is a store reader itself.
     [[nodiscard]] std::optional<VmName> readerToAsk() const;
     enum class ReaderAnswer : std::uint8_t {
-        /// The reader has read the store lately.
+        /// The reader's readings are recent.
         Fresh,
-        /// The store has not answered the reader lately.
+        /// The store does not answer the reader.
         WithoutStore,
-        /// The store answers the reader, but it has not read lately.
+        /// The store answers the reader, but the readings are old.
         Old,
         None,
     };
-    /// Finds siblings in the store and takes what they have read, so that a VM which starts needs few calls;
-    /// then keeps it up.
+    /// Takes the first readings from siblings where possible, so that a VM which starts needs few calls to
+    /// the store; then starts the loops that keep them current.
     [[nodiscard]] static asio::awaitable<void> bootstrap(std::shared_ptr<State> self);
-    /// Looks for siblings in the store; false when it names none.
+    /// Lists the siblings in the store; returns false when there are none.
     [[nodiscard]] asio::awaitable<bool> findSiblings();
-    /// False when siblings say that the store is away and it is not this VM's turn to try.
+    /// False when siblings report that the store is unavailable and it is not this VM's turn to probe it.
     [[nodiscard]] bool mayCallStore();
-    /// Asks VMs that read the store what they have; false when none of them had read it lately. One that does
-    /// not answer is passed over for `pause`.
+    /// Requests the readings of store readers; returns false when none of them has recent ones. A reader that
+    /// does not answer is skipped for `pause`.
     [[nodiscard]] asio::awaitable<bool> askReaders(Duration pause);
     [[nodiscard]] asio::awaitable<ReaderAnswer> askReader(SiblingAddress address);
     void applyReadings(const wire::ReadingsAnswer& answer, Instant askedAt);
-    /// True when every group has a view that was vouched for less than `usable` ago.
+    /// True when every group has a view that was confirmed less than `maxAge` ago.
     [[nodiscard]] bool viewsAreFresh(Duration usable) const;
-    /// Writes the views that replicas have vouched for since the leadership was read.
+    /// Adds the views that replicas have confirmed since the leadership records were read.
     void writeViews(wire::ReadingsAnswer& answer) const;
     [[nodiscard]] const std::string& packedConfiguration();
-    /// Leaves out of an answer what this VM's link has no room for now.
+    /// Removes from an answer the lists for which this VM's link has no capacity at the moment.
     void limitToBudget(wire::ReadingsAnswer& answer, Instant now);
 
     // control_leadership
-    /// Returns how long to wait before the next try, when it failed.
+    /// Returns the backoff before the next attempt, or nothing on success.
     [[nodiscard]] asio::awaitable<std::optional<Duration>> readLeadership();
     [[nodiscard]] static asio::awaitable<void> followLeadership(std::shared_ptr<State> self);
     void applyLeadership(ViewSource source);
@@ -194,16 +195,16 @@
     [[nodiscard]] bool needsLease(Instant now) const;
     [[nodiscard]] static asio::awaitable<void> keepRecord(std::shared_ptr<State> self);
     [[nodiscard]] asio::awaitable<void> writeOwnRecord(const DemandByTeam& told);
-    /// What this VM tells of itself.
+    /// The value of this VM's record.
     [[nodiscard]] std::string ownRecord(const DemandByTeam& told) const;
-    /// Goes on with the record and the lease of an earlier process of this VM, when they still stand.
+    /// Adopts the record and the lease of an earlier process of this VM if they still exist.
     [[nodiscard]] asio::awaitable<void> adoptEarlierRecord();
     [[nodiscard]] static asio::awaitable<void> followVms(std::shared_ptr<State> self);
     [[nodiscard]] asio::awaitable<void> publishOwnRecord();
     [[nodiscard]] asio::awaitable<void> fetchSecret();
     void openSiblings(const std::string& secret);
     void applyVms();
-    /// Puts VMs back whose records have lapsed with many others.
+    /// Keeps VMs listed whose records expired together with many others.
     void retainMissingVms(SiblingList& next);
     void chooseReaders(const std::map<VmName, VmCapacity>& capacities);
     void divideLimits();
@@ -211,7 +212,7 @@
     std::unique_ptr<TimerService::Subscription> ticks;
     std::unique_ptr<TimerService::Subscription> reports;
     std::uint64_t configurationRevision = 0;
-    /// The store's revision when the configuration was read last.
+    /// The store's revision at the last reading of the configuration.
     std::uint64_t configurationReadAt = 0;
     std::map<UpstreamName, Instant> missingSince;
     std::map<std::string, std::string> unreadable;
@@ -223,7 +224,7 @@
     Dependency vmSource;
     Dependency recordSource;
     bool siblingsOpen = false;
-    /// What was read from the store, here or by a sibling, for siblings that ask.
+    /// Latest readings of the store, by this VM or by a sibling, which are passed on to siblings.
     SharedListing leadership;
     ViewSource leadershipReadFrom = ViewSource::Store;
     SharedListing vms;
@@ -231,20 +232,21 @@
     SharedListing evacuations;
     ByteBudget listingBudget;
     std::string configurationValue;
-    /// The same, packed when a sibling first wants it; empty before.
+    /// The configuration in compressed form; empty until a sibling requests it.
     std::string configurationPacked;
     Instant configurationConfirmedAt = Instant::min();
-    /// Ends the watch of the configuration.
+    /// Cancels the watch of the configuration.
     asio::cancellation_signal configurationWatch;
     std::uint64_t ownRecordRevision = 0;
-    /// The record of an earlier process of this VM that was found at the start; without a lease if none was.
+    /// The record of an earlier process of this VM, found at the start; its lease is None when there was
+    /// none.
     StoreEntry earlierRecord;
     LeaseId publishedUnder = LeaseId::None;
-    /// What is known is kept up; before that it is gathered from siblings.
+    /// True once the first readings have been taken and the loops that keep them current run.
     bool bootstrapped = false;
-    /// No sibling had told its record when this VM started.
+    /// True when no sibling was listed when this VM started.
     bool isFirstStart = false;
-    /// Counts questions to siblings while the store is away.
+    /// Number of requests to siblings while the store was unavailable; rotates among them.
     std::size_t readerTurn = 0;
     std::function<void()> whenReady;
     Instant startedAt = Instant::min();
--- a/src/session_proxy/forwarding_codec.cpp
+++ b/src/session_proxy/forwarding_codec.cpp
@@ -172,7 +172,7 @@
     reply.proof = message.proof();
     if (message.failed()) {
         const bool known = message.error() <= static_cast<std::uint32_t>(StatementError::InDoubt);
-        // An error that this version does not know may stand for something that ran.
+        // An error code of a later version may mean that the statement ran.
         reply.failure = StatementFailure { .error
             = known ? static_cast<StatementError>(message.error()) : StatementError::InDoubt,
             .text = message.text() };
--- a/src/session_proxy/forwarding_codec.h
+++ b/src/session_proxy/forwarding_codec.h
@@ -5,8 +5,8 @@
 
 #include <string>
 
-/// Statements that are handed to the home of their service, and its answers, as siblings exchange them.
-/// Decoding throws RequestError: nothing was run.
+/// Encoding of statements that are forwarded to an owner VM, and of its answers. Decoding throws RequestError
+/// with the outcome "not run".
 namespace cyclamendrift::forwarding_codec {
 
 [[nodiscard]] std::string encode(const ForwardedStatement& work);
--- a/src/session_proxy/metered_store.cpp
+++ b/src/session_proxy/metered_store.cpp
@@ -38,7 +38,7 @@
     const std::string_view call = freshness == ReadFreshness::MayLag ? "list_that_may_lag" : "list";
     this->count(call, purpose);
     auto listing = co_await this->options.store.listing(std::move(prefix), freshness);
-    // The first page was counted before it was known to come.
+    // The first page was counted before the call.
     this->count(call, purpose, listing.pages - 1);
     if (this->options.onListing)
         this->options.onListing();
@@ -74,7 +74,7 @@
 {
     const auto purpose = this->options.purposeOf(prefix);
     this->count("watch", purpose);
-    // A change without a key ends one waiting call, and the next one begins.
+    // A change without a key marks the end of one call; the watch continues with another one.
     auto counting = [this, purpose, onChange = std::move(onChange)](const StoreChange& change) {
         if (change.key.empty())
             this->count("watch", purpose);
--- a/src/session_proxy/packing.cpp
+++ b/src/session_proxy/packing.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::size_t maxDocumentBytes = std::size_t { 16 } << 20U;
 
-// The document's length goes ahead of its bytes, as the library takes a stream that was cut for its end.
+// The document's length precedes its bytes, because the library takes a truncated stream for a complete one.
 constexpr std::size_t lengthBytes = sizeof(std::uint64_t);
 
 } // namespace
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -18,12 +18,13 @@
 
 namespace {
 
-// How often the control side looks at what traffic saw; a failing primary is noticed this much later.
+// Interval of reports from the traffic thread; delays the detection of a failed primary by as much.
 constexpr Duration reportInterval = std::chrono::milliseconds { 150 };
-// Two rounds of duty, status and record, which take half a second each on a new system.
+// Time to acquire a coordinator lease, find the primary and write the record on a new system, with one
+// repetition.
 constexpr Duration maxLeaderWait = std::chrono::seconds { 3 };
 
-// Of this VM's link for whole lists that siblings want; the rest is for statements.
+// Fraction of this VM's link for lists that are sent to siblings; the rest is for statements.
 constexpr double listingLinkFraction = 0.25;
 
 constexpr auto metricPrefix = "cyclamendrift_";
@@ -121,13 +122,13 @@
 {
     if (!this->routes || !this->directoryRead || !this->leadershipRead)
         return false;
-    // When the whole system starts for the first time nobody leads yet for a moment. A group that goes on
-    // without a primary must not keep the others from being served.
+    // On the first start of a system no primary is recorded yet. A group that stays without one must not keep
+    // the other groups from being served, so the wait is limited.
     const bool mayWaitForLeaders = bootNow() < this->startedAt + maxLeaderWait;
     // An evacuation may have been requested before this VM started.
     const bool evacuationsRead = this->evacuations.confirmedAt() != Instant::min();
-    // Without the list of VMs nobody can be asked for operations of a team's limit, and callers would be
-    // refused within their team's rate.
+    // Without the list of VMs no tokens can be requested, and callers would be refused within their team's
+    // rate.
     const bool vmsRead = this->vms.confirmedAt() != Instant::min();
     return !mayWaitForLeaders
         || (vmsRead && evacuationsRead
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -21,14 +21,14 @@
 
 constexpr int serviceUnavailable = 503;
 constexpr int notFound = 404;
-// The balancer takes a VM out after two misses of a question a second; sessions that come in until then are
-// served.
+// Time until the balancer has removed this VM: it polls once a second and needs two failures. Sessions that
+// arrive before that are served.
 constexpr Duration balancerDetectionTime = std::chrono::milliseconds { 2300 };
-// Left of the grace period when the last sessions are cut, so that the process itself ends in time.
+// Part of the grace period that remains for the process to end after the last sessions were closed.
 constexpr Duration shutdownReserve = std::chrono::milliseconds { 500 };
 
-// What is left of a coroutine is destroyed through the context that it ran on last, which may be the other
-// one; a coroutine waits across the contexts at most twice.
+// Destroying a context's handlers may post to the other context, because a coroutine is destroyed on the one
+// that it ran on last. A coroutine switches contexts at most twice.
 constexpr int endingRounds = 4;
 
 using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
@@ -83,9 +83,8 @@
     {
     }
 
-    /// Coroutines that wait on one thread for the other hold on to both contexts. Left to the destructors of
-    /// the contexts, those of the second one would use the first one after it is gone; a program that goes on
-    /// after its daemon has ended would find its memory damaged.
+    /// Coroutines that wait on one thread for the other refer to both contexts. The handlers of both are
+    /// therefore destroyed before either context; otherwise one context would be used after its destruction.
     ~State()
     {
         for (int round = 0; round < endingRounds; ++round) {
@@ -99,7 +98,7 @@
     DaemonExit run()
     {
         this->traffic.start();
-        // A caller that came before the routes are known would be told that its database does not exist.
+        // Before the routes are known, callers would be told that their database does not exist.
         this->control.start([this] {
             logEvent(LogLevel::Info, "ready");
             this->traffic.listen();
@@ -144,7 +143,7 @@
             this->options.settings.log = settings.log;
             logEvent(LogLevel::Info, "settings_reloaded");
         } catch (const Error& error) {
-            // What runs stays in force: a mistake in the file must not end what serves.
+            // The settings in force stay; an error in the file must not stop a running daemon.
             logEvent(LogLevel::Error, "settings_not_reloaded", { { "reason", error.what() } });
         }
     }
@@ -171,13 +170,13 @@
             logEvent(LogLevel::Info, "ended");
             this->controlContext.stop();
         });
-        // The store may be away; its answer is not worth being killed for.
+        // Does not wait longer for the store, which may be unavailable, than the grace period allows.
         this->leaseReleaseTimer.expires_after(shutdownReserve / 2);
         this->leaseReleaseTimer.async_wait([this](const asio::error_code&) { this->controlContext.stop(); });
     }
 
     SessionDaemonOptions options;
-    /// Tells this process from every other one, as its part of what it draws at random.
+    /// Random number that identifies this process.
     std::uint64_t process = generateProcessNumber();
     EndableContext trafficContext { 1 };
     EndableContext controlContext { 1 };
@@ -214,7 +213,7 @@
 
 namespace {
 
-/// Hands signals on, on a thread of its own that outlives both contexts of the daemon.
+/// Receives signals on a thread that outlives both contexts of the daemon.
 class SignalThread {
 public:
     explicit SignalThread(SessionDaemon& daemon)
@@ -256,7 +255,7 @@
 
 DaemonExit runSessionDaemon(SessionDaemonOptions options)
 {
-    // A peer that closes its end must end one write with an error, not this process with a signal.
+    // A write to a connection that the peer has closed must fail with an error instead of a signal.
     std::signal(SIGPIPE, SIG_IGN);
     openLog(options.settings.log);
     try {
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -21,14 +21,14 @@
 
 namespace {
 
-// Timeouts are 300 ms and more, and refusals of waiting work are due within 12 ms of each other at the least.
+// Resolution of timeouts and of refusals of waiting statements.
 constexpr Duration tickInterval = std::chrono::milliseconds { 20 };
 
-// Lines of each event in a second; the rest is counted. A line takes about as much processor time as a
-// statement.
+// Log lines per second for each event; further ones are counted only. A line takes about as much processor
+// time as a statement.
 constexpr std::uint64_t linesPerSecond = 20;
 
-/// A statement of a sibling that waits for its answer here.
+/// A forwarded statement that waits for its reply.
 struct RemoteStatementWait {
     RemoteStatementWait(asio::io_context& context, Instant deadline)
         : timer(context, deadline)
@@ -66,7 +66,7 @@
     {
     }
 
-    /// Carries out everything that the engine wants done.
+    /// Performs all actions that the engine has requested.
     void performAll();
     void perform(const OpenConnection& action);
     void perform(const SendStatement& action);
@@ -103,7 +103,7 @@
 
 void SessionTraffic::start()
 {
-    this->state->options.upstreams.use(*this);
+    this->state->options.upstreams.setEvents(*this);
     this->state->ticks = this->state->timers.every(tickInterval, [this](Instant) { this->tick(); });
 }
 
@@ -141,7 +141,8 @@
 
 void SessionTraffic::State::performAll()
 {
-    // A port may report back while an action is carried out; what that brings about is carried out after it.
+    // A port may report an event while an action is performed; the actions that follow are performed after
+    // it.
     if (this->performing)
         return;
     this->performing = true;
@@ -277,13 +278,13 @@
     this->performAll();
 }
 
-void SessionTraffic::asked(CallerId caller, CallerQuery query)
+void SessionTraffic::statementReceived(CallerId caller, CallerQuery query)
 {
     this->state->engine.callerSentStatement(caller, std::move(query), bootNow());
     this->performAll();
 }
 
-void SessionTraffic::left(CallerId caller)
+void SessionTraffic::disconnected(CallerId caller)
 {
     this->state->engine.callerDisconnected(caller, bootNow());
     this->performAll();
@@ -372,7 +373,7 @@
 
 asio::awaitable<std::string> SessionTraffic::requestReadings(SiblingAddress sibling, std::string request)
 {
-    // The exchange lives on the traffic thread.
+    // The exchange is used on the traffic thread only.
     auto started = this->state->exchange.requestReadings(std::move(sibling), std::move(request));
     co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
 }
--- a/src/session_proxy/shared_listing.cpp
+++ b/src/session_proxy/shared_listing.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-// The list of VMs changes about once a second while a fleet is restarted in turn, and siblings ask three
-// times a second.
+// Enough for siblings that ask three times a second while a rolling restart changes the list of VMs every
+// second.
 constexpr std::size_t maxEarlierListings = 12;
 
 StoreEntry entryFrom(const wire::StoredEntry& message)
@@ -37,7 +37,7 @@
 
 std::uint64_t digestOf(const std::vector<StoreEntry>& entries)
 {
-    // Stores may list in any order.
+    // Makes the digest independent of the order of entries.
     std::map<std::string_view, std::uint64_t> revisions;
     for (const auto& entry : entries)
         revisions.emplace(entry.key, entry.revision);
@@ -52,7 +52,7 @@
 
 std::uint64_t wireAge(Instant instant, Instant now)
 {
-    // What was never read is older than anything that is of use.
+    // Stands for a listing that was never read; beyond every maximum age.
     constexpr Duration never = std::chrono::hours { 1 };
     return wireMicroseconds(instant == Instant::min() ? never : now - instant);
 }
@@ -94,7 +94,7 @@
 {
     if (answer.digest() == 0 || answer.withheld())
         return Change::None;
-    // The sibling reckoned the age after this VM had asked, so nothing is older than this instant says.
+    // The sibling computed the age after the request was sent, so the entries are at least this recent.
     const auto at = askedAt - durationFrom(answer.age_us());
     const bool withoutEntries = answer.entries_size() == 0 && answer.packed_entries().empty();
     if (answer.digest() == this->digest && withoutEntries)
@@ -102,10 +102,10 @@
     StoreListing listing { .revision = answer.revision() };
     listing.entries = this->entriesFrom(answer);
     if (digestOf(listing.entries) != answer.digest()) {
-        // A sibling with older entries sends none; then there is nothing to be wrong.
+        // A sibling with older entries sends none, and there is nothing to verify.
         if (answer.revision() < this->listing.revision)
             return Change::None;
-        throw ListingError { "the entries are not those that the sibling's digest is of" };
+        throw ListingError { "the entries do not match their digest" };
     }
     return this->take(std::move(listing), answer.digest(), at);
 }
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -22,14 +22,14 @@
 constexpr auto runForSiblingMethod = "RunForSibling";
 constexpr auto releaseMethod = "LetGuestGo";
 constexpr auto livenessMethod = "SignOfLife";
-// A sibling in another availability zone answers in 3 ms, a weak one that is busy within some ten.
+// Covers a round trip to another availability zone and a VM that is busy.
 constexpr Duration livenessTimeout = std::chrono::milliseconds { 100 };
-// Whether a home heard that a guest has left matters little: it notices a transaction that rests by itself.
+// A lost release does no harm: the owner VM aborts transactions that are idle for too long.
 constexpr Duration releaseTimeout = std::chrono::milliseconds { 200 };
-// A sibling in another availability zone answers in 3 ms; the operation that waits has some 50 ms.
+// A fraction of the time for which an operation waits for tokens, so that several siblings can be asked.
 constexpr Duration tokenTimeout = std::chrono::milliseconds { 25 };
 constexpr Duration readingsTimeout = std::chrono::milliseconds { 120 };
-// Each further question costs the waiting operation a round trip.
+// Each further request costs the waiting operation a round trip.
 constexpr std::size_t maxDonorsAsked = 4;
 
 [[noreturn]] void refuse(const char* message) { throw notRun(RefusalReason::BadRequest, message); }
@@ -64,7 +64,7 @@
         co_return answer.SerializeAsString();
     }
 
-    /// Asks a sibling and counts what went both ways.
+    /// Calls a sibling and counts the bytes in both directions.
     [[nodiscard]] asio::awaitable<std::string> ask(SiblingAddress address, SiblingCall call)
     {
         const auto listed = this->siblings.find(address.vm);
@@ -96,8 +96,8 @@
             if (answer.ParseFromString(body))
                 given = answer.given();
         } catch (const Error&) {
-            // A sibling that cannot be asked gives nothing; if its answer was lost, what it took out is lost
-            // with it.
+            // A sibling without an answer counts as giving nothing; tokens that it gave in a lost answer are
+            // lost.
             this->donors.recordNoAnswer(vm, bootNow());
             co_return 0;
         }
@@ -133,7 +133,7 @@
                 static_cast<void>(co_await self->ask(sibling->second.address, std::move(call)));
                 alive = true;
             } catch (const RequestError&) {
-                // A refusal is a sign as well.
+                // A refusal shows that the owner VM is alive.
                 alive = true;
             } catch (const SiblingError&) {
                 alive = false;
--- a/tests/session_proxy/byte_budget_test.cpp
+++ b/tests/session_proxy/byte_budget_test.cpp
@@ -5,11 +5,11 @@
 using namespace cyclamendrift;
 using namespace std::chrono_literals;
 
-TEST_SUITE("bytes for siblings that ask all at once")
+TEST_SUITE("byte budget")
 {
-    TEST_CASE("200 VMs that start and ask a VM with a slow link get whole lists one after the other")
+    TEST_CASE("200 VMs that request lists from a VM with a slow link at once get them one after the other")
     {
-        // Guards against answers that fill the link, time out, and are asked for again without end.
+        // Guards against answers that saturate the link, time out and are requested again without end.
         constexpr double bytesPerSecond = 625000;
         constexpr std::size_t answer = 13000;
         ByteBudget budget { bytesPerSecond };
@@ -23,7 +23,7 @@
         CHECK(sent >= 2.9 * bytesPerSecond);
     }
 
-    TEST_CASE("an answer larger than the budget goes out all the same, and others wait for it")
+    TEST_CASE("an answer larger than the budget is sent, and later answers wait")
     {
         ByteBudget budget { 10000 };
         const Instant now { 100s };
--- a/tests/session_proxy/metered_store_test.cpp
+++ b/tests/session_proxy/metered_store_test.cpp
@@ -28,9 +28,9 @@
 
 } // namespace
 
-TEST_SUITE("calls to the store are counted")
+TEST_SUITE("metered store")
 {
-    TEST_CASE("each call counts once, by what it does and for what")
+    TEST_CASE("each call is counted once by operation and purpose")
     {
         asio::io_context context;
         standins::MemoryStore memory { context.get_executor() };
@@ -47,7 +47,7 @@
         CHECK(countOf(store, { "get", "other" }) == 1);
     }
 
-    TEST_CASE("a call that fails is counted, as the platform charges it")
+    TEST_CASE("a failed call is counted, because the platform charges it")
     {
         asio::io_context context;
         standins::MemoryStore memory { context.get_executor() };
--- a/tests/session_proxy/packing_test.cpp
+++ b/tests/session_proxy/packing_test.cpp
@@ -20,9 +20,9 @@
 
 } // namespace
 
-TEST_SUITE("documents that are packed for siblings")
+TEST_SUITE("packed documents")
 {
-    TEST_CASE("a configuration comes back as it was, and is much smaller on the way")
+    TEST_CASE("a configuration is unpacked unchanged and is much smaller when packed")
     {
         const auto document = configuration();
         const auto packed = pack(document);
@@ -31,7 +31,7 @@
         CHECK(unpack(pack("")).empty());
     }
 
-    TEST_CASE("bytes that were cut or are foreign are refused")
+    TEST_CASE("bytes that are truncated or were not packed are refused")
     {
         const auto packed = pack(configuration());
         CHECK_THROWS_AS(static_cast<void>(unpack(packed.substr(0, packed.size() / 2))), PackingError);
@@ -39,7 +39,7 @@
         CHECK_THROWS_AS(static_cast<void>(unpack("")), PackingError);
     }
 
-    TEST_CASE("a document that would grow without bound is refused")
+    TEST_CASE("a document that unpacks to more than the maximum size is refused")
     {
         const auto packed = pack(std::string(std::size_t { 20 } << 20U, 'a'));
         CHECK_THROWS_AS(static_cast<void>(unpack(packed)), PackingError);
--- a/tests/session_proxy/shared_listing_test.cpp
+++ b/tests/session_proxy/shared_listing_test.cpp
@@ -36,11 +36,11 @@
 
 } // namespace
 
-TEST_SUITE("listings that siblings pass on")
+TEST_SUITE("shared listings")
 {
-    TEST_CASE("195 VMs whose list did not change hear its age alone")
+    TEST_CASE("195 VMs whose list did not change get only its age")
     {
-        // Guards against whole lists to each VM every second, as the store's revision grows all the time.
+        // Guards against sending the whole list to each VM every second because the store's revision changes.
         SharedListing reader;
         CHECK(reader.takeReading(listingOf(195, 1000), start) == Change::Entries);
         SharedListing asker;
@@ -57,7 +57,7 @@
         CHECK(asker.current().entries.size() == 195);
     }
 
-    TEST_CASE("a VM that is gone shows, though no entry is new")
+    TEST_CASE("a removed entry is passed on although no entry is new")
     {
         SharedListing reader;
         static_cast<void>(reader.takeReading(listingOf(195, 1000), start));
@@ -68,9 +68,9 @@
         CHECK(asker.current().entries.size() == 194);
     }
 
-    TEST_CASE("while 195 VMs are restarted ten at a time, each hears what changed alone")
+    TEST_CASE("while 195 VMs are restarted ten at a time, each gets only the changes")
     {
-        // Guards against whole lists to each VM at every step of a rolling restart.
+        // Guards against sending the whole list to each VM at every step of a rolling restart.
         SharedListing reader;
         SharedListing asker;
         auto listing = listingOf(195, 1000);
@@ -92,7 +92,7 @@
         CHECK(digestOf(asker.current().entries) == digestOf(listing.entries));
     }
 
-    TEST_CASE("a difference to entries of another VM is refused and the last good listing stays")
+    TEST_CASE("a difference to other entries is refused and the latest listing is kept")
     {
         SharedListing reader;
         static_cast<void>(reader.takeReading(listingOf(12, 1000), start));
@@ -107,7 +107,7 @@
         CHECK(other.current().entries.size() == 10);
     }
 
-    TEST_CASE("all entries travel packed to a sibling that can read them, and are refused when they were cut")
+    TEST_CASE("a sibling that can read packed entries gets them packed, and refuses truncated ones")
     {
         SharedListing reader;
         static_cast<void>(reader.takeReading(listingOf(195, 1000), start));
@@ -123,7 +123,7 @@
         CHECK(digestOf(asker.current().entries) == digestOf(reader.current().entries));
     }
 
-    TEST_CASE("entries that the sibling has no room for now leave the asker as it was")
+    TEST_CASE("an answer whose entries were withheld changes nothing")
     {
         SharedListing reader;
         static_cast<void>(reader.takeReading(listingOf(12, 1000), start));
@@ -139,7 +139,7 @@
 
     TEST_CASE("an older listing changes nothing")
     {
-        // Guards against going back to what an earlier reader had.
+        // Guards against a return to an earlier reader's entries.
         SharedListing asker;
         static_cast<void>(asker.takeReading(listingOf(10, 1000), start));
         SharedListing reader;
@@ -152,7 +152,7 @@
         CHECK(asker.current().entries.size() == 10);
     }
 
-    TEST_CASE("a listing that was cut is refused and the last good one stays")
+    TEST_CASE("a truncated listing is refused and the latest one is kept")
     {
         SharedListing reader;
         static_cast<void>(reader.takeReading(listingOf(12, 1000), start));
@@ -164,7 +164,7 @@
         CHECK(asker.current().entries.size() == 10);
     }
 
-    TEST_CASE("an answer of a version that tells no digest changes nothing")
+    TEST_CASE("an answer without a digest changes nothing")
     {
         SharedListing asker;
         static_cast<void>(asker.takeReading(listingOf(10, 900), start));
@@ -174,7 +174,7 @@
         CHECK(asker.current().entries.size() == 10);
     }
 
-    TEST_CASE("an empty listing that was read is known, one that was not is not")
+    TEST_CASE("an empty listing differs from one that was never read")
     {
         SharedListing reader;
         SharedListing asker;
