Bound what cold upstreams and their services may report

Read through before the landing: a cold time in milliseconds beyond the range of a duration, or a rate so low that the time between two statements is, would have overflowed; an upstream that reports to be warm kept its limit until the time it had named before. Each has a test. Ranks of holders no longer wrap around.

--- a/src/pooling/cold_start_limit.cpp
+++ b/src/pooling/cold_start_limit.cpp
@@ -9,6 +9,9 @@
 
 // What all senders use of the rate; the rest is for VMs that became holders while others do not know it yet.
 constexpr double usedFraction = 0.75;
+// Bounds of the rate, which keep the time between two statements within the range of a Duration.
+constexpr double minUsedRate = 1e-6;
+constexpr double maxUsedRate = 1e6;
 // Every sender may send one statement at any moment, so there are no more senders than statements in a
 // second, but at least this many, as one of them may fail.
 constexpr std::size_t minSenders = 2;
@@ -25,7 +28,7 @@
     this->until = coldUntil;
     if (place.holders == 0)
         return;
-    const auto used = std::min(statementsPerSecond * usedFraction, 1e6);
+    const auto used = std::clamp(statementsPerSecond * usedFraction, minUsedRate, maxUsedRate);
     const auto senders
         = std::min(std::max(static_cast<std::size_t>(std::floor(used)), minSenders), place.holders);
     if (place.rank >= senders)
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -356,10 +356,12 @@
         if (own == all.end())
             return {};
         const auto index = static_cast<std::size_t>(std::distance(all.begin(), own));
-        return { .rank = (index + turn) % all.size(), .holders = all.size() };
+        return { .rank = (index + turn % all.size()) % all.size(), .holders = all.size() };
     }
     const auto vms = this->place.vms;
-    return vms == 0 ? HolderRank {} : HolderRank { .rank = (this->place.rank + turn) % vms, .holders = vms };
+    if (vms == 0)
+        return {};
+    return { .rank = (this->place.rank + turn % vms) % vms, .holders = vms };
 }
 
 void SessionEngine::State::refuseOverdueStatements(GroupState& group)
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -144,7 +144,7 @@
     for (const auto& entry : directory) {
         auto& upstream = engine.group(entry.service).upstreams[entry.name];
         upstream.listed = true;
-        if (entry.coldFor > Duration {} && upstream.entry != entry)
+        if (upstream.entry != entry)
             upstream.coldUntil = now + entry.coldFor;
         upstream.entry = entry;
     }
--- a/tests/adapter/operator_format_test.cpp
+++ b/tests/adapter/operator_format_test.cpp
@@ -43,6 +43,7 @@
         CHECK(table.limits.at(TeamName { "a" }) == TeamLimit { 132.5, 100 });
         CHECK(table.connectionCaps.at(ServiceName { "register" }) == 21);
         CHECK(table.maxTransactionIdleTime == 3s);
+        CHECK(table.coldStartRates.empty());
     }
 
     TEST_CASE("a kind of route that is not known is served as the strictest")
@@ -69,6 +70,21 @@
         CHECK(entry.startedAtMs == 1700000000123);
     }
 
+    TEST_CASE("a service's rate for cold upstreams and an upstream's time until it is warm are read")
+    {
+        const auto table = format.readRoutes(
+            R"({"version":1,"routes":[],"services":[{"name":"register","coldStartS":4.0,"coldPerS":12.5}]})");
+        CHECK(table.coldStartRates.at(ServiceName { "register" }) == 12.5);
+        std::string entry { upstream };
+        const std::string warm = "\"coldLeftMs\":0";
+        entry.replace(entry.find(warm), warm.size(), "\"coldLeftMs\":2500");
+        CHECK(format.readUpstream("servers/i-1", entry).coldFor == 2500ms);
+        entry.replace(entry.find("2500"), 4, "9000000000000000000");
+        CHECK(format.readUpstream("servers/i-1", entry).coldFor == 1h);
+        entry.replace(entry.find("9000000000000000000"), 19, "-7");
+        CHECK(format.readUpstream("servers/i-1", entry).coldFor == 0ms);
+    }
+
     TEST_CASE("the key of an evacuation names the availability zone, whatever its value holds")
     {
         // Guards against an evacuation that is ignored because of its body.
--- a/tests/pooling/cold_start_limit_test.cpp
+++ b/tests/pooling/cold_start_limit_test.cpp
@@ -91,6 +91,34 @@
         CHECK(limit.mayStart(now + 5s));
     }
 
+    TEST_CASE("a very low rate leaves a time between two statements that can be represented")
+    {
+        ColdStartLimit limit;
+        const Instant now { 1000s };
+        limit.setRate(1e-300, { .rank = 0, .holders = 1 }, now + 5s);
+        REQUIRE(limit.mayStart(now));
+        limit.recordStart(now);
+        CHECK_FALSE(limit.mayStart(now + 4s));
+        CHECK(limit.startAt() > now);
+    }
+
+    TEST_CASE("an upstream that reports to be warm has no limit any more")
+    {
+        // Guards against a limit that outlasts the time for which the upstream asked.
+        PoolSimulation simulation { {} };
+        simulation.routes->coldStartRates[ServiceName { "register" }] = 1;
+        simulation.publishRoutes();
+        simulation.upstream("primary").entry.coldFor = 60s;
+        simulation.publishDirectory();
+        const auto caller = simulation.connect();
+        CHECK_FALSE(simulation.run(caller, "c/1", "READ 1").failure);
+        simulation.submit(caller, "c/2", "READ 1");
+        CHECK(simulation.takeReplies(caller).empty());
+        simulation.upstream("primary").entry.coldFor = 0s;
+        simulation.publishDirectory();
+        CHECK_FALSE(simulation.takeReply(caller).failure);
+    }
+
     TEST_CASE("reads use a cold replica at its rate and the others without a limit")
     {
         // Guards against a replica that is flooded as soon as it registers after an evacuation.
