--- a/src/pooling/engine_evacuation.cpp
+++ b/src/pooling/engine_evacuation.cpp
@@ -1,7 +1,5 @@
 #include "engine_state.h"
 
-#include <algorithm>
-
 namespace cyclamendrift {
 
 void SessionEngine::State::setEvacuatedZones(const std::set<ZoneName>& zones)
@@ -25,10 +23,12 @@
 {
     if (this->evacuatedSince.empty() && this->routes->coldStartRates.empty())
         return nullptr;
-    const bool needsPrimary = !this->replicaRequirement(group, session);
+    const auto requirement = this->replicaRequirement(group, session);
     const char* reason = nullptr;
-    for (const auto& [name, upstream] : group.upstreams) {
-        if (!upstream.listed || upstream.entry.draining || (needsPrimary && group.view.primary != name))
+    for (const auto& item : group.upstreams) {
+        const auto& upstream = item.second;
+        const bool mayServe = requirement.has_value() || group.view.primary == item.first;
+        if (!upstream.listed || upstream.entry.draining || !mayServe)
             continue;
         if (this->isEvacuated(upstream))
             reason = "the availability zone of the upstreams is evacuated";
@@ -50,21 +50,12 @@
         && this->now >= since->second + this->options.settings.evacuationGrace;
 }
 
-void SessionEngine::State::abortEvacuatedTransactions()
+bool SessionEngine::State::isTransactionEvacuated(const CallerSession& session)
 {
-    if (this->evacuatedSince.empty())
-        return;
-    std::vector<CallerId> sessions;
-    for (const auto& [key, connection] : this->connections) {
-        if (connection.user && connection.inTransaction && this->hasEvacuationGraceEnded(connection))
-            sessions.push_back(*connection.user);
-    }
-    for (const auto id : sessions) {
-        auto* session = this->findCaller(id);
-        // A statement that is running is answered first.
-        if (session != nullptr && session->pinned && !session->work)
-            this->abortTransaction(*session, "the upstream's availability zone is evacuated");
-    }
+    if (this->evacuatedSince.empty() || !session.pinned)
+        return false;
+    const auto* connection = this->findConnection(*session.pinned);
+    return connection != nullptr && this->hasEvacuationGraceEnded(*connection);
 }
 
 } // namespace cyclamendrift
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -95,8 +95,8 @@
     /// True when no statement may be sent on a connection that holds a transaction, because the zone of its
     /// upstream has been under evacuation for too long.
     [[nodiscard]] bool hasEvacuationGraceEnded(const PooledConnection& connection) const;
-    /// Aborts idle transactions in zones whose time has run out.
-    void abortEvacuatedTransactions();
+    /// True when the session's transaction is open on such a connection.
+    [[nodiscard]] bool isTransactionEvacuated(const CallerSession& session);
 
     // engine_forwarding
     void forwardedStatementReceived(ForwardedStatement work);
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -232,7 +232,6 @@
     auto& engine = *this->state;
     engine.now = now;
     engine.checkTimeouts();
-    engine.abortEvacuatedTransactions();
     engine.tickGroups();
     engine.closeIdleConnections();
     engine.checkSilentOwners();
@@ -262,6 +261,8 @@
         return this->resolveUnconfirmed(session);
     if (session.work)
         return this->resumeIfDue(session);
+    if (this->isTransactionEvacuated(session))
+        return this->abortTransaction(session, "the upstream's availability zone is evacuated");
     const bool idleTooLong = this->now >= session.lastActive + this->routes->maxTransactionIdleTime;
     const bool stopping = this->now >= this->abortAt;
     if (session.phase == SessionPhase::InTransaction && (idleTooLong || stopping))
