Confirm the evacuations while the store's revision stands still

Cause: a watch whose call ends without a change reports the revision that the listing has already; it was taken for an older one, so nobody confirmed the evacuations and each VM listed them for itself every 1.9 s. The second of two keys that an operator writes in one revision was passed over as well. Change: SharedListing applies changes of a watch, and takes the same revision for a confirmation. Test: without network, fails before (the confirmation, and the second key of a revision).

--- a/include/cyclamendrift/session_proxy/shared_listing.h
+++ b/include/cyclamendrift/session_proxy/shared_listing.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cyclamendrift {
@@ -36,6 +37,9 @@
 
     /// Applies a listing that this VM requested from the store at `askedAt`; ignored when it is older.
     Change takeReading(StoreListing listing, Instant askedAt);
+    /// Applies a change that a watch reported at that instant; ignored when it is older. Only keys with the
+    /// prefix belong to the listing. A change without a key, which ends a call, confirms the entries.
+    Change takeChange(const StoreChange& change, std::string_view prefix, Instant at);
     /// Applies a sibling's answer to a request that was sent at `askedAt`; ignored when it is older. Throws
     /// ListingError when the entries do not match their digest.
     Change takeAnswer(const wire::StoredListing& answer, Instant askedAt);
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -88,19 +88,8 @@
     this->configurationConfirmedAt = now;
     if (change.key == this->options.format.configurationKey() && change.value)
         this->applyConfiguration(*change.value, change.revision);
-    auto requests = this->evacuations.current();
-    // A sibling may already have passed on a later state.
-    if (change.revision <= requests.revision)
-        return;
-    requests.revision = change.revision;
-    if (change.key.starts_with(this->options.format.evacuationPrefix())) {
-        std::erase_if(
-            requests.entries, [&change](const StoreEntry& entry) { return entry.key == change.key; });
-        if (change.value)
-            requests.entries.push_back(
-                { .key = change.key, .value = *change.value, .revision = change.revision });
-    }
-    if (this->evacuations.takeReading(std::move(requests), now) == SharedListing::Change::Entries)
+    const auto prefix = this->options.format.evacuationPrefix();
+    if (this->evacuations.takeChange(change, prefix, now) == SharedListing::Change::Entries)
         this->applyEvacuations();
 }
 
--- a/src/session_proxy/shared_listing.cpp
+++ b/src/session_proxy/shared_listing.cpp
@@ -90,6 +90,23 @@
     return this->take(std::move(listing), digest, askedAt);
 }
 
+SharedListing::Change SharedListing::takeChange(
+    const StoreChange& change, std::string_view prefix, Instant at)
+{
+    // A sibling may already have passed on a later state. Several keys may change in one revision.
+    if (change.revision < this->listing.revision)
+        return Change::None;
+    auto next = this->listing;
+    next.revision = change.revision;
+    if (!change.key.empty() && change.key.starts_with(prefix)) {
+        std::erase_if(next.entries, [&change](const StoreEntry& entry) { return entry.key == change.key; });
+        if (change.value)
+            next.entries.push_back(
+                { .key = change.key, .value = *change.value, .revision = change.revision });
+    }
+    return this->takeReading(std::move(next), at);
+}
+
 SharedListing::Change SharedListing::takeAnswer(const wire::StoredListing& answer, Instant askedAt)
 {
     if (answer.digest() == 0 || answer.withheld())
--- a/tests/session_proxy/shared_listing_test.cpp
+++ b/tests/session_proxy/shared_listing_test.cpp
@@ -137,6 +137,29 @@
         CHECK(asker.confirmedAt() == start);
     }
 
+    TEST_CASE("a watch adds and removes entries and confirms them while nothing changes")
+    {
+        // Guards against VMs that all list the configuration because the store's revision stands still.
+        SharedListing listing;
+        const Instant start { std::chrono::seconds { 100 } };
+        const auto at = [start](int seconds) { return start + std::chrono::seconds { seconds }; };
+        listing.takeReading({ .revision = 7 }, start);
+        CHECK(listing.takeChange({ .revision = 7 }, "op/e/", at(1)) == SharedListing::Change::Confirmed);
+        CHECK(listing.confirmedAt() == at(1));
+        CHECK(listing.takeChange({ .key = "op/config", .value = "c", .revision = 8 }, "op/e/", at(2))
+            == SharedListing::Change::Confirmed);
+        for (const auto* key : { "op/e/a", "op/e/b" })
+            CHECK(listing.takeChange({ .key = key, .value = "{}", .revision = 9 }, "op/e/", at(3))
+                == SharedListing::Change::Entries);
+        CHECK(listing.current().entries.size() == 2);
+        CHECK(listing.takeChange({ .key = "op/e/a", .revision = 8 }, "op/e/", at(4))
+            == SharedListing::Change::None);
+        CHECK(listing.takeChange({ .key = "op/e/a", .revision = 10 }, "op/e/", at(4))
+            == SharedListing::Change::Entries);
+        REQUIRE(listing.current().entries.size() == 1);
+        CHECK(listing.current().entries.front().key == "op/e/b");
+    }
+
     TEST_CASE("an older listing changes nothing")
     {
         // Guards against a return to an earlier reader's entries.
