Say once which upstreams may get statements, and share what the tests repeat

The condition that an upstream is listed, stays and is outside evacuated zones stood in three places; it is acceptsStatements(), and its first half isInService(). claimNextTerm looked for a newer leader by a loop of its own beside newestLeader(). A rate of 0 meant "no limit" to ColdStartLimit as well as to its only caller, which never passes one. The tests of evacuation and cold upstreams counted executions by a loop each and wrote the same set-up out; awaitLeader stood in two files.

--- a/include/cyclamendrift/pooling/cold_start_limit.h
+++ b/include/cyclamendrift/pooling/cold_start_limit.h
@@ -26,9 +26,9 @@
     /// No limit until setRate() is called.
     ColdStartLimit() = default;
 
-    /// The upstream takes `statementsPerSecond` until `coldUntil`, of which this VM has its share. A rate of
-    /// 0 stands for no limit.
-    void setRate(double statementsPerSecond, const HolderRank& place, Instant coldUntil);
+    /// The upstream takes `statementsPerSecond`, which is above 0, until `coldUntil`; this VM has its share
+    /// of them.
+    void setRate(double statementsPerSecond, const HolderRank& holder, Instant coldUntil);
 
     /// True while the upstream is cold and has a limit.
     [[nodiscard]] bool isCold(Instant now) const noexcept { return now < this->until; }
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -19,16 +19,13 @@
 void LeaderCoordinator::claimNextTerm(bool planned, std::string_view reason, Instant now)
 {
     const auto& record = this->record();
-    const bool otherLeads
-        = std::any_of(this->members.begin(), this->members.end(), [&record](const Member& member) {
-              return member.entry.name != record.primary && member.status && member.status->isPrimary
-                  && member.status->term > record.term;
-          });
+    const auto term = next(record.term);
+    const auto leader = this->newestLeader(term);
+    const bool otherLeads = leader && leader->name != record.primary;
     if (!otherLeads && !this->hasSuccessor())
         return;
     if (now < this->lastWriteAt + this->options.settings.storeRetryInterval)
         return;
-    const auto term = next(record.term);
     // A claim whose write is not answered yet is the same one.
     if (!this->replacement)
         this->logEvent("replacing_primary",
--- a/src/pooling/cold_start_limit.cpp
+++ b/src/pooling/cold_start_limit.cpp
@@ -18,20 +18,16 @@
 
 } // namespace
 
-void ColdStartLimit::setRate(double statementsPerSecond, const HolderRank& place, Instant coldUntil)
+void ColdStartLimit::setRate(double statementsPerSecond, const HolderRank& holder, Instant coldUntil)
 {
     this->interval = Duration::max();
-    if (!(statementsPerSecond > 0)) {
-        this->until = Instant::min();
-        return;
-    }
     this->until = coldUntil;
-    if (place.holders == 0)
+    if (holder.holders == 0)
         return;
     const auto used = std::clamp(statementsPerSecond * usedFraction, minUsedRate, maxUsedRate);
     const auto senders
-        = std::min(std::max(static_cast<std::size_t>(std::floor(used)), minSenders), place.holders);
-    if (place.rank >= senders)
+        = std::min(std::max(static_cast<std::size_t>(std::floor(used)), minSenders), holder.holders);
+    if (holder.rank >= senders)
         return;
     const std::chrono::duration<double> between { static_cast<double>(senders) / used };
     this->interval = std::chrono::ceil<Duration>(between);
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -343,9 +343,8 @@
     auto& upstream = this->upstreamOf(connection);
     const bool beyondShare = upstream.connections.size() > this->connectionShareOf(upstream);
     const bool mustShrink = beyondShare && this->now < upstream.noBorrowingUntil;
-    const bool unusable = !upstream.listed || upstream.entry.draining || this->isEvacuated(upstream);
     const auto service = connection.service;
-    if (mustShrink || unusable)
+    if (mustShrink || !this->acceptsStatements(upstream))
         this->close(connection);
     else
         this->serveSameTeam(connection);
@@ -453,7 +452,7 @@
         const bool hasOwners = this->ownersFor(this->connectionCapOf(connection.service)) != nullptr;
         const auto timeout = hasOwners ? settings.ownerIdleTimeout : settings.idleTimeout;
         const bool idleTooLong = this->now - connection.idleSince >= timeout;
-        if (idleTooLong || !upstream.listed || upstream.entry.draining || this->isEvacuated(upstream))
+        if (idleTooLong || !this->acceptsStatements(upstream))
             this->close(connection);
     }
 }
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -131,7 +131,7 @@
 bool SessionEngine::State::canServe(const GroupState& group, const UpstreamState& upstream,
     const CallerSession& session, const std::optional<ReplicaRequirement>& requirement) const
 {
-    if (!upstream.listed || upstream.entry.draining || this->isEvacuated(upstream))
+    if (!this->acceptsStatements(upstream))
         return false;
     if (this->now < upstream.unreachableUntil || this->now < upstream.busyUntil)
         return false;
--- a/src/pooling/engine_evacuation.cpp
+++ b/src/pooling/engine_evacuation.cpp
@@ -19,6 +19,11 @@
     return this->evacuatedSince.contains(upstream.entry.zone);
 }
 
+bool SessionEngine::State::acceptsStatements(const UpstreamState& upstream) const
+{
+    return upstream.isInService() && !this->isEvacuated(upstream);
+}
+
 const char* SessionEngine::State::stopReason(const GroupState& group, const CallerSession& session) const
 {
     if (this->evacuatedSince.empty() && this->routes->coldStartRates.empty())
@@ -28,7 +33,7 @@
     for (const auto& item : group.upstreams) {
         const auto& upstream = item.second;
         const bool mayServe = requirement.has_value() || group.view.primary == item.first;
-        if (!upstream.listed || upstream.entry.draining || !mayServe)
+        if (!upstream.isInService() || !mayServe)
             continue;
         if (this->isEvacuated(upstream))
             reason = "the availability zone of the upstreams is evacuated";
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -89,6 +89,8 @@
     // engine_evacuation
     void setEvacuatedZones(const std::set<ZoneName>& zones);
     [[nodiscard]] bool isEvacuated(const UpstreamState& upstream) const;
+    /// True when new statements may be sent to the upstream: it is in service, and its zone is not evacuated.
+    [[nodiscard]] bool acceptsStatements(const UpstreamState& upstream) const;
     /// Why no upstream may get the session's statement from this VM, however long it waits; null when one
     /// may.
     [[nodiscard]] const char* stopReason(const GroupState& group, const CallerSession& session) const;
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -91,6 +91,9 @@
     Progress knownProgress;
     /// How far it lagged behind the primary at that time.
     Duration lag {};
+
+    /// True when it is listed and has not announced its shutdown.
+    [[nodiscard]] bool isInService() const noexcept { return this->listed && !this->entry.draining; }
 };
 
 /// A position that a read needs, and when the primary had reached it.
--- a/tests/leadership/evacuation_test.cpp
+++ b/tests/leadership/evacuation_test.cpp
@@ -17,12 +17,6 @@
 const ZoneName zoneOfFirst { "replica-1" };
 const ZoneName zoneOfSecond { "replica-2" };
 
-void awaitLeader(LeadershipSimulation& simulation)
-{
-    REQUIRE(simulation.advanceUntil(5s, [&] { return simulation.allFollowLeader(); }));
-    CHECK(simulation.violations.empty());
-}
-
 bool isLedBy(const LeadershipSimulation& simulation, const std::string& name)
 {
     const auto* leader = simulation.leader();
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -13,12 +13,6 @@
 
 namespace {
 
-void awaitLeader(LeadershipSimulation& simulation)
-{
-    REQUIRE(simulation.advanceUntil(5s, [&] { return simulation.allFollowLeader(); }));
-    CHECK(simulation.violations.empty());
-}
-
 // From now on the directory lists the upstream as draining.
 void markDraining(LeadershipSimulation& simulation, const std::string& leaving)
 {
--- a/tests/leadership/leadership_simulation.cpp
+++ b/tests/leadership/leadership_simulation.cpp
@@ -1,5 +1,7 @@
 #include "leadership_simulation.h"
 
+#include <doctest/doctest.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -391,6 +393,13 @@
     this->schedule(accept, this->maxPromotionTime, this->minPromotionTime);
 }
 
+void awaitLeader(LeadershipSimulation& simulation)
+{
+    REQUIRE(
+        simulation.advanceUntil(std::chrono::seconds { 5 }, [&] { return simulation.allFollowLeader(); }));
+    CHECK(simulation.violations.empty());
+}
+
 void LeadershipSimulation::checkInvariants()
 {
     const auto* leader = this->leader();
--- a/tests/leadership/leadership_simulation.h
+++ b/tests/leadership/leadership_simulation.h
@@ -145,4 +145,7 @@
     std::vector<std::uint64_t> tokens;
 };
 
+/// Waits until all VMs follow the leader; the test fails when that takes more than five seconds.
+void awaitLeader(LeadershipSimulation& simulation);
+
 } // namespace cyclamendrift
--- a/tests/pooling/cold_start_limit_test.cpp
+++ b/tests/pooling/cold_start_limit_test.cpp
@@ -50,13 +50,6 @@
     return highest;
 }
 
-std::size_t executedAt(const PoolSimulation& simulation, const std::string& upstream)
-{
-    const auto& all = simulation.executed();
-    return static_cast<std::size_t>(std::count_if(all.begin(), all.end(),
-        [&](const ExecutedStatement& one) { return one.upstream == UpstreamName { upstream }; }));
-}
-
 } // namespace
 
 TEST_SUITE("cold upstreams")
@@ -140,8 +133,8 @@
             simulation.deliverHeldActions();
             simulation.advanceTime(20ms);
         }
-        CHECK(executedAt(simulation, "replica-1") > 0);
-        CHECK(executedAt(simulation, "replica-1") <= 11);
+        CHECK(simulation.executionsAt("replica-1") > 0);
+        CHECK(simulation.executionsAt("replica-1") <= 11);
         for (const auto reader : readers)
             CHECK(simulation.takeReplies(reader).size() == 50);
     }
--- a/tests/pooling/evacuation_test.cpp
+++ b/tests/pooling/evacuation_test.cpp
@@ -22,11 +22,35 @@
     simulation.publishDirectory();
 }
 
-std::size_t executedAt(const PoolSimulation& simulation, const std::string& upstream)
+/// Connects as many callers as given; each sends a read before any of them is answered.
+std::vector<CallerId> readAtOnce(PoolSimulation& simulation, std::size_t readers)
 {
-    const auto& all = simulation.executed();
-    return static_cast<std::size_t>(std::count_if(all.begin(), all.end(),
-        [&](const ExecutedStatement& one) { return one.upstream == UpstreamName { upstream }; }));
+    std::vector<CallerId> callers;
+    simulation.holdUpstreamActions = true;
+    for (std::size_t index = 0; index < readers; ++index) {
+        callers.push_back(simulation.connect());
+        simulation.submit(callers.back(), "r", "READ 1");
+    }
+    return callers;
+}
+
+/// Sends what was held back and checks that each caller gets one success.
+void checkAllServed(PoolSimulation& simulation, const std::vector<CallerId>& callers)
+{
+    simulation.holdUpstreamActions = false;
+    simulation.deliverHeldActions();
+    simulation.advanceTime(100ms);
+    for (const auto caller : callers)
+        CHECK_FALSE(simulation.takeReply(caller).failure);
+}
+
+/// Opens a transaction of a new caller that has written.
+CallerId openTransaction(PoolSimulation& simulation)
+{
+    const auto caller = simulation.connect();
+    CHECK_FALSE(simulation.run(caller, "c/1", "BEGIN").failure);
+    CHECK_FALSE(simulation.run(caller, "c/2", "WRITE 1 x").failure);
+    return caller;
 }
 
 void checkRefusedWithRetryAdvice(const Reply& reply)
@@ -48,27 +72,12 @@
         const auto caller = simulation.connect();
         CHECK_FALSE(simulation.run(caller, "c/0", "WRITE 1 x").failure);
         simulation.setEvacuatedZones({ catania });
-        const auto before = executedAt(simulation, "replica-1");
-        std::vector<CallerId> readers;
-        for (int index = 0; index < 9; ++index)
-            readers.push_back(simulation.connect());
-        simulation.holdUpstreamActions = true;
-        for (const auto reader : readers)
-            simulation.submit(reader, "r", "READ 1");
-        simulation.holdUpstreamActions = false;
-        simulation.deliverHeldActions();
-        simulation.advanceTime(100ms);
-        for (const auto reader : readers)
-            CHECK_FALSE(simulation.takeReply(reader).failure);
-        CHECK(executedAt(simulation, "replica-1") == before);
+        const auto before = simulation.executionsAt("replica-1");
+        checkAllServed(simulation, readAtOnce(simulation, 9));
+        CHECK(simulation.executionsAt("replica-1") == before);
         simulation.setEvacuatedZones({});
-        simulation.holdUpstreamActions = true;
-        for (const auto reader : readers)
-            simulation.submit(reader, "r", "READ 1");
-        simulation.holdUpstreamActions = false;
-        simulation.deliverHeldActions();
-        simulation.advanceTime(100ms);
-        CHECK(executedAt(simulation, "replica-1") > before);
+        checkAllServed(simulation, readAtOnce(simulation, 9));
+        CHECK(simulation.executionsAt("replica-1") > before);
     }
 
     TEST_CASE("a statement whose connection was being opened in the evacuated zone runs elsewhere")
@@ -78,20 +87,11 @@
         placeInThreeZones(simulation);
         const auto writer = simulation.connect();
         CHECK_FALSE(simulation.run(writer, "w/0", "WRITE 1 x").failure);
-        std::vector<CallerId> readers;
-        simulation.holdUpstreamActions = true;
-        for (int index = 0; index < 9; ++index) {
-            readers.push_back(simulation.connect());
-            simulation.submit(readers.back(), "r", "READ 1");
-        }
+        const auto readers = readAtOnce(simulation, 9);
         simulation.setEvacuatedZones({ catania, messina });
-        simulation.holdUpstreamActions = false;
-        simulation.deliverHeldActions();
-        simulation.advanceTime(200ms);
-        for (const auto reader : readers)
-            CHECK_FALSE(simulation.takeReply(reader).failure);
-        CHECK(executedAt(simulation, "replica-1") == 0);
-        CHECK(executedAt(simulation, "replica-2") == 0);
+        checkAllServed(simulation, readers);
+        CHECK(simulation.executionsAt("replica-1") == 0);
+        CHECK(simulation.executionsAt("replica-2") == 0);
     }
 
     TEST_CASE("idle connections to the evacuated zone are closed at once")
@@ -165,9 +165,7 @@
         // Guards against transactions that are aborted although there is time to end them.
         PoolSimulation simulation { {} };
         placeInThreeZones(simulation);
-        const auto caller = simulation.connect();
-        CHECK_FALSE(simulation.run(caller, "c/1", "BEGIN").failure);
-        CHECK_FALSE(simulation.run(caller, "c/2", "WRITE 1 x").failure);
+        const auto caller = openTransaction(simulation);
         simulation.setEvacuatedZones({ palermo });
         simulation.advanceTime(500ms);
         CHECK_FALSE(simulation.run(caller, "c/3", "COMMIT").failure);
@@ -180,9 +178,7 @@
         // Guards against an abort whose rollback reaches the zone, and against a commit reported as done.
         PoolSimulation simulation { {} };
         placeInThreeZones(simulation);
-        const auto caller = simulation.connect();
-        CHECK_FALSE(simulation.run(caller, "c/1", "BEGIN").failure);
-        CHECK_FALSE(simulation.run(caller, "c/2", "WRITE 1 x").failure);
+        const auto caller = openTransaction(simulation);
         simulation.setEvacuatedZones({ palermo });
         std::size_t sent = 0;
         simulation.interceptStatement
@@ -201,9 +197,7 @@
     {
         PoolSimulation simulation { {} };
         placeInThreeZones(simulation);
-        const auto caller = simulation.connect();
-        CHECK_FALSE(simulation.run(caller, "c/1", "BEGIN").failure);
-        CHECK_FALSE(simulation.run(caller, "c/2", "WRITE 1 x").failure);
+        const auto caller = openTransaction(simulation);
         simulation.setEvacuatedZones({ palermo });
         simulation.advanceTime(900ms);
         simulation.setEvacuatedZones({});
--- a/tests/pooling/pool_simulation.cpp
+++ b/tests/pooling/pool_simulation.cpp
@@ -213,6 +213,13 @@
         this->executedStatements.end(), [&id](const ExecutedStatement& run) { return run.id == id; }));
 }
 
+std::size_t PoolSimulation::executionsAt(const std::string& upstream) const
+{
+    return static_cast<std::size_t>(std::count_if(this->executedStatements.begin(),
+        this->executedStatements.end(),
+        [name = UpstreamName { upstream }](const ExecutedStatement& run) { return run.upstream == name; }));
+}
+
 std::vector<std::map<std::string, std::string>> PoolSimulation::loggedEvents(const std::string& event) const
 {
     std::vector<std::map<std::string, std::string>> found;
--- a/tests/pooling/pool_simulation.h
+++ b/tests/pooling/pool_simulation.h
@@ -112,6 +112,8 @@
     /// The engines' view of the primary.
     [[nodiscard]] const LeaderView& leader() const { return this->view; }
     [[nodiscard]] std::size_t executionCount(const std::string& id) const;
+    /// Number of callers' statements that an upstream has executed.
+    [[nodiscard]] std::size_t executionsAt(const std::string& upstream) const;
     [[nodiscard]] bool committed(const std::string& id) const { return this->committedWrites.contains(id); }
 
     /// Holds back all connection attempts and statements to upstreams until deliverHeldActions().
