--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -148,6 +148,8 @@
     [[nodiscard]] LeaderView view() const;
     /// When the view was last confirmed by the store or by replicas; empty when it is not valid.
     [[nodiscard]] std::optional<Instant> viewConfirmedAt(Instant now) const;
+    /// When replicas or siblings last confirmed the view; Instant::min() when they have not.
+    [[nodiscard]] Instant replicasConfirmedView() const noexcept { return this->replicasConfirmedAt; }
     /// The revision of the record that the view was read from.
     [[nodiscard]] std::uint64_t recordRevision() const noexcept
     {
--- a/include/cyclamendrift/limits/limit_holders.h
+++ b/include/cyclamendrift/limits/limit_holders.h
@@ -30,6 +30,9 @@
     /// True when every VM holds a share of each limit.
     [[nodiscard]] bool includesAllVms() const noexcept;
 
+    /// False for a VM that holds no team's limit.
+    [[nodiscard]] bool mayHold(const VmName& vm) const;
+
     /// The VMs that hold a team's limit in equal shares, in a large fleet; every VM computes the same from
     /// the same list.
     [[nodiscard]] std::vector<VmName> holdersOf(const TeamName& team) const;
--- a/include/cyclamendrift/membership/store_reader_selector.h
+++ b/include/cyclamendrift/membership/store_reader_selector.h
@@ -31,6 +31,10 @@
     /// True for the store readers and their standbys, without VMs that do not answer.
     [[nodiscard]] bool isReaderOrStandby(const VmName& vm, Instant now) const;
 
+    /// The store readers and their standbys whether they answer this VM or not, the same on every VM.
+    [[nodiscard]] std::vector<VmName> roster() const;
+    [[nodiscard]] std::size_t readers() const noexcept { return this->readerCount; }
+
     /// A reader or standby other than `self`, another one at each turn; empty when there is none.
     [[nodiscard]] std::optional<VmName> candidateToAsk(
         const VmName& self, std::size_t turn, Instant now) const;
--- a/include/cyclamendrift/pooling/engine_actions.h
+++ b/include/cyclamendrift/pooling/engine_actions.h
@@ -97,6 +97,11 @@
     CallerId remoteSession {};
     Reply reply;
 };
+/// Keeps the view of the service's primary current at this VM, which runs statements of it. Requested again
+/// while the service is in use.
+struct FollowService {
+    ServiceName service;
+};
 /// An event for the log.
 struct LogEvent {
     std::string event;
@@ -105,6 +110,6 @@
 /// Any action of a SessionEngine.
 using EngineAction = std::variant<OpenConnection, SendStatement, CloseConnection, AcceptCaller, AnswerCaller,
     CloseCaller, RequestTokens, ForwardStatement, CheckOwnerLiveness, ReleaseRemoteSession,
-    AnswerRemoteSession, LogEvent>;
+    AnswerRemoteSession, FollowService, LogEvent>;
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -78,6 +78,12 @@
     Duration ownerReplyGrace = std::chrono::milliseconds { 50 };
     /// While this VM shuts down, a caller that has connected gets this much time to start its session.
     Duration sessionStartTimeout = std::chrono::milliseconds { 300 };
+    /// Interval at which this VM reports that it runs statements of a service.
+    Duration followInterval = std::chrono::seconds { 10 };
+    /// Pause between attempts to open a connection to an upstream that had none left; doubles with each
+    /// further refusal up to the maximum.
+    Duration fullUpstreamBackoff = std::chrono::milliseconds { 40 };
+    Duration maxFullUpstreamBackoff = std::chrono::milliseconds { 320 };
     /// Maximum number of statements that a caller may send ahead of their replies.
     std::size_t maxPipelinedStatements = 64;
 };
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -3,6 +3,7 @@
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/leadership/leader_coordinator.h>
 #include <cyclamendrift/limits/limit_shares.h>
+#include <cyclamendrift/membership/fleet_join.h>
 #include <cyclamendrift/platform/store.h>
 #include <cyclamendrift/session_proxy/ports.h>
 #include <cyclamendrift/session_proxy/session_traffic.h>
@@ -62,11 +63,22 @@
     Duration silentReaderBackoff = std::chrono::milliseconds { 1000 };
     /// The same for one that answers but cannot reach the store.
     Duration storelessReaderBackoff = std::chrono::milliseconds { 600 };
-    /// A VM that starts asks siblings for this long, at this interval, before it reads the store itself.
-    Duration bootstrapTimeout = std::chrono::milliseconds { 400 };
-    Duration bootstrapRetryInterval = std::chrono::milliseconds { 25 };
-    /// Time that a VM waits for its siblings' records on the first start of a system.
-    Duration firstStartDelay = std::chrono::milliseconds { 350 };
+    /// Time limit of a request to a store reader for readings that are known here already. Requests for whole
+    /// A list that has changed as a whole gets the time that it takes over this VM's link besides.
+    Duration readingsTimeout = std::chrono::milliseconds { 120 };
+    /// Time limit of a request for lists that this VM lacks.
+    Duration maxFirstListsTime = std::chrono::milliseconds { 2000 };
+    /// Pauses of a VM that starts and looks for the store readers.
+    FleetJoinSettings join;
+    /// On the first start of a system, VMs write their records within this time, the strongest ones first:
+    /// the store limits the calls of the whole fleet, and the strongest VMs read it for the others.
+    Duration firstRecordSpread = std::chrono::milliseconds { 1000 };
+    /// Interval at which a store reader compares the roster of store readers with the list of VMs; it doubles
+    /// from the minimum to the maximum while they agree.
+    Duration minRosterInterval = std::chrono::milliseconds { 600 };
+    Duration maxRosterInterval = std::chrono::milliseconds { 10000 };
+    /// Calls per second of the whole fleet to a store that does not answer in time; bounds the backoff.
+    double maxFailingCallsPerSecond = 80;
     /// Interval of the coordinators' ticks.
     Duration tickInterval = std::chrono::milliseconds { 50 };
 };
@@ -108,6 +120,8 @@
 
     /// True once routes, upstreams and primaries are known. On the control thread.
     [[nodiscard]] bool isReady() const;
+    /// Keeps the view of a service's primary current for the traffic thread; may be called on any thread.
+    void recordUse(ServiceName service);
     /// Answers a sibling's request for this VM's readings of the store; may be called on any thread.
     [[nodiscard]] asio::awaitable<std::string> shareReadings(std::string request);
     /// The text of the metrics page. On the control thread.
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -46,6 +46,8 @@
         std::function<void()> onDrained;
         /// Answers a sibling's request for this VM's readings of the store.
         std::function<asio::awaitable<std::string>(std::string)> shareReadings;
+        /// Called on the traffic thread when statements of a service are to run on this VM.
+        std::function<void(ServiceName)> onServiceUsed;
     };
 
     explicit SessionTraffic(Options options);
@@ -66,7 +68,8 @@
     void openSiblings(std::string secret);
     void setSiblings(SiblingList siblings);
     /// Requests a sibling's readings of the store; throws SiblingError or RequestError.
-    [[nodiscard]] asio::awaitable<std::string> requestReadings(SiblingAddress sibling, std::string request);
+    [[nodiscard]] asio::awaitable<std::string> requestReadings(
+        SiblingAddress sibling, std::string request, Duration timeLimit);
     /// Requests a report; `take` is called on the traffic thread.
     void report(std::function<void(TrafficReport)> take);
     /// Starts a graceful shutdown.
--- a/include/cyclamendrift/session_proxy/shared_listing.h
+++ b/include/cyclamendrift/session_proxy/shared_listing.h
@@ -76,6 +76,8 @@
     StoreListing listing;
     std::uint64_t digest = 0;
     std::deque<Earlier> earlier;
+    /// True once a sibling has asked; most VMs of a large fleet are never asked and keep no earlier states.
+    mutable bool isAsked = false;
     /// All entries in packed form; empty until a sibling requests them.
     mutable std::string packedEntries;
     Instant confirmed = Instant::min();
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -74,7 +74,8 @@
     void requestTokens(const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done);
 
     /// Requests a sibling's readings of the store; throws SiblingError or RequestError.
-    [[nodiscard]] asio::awaitable<std::string> requestReadings(SiblingAddress sibling, std::string request);
+    [[nodiscard]] asio::awaitable<std::string> requestReadings(
+        SiblingAddress sibling, std::string request, Duration timeLimit);
 
     /// Forwards a statement to an owner VM and reports its answer; on the traffic thread.
     void forward(
--- a/src/limits/limit_holders.cpp
+++ b/src/limits/limit_holders.cpp
@@ -45,6 +45,12 @@
 
 bool LimitHolders::includesAllVms() const noexcept { return this->listed.size() <= maxVmsThatAllHold; }
 
+bool LimitHolders::mayHold(const VmName& vm) const
+{
+    return std::find(this->holderCandidates.begin(), this->holderCandidates.end(), vm)
+        != this->holderCandidates.end();
+}
+
 std::vector<VmName> LimitHolders::holdersOf(const TeamName& team) const
 {
     auto holders = this->holderCandidates;
--- a/src/limits/limit_shares.cpp
+++ b/src/limits/limit_shares.cpp
@@ -61,8 +61,10 @@
     const std::map<TeamName, TeamLimit>& limits, const VmName& self, const LimitHolders& holders, Instant now)
 {
     this->removeOtherTeams(limits);
+    // In a large fleet most VMs hold no limit, and ranking the holders of every team would be in vain.
+    const bool mayHold = holders.mayHold(self);
     for (const auto& [team, limit] : limits) {
-        const auto teamHolders = holders.holdersOf(team);
+        const auto teamHolders = mayHold ? holders.holdersOf(team) : std::vector<VmName> {};
         TeamShare::Rule rule;
         if (std::find(teamHolders.begin(), teamHolders.end(), self) != teamHolders.end()) {
             const auto count = static_cast<double>(teamHolders.size());
--- /dev/null
+++ b/src/membership/fleet_join.cpp
@@ -0,0 +1,144 @@
+#include <cyclamendrift/membership/fleet_join.h>
+
+#include <cyclamendrift/core/stable_hash.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace cyclamendrift {
+
+namespace {
+
+// VMs of the roster that are asked before the roster is read again. An unreachable VM costs the whole time
+// limit of a request.
+constexpr std::size_t readersPerTurn = 3;
+constexpr std::size_t standbysPerTurn = 2;
+
+} // namespace
+
+FleetJoin::FleetJoin(Options given)
+    : options(std::move(given))
+    , random(static_cast<std::minstd_rand::result_type>(
+          stableHash(this->options.self.view()) ^ this->options.seed))
+    , takeoverDelay(
+          this->options.settings.takeoverDelay + this->randomPart(this->options.settings.takeoverDelay))
+{
+}
+
+Duration FleetJoin::randomPart(Duration duration)
+{
+    return std::chrono::duration_cast<Duration>(
+        duration * std::uniform_real_distribution<> { 0, 1 }(this->random));
+}
+
+void FleetJoin::pauseFrom(Instant now)
+{
+    const auto& settings = this->options.settings;
+    this->pause = std::clamp(this->pause * 2, settings.minPause, settings.maxPause);
+    this->waitUntil = now + this->pause / 2 + this->randomPart(this->pause / 2);
+}
+
+FleetJoin::Step FleetJoin::next(Instant now)
+{
+    if (this->joined)
+        return this->outcome;
+    if (now < this->waitUntil)
+        return Wait { this->waitUntil };
+    if (!this->rosterKnown)
+        return ReadRoster {};
+    if (this->writeNext)
+        return WriteRoster { .expectedRevision = this->roster.revision };
+    if (this->toAsk.empty()) {
+        // The roster may have changed since; it is read before a further turn.
+        this->rosterKnown = false;
+        this->pauseFrom(now);
+        return Wait { this->waitUntil };
+    }
+    return AskReader { this->toAsk.back() };
+}
+
+bool FleetJoin::mayTakeOver(Instant now) const
+{
+    return this->silentSince != Instant::max() && now >= this->silentSince + this->takeoverDelay;
+}
+
+void FleetJoin::rosterRead(ReaderRoster read, Instant now)
+{
+    const auto& settings = this->options.settings;
+    const bool unchanged = read.revision == this->roster.revision;
+    this->roster = std::move(read);
+    this->rosterKnown = true;
+    if (this->roster.vms.empty()) {
+        if (this->createAt == Instant::max()) {
+            const auto weakness = 1 - std::min(this->options.cores, 1.0);
+            this->createAt = now + std::chrono::duration_cast<Duration>(settings.weakVmDelay * weakness)
+                + this->randomPart(settings.firstStartSpread);
+            // The roster is read once more before it is written.
+            this->rosterKnown = false;
+            this->waitUntil = this->createAt;
+            return;
+        }
+        this->writeNext = now >= this->createAt;
+        return;
+    }
+    const auto readersEnd = this->roster.vms.begin()
+        + static_cast<std::ptrdiff_t>(std::min(this->roster.readers, this->roster.vms.size()));
+    if (std::find(this->roster.vms.begin(), readersEnd, this->options.self) != readersEnd) {
+        this->joined = true;
+        this->outcome = { .asReader = true };
+        return;
+    }
+    if (!unchanged)
+        this->silentSince = Instant::max();
+    if (unchanged && this->mayTakeOver(now)) {
+        this->writeNext = true;
+        return;
+    }
+    this->planAsking();
+}
+
+void FleetJoin::planAsking()
+{
+    const auto begin = this->roster.vms.begin();
+    const auto count = std::min(this->roster.readers, this->roster.vms.size());
+    const auto standbysBegin = begin + static_cast<std::ptrdiff_t>(count);
+    this->toAsk.clear();
+    std::sample(standbysBegin, this->roster.vms.end(), std::back_inserter(this->toAsk), standbysPerTurn,
+        this->random);
+    std::sample(begin, standbysBegin, std::back_inserter(this->toAsk), readersPerTurn, this->random);
+    std::erase(this->toAsk, this->options.self);
+}
+
+void FleetJoin::rosterWritten(Instant now)
+{
+    this->writeNext = false;
+    this->rosterKnown = false;
+    this->silentSince = Instant::max();
+    this->waitUntil = now;
+}
+
+void FleetJoin::attemptFailed(Instant now)
+{
+    this->rosterKnown = false;
+    this->writeNext = false;
+    this->pauseFrom(now);
+}
+
+void FleetJoin::readerAnswered(const VmName& reader, Answer answer, Instant now)
+{
+    std::erase(this->toAsk, reader);
+    if (answer == Answer::Lists) {
+        this->joined = true;
+        return;
+    }
+    if (answer == Answer::None) {
+        this->silentSince = std::min(this->silentSince, now);
+        return;
+    }
+    // The same reader will have the lists soon; a further one would be asked in vain.
+    this->silentSince = Instant::max();
+    this->toAsk.clear();
+}
+
+} // namespace cyclamendrift
--- a/src/membership/store_reader_selector.cpp
+++ b/src/membership/store_reader_selector.cpp
@@ -11,6 +11,8 @@
 // The pause grows because a request to a VM behind a partition costs its whole time limit.
 constexpr int maxPauseDoublings = 3;
 
+constexpr std::size_t readersWithStandbys(std::size_t readers) { return 2 * readers + 1; }
+
 } // namespace
 
 void StoreReaderSelector::setOrder(std::vector<VmName> vms, std::size_t count)
@@ -35,11 +37,18 @@
     return activeReaders[rank % activeReaders.size()];
 }
 
+std::vector<VmName> StoreReaderSelector::roster() const
+{
+    const auto end = this->order.begin()
+        + static_cast<std::ptrdiff_t>(std::min(this->order.size(), readersWithStandbys(this->readerCount)));
+    return { this->order.begin(), end };
+}
+
 std::vector<VmName> StoreReaderSelector::readersAndStandbys(Instant now) const
 {
     std::vector<VmName> next;
     for (const auto& vm : this->order) {
-        if (next.size() == 2 * this->readerCount + 1)
+        if (next.size() == readersWithStandbys(this->readerCount))
             break;
         if (!this->skippedReaders.contains(vm, now))
             next.push_back(vm);
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -22,6 +22,7 @@
     Reply greeting;
     greeting.progress = progress;
     this->recordAnswer(*connection, greeting);
+    this->upstreamOf(*connection).fullCount = 0;
     auto* session = connection->user ? this->findCaller(*connection->user) : nullptr;
     if (session == nullptr) {
         this->release(*connection);
@@ -40,7 +41,7 @@
     upstream.lastAnswer = this->now;
     upstream.failingSince.reset();
     if (error == StatementError::TooManyConnections)
-        upstream.noBorrowingUntil = this->now + this->options.settings.borrowBackoff;
+        this->recordFullUpstream(upstream);
     if (error == StatementError::WrongInstance)
         this->recordConnectFailure(upstream);
     auto* session = connection->user ? this->findCaller(*connection->user) : nullptr;
@@ -370,6 +371,19 @@
     this->connections.erase(static_cast<std::uint64_t>(id));
 }
 
+void SessionEngine::State::recordFullUpstream(UpstreamState& upstream)
+{
+    const auto& settings = this->options.settings;
+    upstream.noBorrowingUntil = this->now + settings.borrowBackoff;
+    // Attempts that were already in progress are part of the same refusal.
+    if (this->now < upstream.fullUntil)
+        return;
+    upstream.fullUntil = this->now
+        + exponentialBackoff(
+            settings.fullUpstreamBackoff, upstream.fullCount, settings.maxFullUpstreamBackoff);
+    ++upstream.fullCount;
+}
+
 void SessionEngine::State::recordConnectFailure(UpstreamState& upstream)
 {
     upstream.unreachableUntil = this->now
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -33,6 +33,7 @@
 void SessionEngine::State::enqueue(CallerSession& session)
 {
     auto& group = this->group(session.route.service);
+    this->followIfDue(group);
     if (group.view.phase == LeaderView::Phase::Changing && this->isLeaderless(group, session)) {
         this->refuse(session, StatementError::Busy,
             adviceText("the primary is being replaced", this->options.settings.primaryChangeRetryAfter));
@@ -44,9 +45,18 @@
         return;
     }
     group.waiting.push_back(session.id);
+    this->groupsWithWaiting.insert(group.name);
     this->dispatchWaiting(group);
 }
 
+void SessionEngine::State::followIfDue(GroupState& group)
+{
+    if (this->now < group.followAgainAt)
+        return;
+    group.followAgainAt = this->now + this->options.settings.followInterval;
+    this->actions.emplace_back(FollowService { group.name });
+}
+
 bool SessionEngine::State::isLeaderless(const GroupState& group, const CallerSession& session) const
 {
     // A read on a replica needs a position that was observed under a valid view of the primary. After a
@@ -229,8 +239,12 @@
 
 bool SessionEngine::State::canOpenConnection(const UpstreamState& upstream)
 {
-    return upstream.connections.size() < this->maxConnectionsAt(upstream)
-        || this->longestIdleConnection(upstream) != nullptr;
+    const bool hasIdle = this->longestIdleConnection(upstream) != nullptr;
+    // A connection that replaces an idle one takes its place at a full upstream.
+    const bool replacesIdle = hasIdle && upstream.connections.size() >= this->connectionsKeptAt(upstream);
+    if (this->now < upstream.fullUntil && !replacesIdle)
+        return false;
+    return hasIdle || upstream.connections.size() < this->maxConnectionsAt(upstream);
 }
 
 std::size_t SessionEngine::State::maxConnectionsAt(const UpstreamState& upstream) const
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -79,6 +79,8 @@
 
     // engine_dispatch
     void enqueue(CallerSession& session);
+    /// Requests the view of the group's primary, unless that was done recently.
+    void followIfDue(GroupState& group);
     void dispatchWaiting(GroupState& group);
     void runPinned(CallerSession& session);
     void serveSameTeam(PooledConnection& connection);
@@ -134,6 +136,8 @@
     Instant now;
     std::shared_ptr<const RouteTable> routes = std::make_shared<const RouteTable>();
     std::map<ServiceName, GroupState> groups;
+    /// Groups with statements that wait for a connection, so that a tick does not visit all groups.
+    std::set<ServiceName> groupsWithWaiting;
     std::unordered_map<std::uint64_t, CallerSession> callers;
     std::unordered_map<std::uint64_t, PooledConnection> connections;
     std::map<TeamName, Budget> budgets;
@@ -223,6 +227,8 @@
     void release(PooledConnection& connection);
     void close(PooledConnection& connection);
     void erase(ConnectionId id);
+    /// Records that the upstream had no connection left for this VM.
+    void recordFullUpstream(UpstreamState& upstream);
     void recordConnectFailure(UpstreamState& upstream);
     void recordAnswer(PooledConnection& connection, const Reply& reply);
     void recordNotRun(PooledConnection& connection, StatementError error);
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -81,6 +81,10 @@
     Instant laggingUntil = Instant::min();
     int laggingCount = 0;
     Instant noBorrowingUntil = Instant::min();
+    /// No connection is opened until then, because the upstream had none left.
+    Instant fullUntil = Instant::min();
+    /// Attempts that it refused for that reason since it last accepted one.
+    int fullCount = 0;
     Instant lastAnswer = Instant::min();
     std::optional<Instant> failingSince;
     ConcurrencyLimit limit;
@@ -126,6 +130,8 @@
     std::optional<LeadRefusal> leadRefusal;
     /// When an answer last contradicted the view.
     Instant contradictedAt = Instant::min();
+    /// When a statement that is to run here requests the view of the primary again.
+    Instant followAgainAt = Instant::min();
 
     /// True when recent answers have shown that the view's primary has been replaced. Renewing the view does
     /// not clear this; a view of another primary or of a later term does.
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -247,9 +247,14 @@
 
 void SessionEngine::State::tickGroups()
 {
-    for (auto& entry : this->groups) {
-        this->dispatchWaiting(entry.second);
-        this->refuseOverdueStatements(entry.second);
+    // Serving a statement may add groups with new waiting ones, so this iterates over a copy.
+    const auto services = this->groupsWithWaiting;
+    for (const auto& service : services) {
+        auto& group = this->group(service);
+        this->dispatchWaiting(group);
+        this->refuseOverdueStatements(group);
+        if (group.waiting.empty())
+            this->groupsWithWaiting.erase(service);
     }
     for (auto& entry : this->budgets)
         this->admitWaiting(entry.first, entry.second);
@@ -284,7 +289,12 @@
 {
     std::vector<UpstreamHealth> all;
     for (const auto& [service, group] : this->state->groups) {
+        // A contradiction that has ended is reported as well.
+        const bool contradictedOnce = group.contradictedAt != Instant::min();
         for (const auto& [name, upstream] : group.upstreams) {
+            const bool observed = upstream.lastAnswer != Instant::min() || upstream.failingSince;
+            if (!observed && !contradictedOnce)
+                continue;
             all.push_back({ .service = service,
                 .upstream = name,
                 .lastAnswer = upstream.lastAnswer,
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -77,7 +77,7 @@
             this->applyEvacuations();
         co_return found;
     } catch (const StoreError& error) {
-        static_cast<void>(this->configurationSource.failed(error.what()));
+        this->configurationBackoff = this->backoffAfter(this->configurationSource, error.what());
         co_return false;
     }
 }
@@ -147,16 +147,17 @@
         // Store readers may have lost the store themselves, so a configuration that nobody has confirmed for
         // a while is read here.
         const auto confirmedAt = std::min(self->configurationConfirmedAt, self->evacuations.confirmedAt());
-        const bool unconfirmed = bootNow() >= confirmedAt + settings.maxConfigurationAge;
-        if (self->isReader() || (unconfirmed && self->mayCallStore()))
+        if (self->isReader()
+            || self->mayReadList(confirmedAt, settings.maxConfigurationAge, self->configurationWithheldAt))
             current = co_await self->readConfiguration();
         if (current && self->isReader()) {
             co_await self->watchConfiguration();
             // Limits the rate of watches when the store ends each of them at once.
             co_await self->sleep(settings.rereadInterval);
         } else {
-            co_await self->sleep(
-                self->configurationSource.isLost() ? settings.maxBackoff / 2 : settings.rereadInterval);
+            co_await self->sleep(self->configurationSource.isLost()
+                    ? std::max(self->configurationBackoff, settings.maxBackoff / 2)
+                    : settings.rereadInterval);
         }
     }
 }
@@ -166,8 +167,9 @@
     const auto& settings = self->options.settings;
     while (!self->stopped) {
         auto pause = settings.directoryInterval;
-        const bool unconfirmed = bootNow() >= self->directoryListing.confirmedAt() + settings.maxDirectoryAge;
-        if (self->isReader() || (unconfirmed && self->mayCallStore())) {
+        if (self->isReader()
+            || self->mayReadList(
+                self->directoryListing.confirmedAt(), settings.maxDirectoryAge, self->directoryWithheldAt)) {
             if (const auto failed = co_await self->readDirectory())
                 pause = *failed;
         } else if (!self->missingSince.empty()) {
@@ -185,18 +187,21 @@
         // The first reading must be complete. Later ones may lag, because an upstream announces its shutdown
         // some seconds ahead.
         const auto askedAt = bootNow();
+        auto change = SharedListing::Change::None;
         if (!this->directoryRead) {
             auto [listing, provenAt] = co_await this->readProven(prefix);
-            static_cast<void>(this->directoryListing.takeReading(std::move(listing), provenAt));
+            change = this->directoryListing.takeReading(std::move(listing), provenAt);
         } else {
             auto listing = co_await this->store.listing(prefix, ReadFreshness::MayLag);
-            static_cast<void>(this->directoryListing.takeReading(std::move(listing), askedAt));
+            change = this->directoryListing.takeReading(std::move(listing), askedAt);
         }
+        const bool changed = change == SharedListing::Change::Entries;
         this->directorySource.succeeded();
-        this->applyDirectory();
+        if (changed || !this->missingSince.empty())
+            this->applyDirectory();
         co_return std::nullopt;
     } catch (const StoreError& error) {
-        co_return this->directorySource.failed(error.what());
+        co_return this->backoffAfter(this->directorySource, error.what());
     }
 }
 
@@ -251,15 +256,14 @@
     logEvent(LogLevel::Info, "directory_taken",
         { { "upstreams", std::to_string(this->directory.size()) }, { "leaving", leaving },
             { "revision", std::to_string(this->directoryListing.current().revision) } });
-    for (const auto& [service, members] : groups) {
-        const auto [coordinator, added] = this->coordinators.try_emplace(
-            service, LeaderCoordinator::Options { .vm = this->options.vm, .seed = this->options.process });
-        if (added)
-            coordinator->second.setEvacuatedZones(this->evacuatedZones);
-    }
+    this->services.clear();
+    for (const auto& [service, members] : groups)
+        this->services.insert(service);
+    this->followed.setServiceCount(this->services.size());
     for (auto& [service, coordinator] : this->coordinators)
         coordinator.onDirectory(groups[service], bootNow());
     this->options.traffic.setDirectory(this->directory);
+    this->updateFollowed(bootNow());
     // The leadership record of a new group may have been read already.
     if (this->leadership.confirmedAt() != Instant::min())
         this->applyLeadership(this->leadershipReadFrom);
--- /dev/null
+++ b/src/session_proxy/control_join.cpp
@@ -0,0 +1,232 @@
+#include "control_state.h"
+
+#include <cyclamendrift/core/stable_hash.h>
+#include <cyclamendrift/platform/store_error.h>
+#include <cyclamendrift/runtime/boot_clock.h>
+#include <cyclamendrift/telemetry/event_log.h>
+
+#include <leadership.pb.h>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+// How a VM that starts finds the store readers, and the roster that names them.
+namespace cyclamendrift {
+
+namespace {
+
+/// The secret that siblings present to each other; only VMs with access to the store can read it.
+std::string generateSecret()
+{
+    constexpr std::size_t words = 8;
+    std::random_device source;
+    std::string secret;
+    for (std::size_t index = 0; index < words; ++index)
+        secret += std::to_string(source()) + '.';
+    return secret;
+}
+
+void write(const SiblingInfo& sibling, wire::VmRecord& record)
+{
+    record.set_name(sibling.address.vm.string());
+    record.set_availability_zone(sibling.capacity.zone.string());
+    record.set_sibling_host(sibling.address.host);
+    record.set_sibling_port(sibling.address.port);
+    record.set_cores(sibling.capacity.cores);
+}
+
+} // namespace
+
+asio::awaitable<ReaderRoster> SessionControl::State::fetchRoster()
+{
+    // Both keys may be read with a lag: the secret never changes, and a swap of the roster names the revision
+    // that was read.
+    const auto listed = co_await this->store.listing(store_key::siblingPrefix, ReadFreshness::MayLag);
+    ReaderRoster next;
+    SiblingList vms;
+    bool hasSecret = false;
+    for (const auto& entry : listed.entries) {
+        if (entry.key == store_key::siblingSecret) {
+            hasSecret = true;
+            this->openSiblings(entry.value);
+        } else if (entry.key == store_key::readerRoster) {
+            next.revision = entry.revision;
+            wire::ReaderRoster message;
+            if (!message.ParseFromString(entry.value)) {
+                logEvent(LogLevel::Error, "store_readers_unreadable", { { "key", entry.key } });
+                continue;
+            }
+            next.readers = message.readers();
+            for (const auto& vm : message.vms()) {
+                next.vms.emplace_back(vm.name());
+                vms.emplace(next.vms.back(), siblingFrom(vm));
+            }
+        }
+    }
+    // Without the secret no VM of the roster can be asked; whoever writes the roster writes both.
+    if (!hasSecret)
+        next.vms.clear();
+    this->rosterVms = std::move(vms);
+    this->roster = next;
+    co_return next;
+}
+
+asio::awaitable<void> SessionControl::State::writeRoster(const ReaderRoster& next)
+{
+    wire::ReaderRoster message;
+    message.set_readers(static_cast<std::uint32_t>(next.readers));
+    for (const auto& vm : next.vms) {
+        const auto listed = this->siblings.find(vm);
+        if (listed != this->siblings.end())
+            write(listed->second, *message.add_vms());
+    }
+    SwapOptions swap { .key = store_key::readerRoster,
+        .expectedRevision = next.revision,
+        .value = message.SerializeAsString() };
+    const auto outcome = co_await this->store.compareAndSwap(std::move(swap));
+    logEvent(LogLevel::Info, "store_readers_written",
+        { { "vms", std::to_string(next.vms.size()) }, { "readers", std::to_string(next.readers) },
+            { "taken", std::holds_alternative<Swapped>(outcome) ? "yes" : "no" } });
+}
+
+asio::awaitable<void> SessionControl::State::readRoster(FleetJoin& join)
+{
+    try {
+        auto next = co_await this->fetchRoster();
+        // Until the list of VMs arrives, these are the only siblings that are known.
+        if (this->vms.confirmedAt() == Instant::min()) {
+            this->siblings = this->rosterVms;
+            this->readerSelector.setOrder(next.vms, std::max<std::size_t>(next.readers, 1));
+        }
+        join.rosterRead(std::move(next), bootNow());
+    } catch (const StoreError& error) {
+        logEvent(LogLevel::Warn, "store_readers_not_found", { { "reason", error.what() } });
+        join.attemptFailed(bootNow());
+    }
+}
+
+asio::awaitable<void> SessionControl::State::writeFirstRoster(FleetJoin& join, std::uint64_t expectedRevision)
+{
+    wire::VmRecord own;
+    const bool readable = own.ParseFromString(this->ownRecord({}));
+    this->siblings.insert_or_assign(this->options.vm, readable ? siblingFrom(own) : SiblingInfo {});
+    ReaderRoster next { .vms = { this->options.vm }, .readers = 1, .revision = expectedRevision };
+    // The VMs that could not be reached may be cut off from this VM alone, so they stay as standbys.
+    for (const auto& [vm, sibling] : this->rosterVms) {
+        if (vm != this->options.vm)
+            next.vms.push_back(vm);
+    }
+    try {
+        SwapOptions secret {
+            .key = store_key::siblingSecret, .expectedRevision = 0, .value = generateSecret()
+        };
+        if (!this->siblingsOpen)
+            static_cast<void>(co_await this->store.compareAndSwap(std::move(secret)));
+        co_await this->writeRoster(next);
+        join.rosterWritten(bootNow());
+    } catch (const StoreError& error) {
+        logEvent(LogLevel::Warn, "store_readers_not_written", { { "reason", error.what() } });
+        join.attemptFailed(bootNow());
+    }
+}
+
+asio::awaitable<void> SessionControl::State::findEarlierRecord()
+{
+    const auto key = store_key::vmPrefix + this->options.vm.string();
+    try {
+        const auto listed = co_await this->store.listing(key, ReadFreshness::MayLag);
+        const auto own = std::find_if(listed.entries.begin(), listed.entries.end(),
+            [&key](const StoreEntry& entry) { return entry.key == key; });
+        if (own != listed.entries.end())
+            this->earlierRecord = *own;
+    } catch (const StoreError& error) {
+        // A new record replaces it.
+        logEvent(LogLevel::Info, "earlier_record_left", { { "reason", error.what() } });
+    }
+}
+
+asio::awaitable<void> SessionControl::State::perform(FleetJoin& join, FleetJoin::Step step)
+{
+    // Not std::visit: GCC 12 destroys the frame of a coroutine lambda too early there.
+    if (std::holds_alternative<FleetJoin::ReadRoster>(step)) {
+        co_await this->readRoster(join);
+    } else if (const auto* write = std::get_if<FleetJoin::WriteRoster>(&step)) {
+        co_await this->writeFirstRoster(join, write->expectedRevision);
+    } else if (const auto* wait = std::get_if<FleetJoin::Wait>(&step)) {
+        co_await this->sleep(wait->until - bootNow());
+    } else if (const auto* ask = std::get_if<FleetJoin::AskReader>(&step)) {
+        using Answer = FleetJoin::Answer;
+        const auto vm = ask->reader;
+        const auto answer = co_await this->askReader(this->rosterVms.at(vm).address);
+        join.readerAnswered(vm,
+            answer == ReaderAnswer::Fresh      ? Answer::Lists
+                : answer == ReaderAnswer::None ? Answer::None
+                                               : Answer::NotYet,
+            bootNow());
+    }
+}
+
+asio::awaitable<void> SessionControl::State::bootstrap(std::shared_ptr<State> self)
+{
+    FleetJoin join { { .self = self->options.vm,
+        .cores = self->options.cores,
+        .seed = self->options.process,
+        .settings = self->options.settings.join } };
+    // Spreads the VMs over the readers until the list of VMs gives each its rank.
+    self->place.rank = stableHash(self->options.vm.view()) % self->options.settings.vmsPerReader;
+    bool recordStarted = false;
+    while (!self->stopped) {
+        auto step = join.next(bootNow());
+        if (std::holds_alternative<FleetJoin::Joined>(step))
+            break;
+        co_await self->perform(join, std::move(step));
+        // Siblings cannot reach this VM before its record is written.
+        const bool found = join.foundNoRoster() || !self->roster.vms.empty();
+        if (found && !recordStarted) {
+            recordStarted = true;
+            self->isFirstStart = !self->siblingsOpen;
+            if (!self->isFirstStart)
+                co_await self->findEarlierRecord();
+            self->spawn(keepRecord(self));
+        }
+    }
+    self->bootstrapped = true;
+    self->spawn(followLeadership(self));
+    self->spawn(followConfiguration(self));
+    self->spawn(followDirectory(self));
+    self->spawn(keepLease(self));
+    self->spawn(followVms(self));
+    self->spawn(followRoster(self));
+}
+
+asio::awaitable<void> SessionControl::State::followRoster(std::shared_ptr<State> self)
+{
+    const auto& settings = self->options.settings;
+    auto pause = settings.minRosterInterval;
+    while (!self->stopped) {
+        co_await self->sleep(pause / 2 + self->randomPart(pause));
+        const auto& known = self->roster.vms;
+        const bool named = std::find(known.begin(), known.end(), self->options.vm) != known.end();
+        if (!named && !self->isReader())
+            continue;
+        ReaderRoster wanted { .vms = self->readerSelector.roster(),
+            .readers = self->readerSelector.readers() };
+        // The order is that of the roster until the list of VMs was read.
+        if (self->vms.confirmedAt() == Instant::min() || wanted.vms.empty())
+            continue;
+        try {
+            const auto written = co_await self->fetchRoster();
+            const bool same = written.vms == wanted.vms && written.readers == wanted.readers;
+            pause = same ? std::min(pause * 2, settings.maxRosterInterval) : settings.minRosterInterval;
+            wanted.revision = written.revision;
+            if (!same)
+                co_await self->writeRoster(wanted);
+        } catch (const StoreError& error) {
+            logEvent(LogLevel::Debug, "store_readers_not_compared", { { "reason", error.what() } });
+            pause = settings.maxRosterInterval;
+        }
+    }
+}
+
+} // namespace cyclamendrift
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Interval of checks for services whose primary no longer has to be tracked here.
+constexpr Duration followedUpdateInterval = std::chrono::milliseconds { 1000 };
+
 void logLeadershipEvent(const ServiceName& service, const LogLeadershipEvent& note)
 {
     std::vector<LogField> fields { { "service", service.string() } };
@@ -31,7 +34,7 @@
         this->applyLeadership(ViewSource::Store);
         co_return std::nullopt;
     } catch (const StoreError& error) {
-        co_return this->leadershipSource.failed(error.what());
+        co_return this->backoffAfter(this->leadershipSource, error.what());
     }
 }
 
@@ -59,54 +62,87 @@
     }
 }
 
-void SessionControl::State::applyLeadership(ViewSource source)
+std::map<ServiceName, LeadershipSnapshot> SessionControl::State::snapshotsOf(
+    const std::set<ServiceName>& wanted) const
 {
-    this->leadershipReadFrom = source;
-    const auto askedAt = this->leadership.confirmedAt();
     std::map<ServiceName, LeadershipSnapshot> snapshots;
-    for (auto& [service, coordinator] : this->coordinators) {
-        snapshots[service].askedAt = askedAt;
-        snapshots[service].source = source;
+    for (const auto& service : wanted) {
+        auto& snapshot = snapshots[service];
+        snapshot.askedAt = this->leadership.confirmedAt();
+        snapshot.source = this->leadershipReadFrom;
     }
     for (const auto& entry : this->leadership.current().entries) {
-        const std::string_view key { entry.key };
-        if (key.starts_with(store_key::recordPrefix)) {
-            const ServiceName service { entry.key.substr(
-                std::string_view { store_key::recordPrefix }.size()) };
+        const bool isRecord = entry.key.starts_with(store_key::recordPrefix);
+        if (!isRecord && !entry.key.starts_with(store_key::coordinatorLeasePrefix))
+            continue;
+        const std::string_view prefix { isRecord ? store_key::recordPrefix
+                                                 : store_key::coordinatorLeasePrefix };
+        const auto match = snapshots.find(ServiceName { entry.key.substr(prefix.size()) });
+        // Reading only what is tracked here keeps the work of a VM independent of the number of services.
+        if (match == snapshots.end())
+            continue;
+        auto& snapshot = match->second;
+        if (isRecord) {
             try {
-                snapshots[service].record = LeadershipRecord::decode(entry.value);
-                snapshots[service].recordRevision = entry.revision;
+                snapshot.record = LeadershipRecord::decode(entry.value);
+                snapshot.recordRevision = entry.revision;
             } catch (const LeadershipError& error) {
                 logEvent(LogLevel::Error, "record_unreadable",
                     { { "key", entry.key }, { "reason", error.what() } });
             }
-        } else if (key.starts_with(store_key::coordinatorLeasePrefix)) {
-            const ServiceName service { entry.key.substr(
-                std::string_view { store_key::coordinatorLeasePrefix }.size()) };
+        } else {
             // The key is never rewritten, so its revision is that of its creation and increases with each
             // holder.
-            snapshots[service].coordinatorLease = CoordinatorLease {
+            snapshot.coordinatorLease = CoordinatorLease {
                 .holder = VmName { entry.value }, .token = entry.revision, .revision = entry.revision
             };
         }
     }
+    return snapshots;
+}
+
+void SessionControl::State::applyLeadership(ViewSource source)
+{
+    this->leadershipReadFrom = source;
+    std::set<ServiceName> tracked;
+    for (const auto& [service, coordinator] : this->coordinators)
+        tracked.insert(service);
+    const auto snapshots = this->snapshotsOf(tracked);
     const auto now = bootNow();
     for (auto& [service, coordinator] : this->coordinators)
-        coordinator.onSnapshot(snapshots[service], now);
-    this->leadershipRead = !this->coordinators.empty();
+        coordinator.onSnapshot(snapshots.at(service), now);
+    this->leadershipRead = !this->services.empty();
     this->tick();
 }
 
+bool SessionControl::State::everyServiceHasRecord() const
+{
+    std::set<ServiceName> recorded;
+    for (const auto& entry : this->leadership.current().entries) {
+        if (entry.key.starts_with(store_key::recordPrefix))
+            recorded.emplace(entry.key.substr(std::string_view { store_key::recordPrefix }.size()));
+    }
+    return std::includes(recorded.begin(), recorded.end(), this->services.begin(), this->services.end());
+}
+
+LeaderCoordinator* SessionControl::State::coordinatorOf(const ServiceName& service)
+{
+    const auto match = this->coordinators.find(service);
+    return match == this->coordinators.end() ? nullptr : &match->second;
+}
+
 void SessionControl::State::tick()
 {
     if (this->whenReady && this->isReady())
         std::exchange(this->whenReady, nullptr)();
     const auto now = bootNow();
-    std::size_t index = 0;
-    const bool vouches = !this->siblingsOpen || this->readerSelector.isReaderOrStandby(this->options.vm, now);
+    this->followed.setConfirmsForSiblings(
+        !this->siblingsOpen || this->readerSelector.isReaderOrStandby(this->options.vm, now));
+    if (now >= this->followedUpdatedAt + followedUpdateInterval)
+        this->updateFollowed(now);
+    const bool vouches = this->followed.confirms();
     for (auto& [service, coordinator] : this->coordinators) {
-        // The ranks differ from group to group, which spreads the coordinator leases over the VMs.
-        coordinator.setRank((this->place.rank + index++) % std::max<std::size_t>(this->place.vms, 1));
+        coordinator.setRank(this->followed.rankFor(service));
         coordinator.setVmLeaseExpiry(this->leaseUntil);
         coordinator.setConfirmsForSiblings(vouches);
         for (const auto& action : coordinator.tick(now))
@@ -175,7 +211,8 @@
         }
         void operator()(const PublishView& leader) const
         {
-            this->control.options.traffic.setLeader(this->service, leader.view);
+            if (this->control.followed.isUsed(this->service, bootNow()))
+                this->control.options.traffic.setLeader(this->service, leader.view);
         }
         void operator()(const LogLeadershipEvent& note) const { logLeadershipEvent(this->service, note); }
 
@@ -190,17 +227,19 @@
 asio::awaitable<void> SessionControl::State::order(
     std::shared_ptr<State> self, ServiceName service, UpstreamName upstream, UpstreamOrder order)
 {
-    const auto entry = std::find_if(self->directory.begin(), self->directory.end(),
-        [&upstream](const UpstreamEntry& candidate) { return candidate.name == upstream; });
-    if (entry == self->directory.end())
+    const auto entry = std::lower_bound(self->directory.begin(), self->directory.end(), upstream,
+        [](const UpstreamEntry& candidate, const UpstreamName& name) { return candidate.name < name; });
+    if (entry == self->directory.end() || entry->name != upstream)
         co_return;
     const auto askedAt = bootNow();
     const auto status = co_await self->options.leadership.order(*entry, order);
-    auto& coordinator = self->coordinators.at(service);
+    auto* coordinator = self->coordinatorOf(service);
+    if (coordinator == nullptr)
+        co_return;
     if (status)
-        coordinator.onStatus(upstream, *status, askedAt, bootNow());
+        coordinator->onStatus(upstream, *status, askedAt, bootNow());
     else
-        coordinator.onStatusFailed(upstream, bootNow());
+        coordinator->onStatusFailed(upstream, bootNow());
 }
 
 asio::awaitable<void> SessionControl::State::acquireCoordinatorLease(
@@ -252,8 +291,9 @@
         logEvent(LogLevel::Info, "record_written",
             { { "service", service.string() }, { "change", change.record.changeId },
                 { "outcome", swapped != nullptr ? "done" : "conflict" } });
-        if (swapped != nullptr)
-            self->coordinators.at(service).onRecordWritten(change.record, swapped->revision, bootNow());
+        auto* coordinator = self->coordinatorOf(service);
+        if (swapped != nullptr && coordinator != nullptr)
+            coordinator->onRecordWritten(change.record, swapped->revision, bootNow());
     } catch (const StoreError& error) {
         // The next reading shows whether the write took effect.
         logEvent(LogLevel::Warn, "record_unknown",
@@ -279,8 +319,9 @@
                 answer == Answer::Accepted         ? "accepted"
                     : answer == Answer::NotRunning ? "not running"
                                                    : "none" } });
-    if (answer == Answer::NotRunning)
-        self->coordinators.at(service).onPromotionRefused(change.upstream);
+    auto* coordinator = self->coordinatorOf(service);
+    if (answer == Answer::NotRunning && coordinator != nullptr)
+        coordinator->onPromotionRefused(change.upstream);
 }
 
 } // namespace cyclamendrift
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -7,27 +7,12 @@
 #include <leadership.pb.h>
 
 #include <algorithm>
-#include <random>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace cyclamendrift {
 
-namespace {
-
-/// The secret that siblings present to each other; only VMs with access to the store can read it.
-std::string generateSecret()
-{
-    constexpr std::size_t words = 8;
-    std::random_device source;
-    std::string secret;
-    for (std::size_t index = 0; index < words; ++index)
-        secret += std::to_string(source()) + '.';
-    return secret;
-}
-
-} // namespace
-
 SiblingList siblingsFrom(const StoreListing& listing)
 {
     SiblingList next;
@@ -37,18 +22,23 @@
             logEvent(LogLevel::Error, "vm_record_unreadable", { { "key", entry.key } });
             continue;
         }
-        const VmName vm { record.name() };
-        auto& sibling = next[vm];
-        sibling.address = {
-            .vm = vm, .host = record.sibling_host(), .port = static_cast<std::uint16_t>(record.sibling_port())
-        };
-        sibling.capacity = { .zone = ZoneName { record.availability_zone() }, .cores = record.cores() };
-        for (const auto& team : record.demand())
-            sibling.demand[TeamName { team.team() }] = team.operations_per_second();
+        next[VmName { record.name() }] = siblingFrom(record);
     }
     return next;
 }
 
+SiblingInfo siblingFrom(const wire::VmRecord& record)
+{
+    SiblingInfo sibling;
+    sibling.address = { .vm = VmName { record.name() },
+        .host = record.sibling_host(),
+        .port = static_cast<std::uint16_t>(record.sibling_port()) };
+    sibling.capacity = { .zone = ZoneName { record.availability_zone() }, .cores = record.cores() };
+    for (const auto& team : record.demand())
+        sibling.demand[TeamName { team.team() }] = team.operations_per_second();
+    return sibling;
+}
+
 asio::awaitable<void> SessionControl::State::keepLease(std::shared_ptr<State> self)
 {
     const auto& settings = self->options.settings;
@@ -85,7 +75,7 @@
                     coordinator.onVmLeaseExpired(bootNow());
                 pause = settings.minBackoff;
             } else {
-                pause = self->leaseSource.failed(error.what());
+                pause = self->backoffAfter(self->leaseSource, error.what());
             }
         }
         co_await self->sleep(pause);
@@ -102,6 +92,11 @@
 {
     const auto& settings = self->options.settings;
     Instant renewAt = Instant::min();
+    if (self->isFirstStart) {
+        const auto weakness = 1 - std::min(self->options.cores, 1.0);
+        co_await self->sleep(std::chrono::duration_cast<Duration>(settings.firstRecordSpread / 2 * weakness)
+            + self->randomPart(settings.firstRecordSpread / 2));
+    }
     while (!self->stopped) {
         // Siblings cannot reach this VM before its record is written, so the first attempts are more
         // frequent.
@@ -120,10 +115,9 @@
                 renewAt = bootNow() + settings.recordLeaseRenewal;
             }
             co_await self->publishOwnRecord();
-            co_await self->fetchSecret();
             self->recordSource.succeeded();
         } catch (const StoreError& error) {
-            pause = self->recordSource.failed(error.what());
+            pause = self->backoffAfter(self->recordSource, error.what());
             if (error.kind() == StoreError::Kind::LeaseGone) {
                 self->recordLease = LeaseId::None;
                 pause = settings.minBackoff;
@@ -205,32 +199,6 @@
     this->ownRecordRevision = current ? current->revision : 0;
 }
 
-asio::awaitable<void> SessionControl::State::fetchSecret()
-{
-    if (this->siblingsOpen)
-        co_return;
-    // The secret never changes, so a listing that lags contains either it or nothing.
-    std::optional<StoreEntry> entry;
-    const auto listed = co_await this->store.listing(store_key::siblingSecret, ReadFreshness::MayLag);
-    if (!listed.entries.empty())
-        entry = listed.entries.front();
-    else
-        entry = co_await this->store.get(store_key::siblingSecret);
-    if (!entry) {
-        SwapOptions swap {
-            .key = store_key::siblingSecret, .expectedRevision = 0, .value = generateSecret()
-        };
-        const auto outcome = co_await this->store.compareAndSwap(std::move(swap));
-        if (std::holds_alternative<SwapConflict>(outcome))
-            entry = std::get<SwapConflict>(outcome).current;
-        else
-            entry = co_await this->store.get(store_key::siblingSecret);
-    }
-    if (!entry)
-        co_return;
-    this->openSiblings(entry->value);
-}
-
 void SessionControl::State::openSiblings(const std::string& secret)
 {
     if (!std::exchange(this->siblingsOpen, true))
@@ -242,15 +210,15 @@
     const auto& settings = self->options.settings;
     while (!self->stopped) {
         auto pause = settings.vmListInterval;
-        const bool told = !self->isReader() && bootNow() < self->vms.confirmedAt() + settings.maxVmListAge;
-        if (!told && self->mayCallStore()) {
+        if (self->isReader()
+            || self->mayReadList(self->vms.confirmedAt(), settings.maxVmListAge, self->vmsWithheldAt)) {
             try {
                 auto [listing, provenAt] = co_await self->readProven(store_key::vmPrefix);
                 self->vmSource.succeeded();
                 if (self->vms.takeReading(std::move(listing), provenAt) == SharedListing::Change::Entries)
                     self->applyVms();
             } catch (const StoreError& error) {
-                pause = std::max(pause, self->vmSource.failed(error.what()));
+                pause = std::max(pause, self->backoffAfter(self->vmSource, error.what()));
             }
         }
         if (self->missingVms.hasPending())
@@ -286,6 +254,11 @@
     const auto capacities = capacitiesOf(this->siblings);
     this->holders = LimitHolders { capacities };
     this->chooseReaders(capacities);
+    std::vector<VmName> names;
+    names.reserve(capacities.size());
+    for (const auto& [vm, capacity] : capacities)
+        names.push_back(vm);
+    this->followed.setVms(names);
     const auto own = this->siblings.find(this->options.vm);
     const bool listed = own != this->siblings.end();
     if (listed && this->publishedUnder == LeaseId::None)
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -11,7 +11,6 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <iterator>
 #include <utility>
 
 namespace cyclamendrift {
@@ -36,63 +35,39 @@
 
 bool SessionControl::State::isReader() const { return !this->readerToAsk(); }
 
-asio::awaitable<bool> SessionControl::State::findSiblings()
+bool SessionControl::State::mayCallStore()
 {
-    // A listing that lags may name VMs that no longer exist, which costs a request without an answer. The
-    // readings themselves come from siblings or from linearizable reads.
-    StoreListing secret;
-    StoreListing listed;
-    try {
-        secret = co_await this->store.listing(store_key::siblingSecret, ReadFreshness::MayLag);
-        listed = co_await this->store.listing(store_key::vmPrefix, ReadFreshness::MayLag);
-    } catch (const StoreError& error) {
-        logEvent(LogLevel::Warn, "siblings_not_found", { { "reason", error.what() } });
-    }
-    if (secret.entries.empty() || listed.entries.empty())
-        co_return false;
-    const auto own = std::find_if(listed.entries.begin(), listed.entries.end(),
-        [key = store_key::vmPrefix + this->options.vm.string()](
-            const StoreEntry& entry) { return entry.key == key; });
-    if (own != listed.entries.end())
-        this->earlierRecord = *own;
-    this->siblings = siblingsFrom(listed);
-    this->place.rank = static_cast<std::size_t>(
-        std::distance(this->siblings.begin(), this->siblings.lower_bound(this->options.vm)));
-    this->chooseReaders(capacitiesOf(this->siblings));
-    this->openSiblings(secret.entries.front().value);
-    co_return true;
+    const auto now = bootNow();
+    return !this->siblingsOpen || this->readerSelector.isReaderOrStandby(this->options.vm, now)
+        || !this->readerSelector.storeSeemsUnavailable(now) || this->storeThrottle.allowCall(now);
 }
 
-asio::awaitable<void> SessionControl::State::bootstrap(std::shared_ptr<State> self)
+bool SessionControl::State::mayReadList(Instant confirmedAt, Duration maxAge, Instant withheldAt)
 {
-    const auto& settings = self->options.settings;
-    const bool found = co_await self->findSiblings();
-    self->spawn(keepRecord(self));
-    // When all VMs start for the first time, each writes its record before it looks for the others.
-    if (!found) {
-        self->isFirstStart = true;
-        co_await self->sleep(settings.firstStartDelay);
-        static_cast<void>(co_await self->findSiblings());
-    }
-    const auto askSiblingsUntil = bootNow() + settings.bootstrapTimeout;
-    while (!self->stopped && !self->isReader() && bootNow() < askSiblingsUntil) {
-        if (co_await self->askReaders(settings.bootstrapRetryInterval))
-            break;
-        co_await self->sleep(settings.bootstrapRetryInterval);
-    }
-    self->bootstrapped = true;
-    self->spawn(followLeadership(self));
-    self->spawn(followConfiguration(self));
-    self->spawn(followDirectory(self));
-    self->spawn(keepLease(self));
-    self->spawn(followVms(self));
+    const auto now = bootNow();
+    if (now < confirmedAt + maxAge)
+        return false;
+    // The reader has the list and sends it as soon as its link has capacity. If every VM that waits read the
+    // list from the store instead, they would take the store's link from everybody.
+    if (now < withheldAt + maxAge)
+        return false;
+    return this->mayCallStore();
 }
 
-bool SessionControl::State::mayCallStore()
+Duration SessionControl::State::readingsTimeLimit() const
 {
-    const auto now = bootNow();
-    return !this->siblingsOpen || this->readerSelector.isReaderOrStandby(this->options.vm, now)
-        || !this->readerSelector.storeSeemsUnavailable(now) || this->storeThrottle.allowCall(now);
+    const auto& settings = this->options.settings;
+    // What an entry of a list takes on the wire, packed.
+    constexpr double bytesPerEntry = 64;
+    std::size_t entries = 0;
+    for (const auto* listing : { &this->leadership, &this->vms, &this->directoryListing }) {
+        if (listing->confirmedAt() == Instant::min())
+            return settings.maxFirstListsTime;
+        entries += listing->current().entries.size();
+    }
+    const std::chrono::duration<double> transfer { static_cast<double>(entries) * bytesPerEntry
+        / this->options.linkBytesPerSecond };
+    return settings.readingsTimeout + std::chrono::duration_cast<Duration>(transfer);
 }
 
 asio::awaitable<bool> SessionControl::State::askReaders(Duration pause)
@@ -145,8 +120,8 @@
     const auto askedAt = bootNow();
     wire::ReadingsAnswer answer;
     try {
-        const auto body
-            = co_await this->options.traffic.requestReadings(address, request.SerializeAsString());
+        const auto body = co_await this->options.traffic.requestReadings(
+            address, request.SerializeAsString(), this->readingsTimeLimit());
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
         this->applyReadings(answer, askedAt);
@@ -165,7 +140,7 @@
 bool SessionControl::State::viewsAreFresh(Duration usable) const
 {
     const auto now = bootNow();
-    return !this->coordinators.empty()
+    return !this->services.empty()
         && std::all_of(this->coordinators.begin(), this->coordinators.end(), [now, usable](const auto& item) {
                const auto viewConfirmedAt = item.second.viewConfirmedAt(now);
                return viewConfirmedAt && now - *viewConfirmedAt < usable;
@@ -175,8 +150,12 @@
 void SessionControl::State::applyReadings(const wire::ReadingsAnswer& answer, Instant askedAt)
 {
     // Upstreams come first, because leadership records are assigned to their groups.
-    if (this->directoryListing.takeAnswer(answer.directory(), askedAt) != SharedListing::Change::None)
+    if (this->directoryListing.takeAnswer(answer.directory(), askedAt) == SharedListing::Change::Entries)
         this->applyDirectory();
+    if (answer.directory().withheld())
+        this->directoryWithheldAt = askedAt;
+    if (answer.vms().withheld())
+        this->vmsWithheldAt = askedAt;
     const auto confirmedBefore = this->leadership.confirmedAt();
     const auto change = this->leadership.takeAnswer(answer.leadership(), askedAt);
     if (change == SharedListing::Change::Entries || this->leadership.confirmedAt() > confirmedBefore)
@@ -191,6 +170,8 @@
     if (this->evacuations.takeAnswer(answer.evacuations(), askedAt) == SharedListing::Change::Entries)
         this->applyEvacuations();
     const auto& configuration = answer.configuration();
+    if (configuration.entries_size() == 0 && configuration.revision() > this->configurationRevision)
+        this->configurationWithheldAt = askedAt;
     if (configuration.entries_size() > 0) {
         const auto& document = configuration.entries(0);
         this->applyConfiguration(
@@ -205,8 +186,10 @@
 {
     const auto now = bootNow();
     for (const auto& [service, coordinator] : this->coordinators) {
+        if (coordinator.replicasConfirmedView() <= this->leadership.confirmedAt())
+            continue;
         const auto viewConfirmedAt = coordinator.viewConfirmedAt(now);
-        if (!viewConfirmedAt || *viewConfirmedAt <= this->leadership.confirmedAt())
+        if (!viewConfirmedAt)
             continue;
         auto& view = *answer.add_views();
         view.set_service(service.string());
@@ -234,11 +217,18 @@
     return this->configurationPacked;
 }
 
+bool SessionControl::State::hasAllReadings() const
+{
+    const auto listings = { &this->leadership, &this->vms, &this->directoryListing, &this->evacuations };
+    return std::all_of(listings.begin(), listings.end(),
+        [](const SharedListing* listing) { return listing->confirmedAt() != Instant::min(); });
+}
+
 asio::awaitable<std::string> SessionControl::State::shareReadings(
     std::shared_ptr<State> self, std::string body)
 {
     wire::ReadingsRequest request;
-    if (!request.ParseFromString(body) || self->leadership.confirmedAt() == Instant::min()) {
+    if (!request.ParseFromString(body) || !self->hasAllReadings()) {
         throw notRun(RefusalReason::StoreUnavailable, "nothing was read here yet");
     }
     const auto now = bootNow();
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cyclamendrift/leadership/followed_services.h>
+#include <cyclamendrift/membership/fleet_join.h>
 #include <cyclamendrift/membership/missing_vms.h>
 #include <cyclamendrift/membership/store_call_throttle.h>
 #include <cyclamendrift/membership/store_reader_selector.h>
@@ -18,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -25,7 +28,8 @@
 
 namespace cyclamendrift::wire {
 class ReadingsAnswer;
-}
+class VmRecord;
+} // namespace cyclamendrift::wire
 
 namespace cyclamendrift {
 
@@ -35,11 +39,16 @@
 inline constexpr auto recordPrefix = "cyclamendrift/leadership/record/";
 inline constexpr auto coordinatorLeasePrefix = "cyclamendrift/leadership/duty/";
 inline constexpr auto vmPrefix = "cyclamendrift/vms/";
+/// Prefix of the two keys after it, which a VM that starts reads with one call.
+inline constexpr auto siblingPrefix = "cyclamendrift/sibling-";
 inline constexpr auto siblingSecret = "cyclamendrift/sibling-secret";
+inline constexpr auto readerRoster = "cyclamendrift/sibling-readers";
 } // namespace store_key
 
 /// Parses the VM records of a listing. A record that cannot be read is logged and skipped.
 [[nodiscard]] SiblingList siblingsFrom(const StoreListing& listing);
+/// The sibling that a VM record describes.
+[[nodiscard]] SiblingInfo siblingFrom(const wire::VmRecord& record);
 
 /// Availability of one dependency, as the outcomes of calls show it. Logs when it is lost and when it is
 /// back.
@@ -48,8 +57,8 @@
     Dependency(std::string name, const ControlSettings& settings);
 
     void succeeded();
-    /// Returns the backoff before the next attempt.
-    [[nodiscard]] Duration failed(const char* reason);
+    /// Returns the backoff before the next attempt; it doubles up to `maxBackoff`.
+    [[nodiscard]] Duration failed(const char* reason, Duration maxBackoff);
     [[nodiscard]] bool isLost() const noexcept { return this->lost; }
 
 private:
@@ -60,8 +69,9 @@
 };
 
 /// State of a SessionControl. Its functions are defined in control_configuration (routes, evacuations and
-/// upstreams), control_readings (exchange of store readings with siblings), control_leadership (primaries),
-/// control_membership (leases, VMs and limits) and session_control (start and stop).
+/// upstreams), control_join (search for the store readers at the start), control_readings (exchange of store
+/// readings with siblings), control_leadership (primaries), control_services (which services have their
+/// primary tracked here), control_membership (leases, VMs and limits) and session_control (start and stop).
 class SessionControl::State : public std::enable_shared_from_this<State> {
 public:
     explicit State(Options options);
@@ -70,6 +80,7 @@
     void stop();
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] asio::awaitable<void> leave();
+    void recordUse(const ServiceName& service);
     [[nodiscard]] static asio::awaitable<std::string> shareReadings(
         std::shared_ptr<State> self, std::string request);
 
@@ -84,6 +95,10 @@
     bool directoryRead = false;
     std::set<ZoneName> evacuatedZones;
     // Leadership.
+    /// All services of the directory.
+    std::set<ServiceName> services;
+    FollowedServices followed;
+    /// Of the services that are tracked here.
     std::map<ServiceName, LeaderCoordinator> coordinators;
     bool leadershipRead = false;
     // Membership and limits.
@@ -114,6 +129,10 @@
     [[nodiscard]] asio::awaitable<void> sleep(Duration duration);
     /// The purpose of a key or prefix of the store, as a label of the metrics.
     [[nodiscard]] std::string_view purposeOf(std::string_view key) const;
+    /// Notes that a call of that dependency failed and returns the backoff before the next attempt. Where
+    /// many VMs could call an overloaded store, it grows with the fleet.
+    [[nodiscard]] Duration backoffAfter(Dependency& dependency, const char* reason);
+    [[nodiscard]] Duration randomPart(Duration duration);
 
     // control_configuration
     struct ProvenListing {
@@ -138,6 +157,22 @@
     void applyDirectory();
     void publishDirectory();
 
+    // control_join
+    /// Takes the first readings from the store readers, or becomes one; then starts the loops that keep the
+    /// readings current.
+    [[nodiscard]] static asio::awaitable<void> bootstrap(std::shared_ptr<State> self);
+    [[nodiscard]] asio::awaitable<void> perform(FleetJoin& join, FleetJoin::Step step);
+    [[nodiscard]] asio::awaitable<void> readRoster(FleetJoin& join);
+    [[nodiscard]] asio::awaitable<void> writeFirstRoster(FleetJoin& join, std::uint64_t expectedRevision);
+    /// Reads the siblings' secret and the roster; opens the siblings' server when the secret is there.
+    [[nodiscard]] asio::awaitable<ReaderRoster> fetchRoster();
+    /// Finds the record of an earlier process of this VM.
+    [[nodiscard]] asio::awaitable<void> findEarlierRecord();
+    /// Writes the roster if it still has that revision.
+    [[nodiscard]] asio::awaitable<void> writeRoster(const ReaderRoster& next);
+    /// Keeps the roster equal to the store readers that the list of VMs implies.
+    [[nodiscard]] static asio::awaitable<void> followRoster(std::shared_ptr<State> self);
+
     // control_readings
     [[nodiscard]] bool isReader() const;
     /// The VM that reads the store for this one; empty when this VM is a store reader itself.
@@ -151,17 +186,18 @@
         Old,
         None,
     };
-    /// Takes the first readings from siblings where possible, so that a VM which starts needs few calls to
-    /// the store; then starts the loops that keep them current.
-    [[nodiscard]] static asio::awaitable<void> bootstrap(std::shared_ptr<State> self);
-    /// Lists the siblings in the store; returns false when there are none.
-    [[nodiscard]] asio::awaitable<bool> findSiblings();
     /// False when siblings report that the store is unavailable and it is not this VM's turn to probe it.
     [[nodiscard]] bool mayCallStore();
     /// Requests the readings of store readers; returns false when none of them has recent ones. A reader that
     /// does not answer is skipped for `pause`.
     [[nodiscard]] asio::awaitable<bool> askReaders(Duration pause);
     [[nodiscard]] asio::awaitable<ReaderAnswer> askReader(SiblingAddress address);
+    [[nodiscard]] Duration readingsTimeLimit() const;
+    /// False until every list was read. A sibling that got only some of them would read the rest itself.
+    [[nodiscard]] bool hasAllReadings() const;
+    /// True when this VM may read a list from the store, after no store reader has confirmed it for `maxAge`
+    /// and none is about to send it.
+    [[nodiscard]] bool mayReadList(Instant confirmedAt, Duration maxAge, Instant withheldAt);
     void applyReadings(const wire::ReadingsAnswer& answer, Instant askedAt);
     /// True when every group has a view that was confirmed less than `maxAge` ago.
     [[nodiscard]] bool viewsAreFresh(Duration usable) const;
@@ -176,6 +212,12 @@
     [[nodiscard]] asio::awaitable<std::optional<Duration>> readLeadership();
     [[nodiscard]] static asio::awaitable<void> followLeadership(std::shared_ptr<State> self);
     void applyLeadership(ViewSource source);
+    /// The latest reading for each of these services.
+    [[nodiscard]] std::map<ServiceName, LeadershipSnapshot> snapshotsOf(
+        const std::set<ServiceName>& wanted) const;
+    [[nodiscard]] bool everyServiceHasRecord() const;
+    /// The coordinator of a service; null when its primary is not tracked here.
+    [[nodiscard]] LeaderCoordinator* coordinatorOf(const ServiceName& service);
     void tick();
     void perform(const ServiceName& service, const LeadershipAction& action);
     [[nodiscard]] static asio::awaitable<void> order(
@@ -190,6 +232,11 @@
         std::shared_ptr<State> self, ServiceName service, PromoteUpstream change);
     void applyReport(const TrafficReport& report);
 
+    // control_services
+    /// Starts and ends the tracking of primaries as `followed` demands.
+    void updateFollowed(Instant now);
+    void follow(const std::set<ServiceName>& added, Instant now);
+
     // control_membership
     [[nodiscard]] static asio::awaitable<void> keepLease(std::shared_ptr<State> self);
     [[nodiscard]] bool needsLease(Instant now) const;
@@ -201,7 +248,6 @@
     [[nodiscard]] asio::awaitable<void> adoptEarlierRecord();
     [[nodiscard]] static asio::awaitable<void> followVms(std::shared_ptr<State> self);
     [[nodiscard]] asio::awaitable<void> publishOwnRecord();
-    [[nodiscard]] asio::awaitable<void> fetchSecret();
     void openSiblings(const std::string& secret);
     void applyVms();
     /// Keeps VMs listed whose records expired together with many others.
@@ -235,8 +281,19 @@
     /// The configuration in compressed form; empty until a sibling requests it.
     std::string configurationPacked;
     Instant configurationConfirmedAt = Instant::min();
+    /// Backoff after the last attempt to read the configuration failed.
+    Duration configurationBackoff {};
     /// Cancels the watch of the configuration.
     asio::cancellation_signal configurationWatch;
+    /// When a store reader last answered that it has a list which its link had no capacity to send.
+    Instant directoryWithheldAt = Instant::min();
+    Instant vmsWithheldAt = Instant::min();
+    Instant configurationWithheldAt = Instant::min();
+    /// The VMs of the roster, and its revision in the store.
+    SiblingList rosterVms;
+    ReaderRoster roster;
+    std::minstd_rand random;
+    Instant followedUpdatedAt = Instant::min();
     std::uint64_t ownRecordRevision = 0;
     /// The record of an earlier process of this VM, found at the start; its lease is None when there was
     /// none.
@@ -244,7 +301,7 @@
     LeaseId publishedUnder = LeaseId::None;
     /// True once the first readings have been taken and the loops that keep them current run.
     bool bootstrapped = false;
-    /// True when no sibling was listed when this VM started.
+    /// True when there was no secret yet when this VM started.
     bool isFirstStart = false;
     /// Number of requests to siblings while the store was unavailable; rotates among them.
     std::size_t readerTurn = 0;
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -44,12 +44,12 @@
     this->backoff = Duration {};
 }
 
-Duration Dependency::failed(const char* reason)
+Duration Dependency::failed(const char* reason, Duration maxBackoff)
 {
     if (!std::exchange(this->lost, true))
         logEvent(LogLevel::Warn, "dependency_lost", { { "dependency", this->name }, { "reason", reason } });
-    this->backoff = this->backoff == Duration {} ? this->settings.minBackoff
-                                                 : std::min(this->backoff * 2, this->settings.maxBackoff);
+    this->backoff
+        = this->backoff == Duration {} ? this->settings.minBackoff : std::min(this->backoff * 2, maxBackoff);
     return this->backoff;
 }
 
@@ -59,6 +59,7 @@
           .purposeOf = [this](std::string_view key) { return this->purposeOf(key); },
           .onListing = [this] { this->storeThrottle.answered(bootNow()); } })
     , timers(options.context.get_executor())
+    , followed(options.vm)
     , configurationSource("configuration", options.settings)
     , directorySource("directory", options.settings)
     , leadershipSource("leadership", options.settings)
@@ -66,6 +67,7 @@
     , vmSource("vms", options.settings)
     , recordSource("record", options.settings)
     , listingBudget(options.linkBytesPerSecond * listingLinkFraction)
+    , random(static_cast<std::minstd_rand::result_type>(options.process))
 {
 }
 
@@ -79,11 +81,31 @@
         return "leadership";
     if (key.starts_with(store_key::vmPrefix))
         return "vms";
-    if (key == store_key::siblingSecret)
-        return "secret";
+    if (key.starts_with(store_key::siblingPrefix))
+        return key == store_key::siblingSecret ? "secret" : "store_readers";
     return key == this->options.format.operatorPrefix() ? "configuration" : "directory";
 }
 
+Duration SessionControl::State::randomPart(Duration duration)
+{
+    return std::chrono::duration_cast<Duration>(
+        duration * std::uniform_real_distribution<> { 0, 1 }(this->random));
+}
+
+Duration SessionControl::State::backoffAfter(Dependency& dependency, const char* reason)
+{
+    const auto& settings = this->options.settings;
+    auto maxBackoff = settings.maxBackoff;
+    // Store readers and their standbys have to notice soon that the store answers again.
+    if (!this->readerSelector.isReaderOrStandby(this->options.vm, bootNow())) {
+        const std::chrono::duration<double> fairPause { static_cast<double>(this->siblings.size())
+            / settings.maxFailingCallsPerSecond };
+        maxBackoff = std::max(maxBackoff, std::chrono::duration_cast<Duration>(fairPause));
+    }
+    const auto backoff = dependency.failed(reason, maxBackoff);
+    return backoff - this->randomPart(backoff / 4);
+}
+
 asio::awaitable<void> SessionControl::State::sleep(Duration duration)
 {
     if (duration <= Duration {})
@@ -130,10 +152,7 @@
     // Without the list of VMs no tokens can be requested, and callers would be refused within their team's
     // rate.
     const bool vmsRead = this->vms.confirmedAt() != Instant::min();
-    return !mayWaitForLeaders
-        || (vmsRead && evacuationsRead
-            && std::all_of(this->coordinators.begin(), this->coordinators.end(),
-                [](const auto& item) { return item.second.view().phase != LeaderView::Phase::Unknown; }));
+    return !mayWaitForLeaders || (vmsRead && evacuationsRead && this->everyServiceHasRecord());
 }
 
 void SessionControl::State::stop()
@@ -178,6 +197,12 @@
     asio::co_spawn(this->state->options.context, work(this->state, std::move(done)), asio::detached);
 }
 
+void SessionControl::recordUse(ServiceName service)
+{
+    asio::post(this->state->options.context,
+        [own = this->state, service = std::move(service)] { own->recordUse(service); });
+}
+
 asio::awaitable<std::string> SessionControl::shareReadings(std::string request)
 {
     auto started = State::shareReadings(this->state, std::move(request));
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -65,7 +65,8 @@
               .upstreams = *ports.upstreams,
               .onDrained = [this] { asio::post(this->controlContext, [this] { this->onDrained(); }); },
               .shareReadings
-              = [this](std::string request) { return this->control.shareReadings(std::move(request)); } })
+              = [this](std::string request) { return this->control.shareReadings(std::move(request)); },
+              .onServiceUsed = [this](ServiceName service) { this->control.recordUse(std::move(service)); } })
         , control({ .context = controlContext,
               .vm = options.settings.vm.name,
               .zone = options.settings.vm.zone,
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -79,6 +79,7 @@
     void perform(const CheckOwnerLiveness& action);
     void perform(const ReleaseRemoteSession& action);
     void perform(const AnswerRemoteSession& action);
+    void perform(const FollowService& action);
     void perform(const LogEvent& action);
     [[nodiscard]] asio::awaitable<std::string> runForSibling(std::string body, Instant deadline);
 
@@ -234,6 +235,11 @@
     wait->second->timer.cancel();
 }
 
+void SessionTraffic::State::perform(const FollowService& action)
+{
+    this->options.onServiceUsed(action.service);
+}
+
 void SessionTraffic::State::perform(const LogEvent& action)
 {
     const auto now = bootNow();
@@ -371,10 +377,11 @@
     });
 }
 
-asio::awaitable<std::string> SessionTraffic::requestReadings(SiblingAddress sibling, std::string request)
+asio::awaitable<std::string> SessionTraffic::requestReadings(
+    SiblingAddress sibling, std::string request, Duration timeLimit)
 {
     // The exchange is used on the traffic thread only.
-    auto started = this->state->exchange.requestReadings(std::move(sibling), std::move(request));
+    auto started = this->state->exchange.requestReadings(std::move(sibling), std::move(request), timeLimit);
     co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
 }
 
--- a/src/session_proxy/shared_listing.cpp
+++ b/src/session_proxy/shared_listing.cpp
@@ -75,7 +75,7 @@
 
 void SharedListing::keepEarlier()
 {
-    if (this->digest == 0)
+    if (this->digest == 0 || !this->isAsked)
         return;
     auto& last = this->earlier.emplace_back(Earlier { .digest = this->digest });
     for (const auto& entry : this->listing.entries)
@@ -185,6 +185,7 @@
 void SharedListing::writeAnswer(
     const wire::KnownListing& known, const AnswerOptions& options, wire::StoredListing& answer) const
 {
+    this->isAsked = true;
     answer.set_age_us(wireAge(this->confirmed, options.now));
     answer.set_revision(this->listing.revision);
     answer.set_digest(this->digest);
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -28,7 +28,7 @@
 constexpr Duration releaseTimeout = std::chrono::milliseconds { 200 };
 // A fraction of the time for which an operation waits for tokens, so that several siblings can be asked.
 constexpr Duration tokenTimeout = std::chrono::milliseconds { 25 };
-constexpr Duration readingsTimeout = std::chrono::milliseconds { 120 };
+constexpr Duration connectTimeout = std::chrono::milliseconds { 120 };
 // Each further request costs the waiting operation a round trip.
 constexpr std::size_t maxDonorsAsked = 4;
 
@@ -222,7 +222,7 @@
     }
     own.client = std::make_unique<SiblingClient>(executor,
         SiblingClient::Options {
-            .self = own.options.self, .secret = secret, .connectTimeout = readingsTimeout });
+            .self = own.options.self, .secret = secret, .connectTimeout = connectTimeout });
     logEvent(LogLevel::Info, "siblings_served", { { "port", std::to_string(own.server->port()) } });
 }
 
@@ -245,13 +245,14 @@
         State::requestFromDonors(this->state, team, wanted, std::move(done)), asio::detached);
 }
 
-asio::awaitable<std::string> SiblingExchange::requestReadings(SiblingAddress sibling, std::string request)
+asio::awaitable<std::string> SiblingExchange::requestReadings(
+    SiblingAddress sibling, std::string request, Duration timeLimit)
 {
     if (!this->isOpen())
         throw SiblingError { SiblingError::Kind::Unreachable, "siblings are not served yet" };
     SiblingCall call { .method = shareReadingsMethod,
         .body = std::move(request),
-        .deadline = std::chrono::steady_clock::now() + readingsTimeout };
+        .deadline = std::chrono::steady_clock::now() + timeLimit };
     co_return co_await this->state->ask(std::move(sibling), std::move(call));
 }
 
