Wake VMs that track no primary less often, and pause a VM as a whole at a full upstream

Cause: a VM of 985 woke some 140 times a second for services of which it runs no statement, and got every change of all leadership records. Each waiting statement opened connections to a full upstream for itself.

--- a/include/cyclamendrift/pooling/session_engine.h
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -132,6 +132,8 @@
 
     /// Handles timeouts, waiting statements and idle connections; to be called about every 20 ms.
     void tick(Instant now);
+    /// True while no time limit is running: nothing is waiting, open or in progress but idle callers.
+    [[nodiscard]] bool isIdle() const;
 
     /// Returns the actions to be carried out, in order, and clears them.
     [[nodiscard]] std::vector<EngineAction> takeActions();
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -21,6 +21,9 @@
 struct ControlSettings {
     /// Interval of reads of the leadership records; views must outlive two of them.
     Duration leadershipInterval = std::chrono::milliseconds { 300 };
+    /// The same for a VM that tracks no primary and holds no share of a limit, as most VMs of a large fleet;
+    /// also the interval of its other checks. A change of the configuration reaches it this much later.
+    Duration idleInterval = std::chrono::milliseconds { 600 };
     /// Interval of reads while a record may be stale or the last read failed.
     Duration rereadInterval = std::chrono::milliseconds { 100 };
     /// Interval of reads of the upstreams. Upstreams announce their shutdown some seconds ahead.
@@ -81,6 +84,8 @@
     double maxFailingCallsPerSecond = 80;
     /// Interval of the coordinators' ticks.
     Duration tickInterval = std::chrono::milliseconds { 50 };
+    /// Interval of reports from the traffic thread; delays the detection of a failed primary by as much.
+    Duration reportInterval = std::chrono::milliseconds { 150 };
 };
 
 /// Keeps the shared state of the fleet current on the control thread: the operators' configuration, the
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -242,11 +242,21 @@
     const bool hasIdle = this->longestIdleConnection(upstream) != nullptr;
     // A connection that replaces an idle one takes its place at a full upstream.
     const bool replacesIdle = hasIdle && upstream.connections.size() >= this->connectionsKeptAt(upstream);
-    if (this->now < upstream.fullUntil && !replacesIdle)
+    // After a refusal a single attempt shows whether the upstream has connections again.
+    const bool isFull
+        = this->now < upstream.fullUntil || (upstream.fullCount > 0 && this->isOpening(upstream));
+    if (isFull && !replacesIdle)
         return false;
     return hasIdle || upstream.connections.size() < this->maxConnectionsAt(upstream);
 }
 
+bool SessionEngine::State::isOpening(const UpstreamState& upstream) const
+{
+    return std::any_of(upstream.connections.begin(), upstream.connections.end(), [this](ConnectionId id) {
+        return this->connections.at(static_cast<std::uint64_t>(id)).phase == PooledConnection::Phase::Opening;
+    });
+}
+
 std::size_t SessionEngine::State::maxConnectionsAt(const UpstreamState& upstream) const
 {
     const bool borrows = this->now >= upstream.noBorrowingUntil;
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -210,6 +210,7 @@
     [[nodiscard]] std::size_t maxConnectionsAt(const UpstreamState& upstream) const;
     /// From this number of connections on, an idle one is closed for each one that is opened.
     [[nodiscard]] std::size_t connectionsKeptAt(const UpstreamState& upstream) const;
+    [[nodiscard]] bool isOpening(const UpstreamState& upstream) const;
     /// True when a connection can be opened, possibly in place of an idle one.
     [[nodiscard]] bool canOpenConnection(const UpstreamState& upstream);
     void openConnectionFor(GroupState& group, UpstreamState& upstream, CallerSession& session);
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -245,6 +245,15 @@
     }
 }
 
+bool SessionEngine::isIdle() const
+{
+    const auto& engine = *this->state;
+    if (!engine.connections.empty() || engine.closeIdleFrom != Instant::max())
+        return false;
+    return std::all_of(
+        engine.callers.begin(), engine.callers.end(), [](const auto& item) { return item.second.isIdle(); });
+}
+
 void SessionEngine::State::tickGroups()
 {
     // Serving a statement may add groups with new waiting ones, so this iterates over a copy.
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -157,7 +157,8 @@
         } else {
             co_await self->sleep(self->configurationSource.isLost()
                     ? std::max(self->configurationBackoff, settings.maxBackoff / 2)
-                    : settings.rereadInterval);
+                    : self->tracksNothing() ? settings.idleInterval
+                                            : settings.rereadInterval);
         }
     }
 }
--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -208,8 +208,10 @@
         co_await self->sleep(pause / 2 + self->randomPart(pause));
         const auto& known = self->roster.vms;
         const bool named = std::find(known.begin(), known.end(), self->options.vm) != known.end();
-        if (!named && !self->isReader())
+        if (!named && !self->isReader()) {
+            pause = settings.maxRosterInterval / 4;
             continue;
+        }
         ReaderRoster wanted { .vms = self->readerSelector.roster(),
             .readers = self->readerSelector.readers() };
         // The order is that of the roster until the list of VMs was read.
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -4,6 +4,9 @@
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/telemetry/event_log.h>
 
+#include <asio/redirect_error.hpp>
+#include <asio/use_awaitable.hpp>
+
 #include <algorithm>
 #include <string_view>
 
@@ -14,14 +17,6 @@
 // Interval of checks for services whose primary no longer has to be tracked here.
 constexpr Duration followedUpdateInterval = std::chrono::milliseconds { 1000 };
 
-void logLeadershipEvent(const ServiceName& service, const LogLeadershipEvent& note)
-{
-    std::vector<LogField> fields { { "service", service.string() } };
-    for (const auto& [key, value] : note.fields)
-        fields.push_back({ key, value });
-    logEvent(LogLevel::Info, note.event, fields);
-}
-
 } // namespace
 
 asio::awaitable<std::optional<Duration>> SessionControl::State::readLeadership()
@@ -45,12 +40,18 @@
     while (!self->stopped) {
         const auto askedAt = bootNow();
         const bool told = co_await self->askReaders(settings.silentReaderBackoff);
-        if (!told && askedAt >= storeAgainAt && self->mayCallStore()) {
+        if (!told && !self->tracksNothing() && askedAt >= storeAgainAt && self->mayCallStore()) {
             if (const auto failed = co_await self->readLeadership())
                 storeAgainAt = askedAt + *failed;
         }
         // A record that may be stale, such as one that this VM has just changed, is read again early.
-        const auto next = askedAt + settings.leadershipInterval;
+        const auto next = askedAt + self->readingsInterval();
+        if (self->tracksNothing()) {
+            self->leadershipWanted.expires_at(next);
+            asio::error_code ignored;
+            co_await self->leadershipWanted.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            continue;
+        }
         co_await self->sleep(settings.rereadInterval);
         const auto recordMayBeStale = [&self] {
             return std::any_of(self->coordinators.begin(), self->coordinators.end(),
@@ -117,6 +118,9 @@
 
 bool SessionControl::State::everyServiceHasRecord() const
 {
+    // A VM that tracks no primary leaves statements to VMs that do, and has no records.
+    if (this->tracksNothing())
+        return true;
     std::set<ServiceName> recorded;
     for (const auto& entry : this->leadership.current().entries) {
         if (entry.key.starts_with(store_key::recordPrefix))
@@ -214,7 +218,12 @@
             if (this->control.followed.isUsed(this->service, bootNow()))
                 this->control.options.traffic.setLeader(this->service, leader.view);
         }
-        void operator()(const LogLeadershipEvent& note) const { logLeadershipEvent(this->service, note); }
+        void operator()(const LogLeadershipEvent& note) const
+        {
+            BoundedLog::Fields fields { { "service", this->service.string() } };
+            fields.insert(fields.end(), note.fields.begin(), note.fields.end());
+            this->control.log.write(note.event, fields, bootNow());
+        }
 
         void send(const UpstreamName& upstream, UpstreamOrder order) const
         {
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -53,7 +53,7 @@
         if (askedAt >= neededUntil) {
             self->lease = LeaseId::None;
             self->leaseUntil = Instant::min();
-            co_await self->sleep(settings.tickInterval);
+            co_await self->sleep(self->tracksNothing() ? settings.idleInterval : settings.tickInterval);
             continue;
         }
         try {
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -60,16 +60,30 @@
     // What an entry of a list takes on the wire, packed.
     constexpr double bytesPerEntry = 64;
     std::size_t entries = 0;
+    auto oldest = Instant::max();
     for (const auto* listing : { &this->leadership, &this->vms, &this->directoryListing }) {
+        if (listing == &this->leadership && this->tracksNothing())
+            continue;
         if (listing->confirmedAt() == Instant::min())
             return settings.maxFirstListsTime;
+        oldest = std::min(oldest, listing->confirmedAt());
         entries += listing->current().entries.size();
     }
-    const std::chrono::duration<double> transfer { static_cast<double>(entries) * bytesPerEntry
-        / this->options.linkBytesPerSecond };
+    // The reader sends whole lists to a VM that lacks too many changes, and the lists may have grown.
+    const bool outdated = bootNow() >= oldest + settings.maxVmListAge;
+    const std::chrono::duration<double> transfer { (outdated ? 4 : 1) * static_cast<double>(entries)
+        * bytesPerEntry / this->options.linkBytesPerSecond };
     return settings.readingsTimeout + std::chrono::duration_cast<Duration>(transfer);
 }
 
+Duration SessionControl::State::readingsInterval() const
+{
+    // Two VMs may use the same share of a limit for as long as their lists of VMs differ.
+    const bool mayHoldLimits = this->holders.includesAllVms() || this->holders.mayHold(this->options.vm);
+    return this->tracksNothing() && !mayHoldLimits ? this->options.settings.idleInterval
+                                                   : this->options.settings.leadershipInterval;
+}
+
 asio::awaitable<bool> SessionControl::State::askReaders(Duration pause)
 {
     const auto& settings = this->options.settings;
@@ -113,6 +127,7 @@
     wire::ReadingsRequest request;
     request.set_configuration_revision(this->configurationRevision);
     request.set_takes_packed(true);
+    request.set_without_leadership(this->tracksNothing());
     this->leadership.writeKnown(*request.mutable_leadership());
     this->vms.writeKnown(*request.mutable_vms());
     this->directoryListing.writeKnown(*request.mutable_directory());
@@ -160,6 +175,8 @@
     const auto change = this->leadership.takeAnswer(answer.leadership(), askedAt);
     if (change == SharedListing::Change::Entries || this->leadership.confirmedAt() > confirmedBefore)
         this->applyLeadership(ViewSource::Sibling);
+    if (this->tracksNothing())
+        this->leadershipRead = true;
     for (const auto& view : answer.views()) {
         const auto coordinator = this->coordinators.find(ServiceName { view.service() });
         if (coordinator != this->coordinators.end())
@@ -235,11 +252,15 @@
     wire::ReadingsAnswer answer;
     answer.set_store_age_us(wireAge(self->storeThrottle.lastAnswer(), now));
     const SharedListing::AnswerOptions how { .now = now, .packed = request.takes_packed() };
-    self->leadership.writeAnswer(request.leadership(), how, *answer.mutable_leadership());
+    if (request.without_leadership())
+        answer.mutable_leadership()->set_age_us(wireAge(self->leadership.confirmedAt(), now));
+    else
+        self->leadership.writeAnswer(request.leadership(), how, *answer.mutable_leadership());
     self->vms.writeAnswer(request.vms(), how, *answer.mutable_vms());
     self->directoryListing.writeAnswer(request.directory(), how, *answer.mutable_directory());
     self->evacuations.writeAnswer(request.evacuations(), how, *answer.mutable_evacuations());
-    self->writeViews(answer);
+    if (!request.without_leadership())
+        self->writeViews(answer);
     auto& configuration = *answer.mutable_configuration();
     configuration.set_age_us(wireAge(self->configurationConfirmedAt, now));
     configuration.set_revision(self->configurationRevision);
--- a/src/session_proxy/control_services.cpp
+++ b/src/session_proxy/control_services.cpp
@@ -8,6 +8,11 @@
 // Which services have their primary tracked at this VM.
 namespace cyclamendrift {
 
+bool SessionControl::State::tracksNothing() const noexcept
+{
+    return this->coordinators.empty() && !this->services.empty();
+}
+
 void SessionControl::State::recordUse(const ServiceName& service)
 {
     const auto now = bootNow();
@@ -17,6 +22,8 @@
         return;
     if (!this->coordinators.contains(service))
         this->follow({ service }, now);
+    if (this->timersAreIdle)
+        this->startTimers();
     // A view that nobody needed was not published.
     if (!wasUsed)
         this->options.traffic.setLeader(service, this->coordinators.at(service).view());
@@ -43,6 +50,8 @@
         this->options.traffic.setLeader(item->first, LeaderView {});
         item = this->coordinators.erase(item);
     }
+    if (this->timersAreIdle != this->tracksNothing() && !this->stopped)
+        this->startTimers();
 }
 
 void SessionControl::State::follow(const std::set<ServiceName>& added, Instant now)
@@ -64,6 +73,9 @@
         if (this->leadership.confirmedAt() != Instant::min())
             coordinator.onSnapshot(snapshots.at(service), now);
     }
+    // Without tracked primaries the records were not requested.
+    if (now >= this->leadership.confirmedAt() + this->options.settings.leadershipInterval)
+        this->leadershipWanted.cancel();
 }
 
 } // namespace cyclamendrift
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -10,11 +10,13 @@
 #include <cyclamendrift/session_proxy/metered_store.h>
 #include <cyclamendrift/session_proxy/session_control.h>
 #include <cyclamendrift/session_proxy/shared_listing.h>
+#include <cyclamendrift/telemetry/bounded_log.h>
 
 #include <asio/awaitable.hpp>
 #include <asio/cancellation_signal.hpp>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -78,12 +80,19 @@
 
     void start(std::function<void()> ready);
     void stop();
+    /// Starts the periodic work, less often where this VM tracks no primary.
+    void startTimers();
+    /// True when this VM knows the services and tracks the primary of none.
+    [[nodiscard]] bool tracksNothing() const noexcept;
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] asio::awaitable<void> leave();
     void recordUse(const ServiceName& service);
     [[nodiscard]] static asio::awaitable<std::string> shareReadings(
         std::shared_ptr<State> self, std::string request);
 
+    /// Log lines per second for each event; an outage changes the view of every service.
+    static constexpr std::uint64_t linesPerSecond = 20;
+
     Options options;
     MeteredStore store;
     AsioTimerService timers;
@@ -101,6 +110,9 @@
     /// Of the services that are tracked here.
     std::map<ServiceName, LeaderCoordinator> coordinators;
     bool leadershipRead = false;
+    /// Cancelled to end the pause before the next reading of the leadership records.
+    asio::steady_timer leadershipWanted;
+    bool timersAreIdle = false;
     // Membership and limits.
     /// The lease of coordinator leases, and the longer one of this VM's record.
     LeaseId lease = LeaseId::None;
@@ -115,6 +127,7 @@
     /// Selects the VMs that read the store for the others.
     StoreReaderSelector readerSelector;
     StoreCallThrottle storeThrottle;
+    BoundedLog log { linesPerSecond };
     MissingVms missingVms;
     EngineCounters counters;
     std::size_t callers = 0;
@@ -193,6 +206,8 @@
     [[nodiscard]] asio::awaitable<bool> askReaders(Duration pause);
     [[nodiscard]] asio::awaitable<ReaderAnswer> askReader(SiblingAddress address);
     [[nodiscard]] Duration readingsTimeLimit() const;
+    /// Interval of requests to store readers.
+    [[nodiscard]] Duration readingsInterval() const;
     /// False until every list was read. A sibling that got only some of them would read the rest itself.
     [[nodiscard]] bool hasAllReadings() const;
     /// True when this VM may read a list from the store, after no store reader has confirmed it for `maxAge`
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-// Interval of reports from the traffic thread; delays the detection of a failed primary by as much.
-constexpr Duration reportInterval = std::chrono::milliseconds { 150 };
 // Time to acquire a coordinator lease, find the primary and write the record on a new system, with one
 // repetition.
 constexpr Duration maxLeaderWait = std::chrono::seconds { 3 };
@@ -60,6 +58,7 @@
           .onListing = [this] { this->storeThrottle.answered(bootNow()); } })
     , timers(options.context.get_executor())
     , followed(options.vm)
+    , leadershipWanted(options.context)
     , configurationSource("configuration", options.settings)
     , directorySource("directory", options.settings)
     , leadershipSource("leadership", options.settings)
@@ -121,11 +120,20 @@
     this->whenReady = std::move(ready);
     this->startedAt = bootNow();
     this->spawn(bootstrap(self));
-    const std::weak_ptr<State> weak = self;
-    this->ticks = this->timers.every(this->options.settings.tickInterval, [weak](Instant) {
-        if (const auto alive = weak.lock())
-            alive->tick();
-    });
+    this->startTimers();
+}
+
+void SessionControl::State::startTimers()
+{
+    const auto& settings = this->options.settings;
+    this->timersAreIdle = this->tracksNothing();
+    const std::weak_ptr<State> weak = this->weak_from_this();
+    this->ticks = this->timers.every(
+        this->timersAreIdle ? settings.idleInterval : settings.tickInterval, [weak](Instant) {
+            if (const auto alive = weak.lock())
+                alive->tick();
+        });
+    const auto reportInterval = this->timersAreIdle ? settings.idleInterval : settings.reportInterval;
     this->reports = this->timers.every(reportInterval, [weak](Instant) {
         const auto alive = weak.lock();
         if (!alive)
@@ -158,6 +166,7 @@
 void SessionControl::State::stop()
 {
     this->stopped = true;
+    this->leadershipWanted.cancel();
     this->ticks.reset();
     this->reports.reset();
 }
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -5,8 +5,8 @@
 #include <cyclamendrift/core/request_error.h>
 #include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/runtime/boot_clock.h>
+#include <cyclamendrift/telemetry/bounded_log.h>
 #include <cyclamendrift/telemetry/event_log.h>
-#include <cyclamendrift/telemetry/line_budget.h>
 
 #include <asio/co_spawn.hpp>
 #include <asio/post.hpp>
@@ -24,6 +24,9 @@
 // Resolution of timeouts and of refusals of waiting statements.
 constexpr Duration tickInterval = std::chrono::milliseconds { 20 };
 
+// The same while no time limit is running.
+constexpr Duration idleTickInterval = std::chrono::milliseconds { 250 };
+
 // Log lines per second for each event; further ones are counted only. A line takes about as much processor
 // time as a statement.
 constexpr std::uint64_t linesPerSecond = 20;
@@ -88,8 +91,10 @@
     AsioTimerService timers;
     SiblingExchange exchange;
     std::unique_ptr<TimerService::Subscription> ticks;
+    std::function<void(bool idle)> startTicks;
+    bool ticksAreIdle = false;
     DrainTimes drain;
-    LineBudget lines { linesPerSecond };
+    BoundedLog log { linesPerSecond };
     std::map<CallerId, std::shared_ptr<RemoteStatementWait>> remoteWaits;
     bool listening = true;
     bool performing = false;
@@ -105,7 +110,12 @@
 void SessionTraffic::start()
 {
     this->state->options.upstreams.setEvents(*this);
-    this->state->ticks = this->state->timers.every(tickInterval, [this](Instant) { this->tick(); });
+    this->state->startTicks = [this](bool idle) {
+        this->state->ticksAreIdle = idle;
+        this->state->ticks = this->state->timers.every(
+            idle ? idleTickInterval : tickInterval, [this](Instant) { this->tick(); });
+    };
+    this->state->startTicks(false);
 }
 
 void SessionTraffic::listen()
@@ -118,6 +128,8 @@
     const auto now = bootNow();
     this->state->engine.tick(now);
     this->performAll();
+    if (!this->state->ticksAreIdle && this->state->engine.isIdle())
+        this->state->startTicks(true);
     this->drainTick(now);
 }
 
@@ -152,6 +164,8 @@
             std::visit([this](const auto& wanted) { this->perform(wanted); }, action);
     }
     this->performing = false;
+    if (this->ticksAreIdle && this->startTicks && !this->engine.isIdle())
+        this->startTicks(false);
 }
 
 void SessionTraffic::State::perform(const OpenConnection& action)
@@ -242,17 +256,7 @@
 
 void SessionTraffic::State::perform(const LogEvent& action)
 {
-    const auto now = bootNow();
-    if (const auto count = this->lines.takeLeftOut(action.event, now))
-        logEvent(LogLevel::Warn, "lines_left_out",
-            { { "of", action.event }, { "count", std::to_string(*count) } });
-    if (!this->lines.take(action.event, now))
-        return;
-    std::vector<LogField> fields;
-    fields.reserve(action.fields.size());
-    for (const auto& [key, value] : action.fields)
-        fields.push_back({ key, value });
-    logEvent(LogLevel::Info, action.event, fields);
+    this->log.write(action.event, action.fields, bootNow());
 }
 
 asio::awaitable<std::string> SessionTraffic::State::runForSibling(std::string body, Instant deadline)
@@ -403,6 +407,7 @@
     asio::post(this->state->options.context, [this, stopListeningAt, abortAt, endAt] {
         this->state->drain = DrainTimes { .stopListeningAt = stopListeningAt, .endAt = endAt };
         this->state->engine.drain(stopListeningAt, abortAt);
+        this->state->startTicks(false);
     });
 }
 
--- /dev/null
+++ b/tests/leadership/followed_services_test.cpp
@@ -0,0 +1,137 @@
+#include <cyclamendrift/leadership/followed_services.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant now { 100s };
+
+std::vector<VmName> makeVms(std::size_t count)
+{
+    std::vector<VmName> vms;
+    for (std::size_t index = 0; index < count; ++index)
+        vms.emplace_back("vm-" + std::to_string(index));
+    return vms;
+}
+
+std::vector<ServiceName> makeServices(std::size_t count)
+{
+    std::vector<ServiceName> services;
+    for (std::size_t index = 0; index < count; ++index)
+        services.emplace_back("service-" + std::to_string(index));
+    return services;
+}
+
+FollowedServices followedBy(const VmName& vm, const std::vector<VmName>& vms, std::size_t services)
+{
+    FollowedServices followed { vm };
+    followed.setVms(vms);
+    followed.setServiceCount(services);
+    return followed;
+}
+
+std::size_t countIncluded(const FollowedServices& followed, const std::vector<ServiceName>& services)
+{
+    return static_cast<std::size_t>(std::count_if(services.begin(), services.end(),
+        [&followed](const ServiceName& service) { return followed.includes(service, now); }));
+}
+
+} // namespace
+
+TEST_SUITE("followed services")
+{
+    TEST_CASE("the services that a VM tracks do not grow with the fleet")
+    {
+        // Guards against control work of every VM for every service.
+        for (const std::size_t size : { 500, 1000, 2000 }) {
+            CAPTURE(size);
+            const auto vms = makeVms(size);
+            const auto services = makeServices(size);
+            std::size_t most = 0;
+            std::size_t total = 0;
+            std::size_t idle = 0;
+            for (const auto& vm : vms) {
+                const auto included = countIncluded(followedBy(vm, vms, size), services);
+                most = std::max(most, included);
+                total += included;
+                idle += included == 0 ? 1 : 0;
+            }
+            CHECK(total == 3 * size);
+            CHECK(most <= 120);
+            CHECK(idle >= size * 9 / 10);
+        }
+    }
+
+    TEST_CASE("every service has three candidates with different ranks, spread over them")
+    {
+        // Guards against a service that no VM coordinates, and against VMs that coordinate far more than the
+        // others.
+        const auto vms = makeVms(985);
+        const auto services = makeServices(1000);
+        std::map<VmName, std::size_t> firstOf;
+        std::map<ServiceName, std::multiset<std::size_t>> ranks;
+        for (const auto& vm : vms) {
+            const auto followed = followedBy(vm, vms, services.size());
+            for (const auto& service : services) {
+                if (!followed.includes(service, now))
+                    continue;
+                ranks[service].insert(followed.rankFor(service));
+                firstOf[vm] += followed.rankFor(service) == 0 ? 1 : 0;
+            }
+        }
+        CHECK(ranks.size() == services.size());
+        for (const auto& [service, found] : ranks)
+            CHECK(found == std::multiset<std::size_t> { 0, 1, 2 });
+        for (const auto& [vm, count] : firstOf)
+            CHECK(count <= 50);
+    }
+
+    TEST_CASE("a VM tracks a service whose statements it runs, and stops when none came for a while")
+    {
+        // Guards against statements that wait for a view that nobody renews, and against tracking for good
+        // what was used once.
+        const auto vms = makeVms(985);
+        const auto services = makeServices(1000);
+        const auto idle = std::find_if(vms.begin(), vms.end(), [&](const VmName& vm) {
+            return countIncluded(followedBy(vm, vms, services.size()), services) == 0;
+        });
+        REQUIRE(idle != vms.end());
+        auto followed = followedBy(*idle, vms, services.size());
+        followed.recordUse(services[7], now);
+        CHECK(followed.includes(services[7], now + 10s));
+        CHECK(followed.isUsed(services[7], now + 10s));
+        CHECK_FALSE(followed.includes(services[7], now + 31s));
+        // A VM outside the candidates tries for the lease after all of them.
+        CHECK(followed.rankFor(services[7]) >= 41);
+    }
+
+    TEST_CASE("where there are few services every VM tracks all of them")
+    {
+        // Guards against a wait for the first view at VMs that can afford to track every service.
+        const auto vms = makeVms(195);
+        const auto services = makeServices(20);
+        for (const auto& vm : vms)
+            CHECK(countIncluded(followedBy(vm, vms, services.size()), services) == services.size());
+    }
+
+    TEST_CASE("a VM that confirms views for its siblings tracks all services")
+    {
+        // Guards against views that expire while the store is unavailable because nobody asks the replicas.
+        const auto vms = makeVms(985);
+        const auto services = makeServices(1000);
+        auto followed = followedBy(vms[0], vms, services.size());
+        followed.setConfirmsForSiblings(true);
+        CHECK(countIncluded(followed, services) == services.size());
+        CHECK_FALSE(followed.isUsed(services[0], now));
+    }
+}
--- /dev/null
+++ b/tests/membership/fleet_join_test.cpp
@@ -0,0 +1,318 @@
+#include "vm_names.h"
+
+#include <cyclamendrift/membership/fleet_join.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+using namespace cyclamendrift;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t vmsPerReader = 128;
+
+/// VMs that start, the store's roster and the store readers, in virtual time. Every twentieth VM is strong.
+class JoiningFleet {
+public:
+    struct Options {
+        std::size_t vms = 1000;
+        /// The roster that the store has already; empty on the first start of a system.
+        std::vector<std::size_t> roster;
+        /// VMs of the roster that are not reachable.
+        std::set<std::size_t> unreachable;
+        /// VMs that have the lists already and do not start.
+        std::set<std::size_t> running;
+        Duration storeSilentFor {};
+    };
+
+    explicit JoiningFleet(Options given)
+        : options(std::move(given))
+        , names(makeVmNames(options.vms))
+    {
+        for (std::size_t vm = 0; vm < this->options.vms; ++vm)
+            this->index[this->names[vm]] = vm;
+        if (!this->options.roster.empty())
+            this->setRoster(this->options.roster);
+        for (const auto vm : this->options.running)
+            this->servesFrom[vm] = start;
+        for (std::size_t vm = 0; vm < this->options.vms; ++vm) {
+            if (this->options.running.contains(vm) || this->options.unreachable.contains(vm))
+                continue;
+            this->joins.emplace(
+                vm, FleetJoin { { .self = this->names[vm], .cores = isStrong(vm) ? 1 : 0.12, .seed = vm } });
+            this->schedule(start, [this, vm] { this->step(vm); });
+        }
+    }
+
+    void runUntilJoined(Duration limit)
+    {
+        while (!this->events.empty() && this->events.top().at <= start + limit) {
+            auto event = this->events.top();
+            this->events.pop();
+            this->now = event.at;
+            event.run();
+        }
+    }
+
+    [[nodiscard]] std::size_t starting() const { return this->joins.size(); }
+
+    std::size_t joined = 0;
+    Duration lastJoinedAfter {};
+    /// VMs that read the lists from the store.
+    std::set<std::size_t> listReaders;
+    std::size_t rosterReads = 0;
+    std::size_t rosterWrites = 0;
+    std::size_t readerQuestions = 0;
+
+private:
+    struct Event {
+        Instant at;
+        std::size_t number;
+        std::function<void()> run;
+        bool operator<(const Event& other) const
+        {
+            return std::pair { other.at, other.number } < std::pair { this->at, this->number };
+        }
+    };
+
+    static constexpr Instant start { 100s };
+    static constexpr Duration storeAnswer = 4ms;
+    static constexpr Duration storeTimeout = 700ms;
+    static constexpr Duration siblingAnswer = 3ms;
+    static constexpr Duration siblingTimeout = 120ms;
+    /// Time in which a reader reads all lists.
+    static constexpr Duration listTime = 150ms;
+    /// Time after which a reader has seen the records of the other VMs and updates the roster.
+    static constexpr Duration rosterUpdateDelay = 1500ms;
+
+    static bool isStrong(std::size_t vm) { return vm % 20 == 0; }
+
+    void schedule(Instant at, std::function<void()> run)
+    {
+        this->events.push({ .at = at, .number = ++this->lastEvent, .run = std::move(run) });
+    }
+
+    void setRoster(const std::vector<std::size_t>& vms)
+    {
+        this->roster.vms.clear();
+        for (const auto vm : vms)
+            this->roster.vms.push_back(this->names[vm]);
+        this->roster.readers = std::min(vms.size(), 1 + this->options.vms / vmsPerReader);
+        ++this->roster.revision;
+    }
+
+    void step(std::size_t vm)
+    {
+        auto& join = this->joins.at(vm);
+        const auto next = join.next(this->now);
+        const auto again = [this, vm] { this->step(vm); };
+        if (const auto* done = std::get_if<FleetJoin::Joined>(&next)) {
+            ++this->joined;
+            this->lastJoinedAfter = this->now - start;
+            // A VM that got the lists can send them to others.
+            this->servesFrom.try_emplace(vm, this->now);
+            if (done->asReader)
+                this->becomeReader(vm);
+        } else if (const auto* wait = std::get_if<FleetJoin::Wait>(&next)) {
+            this->schedule(wait->until, again);
+        } else if (const auto* ask = std::get_if<FleetJoin::AskReader>(&next)) {
+            this->ask(vm, ask->reader);
+        } else {
+            this->callStore(vm, next);
+        }
+    }
+
+    void callStore(std::size_t vm, const FleetJoin::Step& step)
+    {
+        const auto* write = std::get_if<FleetJoin::WriteRoster>(&step);
+        ++(write != nullptr ? this->rosterWrites : this->rosterReads);
+        if (this->now < start + this->options.storeSilentFor) {
+            this->schedule(this->now + storeTimeout, [this, vm] {
+                this->joins.at(vm).attemptFailed(this->now);
+                this->step(vm);
+            });
+            return;
+        }
+        if (write != nullptr && write->expectedRevision == this->roster.revision) {
+            this->setRoster({ vm });
+        }
+        const bool reads = write == nullptr;
+        this->schedule(this->now + storeAnswer, [this, vm, reads, seen = this->roster] {
+            if (reads)
+                this->joins.at(vm).rosterRead(seen, this->now);
+            else
+                this->joins.at(vm).rosterWritten(this->now);
+            this->step(vm);
+        });
+    }
+
+    void ask(std::size_t vm, const VmName& reader)
+    {
+        ++this->readerQuestions;
+        const auto asked = this->index.at(reader);
+        const bool reachable = !this->options.unreachable.contains(asked);
+        const auto serves = this->servesFrom.find(asked);
+        const auto answer = !reachable                                        ? FleetJoin::Answer::None
+            : serves != this->servesFrom.end() && this->now >= serves->second ? FleetJoin::Answer::Lists
+                                                                              : FleetJoin::Answer::NotYet;
+        this->schedule(this->now + (reachable ? siblingAnswer : siblingTimeout), [this, vm, reader, answer] {
+            this->joins.at(vm).readerAnswered(reader, answer, this->now);
+            this->step(vm);
+        });
+    }
+
+    void becomeReader(std::size_t vm)
+    {
+        this->listReaders.insert(vm);
+        this->servesFrom[vm] = this->now + listTime;
+        this->schedule(this->now + rosterUpdateDelay, [this] {
+            std::vector<std::size_t> strongest;
+            for (std::size_t other = 0; other < this->options.vms; ++other) {
+                const bool enough = strongest.size() == 2 * (1 + this->options.vms / vmsPerReader) + 1;
+                if (isStrong(other) && !enough && !this->options.unreachable.contains(other))
+                    strongest.push_back(other);
+            }
+            this->setRoster(strongest);
+        });
+    }
+
+    Options options;
+    std::vector<VmName> names;
+    std::map<VmName, std::size_t> index;
+    std::map<std::size_t, FleetJoin> joins;
+    ReaderRoster roster;
+    /// Since when a VM can send the lists to others.
+    std::map<std::size_t, Instant> servesFrom;
+    std::priority_queue<Event> events;
+    std::size_t lastEvent = 0;
+    Instant now = start;
+};
+
+std::set<std::size_t> range(std::size_t begin, std::size_t end)
+{
+    std::set<std::size_t> result;
+    for (auto value = begin; value < end; ++value)
+        result.insert(value);
+    return result;
+}
+
+std::vector<std::size_t> firstStrong(std::size_t count)
+{
+    std::vector<std::size_t> result;
+    for (std::size_t index = 0; index < count; ++index)
+        result.push_back(index * 20);
+    return result;
+}
+
+} // namespace
+
+TEST_SUITE("start of a fleet")
+{
+    TEST_CASE("a fleet that starts for the first time joins with few calls and few readers of the lists")
+    {
+        // Guards against VMs that read lists of the whole fleet because they know no sibling yet: a thousand
+        // such reads fill the store's link, time out and are made again.
+        for (const std::size_t vms : { 300, 1000, 2000 }) {
+            CAPTURE(vms);
+            JoiningFleet fleet { { .vms = vms } };
+            fleet.runUntilJoined(10s);
+            CHECK(fleet.joined == fleet.starting());
+            CHECK(fleet.lastJoinedAfter < 3s);
+            CHECK(fleet.listReaders.size() <= 2);
+            CHECK(fleet.rosterWrites <= vms / 20);
+            CHECK(fleet.rosterReads <= 8 * vms);
+            CHECK(fleet.readerQuestions <= 8 * vms);
+        }
+    }
+
+    TEST_CASE("a small fleet that starts for the first time joins within a second")
+    {
+        // Guards against pauses that are meant for large fleets and delay small ones.
+        JoiningFleet fleet { { .vms = 8 } };
+        fleet.runUntilJoined(10s);
+        CHECK(fleet.joined == 8);
+        CHECK(fleet.lastJoinedAfter < 1s);
+    }
+
+    TEST_CASE("half of a fleet that restarts is served by the readers that kept running")
+    {
+        // Guards against restarted VMs that read the lists themselves when some of the readers restart too.
+        const auto roster = firstStrong(17);
+        auto running = range(0, 1000);
+        for (std::size_t vm = 0; vm < 1000; ++vm) {
+            // Every other strong VM restarts, and with them the half of all VMs.
+            if (vm % 2 == 1 || vm % 40 == 0)
+                running.erase(vm);
+        }
+        JoiningFleet fleet { { .vms = 1000, .roster = roster, .running = running } };
+        fleet.runUntilJoined(10s);
+        CHECK(fleet.joined == fleet.starting());
+        CHECK(fleet.lastJoinedAfter < 1s);
+        CHECK(fleet.listReaders.size() <= 8);
+        CHECK(fleet.rosterWrites == 0);
+        CHECK(fleet.rosterReads <= 4 * fleet.starting());
+    }
+
+    TEST_CASE("a fleet whose VMs all restart is served by the readers of the roster")
+    {
+        // Guards against a start that waits for a reader that ran before, or that writes the roster again.
+        JoiningFleet fleet { { .vms = 1000, .roster = firstStrong(17) } };
+        fleet.runUntilJoined(10s);
+        CHECK(fleet.joined == 1000);
+        CHECK(fleet.lastJoinedAfter < 2s);
+        CHECK(fleet.listReaders.size() == 8);
+        CHECK(fleet.rosterWrites == 0);
+    }
+
+    TEST_CASE("one VM becomes a store reader when no VM of the roster can be reached")
+    {
+        // Guards against a fleet that waits for readers that are gone, and against all VMs taking their
+        // place.
+        const auto roster = firstStrong(17);
+        JoiningFleet fleet {
+            { .vms = 1000, .roster = roster, .unreachable = { roster.begin(), roster.end() } }
+        };
+        fleet.runUntilJoined(20s);
+        CHECK(fleet.joined == fleet.starting());
+        CHECK(fleet.lastJoinedAfter < 6s);
+        CHECK(fleet.listReaders.size() <= 2);
+    }
+
+    TEST_CASE("a fleet that starts while the store is silent joins after its return with bounded calls")
+    {
+        // Guards against calls that are repeated at full rate by every VM, so that the store cannot recover.
+        JoiningFleet fleet { { .vms = 1000, .storeSilentFor = 5s } };
+        fleet.runUntilJoined(20s);
+        CHECK(fleet.joined == 1000);
+        CHECK(fleet.lastJoinedAfter < 10s);
+        CHECK(fleet.listReaders.size() <= 2);
+        CHECK(fleet.rosterReads <= 14 * 1000);
+    }
+
+    TEST_CASE("a VM whose reader cannot serve it yet does not take over")
+    {
+        // Guards against a second reader that replaces one which is about to have the lists.
+        FleetJoin join { { .self = VmName { "vm-1" } } };
+        const ReaderRoster roster { .vms = { VmName { "vm-0" } }, .readers = 1, .revision = 7 };
+        Instant now { 100s };
+        for (int turn = 0; turn < 400; ++turn, now += 50ms) {
+            const auto step = join.next(now);
+            CHECK_FALSE(std::holds_alternative<FleetJoin::WriteRoster>(step));
+            if (std::holds_alternative<FleetJoin::ReadRoster>(step))
+                join.rosterRead(roster, now);
+            else if (const auto* ask = std::get_if<FleetJoin::AskReader>(&step))
+                join.readerAnswered(ask->reader, FleetJoin::Answer::NotYet, now);
+        }
+    }
+}
