--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -40,8 +40,8 @@
  "services":[{"name":"register","maxConns":12}],"limits":{"txnIdleMs":3000},
  "tenants":[{"name":"hospitals","apiKeys":["k1"],"ratePerS":1000,"burst":1000}]})";
 
-/// A port that is free, below those that the kernel gives to outgoing connections: one of these could take
-/// the port between this look and the proxy's own use.
+/// Returns a free port below the range that the kernel assigns to outgoing connections, so that none of these
+/// takes the port before the proxy does.
 std::uint16_t freePort()
 {
     constexpr int first = 20000;
@@ -58,7 +58,7 @@
     }
 }
 
-/// The platform on a thread of its own: store, promotion and one group of three upstreams.
+/// The platform on a separate thread: store, promotion and one group of three upstreams.
 class Surroundings {
 public:
     Surroundings()
@@ -108,7 +108,7 @@
     std::thread thread;
 };
 
-/// One session proxy on threads of its own.
+/// One session proxy on separate threads.
 class Running {
 public:
     Running(const Surroundings& surroundings, const std::string& vm)
@@ -170,7 +170,7 @@
     {
         const asio::ip::tcp::endpoint endpoint { asio::ip::make_address("127.0.0.1"),
             proxy.settings.callers.port };
-        // The port opens once the proxy has read what it needs.
+        // The proxy listens as soon as it is ready.
         asio::error_code error = asio::error::connection_refused;
         for (int tries = 0; error && tries < 300; ++tries) {
             std::this_thread::sleep_for(20ms);
@@ -224,7 +224,7 @@
     int statements = 0;
 };
 
-/// The value of a metric of a proxy; 0 when it is not there.
+/// Returns the value of a proxy's metric; 0 when it does not exist.
 double metricOf(const Running& proxy, const std::string& name)
 {
     asio::io_context context;
@@ -263,10 +263,10 @@
         });
     }
 
-    TEST_CASE("a planned stop ends the process, in time and gracefully")
+    TEST_CASE("a proxy that is told to stop ends gracefully and in time")
     {
-        // The proxy is told to stop while siblings, store and upstreams are connected. A process that does
-        // not end by itself is killed, and what it still holds is lost.
+        // Guards against a process that does not end by itself while siblings, store and upstreams are
+        // connected, and is killed with sessions still open.
         Surroundings surroundings;
         auto first = std::make_unique<Running>(surroundings, "vm-1");
         const Running second { surroundings, "vm-2" };
@@ -280,10 +280,9 @@
         CHECK(other.run("READ bed-1").starts_with("ROW taken"));
     }
 
-    TEST_CASE("a primary that dies is replaced, and what it acknowledged to both replicas is there")
+    TEST_CASE("a failed primary is replaced without loss of acknowledged writes")
     {
-        // The primary dies at night and nobody is awake. Writes go on at a replica that has everything,
-        // without a human deciding anything.
+        // Guards against a failover that needs an operator, or that promotes a replica without all writes.
         Surroundings surroundings;
         const Running first { surroundings, "vm-1" };
         const Running second { surroundings, "vm-2" };
@@ -297,10 +296,10 @@
         CHECK(other.run("READ bed-2").starts_with("ROW taken"));
     }
 
-    TEST_CASE("a VM that was killed goes on with its record under the lease that it had")
+    TEST_CASE("a VM that was killed adopts its record and the record's lease")
     {
-        // Guards against a record that lapses later, and new leases and records of a whole fleet, after each
-        // restart.
+        // Guards against a record that expires after the restart, and against new leases and records of all
+        // VMs when all restart.
         Surroundings surroundings;
         auto& store = surroundings.kv.store();
         const std::string key { "cyclamendrift/vms/vm-1" };
@@ -324,12 +323,10 @@
         CHECK(record->lease == lease);
     }
 
-    TEST_CASE("a store that has forgotten its history is asked no more often than before")
+    TEST_CASE("a store that has discarded its history gets no more calls than before")
     {
-        // The store drops its history, and the watch of the configuration is cut soon after. Nothing changed
-        // in the configuration since, so a watch that goes on from its last change is refused each time. A
-        // proxy that tries again and again from there makes a hundred calls a second, which the users pay for
-        // and which push out the calls of others.
+        // Guards against a watch that starts again from the configuration's last change. The store no longer
+        // has that revision and refuses each attempt, which makes a hundred calls a second.
         Surroundings surroundings;
         const Running proxy { surroundings, "vm-1" };
         Caller caller { proxy };
@@ -349,11 +346,10 @@
         });
     }
 
-    TEST_CASE("in a large fleet statements run at the homes of their service, and without them all the same")
+    TEST_CASE("in a large fleet statements run at the owners of their service, or elsewhere when the owners are down")
     {
-        // Fourteen VMs would have two connections each of what an upstream bears, and a part of a limit that
-        // comes to nothing. Three of them keep the connections and run the others' statements; then one VM
-        // after the other is stopped, homes too, and callers of those that are left notice nothing.
+        // Fourteen VMs share 28 connections to each upstream, so three owners hold them. The VMs are stopped
+        // one after the other, owners included. Guards against failures at callers of the remaining VMs.
         constexpr std::size_t vms = 14;
         Surroundings surroundings;
         std::vector<std::unique_ptr<Running>> fleet;
@@ -368,7 +364,7 @@
                 sum += metricOf(*proxy, "cyclamendrift_handed_on_total");
             return sum;
         };
-        // The VMs learn of each other within some seconds.
+        // The VMs discover each other within seconds.
         for (int tries = 0; tries < 400 && handedOn() < 1; ++tries) {
             for (auto& caller : callers)
                 CHECK(caller->runUntilDone("READ bed-1"));
--- a/tests/adapter/json_text_test.cpp
+++ b/tests/adapter/json_text_test.cpp
@@ -10,7 +10,7 @@
 {
     TEST_CASE("a key that is not UTF-8 does not make the other entries unreadable")
     {
-        // Guards against one foreign key under the operators' prefix that stops every change of
+        // Guards against a single foreign key under the operators' prefix that blocks all changes of the
         // configuration.
         const std::string text = "{\"items\":[{\"key\":\"op/evacuate/\xff\xfe\",\"rev\":4},"
                                  "{\"key\":\"op/evacuate/m\xc3\xa9ssina\",\"rev\":5}]}";
--- a/tests/adapter/kv_server.cpp
+++ b/tests/adapter/kv_server.cpp
@@ -127,7 +127,7 @@
 
 asio::awaitable<HttpResponse> KvServer::range(const std::string& target)
 {
-    // Pages of two, so that callers have to ask for the next one.
+    // Pages hold two entries, so that callers have to request further ones.
     constexpr std::size_t pageItems = 2;
     const auto entries = co_await this->memory.list(parameter(target, "prefix"));
     const auto after = parameter(target, "after");
@@ -153,15 +153,14 @@
     using namespace asio::experimental::awaitable_operators;
     this->memory.beginWatch();
     const auto after = std::stoull(parameter(target, "after"));
-    // Asked before the wait: of two things waited for together, one that fails leaves the other to be waited
-    // for.
+    // Checked before the wait, because operator|| goes on waiting for the timer when the other operation fails.
     this->memory.requireHistory(after + 1);
     asio::steady_timer timer { this->context,
         std::chrono::milliseconds { std::stoll(parameter(target, "waitMs")) } };
     auto changes = this->memory.nextChanges(parameter(target, "prefix"), after + 1);
     const auto outcome = co_await (std::move(changes) || timer.async_wait(asio::use_awaitable));
     Json events = Json::array();
-    // Everything up to now was looked at, whether it lies under the prefix or not.
+    // The answer covers all changes so far, including those of other prefixes.
     std::uint64_t revision = this->memory.revision();
     if (outcome.index() == 0) {
         for (const auto& change : std::get<0>(outcome)) {
--- a/tests/adapter/kv_server.h
+++ b/tests/adapter/kv_server.h
@@ -11,7 +11,7 @@
 
 namespace cyclamendrift {
 
-/// Serves a MemoryStore as the users' platform serves its store, and the promotion of databases. Runs on one
+/// Serves a MemoryStore over the protocol of the users' platform, and the promotion of databases. Runs on one
 /// thread.
 class KvServer {
 public:
@@ -24,9 +24,9 @@
     void put(const std::string& key, const std::string& value);
     /// Deletes a key, as an operator would.
     void remove(const std::string& key);
-    /// Answers every call with this status, without doing anything; 0 to serve again.
+    /// Status with which every call is refused; 0 to serve calls.
     unsigned refuseWith = 0;
-    /// Called with service and id of a promotion; returns whether that database is running.
+    /// Called with the service and the id of a promotion; returns whether that database is running.
     std::function<bool(const std::string&, const std::string&)> onPromotion;
 
 private:
--- a/tests/adapter/kv_store_test.cpp
+++ b/tests/adapter/kv_store_test.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-/// Runs one call to its end and returns what it gave.
+/// Runs one call to completion and returns its result.
 template <class Result> Result finish(asio::io_context& context, asio::awaitable<Result> call)
 {
     auto result = asio::co_spawn(context, std::move(call), asio::use_future);
@@ -32,11 +32,10 @@
 
 TEST_SUITE("the platform's store")
 {
-    TEST_CASE("a change that lost to another one tells what stands there")
+    TEST_CASE("a swap that conflicts with another one returns the current entry")
     {
-        // Two VMs take a group's duty in the same moment and the store lets one of them win. The other one
-        // must learn who holds it from the answer; were the answer misread it would take the store for
-        // broken, pause, and a failed primary would wait that much longer for its successor.
+        // Two VMs acquire a coordinator lease at once. Guards against a conflict that is taken for a failure of
+        // the store, after which the other VM would pause and delay the failover.
         asio::io_context context;
         KvServer server { context };
         platform::KvStore store { context.get_executor(), { .address = server.address() } };
--- a/tests/adapter/leadership_client_test.cpp
+++ b/tests/adapter/leadership_client_test.cpp
@@ -28,8 +28,8 @@
 
 TEST_SUITE("orders to upstreams")
 {
-    // A VM wakes from a suspension and ends the pause that another VM has put on a replica meanwhile.
-    TEST_CASE("an order whose time is over when the upstream greets is not sent")
+    // Guards against a VM that resumes after a suspension and ends another VM's pause of a replica.
+    TEST_CASE("an order whose time limit has passed when the connection is open is not sent")
     {
         asio::io_context context;
         LineUpstreams upstreams { context, "register", 2 };
@@ -45,8 +45,8 @@
         CHECK(replica.held == 2);
     }
 
-    // An order that was given up arrives after a partition, when others have given theirs.
-    TEST_CASE("an order that is given up resets its connection")
+    // Guards against an abandoned order that arrives after a partition and after later orders.
+    TEST_CASE("an abandoned order resets its connection")
     {
         asio::io_context context;
         SilentPeer upstream { context, "READY I 1.100\r\n" };
@@ -58,8 +58,8 @@
         CHECK(upstream.received().find("RESUME") != std::string::npos);
     }
 
-    // An upstream that was asked and has answered sees its connections break.
-    TEST_CASE("an order that is answered closes its connection")
+    // Guards against upstreams that see every control connection reset.
+    TEST_CASE("an answered order closes its connection")
     {
         asio::io_context context;
         SilentPeer upstream { context,
@@ -74,8 +74,8 @@
 
 TEST_SUITE("promotions")
 {
-    // A promotion that nobody waits for any more arrives after a partition and makes a second primary.
-    TEST_CASE("a promotion that is given up resets its connection")
+    // Guards against an abandoned promotion that arrives after a partition and makes a second primary.
+    TEST_CASE("an abandoned promotion resets its connection")
     {
         asio::io_context context;
         SilentPeer platform { context };
@@ -89,8 +89,8 @@
         CHECK(platform.received().find("i-1") != std::string::npos);
     }
 
-    // A VM wakes from a suspension and promotes a replica long after it lost the duty.
-    TEST_CASE("a promotion whose time is over before it is sent is not sent")
+    // Guards against a VM that resumes after a suspension and promotes a replica without its lease.
+    TEST_CASE("a promotion whose time limit has passed is not sent")
     {
         asio::io_context context;
         SilentPeer platform { context };
--- a/tests/adapter/line_codec_test.cpp
+++ b/tests/adapter/line_codec_test.cpp
@@ -21,7 +21,7 @@
 
 TEST_SUITE("messages of callers")
 {
-    TEST_CASE("the last field goes to the end of the line, blanks included")
+    TEST_CASE("the last field extends to the end of the line, including blanks")
     {
         const auto value = std::get<SetSessionValue>(queryOf("QUERY 7 SET note a b  c").statement);
         CHECK(value.name == "note");
@@ -31,7 +31,7 @@
         CHECK(start.key == "key one");
     }
 
-    TEST_CASE("each text is told apart, and its id and text are kept as they came")
+    TEST_CASE("each kind of statement is recognized, and its id and text are kept unchanged")
     {
         CHECK(isStatement<BeginTransaction>("QUERY 1 BEGIN"));
         CHECK(std::get<BeginTransaction>(queryOf("QUERY 1 BEGIN READ").statement).readOnly);
@@ -48,7 +48,7 @@
         CHECK(prepare.shape == PreparedShape { true, "q 2 c" });
     }
 
-    TEST_CASE("texts that are none, and messages that are none")
+    TEST_CASE("malformed statements and malformed messages are reported")
     {
         for (const auto* text : { "GRANT", "READ", "WRITE item", "PREPARE s1", "PREPARE s1 LOOK x",
                  "EXECUTE s1", "BEGIN NOW", "AFTER 1.2 READ x", "SET" })
@@ -58,7 +58,7 @@
         CHECK(std::holds_alternative<SessionEnd>(readCallerMessage("TERMINATE")));
     }
 
-    TEST_CASE("answers name the error, the state and the position")
+    TEST_CASE("answers contain the error, the state and the position")
     {
         Reply reply { .rows = { "one", "two" }, .proof = "7.1f3" };
         reply.phase = SessionPhase::InTransaction;
@@ -72,7 +72,7 @@
 
 TEST_SUITE("messages of upstreams")
 {
-    TEST_CASE("statements are written with the position they need, and renamed where they run a prepared one")
+    TEST_CASE("statements are written with the position they require, and with the connection's name of a prepared one")
     {
         const Progress after { Term { 3 }, LogPosition { 1207 } };
         CHECK(writeStatement(RelayStatement { .id = "5c", .text = "READ 1a4", .after = after })
@@ -88,7 +88,7 @@
         CHECK(writeOrder(PauseReplication { Term { 4 } }) == "QUERY - PAUSE 4\r\n");
     }
 
-    TEST_CASE("lines become a whole reply only with the last one")
+    TEST_CASE("a reply is complete only with its last line")
     {
         ReplyReader reader;
         CHECK(reader.take("ROW a b") == ReplyReader::Progress::Incomplete);
@@ -106,10 +106,10 @@
         CHECK_FALSE(refused.progress);
     }
 
-    TEST_CASE("rows after the end, states that are none and unknown words break the connection")
+    TEST_CASE("rows after the end, invalid states and unknown words end the connection")
     {
-        // An upstream of another version, or bytes of another answer. Taking them for this statement's answer
-        // would show a caller another one's rows.
+        // Guards against lines of another answer that are taken for this statement's, which would show a caller
+        // another caller's rows.
         for (const auto* line : { "HELLO", "READY X 1.2", "READY" }) {
             ReplyReader reader;
             CHECK(reader.take(line) == ReplyReader::Progress::Broken);
@@ -119,7 +119,7 @@
         CHECK(reader.take("ROW late") == ReplyReader::Progress::Broken);
     }
 
-    TEST_CASE("an error code that is not known promises nothing")
+    TEST_CASE("an unknown error code guarantees nothing")
     {
         ReplyReader reader;
         CHECK(reader.take("ERROR NEWCODE what") == ReplyReader::Progress::Incomplete);
@@ -127,7 +127,7 @@
         CHECK_FALSE(meansNotRun(reader.takeReply().failure->error));
     }
 
-    TEST_CASE("a status is read field by field, and one that lacks any is none")
+    TEST_CASE("a status that lacks a field is rejected")
     {
         Reply reply { .rows = { "replica 3 3.1209 4 12 2 17" } };
         const auto status = readStatus(reply);
--- a/tests/adapter/line_upstreams.cpp
+++ b/tests/adapter/line_upstreams.cpp
@@ -25,7 +25,7 @@
     bool started = false;
     bool inTransaction = false;
     std::map<std::string, std::pair<std::string, std::string>> prepared;
-    /// Statement id, item and data of what the open transaction wrote.
+    /// Statement id, item and data of each write of the open transaction.
     std::vector<std::array<std::string, 3>> writes;
 };
 
--- a/tests/adapter/line_upstreams.h
+++ b/tests/adapter/line_upstreams.h
@@ -33,21 +33,21 @@
         std::uint64_t held = 0;
         bool running = true;
         std::string zone = "palermo";
-        /// Callers' statements that reached it.
+        /// Callers' statements that it has received.
         std::size_t statements = 0;
         std::map<std::string, std::string> items;
     };
 
     [[nodiscard]] Node& node(std::size_t index);
-    /// The entry that the node writes about itself.
+    /// The node's entry in the directory.
     [[nodiscard]] std::string entryOf(std::size_t index) const;
-    /// Ends a node and its connections, without a word.
+    /// Stops a node and closes its connections without notice.
     void kill(std::size_t index);
-    /// Makes a node lead the next term, as the platform does; false when it is not running.
+    /// Promotes a node to the primary of the next term; false when it is not running.
     bool promote(const std::string& id);
     /// Ids of all writes that were committed, in order.
     [[nodiscard]] const std::vector<std::string>& committed() const noexcept { return this->commits; }
-    /// Teams that connections were opened for.
+    /// Teams on whose behalf connections were opened.
     [[nodiscard]] const std::set<std::string>& teams() const noexcept { return this->teamsSeen; }
 
 private:
--- a/tests/adapter/operator_format_test.cpp
+++ b/tests/adapter/operator_format_test.cpp
@@ -27,9 +27,9 @@
 
 } // namespace
 
-TEST_SUITE("what operators and upstreams write")
+TEST_SUITE("format of operators' and upstreams' entries")
 {
-    TEST_CASE("a configuration becomes routes, keys, limits and caps")
+    TEST_CASE("routes, keys, limits and connection caps are read from a configuration")
     {
         const auto table = format.readRoutes(configuration);
         CHECK(table.version == 7);
@@ -46,20 +46,20 @@
         CHECK(table.coldStartRates.empty());
     }
 
-    TEST_CASE("a kind of route that is not known is served as the strictest")
+    TEST_CASE("an unknown kind of route is treated as the strictest one")
     {
         const auto table = format.readRoutes(configuration);
         CHECK(std::holds_alternative<PrimaryRoute>(table.findRoute("orders")->freshness));
     }
 
-    TEST_CASE("a configuration that cannot be read is refused whole")
+    TEST_CASE("an unreadable configuration is rejected as a whole")
     {
         for (const auto* text : { "", "{", "[]", R"({"version":"seven","routes":[]})", R"({"routes":[]})",
                  R"({"version":1,"routes":[{"host":"beds"}]})" })
             CHECK_THROWS_AS(static_cast<void>(format.readRoutes(text)), FormatError);
     }
 
-    TEST_CASE("an upstream's entry becomes its place, role and birth")
+    TEST_CASE("an upstream's address, zone, role and start time are read from its entry")
     {
         const auto entry = format.readUpstream("servers/i-7f", upstream);
         CHECK(entry.name == UpstreamName { "i-7f" });
@@ -85,7 +85,7 @@
         CHECK(format.readUpstream("servers/i-1", entry).coldFor == 0ms);
     }
 
-    TEST_CASE("the key of an evacuation names the availability zone, whatever its value holds")
+    TEST_CASE("the availability zone of an evacuation is read from its key, whatever its value is")
     {
         // Guards against an evacuation that is ignored because of its body.
         const auto request = format.readEvacuation("op/evacuate/palermo", "{}");
@@ -100,19 +100,18 @@
         CHECK(format.configurationKey().starts_with(format.operatorPrefix()));
     }
 
-    TEST_CASE("an evacuation whose key names no availability zone is set aside")
+    TEST_CASE("an evacuation whose key names no availability zone is rejected")
     {
-        // Guards against names that logs and siblings cannot carry.
+        // Guards against names that cannot be logged or sent to siblings.
         const std::vector<std::string> keys { "op/evacuate/", "op/evacuate/" + std::string(10000, 'z'),
             "op/evacuate/\xff\xfe" };
         for (const auto& key : keys)
             CHECK_THROWS_AS(static_cast<void>(format.readEvacuation(key, "{}")), FormatError);
     }
 
-    TEST_CASE("entries of other writers are set aside")
+    TEST_CASE("foreign entries under the upstreams' prefix are rejected")
     {
-        // Something else writes under the same prefix. One entry that is taken for an upstream sends
-        // statements to an address where none listens; one that stops the reading hides all others.
+        // Guards against a foreign entry that is taken for an upstream, and against one that hides all others.
         for (const auto* text :
             { "", "\xff\xfe", "null", "{}", R"({"service":"s","address":"10.0.0.1:8","slots":3})",
                 R"({"service":7,"address":"10.0.0.1:8","slots":3,"state":"ready"})",
