Leave upstreams and leadership records out at VMs that forward all statements

Cause: every VM of 985 got each of 3,000 upstreams and 2,000 leadership keys, some 740 MB of differences during the start, although a VM outside the owners and the candidates for coordinator leases runs no statement itself.

--- a/include/cyclamendrift/leadership/followed_services.h
+++ b/include/cyclamendrift/leadership/followed_services.h
@@ -32,6 +32,8 @@
     void recordUse(const ServiceName& service, Instant now);
 
     [[nodiscard]] bool includes(const ServiceName& service, Instant now) const;
+    /// False for a VM that tracks no primary, whatever the services: it forwards all statements to others.
+    [[nodiscard]] bool mayIncludeAny() const noexcept;
     /// True while views of the service's primary are needed at this VM to run statements.
     [[nodiscard]] bool isUsed(const ServiceName& service, Instant now) const;
     /// Position of this VM in the order in which VMs try to acquire the coordinator lease of the service.
--- a/src/leadership/followed_services.cpp
+++ b/src/leadership/followed_services.cpp
@@ -60,6 +60,11 @@
         || (this->candidateIndex && this->rankFor(service) < coordinatorsPerService);
 }
 
+bool FollowedServices::mayIncludeAny() const noexcept
+{
+    return this->includesAll() || this->candidateIndex || !this->usedAt.empty();
+}
+
 bool FollowedServices::isUsed(const ServiceName& service, Instant now) const
 {
     if (this->serviceCount <= maxServicesTrackedByAll)
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -30,6 +30,8 @@
                 { "keys", std::to_string(table->keys.size()) } });
         this->routes = std::move(table);
         this->options.traffic.setRoutes(this->routes);
+        this->updateServiceCount();
+        this->updateFollowed(bootNow());
         this->divideLimits();
     } catch (const FormatError& error) {
         logEvent(LogLevel::Error, "configuration_unreadable",
@@ -157,8 +159,8 @@
         } else {
             co_await self->sleep(self->configurationSource.isLost()
                     ? std::max(self->configurationBackoff, settings.maxBackoff / 2)
-                    : self->tracksNothing() ? settings.idleInterval
-                                            : settings.rereadInterval);
+                    : self->forwardsOnly ? settings.idleInterval
+                                         : settings.rereadInterval);
         }
     }
 }
@@ -260,7 +262,7 @@
     this->services.clear();
     for (const auto& [service, members] : groups)
         this->services.insert(service);
-    this->followed.setServiceCount(this->services.size());
+    this->updateServiceCount();
     for (auto& [service, coordinator] : this->coordinators)
         coordinator.onDirectory(groups[service], bootNow());
     this->options.traffic.setDirectory(this->directory);
--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -192,6 +192,7 @@
         }
     }
     self->bootstrapped = true;
+    self->updateFollowed(bootNow());
     self->spawn(followLeadership(self));
     self->spawn(followConfiguration(self));
     self->spawn(followDirectory(self));
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -40,13 +40,13 @@
     while (!self->stopped) {
         const auto askedAt = bootNow();
         const bool told = co_await self->askReaders(settings.silentReaderBackoff);
-        if (!told && !self->tracksNothing() && askedAt >= storeAgainAt && self->mayCallStore()) {
+        if (!told && !self->forwardsOnly && askedAt >= storeAgainAt && self->mayCallStore()) {
             if (const auto failed = co_await self->readLeadership())
                 storeAgainAt = askedAt + *failed;
         }
         // A record that may be stale, such as one that this VM has just changed, is read again early.
         const auto next = askedAt + self->readingsInterval();
-        if (self->tracksNothing()) {
+        if (self->forwardsOnly) {
             self->leadershipWanted.expires_at(next);
             asio::error_code ignored;
             co_await self->leadershipWanted.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
@@ -118,8 +118,8 @@
 
 bool SessionControl::State::everyServiceHasRecord() const
 {
-    // A VM that tracks no primary leaves statements to VMs that do, and has no records.
-    if (this->tracksNothing())
+    // A VM that forwards all statements has no records.
+    if (this->forwardsOnly)
         return true;
     std::set<ServiceName> recorded;
     for (const auto& entry : this->leadership.current().entries) {
@@ -140,8 +140,6 @@
     if (this->whenReady && this->isReady())
         std::exchange(this->whenReady, nullptr)();
     const auto now = bootNow();
-    this->followed.setConfirmsForSiblings(
-        !this->siblingsOpen || this->readerSelector.isReaderOrStandby(this->options.vm, now));
     if (now >= this->followedUpdatedAt + followedUpdateInterval)
         this->updateFollowed(now);
     const bool vouches = this->followed.confirms();
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -53,7 +53,7 @@
         if (askedAt >= neededUntil) {
             self->lease = LeaseId::None;
             self->leaseUntil = Instant::min();
-            co_await self->sleep(self->tracksNothing() ? settings.idleInterval : settings.tickInterval);
+            co_await self->sleep(self->forwardsOnly ? settings.idleInterval : settings.tickInterval);
             continue;
         }
         try {
@@ -259,6 +259,7 @@
     for (const auto& [vm, capacity] : capacities)
         names.push_back(vm);
     this->followed.setVms(names);
+    this->updateFollowed(bootNow());
     const auto own = this->siblings.find(this->options.vm);
     const bool listed = own != this->siblings.end();
     if (listed && this->publishedUnder == LeaseId::None)
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -62,7 +62,7 @@
     std::size_t entries = 0;
     auto oldest = Instant::max();
     for (const auto* listing : { &this->leadership, &this->vms, &this->directoryListing }) {
-        if (listing == &this->leadership && this->tracksNothing())
+        if (listing != &this->vms && this->forwardsOnly)
             continue;
         if (listing->confirmedAt() == Instant::min())
             return settings.maxFirstListsTime;
@@ -80,8 +80,8 @@
 {
     // Two VMs may use the same share of a limit for as long as their lists of VMs differ.
     const bool mayHoldLimits = this->holders.includesAllVms() || this->holders.mayHold(this->options.vm);
-    return this->tracksNothing() && !mayHoldLimits ? this->options.settings.idleInterval
-                                                   : this->options.settings.leadershipInterval;
+    return this->forwardsOnly && !mayHoldLimits ? this->options.settings.idleInterval
+                                                : this->options.settings.leadershipInterval;
 }
 
 asio::awaitable<bool> SessionControl::State::askReaders(Duration pause)
@@ -127,7 +127,7 @@
     wire::ReadingsRequest request;
     request.set_configuration_revision(this->configurationRevision);
     request.set_takes_packed(true);
-    request.set_without_leadership(this->tracksNothing());
+    request.set_without_upstreams(!this->needsUpstreams(bootNow()));
     this->leadership.writeKnown(*request.mutable_leadership());
     this->vms.writeKnown(*request.mutable_vms());
     this->directoryListing.writeKnown(*request.mutable_directory());
@@ -140,6 +140,10 @@
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
         this->applyReadings(answer, askedAt);
+    } catch (const RequestError& error) {
+        logEvent(this->bootstrapped ? LogLevel::Info : LogLevel::Debug, "reader_not_ready",
+            { { "vm", address.vm.string() }, { "reason", error.what() } });
+        co_return ReaderAnswer::Old;
     } catch (const Error& error) {
         // While all VMs start, readers may not be listening yet.
         logEvent(this->bootstrapped ? LogLevel::Info : LogLevel::Debug, "reader_not_reached",
@@ -155,6 +159,8 @@
 bool SessionControl::State::viewsAreFresh(Duration usable) const
 {
     const auto now = bootNow();
+    if (this->forwardsOnly)
+        return true;
     return !this->services.empty()
         && std::all_of(this->coordinators.begin(), this->coordinators.end(), [now, usable](const auto& item) {
                const auto viewConfirmedAt = item.second.viewConfirmedAt(now);
@@ -175,8 +181,6 @@
     const auto change = this->leadership.takeAnswer(answer.leadership(), askedAt);
     if (change == SharedListing::Change::Entries || this->leadership.confirmedAt() > confirmedBefore)
         this->applyLeadership(ViewSource::Sibling);
-    if (this->tracksNothing())
-        this->leadershipRead = true;
     for (const auto& view : answer.views()) {
         const auto coordinator = this->coordinators.find(ServiceName { view.service() });
         if (coordinator != this->coordinators.end())
@@ -252,14 +256,15 @@
     wire::ReadingsAnswer answer;
     answer.set_store_age_us(wireAge(self->storeThrottle.lastAnswer(), now));
     const SharedListing::AnswerOptions how { .now = now, .packed = request.takes_packed() };
-    if (request.without_leadership())
+    if (request.without_upstreams()) {
         answer.mutable_leadership()->set_age_us(wireAge(self->leadership.confirmedAt(), now));
-    else
+    } else {
         self->leadership.writeAnswer(request.leadership(), how, *answer.mutable_leadership());
+        self->directoryListing.writeAnswer(request.directory(), how, *answer.mutable_directory());
+    }
     self->vms.writeAnswer(request.vms(), how, *answer.mutable_vms());
-    self->directoryListing.writeAnswer(request.directory(), how, *answer.mutable_directory());
     self->evacuations.writeAnswer(request.evacuations(), how, *answer.mutable_evacuations());
-    if (!request.without_leadership())
+    if (!request.without_upstreams())
         self->writeViews(answer);
     auto& configuration = *answer.mutable_configuration();
     configuration.set_age_us(wireAge(self->configurationConfirmedAt, now));
--- a/src/session_proxy/control_services.cpp
+++ b/src/session_proxy/control_services.cpp
@@ -2,15 +2,23 @@
 
 #include <cyclamendrift/runtime/boot_clock.h>
 
-#include <iterator>
+#include <algorithm>
 #include <utility>
 
 // Which services have their primary tracked at this VM.
 namespace cyclamendrift {
 
-bool SessionControl::State::tracksNothing() const noexcept
+bool SessionControl::State::needsUpstreams(Instant now) const
 {
-    return this->coordinators.empty() && !this->services.empty();
+    // Until the configuration is known, neither the services nor this VM's part in them are.
+    return this->isReader() || this->followed.confirms() || (this->routes && this->followed.mayIncludeAny())
+        || this->needsLease(now);
+}
+
+void SessionControl::State::updateServiceCount()
+{
+    const auto configured = this->routes ? this->routes->connectionCaps.size() : 0;
+    this->followed.setServiceCount(std::max(configured, this->services.size()));
 }
 
 void SessionControl::State::recordUse(const ServiceName& service)
@@ -18,12 +26,13 @@
     const auto now = bootNow();
     const bool wasUsed = this->followed.isUsed(service, now);
     this->followed.recordUse(service, now);
+    // Without the upstreams, tracking begins as soon as a store reader has sent them.
+    if (this->forwardsOnly)
+        this->updateFollowed(now);
     if (!this->services.contains(service))
         return;
     if (!this->coordinators.contains(service))
         this->follow({ service }, now);
-    if (this->timersAreIdle)
-        this->startTimers();
     // A view that nobody needed was not published.
     if (!wasUsed)
         this->options.traffic.setLeader(service, this->coordinators.at(service).view());
@@ -34,6 +43,16 @@
 {
     this->followedUpdatedAt = now;
     this->followed.discardUnused(now);
+    this->followed.setConfirmsForSiblings(
+        !this->siblingsOpen || this->readerSelector.isReaderOrStandby(this->options.vm, now));
+    if (this->forwardsOnly == this->needsUpstreams(now)) {
+        this->forwardsOnly = !this->forwardsOnly;
+        if (this->forwardsOnly)
+            this->discardUpstreams();
+        this->leadershipWanted.cancel();
+        if (!this->stopped)
+            this->startTimers();
+    }
     std::set<ServiceName> added;
     for (const auto& service : this->services) {
         if (!this->coordinators.contains(service) && this->followed.includes(service, now))
@@ -50,8 +69,22 @@
         this->options.traffic.setLeader(item->first, LeaderView {});
         item = this->coordinators.erase(item);
     }
-    if (this->timersAreIdle != this->tracksNothing() && !this->stopped)
-        this->startTimers();
+}
+
+void SessionControl::State::discardUpstreams()
+{
+    for (const auto& [service, coordinator] : this->coordinators)
+        this->options.traffic.setLeader(service, LeaderView {});
+    this->coordinators.clear();
+    this->directoryListing = {};
+    this->leadership = {};
+    this->directory.clear();
+    this->services.clear();
+    this->missingSince.clear();
+    this->unreadable.clear();
+    this->directoryRead = false;
+    this->leadershipRead = false;
+    this->options.traffic.setDirectory({});
 }
 
 void SessionControl::State::follow(const std::set<ServiceName>& added, Instant now)
@@ -73,9 +106,6 @@
         if (this->leadership.confirmedAt() != Instant::min())
             coordinator.onSnapshot(snapshots.at(service), now);
     }
-    // Without tracked primaries the records were not requested.
-    if (now >= this->leadership.confirmedAt() + this->options.settings.leadershipInterval)
-        this->leadershipWanted.cancel();
 }
 
 } // namespace cyclamendrift
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -82,8 +82,9 @@
     void stop();
     /// Starts the periodic work, less often where this VM tracks no primary.
     void startTimers();
-    /// True when this VM knows the services and tracks the primary of none.
-    [[nodiscard]] bool tracksNothing() const noexcept;
+    /// False when this VM forwards all statements to others and therefore needs neither upstreams nor
+    /// leadership records.
+    [[nodiscard]] bool needsUpstreams(Instant now) const;
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] asio::awaitable<void> leave();
     void recordUse(const ServiceName& service);
@@ -112,7 +113,8 @@
     bool leadershipRead = false;
     /// Cancelled to end the pause before the next reading of the leadership records.
     asio::steady_timer leadershipWanted;
-    bool timersAreIdle = false;
+    /// True while this VM has no use for upstreams and leadership records, and does not hold them.
+    bool forwardsOnly = true;
     // Membership and limits.
     /// The lease of coordinator leases, and the longer one of this VM's record.
     LeaseId lease = LeaseId::None;
@@ -195,7 +197,7 @@
         Fresh,
         /// The store does not answer the reader.
         WithoutStore,
-        /// The store answers the reader, but the readings are old.
+        /// The store answers the reader, but the readings are old or not complete yet.
         Old,
         None,
     };
@@ -251,6 +253,9 @@
     /// Starts and ends the tracking of primaries as `followed` demands.
     void updateFollowed(Instant now);
     void follow(const std::set<ServiceName>& added, Instant now);
+    void updateServiceCount();
+    /// Discards the upstreams and leadership records, which would become outdated.
+    void discardUpstreams();
 
     // control_membership
     [[nodiscard]] static asio::awaitable<void> keepLease(std::shared_ptr<State> self);
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -126,14 +126,13 @@
 void SessionControl::State::startTimers()
 {
     const auto& settings = this->options.settings;
-    this->timersAreIdle = this->tracksNothing();
     const std::weak_ptr<State> weak = this->weak_from_this();
     this->ticks = this->timers.every(
-        this->timersAreIdle ? settings.idleInterval : settings.tickInterval, [weak](Instant) {
+        this->forwardsOnly ? settings.idleInterval : settings.tickInterval, [weak](Instant) {
             if (const auto alive = weak.lock())
                 alive->tick();
         });
-    const auto reportInterval = this->timersAreIdle ? settings.idleInterval : settings.reportInterval;
+    const auto reportInterval = this->forwardsOnly ? settings.idleInterval : settings.reportInterval;
     this->reports = this->timers.every(reportInterval, [weak](Instant) {
         const auto alive = weak.lock();
         if (!alive)
@@ -150,7 +149,9 @@
 
 bool SessionControl::State::isReady() const
 {
-    if (!this->routes || !this->directoryRead || !this->leadershipRead)
+    if (!this->routes)
+        return false;
+    if (this->needsUpstreams(bootNow()) && (!this->directoryRead || !this->leadershipRead))
         return false;
     // On the first start of a system no primary is recorded yet. A group that stays without one must not keep
     // the other groups from being served, so the wait is limited.
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -346,7 +346,8 @@
         });
     }
 
-    TEST_CASE("in a large fleet statements run at the owners of their service, or elsewhere when the owners are down")
+    TEST_CASE("in a large fleet statements run at the owners of their service, or elsewhere when the owners "
+              "are down")
     {
         // Fourteen VMs share 28 connections to each upstream, so three owners hold them. The VMs are stopped
         // one after the other, owners included. Guards against failures at callers of the remaining VMs.
--- a/tests/adapter/kv_server.cpp
+++ b/tests/adapter/kv_server.cpp
@@ -153,7 +153,8 @@
     using namespace asio::experimental::awaitable_operators;
     this->memory.beginWatch();
     const auto after = std::stoull(parameter(target, "after"));
-    // Checked before the wait, because operator|| goes on waiting for the timer when the other operation fails.
+    // Checked before the wait, because operator|| goes on waiting for the timer when the other operation
+    // fails.
     this->memory.requireHistory(after + 1);
     asio::steady_timer timer { this->context,
         std::chrono::milliseconds { std::stoll(parameter(target, "waitMs")) } };
--- a/tests/adapter/kv_store_test.cpp
+++ b/tests/adapter/kv_store_test.cpp
@@ -34,8 +34,8 @@
 {
     TEST_CASE("a swap that conflicts with another one returns the current entry")
     {
-        // Two VMs acquire a coordinator lease at once. Guards against a conflict that is taken for a failure of
-        // the store, after which the other VM would pause and delay the failover.
+        // Two VMs acquire a coordinator lease at once. Guards against a conflict that is taken for a failure
+        // of the store, after which the other VM would pause and delay the failover.
         asio::io_context context;
         KvServer server { context };
         platform::KvStore store { context.get_executor(), { .address = server.address() } };
--- a/tests/adapter/line_codec_test.cpp
+++ b/tests/adapter/line_codec_test.cpp
@@ -72,7 +72,8 @@
 
 TEST_SUITE("messages of upstreams")
 {
-    TEST_CASE("statements are written with the position they require, and with the connection's name of a prepared one")
+    TEST_CASE("statements are written with the position they require, and with the connection's name of a "
+              "prepared one")
     {
         const Progress after { Term { 3 }, LogPosition { 1207 } };
         CHECK(writeStatement(RelayStatement { .id = "5c", .text = "READ 1a4", .after = after })
@@ -108,8 +109,8 @@
 
     TEST_CASE("rows after the end, invalid states and unknown words end the connection")
     {
-        // Guards against lines of another answer that are taken for this statement's, which would show a caller
-        // another caller's rows.
+        // Guards against lines of another answer that are taken for this statement's, which would show a
+        // caller another caller's rows.
         for (const auto* line : { "HELLO", "READY X 1.2", "READY" }) {
             ReplyReader reader;
             CHECK(reader.take(line) == ReplyReader::Progress::Broken);
--- a/tests/adapter/operator_format_test.cpp
+++ b/tests/adapter/operator_format_test.cpp
@@ -111,7 +111,8 @@
 
     TEST_CASE("foreign entries under the upstreams' prefix are rejected")
     {
-        // Guards against a foreign entry that is taken for an upstream, and against one that hides all others.
+        // Guards against a foreign entry that is taken for an upstream, and against one that hides all
+        // others.
         for (const auto* text :
             { "", "\xff\xfe", "null", "{}", R"({"service":"s","address":"10.0.0.1:8","slots":3})",
                 R"({"service":7,"address":"10.0.0.1:8","slots":3,"state":"ready"})",
