--- /dev/null
+++ b/src/membership/list_read_throttle.cpp
@@ -0,0 +1,43 @@
+#include <cyclamendrift/membership/list_read_throttle.h>
+
+#include <algorithm>
+
+namespace cyclamendrift {
+
+namespace {
+
+// Shared by all VMs that are no store readers. The bytes are a twelfth of a link of 1,000 Mbit/s, which the
+// store needs for its other callers.
+constexpr double maxFleetCallsPerSecond = 200;
+constexpr double maxFleetBytesPerSecond = 1e7;
+// The first reading is delayed by up to this fraction of the interval.
+constexpr int firstDelayDivisor = 8;
+
+} // namespace
+
+void ListReadThrottle::setLoad(const Load& load) noexcept
+{
+    const auto vms = static_cast<double>(load.vms);
+    const std::chrono::duration<double> forCalls { vms / maxFleetCallsPerSecond };
+    const std::chrono::duration<double> forBytes { vms * static_cast<double>(load.listBytes)
+        / maxFleetBytesPerSecond };
+    this->interval = std::chrono::duration_cast<Duration>(std::max(forCalls, forBytes));
+}
+
+Duration ListReadThrottle::randomPart(Duration duration)
+{
+    return std::chrono::duration_cast<Duration>(
+        duration * std::uniform_real_distribution<> { 0, 1 }(this->random));
+}
+
+bool ListReadThrottle::allowRead(Instant now)
+{
+    if (this->nextReadAt == Instant::min())
+        this->nextReadAt = now + this->randomPart(this->interval / firstDelayDivisor);
+    if (now < this->nextReadAt)
+        return false;
+    this->nextReadAt = now + this->interval / 2 + this->randomPart(this->interval);
+    return true;
+}
+
+} // namespace cyclamendrift
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -40,7 +40,7 @@
     while (!self->stopped) {
         const auto askedAt = bootNow();
         const bool told = co_await self->askReaders(settings.silentReaderBackoff);
-        if (!told && !self->forwardsOnly && askedAt >= storeAgainAt && self->mayCallStore()) {
+        if (!told && !self->forwardsOnly && askedAt >= storeAgainAt && self->allowOwnReading()) {
             if (const auto failed = co_await self->readLeadership())
                 storeAgainAt = askedAt + *failed;
         }
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -20,6 +20,9 @@
 // Maximum number of siblings without an answer in one round. After three of them there is still time to read
 // the store before this VM's views of primaries expire.
 constexpr int silentReadersAsked = 3;
+// Maximum number of siblings asked in one round. Readers that answer with old readings all have the same
+// difficulty with the store, and further VMs of the order have no readings of their own.
+constexpr int readersAsked = 6;
 
 // Size up to which a listing is sent regardless of the budget: one without entries, or a small difference.
 constexpr std::size_t smallListing = 256;
@@ -51,7 +54,24 @@
     // list from the store instead, they would take the store's link from everybody.
     if (now < withheldAt + maxAge)
         return false;
-    return this->mayCallStore();
+    return this->allowOwnReading();
+}
+
+bool SessionControl::State::allowOwnReading()
+{
+    if (!this->mayCallStore())
+        return false;
+    // The store readers and their standbys are few, and one of them has to replace a reader that fails.
+    if (this->isReader() || this->readerSelector.isReaderOrStandby(this->options.vm, bootNow()))
+        return true;
+    // What an entry of a list takes in an answer of the store.
+    constexpr std::size_t bytesPerEntry = 250;
+    std::size_t entries = 0;
+    for (const auto* listing : { &this->leadership, &this->vms, &this->directoryListing })
+        entries += listing->current().entries.size();
+    this->listThrottle.setLoad({ .vms = this->siblings.size(),
+        .listBytes = entries * bytesPerEntry + this->configurationValue.size() });
+    return this->listThrottle.allowRead(bootNow());
 }
 
 Duration SessionControl::State::readingsTimeLimit() const
@@ -89,7 +109,8 @@
     const auto& settings = this->options.settings;
     // While the store is unavailable, siblings still pass on views that replicas have confirmed.
     const bool away = this->readerSelector.storeSeemsUnavailable(bootNow());
-    for (int silent = 0; silent < silentReadersAsked;) {
+    int silent = 0;
+    for (int asked = 0; asked < readersAsked && silent < silentReadersAsked; ++asked) {
         // A store reader must not rely on siblings, which rely on its readings.
         auto reader = this->readerToAsk();
         if (!reader)
@@ -105,6 +126,7 @@
         const auto now = bootNow();
         if (answer == ReaderAnswer::Fresh) {
             this->readerSelector.recordStoreRead(*reader);
+            this->listThrottle.served();
             co_return true;
         }
         if (answer == ReaderAnswer::WithoutStore) {
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/leadership/followed_services.h>
 #include <cyclamendrift/membership/fleet_join.h>
+#include <cyclamendrift/membership/list_read_throttle.h>
 #include <cyclamendrift/membership/missing_vms.h>
 #include <cyclamendrift/membership/store_call_throttle.h>
 #include <cyclamendrift/membership/store_reader_selector.h>
@@ -129,6 +130,7 @@
     /// Selects the VMs that read the store for the others.
     StoreReaderSelector readerSelector;
     StoreCallThrottle storeThrottle;
+    ListReadThrottle listThrottle;
     BoundedLog log { linesPerSecond };
     MissingVms missingVms;
     EngineCounters counters;
@@ -215,6 +217,8 @@
     /// True when this VM may read a list from the store, after no store reader has confirmed it for `maxAge`
     /// and none is about to send it.
     [[nodiscard]] bool mayReadList(Instant confirmedAt, Duration maxAge, Instant withheldAt);
+    /// True when this VM, which is no store reader, may read a list from the store.
+    [[nodiscard]] bool allowOwnReading();
     void applyReadings(const wire::ReadingsAnswer& answer, Instant askedAt);
     /// True when every group has a view that was confirmed less than `maxAge` ago.
     [[nodiscard]] bool viewsAreFresh(Duration usable) const;
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -59,6 +59,7 @@
     , timers(options.context.get_executor())
     , followed(options.vm)
     , leadershipWanted(options.context)
+    , listThrottle(options.process)
     , configurationSource("configuration", options.settings)
     , directorySource("directory", options.settings)
     , leadershipSource("leadership", options.settings)
@@ -248,6 +249,8 @@
         own.evacuatedZones.size());
     show("sessions", "Callers' sessions that are open.", own.callers);
     show("upstream_connections", "Connections to upstreams that are open.", own.connections);
+    show("vms", "VMs that are listed.", own.siblings.size());
+    show("services_tracked", "Services whose primary this VM tracks.", own.coordinators.size());
     show("configuration_version", "Version of the routes in force; 0 before any were read.",
         own.routes ? own.routes->version : 0);
     LeaderCoordinator::Counters views;
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -20,12 +20,14 @@
 #include <doctest/doctest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <future>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -40,6 +42,19 @@
  "services":[{"name":"register","maxConns":12}],"limits":{"txnIdleMs":3000},
  "tenants":[{"name":"hospitals","apiKeys":["k1"],"ratePerS":1000,"burst":1000}]})";
 
+/// `configuration` as version 2, with `count` services without upstreams besides the one that has some.
+std::string configurationWithServices(std::size_t count)
+{
+    std::string text { configuration };
+    std::string services;
+    for (std::size_t index = 0; index < count; ++index)
+        services += R"(,{"name":"other-)" + std::to_string(index) + R"(","maxConns":12})";
+    const std::string_view last { R"("maxConns":12})" };
+    text.insert(text.find(last) + last.size(), services);
+    const std::string_view version { R"("version":1)" };
+    return text.replace(text.find(version), version.size(), R"("version":2)");
+}
+
 /// Returns a free port below the range that the kernel assigns to outgoing connections, so that none of these
 /// takes the port before the proxy does.
 std::uint16_t freePort()
@@ -383,6 +398,36 @@
         }
     }
 
+    TEST_CASE("a VM that tracks no service forwards its callers' statements")
+    {
+        // Guards against a VM that waits for upstreams and leadership records, which it does not get, before
+        // it serves callers.
+        constexpr std::size_t vms = 24;
+        Surroundings surroundings;
+        surroundings.perform([&] { surroundings.kv.put("op/config", configurationWithServices(70)); });
+        std::vector<std::unique_ptr<Running>> fleet;
+        for (std::size_t vm = 0; vm < vms; ++vm)
+            fleet.push_back(std::make_unique<Running>(surroundings, "vm-" + std::to_string(vm)));
+        const auto isForwarder = [](const std::unique_ptr<Running>& proxy) {
+            return metricOf(*proxy, "cyclamendrift_configuration_version") == 2
+                && metricOf(*proxy, "cyclamendrift_vms") == vms
+                && metricOf(*proxy, "cyclamendrift_services_tracked") == 0;
+        };
+        auto forwarder = fleet.end();
+        for (int tries = 0; tries < 400 && forwarder == fleet.end(); ++tries) {
+            std::this_thread::sleep_for(20ms);
+            forwarder = std::find_if(fleet.begin(), fleet.end(), isForwarder);
+        }
+        REQUIRE(forwarder != fleet.end());
+        Caller caller { **forwarder };
+        CHECK(caller.runUntilDone("WRITE bed-1 taken"));
+        CHECK(caller.run("READ bed-1").starts_with("ROW taken"));
+        const auto handedOn = [&forwarder] { return metricOf(**forwarder, "cyclamendrift_handed_on_total"); };
+        for (int tries = 0; tries < 100 && handedOn() < 2; ++tries)
+            std::this_thread::sleep_for(20ms);
+        CHECK(handedOn() >= 2);
+    }
+
     TEST_CASE("an evacuated zone gets no statements until the request is withdrawn, not even from a VM that "
               "starts later")
     {
