--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -148,7 +148,7 @@
 
 asio::awaitable<void> SessionControl::State::perform(FleetJoin& join, FleetJoin::Step step)
 {
-    // Not std::visit: GCC 12 destroys the frame of a coroutine lambda too early there.
+    // The branches await, so a visitor would need a coroutine for each of them.
     if (std::holds_alternative<FleetJoin::ReadRoster>(step)) {
         co_await this->readRoster(join);
     } else if (const auto* write = std::get_if<FleetJoin::WriteRoster>(&step)) {
--- a/src/session_proxy/control_services.cpp
+++ b/src/session_proxy/control_services.cpp
@@ -65,7 +65,7 @@
             ++item;
             continue;
         }
-        // The view must not outlast the tracking, which ends replies on an expired one.
+        // Nobody renews the view from now on.
         this->options.traffic.setLeader(item->first, LeaderView {});
         item = this->coordinators.erase(item);
     }
