Leave the list of upstreams to VMs that run statements

The fix was not played on the fleet, and a test that was written for it passed without it as well, so it has none.

--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -66,8 +66,8 @@
     Duration silentReaderBackoff = std::chrono::milliseconds { 1000 };
     /// The same for one that answers but cannot reach the store.
     Duration storelessReaderBackoff = std::chrono::milliseconds { 600 };
-    /// Time limit of a request to a store reader for readings that are known here already. Requests for whole
-    /// A list that has changed as a whole gets the time that it takes over this VM's link besides.
+    /// Time limit of a request to a store reader for changes of the readings. The time that the whole lists
+    /// take over this VM's link is added.
     Duration readingsTimeout = std::chrono::milliseconds { 120 };
     /// Time limit of a request for lists that this VM lacks.
     Duration maxFirstListsTime = std::chrono::milliseconds { 2000 };
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -170,6 +170,10 @@
     const auto& settings = self->options.settings;
     while (!self->stopped) {
         auto pause = settings.directoryInterval;
+        if (self->forwardsOnly) {
+            co_await self->sleep(pause);
+            continue;
+        }
         if (self->isReader()
             || self->mayReadList(
                 self->directoryListing.confirmedAt(), settings.maxDirectoryAge, self->directoryWithheldAt)) {
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -254,6 +254,24 @@
     return at == std::string::npos ? 0 : std::stod(page.substr(at + name.size() + 2));
 }
 
+using Fleet = std::vector<std::unique_ptr<Running>>;
+
+/// Waits until one VM knows all others and tracks no service; the end of the fleet when none does in time.
+Fleet::iterator findForwarder(Fleet& fleet)
+{
+    const auto isForwarder = [&fleet](const std::unique_ptr<Running>& proxy) {
+        return metricOf(*proxy, "cyclamendrift_configuration_version") == 2
+            && metricOf(*proxy, "cyclamendrift_vms") == static_cast<double>(fleet.size())
+            && metricOf(*proxy, "cyclamendrift_services_tracked") == 0;
+    };
+    auto found = fleet.end();
+    for (int tries = 0; tries < 400 && found == fleet.end(); ++tries) {
+        std::this_thread::sleep_for(20ms);
+        found = std::find_if(fleet.begin(), fleet.end(), isForwarder);
+    }
+    return found;
+}
+
 } // namespace
 
 TEST_SUITE("session proxy over the users' protocols")
@@ -408,16 +426,7 @@
         std::vector<std::unique_ptr<Running>> fleet;
         for (std::size_t vm = 0; vm < vms; ++vm)
             fleet.push_back(std::make_unique<Running>(surroundings, "vm-" + std::to_string(vm)));
-        const auto isForwarder = [](const std::unique_ptr<Running>& proxy) {
-            return metricOf(*proxy, "cyclamendrift_configuration_version") == 2
-                && metricOf(*proxy, "cyclamendrift_vms") == vms
-                && metricOf(*proxy, "cyclamendrift_services_tracked") == 0;
-        };
-        auto forwarder = fleet.end();
-        for (int tries = 0; tries < 400 && forwarder == fleet.end(); ++tries) {
-            std::this_thread::sleep_for(20ms);
-            forwarder = std::find_if(fleet.begin(), fleet.end(), isForwarder);
-        }
+        const auto forwarder = findForwarder(fleet);
         REQUIRE(forwarder != fleet.end());
         Caller caller { **forwarder };
         CHECK(caller.runUntilDone("WRITE bed-1 taken"));
