--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -96,6 +96,11 @@
     /// How far it lagged behind the primary at that time.
     Duration lag {};
 
+    /// True when this VM has received an answer from it, or failed to.
+    [[nodiscard]] bool wasObserved() const noexcept
+    {
+        return this->lastAnswer != Instant::min() || this->failingSince.has_value();
+    }
     /// True when it is listed and has not announced its shutdown.
     [[nodiscard]] bool isInService() const noexcept { return this->listed && !this->entry.draining; }
 };
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -301,8 +301,7 @@
         // A contradiction that has ended is reported as well.
         const bool contradictedOnce = group.contradictedAt != Instant::min();
         for (const auto& [name, upstream] : group.upstreams) {
-            const bool observed = upstream.lastAnswer != Instant::min() || upstream.failingSince.has_value();
-            if (!observed && !contradictedOnce)
+            if (!contradictedOnce && !upstream.wasObserved())
                 continue;
             all.push_back({ .service = service,
                 .upstream = name,
