Share what the start of a large fleet had written again, and derive what it had stored

The rank in the order of coordinators was hashed for each tracked service every 50 ms, and is now set where the fleet or the services change. The service count is derived where it is used. - FleetJoin kept a flag beside its outcome, and a flag told its user what a successful reading tells. - Three loops asked `isReader() || mayReadList(...)`; two loops named the lists that a VM keeps.

--- a/include/cyclamendrift/membership/fleet_join.h
+++ b/include/cyclamendrift/membership/fleet_join.h
@@ -2,10 +2,11 @@
 
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/core/random_source.h>
 
 #include <cstddef>
 #include <cstdint>
-#include <random>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -34,6 +35,11 @@
     Duration takeoverDelay = std::chrono::milliseconds { 400 };
 };
 
+/// The delay of a VM with `cores` on the first start of a system: a random part of `spread`, after
+/// `weakVmDelay` for a VM with hardly any processor, so that the strongest VMs come first.
+[[nodiscard]] Duration firstStartDelay(
+    double cores, Duration weakVmDelay, Duration spread, RandomSource& random);
+
 /// Decides how a VM that starts obtains the lists of VMs, upstreams and leadership records. Only the store
 /// readers read these lists, whose size grows with the fleet; a VM that starts reads the small roster of
 /// store readers and asks these. It never concludes from a missing answer that it is alone: one VM becomes a
@@ -87,9 +93,6 @@
 
     [[nodiscard]] Step next(Instant now);
 
-    /// True when the store had no roster, as on the first start of a system.
-    [[nodiscard]] bool foundNoRoster() const noexcept { return this->createAt != Instant::max(); }
-
     void rosterRead(ReaderRoster roster, Instant now);
     /// The roster was written, or another VM has written it before; it is read again.
     void rosterWritten(Instant now);
@@ -98,14 +101,13 @@
     void readerAnswered(const VmName& reader, Answer answer, Instant now);
 
 private:
-    [[nodiscard]] Duration randomPart(Duration duration);
     /// Waits for a pause that grows with each call.
     void pauseFrom(Instant now);
     void planAsking();
     [[nodiscard]] bool mayTakeOver(Instant now) const;
 
     Options options;
-    std::minstd_rand random;
+    RandomSource random;
     ReaderRoster roster;
     bool rosterKnown = false;
     bool writeNext = false;
@@ -118,8 +120,7 @@
     /// Since when no VM of the roster has answered; Instant::max() while one has.
     Instant silentSince = Instant::max();
     Duration takeoverDelay {};
-    Joined outcome;
-    bool joined = false;
+    std::optional<Joined> joined;
 };
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/membership/list_read_throttle.h
+++ b/include/cyclamendrift/membership/list_read_throttle.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/core/random_source.h>
 
 #include <cstddef>
-#include <cstdint>
-#include <random>
 
 namespace cyclamendrift {
 
@@ -16,14 +15,9 @@
 ///
 ///     throttle.setLoad({ .vms = vms, .listBytes = bytes });
 ///     if (served) throttle.served();
-///     else if (throttle.allowRead(now)) readFromStore();
+///     else if (throttle.allowRead(now, random)) readFromStore();
 class ListReadThrottle {
 public:
-    explicit ListReadThrottle(std::uint64_t seed)
-        : random(static_cast<std::minstd_rand::result_type>(seed))
-    {
-    }
-
     struct Load {
         /// VMs of the fleet.
         std::size_t vms = 1;
@@ -37,12 +31,9 @@
 
     /// True when this VM may read; delays the next reading. The first reading after served() is delayed by a
     /// random time.
-    [[nodiscard]] bool allowRead(Instant now);
+    [[nodiscard]] bool allowRead(Instant now, RandomSource& random);
 
 private:
-    [[nodiscard]] Duration randomPart(Duration duration);
-
-    std::minstd_rand random;
     /// Interval at which each VM may read.
     Duration interval {};
     /// Instant::min() while a store reader serves this VM.
--- a/include/cyclamendrift/membership/store_call_throttle.h
+++ b/include/cyclamendrift/membership/store_call_throttle.h
@@ -18,6 +18,9 @@
     /// Sets the number of VMs in the fleet.
     void setFleetSize(std::size_t vms) noexcept { this->vms = vms; }
 
+    /// Interval at which each VM may call so that the whole fleet keeps within its rate.
+    [[nodiscard]] Duration fairPause() const noexcept;
+
     /// Records that the store answered a call of this VM.
     void answered(Instant now) noexcept { this->answeredAt = now; }
 
--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -80,8 +80,6 @@
     /// from the minimum to the maximum while they agree.
     Duration minRosterInterval = std::chrono::milliseconds { 600 };
     Duration maxRosterInterval = std::chrono::milliseconds { 10000 };
-    /// Calls per second of the whole fleet to a store that does not answer in time; bounds the backoff.
-    double maxFailingCallsPerSecond = 80;
     /// Interval of the coordinators' ticks.
     Duration tickInterval = std::chrono::milliseconds { 50 };
     /// Interval of reports from the traffic thread; delays the detection of a failed primary by as much.
--- a/src/connections/retry_budget.cpp
+++ b/src/connections/retry_budget.cpp
@@ -1,7 +1,8 @@
 #include <cyclamendrift/connections/retry_budget.h>
 
+#include <cyclamendrift/core/random_duration.h>
+
 #include <algorithm>
-#include <random>
 
 namespace cyclamendrift {
 
@@ -24,9 +25,7 @@
     constexpr std::size_t maxDoublings = 20;
     const Duration doubled = this->options.initialDelay * (1LL << std::min(attempt, maxDoublings));
     const auto limit = std::min(doubled, this->options.maxDelay);
-    // Full jitter, so that requests that failed together are not retried together.
-    std::uniform_int_distribution<Duration::rep> delay { 0, limit.count() };
-    return Duration { delay(random) };
+    return randomDuration(limit, random);
 }
 
 } // namespace cyclamendrift
--- a/src/membership/fleet_join.cpp
+++ b/src/membership/fleet_join.cpp
@@ -1,6 +1,6 @@
 #include <cyclamendrift/membership/fleet_join.h>
 
-#include <cyclamendrift/core/stable_hash.h>
+#include <cyclamendrift/core/random_duration.h>
 
 #include <algorithm>
 #include <iterator>
@@ -17,32 +17,31 @@
 
 } // namespace
 
-FleetJoin::FleetJoin(Options given)
-    : options(std::move(given))
-    , random(static_cast<std::minstd_rand::result_type>(
-          stableHash(this->options.self.view()) ^ this->options.seed))
-    , takeoverDelay(
-          this->options.settings.takeoverDelay + this->randomPart(this->options.settings.takeoverDelay))
+Duration firstStartDelay(double cores, Duration weakVmDelay, Duration spread, RandomSource& random)
 {
+    const auto weakness = 1 - std::min(cores, 1.0);
+    return std::chrono::duration_cast<Duration>(weakVmDelay * weakness) + randomDuration(spread, random);
 }
 
-Duration FleetJoin::randomPart(Duration duration)
+FleetJoin::FleetJoin(Options given)
+    : options(std::move(given))
+    , random(this->options.seed)
+    , takeoverDelay(this->options.settings.takeoverDelay
+          + randomDuration(this->options.settings.takeoverDelay, this->random))
 {
-    return std::chrono::duration_cast<Duration>(
-        duration * std::uniform_real_distribution<> { 0, 1 }(this->random));
 }
 
 void FleetJoin::pauseFrom(Instant now)
 {
     const auto& settings = this->options.settings;
     this->pause = std::clamp(this->pause * 2, settings.minPause, settings.maxPause);
-    this->waitUntil = now + this->pause / 2 + this->randomPart(this->pause / 2);
+    this->waitUntil = now + this->pause / 2 + randomDuration(this->pause / 2, this->random);
 }
 
 FleetJoin::Step FleetJoin::next(Instant now)
 {
     if (this->joined)
-        return this->outcome;
+        return *this->joined;
     if (now < this->waitUntil)
         return Wait { this->waitUntil };
     if (!this->rosterKnown)
@@ -71,9 +70,9 @@
     this->rosterKnown = true;
     if (this->roster.vms.empty()) {
         if (this->createAt == Instant::max()) {
-            const auto weakness = 1 - std::min(this->options.cores, 1.0);
-            this->createAt = now + std::chrono::duration_cast<Duration>(settings.weakVmDelay * weakness)
-                + this->randomPart(settings.firstStartSpread);
+            this->createAt = now
+                + firstStartDelay(
+                    this->options.cores, settings.weakVmDelay, settings.firstStartSpread, this->random);
             // The roster is read once more before it is written.
             this->rosterKnown = false;
             this->waitUntil = this->createAt;
@@ -85,8 +84,7 @@
     const auto readersEnd = this->roster.vms.begin()
         + static_cast<std::ptrdiff_t>(std::min(this->roster.readers, this->roster.vms.size()));
     if (std::find(this->roster.vms.begin(), readersEnd, this->options.self) != readersEnd) {
-        this->joined = true;
-        this->outcome = { .asReader = true };
+        this->joined = Joined { .asReader = true };
         return;
     }
     if (!unchanged)
@@ -129,7 +127,7 @@
 {
     std::erase(this->toAsk, reader);
     if (answer == Answer::Lists) {
-        this->joined = true;
+        this->joined = Joined {};
         return;
     }
     if (answer == Answer::None) {
--- a/src/membership/list_read_throttle.cpp
+++ b/src/membership/list_read_throttle.cpp
@@ -1,5 +1,7 @@
 #include <cyclamendrift/membership/list_read_throttle.h>
 
+#include <cyclamendrift/core/random_duration.h>
+
 #include <algorithm>
 
 namespace cyclamendrift {
@@ -24,19 +26,13 @@
     this->interval = std::chrono::duration_cast<Duration>(std::max(forCalls, forBytes));
 }
 
-Duration ListReadThrottle::randomPart(Duration duration)
-{
-    return std::chrono::duration_cast<Duration>(
-        duration * std::uniform_real_distribution<> { 0, 1 }(this->random));
-}
-
-bool ListReadThrottle::allowRead(Instant now)
+bool ListReadThrottle::allowRead(Instant now, RandomSource& random)
 {
     if (this->nextReadAt == Instant::min())
-        this->nextReadAt = now + this->randomPart(this->interval / firstDelayDivisor);
+        this->nextReadAt = now + randomDuration(this->interval / firstDelayDivisor, random);
     if (now < this->nextReadAt)
         return false;
-    this->nextReadAt = now + this->interval / 2 + this->randomPart(this->interval);
+    this->nextReadAt = now + jittered(this->interval, random);
     return true;
 }
 
--- a/src/membership/store_call_throttle.cpp
+++ b/src/membership/store_call_throttle.cpp
@@ -15,14 +15,19 @@
 
 } // namespace
 
+Duration StoreCallThrottle::fairPause() const noexcept
+{
+    const std::chrono::duration<double> pause { static_cast<double>(this->vms) / maxFleetCallsPerSecond };
+    return std::chrono::duration_cast<Duration>(pause);
+}
+
 bool StoreCallThrottle::allowCall(Instant now)
 {
     if (this->answeredAt != Instant::min() && now < this->answeredAt + recentAnswerPeriod)
         return true;
     if (now < this->nextCallAt)
         return false;
-    const std::chrono::duration<double> fairPause { static_cast<double>(this->vms) / maxFleetCallsPerSecond };
-    this->nextCallAt = now + std::clamp(std::chrono::duration_cast<Duration>(fairPause), minPause, maxPause);
+    this->nextCallAt = now + std::clamp(this->fairPause(), minPause, maxPause);
     return true;
 }
 
--- a/src/proxy/fleet_context.cpp
+++ b/src/proxy/fleet_context.cpp
@@ -1,11 +1,11 @@
 #include "fleet_context.h"
 
+#include <cyclamendrift/core/random_duration.h>
+
 #include <asio/redirect_error.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
 
-#include <random>
-
 namespace cyclamendrift {
 
 FleetContext::FleetContext(FleetOptions given)
@@ -15,11 +15,7 @@
     this->process = this->random();
 }
 
-Duration FleetContext::jittered(Duration mean)
-{
-    std::uniform_real_distribution<double> factor { 0.5, 1.5 };
-    return Duration { static_cast<Duration::rep>(static_cast<double>(mean.count()) * factor(this->random)) };
-}
+Duration FleetContext::jittered(Duration mean) { return cyclamendrift::jittered(mean, this->random); }
 
 asio::awaitable<void> FleetContext::sleep(Duration duration)
 {
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -30,7 +30,6 @@
                 { "keys", std::to_string(table->keys.size()) } });
         this->routes = std::move(table);
         this->options.traffic.setRoutes(this->routes);
-        this->updateServiceCount();
         this->updateFollowed(bootNow());
         this->divideLimits();
     } catch (const FormatError& error) {
@@ -149,8 +148,7 @@
         // Store readers may have lost the store themselves, so a configuration that nobody has confirmed for
         // a while is read here.
         const auto confirmedAt = std::min(self->configurationConfirmedAt, self->evacuations.confirmedAt());
-        if (self->isReader()
-            || self->mayReadList(confirmedAt, settings.maxConfigurationAge, self->configurationWithheldAt))
+        if (self->mayReadList(confirmedAt, settings.maxConfigurationAge, self->configurationWithheldAt))
             current = co_await self->readConfiguration();
         if (current && self->isReader()) {
             co_await self->watchConfiguration();
@@ -174,8 +172,7 @@
             co_await self->sleep(pause);
             continue;
         }
-        if (self->isReader()
-            || self->mayReadList(
+        if (self->mayReadList(
                 self->directoryListing.confirmedAt(), settings.maxDirectoryAge, self->directoryWithheldAt)) {
             if (const auto failed = co_await self->readDirectory())
                 pause = *failed;
@@ -266,7 +263,6 @@
     this->services.clear();
     for (const auto& [service, members] : groups)
         this->services.insert(service);
-    this->updateServiceCount();
     for (auto& [service, coordinator] : this->coordinators)
         coordinator.onDirectory(groups[service], bootNow());
     this->options.traffic.setDirectory(this->directory);
--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -1,5 +1,6 @@
 #include "control_state.h"
 
+#include <cyclamendrift/core/random_duration.h>
 #include <cyclamendrift/core/stable_hash.h>
 #include <cyclamendrift/platform/store_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
@@ -8,6 +9,7 @@
 #include <leadership.pb.h>
 
 #include <algorithm>
+#include <random>
 #include <utility>
 #include <variant>
 
@@ -27,15 +29,6 @@
     return secret;
 }
 
-void write(const SiblingInfo& sibling, wire::VmRecord& record)
-{
-    record.set_name(sibling.address.vm.string());
-    record.set_availability_zone(sibling.capacity.zone.string());
-    record.set_sibling_host(sibling.address.host);
-    record.set_sibling_port(sibling.address.port);
-    record.set_cores(sibling.capacity.cores);
-}
-
 } // namespace
 
 asio::awaitable<ReaderRoster> SessionControl::State::fetchRoster()
@@ -79,7 +72,7 @@
     for (const auto& vm : next.vms) {
         const auto listed = this->siblings.find(vm);
         if (listed != this->siblings.end())
-            write(listed->second, *message.add_vms());
+            writeSibling(listed->second, *message.add_vms());
     }
     SwapOptions swap { .key = store_key::readerRoster,
         .expectedRevision = next.revision,
@@ -94,6 +87,7 @@
 {
     try {
         auto next = co_await this->fetchRoster();
+        co_await this->beginRecord();
         // Until the list of VMs arrives, these are the only siblings that are known.
         if (this->vms.confirmedAt() == Instant::min()) {
             this->siblings = this->rosterVms;
@@ -108,9 +102,7 @@
 
 asio::awaitable<void> SessionControl::State::writeFirstRoster(FleetJoin& join, std::uint64_t expectedRevision)
 {
-    wire::VmRecord own;
-    const bool readable = own.ParseFromString(this->ownRecord({}));
-    this->siblings.insert_or_assign(this->options.vm, readable ? siblingFrom(own) : SiblingInfo {});
+    this->siblings.insert_or_assign(this->options.vm, this->ownSibling());
     ReaderRoster next { .vms = { this->options.vm }, .readers = 1, .revision = expectedRevision };
     // The VMs that could not be reached may be cut off from this VM alone, so they stay as standbys.
     for (const auto& [vm, sibling] : this->rosterVms) {
@@ -131,6 +123,16 @@
     }
 }
 
+asio::awaitable<void> SessionControl::State::beginRecord()
+{
+    if (std::exchange(this->recordBegun, true))
+        co_return;
+    this->isFirstStart = !this->siblingsOpen;
+    if (!this->isFirstStart)
+        co_await this->findEarlierRecord();
+    this->spawn(keepRecord(this->shared_from_this()));
+}
+
 asio::awaitable<void> SessionControl::State::findEarlierRecord()
 {
     const auto key = store_key::vmPrefix + this->options.vm.string();
@@ -175,21 +177,11 @@
         .settings = self->options.settings.join } };
     // Spreads the VMs over the readers until the list of VMs gives each its rank.
     self->place.rank = stableHash(self->options.vm.view()) % self->options.settings.vmsPerReader;
-    bool recordStarted = false;
     while (!self->stopped) {
         auto step = join.next(bootNow());
         if (std::holds_alternative<FleetJoin::Joined>(step))
             break;
         co_await self->perform(join, std::move(step));
-        // Siblings cannot reach this VM before its record is written.
-        const bool found = join.foundNoRoster() || !self->roster.vms.empty();
-        if (found && !recordStarted) {
-            recordStarted = true;
-            self->isFirstStart = !self->siblingsOpen;
-            if (!self->isFirstStart)
-                co_await self->findEarlierRecord();
-            self->spawn(keepRecord(self));
-        }
     }
     self->bootstrapped = true;
     self->updateFollowed(bootNow());
@@ -206,7 +198,7 @@
     const auto& settings = self->options.settings;
     auto pause = settings.minRosterInterval;
     while (!self->stopped) {
-        co_await self->sleep(pause / 2 + self->randomPart(pause));
+        co_await self->sleep(jittered(pause, self->random));
         const auto& known = self->roster.vms;
         const bool named = std::find(known.begin(), known.end(), self->options.vm) != known.end();
         if (!named && !self->isReader()) {
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -142,11 +142,8 @@
     const auto now = bootNow();
     if (now >= this->followedUpdatedAt + followedUpdateInterval)
         this->updateFollowed(now);
-    const bool vouches = this->followed.confirms();
     for (auto& [service, coordinator] : this->coordinators) {
-        coordinator.setRank(this->followed.rankFor(service));
         coordinator.setVmLeaseExpiry(this->leaseUntil);
-        coordinator.setConfirmsForSiblings(vouches);
         for (const auto& action : coordinator.tick(now))
             this->perform(service, action);
     }
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -39,6 +39,15 @@
     return sibling;
 }
 
+void writeSibling(const SiblingInfo& sibling, wire::VmRecord& record)
+{
+    record.set_name(sibling.address.vm.string());
+    record.set_availability_zone(sibling.capacity.zone.string());
+    record.set_sibling_host(sibling.address.host);
+    record.set_sibling_port(sibling.address.port);
+    record.set_cores(sibling.capacity.cores);
+}
+
 asio::awaitable<void> SessionControl::State::keepLease(std::shared_ptr<State> self)
 {
     const auto& settings = self->options.settings;
@@ -92,11 +101,9 @@
 {
     const auto& settings = self->options.settings;
     Instant renewAt = Instant::min();
-    if (self->isFirstStart) {
-        const auto weakness = 1 - std::min(self->options.cores, 1.0);
-        co_await self->sleep(std::chrono::duration_cast<Duration>(settings.firstRecordSpread / 2 * weakness)
-            + self->randomPart(settings.firstRecordSpread / 2));
-    }
+    if (self->isFirstStart)
+        co_await self->sleep(firstStartDelay(self->options.cores, settings.firstRecordSpread / 2,
+            settings.firstRecordSpread / 2, self->random));
     while (!self->stopped) {
         // Siblings cannot reach this VM before its record is written, so the first attempts are more
         // frequent.
@@ -165,14 +172,19 @@
         this->publishedUnder = earlier.lease;
 }
 
+SiblingInfo SessionControl::State::ownSibling() const
+{
+    SiblingInfo own;
+    own.address
+        = { .vm = this->options.vm, .host = this->options.siblingHost, .port = this->options.siblingPort };
+    own.capacity = { .zone = this->options.zone, .cores = this->options.cores };
+    return own;
+}
+
 std::string SessionControl::State::ownRecord(const DemandByTeam& rates) const
 {
     wire::VmRecord record;
-    record.set_name(this->options.vm.string());
-    record.set_availability_zone(this->options.zone.string());
-    record.set_sibling_host(this->options.siblingHost);
-    record.set_sibling_port(this->options.siblingPort);
-    record.set_cores(this->options.cores);
+    writeSibling(this->ownSibling(), record);
     for (const auto& [team, rate] : rates) {
         auto& entry = *record.add_demand();
         entry.set_team(team.string());
@@ -210,8 +222,7 @@
     const auto& settings = self->options.settings;
     while (!self->stopped) {
         auto pause = settings.vmListInterval;
-        if (self->isReader()
-            || self->mayReadList(self->vms.confirmedAt(), settings.maxVmListAge, self->vmsWithheldAt)) {
+        if (self->mayReadList(self->vms.confirmedAt(), settings.maxVmListAge, self->vmsWithheldAt)) {
             try {
                 auto [listing, provenAt] = co_await self->readProven(store_key::vmPrefix);
                 self->vmSource.succeeded();
@@ -254,11 +265,6 @@
     const auto capacities = capacitiesOf(this->siblings);
     this->holders = LimitHolders { capacities };
     this->chooseReaders(capacities);
-    std::vector<VmName> names;
-    names.reserve(capacities.size());
-    for (const auto& [vm, capacity] : capacities)
-        names.push_back(vm);
-    this->followed.setVms(names);
     this->updateFollowed(bootNow());
     const auto own = this->siblings.find(this->options.vm);
     const bool listed = own != this->siblings.end();
@@ -278,7 +284,9 @@
 void SessionControl::State::chooseReaders(const std::map<VmName, VmCapacity>& capacities)
 {
     const auto readers = 1 + capacities.size() / this->options.settings.vmsPerReader;
-    this->readerSelector.setOrder(rankByCores(capacities), readers);
+    auto order = rankByCores(capacities);
+    this->followed.setVms(order);
+    this->readerSelector.setOrder(std::move(order), readers);
     this->storeThrottle.setFleetSize(capacities.size());
 }
 
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -47,6 +47,8 @@
 
 bool SessionControl::State::mayReadList(Instant confirmedAt, Duration maxAge, Instant withheldAt)
 {
+    if (this->isReader())
+        return true;
     const auto now = bootNow();
     if (now < confirmedAt + maxAge)
         return false;
@@ -57,6 +59,13 @@
     return this->allowOwnReading();
 }
 
+std::vector<const SharedListing*> SessionControl::State::neededListings() const
+{
+    if (this->forwardsOnly)
+        return { &this->vms };
+    return { &this->leadership, &this->vms, &this->directoryListing };
+}
+
 bool SessionControl::State::allowOwnReading()
 {
     if (!this->mayCallStore())
@@ -67,11 +76,11 @@
     // What an entry of a list takes in an answer of the store.
     constexpr std::size_t bytesPerEntry = 250;
     std::size_t entries = 0;
-    for (const auto* listing : { &this->leadership, &this->vms, &this->directoryListing })
+    for (const auto* listing : this->neededListings())
         entries += listing->current().entries.size();
     this->listThrottle.setLoad({ .vms = this->siblings.size(),
         .listBytes = entries * bytesPerEntry + this->configurationValue.size() });
-    return this->listThrottle.allowRead(bootNow());
+    return this->listThrottle.allowRead(bootNow(), this->random);
 }
 
 Duration SessionControl::State::readingsTimeLimit() const
@@ -81,9 +90,7 @@
     constexpr double bytesPerEntry = 64;
     std::size_t entries = 0;
     auto oldest = Instant::max();
-    for (const auto* listing : { &this->leadership, &this->vms, &this->directoryListing }) {
-        if (listing != &this->vms && this->forwardsOnly)
-            continue;
+    for (const auto* listing : this->neededListings()) {
         if (listing->confirmedAt() == Instant::min())
             return settings.maxFirstListsTime;
         oldest = std::min(oldest, listing->confirmedAt());
--- a/src/session_proxy/control_services.cpp
+++ b/src/session_proxy/control_services.cpp
@@ -15,12 +15,6 @@
         || this->needsLease(now);
 }
 
-void SessionControl::State::updateServiceCount()
-{
-    const auto configured = this->routes ? this->routes->connectionCaps.size() : 0;
-    this->followed.setServiceCount(std::max(configured, this->services.size()));
-}
-
 void SessionControl::State::recordUse(const ServiceName& service)
 {
     const auto now = bootNow();
@@ -42,6 +36,8 @@
 void SessionControl::State::updateFollowed(Instant now)
 {
     this->followedUpdatedAt = now;
+    const auto configured = this->routes ? this->routes->connectionCaps.size() : 0;
+    this->followed.setServiceCount(std::max(configured, this->services.size()));
     this->followed.discardUnused(now);
     this->followed.setConfirmsForSiblings(
         !this->siblingsOpen || this->readerSelector.isReaderOrStandby(this->options.vm, now));
@@ -62,6 +58,7 @@
         this->follow(added, now);
     for (auto item = this->coordinators.begin(); item != this->coordinators.end();) {
         if (this->followed.includes(item->first, now) || item->second.needsLease(now)) {
+            this->configure(item->first, item->second);
             ++item;
             continue;
         }
@@ -71,6 +68,12 @@
     }
 }
 
+void SessionControl::State::configure(const ServiceName& service, LeaderCoordinator& coordinator)
+{
+    coordinator.setRank(this->followed.rankFor(service));
+    coordinator.setConfirmsForSiblings(this->followed.confirms());
+}
+
 void SessionControl::State::discardUpstreams()
 {
     for (const auto& [service, coordinator] : this->coordinators)
@@ -101,6 +104,7 @@
                   .try_emplace(service,
                       LeaderCoordinator::Options { .vm = this->options.vm, .seed = this->options.process })
                   .first->second;
+        this->configure(service, coordinator);
         coordinator.setEvacuatedZones(this->evacuatedZones);
         coordinator.onDirectory(std::move(members[service]), now);
         if (this->leadership.confirmedAt() != Instant::min())
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cyclamendrift/core/random_source.h>
 #include <cyclamendrift/leadership/followed_services.h>
 #include <cyclamendrift/membership/fleet_join.h>
 #include <cyclamendrift/membership/list_read_throttle.h>
@@ -23,7 +24,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -52,6 +52,8 @@
 [[nodiscard]] SiblingList siblingsFrom(const StoreListing& listing);
 /// The sibling that a VM record describes.
 [[nodiscard]] SiblingInfo siblingFrom(const wire::VmRecord& record);
+/// Writes a sibling's address and capacity, without its demand.
+void writeSibling(const SiblingInfo& sibling, wire::VmRecord& record);
 
 /// Availability of one dependency, as the outcomes of calls show it. Logs when it is lost and when it is
 /// back.
@@ -149,7 +151,6 @@
     /// Notes that a call of that dependency failed and returns the backoff before the next attempt. Where
     /// many VMs could call an overloaded store, it grows with the fleet.
     [[nodiscard]] Duration backoffAfter(Dependency& dependency, const char* reason);
-    [[nodiscard]] Duration randomPart(Duration duration);
 
     // control_configuration
     struct ProvenListing {
@@ -183,6 +184,9 @@
     [[nodiscard]] asio::awaitable<void> writeFirstRoster(FleetJoin& join, std::uint64_t expectedRevision);
     /// Reads the siblings' secret and the roster; opens the siblings' server when the secret is there.
     [[nodiscard]] asio::awaitable<ReaderRoster> fetchRoster();
+    /// Starts to publish this VM's record once the secret is known or known to be missing. Siblings cannot
+    /// reach this VM before.
+    [[nodiscard]] asio::awaitable<void> beginRecord();
     /// Finds the record of an earlier process of this VM.
     [[nodiscard]] asio::awaitable<void> findEarlierRecord();
     /// Writes the roster if it still has that revision.
@@ -214,10 +218,12 @@
     [[nodiscard]] Duration readingsInterval() const;
     /// False until every list was read. A sibling that got only some of them would read the rest itself.
     [[nodiscard]] bool hasAllReadings() const;
-    /// True when this VM may read a list from the store, after no store reader has confirmed it for `maxAge`
-    /// and none is about to send it.
+    /// True when this VM is a store reader, or may read a list that no store reader has confirmed for
+    /// `maxAge` and none is about to send.
     [[nodiscard]] bool mayReadList(Instant confirmedAt, Duration maxAge, Instant withheldAt);
-    /// True when this VM, which is no store reader, may read a list from the store.
+    /// The lists that this VM keeps current.
+    [[nodiscard]] std::vector<const SharedListing*> neededListings() const;
+    /// True when this VM may read a list from the store although no store reader serves it.
     [[nodiscard]] bool allowOwnReading();
     void applyReadings(const wire::ReadingsAnswer& answer, Instant askedAt);
     /// True when every group has a view that was confirmed less than `maxAge` ago.
@@ -257,7 +263,8 @@
     /// Starts and ends the tracking of primaries as `followed` demands.
     void updateFollowed(Instant now);
     void follow(const std::set<ServiceName>& added, Instant now);
-    void updateServiceCount();
+    /// Sets what depends on this VM's part in the fleet.
+    void configure(const ServiceName& service, LeaderCoordinator& coordinator);
     /// Discards the upstreams and leadership records, which would become outdated.
     void discardUpstreams();
 
@@ -266,6 +273,8 @@
     [[nodiscard]] bool needsLease(Instant now) const;
     [[nodiscard]] static asio::awaitable<void> keepRecord(std::shared_ptr<State> self);
     [[nodiscard]] asio::awaitable<void> writeOwnRecord(const DemandByTeam& told);
+    /// This VM as its siblings see it.
+    [[nodiscard]] SiblingInfo ownSibling() const;
     /// The value of this VM's record.
     [[nodiscard]] std::string ownRecord(const DemandByTeam& told) const;
     /// Adopts the record and the lease of an earlier process of this VM if they still exist.
@@ -316,7 +325,7 @@
     /// The VMs of the roster, and its revision in the store.
     SiblingList rosterVms;
     ReaderRoster roster;
-    std::minstd_rand random;
+    RandomSource random;
     Instant followedUpdatedAt = Instant::min();
     std::uint64_t ownRecordRevision = 0;
     /// The record of an earlier process of this VM, found at the start; its lease is None when there was
@@ -325,6 +334,7 @@
     LeaseId publishedUnder = LeaseId::None;
     /// True once the first readings have been taken and the loops that keep them current run.
     bool bootstrapped = false;
+    bool recordBegun = false;
     /// True when there was no secret yet when this VM started.
     bool isFirstStart = false;
     /// Number of requests to siblings while the store was unavailable; rotates among them.
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -2,6 +2,7 @@
 
 #include "control_state.h"
 
+#include <cyclamendrift/core/random_duration.h>
 #include <cyclamendrift/platform/store_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/telemetry/event_log.h>
@@ -59,7 +60,6 @@
     , timers(options.context.get_executor())
     , followed(options.vm)
     , leadershipWanted(options.context)
-    , listThrottle(options.process)
     , configurationSource("configuration", options.settings)
     , directorySource("directory", options.settings)
     , leadershipSource("leadership", options.settings)
@@ -67,7 +67,7 @@
     , vmSource("vms", options.settings)
     , recordSource("record", options.settings)
     , listingBudget(options.linkBytesPerSecond * listingLinkFraction)
-    , random(static_cast<std::minstd_rand::result_type>(options.process))
+    , random(options.process)
 {
 }
 
@@ -86,24 +86,15 @@
     return key == this->options.format.operatorPrefix() ? "configuration" : "directory";
 }
 
-Duration SessionControl::State::randomPart(Duration duration)
-{
-    return std::chrono::duration_cast<Duration>(
-        duration * std::uniform_real_distribution<> { 0, 1 }(this->random));
-}
-
 Duration SessionControl::State::backoffAfter(Dependency& dependency, const char* reason)
 {
     const auto& settings = this->options.settings;
     auto maxBackoff = settings.maxBackoff;
     // Store readers and their standbys have to notice soon that the store answers again.
-    if (!this->readerSelector.isReaderOrStandby(this->options.vm, bootNow())) {
-        const std::chrono::duration<double> fairPause { static_cast<double>(this->siblings.size())
-            / settings.maxFailingCallsPerSecond };
-        maxBackoff = std::max(maxBackoff, std::chrono::duration_cast<Duration>(fairPause));
-    }
+    if (!this->readerSelector.isReaderOrStandby(this->options.vm, bootNow()))
+        maxBackoff = std::max(maxBackoff, this->storeThrottle.fairPause());
     const auto backoff = dependency.failed(reason, maxBackoff);
-    return backoff - this->randomPart(backoff / 4);
+    return backoff - randomDuration(backoff / 4, this->random);
 }
 
 asio::awaitable<void> SessionControl::State::sleep(Duration duration)
--- a/tests/membership/list_read_throttle_test.cpp
+++ b/tests/membership/list_read_throttle_test.cpp
@@ -17,10 +17,12 @@
     const Instant start { 100s };
     std::vector<std::size_t> readings(seconds);
     for (std::size_t vm = 0; vm < vms; ++vm) {
-        ListReadThrottle throttle { vm + 1 };
+        ListReadThrottle throttle;
+        RandomSource random { vm + 1 };
         throttle.setLoad({ .vms = vms, .listBytes = listBytes });
         for (Duration elapsed {}; elapsed < seconds * 1s; elapsed += 50ms)
-            readings[static_cast<std::size_t>(elapsed / 1s)] += throttle.allowRead(start + elapsed) ? 1 : 0;
+            readings[static_cast<std::size_t>(elapsed / 1s)]
+                += throttle.allowRead(start + elapsed, random) ? 1 : 0;
     }
     return readings;
 }
@@ -47,13 +49,14 @@
     {
         // Guards against a VM that is cut off from its siblings and learns of a new primary too late,
         // although the store answers it.
-        ListReadThrottle throttle { 1 };
+        ListReadThrottle throttle;
+        RandomSource random { 1 };
         throttle.setLoad({ .vms = 8, .listBytes = 8'000 });
         const Instant start { 100s };
         std::size_t readings = 0;
         Duration first = Duration::max();
         for (Duration elapsed {}; elapsed < 3s; elapsed += 10ms) {
-            if (!throttle.allowRead(start + elapsed))
+            if (!throttle.allowRead(start + elapsed, random))
                 continue;
             first = std::min(first, elapsed);
             ++readings;
@@ -65,12 +68,13 @@
     TEST_CASE("after a store reader has served a VM, its next own reading is delayed again")
     {
         // Guards against VMs that all read at the same moment when the readers fail a second time.
-        ListReadThrottle throttle { 7 };
+        ListReadThrottle throttle;
+        RandomSource random { 7 };
         throttle.setLoad({ .vms = 1000, .listBytes = 500'000 });
         Instant now { 100s };
-        while (!throttle.allowRead(now))
+        while (!throttle.allowRead(now, random))
             now += 10ms;
         throttle.served();
-        CHECK_FALSE(throttle.allowRead(now + 1ms));
+        CHECK_FALSE(throttle.allowRead(now + 1ms, random));
     }
 }
