Call the tracking of a service by one word

The change said follow and track for the same thing, and the loops that keep a list current are called follow as well. The glossary and the metric services_tracked say track. Renames only; the names that leave the process are unchanged.

--- a/include/cyclamendrift/leadership/followed_services.h
+++ b/include/cyclamendrift/leadership/tracked_services.h
@@ -14,12 +14,12 @@
 /// them. Otherwise a VM tracks those whose statements it runs, and those of which it is one of the first
 /// candidates for the coordinator lease, so that the work of a VM does not grow with the number of services.
 ///
-///     followed.setVms(listed);
-///     followed.recordUse(service, now);
-///     if (followed.includes(service, now)) track(service, followed.rankFor(service));
-class FollowedServices {
+///     tracked.setVms(listed);
+///     tracked.recordUse(service, now);
+///     if (tracked.includes(service, now)) track(service, tracked.rankFor(service));
+class TrackedServices {
 public:
-    explicit FollowedServices(VmName self);
+    explicit TrackedServices(VmName self);
 
     /// Sets all VMs of the fleet. The candidates for coordinator leases are selected among them.
     void setVms(std::span<const VmName> vms);
--- a/include/cyclamendrift/pooling/engine_actions.h
+++ b/include/cyclamendrift/pooling/engine_actions.h
@@ -99,7 +99,7 @@
 };
 /// Keeps the view of the service's primary current at this VM, which runs statements of it. Requested again
 /// while the service is in use.
-struct FollowService {
+struct TrackService {
     ServiceName service;
 };
 /// An event for the log.
@@ -110,6 +110,6 @@
 /// Any action of a SessionEngine.
 using EngineAction = std::variant<OpenConnection, SendStatement, CloseConnection, AcceptCaller, AnswerCaller,
     CloseCaller, RequestTokens, ForwardStatement, CheckOwnerLiveness, ReleaseRemoteSession,
-    AnswerRemoteSession, FollowService, LogEvent>;
+    AnswerRemoteSession, TrackService, LogEvent>;
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -79,7 +79,7 @@
     /// While this VM shuts down, a caller that has connected gets this much time to start its session.
     Duration sessionStartTimeout = std::chrono::milliseconds { 300 };
     /// Interval at which this VM reports that it runs statements of a service.
-    Duration followInterval = std::chrono::seconds { 10 };
+    Duration trackInterval = std::chrono::seconds { 10 };
     /// Pause between attempts to open a connection to an upstream that had none left; doubles with each
     /// further refusal up to the maximum.
     Duration fullUpstreamBackoff = std::chrono::milliseconds { 40 };
--- a/src/leadership/followed_services.cpp
+++ b/src/leadership/tracked_services.cpp
@@ -1,4 +1,4 @@
-#include <cyclamendrift/leadership/followed_services.h>
+#include <cyclamendrift/leadership/tracked_services.h>
 
 #include <cyclamendrift/core/stable_hash.h>
 #include <cyclamendrift/membership/owner_selection.h>
@@ -30,12 +30,12 @@
 
 } // namespace
 
-FollowedServices::FollowedServices(VmName self)
+TrackedServices::TrackedServices(VmName self)
     : self(std::move(self))
 {
 }
 
-void FollowedServices::setVms(std::span<const VmName> vms)
+void TrackedServices::setVms(std::span<const VmName> vms)
 {
     std::vector<VmName> ranked { vms.begin(), vms.end() };
     rankByRendezvous(ranked, "coordinators");
@@ -47,25 +47,25 @@
         this->candidateIndex = static_cast<std::size_t>(std::distance(ranked.begin(), own));
 }
 
-void FollowedServices::recordUse(const ServiceName& service, Instant now) { this->usedAt[service] = now; }
+void TrackedServices::recordUse(const ServiceName& service, Instant now) { this->usedAt[service] = now; }
 
-bool FollowedServices::includesAll() const noexcept
+bool TrackedServices::includesAll() const noexcept
 {
     return this->confirmsForSiblings || this->serviceCount <= maxServicesTrackedByAll;
 }
 
-bool FollowedServices::includes(const ServiceName& service, Instant now) const
+bool TrackedServices::includes(const ServiceName& service, Instant now) const
 {
     return this->includesAll() || this->isUsed(service, now)
         || (this->candidateIndex && this->rankFor(service) < coordinatorsPerService);
 }
 
-bool FollowedServices::mayIncludeAny() const noexcept
+bool TrackedServices::mayIncludeAny() const noexcept
 {
     return this->includesAll() || this->candidateIndex || !this->usedAt.empty();
 }
 
-bool FollowedServices::isUsed(const ServiceName& service, Instant now) const
+bool TrackedServices::isUsed(const ServiceName& service, Instant now) const
 {
     if (this->serviceCount <= maxServicesTrackedByAll)
         return true;
@@ -73,7 +73,7 @@
     return match != this->usedAt.end() && now < match->second + useRetention;
 }
 
-std::size_t FollowedServices::rankFor(const ServiceName& service) const
+std::size_t TrackedServices::rankFor(const ServiceName& service) const
 {
     if (this->candidateIndex)
         return (*this->candidateIndex + stableHash(service.view()) % this->candidateCount)
@@ -81,7 +81,7 @@
     return this->candidateCount + rendezvousWeight(this->self, service.view()) % ranksOfOtherVms;
 }
 
-void FollowedServices::discardUnused(Instant now)
+void TrackedServices::discardUnused(Instant now)
 {
     std::erase_if(this->usedAt, [now](const auto& item) { return now >= item.second + useRetention; });
 }
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -33,7 +33,7 @@
 void SessionEngine::State::enqueue(CallerSession& session)
 {
     auto& group = this->group(session.route.service);
-    this->followIfDue(group);
+    this->trackIfDue(group);
     if (group.view.phase == LeaderView::Phase::Changing && this->isLeaderless(group, session)) {
         this->refuse(session, StatementError::Busy,
             adviceText("the primary is being replaced", this->options.settings.primaryChangeRetryAfter));
@@ -49,12 +49,12 @@
     this->dispatchWaiting(group);
 }
 
-void SessionEngine::State::followIfDue(GroupState& group)
+void SessionEngine::State::trackIfDue(GroupState& group)
 {
-    if (this->now < group.followAgainAt)
+    if (this->now < group.trackAgainAt)
         return;
-    group.followAgainAt = this->now + this->options.settings.followInterval;
-    this->actions.emplace_back(FollowService { group.name });
+    group.trackAgainAt = this->now + this->options.settings.trackInterval;
+    this->actions.emplace_back(TrackService { group.name });
 }
 
 bool SessionEngine::State::isLeaderless(const GroupState& group, const CallerSession& session) const
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -80,7 +80,7 @@
     // engine_dispatch
     void enqueue(CallerSession& session);
     /// Requests the view of the group's primary, unless that was done recently.
-    void followIfDue(GroupState& group);
+    void trackIfDue(GroupState& group);
     void dispatchWaiting(GroupState& group);
     void runPinned(CallerSession& session);
     void serveSameTeam(PooledConnection& connection);
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -136,7 +136,7 @@
     /// When an answer last contradicted the view.
     Instant contradictedAt = Instant::min();
     /// When a statement that is to run here requests the view of the primary again.
-    Instant followAgainAt = Instant::min();
+    Instant trackAgainAt = Instant::min();
 
     /// True when recent answers have shown that the view's primary has been replaced. Renewing the view does
     /// not clear this; a view of another primary or of a later term does.
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -30,7 +30,7 @@
                 { "keys", std::to_string(table->keys.size()) } });
         this->routes = std::move(table);
         this->options.traffic.setRoutes(this->routes);
-        this->updateFollowed(bootNow());
+        this->updateTracked(bootNow());
         this->divideLimits();
     } catch (const FormatError& error) {
         logEvent(LogLevel::Error, "configuration_unreadable",
@@ -266,7 +266,7 @@
     for (auto& [service, coordinator] : this->coordinators)
         coordinator.onDirectory(groups[service], bootNow());
     this->options.traffic.setDirectory(this->directory);
-    this->updateFollowed(bootNow());
+    this->updateTracked(bootNow());
     // The leadership record of a new group may have been read already.
     if (this->leadership.confirmedAt() != Instant::min())
         this->applyLeadership(this->leadershipReadFrom);
--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -184,7 +184,7 @@
         co_await self->perform(join, std::move(step));
     }
     self->bootstrapped = true;
-    self->updateFollowed(bootNow());
+    self->updateTracked(bootNow());
     self->spawn(followLeadership(self));
     self->spawn(followConfiguration(self));
     self->spawn(followDirectory(self));
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 // Interval of checks for services whose primary no longer has to be tracked here.
-constexpr Duration followedUpdateInterval = std::chrono::milliseconds { 1000 };
+constexpr Duration trackedUpdateInterval = std::chrono::milliseconds { 1000 };
 
 } // namespace
 
@@ -105,10 +105,10 @@
 void SessionControl::State::applyLeadership(ViewSource source)
 {
     this->leadershipReadFrom = source;
-    std::set<ServiceName> tracked;
+    std::set<ServiceName> wanted;
     for (const auto& [service, coordinator] : this->coordinators)
-        tracked.insert(service);
-    const auto snapshots = this->snapshotsOf(tracked);
+        wanted.insert(service);
+    const auto snapshots = this->snapshotsOf(wanted);
     const auto now = bootNow();
     for (auto& [service, coordinator] : this->coordinators)
         coordinator.onSnapshot(snapshots.at(service), now);
@@ -140,8 +140,8 @@
     if (this->whenReady && this->isReady())
         std::exchange(this->whenReady, nullptr)();
     const auto now = bootNow();
-    if (now >= this->followedUpdatedAt + followedUpdateInterval)
-        this->updateFollowed(now);
+    if (now >= this->trackedUpdatedAt + trackedUpdateInterval)
+        this->updateTracked(now);
     for (auto& [service, coordinator] : this->coordinators) {
         coordinator.setVmLeaseExpiry(this->leaseUntil);
         for (const auto& action : coordinator.tick(now))
@@ -210,7 +210,7 @@
         }
         void operator()(const PublishView& leader) const
         {
-            if (this->control.followed.isUsed(this->service, bootNow()))
+            if (this->control.tracked.isUsed(this->service, bootNow()))
                 this->control.options.traffic.setLeader(this->service, leader.view);
         }
         void operator()(const LogLeadershipEvent& note) const
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -265,7 +265,7 @@
     const auto capacities = capacitiesOf(this->siblings);
     this->holders = LimitHolders { capacities };
     this->chooseReaders(capacities);
-    this->updateFollowed(bootNow());
+    this->updateTracked(bootNow());
     const auto own = this->siblings.find(this->options.vm);
     const bool listed = own != this->siblings.end();
     if (listed && this->publishedUnder == LeaseId::None)
@@ -285,7 +285,7 @@
 {
     const auto readers = 1 + capacities.size() / this->options.settings.vmsPerReader;
     auto order = rankByCores(capacities);
-    this->followed.setVms(order);
+    this->tracked.setVms(order);
     this->readerSelector.setOrder(std::move(order), readers);
     this->storeThrottle.setFleetSize(capacities.size());
 }
--- a/src/session_proxy/control_services.cpp
+++ b/src/session_proxy/control_services.cpp
@@ -11,35 +11,35 @@
 bool SessionControl::State::needsUpstreams(Instant now) const
 {
     // Until the configuration is known, neither the services nor this VM's part in them are.
-    return this->isReader() || this->followed.confirms() || (this->routes && this->followed.mayIncludeAny())
+    return this->isReader() || this->tracked.confirms() || (this->routes && this->tracked.mayIncludeAny())
         || this->needsLease(now);
 }
 
 void SessionControl::State::recordUse(const ServiceName& service)
 {
     const auto now = bootNow();
-    const bool wasUsed = this->followed.isUsed(service, now);
-    this->followed.recordUse(service, now);
+    const bool wasUsed = this->tracked.isUsed(service, now);
+    this->tracked.recordUse(service, now);
     // Without the upstreams, tracking begins as soon as a store reader has sent them.
     if (this->forwardsOnly)
-        this->updateFollowed(now);
+        this->updateTracked(now);
     if (!this->services.contains(service))
         return;
     if (!this->coordinators.contains(service))
-        this->follow({ service }, now);
+        this->track({ service }, now);
     // A view that nobody needed was not published.
     if (!wasUsed)
         this->options.traffic.setLeader(service, this->coordinators.at(service).view());
     this->tick();
 }
 
-void SessionControl::State::updateFollowed(Instant now)
+void SessionControl::State::updateTracked(Instant now)
 {
-    this->followedUpdatedAt = now;
+    this->trackedUpdatedAt = now;
     const auto configured = this->routes ? this->routes->connectionCaps.size() : 0;
-    this->followed.setServiceCount(std::max(configured, this->services.size()));
-    this->followed.discardUnused(now);
-    this->followed.setConfirmsForSiblings(
+    this->tracked.setServiceCount(std::max(configured, this->services.size()));
+    this->tracked.discardUnused(now);
+    this->tracked.setConfirmsForSiblings(
         !this->siblingsOpen || this->readerSelector.isReaderOrStandby(this->options.vm, now));
     if (this->forwardsOnly == this->needsUpstreams(now)) {
         this->forwardsOnly = !this->forwardsOnly;
@@ -51,13 +51,13 @@
     }
     std::set<ServiceName> added;
     for (const auto& service : this->services) {
-        if (!this->coordinators.contains(service) && this->followed.includes(service, now))
+        if (!this->coordinators.contains(service) && this->tracked.includes(service, now))
             added.insert(service);
     }
     if (!added.empty())
-        this->follow(added, now);
+        this->track(added, now);
     for (auto item = this->coordinators.begin(); item != this->coordinators.end();) {
-        if (this->followed.includes(item->first, now) || item->second.needsLease(now)) {
+        if (this->tracked.includes(item->first, now) || item->second.needsLease(now)) {
             this->configure(item->first, item->second);
             ++item;
             continue;
@@ -70,8 +70,8 @@
 
 void SessionControl::State::configure(const ServiceName& service, LeaderCoordinator& coordinator)
 {
-    coordinator.setRank(this->followed.rankFor(service));
-    coordinator.setConfirmsForSiblings(this->followed.confirms());
+    coordinator.setRank(this->tracked.rankFor(service));
+    coordinator.setConfirmsForSiblings(this->tracked.confirms());
 }
 
 void SessionControl::State::discardUpstreams()
@@ -90,7 +90,7 @@
     this->options.traffic.setDirectory({});
 }
 
-void SessionControl::State::follow(const std::set<ServiceName>& added, Instant now)
+void SessionControl::State::track(const std::set<ServiceName>& added, Instant now)
 {
     std::map<ServiceName, UpstreamDirectory> members;
     for (const auto& entry : this->directory) {
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cyclamendrift/core/random_source.h>
-#include <cyclamendrift/leadership/followed_services.h>
+#include <cyclamendrift/leadership/tracked_services.h>
 #include <cyclamendrift/membership/fleet_join.h>
 #include <cyclamendrift/membership/list_read_throttle.h>
 #include <cyclamendrift/membership/missing_vms.h>
@@ -110,7 +110,7 @@
     // Leadership.
     /// All services of the directory.
     std::set<ServiceName> services;
-    FollowedServices followed;
+    TrackedServices tracked;
     /// Of the services that are tracked here.
     std::map<ServiceName, LeaderCoordinator> coordinators;
     bool leadershipRead = false;
@@ -260,9 +260,9 @@
     void applyReport(const TrafficReport& report);
 
     // control_services
-    /// Starts and ends the tracking of primaries as `followed` demands.
-    void updateFollowed(Instant now);
-    void follow(const std::set<ServiceName>& added, Instant now);
+    /// Starts and ends the tracking of primaries as `tracked` demands.
+    void updateTracked(Instant now);
+    void track(const std::set<ServiceName>& added, Instant now);
     /// Sets what depends on this VM's part in the fleet.
     void configure(const ServiceName& service, LeaderCoordinator& coordinator);
     /// Discards the upstreams and leadership records, which would become outdated.
@@ -326,7 +326,7 @@
     SiblingList rosterVms;
     ReaderRoster roster;
     RandomSource random;
-    Instant followedUpdatedAt = Instant::min();
+    Instant trackedUpdatedAt = Instant::min();
     std::uint64_t ownRecordRevision = 0;
     /// The record of an earlier process of this VM, found at the start; its lease is None when there was
     /// none.
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -58,7 +58,7 @@
           .purposeOf = [this](std::string_view key) { return this->purposeOf(key); },
           .onListing = [this] { this->storeThrottle.answered(bootNow()); } })
     , timers(options.context.get_executor())
-    , followed(options.vm)
+    , tracked(options.vm)
     , leadershipWanted(options.context)
     , configurationSource("configuration", options.settings)
     , directorySource("directory", options.settings)
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -82,7 +82,7 @@
     void perform(const CheckOwnerLiveness& action);
     void perform(const ReleaseRemoteSession& action);
     void perform(const AnswerRemoteSession& action);
-    void perform(const FollowService& action);
+    void perform(const TrackService& action);
     void perform(const LogEvent& action);
     [[nodiscard]] asio::awaitable<std::string> runForSibling(std::string body, Instant deadline);
 
@@ -249,7 +249,7 @@
     wait->second->timer.cancel();
 }
 
-void SessionTraffic::State::perform(const FollowService& action)
+void SessionTraffic::State::perform(const TrackService& action)
 {
     this->options.onServiceUsed(action.service);
 }
--- a/tests/leadership/followed_services_test.cpp
+++ b/tests/leadership/tracked_services_test.cpp
@@ -1,4 +1,4 @@
-#include <cyclamendrift/leadership/followed_services.h>
+#include <cyclamendrift/leadership/tracked_services.h>
 
 #include <doctest/doctest.h>
 
@@ -32,23 +32,23 @@
     return services;
 }
 
-FollowedServices followedBy(const VmName& vm, const std::vector<VmName>& vms, std::size_t services)
+TrackedServices trackedBy(const VmName& vm, const std::vector<VmName>& vms, std::size_t services)
 {
-    FollowedServices followed { vm };
-    followed.setVms(vms);
-    followed.setServiceCount(services);
-    return followed;
+    TrackedServices tracked { vm };
+    tracked.setVms(vms);
+    tracked.setServiceCount(services);
+    return tracked;
 }
 
-std::size_t countIncluded(const FollowedServices& followed, const std::vector<ServiceName>& services)
+std::size_t countIncluded(const TrackedServices& tracked, const std::vector<ServiceName>& services)
 {
     return static_cast<std::size_t>(std::count_if(services.begin(), services.end(),
-        [&followed](const ServiceName& service) { return followed.includes(service, now); }));
+        [&tracked](const ServiceName& service) { return tracked.includes(service, now); }));
 }
 
 } // namespace
 
-TEST_SUITE("followed services")
+TEST_SUITE("tracked services")
 {
     TEST_CASE("the services that a VM tracks do not grow with the fleet")
     {
@@ -61,7 +61,7 @@
             std::size_t total = 0;
             std::size_t idle = 0;
             for (const auto& vm : vms) {
-                const auto included = countIncluded(followedBy(vm, vms, size), services);
+                const auto included = countIncluded(trackedBy(vm, vms, size), services);
                 most = std::max(most, included);
                 total += included;
                 idle += included == 0 ? 1 : 0;
@@ -81,12 +81,12 @@
         std::map<VmName, std::size_t> firstOf;
         std::map<ServiceName, std::multiset<std::size_t>> ranks;
         for (const auto& vm : vms) {
-            const auto followed = followedBy(vm, vms, services.size());
+            const auto tracked = trackedBy(vm, vms, services.size());
             for (const auto& service : services) {
-                if (!followed.includes(service, now))
+                if (!tracked.includes(service, now))
                     continue;
-                ranks[service].insert(followed.rankFor(service));
-                firstOf[vm] += followed.rankFor(service) == 0 ? 1 : 0;
+                ranks[service].insert(tracked.rankFor(service));
+                firstOf[vm] += tracked.rankFor(service) == 0 ? 1 : 0;
             }
         }
         CHECK(ranks.size() == services.size());
@@ -103,16 +103,16 @@
         const auto vms = makeVms(985);
         const auto services = makeServices(1000);
         const auto idle = std::find_if(vms.begin(), vms.end(), [&](const VmName& vm) {
-            return countIncluded(followedBy(vm, vms, services.size()), services) == 0;
+            return countIncluded(trackedBy(vm, vms, services.size()), services) == 0;
         });
         REQUIRE(idle != vms.end());
-        auto followed = followedBy(*idle, vms, services.size());
-        followed.recordUse(services[7], now);
-        CHECK(followed.includes(services[7], now + 10s));
-        CHECK(followed.isUsed(services[7], now + 10s));
-        CHECK_FALSE(followed.includes(services[7], now + 31s));
+        auto tracked = trackedBy(*idle, vms, services.size());
+        tracked.recordUse(services[7], now);
+        CHECK(tracked.includes(services[7], now + 10s));
+        CHECK(tracked.isUsed(services[7], now + 10s));
+        CHECK_FALSE(tracked.includes(services[7], now + 31s));
         // A VM outside the candidates tries for the lease after all of them.
-        CHECK(followed.rankFor(services[7]) >= 41);
+        CHECK(tracked.rankFor(services[7]) >= 41);
     }
 
     TEST_CASE("where there are few services every VM tracks all of them")
@@ -121,7 +121,7 @@
         const auto vms = makeVms(195);
         const auto services = makeServices(20);
         for (const auto& vm : vms)
-            CHECK(countIncluded(followedBy(vm, vms, services.size()), services) == services.size());
+            CHECK(countIncluded(trackedBy(vm, vms, services.size()), services) == services.size());
     }
 
     TEST_CASE("a VM that confirms views for its siblings tracks all services")
@@ -129,9 +129,9 @@
         // Guards against views that expire while the store is unavailable because nobody asks the replicas.
         const auto vms = makeVms(985);
         const auto services = makeServices(1000);
-        auto followed = followedBy(vms[0], vms, services.size());
-        followed.setConfirmsForSiblings(true);
-        CHECK(countIncluded(followed, services) == services.size());
-        CHECK_FALSE(followed.isUsed(services[0], now));
+        auto tracked = trackedBy(vms[0], vms, services.size());
+        tracked.setConfirmsForSiblings(true);
+        CHECK(countIncluded(tracked, services) == services.size());
+        CHECK_FALSE(tracked.isUsed(services[0], now));
     }
 }
--- a/tests/pooling/full_upstream_test.cpp
+++ b/tests/pooling/full_upstream_test.cpp
@@ -63,7 +63,7 @@
     }
 
     std::size_t attempts = 0;
-    std::size_t followRequests = 0;
+    std::size_t trackRequests = 0;
 
 private:
     void renewView()
@@ -81,7 +81,7 @@
         for (auto actions = this->engine.takeActions(); !actions.empty();
              actions = this->engine.takeActions()) {
             for (const auto& action : actions) {
-                this->followRequests += std::holds_alternative<FollowService>(action) ? 1 : 0;
+                this->trackRequests += std::holds_alternative<TrackService>(action) ? 1 : 0;
                 const auto* open = std::get_if<OpenConnection>(&action);
                 if (open == nullptr)
                     continue;
@@ -116,9 +116,9 @@
         // use and no longer tracked.
         RefusedVm vm;
         vm.run(1s);
-        CHECK(vm.followRequests == 1);
+        CHECK(vm.trackRequests == 1);
         vm.run(10s);
         vm.run(1s);
-        CHECK(vm.followRequests == 2);
+        CHECK(vm.trackRequests == 2);
     }
 }
