--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -95,7 +95,7 @@
         }
         join.rosterRead(std::move(next), bootNow());
     } catch (const StoreError& error) {
-        logEvent(LogLevel::Warn, "store_readers_not_found", { { "reason", error.what() } });
+        logEvent(LogLevel::Warn, "siblings_not_found", { { "reason", error.what() } });
         join.attemptFailed(bootNow());
     }
 }
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -254,10 +254,10 @@
     return at == std::string::npos ? 0 : std::stod(page.substr(at + name.size() + 2));
 }
 
-using Fleet = std::vector<std::unique_ptr<Running>>;
+using RunningFleet = std::vector<std::unique_ptr<Running>>;
 
 /// Waits until one VM knows all others and tracks no service; the end of the fleet when none does in time.
-Fleet::iterator findForwarder(Fleet& fleet)
+RunningFleet::iterator findForwarder(RunningFleet& fleet)
 {
     const auto isForwarder = [&fleet](const std::unique_ptr<Running>& proxy) {
         return metricOf(*proxy, "cyclamendrift_configuration_version") == 2
@@ -386,7 +386,7 @@
         // one after the other, owners included. Guards against failures at callers of the remaining VMs.
         constexpr std::size_t vms = 14;
         Surroundings surroundings;
-        std::vector<std::unique_ptr<Running>> fleet;
+        RunningFleet fleet;
         std::vector<std::unique_ptr<Caller>> callers;
         for (std::size_t vm = 0; vm < vms; ++vm)
             fleet.push_back(std::make_unique<Running>(surroundings, "vm-" + std::to_string(vm)));
@@ -423,7 +423,7 @@
         constexpr std::size_t vms = 24;
         Surroundings surroundings;
         surroundings.perform([&] { surroundings.kv.put("op/config", configurationWithServices(70)); });
-        std::vector<std::unique_ptr<Running>> fleet;
+        RunningFleet fleet;
         for (std::size_t vm = 0; vm < vms; ++vm)
             fleet.push_back(std::make_unique<Running>(surroundings, "vm-" + std::to_string(vm)));
         const auto forwarder = findForwarder(fleet);
--- a/tests/leadership/tracked_services_test.cpp
+++ b/tests/leadership/tracked_services_test.cpp
@@ -1,3 +1,5 @@
+#include "../membership/vm_names.h"
+
 #include <cyclamendrift/leadership/tracked_services.h>
 
 #include <doctest/doctest.h>
@@ -16,14 +18,6 @@
 
 constexpr Instant now { 100s };
 
-std::vector<VmName> makeVms(std::size_t count)
-{
-    std::vector<VmName> vms;
-    for (std::size_t index = 0; index < count; ++index)
-        vms.emplace_back("vm-" + std::to_string(index));
-    return vms;
-}
-
 std::vector<ServiceName> makeServices(std::size_t count)
 {
     std::vector<ServiceName> services;
@@ -55,7 +49,7 @@
         // Guards against control work of every VM for every service.
         for (const std::size_t size : { 500, 1000, 2000 }) {
             CAPTURE(size);
-            const auto vms = makeVms(size);
+            const auto vms = makeVmNames(size);
             const auto services = makeServices(size);
             std::size_t most = 0;
             std::size_t total = 0;
@@ -76,7 +70,7 @@
     {
         // Guards against a service that no VM coordinates, and against VMs that coordinate far more than the
         // others.
-        const auto vms = makeVms(985);
+        const auto vms = makeVmNames(985);
         const auto services = makeServices(1000);
         std::map<VmName, std::size_t> firstOf;
         std::map<ServiceName, std::multiset<std::size_t>> ranks;
@@ -100,7 +94,7 @@
     {
         // Guards against statements that wait for a view that nobody renews, and against tracking for good
         // what was used once.
-        const auto vms = makeVms(985);
+        const auto vms = makeVmNames(985);
         const auto services = makeServices(1000);
         const auto idle = std::find_if(vms.begin(), vms.end(), [&](const VmName& vm) {
             return countIncluded(trackedBy(vm, vms, services.size()), services) == 0;
@@ -118,7 +112,7 @@
     TEST_CASE("where there are few services every VM tracks all of them")
     {
         // Guards against a wait for the first view at VMs that can afford to track every service.
-        const auto vms = makeVms(195);
+        const auto vms = makeVmNames(195);
         const auto services = makeServices(20);
         for (const auto& vm : vms)
             CHECK(countIncluded(trackedBy(vm, vms, services.size()), services) == services.size());
@@ -127,7 +121,7 @@
     TEST_CASE("a VM that confirms views for its siblings tracks all services")
     {
         // Guards against views that expire while the store is unavailable because nobody asks the replicas.
-        const auto vms = makeVms(985);
+        const auto vms = makeVmNames(985);
         const auto services = makeServices(1000);
         auto tracked = trackedBy(vms[0], vms, services.size());
         tracked.setConfirmsForSiblings(true);
