Log what a VM that starts waits for, and a configuration that is not confirmed

Without these lines a fleet that never starts is silent after siblings_served, and hypotheses on a late configuration cannot be told apart: store_readers_awaited and store_readers_found, configuration_overdue and configuration_confirmed, waited_ms and limit_ms of reader_not_reached, and configuration_age_seconds. millisecondsText moves to core, as three packages had written it. No logic is changed.

--- a/src/leadership/view_renewal.cpp
+++ b/src/leadership/view_renewal.cpp
@@ -2,6 +2,8 @@
 
 #include "term_text.h"
 
+#include <cyclamendrift/core/duration_text.h>
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -19,7 +21,7 @@
 {
     if (since == Instant::min())
         return "none";
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
+    return millisecondsText(now - since);
 }
 
 } // namespace
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -30,11 +30,6 @@
     return kind == StatementKind::Commit ? SessionPhase::Idle : SessionPhase::FailedTransaction;
 }
 
-std::string millisecondsText(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 std::string adviceText(std::string_view reason, Duration retryAfter)
 {
     const auto count = std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count();
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -3,6 +3,7 @@
 #include "caller_session.h"
 #include "pooled_connection.h"
 
+#include <cyclamendrift/core/duration_text.h>
 #include <cyclamendrift/pooling/owner_health.h>
 #include <cyclamendrift/pooling/session_engine.h>
 
@@ -266,9 +267,6 @@
 /// in any case.
 [[nodiscard]] SessionPhase phaseAfterFailure(StatementKind kind) noexcept;
 
-/// The duration in whole milliseconds, for log lines.
-[[nodiscard]] std::string millisecondsText(Duration duration);
-
 /// The text of a refusal: the reason followed by "retry after 100 ms".
 [[nodiscard]] std::string adviceText(std::string_view reason, Duration retryAfter);
 
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -1,5 +1,6 @@
 #include "control_state.h"
 
+#include <cyclamendrift/core/duration_text.h>
 #include <cyclamendrift/platform/store_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/telemetry/event_log.h>
@@ -38,6 +39,27 @@
     }
 }
 
+void SessionControl::State::reportConfigurationAge(Instant now)
+{
+    if (!this->routes)
+        return;
+    const auto age = now - this->configurationConfirmedAt;
+    const bool overdue = age >= this->options.settings.maxConfigurationAge;
+    if (overdue == this->configurationOverdue)
+        return;
+    this->configurationOverdue = overdue;
+    if (!overdue) {
+        logEvent(LogLevel::Info, "configuration_confirmed",
+            { { "revision", std::to_string(this->configurationRevision) } });
+        return;
+    }
+    const bool withheld = this->configurationWithheldAt != Instant::min();
+    logEvent(LogLevel::Warn, "configuration_overdue",
+        { { "age_ms", millisecondsText(age) }, { "revision", std::to_string(this->configurationRevision) },
+            { "known_revision", std::to_string(this->configurationKnownRevision) },
+            { "withheld_ms", withheld ? millisecondsText(now - this->configurationWithheldAt) : "none" } });
+}
+
 asio::awaitable<SessionControl::State::ProvenListing> SessionControl::State::readProven(std::string prefix)
 {
     // A listing that may lag costs a tenth. The leadership records are read with linearizable reads, so a
--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -1,5 +1,6 @@
 #include "control_state.h"
 
+#include <cyclamendrift/core/duration_text.h>
 #include <cyclamendrift/core/random_duration.h>
 #include <cyclamendrift/core/stable_hash.h>
 #include <cyclamendrift/platform/store_error.h>
@@ -18,6 +19,22 @@
 
 namespace {
 
+// Interval of log lines of a VM that looks for the store readers; the first one follows after it as well.
+constexpr Duration joinReportInterval = std::chrono::milliseconds { 1000 };
+
+std::string_view textOf(FleetJoin::Answer answer)
+{
+    switch (answer) {
+    case FleetJoin::Answer::Lists:
+        return "lists";
+    case FleetJoin::Answer::NotYet:
+        return "not yet";
+    case FleetJoin::Answer::None:
+        break;
+    }
+    return "none";
+}
+
 /// The secret that siblings present to each other; only VMs with access to the store can read it.
 std::string generateSecret()
 {
@@ -160,15 +177,33 @@
     } else if (const auto* ask = std::get_if<FleetJoin::AskReader>(&step)) {
         using Answer = FleetJoin::Answer;
         const auto vm = ask->reader;
-        const auto answer = co_await this->askReader(this->rosterVms.at(vm).address);
-        join.readerAnswered(vm,
-            answer == ReaderAnswer::Fresh      ? Answer::Lists
-                : answer == ReaderAnswer::None ? Answer::None
-                                               : Answer::NotYet,
-            bootNow());
+        const auto outcome = co_await this->askReader(this->rosterVms.at(vm).address);
+        const auto answer = outcome == ReaderAnswer::Fresh ? Answer::Lists
+            : outcome == ReaderAnswer::None                ? Answer::None
+                                                           : Answer::NotYet;
+        this->joinAnswers[vm] = answer;
+        join.readerAnswered(vm, answer, bootNow());
     }
 }
 
+void SessionControl::State::reportJoin()
+{
+    const auto now = bootNow();
+    if (now < std::max(this->startedAt, this->joinReportedAt) + joinReportInterval)
+        return;
+    this->joinReportedAt = now;
+    std::string vms;
+    for (const auto& vm : this->roster.vms)
+        vms += (vms.empty() ? "" : ",") + vm.string();
+    std::string answers;
+    for (const auto& [vm, answer] : this->joinAnswers)
+        answers += (answers.empty() ? "" : ", ") + vm.string() + ": " + std::string { textOf(answer) };
+    logEvent(LogLevel::Warn, "store_readers_awaited",
+        { { "waited_ms", millisecondsText(now - this->startedAt) }, { "roster", vms },
+            { "readers", std::to_string(this->roster.readers) },
+            { "revision", std::to_string(this->roster.revision) }, { "answers", answers } });
+}
+
 asio::awaitable<void> SessionControl::State::bootstrap(std::shared_ptr<State> self)
 {
     FleetJoin join { { .self = self->options.vm,
@@ -179,10 +214,16 @@
     self->place.rank = stableHash(self->options.vm.view()) % self->options.settings.vmsPerReader;
     while (!self->stopped) {
         auto step = join.next(bootNow());
-        if (std::holds_alternative<FleetJoin::Joined>(step))
+        if (const auto* joined = std::get_if<FleetJoin::Joined>(&step)) {
+            logEvent(LogLevel::Info, "store_readers_found",
+                { { "waited_ms", millisecondsText(bootNow() - self->startedAt) },
+                    { "as_reader", joined->asReader ? "yes" : "no" } });
             break;
+        }
         co_await self->perform(join, std::move(step));
+        self->reportJoin();
     }
+    self->joinAnswers.clear();
     self->bootstrapped = true;
     self->updateTracked(bootNow());
     self->spawn(followLeadership(self));
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -140,6 +140,7 @@
     if (this->whenReady && this->isReady())
         std::exchange(this->whenReady, nullptr)();
     const auto now = bootNow();
+    this->reportConfigurationAge(now);
     if (now >= this->trackedUpdatedAt + trackedUpdateInterval)
         this->updateTracked(now);
     for (auto& [service, coordinator] : this->coordinators) {
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -1,5 +1,6 @@
 #include "control_state.h"
 
+#include <cyclamendrift/core/duration_text.h>
 #include <cyclamendrift/core/request_error.h>
 #include <cyclamendrift/platform/store_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
@@ -162,10 +163,11 @@
     this->directoryListing.writeKnown(*request.mutable_directory());
     this->evacuations.writeKnown(*request.mutable_evacuations());
     const auto askedAt = bootNow();
+    const auto timeLimit = this->readingsTimeLimit();
     wire::ReadingsAnswer answer;
     try {
-        const auto body = co_await this->options.traffic.requestReadings(
-            address, request.SerializeAsString(), this->readingsTimeLimit());
+        const auto body
+            = co_await this->options.traffic.requestReadings(address, request.SerializeAsString(), timeLimit);
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
         this->applyReadings(answer, askedAt);
@@ -176,7 +178,9 @@
     } catch (const Error& error) {
         // While all VMs start, readers may not be listening yet.
         logEvent(this->bootstrapped ? LogLevel::Info : LogLevel::Debug, "reader_not_reached",
-            { { "vm", address.vm.string() }, { "reason", error.what() } });
+            { { "vm", address.vm.string() }, { "reason", error.what() },
+                { "waited_ms", millisecondsText(bootNow() - askedAt) },
+                { "limit_ms", millisecondsText(timeLimit) } });
         co_return ReaderAnswer::None;
     }
     const auto usable = this->options.settings.maxReadingsAge;
@@ -220,6 +224,8 @@
     if (this->evacuations.takeAnswer(answer.evacuations(), askedAt) == SharedListing::Change::Entries)
         this->applyEvacuations();
     const auto& configuration = answer.configuration();
+    this->configurationKnownRevision
+        = std::max<std::uint64_t>(this->configurationKnownRevision, configuration.revision());
     if (configuration.entries_size() == 0 && configuration.revision() > this->configurationRevision)
         this->configurationWithheldAt = askedAt;
     if (configuration.entries_size() > 0) {
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -166,6 +166,8 @@
     [[nodiscard]] static asio::awaitable<void> followConfiguration(std::shared_ptr<State> self);
     [[nodiscard]] static asio::awaitable<void> followDirectory(std::shared_ptr<State> self);
     void applyConfiguration(const std::string& value, std::uint64_t revision);
+    /// Logs when the configuration was not confirmed for too long, and when it is again.
+    void reportConfigurationAge(Instant now);
     /// Applies a change of a key that operators write.
     void applyOperatorChange(const StoreChange& change);
     /// Puts the latest listing of evacuations into effect.
@@ -191,6 +193,8 @@
     [[nodiscard]] asio::awaitable<void> findEarlierRecord();
     /// Writes the roster if it still has that revision.
     [[nodiscard]] asio::awaitable<void> writeRoster(const ReaderRoster& next);
+    /// Logs, now and then, what this VM still waits for while it looks for the store readers.
+    void reportJoin();
     /// Keeps the roster equal to the store readers that the list of VMs implies.
     [[nodiscard]] static asio::awaitable<void> followRoster(std::shared_ptr<State> self);
 
@@ -314,6 +318,9 @@
     /// The configuration in compressed form; empty until a sibling requests it.
     std::string configurationPacked;
     Instant configurationConfirmedAt = Instant::min();
+    /// The latest revision of the configuration that a store reader has told this VM about.
+    std::uint64_t configurationKnownRevision = 0;
+    bool configurationOverdue = false;
     /// Backoff after the last attempt to read the configuration failed.
     Duration configurationBackoff {};
     /// Cancels the watch of the configuration.
@@ -332,6 +339,9 @@
     /// none.
     StoreEntry earlierRecord;
     LeaseId publishedUnder = LeaseId::None;
+    /// The last answer of each VM that was asked for the lists while this VM starts.
+    std::map<VmName, FleetJoin::Answer> joinAnswers;
+    Instant joinReportedAt = Instant::min();
     /// True once the first readings have been taken and the loops that keep them current run.
     bool bootstrapped = false;
     bool recordBegun = false;
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -241,6 +241,12 @@
     show("sessions", "Callers' sessions that are open.", own.callers);
     show("upstream_connections", "Connections to upstreams that are open.", own.connections);
     show("vms", "VMs that are listed.", own.siblings.size());
+    show("configuration_age_seconds",
+        "Seconds since the configuration was last confirmed; 0 before any was read.",
+        own.routes
+            ? std::chrono::duration_cast<std::chrono::seconds>(bootNow() - own.configurationConfirmedAt)
+                  .count()
+            : 0);
     show("services_tracked", "Services whose primary this VM tracks.", own.coordinators.size());
     show("configuration_version", "Version of the routes in force; 0 before any were read.",
         own.routes ? own.routes->version : 0);
