--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -104,6 +104,7 @@
 
     // Configuration and upstreams.
     std::shared_ptr<const RouteTable> routes;
+    Instant configurationConfirmedAt = Instant::min();
     UpstreamDirectory directory;
     bool directoryRead = false;
     std::set<ZoneName> evacuatedZones;
@@ -317,7 +318,6 @@
     std::string configurationValue;
     /// The configuration in compressed form; empty until a sibling requests it.
     std::string configurationPacked;
-    Instant configurationConfirmedAt = Instant::min();
     /// The latest revision of the configuration that a store reader has told this VM about.
     std::uint64_t configurationKnownRevision = 0;
     bool configurationOverdue = false;
