Show a fleet that does not start without its store reader, and a document that is never read

Both tests fail on the landed code: of 5, 80, 297 and 992 VMs that start while the readers of the roster are gone none joins within 20 s; a document of 160 KB in base64 over a link of 400 KB a second ends with 'Timeout was reached' after the 150 ms of a call. The stand-in for the store can pace its answers and stop halfway.

--- a/tests/adapter/kv_store_test.cpp
+++ b/tests/adapter/kv_store_test.cpp
@@ -2,6 +2,8 @@
 
 #include <platform/kv_store.h>
 
+#include <cyclamendrift/platform/store_error.h>
+
 #include <asio/co_spawn.hpp>
 #include <asio/io_context.hpp>
 #include <asio/use_future.hpp>
@@ -9,12 +11,14 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <cstddef>
 #include <future>
 #include <string>
 #include <utility>
 #include <variant>
 
 using namespace cyclamendrift;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -51,4 +55,35 @@
         CHECK(current->value == "vm-1");
         CHECK(current->revision == std::get<Swapped>(won).revision);
     }
+
+    TEST_CASE("a document whose transfer takes longer than the time limit of a call is read")
+    {
+        // Guards against a VM with a slow link that can never read a large configuration from the store.
+        asio::io_context context;
+        KvServer server { context };
+        constexpr std::size_t documentBytes = 120'000;
+        server.bytesPerSecond = 400'000;
+        const std::string document(documentBytes, 'r');
+        server.put("op/config", document);
+        platform::KvStore store { context.get_executor(),
+            { .address = server.address(), .callTimeout = 150ms } };
+        const auto listing = finish(context, store.listing("op/", ReadFreshness::Linearizable));
+        REQUIRE(listing.entries.size() == 1);
+        CHECK(listing.entries.front().value == document);
+    }
+
+    TEST_CASE("an answer of the store that stops halfway is given up after the time limit of a call")
+    {
+        // Guards against a VM that waits for an answer on a connection which has gone silent.
+        asio::io_context context;
+        KvServer server { context };
+        server.bytesPerSecond = 400'000;
+        server.stallAfter = 20'000;
+        server.put("op/config", std::string(120'000, 'r'));
+        platform::KvStore store { context.get_executor(),
+            { .address = server.address(), .callTimeout = 150ms } };
+        const auto askedAt = std::chrono::steady_clock::now();
+        CHECK_THROWS_AS(finish(context, store.listing("op/", ReadFreshness::Linearizable)), StoreError);
+        CHECK(std::chrono::steady_clock::now() - askedAt < 1s);
+    }
 }
--- a/tests/membership/fleet_join_test.cpp
+++ b/tests/membership/fleet_join_test.cpp
@@ -289,6 +289,32 @@
         CHECK(fleet.listReaders.size() <= 2);
     }
 
+    TEST_CASE("a fleet whose VMs all start replaces store readers that are gone")
+    {
+        // Guards against VMs that wait for each other: the readers of the roster do not answer, and their
+        // standbys, which start as well, have no lists yet.
+        struct Case {
+            std::size_t vms;
+            std::vector<std::size_t> roster;
+            std::set<std::size_t> gone;
+        };
+        const std::vector<Case> cases {
+            { .vms = 6, .roster = { 0, 1, 2 }, .gone = { 0 } },
+            { .vms = 81, .roster = { 0, 20, 40 }, .gone = { 0 } },
+            { .vms = 81, .roster = { 0, 20, 40 }, .gone = { 0, 40 } },
+            { .vms = 300, .roster = firstStrong(7), .gone = { 0, 20, 40 } },
+            { .vms = 1000, .roster = firstStrong(17), .gone = { 0, 20, 40, 60, 80, 100, 120, 140 } },
+        };
+        for (const auto& fault : cases) {
+            CAPTURE(fault.vms);
+            JoiningFleet fleet { { .vms = fault.vms, .roster = fault.roster, .unreachable = fault.gone } };
+            fleet.runUntilJoined(20s);
+            CHECK(fleet.joined == fleet.starting());
+            CHECK(fleet.lastJoinedAfter < 6s);
+            CHECK(fleet.listReaders.size() <= 2);
+        }
+    }
+
     TEST_CASE("a fleet that starts while the store is silent joins after its return with bounded calls")
     {
         // Guards against calls that are repeated at full rate by every VM, so that the store cannot recover.
