Replace store readers that are gone although their standbys are starting too

Cause: FleetJoin took the answer 'not yet' of any VM of the roster for a sign that lists will come, ended the turn and cleared the time since which the readers are silent. A standby that is starting itself gives that answer, so VMs that started waited for each other without end, and the VM that would have replaced the roster never came to it.

Now only a reader's answer counts for that: a VM of the roster's first part reads the store itself and will have the lists. Silence is counted by whole turns, from their beginning.

--- a/include/cyclamendrift/membership/fleet_join.h
+++ b/include/cyclamendrift/membership/fleet_join.h
@@ -31,7 +31,7 @@
     /// Pause after an attempt without success; doubles from the minimum to the maximum, with a random part.
     Duration minPause = std::chrono::milliseconds { 25 };
     Duration maxPause = std::chrono::milliseconds { 1600 };
-    /// The roster is replaced when none of its VMs could be reached for this long.
+    /// The roster is replaced when none of its readers could be reached for this long.
     Duration takeoverDelay = std::chrono::milliseconds { 400 };
 };
 
@@ -43,8 +43,9 @@
 /// Decides how a VM that starts obtains the lists of VMs, upstreams and leadership records. Only the store
 /// readers read these lists, whose size grows with the fleet; a VM that starts reads the small roster of
 /// store readers and asks these. It never concludes from a missing answer that it is alone: one VM becomes a
-/// store reader by writing the roster, when there is none or when none of its VMs can be reached. Does no
-/// I/O.
+/// store reader by writing the roster, when there is none or when none of its readers can be reached. A
+/// standby that has no lists is of no account for that: it may be starting as well, and wait for the same
+/// readers. Does no I/O.
 ///
 ///     while (true) {
 ///         const auto step = join.next(now);
@@ -98,12 +99,14 @@
     void rosterWritten(Instant now);
     /// The store did not answer.
     void attemptFailed(Instant now);
-    void readerAnswered(const VmName& reader, Answer answer, Instant now);
+    void readerAnswered(const VmName& reader, Answer answer);
 
 private:
     /// Waits for a pause that grows with each call.
     void pauseFrom(Instant now);
     void planAsking();
+    void endTurn(Instant now);
+    [[nodiscard]] bool isReader(const VmName& vm) const;
     [[nodiscard]] bool mayTakeOver(Instant now) const;
 
     Options options;
@@ -117,7 +120,10 @@
     Duration pause {};
     /// When this VM may write the first roster; Instant::max() until the roster was found missing.
     Instant createAt = Instant::max();
-    /// Since when no VM of the roster has answered; Instant::max() while one has.
+    /// When the VMs of the roster were asked for the first time in this turn, and whether a reader answered.
+    Instant turnStartedAt;
+    bool readerHeard = false;
+    /// Since when no reader of the roster has answered; Instant::max() while one has.
     Instant silentSince = Instant::max();
     Duration takeoverDelay {};
     std::optional<Joined> joined;
--- a/src/membership/fleet_join.cpp
+++ b/src/membership/fleet_join.cpp
@@ -49,14 +49,30 @@
     if (this->writeNext)
         return WriteRoster { .expectedRevision = this->roster.revision };
     if (this->toAsk.empty()) {
-        // The roster may have changed since; it is read before a further turn.
-        this->rosterKnown = false;
-        this->pauseFrom(now);
+        this->endTurn(now);
         return Wait { this->waitUntil };
     }
     return AskReader { this->toAsk.back() };
 }
 
+void FleetJoin::endTurn(Instant now)
+{
+    if (!this->readerHeard)
+        this->silentSince = std::min(this->silentSince, this->turnStartedAt);
+    else
+        this->silentSince = Instant::max();
+    // The roster may have changed since; it is read before a further turn.
+    this->rosterKnown = false;
+    this->pauseFrom(now);
+}
+
+bool FleetJoin::isReader(const VmName& vm) const
+{
+    const auto& vms = this->roster.vms;
+    const auto end = vms.begin() + static_cast<std::ptrdiff_t>(std::min(this->roster.readers, vms.size()));
+    return std::find(vms.begin(), end, vm) != end;
+}
+
 bool FleetJoin::mayTakeOver(Instant now) const
 {
     return this->silentSince != Instant::max() && now >= this->silentSince + this->takeoverDelay;
@@ -81,9 +97,7 @@
         this->writeNext = now >= this->createAt;
         return;
     }
-    const auto readersEnd = this->roster.vms.begin()
-        + static_cast<std::ptrdiff_t>(std::min(this->roster.readers, this->roster.vms.size()));
-    if (std::find(this->roster.vms.begin(), readersEnd, this->options.self) != readersEnd) {
+    if (this->isReader(this->options.self)) {
         this->joined = Joined { .asReader = true };
         return;
     }
@@ -93,6 +107,8 @@
         this->writeNext = true;
         return;
     }
+    this->turnStartedAt = now;
+    this->readerHeard = false;
     this->planAsking();
 }
 
@@ -123,19 +139,17 @@
     this->pauseFrom(now);
 }
 
-void FleetJoin::readerAnswered(const VmName& reader, Answer answer, Instant now)
+void FleetJoin::readerAnswered(const VmName& reader, Answer answer)
 {
     std::erase(this->toAsk, reader);
     if (answer == Answer::Lists) {
         this->joined = Joined {};
         return;
     }
-    if (answer == Answer::None) {
-        this->silentSince = std::min(this->silentSince, now);
+    if (answer == Answer::None || !this->isReader(reader))
         return;
-    }
     // The same reader will have the lists soon; a further one would be asked in vain.
-    this->silentSince = Instant::max();
+    this->readerHeard = true;
     this->toAsk.clear();
 }
 
--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -182,7 +182,7 @@
             : outcome == ReaderAnswer::None                ? Answer::None
                                                            : Answer::NotYet;
         this->joinAnswers[vm] = answer;
-        join.readerAnswered(vm, answer, bootNow());
+        join.readerAnswered(vm, answer);
     }
 }
 
--- a/tests/membership/fleet_join_test.cpp
+++ b/tests/membership/fleet_join_test.cpp
@@ -167,7 +167,7 @@
             : serves != this->servesFrom.end() && this->now >= serves->second ? FleetJoin::Answer::Lists
                                                                               : FleetJoin::Answer::NotYet;
         this->schedule(this->now + (reachable ? siblingAnswer : siblingTimeout), [this, vm, reader, answer] {
-            this->joins.at(vm).readerAnswered(reader, answer, this->now);
+            this->joins.at(vm).readerAnswered(reader, answer);
             this->step(vm);
         });
     }
@@ -338,7 +338,7 @@
             if (std::holds_alternative<FleetJoin::ReadRoster>(step))
                 join.rosterRead(roster, now);
             else if (const auto* ask = std::get_if<FleetJoin::AskReader>(&step))
-                join.readerAnswered(ask->reader, FleetJoin::Answer::NotYet, now);
+                join.readerAnswered(ask->reader, FleetJoin::Answer::NotYet);
         }
     }
 }
