Ask further VMs of the roster when a store reader has no lists yet

Callers would see: a VM that restarts while the store refuses the reader, and serves everybody else, is not ready for as long as that lasts, though the standbys read the store and serve all running VMs.

Cause, by reading and shown by the test: a reader's 'not yet' ended the turn, so standbys were never asked. The test failed before (nobody joined within 20 s) and passes within 1 s. Cost: at most four more requests a turn for a VM whose reader is still reading; the bounds of the tests on requests hold.

--- a/src/membership/fleet_join.cpp
+++ b/src/membership/fleet_join.cpp
@@ -146,11 +146,10 @@
         this->joined = Joined {};
         return;
     }
-    if (answer == Answer::None || !this->isReader(reader))
-        return;
-    // The same reader will have the lists soon; a further one would be asked in vain.
-    this->readerHeard = true;
-    this->toAsk.clear();
+    // Another VM of the roster may have the lists, even if it is a standby: it reads the store while the
+    // reader cannot.
+    if (answer == Answer::NotYet && this->isReader(reader))
+        this->readerHeard = true;
 }
 
 } // namespace cyclamendrift
--- a/tests/membership/fleet_join_test.cpp
+++ b/tests/membership/fleet_join_test.cpp
@@ -33,6 +33,8 @@
         std::set<std::size_t> unreachable;
         /// VMs that have the lists already and do not start.
         std::set<std::size_t> running;
+        /// VMs that start and that the store does not answer, while it answers the others.
+        std::set<std::size_t> withoutStore;
         Duration storeSilentFor {};
     };
 
@@ -137,7 +139,7 @@
     {
         const auto* write = std::get_if<FleetJoin::WriteRoster>(&step);
         ++(write != nullptr ? this->rosterWrites : this->rosterReads);
-        if (this->now < start + this->options.storeSilentFor) {
+        if (this->now < start + this->options.storeSilentFor || this->options.withoutStore.contains(vm)) {
             this->schedule(this->now + storeTimeout, [this, vm] {
                 this->joins.at(vm).attemptFailed(this->now);
                 this->step(vm);
@@ -315,6 +317,18 @@
         }
     }
 
+    TEST_CASE("a VM that starts is served by a standby while the reader cannot reach the store")
+    {
+        // Guards against VMs that ask no other VM of the roster once one has said that it has no lists yet.
+        JoiningFleet fleet {
+            { .vms = 6, .roster = { 0, 1, 2 }, .running = range(1, 5), .withoutStore = { 0 } }
+        };
+        fleet.runUntilJoined(20s);
+        CHECK(fleet.joined >= 1);
+        CHECK(fleet.lastJoinedAfter < 1s);
+        CHECK(fleet.rosterWrites == 0);
+    }
+
     TEST_CASE("a fleet that starts while the store is silent joins after its return with bounded calls")
     {
         // Guards against calls that are repeated at full rate by every VM, so that the store cannot recover.
