Add a store reader when those of the roster answer but never get the lists

Callers would see: none of the VMs that start is ready for as long as the store refuses the one reader of the roster, although it serves all others.

Cause, by reading and shown by the test: a reader that answers without lists renewed the others' patience each time. A VM now becomes a reader beside those of the roster when they have sent no lists for two seconds, and for up to four where processors are weak, as a reader serves the lists to the others. Earlier readers stay readers, in their order.

--- a/include/cyclamendrift/membership/fleet_join.h
+++ b/include/cyclamendrift/membership/fleet_join.h
@@ -33,6 +33,9 @@
     Duration maxPause = std::chrono::milliseconds { 1600 };
     /// The roster is replaced when none of its readers could be reached for this long.
     Duration takeoverDelay = std::chrono::milliseconds { 400 };
+    /// The roster is extended when readers answer, but none has sent the lists for this long: the store may
+    /// refuse them. Weak VMs wait for up to twice this time, because a reader serves the lists to others.
+    Duration maxReaderDelay = std::chrono::milliseconds { 2000 };
 };
 
 /// The delay of a VM with `cores` on the first start of a system: a random part of `spread`, after
@@ -64,10 +67,12 @@
 
     /// Read the roster from the store; the outcome goes to rosterRead() or attemptFailed().
     struct ReadRoster { };
-    /// Write a roster that names this VM as the reader, if the roster still has that revision; the outcome
-    /// goes to rosterWritten() or attemptFailed().
+    /// Write a roster that names this VM as the first reader, if the roster still has that revision; the
+    /// outcome goes to rosterWritten() or attemptFailed().
     struct WriteRoster {
         std::uint64_t expectedRevision = 0;
+        /// Readers of the earlier roster that stay readers; its other VMs become standbys.
+        std::size_t readersKept = 0;
     };
     /// Ask a store reader for the lists; the outcome goes to readerAnswered().
     struct AskReader {
@@ -108,6 +113,8 @@
     void endTurn(Instant now);
     [[nodiscard]] bool isReader(const VmName& vm) const;
     [[nodiscard]] bool mayTakeOver(Instant now) const;
+    [[nodiscard]] bool mayExtend(Instant now) const;
+    void resetTurns();
 
     Options options;
     RandomSource random;
@@ -125,7 +132,10 @@
     bool readerHeard = false;
     /// Since when no reader of the roster has answered; Instant::max() while one has.
     Instant silentSince = Instant::max();
+    /// Since when the VMs of this roster have been asked without getting the lists; Instant::max() before.
+    Instant unservedSince = Instant::max();
     Duration takeoverDelay {};
+    Duration extensionDelay {};
     std::optional<Joined> joined;
 };
 
--- a/src/membership/fleet_join.cpp
+++ b/src/membership/fleet_join.cpp
@@ -15,6 +15,14 @@
 constexpr std::size_t readersPerTurn = 3;
 constexpr std::size_t standbysPerTurn = 2;
 
+Duration drawExtensionDelay(const FleetJoin::Options& options)
+{
+    const auto part = options.settings.maxReaderDelay / 2;
+    // Independent of the pauses, which are drawn from the same seed.
+    RandomSource random { ~options.seed };
+    return options.settings.maxReaderDelay + firstStartDelay(options.cores, part, part, random);
+}
+
 } // namespace
 
 Duration firstStartDelay(double cores, Duration weakVmDelay, Duration spread, RandomSource& random)
@@ -28,6 +36,7 @@
     , random(this->options.seed)
     , takeoverDelay(this->options.settings.takeoverDelay
           + randomDuration(this->options.settings.takeoverDelay, this->random))
+    , extensionDelay(drawExtensionDelay(this->options))
 {
 }
 
@@ -47,7 +56,8 @@
     if (!this->rosterKnown)
         return ReadRoster {};
     if (this->writeNext)
-        return WriteRoster { .expectedRevision = this->roster.revision };
+        return WriteRoster { .expectedRevision = this->roster.revision,
+            .readersKept = this->mayTakeOver(now) ? 0 : this->roster.readers };
     if (this->toAsk.empty()) {
         this->endTurn(now);
         return Wait { this->waitUntil };
@@ -61,11 +71,18 @@
         this->silentSince = std::min(this->silentSince, this->turnStartedAt);
     else
         this->silentSince = Instant::max();
+    this->unservedSince = std::min(this->unservedSince, this->turnStartedAt);
     // The roster may have changed since; it is read before a further turn.
     this->rosterKnown = false;
     this->pauseFrom(now);
 }
 
+void FleetJoin::resetTurns()
+{
+    this->silentSince = Instant::max();
+    this->unservedSince = Instant::max();
+}
+
 bool FleetJoin::isReader(const VmName& vm) const
 {
     const auto& vms = this->roster.vms;
@@ -78,6 +95,11 @@
     return this->silentSince != Instant::max() && now >= this->silentSince + this->takeoverDelay;
 }
 
+bool FleetJoin::mayExtend(Instant now) const
+{
+    return this->unservedSince != Instant::max() && now >= this->unservedSince + this->extensionDelay;
+}
+
 void FleetJoin::rosterRead(ReaderRoster read, Instant now)
 {
     const auto& settings = this->options.settings;
@@ -102,8 +124,8 @@
         return;
     }
     if (!unchanged)
-        this->silentSince = Instant::max();
-    if (unchanged && this->mayTakeOver(now)) {
+        this->resetTurns();
+    if (this->mayTakeOver(now) || this->mayExtend(now)) {
         this->writeNext = true;
         return;
     }
@@ -128,7 +150,7 @@
 {
     this->writeNext = false;
     this->rosterKnown = false;
-    this->silentSince = Instant::max();
+    this->resetTurns();
     this->waitUntil = now;
 }
 
--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -10,6 +10,7 @@
 #include <leadership.pb.h>
 
 #include <algorithm>
+#include <iterator>
 #include <random>
 #include <utility>
 #include <variant>
@@ -117,15 +118,15 @@
     }
 }
 
-asio::awaitable<void> SessionControl::State::writeFirstRoster(FleetJoin& join, std::uint64_t expectedRevision)
+asio::awaitable<void> SessionControl::State::writeOwnRoster(FleetJoin& join, FleetJoin::WriteRoster step)
 {
     this->siblings.insert_or_assign(this->options.vm, this->ownSibling());
-    ReaderRoster next { .vms = { this->options.vm }, .readers = 1, .revision = expectedRevision };
+    ReaderRoster next {
+        .vms = { this->options.vm }, .readers = 1 + step.readersKept, .revision = step.expectedRevision
+    };
     // The VMs that could not be reached may be cut off from this VM alone, so they stay as standbys.
-    for (const auto& [vm, sibling] : this->rosterVms) {
-        if (vm != this->options.vm)
-            next.vms.push_back(vm);
-    }
+    std::copy_if(this->roster.vms.begin(), this->roster.vms.end(), std::back_inserter(next.vms),
+        [this](const VmName& vm) { return vm != this->options.vm; });
     try {
         SwapOptions secret {
             .key = store_key::siblingSecret, .expectedRevision = 0, .value = generateSecret()
@@ -171,7 +172,7 @@
     if (std::holds_alternative<FleetJoin::ReadRoster>(step)) {
         co_await this->readRoster(join);
     } else if (const auto* write = std::get_if<FleetJoin::WriteRoster>(&step)) {
-        co_await this->writeFirstRoster(join, write->expectedRevision);
+        co_await this->writeOwnRoster(join, *write);
     } else if (const auto* wait = std::get_if<FleetJoin::Wait>(&step)) {
         co_await this->sleep(wait->until - bootNow());
     } else if (const auto* ask = std::get_if<FleetJoin::AskReader>(&step)) {
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -184,7 +184,7 @@
     [[nodiscard]] static asio::awaitable<void> bootstrap(std::shared_ptr<State> self);
     [[nodiscard]] asio::awaitable<void> perform(FleetJoin& join, FleetJoin::Step step);
     [[nodiscard]] asio::awaitable<void> readRoster(FleetJoin& join);
-    [[nodiscard]] asio::awaitable<void> writeFirstRoster(FleetJoin& join, std::uint64_t expectedRevision);
+    [[nodiscard]] asio::awaitable<void> writeOwnRoster(FleetJoin& join, FleetJoin::WriteRoster step);
     /// Reads the siblings' secret and the roster; opens the siblings' server when the secret is there.
     [[nodiscard]] asio::awaitable<ReaderRoster> fetchRoster();
     /// Starts to publish this VM's record once the secret is known or known to be missing. Siblings cannot
