Give a read of the store up for silence, not for the size of its answer

Callers saw (CONFIG, in the record only): a configuration with 4,200 routes was not in force at two VMs eight seconds after it was written. What is shown is one way to it: a VM on a link of 10 Mbit/s that no reader serves can never read a document of 750 KB, as the answer (1 MB in base64) takes 800 ms and a call was given up after 700 ms in all; each attempt fills the link for as long.

The stand-in's server paces answers itself, since a body in chunks was cut short at its end.

--- a/include/cyclamendrift/platform/curl_client.h
+++ b/include/cyclamendrift/platform/curl_client.h
@@ -26,6 +26,9 @@
     std::vector<std::string> headers;
     /// Longest time for the whole exchange; what is not sent within it is not sent at all.
     Duration timeout {};
+    /// Longest time without a further byte of the answer; zero where only `timeout` counts. A limit on the
+    /// whole exchange cannot follow from the size of an answer that is not known yet.
+    Duration silenceTimeout {};
 };
 
 struct CurlResponse {
--- a/src/platform/curl_client.cpp
+++ b/src/platform/curl_client.cpp
@@ -101,11 +101,19 @@
 
     [[nodiscard]] asio::awaitable<CurlResponse> wait()
     {
-        std::error_code ignored;
-        if (!this->done)
+        while (!this->done) {
+            const bool limited = this->request.silenceTimeout != Duration {};
+            const auto giveUpAt = limited ? this->lastByteAt + this->request.silenceTimeout : Instant::max();
+            if (limited && std::chrono::steady_clock::now() >= giveUpAt) {
+                this->result = CURLE_OPERATION_TIMEDOUT;
+                break;
+            }
+            this->finished.expires_at(giveUpAt);
+            std::error_code ignored;
             co_await this->finished.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        if (!this->done)
-            throw StoreError { StoreError::Kind::NoAnswer, "the call was given up" };
+            if (!this->done && !limited)
+                throw StoreError { StoreError::Kind::NoAnswer, "the call was given up" };
+        }
         if (this->result != CURLE_OK)
             this->fail();
         co_return CurlResponse { .status = this->status(), .body = std::move(this->body) };
@@ -161,6 +169,7 @@
     {
         auto& self = *static_cast<Transfer*>(data);
         const auto length = size * count;
+        self.lastByteAt = std::chrono::steady_clock::now();
         try {
             if (self.onPiece && self.status() == okStatus) {
                 self.onPiece({ bytes, length });
@@ -204,6 +213,7 @@
     std::string outgoing;
     std::size_t sent = 0;
     std::string body;
+    Instant lastByteAt = std::chrono::steady_clock::now();
     asio::steady_timer finished;
     CURLcode result = CURLE_OK;
     bool done = false;
--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -2,14 +2,18 @@
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
 
 #include <http_parser.h>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <set>
 #include <stdexcept>
+#include <string_view>
 #include <utility>
 
 namespace cyclamendrift::standins {
@@ -104,6 +108,24 @@
             });
     }
 
+    static asio::awaitable<void> send(
+        tcp::socket& socket, std::string_view bytes, const HttpResponse& response)
+    {
+        constexpr std::size_t piecesPerSecond = 100;
+        const auto pieceBytes = response.bytesPerSecond == 0
+            ? bytes.size()
+            : std::max<std::size_t>(response.bytesPerSecond / piecesPerSecond, 1);
+        asio::steady_timer timer { socket.get_executor(), std::chrono::steady_clock::now() };
+        for (std::size_t sent = 0; sent < bytes.size(); sent += pieceBytes) {
+            if (response.stallAfter != 0 && sent >= response.stallAfter)
+                timer.expires_at(asio::steady_timer::time_point::max());
+            co_await timer.async_wait(asio::use_awaitable);
+            const auto piece = bytes.substr(sent, pieceBytes);
+            co_await asio::async_write(socket, asio::buffer(piece), asio::use_awaitable);
+            timer.expires_at(timer.expiry() + std::chrono::milliseconds { 1000 } / piecesPerSecond);
+        }
+    }
+
     /// An error ends the coroutine, and with it the connection.
     static asio::awaitable<void> serve(std::shared_ptr<State> self, std::shared_ptr<tcp::socket> socket)
     {
@@ -122,7 +144,7 @@
             std::string bytes = headOf(response) + response.body;
             if (response.cutAfter > 0)
                 bytes.resize(std::min(bytes.size(), response.cutAfter));
-            co_await asio::async_write(*socket, asio::buffer(bytes), asio::use_awaitable);
+            co_await send(*socket, bytes, response);
             if (response.cutAfter > 0)
                 break;
             if (response.stream) {
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -41,6 +41,11 @@
     bool drop = false;
     /// Bytes of the answer after which the connection is cut; 0 to send all.
     std::size_t cutAfter = 0;
+    /// Rate at which the answer is sent, as over a slow link; 0 to send it at once.
+    std::size_t bytesPerSecond = 0;
+    /// Bytes of the answer after which nothing more is sent while the connection stays open; 0 to send all.
+    /// Only with `bytesPerSecond`.
+    std::size_t stallAfter = 0;
 };
 
 /// The least of an HTTP/1.1 server, for the control ports and the platform's stand-ins.
