Send a large configuration in a request of its own, from VM to VM

At version 21 (4,266 routes) 12 of 80 VMs gave that answer up, lost the views with it, skipped the reader for a second and asked for all of it again. The way round, a reading of their own, was put off for as long as a reader answered that it had the document, and apart from that limited to one in 6 s at 81 VMs and 24 s at 300, as the limit counted the document's bytes.

Now an answer carries the document up to 4 KB; a larger one is requested by itself with a limit of 2 s, while views go on being renewed (ConfigurationFetch). A VM whose link has no capacity names VMs that it has sent the document to, so the spread is not bounded by the readers' links. A VM that no sibling has confirmed for too long watches the store from the revision that was last known to be current, so it gets the document only if it has changed; what a reader withholds delays that by 1.9 s and no longer.

--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -69,6 +69,10 @@
     /// Time limit of a request to a store reader for changes of the readings. The time that the whole lists
     /// take over this VM's link is added.
     Duration readingsTimeout = std::chrono::milliseconds { 120 };
+    /// Time limit of a request to a sibling for the configuration, which may be a large document, and pause
+    /// before the next request when every sibling that has it was asked lately.
+    Duration configurationTimeout = std::chrono::milliseconds { 2000 };
+    Duration configurationRetry = std::chrono::milliseconds { 50 };
     /// Time limit of a request for lists that this VM lacks.
     Duration maxFirstListsTime = std::chrono::milliseconds { 2000 };
     /// Pauses of a VM that starts and looks for the store readers.
@@ -127,6 +131,8 @@
     void recordUse(ServiceName service);
     /// Answers a sibling's request for this VM's readings of the store; may be called on any thread.
     [[nodiscard]] asio::awaitable<std::string> shareReadings(std::string request);
+    /// Answers a sibling's request for the configuration; may be called on any thread.
+    [[nodiscard]] asio::awaitable<std::string> shareConfiguration(VmName from, std::string request);
     /// The text of the metrics page. On the control thread.
     [[nodiscard]] std::string metricsText() const;
 
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -46,6 +46,8 @@
         std::function<void()> onDrained;
         /// Answers a sibling's request for this VM's readings of the store.
         std::function<asio::awaitable<std::string>(std::string)> shareReadings;
+        /// Answers a sibling's request for the configuration.
+        std::function<asio::awaitable<std::string>(VmName, std::string)> shareConfiguration;
         /// Called on the traffic thread when statements of a service are to run on this VM.
         std::function<void(ServiceName)> onServiceUsed;
     };
@@ -70,6 +72,9 @@
     /// Requests a sibling's readings of the store; throws SiblingError or RequestError.
     [[nodiscard]] asio::awaitable<std::string> requestReadings(
         SiblingAddress sibling, std::string request, Duration timeLimit);
+    /// Requests the configuration from a sibling; throws SiblingError or RequestError.
+    [[nodiscard]] asio::awaitable<std::string> requestConfiguration(
+        SiblingAddress sibling, std::string request, Duration timeLimit);
     /// Requests a report; `take` is called on the traffic thread.
     void report(std::function<void(TrafficReport)> take);
     /// Starts a graceful shutdown.
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -52,6 +52,8 @@
         std::function<std::uint32_t(const TeamName&, std::uint32_t)> giveTokens;
         /// Answers a sibling's request for this VM's readings of the store; may resume on any thread.
         std::function<asio::awaitable<std::string>(std::string)> shareReadings;
+        /// Answers a sibling's request for the configuration; may resume on any thread.
+        std::function<asio::awaitable<std::string>(VmName, std::string)> shareConfiguration;
         /// Runs a forwarded statement until a deadline; on the traffic thread.
         std::function<asio::awaitable<std::string>(std::string, Instant)> runForSibling;
         /// A sibling has released a remote session; on the traffic thread.
@@ -77,6 +79,10 @@
     [[nodiscard]] asio::awaitable<std::string> requestReadings(
         SiblingAddress sibling, std::string request, Duration timeLimit);
 
+    /// Requests the configuration from a sibling; throws SiblingError or RequestError.
+    [[nodiscard]] asio::awaitable<std::string> requestConfiguration(
+        SiblingAddress sibling, std::string request, Duration timeLimit);
+
     /// Forwards a statement to an owner VM and reports its answer; on the traffic thread.
     void forward(
         const VmName& owner, std::string work, Duration timeLimit, std::function<void(OwnerAnswer)> done);
--- a/src/platform/curl_client.cpp
+++ b/src/platform/curl_client.cpp
@@ -109,9 +109,9 @@
                 break;
             }
             this->finished.expires_at(giveUpAt);
-            std::error_code ignored;
-            co_await this->finished.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-            if (!this->done && !limited)
+            std::error_code cancelled;
+            co_await this->finished.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+            if (!this->done && cancelled)
                 throw StoreError { StoreError::Kind::NoAnswer, "the call was given up" };
         }
         if (this->result != CURLE_OK)
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -6,6 +6,7 @@
 #include <cyclamendrift/telemetry/event_log.h>
 
 #include <asio/bind_cancellation_slot.hpp>
+#include <asio/post.hpp>
 #include <asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -21,6 +22,8 @@
     this->configurationRevision = revision;
     this->configurationValue = value;
     this->configurationPacked.clear();
+    this->configurationHolders.clear();
+    this->configurationFetch.taken(revision);
     try {
         auto table = std::make_shared<const RouteTable>(this->options.format.readRoutes(value));
         if (this->routes && table->version <= this->routes->version)
@@ -53,11 +56,12 @@
             { { "revision", std::to_string(this->configurationRevision) } });
         return;
     }
-    const bool withheld = this->configurationWithheldAt != Instant::min();
+    const auto lackingSince = this->configurationFetch.lackingSince();
     logEvent(LogLevel::Warn, "configuration_overdue",
         { { "age_ms", millisecondsText(age) }, { "revision", std::to_string(this->configurationRevision) },
-            { "known_revision", std::to_string(this->configurationKnownRevision) },
-            { "withheld_ms", withheld ? millisecondsText(now - this->configurationWithheldAt) : "none" } });
+            { "known_revision", std::to_string(this->configurationFetch.knownRevision()) },
+            { "lacking_ms",
+                lackingSince == Instant::max() ? "none" : millisecondsText(now - lackingSince) } });
 }
 
 asio::awaitable<SessionControl::State::ProvenListing> SessionControl::State::readProven(std::string prefix)
@@ -91,7 +95,8 @@
         const bool found = entry != listing.entries.end();
         if (found)
             this->applyConfiguration(entry->value, entry->revision);
-        this->configurationReadAt = listing.revision;
+        this->configurationLatestUntil = std::max(this->configurationLatestUntil, listing.revision);
+        this->configurationWatchable = true;
         StoreListing requests { .revision = listing.revision };
         std::copy_if(listing.entries.begin(), listing.entries.end(), std::back_inserter(requests.entries),
             [prefix = this->options.format.evacuationPrefix()](
@@ -111,9 +116,20 @@
     this->configurationConfirmedAt = now;
     if (change.key == this->options.format.configurationKey() && change.value)
         this->applyConfiguration(*change.value, change.revision);
+    this->configurationLatestUntil = std::max(this->configurationLatestUntil, change.revision);
     const auto prefix = this->options.format.evacuationPrefix();
     if (this->evacuations.takeChange(change, prefix, now) == SharedListing::Change::Entries)
         this->applyEvacuations();
+    // One answer of the store suffices a VM that only stands in for its store reader.
+    if (change.key.empty() && !this->isReader())
+        this->endConfigurationWatch();
+}
+
+void SessionControl::State::endConfigurationWatch()
+{
+    // The watch may be what calls this; it can be cancelled while it waits for the store.
+    asio::post(this->options.context,
+        [self = this->shared_from_this()] { self->configurationWatch.emit(asio::cancellation_type::all); });
 }
 
 void SessionControl::State::applyEvacuations()
@@ -150,29 +166,53 @@
 {
     const auto onChange = [this](const StoreChange& change) { this->applyOperatorChange(change); };
     const auto prefix = this->options.format.operatorPrefix();
+    // After an error the configuration is read again before the next watch, so no change is missed.
+    this->configurationWatchable = false;
     try {
-        // The watch starts at the revision of the reading, not at the configuration's last change, because
-        // the store discards its history after some seconds and rejects a watch from an earlier revision.
-        auto watch = this->store.watch(prefix, this->configurationReadAt + 1, onChange);
+        // The watch starts where the configuration was last known to be the latest, not at its last change,
+        // because the store discards its history after some seconds and rejects a watch from an earlier
+        // revision.
+        auto watch = this->store.watch(prefix, this->configurationLatestUntil + 1, onChange);
         co_await asio::co_spawn(this->options.context, std::move(watch),
             asio::bind_cancellation_slot(this->configurationWatch.slot(), asio::use_awaitable));
     } catch (const StoreError& error) {
-        // The configuration is read again before the next watch, so no change is missed.
         logEvent(LogLevel::Debug, "configuration_watch_ended", { { "reason", error.what() } });
     }
 }
 
+bool SessionControl::State::mayConfirmConfiguration()
+{
+    if (this->isReader())
+        return true;
+    const auto now = bootNow();
+    const auto& settings = this->options.settings;
+    const auto confirmedAt = std::min(this->configurationConfirmedAt, this->evacuations.confirmedAt());
+    if (now < confirmedAt + settings.maxConfigurationAge)
+        return false;
+    // Siblings that have the document send it as soon as their links have capacity. If every VM that waits
+    // read it from the store instead, they would take the store's link from everybody.
+    const auto& fetch = this->configurationFetch;
+    if (fetch.isLacking() && now < fetch.lackingSince() + settings.maxConfigurationAge)
+        return false;
+    if (!this->mayCallStore())
+        return false;
+    // A watch answers with the document only if it has changed.
+    this->configurationThrottle.setLoad({ .vms = this->siblings.size(),
+        .listBytes = fetch.isLacking() ? this->configurationValue.size() : 0 });
+    return this->configurationThrottle.allowRead(now, this->random);
+}
+
 asio::awaitable<void> SessionControl::State::followConfiguration(std::shared_ptr<State> self)
 {
     const auto& settings = self->options.settings;
     while (!self->stopped) {
-        bool current = false;
         // Store readers may have lost the store themselves, so a configuration that nobody has confirmed for
-        // a while is read here.
-        const auto confirmedAt = std::min(self->configurationConfirmedAt, self->evacuations.confirmedAt());
-        if (self->mayReadList(confirmedAt, settings.maxConfigurationAge, self->configurationWithheldAt))
-            current = co_await self->readConfiguration();
-        if (current && self->isReader()) {
+        // a while is confirmed here. A VM that got it from siblings can watch from the revision that they
+        // have read, and does not need the whole document again.
+        bool current = false;
+        if (self->mayConfirmConfiguration())
+            current = self->configurationWatchable || co_await self->readConfiguration();
+        if (current) {
             co_await self->watchConfiguration();
             // Limits the rate of watches when the store ends each of them at once.
             co_await self->sleep(settings.rereadInterval);
--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -228,6 +228,7 @@
     self->bootstrapped = true;
     self->updateTracked(bootNow());
     self->spawn(followLeadership(self));
+    self->spawn(fetchConfiguration(self));
     self->spawn(followConfiguration(self));
     self->spawn(followDirectory(self));
     self->spawn(keepLease(self));
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -236,9 +236,6 @@
             self->applyVms();
         // A share grows only some time after the list of VMs from which it is computed.
         self->divideLimits();
-        // The store reader that this VM stood in for may be back.
-        if (!self->isReader())
-            self->configurationWatch.emit(asio::cancellation_type::all);
         co_await self->sleep(pause);
     }
 }
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -25,6 +25,9 @@
 // difficulty with the store, and further VMs of the order have no readings of their own.
 constexpr int readersAsked = 6;
 
+// Size up to which the configuration is sent together with the lists, as one packet or a few.
+constexpr std::size_t maxConfigurationInReadings = 4096;
+
 // Size up to which a listing is sent regardless of the budget: one without entries, or a small difference.
 constexpr std::size_t smallListing = 256;
 
@@ -157,6 +160,7 @@
     wire::ReadingsRequest request;
     request.set_configuration_revision(this->configurationRevision);
     request.set_takes_packed(true);
+    request.set_requests_configuration(true);
     request.set_without_upstreams(!this->needsUpstreams(bootNow()));
     this->leadership.writeKnown(*request.mutable_leadership());
     this->vms.writeKnown(*request.mutable_vms());
@@ -170,7 +174,7 @@
             = co_await this->options.traffic.requestReadings(address, request.SerializeAsString(), timeLimit);
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
-        this->applyReadings(answer, askedAt);
+        this->applyReadings(address.vm, answer, askedAt);
     } catch (const RequestError& error) {
         logEvent(this->bootstrapped ? LogLevel::Info : LogLevel::Debug, "reader_not_ready",
             { { "vm", address.vm.string() }, { "reason", error.what() } });
@@ -201,7 +205,8 @@
            });
 }
 
-void SessionControl::State::applyReadings(const wire::ReadingsAnswer& answer, Instant askedAt)
+void SessionControl::State::applyReadings(
+    const VmName& sibling, const wire::ReadingsAnswer& answer, Instant askedAt)
 {
     // Upstreams come first, because leadership records are assigned to their groups.
     if (this->directoryListing.takeAnswer(answer.directory(), askedAt) == SharedListing::Change::Entries)
@@ -224,18 +229,23 @@
     if (this->evacuations.takeAnswer(answer.evacuations(), askedAt) == SharedListing::Change::Entries)
         this->applyEvacuations();
     const auto& configuration = answer.configuration();
-    this->configurationKnownRevision
-        = std::max<std::uint64_t>(this->configurationKnownRevision, configuration.revision());
-    if (configuration.entries_size() == 0 && configuration.revision() > this->configurationRevision)
-        this->configurationWithheldAt = askedAt;
-    if (configuration.entries_size() > 0) {
+    if (configuration.entries_size() == 0) {
+        this->onConfigurationAnnounced(sibling, configuration.revision());
+    } else {
         const auto& document = configuration.entries(0);
         this->applyConfiguration(
             document.packed() ? unpack(document.value()) : document.value(), configuration.revision());
     }
-    if (configuration.revision() == this->configurationRevision)
+    if (configuration.revision() == this->configurationRevision) {
         this->configurationConfirmedAt
             = std::max(this->configurationConfirmedAt, askedAt - durationFrom(configuration.age_us()));
+        if (answer.configuration_latest_until() > this->configurationLatestUntil) {
+            this->configurationLatestUntil = answer.configuration_latest_until();
+            this->configurationWatchable = true;
+        }
+    }
+    if (bootNow() < this->configurationConfirmedAt + this->options.settings.maxConfigurationAge)
+        this->configurationThrottle.served();
 }
 
 void SessionControl::State::writeViews(wire::ReadingsAnswer& answer) const
@@ -266,13 +276,6 @@
         configuration.clear_entries();
 }
 
-const std::string& SessionControl::State::packedConfiguration()
-{
-    if (this->configurationPacked.empty())
-        this->configurationPacked = pack(this->configurationValue);
-    return this->configurationPacked;
-}
-
 bool SessionControl::State::hasAllReadings() const
 {
     const auto listings = { &this->leadership, &this->vms, &this->directoryListing, &this->evacuations };
@@ -304,7 +307,11 @@
     auto& configuration = *answer.mutable_configuration();
     configuration.set_age_us(wireAge(self->configurationConfirmedAt, now));
     configuration.set_revision(self->configurationRevision);
-    if (self->configurationRevision > request.configuration_revision()) {
+    answer.set_configuration_latest_until(self->configurationLatestUntil);
+    // A large document in this answer would delay the views, or cause the whole answer to be given up.
+    const bool apart
+        = request.requests_configuration() && self->packedConfiguration().size() > maxConfigurationInReadings;
+    if (self->configurationRevision > request.configuration_revision() && !apart) {
         auto& document = *configuration.add_entries();
         document.set_packed(request.takes_packed());
         document.set_value(request.takes_packed() ? self->packedConfiguration() : self->configurationValue);
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/core/random_source.h>
 #include <cyclamendrift/leadership/tracked_services.h>
+#include <cyclamendrift/membership/configuration_fetch.h>
 #include <cyclamendrift/membership/fleet_join.h>
 #include <cyclamendrift/membership/list_read_throttle.h>
 #include <cyclamendrift/membership/missing_vms.h>
@@ -20,6 +21,7 @@
 #include <asio/detached.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -74,9 +76,10 @@
 };
 
 /// State of a SessionControl. Its functions are defined in control_configuration (routes, evacuations and
-/// upstreams), control_join (search for the store readers at the start), control_readings (exchange of store
-/// readings with siblings), control_leadership (primaries), control_services (which services have their
-/// primary tracked here), control_membership (leases, VMs and limits) and session_control (start and stop).
+/// upstreams), control_spread (the configuration between siblings), control_join (search for the store
+/// readers at the start), control_readings (exchange of store readings with siblings), control_leadership
+/// (primaries), control_services (which services have their primary tracked here), control_membership
+/// (leases, VMs and limits) and session_control (start and stop).
 class SessionControl::State : public std::enable_shared_from_this<State> {
 public:
     explicit State(Options options);
@@ -93,6 +96,8 @@
     void recordUse(const ServiceName& service);
     [[nodiscard]] static asio::awaitable<std::string> shareReadings(
         std::shared_ptr<State> self, std::string request);
+    [[nodiscard]] static asio::awaitable<std::string> shareConfiguration(
+        std::shared_ptr<State> self, VmName from, std::string request);
 
     /// Log lines per second for each event; an outage changes the view of every service.
     static constexpr std::uint64_t linesPerSecond = 20;
@@ -105,6 +110,9 @@
     // Configuration and upstreams.
     std::shared_ptr<const RouteTable> routes;
     Instant configurationConfirmedAt = Instant::min();
+    ConfigurationFetch configurationFetch;
+    /// Cancelled when this VM learns of a configuration that it lacks.
+    asio::steady_timer configurationLacking;
     UpstreamDirectory directory;
     bool directoryRead = false;
     std::set<ZoneName> evacuatedZones;
@@ -134,6 +142,7 @@
     StoreReaderSelector readerSelector;
     StoreCallThrottle storeThrottle;
     ListReadThrottle listThrottle;
+    ListReadThrottle configurationThrottle;
     BoundedLog log { linesPerSecond };
     MissingVms missingVms;
     EngineCounters counters;
@@ -164,6 +173,9 @@
     [[nodiscard]] asio::awaitable<ProvenListing> readProven(std::string prefix);
     [[nodiscard]] asio::awaitable<bool> readConfiguration();
     [[nodiscard]] asio::awaitable<void> watchConfiguration();
+    /// True when this VM is a store reader, or may confirm the configuration by itself because no sibling has
+    /// for too long.
+    [[nodiscard]] bool mayConfirmConfiguration();
     [[nodiscard]] static asio::awaitable<void> followConfiguration(std::shared_ptr<State> self);
     [[nodiscard]] static asio::awaitable<void> followDirectory(std::shared_ptr<State> self);
     void applyConfiguration(const std::string& value, std::uint64_t revision);
@@ -171,6 +183,7 @@
     void reportConfigurationAge(Instant now);
     /// Applies a change of a key that operators write.
     void applyOperatorChange(const StoreChange& change);
+    void endConfigurationWatch();
     /// Puts the latest listing of evacuations into effect.
     void applyEvacuations();
     /// Returns the backoff before the next attempt, or nothing on success.
@@ -178,6 +191,14 @@
     void applyDirectory();
     void publishDirectory();
 
+    // control_spread
+    /// Requests the configuration from siblings while one is lacking.
+    [[nodiscard]] static asio::awaitable<void> fetchConfiguration(std::shared_ptr<State> self);
+    [[nodiscard]] asio::awaitable<void> requestConfiguration(VmName sibling);
+    /// A sibling has the configuration of that revision.
+    void onConfigurationAnnounced(const VmName& sibling, std::uint64_t revision);
+    [[nodiscard]] const std::string& packedConfiguration();
+
     // control_join
     /// Takes the first readings from the store readers, or becomes one; then starts the loops that keep the
     /// readings current.
@@ -230,12 +251,11 @@
     [[nodiscard]] std::vector<const SharedListing*> neededListings() const;
     /// True when this VM may read a list from the store although no store reader serves it.
     [[nodiscard]] bool allowOwnReading();
-    void applyReadings(const wire::ReadingsAnswer& answer, Instant askedAt);
+    void applyReadings(const VmName& sibling, const wire::ReadingsAnswer& answer, Instant askedAt);
     /// True when every group has a view that was confirmed less than `maxAge` ago.
     [[nodiscard]] bool viewsAreFresh(Duration usable) const;
     /// Adds the views that replicas have confirmed since the leadership records were read.
     void writeViews(wire::ReadingsAnswer& answer) const;
-    [[nodiscard]] const std::string& packedConfiguration();
     /// Removes from an answer the lists for which this VM's link has no capacity at the moment.
     void limitToBudget(wire::ReadingsAnswer& answer, Instant now);
 
@@ -296,8 +316,10 @@
     std::unique_ptr<TimerService::Subscription> ticks;
     std::unique_ptr<TimerService::Subscription> reports;
     std::uint64_t configurationRevision = 0;
-    /// The store's revision at the last reading of the configuration.
-    std::uint64_t configurationReadAt = 0;
+    /// The store's revision up to which the configuration in force is known to be the latest.
+    std::uint64_t configurationLatestUntil = 0;
+    /// True when a watch may continue from there.
+    bool configurationWatchable = false;
     std::map<UpstreamName, Instant> missingSince;
     std::map<std::string, std::string> unreadable;
     FleetPlace place;
@@ -318,8 +340,8 @@
     std::string configurationValue;
     /// The configuration in compressed form; empty until a sibling requests it.
     std::string configurationPacked;
-    /// The latest revision of the configuration that a store reader has told this VM about.
-    std::uint64_t configurationKnownRevision = 0;
+    /// VMs that were sent the configuration in force, the latest ones last.
+    std::deque<VmName> configurationHolders;
     bool configurationOverdue = false;
     /// Backoff after the last attempt to read the configuration failed.
     Duration configurationBackoff {};
@@ -328,7 +350,6 @@
     /// When a store reader last answered that it has a list which its link had no capacity to send.
     Instant directoryWithheldAt = Instant::min();
     Instant vmsWithheldAt = Instant::min();
-    Instant configurationWithheldAt = Instant::min();
     /// The VMs of the roster, and its revision in the store.
     SiblingList rosterVms;
     ReaderRoster roster;
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -58,6 +58,7 @@
           .purposeOf = [this](std::string_view key) { return this->purposeOf(key); },
           .onListing = [this] { this->storeThrottle.answered(bootNow()); } })
     , timers(options.context.get_executor())
+    , configurationLacking(options.context)
     , tracked(options.vm)
     , leadershipWanted(options.context)
     , configurationSource("configuration", options.settings)
@@ -159,6 +160,7 @@
 void SessionControl::State::stop()
 {
     this->stopped = true;
+    this->configurationLacking.cancel();
     this->leadershipWanted.cancel();
     this->ticks.reset();
     this->reports.reset();
@@ -211,6 +213,12 @@
     co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
 }
 
+asio::awaitable<std::string> SessionControl::shareConfiguration(VmName from, std::string request)
+{
+    auto started = State::shareConfiguration(this->state, std::move(from), std::move(request));
+    co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
+}
+
 bool SessionControl::isReady() const { return this->state->isReady(); }
 
 std::string SessionControl::metricsText() const
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -66,6 +66,10 @@
               .onDrained = [this] { asio::post(this->controlContext, [this] { this->onDrained(); }); },
               .shareReadings
               = [this](std::string request) { return this->control.shareReadings(std::move(request)); },
+              .shareConfiguration =
+                  [this](VmName from, std::string request) {
+                      return this->control.shareConfiguration(std::move(from), std::move(request));
+                  },
               .onServiceUsed = [this](ServiceName service) { this->control.recordUse(std::move(service)); } })
         , control({ .context = controlContext,
               .vm = options.settings.vm.name,
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -58,6 +58,7 @@
               = [this](const TeamName& team,
                     std::uint32_t wanted) { return this->engine.giveTokens(team, wanted, bootNow()); },
               .shareReadings = options.shareReadings,
+              .shareConfiguration = options.shareConfiguration,
               .runForSibling
               = [this](std::string body,
                     Instant deadline) { return this->runForSibling(std::move(body), deadline); },
@@ -389,6 +390,14 @@
     co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
 }
 
+asio::awaitable<std::string> SessionTraffic::requestConfiguration(
+    SiblingAddress sibling, std::string request, Duration timeLimit)
+{
+    auto started
+        = this->state->exchange.requestConfiguration(std::move(sibling), std::move(request), timeLimit);
+    co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
+}
+
 void SessionTraffic::report(std::function<void(TrafficReport)> take)
 {
     asio::post(this->state->options.context, [this, take = std::move(take)] {
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -19,6 +19,7 @@
 
 constexpr auto giveTokensMethod = "GiveTokens";
 constexpr auto shareReadingsMethod = "ShareReadings";
+constexpr auto shareConfigurationMethod = "ShareConfiguration";
 constexpr auto runForSiblingMethod = "RunForSibling";
 constexpr auto releaseMethod = "LetGuestGo";
 constexpr auto livenessMethod = "SignOfLife";
@@ -42,10 +43,23 @@
     {
     }
 
+    [[nodiscard]] static asio::awaitable<std::string> request(std::shared_ptr<State> self,
+        SiblingAddress sibling, const char* method, std::string body, Duration timeLimit)
+    {
+        if (!self->client)
+            throw SiblingError { SiblingError::Kind::Unreachable, "siblings are not served yet" };
+        SiblingCall call { .method = method,
+            .body = std::move(body),
+            .deadline = std::chrono::steady_clock::now() + timeLimit };
+        co_return co_await self->ask(std::move(sibling), std::move(call));
+    }
+
     [[nodiscard]] asio::awaitable<std::string> handle(IncomingSiblingCall call)
     {
         if (call.method == shareReadingsMethod)
             co_return co_await this->options.shareReadings(std::move(call.body));
+        if (call.method == shareConfigurationMethod)
+            co_return co_await this->options.shareConfiguration(std::move(call.from), std::move(call.body));
         if (call.method == runForSiblingMethod)
             co_return co_await this->options.runForSibling(std::move(call.body), call.deadline);
         if (call.method == releaseMethod) {
@@ -248,12 +262,15 @@
 asio::awaitable<std::string> SiblingExchange::requestReadings(
     SiblingAddress sibling, std::string request, Duration timeLimit)
 {
-    if (!this->isOpen())
-        throw SiblingError { SiblingError::Kind::Unreachable, "siblings are not served yet" };
-    SiblingCall call { .method = shareReadingsMethod,
-        .body = std::move(request),
-        .deadline = std::chrono::steady_clock::now() + timeLimit };
-    co_return co_await this->state->ask(std::move(sibling), std::move(call));
+    return State::request(
+        this->state, std::move(sibling), shareReadingsMethod, std::move(request), timeLimit);
+}
+
+asio::awaitable<std::string> SiblingExchange::requestConfiguration(
+    SiblingAddress sibling, std::string request, Duration timeLimit)
+{
+    return State::request(
+        this->state, std::move(sibling), shareConfigurationMethod, std::move(request), timeLimit);
 }
 
 void SiblingExchange::forward(
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -55,6 +55,20 @@
     return text.replace(text.find(version), version.size(), R"("version":2)");
 }
 
+/// `configuration` as version 2, with `count` routes more whose names are as hard to compress as real ones.
+std::string configurationWithRoutes(std::size_t count)
+{
+    std::string text { configuration };
+    std::string routes;
+    for (std::size_t index = 0; index < count; ++index)
+        routes += R"({"host":"list-)" + std::to_string(std::hash<std::size_t> {}(index * 2654435761U))
+            + R"(","kind":"primary","timeoutMs":1000,"targetLatencyMs":500,"service":"register"},)";
+    const std::string_view first { R"("routes":[)" };
+    text.insert(text.find(first) + first.size(), routes);
+    const std::string_view version { R"("version":1)" };
+    return text.replace(text.find(version), version.size(), R"("version":2)");
+}
+
 /// Returns a free port below the range that the kernel assigns to outgoing connections, so that none of these
 /// takes the port before the proxy does.
 std::uint16_t freePort()
@@ -272,6 +286,20 @@
     return found;
 }
 
+/// Waits until each VM works with version 2 of the configuration; false when one does not in time.
+bool waitForVersionTwo(const RunningFleet& fleet)
+{
+    const auto isCurrent = [](const std::unique_ptr<Running>& proxy) {
+        return metricOf(*proxy, "cyclamendrift_configuration_version") == 2;
+    };
+    for (int tries = 0; tries < 250; ++tries) {
+        if (std::all_of(fleet.begin(), fleet.end(), isCurrent))
+            return true;
+        std::this_thread::sleep_for(20ms);
+    }
+    return false;
+}
+
 } // namespace
 
 TEST_SUITE("session proxy over the users' protocols")
@@ -437,6 +465,26 @@
         CHECK(handedOn() >= 2);
     }
 
+    TEST_CASE("a configuration too large for the answers of a store reader is in force at every VM")
+    {
+        // Guards against a document that travels in the answers which renew the views of primaries: it delays
+        // them, or the whole answer is given up, and the VM keeps the older configuration.
+        Surroundings surroundings;
+        RunningFleet fleet;
+        for (int vm = 1; vm <= 5; ++vm)
+            fleet.push_back(std::make_unique<Running>(surroundings, "vm-" + std::to_string(vm)));
+        for (const auto& proxy : fleet) {
+            Caller caller { *proxy };
+            CHECK(caller.runUntilDone("READ bed-1"));
+        }
+        surroundings.perform([&] { surroundings.kv.put("op/config", configurationWithRoutes(4000)); });
+        CHECK(waitForVersionTwo(fleet));
+        for (const auto& proxy : fleet) {
+            Caller caller { *proxy };
+            CHECK(caller.run("READ bed-1").starts_with("ROW"));
+        }
+    }
+
     TEST_CASE("an evacuated zone gets no statements until the request is withdrawn, not even from a VM that "
               "starts later")
     {
