Refuse operations at a VM that has lacked a later configuration for too long

However the document travels, nothing ended service at a VM that knew of a later one and did not have it.

Open transactions go on. A VM that nobody tells of a later configuration, because it is cut off from store and siblings, serves on as before: during an outage of the store that is every VM. The test does not compile on the code before, as there was nothing to tell the engine.

--- a/include/cyclamendrift/pooling/session_engine.h
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -113,6 +113,9 @@
 
     // Updates from the control plane.
     void setRoutes(std::shared_ptr<const RouteTable> routes, Instant now);
+    /// While the routes are known to be outdated, sessions and operations that begin are refused; open
+    /// transactions go on.
+    void setConfigurationOutdated(bool outdated, Instant now);
     void setDirectory(const UpstreamDirectory& directory, Instant now);
     void setLeader(const ServiceName& service, const LeaderView& view, Instant now);
     /// Operators evacuate these availability zones: their upstreams get no new statements, and transactions
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -61,6 +61,7 @@
     /// Starts to accept callers.
     void listen();
     void setRoutes(std::shared_ptr<const RouteTable> routes);
+    void setConfigurationOutdated(bool outdated);
     void setDirectory(UpstreamDirectory directory);
     void setLeader(ServiceName service, const LeaderView& view);
     void setEvacuatedZones(std::set<ZoneName> zones);
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -41,6 +41,10 @@
     auto& session = this->callers[static_cast<std::uint64_t>(id)];
     session.id = id;
     session.lastActive = this->now;
+    if (this->configurationOutdated) {
+        this->closeSession(id, StatementFailure { StatementError::Busy, this->outdatedText() });
+        return;
+    }
     const auto* route = this->routes->findRoute(start.database);
     if (route == nullptr) {
         this->closeSession(
@@ -149,8 +153,17 @@
     this->answer(session, failureReply(StatementError::Malformed, "the statement cannot be read"));
 }
 
+std::string SessionEngine::State::outdatedText() const
+{
+    return adviceText("this VM lacks a later configuration", this->options.settings.outdatedRetryAfter);
+}
+
 bool SessionEngine::State::checkPermission(CallerSession& session)
 {
+    if (this->configurationOutdated) {
+        this->refuse(session, StatementError::Busy, this->outdatedText());
+        return false;
+    }
     const auto* route = this->routes->findRoute(session.database);
     if (route == nullptr) {
         this->refuse(session, StatementError::UnknownDatabase, "there is no such database any more");
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -136,6 +136,7 @@
     Options options;
     Instant now;
     std::shared_ptr<const RouteTable> routes = std::make_shared<const RouteTable>();
+    bool configurationOutdated = false;
     std::map<ServiceName, GroupState> groups;
     /// Groups with statements that wait for a connection, so that a tick does not visit all groups.
     std::set<ServiceName> groupsWithWaiting;
@@ -159,6 +160,7 @@
 
 private:
     // engine_callers
+    [[nodiscard]] std::string outdatedText() const;
     void runNextStatement(CallerSession& session);
     void runStatement(CallerSession& session, CallerQuery query);
     void startOperation(CallerSession& session, CallerQuery query);
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -133,6 +133,12 @@
     this->state->updateColdStartLimits();
 }
 
+void SessionEngine::setConfigurationOutdated(bool outdated, Instant now)
+{
+    this->state->now = now;
+    this->state->configurationOutdated = outdated;
+}
+
 void SessionEngine::setDirectory(const UpstreamDirectory& directory, Instant now)
 {
     auto& engine = *this->state;
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -34,6 +34,7 @@
                 { "keys", std::to_string(table->keys.size()) } });
         this->routes = std::move(table);
         this->options.traffic.setRoutes(this->routes);
+        this->checkConfigurationLag(bootNow());
         this->updateTracked(bootNow());
         this->divideLimits();
     } catch (const FormatError& error) {
@@ -64,6 +65,21 @@
                 lackingSince == Instant::max() ? "none" : millisecondsText(now - lackingSince) } });
 }
 
+void SessionControl::State::checkConfigurationLag(Instant now)
+{
+    const auto& fetch = this->configurationFetch;
+    const bool outdated = this->routes && fetch.isLacking()
+        && now >= fetch.lackingSince() + this->options.settings.maxConfigurationLag;
+    if (outdated == this->configurationOutdated)
+        return;
+    this->configurationOutdated = outdated;
+    this->options.traffic.setConfigurationOutdated(outdated);
+    logEvent(outdated ? LogLevel::Warn : LogLevel::Info,
+        outdated ? "configuration_outdated" : "configuration_current",
+        { { "revision", std::to_string(this->configurationRevision) },
+            { "known_revision", std::to_string(fetch.knownRevision()) } });
+}
+
 asio::awaitable<SessionControl::State::ProvenListing> SessionControl::State::readProven(std::string prefix)
 {
     // A listing that may lag costs a tenth. The leadership records are read with linearizable reads, so a
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -141,6 +141,7 @@
         std::exchange(this->whenReady, nullptr)();
     const auto now = bootNow();
     this->reportConfigurationAge(now);
+    this->checkConfigurationLag(now);
     if (now >= this->trackedUpdatedAt + trackedUpdateInterval)
         this->updateTracked(now);
     for (auto& [service, coordinator] : this->coordinators) {
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -181,6 +181,8 @@
     void applyConfiguration(const std::string& value, std::uint64_t revision);
     /// Logs when the configuration was not confirmed for too long, and when it is again.
     void reportConfigurationAge(Instant now);
+    /// Refuses callers' operations while this VM lacks a later configuration for too long.
+    void checkConfigurationLag(Instant now);
     /// Applies a change of a key that operators write.
     void applyOperatorChange(const StoreChange& change);
     void endConfigurationWatch();
@@ -343,6 +345,7 @@
     /// VMs that were sent the configuration in force, the latest ones last.
     std::deque<VmName> configurationHolders;
     bool configurationOverdue = false;
+    bool configurationOutdated = false;
     /// Backoff after the last attempt to read the configuration failed.
     Duration configurationBackoff {};
     /// Cancels the watch of the configuration.
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -333,6 +333,12 @@
     });
 }
 
+void SessionTraffic::setConfigurationOutdated(bool outdated)
+{
+    asio::post(this->state->options.context,
+        [this, outdated] { this->state->engine.setConfigurationOutdated(outdated, bootNow()); });
+}
+
 void SessionTraffic::setDirectory(UpstreamDirectory directory)
 {
     asio::post(this->state->options.context, [this, directory = std::move(directory)] {
--- a/tests/pooling/session_engine_test.cpp
+++ b/tests/pooling/session_engine_test.cpp
@@ -136,6 +136,28 @@
         simulation.engine.setRoutes(older, simulation.now);
         CHECK(simulation.closeFailure(simulation.connect("key-b")));
     }
+
+    TEST_CASE("a VM that lacks a later configuration for too long refuses operations until it has it")
+    {
+        // Guards against statements that run by a configuration which operators have replaced seconds ago,
+        // and against callers who are told that a database which was added does not exist.
+        PoolSimulation simulation { {} };
+        const auto caller = simulation.connect();
+        const auto inTransaction = simulation.connect();
+        CHECK_FALSE(simulation.run(inTransaction, "t/1", "BEGIN").failure);
+        CHECK_FALSE(simulation.run(inTransaction, "t/2", "WRITE 1 x").failure);
+        simulation.engine.setConfigurationOutdated(true, simulation.now);
+        const auto refused = simulation.run(caller, "c/1", "READ 1");
+        CHECK(errorOf(refused) == StatementError::Busy);
+        CHECK(refused.failure->text.find("retry after") != std::string::npos);
+        CHECK(simulation.executionCount("c/1") == 0);
+        const auto closed = simulation.closeFailure(simulation.connect("key-a", "nothing"));
+        REQUIRE(closed);
+        CHECK(closed->error == StatementError::Busy);
+        CHECK_FALSE(simulation.run(inTransaction, "t/3", "COMMIT").failure);
+        simulation.engine.setConfigurationOutdated(false, simulation.now);
+        CHECK_FALSE(simulation.run(caller, "c/2", "READ 1").failure);
+    }
 }
 
 TEST_SUITE("transactions")
