Tell a sibling's late answer from a lost connection

A call that reached its deadline was logged as 'the connection to the sibling was lost before the answer was complete', because resetting its stream closes it. During the incident this read as if VMs lost their connections. The kinds of error stay the same.

--- a/src/siblings/client_connection.cpp
+++ b/src/siblings/client_connection.cpp
@@ -30,8 +30,6 @@
 
 void requireCompleteAnswer(const ClientStream& stream)
 {
-    if (!stream.closed)
-        throwUnanswered(stream, "the sibling did not answer before the deadline");
     if (stream.bodyTooLong)
         throwSiblingError(
             SiblingError::Kind::BadAnswer, "the sibling's answer exceeds the maximum message size");
@@ -74,8 +72,11 @@
     std::error_code ignored;
     if (!stream->closed)
         co_await stream->completionTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    if (!stream->closed)
+    if (!stream->closed) {
+        // The reset closes the stream, as the loss of the connection would.
         this->resetStream(stream->id, NGHTTP2_CANCEL);
+        throwUnanswered(*stream, "the sibling did not answer before the deadline");
+    }
     requireCompleteAnswer(*stream);
     co_return stream;
 }
