--- a/src/proxy/fleet_configuration.cpp
+++ b/src/proxy/fleet_configuration.cpp
@@ -232,8 +232,8 @@
     try {
         wire::ConfigurationPull request;
         request.set_sequence(self->sequence());
-        auto answer
-            = co_await self->context->call<wire::ConfigurationPullAnswer>(peer, fleet_method::pull, request);
+        auto answer = co_await self->context->call<wire::ConfigurationPullAnswer>(
+            peer, fleet_method::pull, request, documentTimeout);
         if (answer.has_document())
             self->adopt(std::make_shared<wire::ConfigurationDocument>(std::move(*answer.mutable_document())));
     } catch (const std::exception&) {
@@ -304,8 +304,8 @@
         wire::ConfigurationPush request;
         *request.mutable_document() = *document;
         const auto asked = self->context->now();
-        const auto answer
-            = co_await self->context->call<wire::ConfigurationPushAnswer>(peer, fleet_method::push, request);
+        const auto answer = co_await self->context->call<wire::ConfigurationPushAnswer>(
+            peer, fleet_method::push, request, documentTimeout);
         if (answer.witness())
             self->trust.onStatement({ .witness = peer.vm, .sequence = answer.sequence(), .madeAt = asked });
         self->updateTrust();
--- a/src/proxy/fleet_context.h
+++ b/src/proxy/fleet_context.h
@@ -22,6 +22,8 @@
 inline constexpr Duration fleetInterval = std::chrono::milliseconds { 500 };
 /// Time limit of the small calls between siblings.
 inline constexpr Duration siblingTimeout = std::chrono::milliseconds { 400 };
+/// Time limit of calls that carry the configuration, whose size grows with databases and keys.
+inline constexpr Duration documentTimeout = std::chrono::milliseconds { 3000 };
 
 /// Names of the calls between siblings.
 namespace fleet_method {
@@ -50,10 +52,17 @@
     template <class Answer, class Request>
     [[nodiscard]] asio::awaitable<Answer> call(SiblingAddress to, std::string method, Request request)
     {
-        const auto deadline = this->now() + std::min<Duration>(siblingTimeout, this->options.callTimeout);
-        SiblingCall message {
-            .method = std::move(method), .body = request.SerializeAsString(), .deadline = deadline
-        };
+        return this->call<Answer>(std::move(to), std::move(method), std::move(request),
+            std::min<Duration>(siblingTimeout, this->options.callTimeout));
+    }
+
+    template <class Answer, class Request>
+    [[nodiscard]] asio::awaitable<Answer> call(
+        SiblingAddress to, std::string method, Request request, Duration timeLimit)
+    {
+        SiblingCall message { .method = std::move(method),
+            .body = request.SerializeAsString(),
+            .deadline = this->now() + timeLimit };
         const auto body = co_await this->options.callSibling(std::move(to), std::move(message));
         Answer answer;
         if (!answer.ParseFromString(body))
--- a/standins/virtual_fleet.cpp
+++ b/standins/virtual_fleet.cpp
@@ -102,6 +102,15 @@
     return !std::bernoulli_distribution { this->options.messageLoss }(this->random);
 }
 
+Duration VirtualFleet::travelTime(std::size_t bytes) const
+{
+    if (this->options.linkBytesPerSecond <= 0)
+        return this->options.latency;
+    const std::chrono::duration<double> transfer { static_cast<double>(bytes)
+        / this->options.linkBytesPerSecond };
+    return this->options.latency + std::chrono::duration_cast<Duration>(transfer);
+}
+
 asio::awaitable<std::string> VirtualFleet::call(
     std::size_t from, std::shared_ptr<VirtualProcess> sender, SiblingAddress to, SiblingCall message)
 {
@@ -111,11 +120,12 @@
     auto reply = std::make_shared<VirtualReply<std::string>>(this->clock.context());
     const auto patience = sender->trueTime(std::max(message.deadline - sender->localNow(), Duration {}));
     sender->deliverAfter(patience, [reply] { reply->fail(lost()); });
+    const auto travel = this->travelTime(message.body.size());
     if (this->arrives(from, target) && this->vms[target]->process) {
         auto begin = [this, from, target, sender, message = std::move(message), reply]() mutable {
             this->spawn(this->serve(from, target, sender, std::move(message), reply));
         };
-        this->vms[target]->process->deliverAfter(this->options.latency, std::move(begin));
+        this->vms[target]->process->deliverAfter(travel, std::move(begin));
     }
     co_return co_await VirtualReply<std::string>::wait(reply);
 }
@@ -140,7 +150,8 @@
         co_return;
     ++this->messageCount;
     this->byteCount += body.size();
-    sender->deliverAfter(this->options.latency, [reply, body = std::move(body)] { reply->succeed(body); });
+    const auto travel = this->travelTime(body.size());
+    sender->deliverAfter(travel, [reply, body = std::move(body)] { reply->succeed(body); });
 }
 
 void VirtualFleet::cut(std::size_t left, std::size_t right) { this->cuts.insert(ordered(left, right)); }
--- a/standins/virtual_fleet.h
+++ b/standins/virtual_fleet.h
@@ -34,6 +34,8 @@
         /// Clocks run at up to this much off true time.
         double clockDrift = 0;
         Duration latency = std::chrono::milliseconds { 1 };
+        /// Bandwidth between siblings; 0 for one that delays nothing.
+        double linkBytesPerSecond = 0;
         /// Part of messages between siblings that are lost.
         double messageLoss = 0;
         /// Processes start spread over this time.
@@ -94,6 +96,8 @@
     [[nodiscard]] std::unique_ptr<Vm> makeVm(std::size_t index);
     [[nodiscard]] std::size_t indexOf(const VmName& vm) const;
     [[nodiscard]] bool arrives(std::size_t from, std::size_t to);
+    /// Time that a message of that size takes to a sibling.
+    [[nodiscard]] Duration travelTime(std::size_t bytes) const;
     [[nodiscard]] asio::awaitable<std::string> call(
         std::size_t from, std::shared_ptr<VirtualProcess> sender, SiblingAddress to, SiblingCall message);
     asio::awaitable<void> serve(std::size_t from, std::size_t to, std::shared_ptr<VirtualProcess> sender,
--- a/tests/proxy/fleet_configuration_test.cpp
+++ b/tests/proxy/fleet_configuration_test.cpp
@@ -144,6 +144,28 @@
         CHECK(everywhere(world, [&](std::size_t vm) { return vm == 3 || accepts(world, vm); }));
     }
 
+    TEST_CASE("a large document reaches a VM that starts during a store outage over a slow link")
+    {
+        // Guards against a time limit of small calls for a document whose size grows with the operators'
+        // keys: its transfer is given up and begins anew, and the VM refuses every caller.
+        VirtualFleet world { { .linkBytesPerSecond = 500'000 } };
+        auto schema = makeSchema();
+        constexpr std::size_t keys = 4000;
+        for (std::size_t index = 0; index < keys; ++index) {
+            auto& key = *schema.add_keys();
+            key.set_id("more-" + std::to_string(index));
+            key.set_team(hospitals.string());
+            key.set_secret_hash(hashSecret("secret " + std::to_string(index)));
+        }
+        settle(world, std::move(schema));
+        world.runFor(10s);
+        world.setStoreDown(true);
+        world.runFor(20s);
+        world.restart(3);
+        world.runFor(5s);
+        CHECK(revisionAt(world, 3) == 1);
+    }
+
     // Only two VMs still reach the store, and no others. The rest, cut off from both, cannot learn of a
     // change; told "accepted", the operator would rely on a withdrawal that is not in force there.
     TEST_CASE("a change that too few VMs can confirm is not called accepted")
