Write the roster once at a first start although reads of the store lag

Each is two priced calls.

Cause: a VM that had written the roster, or been told that another was first, read it with a read that may lag, found none, and wrote it again until the read had caught up. The read after a write is a current one now, and a read that lags does not replace a later roster.

--- a/include/cyclamendrift/membership/fleet_join.h
+++ b/include/cyclamendrift/membership/fleet_join.h
@@ -66,7 +66,10 @@
     };
 
     /// Read the roster from the store; the outcome goes to rosterRead() or attemptFailed().
-    struct ReadRoster { };
+    struct ReadRoster {
+        /// False when an answer that lacks what was written last would be of no use.
+        bool mayLag = true;
+    };
     /// Write a roster that names this VM as the first reader, if the roster still has that revision; the
     /// outcome goes to rosterWritten() or attemptFailed().
     struct WriteRoster {
@@ -121,6 +124,8 @@
     ReaderRoster roster;
     bool rosterKnown = false;
     bool writeNext = false;
+    /// True until the roster was read after a write.
+    bool justWritten = false;
     /// The VMs of the roster that are still to be asked in this turn, the next one last.
     std::vector<VmName> toAsk;
     Instant waitUntil = Instant::min();
--- a/src/membership/fleet_join.cpp
+++ b/src/membership/fleet_join.cpp
@@ -54,7 +54,7 @@
     if (now < this->waitUntil)
         return Wait { this->waitUntil };
     if (!this->rosterKnown)
-        return ReadRoster {};
+        return ReadRoster { .mayLag = !this->justWritten };
     if (this->writeNext)
         return WriteRoster { .expectedRevision = this->roster.revision,
             .readersKept = this->mayTakeOver(now) ? 0 : this->roster.readers };
@@ -103,9 +103,13 @@
 void FleetJoin::rosterRead(ReaderRoster read, Instant now)
 {
     const auto& settings = this->options.settings;
-    const bool unchanged = read.revision == this->roster.revision;
-    this->roster = std::move(read);
+    // A read that lags may show an earlier roster, or none yet.
+    const bool outdated = !this->justWritten && read.revision < this->roster.revision;
+    const bool unchanged = outdated || read.revision == this->roster.revision;
+    if (!outdated)
+        this->roster = std::move(read);
     this->rosterKnown = true;
+    this->justWritten = false;
     if (this->roster.vms.empty()) {
         if (this->createAt == Instant::max()) {
             this->createAt = now
@@ -150,6 +154,7 @@
 {
     this->writeNext = false;
     this->rosterKnown = false;
+    this->justWritten = true;
     this->resetTurns();
     this->waitUntil = now;
 }
--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -49,11 +49,11 @@
 
 } // namespace
 
-asio::awaitable<ReaderRoster> SessionControl::State::fetchRoster()
+asio::awaitable<ReaderRoster> SessionControl::State::fetchRoster(ReadFreshness freshness)
 {
-    // Both keys may be read with a lag: the secret never changes, and a swap of the roster names the revision
-    // that was read.
-    const auto listed = co_await this->store.listing(store_key::siblingPrefix, ReadFreshness::MayLag);
+    // A lag does no harm: the secret never changes, and a swap of the roster names the revision that was
+    // read.
+    const auto listed = co_await this->store.listing(store_key::siblingPrefix, freshness);
     ReaderRoster next;
     SiblingList vms;
     bool hasSecret = false;
@@ -101,10 +101,10 @@
             { "taken", std::holds_alternative<Swapped>(outcome) ? "yes" : "no" } });
 }
 
-asio::awaitable<void> SessionControl::State::readRoster(FleetJoin& join)
+asio::awaitable<void> SessionControl::State::readRoster(FleetJoin& join, ReadFreshness freshness)
 {
     try {
-        auto next = co_await this->fetchRoster();
+        auto next = co_await this->fetchRoster(freshness);
         co_await this->beginRecord();
         // Until the list of VMs arrives, these are the only siblings that are known.
         if (this->vms.confirmedAt() == Instant::min()) {
@@ -169,8 +169,8 @@
 asio::awaitable<void> SessionControl::State::perform(FleetJoin& join, FleetJoin::Step step)
 {
     // The branches await, so a visitor would need a coroutine for each of them.
-    if (std::holds_alternative<FleetJoin::ReadRoster>(step)) {
-        co_await this->readRoster(join);
+    if (const auto* read = std::get_if<FleetJoin::ReadRoster>(&step)) {
+        co_await this->readRoster(join, read->mayLag ? ReadFreshness::MayLag : ReadFreshness::Linearizable);
     } else if (const auto* write = std::get_if<FleetJoin::WriteRoster>(&step)) {
         co_await this->writeOwnRoster(join, *write);
     } else if (const auto* wait = std::get_if<FleetJoin::Wait>(&step)) {
@@ -254,7 +254,7 @@
         if (self->vms.confirmedAt() == Instant::min() || wanted.vms.empty())
             continue;
         try {
-            const auto written = co_await self->fetchRoster();
+            const auto written = co_await self->fetchRoster(ReadFreshness::MayLag);
             const bool same = written.vms == wanted.vms && written.readers == wanted.readers;
             pause = same ? std::min(pause * 2, settings.maxRosterInterval) : settings.minRosterInterval;
             wanted.revision = written.revision;
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -206,10 +206,10 @@
     /// readings current.
     [[nodiscard]] static asio::awaitable<void> bootstrap(std::shared_ptr<State> self);
     [[nodiscard]] asio::awaitable<void> perform(FleetJoin& join, FleetJoin::Step step);
-    [[nodiscard]] asio::awaitable<void> readRoster(FleetJoin& join);
+    [[nodiscard]] asio::awaitable<void> readRoster(FleetJoin& join, ReadFreshness freshness);
     [[nodiscard]] asio::awaitable<void> writeOwnRoster(FleetJoin& join, FleetJoin::WriteRoster step);
     /// Reads the siblings' secret and the roster; opens the siblings' server when the secret is there.
-    [[nodiscard]] asio::awaitable<ReaderRoster> fetchRoster();
+    [[nodiscard]] asio::awaitable<ReaderRoster> fetchRoster(ReadFreshness freshness);
     /// Starts to publish this VM's record once the secret is known or known to be missing. Siblings cannot
     /// reach this VM before.
     [[nodiscard]] asio::awaitable<void> beginRecord();
--- a/tests/membership/fleet_join_test.cpp
+++ b/tests/membership/fleet_join_test.cpp
@@ -37,6 +37,8 @@
         /// VMs that start and that the store does not answer, while it answers the others.
         std::set<std::size_t> withoutStore;
         Duration storeSilentFor {};
+        /// Age of what the store answers to a read that may lag.
+        Duration storeLag {};
     };
 
     explicit JoiningFleet(Options given)
@@ -45,8 +47,10 @@
     {
         for (std::size_t vm = 0; vm < this->options.vms; ++vm)
             this->index[this->names[vm]] = vm;
-        if (!this->options.roster.empty())
+        if (!this->options.roster.empty()) {
             this->setRoster(this->options.roster);
+            this->history.front().first = Instant {};
+        }
         for (const auto vm : this->options.running)
             this->servesFrom[vm] = start;
         for (std::size_t vm = 0; vm < this->options.vms; ++vm) {
@@ -69,6 +73,13 @@
     }
 
     [[nodiscard]] std::size_t starting() const { return this->joins.size(); }
+    [[nodiscard]] std::size_t mostWritesOfOneVm() const
+    {
+        std::size_t most = 0;
+        for (const auto& [vm, writes] : this->writesOf)
+            most = std::max(most, writes);
+        return most;
+    }
 
     std::size_t joined = 0;
     Duration lastJoinedAfter {};
@@ -112,7 +123,24 @@
         for (const auto vm : vms)
             this->roster.vms.push_back(this->names[vm]);
         this->roster.readers = std::min(vms.size(), 1 + this->options.vms / vmsPerReader);
+        this->recordRoster();
+    }
+
+    void recordRoster()
+    {
         ++this->roster.revision;
+        this->history.emplace_back(this->now, this->roster);
+    }
+
+    /// The roster as the store answers it to a read.
+    [[nodiscard]] ReaderRoster rosterSeen(Duration lag) const
+    {
+        ReaderRoster seen;
+        for (const auto& [at, written] : this->history) {
+            if (at <= this->now - lag)
+                seen = written;
+        }
+        return seen;
     }
 
     void step(std::size_t vm)
@@ -140,6 +168,8 @@
     {
         const auto* write = std::get_if<FleetJoin::WriteRoster>(&step);
         ++(write != nullptr ? this->rosterWrites : this->rosterReads);
+        if (write != nullptr)
+            ++this->writesOf[vm];
         if (this->now < start + this->options.storeSilentFor || this->options.withoutStore.contains(vm)) {
             this->schedule(this->now + storeTimeout, [this, vm] {
                 this->joins.at(vm).attemptFailed(this->now);
@@ -151,10 +181,12 @@
             std::erase(this->roster.vms, this->names[vm]);
             this->roster.vms.insert(this->roster.vms.begin(), this->names[vm]);
             this->roster.readers = 1 + write->readersKept;
-            ++this->roster.revision;
+            this->recordRoster();
         }
-        const bool reads = write == nullptr;
-        this->schedule(this->now + storeAnswer, [this, vm, reads, seen = this->roster] {
+        const auto* read = std::get_if<FleetJoin::ReadRoster>(&step);
+        const bool reads = read != nullptr;
+        const auto lag = reads && !read->mayLag ? Duration {} : this->options.storeLag;
+        this->schedule(this->now + storeAnswer, [this, vm, reads, seen = this->rosterSeen(lag)] {
             if (reads)
                 this->joins.at(vm).rosterRead(seen, this->now);
             else
@@ -199,6 +231,9 @@
     std::map<VmName, std::size_t> index;
     std::map<std::size_t, FleetJoin> joins;
     ReaderRoster roster;
+    /// Each roster that was written, and when.
+    std::vector<std::pair<Instant, ReaderRoster>> history;
+    std::map<std::size_t, std::size_t> writesOf;
     /// Since when a VM can send the lists to others.
     std::map<std::size_t, Instant> servesFrom;
     std::priority_queue<Event> events;
@@ -243,6 +278,19 @@
         }
     }
 
+    TEST_CASE("on a first start no VM writes the roster twice although cheap reads of the store lag")
+    {
+        // Guards against VMs that write the roster again and again until a read shows what they have written.
+        for (const std::size_t vms : { 6, 81, 300 }) {
+            CAPTURE(vms);
+            JoiningFleet fleet { { .vms = vms, .storeLag = 150ms } };
+            fleet.runUntilJoined(10s);
+            CHECK(fleet.joined == fleet.starting());
+            CHECK(fleet.lastJoinedAfter < 3s);
+            CHECK(fleet.mostWritesOfOneVm() == 1);
+        }
+    }
+
     TEST_CASE("a small fleet that starts for the first time joins within a second")
     {
         // Guards against pauses that are meant for large fleets and delay small ones.
