Go on watching the configuration after a confirmation

By reading of the diff: a VM that stands in for its store reader ended its watch after one answer, and that end counted as an error of the store, so every second confirmation read the whole document. The setting maxConfigurationLag moves out of a group whose comment it had cut in two.

--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -34,10 +34,10 @@
     /// A VM reads a listing from the store itself when no store reader has confirmed it for this long. The
     /// configuration must be in force within three seconds of a change.
     Duration maxConfigurationAge = std::chrono::milliseconds { 1900 };
-    /// A VM that has known for this long that it lacks a later configuration refuses its callers' operations.
-    Duration maxConfigurationLag = std::chrono::milliseconds { 2500 };
     Duration maxDirectoryAge = std::chrono::milliseconds { 2500 };
     Duration maxVmListAge = std::chrono::milliseconds { 2200 };
+    /// A VM that has known for this long that it lacks a later configuration refuses its callers' operations.
+    Duration maxConfigurationLag = std::chrono::milliseconds { 2500 };
     /// Interval of reads of the list of VMs. It bounds, together with `maxProofAge` and the interval of
     /// requests to store readers, for how long two VMs may use the same share of a limit.
     Duration vmListInterval = std::chrono::milliseconds { 600 };
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -144,8 +144,10 @@
 void SessionControl::State::endConfigurationWatch()
 {
     // The watch may be what calls this; it can be cancelled while it waits for the store.
-    asio::post(this->options.context,
-        [self = this->shared_from_this()] { self->configurationWatch.emit(asio::cancellation_type::all); });
+    asio::post(this->options.context, [self = this->shared_from_this()] {
+        self->configurationWatchEnded = true;
+        self->configurationWatch.emit(asio::cancellation_type::all);
+    });
 }
 
 void SessionControl::State::applyEvacuations()
@@ -182,8 +184,7 @@
 {
     const auto onChange = [this](const StoreChange& change) { this->applyOperatorChange(change); };
     const auto prefix = this->options.format.operatorPrefix();
-    // After an error the configuration is read again before the next watch, so no change is missed.
-    this->configurationWatchable = false;
+    this->configurationWatchEnded = false;
     try {
         // The watch starts where the configuration was last known to be the latest, not at its last change,
         // because the store discards its history after some seconds and rejects a watch from an earlier
@@ -193,6 +194,9 @@
             asio::bind_cancellation_slot(this->configurationWatch.slot(), asio::use_awaitable));
     } catch (const StoreError& error) {
         logEvent(LogLevel::Debug, "configuration_watch_ended", { { "reason", error.what() } });
+        // After an error of the store the configuration is read again before the next watch, so no change is
+        // missed.
+        this->configurationWatchable = this->configurationWatchEnded;
     }
 }
 
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -322,6 +322,8 @@
     std::uint64_t configurationLatestUntil = 0;
     /// True when a watch may continue from there.
     bool configurationWatchable = false;
+    /// True when this VM has ended the latest watch itself.
+    bool configurationWatchEnded = false;
     std::map<UpstreamName, Instant> missingSince;
     std::map<std::string, std::string> unreadable;
     FleetPlace place;
