Keep the addresses of the roster when a read of the store lags

FleetJoin ignores a read that lags behind the roster that it has seen, fetchRoster replaced the addresses by what that read showed. The look-up of a reader's address threw, the coroutine of the start ended without a line, and the VM never joined: as an owner it refused every statement that was forwarded to it, and no log line said why.

fetchRoster keeps what it has when a read lags. Errors that end work on the control thread are logged (control_work_failed); they were dropped. The test failed before: the VM never listened.

--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -75,6 +75,9 @@
             }
         }
     }
+    // A read that lags must not make this VM forget the addresses of a roster that it has seen.
+    if (freshness == ReadFreshness::MayLag && next.revision < this->roster.revision)
+        co_return this->roster;
     // Without the secret no VM of the roster can be asked; whoever writes the roster writes both.
     if (!hasSecret)
         next.vms.clear();
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -18,10 +18,10 @@
 #include <asio/awaitable.hpp>
 #include <asio/cancellation_signal.hpp>
 #include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
 #include <asio/steady_timer.hpp>
 
 #include <deque>
+#include <exception>
 #include <functional>
 #include <map>
 #include <memory>
@@ -153,8 +153,10 @@
 private:
     template <class Work> void spawn(Work work)
     {
-        asio::co_spawn(this->options.context, std::move(work), asio::detached);
+        asio::co_spawn(this->options.context, std::move(work), &State::reportLoopEnd);
     }
+    /// Logs an error that has ended work on the control thread; nothing would show it otherwise.
+    static void reportLoopEnd(const std::exception_ptr& error);
     [[nodiscard]] asio::awaitable<void> sleep(Duration duration);
     /// The purpose of a key or prefix of the store, as a label of the metrics.
     [[nodiscard]] std::string_view purposeOf(std::string_view key) const;
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -8,6 +8,7 @@
 #include <cyclamendrift/telemetry/event_log.h>
 #include <cyclamendrift/telemetry/metrics_registry.h>
 
+#include <asio/detached.hpp>
 #include <asio/post.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/steady_timer.hpp>
@@ -98,6 +99,17 @@
     return backoff - randomDuration(backoff / 4, this->random);
 }
 
+void SessionControl::State::reportLoopEnd(const std::exception_ptr& error)
+{
+    if (!error)
+        return;
+    try {
+        std::rethrow_exception(error);
+    } catch (const std::exception& failure) {
+        logEvent(LogLevel::Error, "control_work_failed", { { "reason", failure.what() } });
+    }
+}
+
 asio::awaitable<void> SessionControl::State::sleep(Duration duration)
 {
     if (duration <= Duration {})
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -18,6 +18,7 @@
 #include <asio/write.hpp>
 
 #include <doctest/doctest.h>
+#include <leadership.pb.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -384,6 +385,33 @@
         CHECK(record->lease == lease);
     }
 
+    TEST_CASE("a VM that starts joins although a read of the store forgets the roster that it has seen")
+    {
+        // Guards against a VM that starts and never joins: its answers to siblings are refusals from then on.
+        Surroundings surroundings;
+        const auto onPlatform = [&surroundings](auto call) {
+            return asio::co_spawn(surroundings.context, std::move(call), asio::use_future).get();
+        };
+        wire::ReaderRoster roster;
+        roster.set_readers(1);
+        auto& gone = *roster.add_vms();
+        gone.set_name("vm-0");
+        gone.set_sibling_host("127.0.0.1");
+        gone.set_sibling_port(freePort());
+        SwapOptions secret { .key = "cyclamendrift/sibling-secret", .value = "secret" };
+        static_cast<void>(onPlatform(surroundings.kv.store().compareAndSwap(std::move(secret))));
+        SwapOptions written { .key = "cyclamendrift/sibling-readers", .value = roster.SerializeAsString() };
+        static_cast<void>(onPlatform(surroundings.kv.store().compareAndSwap(std::move(written))));
+        // Two reads before the VM writes the roster itself, and one after the current one.
+        surroundings.perform([&] {
+            surroundings.kv.laggingPrefix = "cyclamendrift/sibling-";
+            surroundings.kv.laggingAnswers = 3;
+        });
+        const Running proxy { surroundings, "vm-1" };
+        Caller caller { proxy };
+        CHECK(caller.run("WRITE bed-1 taken").starts_with("DONE"));
+    }
+
     TEST_CASE("a store that has discarded its history gets no more calls than before")
     {
         // Guards against a watch that starts again from the configuration's last change. The store no longer
--- a/tests/adapter/kv_server.cpp
+++ b/tests/adapter/kv_server.cpp
@@ -137,7 +137,13 @@
 {
     // Pages hold two entries, so that callers have to request further ones.
     constexpr std::size_t pageItems = 2;
-    const auto entries = co_await this->memory.list(parameter(target, "prefix"));
+    const auto prefix = parameter(target, "prefix");
+    auto entries = co_await this->memory.list(prefix);
+    if (prefix == this->laggingPrefix && parameter(target, "serializable") == "1"
+        && this->laggingAnswers > 0) {
+        --this->laggingAnswers;
+        entries.clear();
+    }
     const auto after = parameter(target, "after");
     Json items = Json::array();
     bool more = false;
--- a/tests/adapter/kv_server.h
+++ b/tests/adapter/kv_server.h
@@ -27,6 +27,9 @@
     void remove(const std::string& key);
     /// Status with which every call is refused; 0 to serve calls.
     unsigned refuseWith = 0;
+    /// How many listings of that prefix, of those that may lag, are answered as if it had no keys yet.
+    std::string laggingPrefix;
+    std::size_t laggingAnswers = 0;
     /// Rate at which answers are sent, and where they stop, as of standins::HttpResponse.
     std::size_t bytesPerSecond = 0;
     std::size_t stallAfter = 0;
