Take a VM that owns no service for the one that forwards, in its test

Traced: the test takes the first VM that tracks no service. The owner of the service, vm-20, tracks it only once it has run a statement, so it is taken when it is ready before vm-0, 4, 5, 11, 13 and 18; it runs the statements itself, as it should. The search now leaves out the VMs that own the service; the check stays.

--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -7,6 +7,7 @@
 #include <platform/operator_format.h>
 #include <platform/upstream_connector.h>
 
+#include <cyclamendrift/pooling/service_owners.h>
 #include <cyclamendrift/session_proxy/session_daemon.h>
 
 #include <asio/co_spawn.hpp>
@@ -25,6 +26,7 @@
 #include <chrono>
 #include <functional>
 #include <future>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -271,11 +273,25 @@
 
 using RunningFleet = std::vector<std::unique_ptr<Running>>;
 
-/// Waits until one VM knows all others and tracks no service; the end of the fleet when none does in time.
+/// The VMs that hold the connections of the service "register" in a fleet of equal VMs.
+std::vector<VmName> ownersIn(const RunningFleet& fleet)
+{
+    constexpr std::uint32_t connectionCap = 12;
+    std::map<VmName, VmCapacity> capacities;
+    for (const auto& proxy : fleet)
+        capacities[proxy->settings.vm.name] = { .zone = proxy->settings.vm.zone, .cores = 1 };
+    ServiceOwners owners { fleet.front()->settings.vm.name, capacities };
+    return owners.ownersOf(ServiceName { "register" }, connectionCap);
+}
+
+/// Waits until one VM that owns no service knows all others and tracks no service; the end of the fleet when
+/// none does in time. An owner tracks its service only once it has run a statement.
 RunningFleet::iterator findForwarder(RunningFleet& fleet)
 {
-    const auto isForwarder = [&fleet](const std::unique_ptr<Running>& proxy) {
-        return metricOf(*proxy, "cyclamendrift_configuration_version") == 2
+    const auto owners = ownersIn(fleet);
+    const auto isForwarder = [&fleet, &owners](const std::unique_ptr<Running>& proxy) {
+        return std::find(owners.begin(), owners.end(), proxy->settings.vm.name) == owners.end()
+            && metricOf(*proxy, "cyclamendrift_configuration_version") == 2
             && metricOf(*proxy, "cyclamendrift_vms") == static_cast<double>(fleet.size())
             && metricOf(*proxy, "cyclamendrift_services_tracked") == 0;
     };
