Pack the configuration only for a VM that lacks it

Read in the whole diff: a store reader packed the document for its first answer to anybody, before it had compared revisions. What is sent stays the same.

--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -308,10 +308,11 @@
     configuration.set_age_us(wireAge(self->configurationConfirmedAt, now));
     configuration.set_revision(self->configurationRevision);
     answer.set_configuration_latest_until(self->configurationLatestUntil);
+    const bool lacking = self->configurationRevision > request.configuration_revision();
     // A large document in this answer would delay the views, or cause the whole answer to be given up.
-    const bool apart
-        = request.requests_configuration() && self->packedConfiguration().size() > maxConfigurationInReadings;
-    if (self->configurationRevision > request.configuration_revision() && !apart) {
+    if (lacking
+        && (!request.requests_configuration()
+            || self->packedConfiguration().size() <= maxConfigurationInReadings)) {
         auto& document = *configuration.add_entries();
         document.set_packed(request.takes_packed());
         document.set_value(request.takes_packed() ? self->packedConfiguration() : self->configurationValue);
