--- a/tests/membership/fleet_join_test.cpp
+++ b/tests/membership/fleet_join_test.cpp
@@ -1,3 +1,4 @@
+#include "../virtual_events.h"
 #include "vm_names.h"
 
 #include <cyclamendrift/membership/fleet_join.h>
@@ -6,10 +7,8 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <functional>
 #include <map>
 #include <optional>
-#include <queue>
 #include <set>
 #include <string>
 #include <utility>
@@ -58,19 +57,11 @@
                 continue;
             this->joins.emplace(
                 vm, FleetJoin { { .self = this->names[vm], .cores = isStrong(vm) ? 1 : 0.12, .seed = vm } });
-            this->schedule(start, [this, vm] { this->step(vm); });
+            this->events.schedule(start, [this, vm] { this->step(vm); });
         }
     }
 
-    void runUntilJoined(Duration limit)
-    {
-        while (!this->events.empty() && this->events.top().at <= start + limit) {
-            auto event = this->events.top();
-            this->events.pop();
-            this->now = event.at;
-            event.run();
-        }
-    }
+    void runUntilJoined(Duration limit) { this->events.runUntil(start + limit); }
 
     [[nodiscard]] std::size_t starting() const { return this->joins.size(); }
     [[nodiscard]] std::size_t mostWritesOfOneVm() const
@@ -90,16 +81,6 @@
     std::size_t readerQuestions = 0;
 
 private:
-    struct Event {
-        Instant at;
-        std::size_t number;
-        std::function<void()> run;
-        bool operator<(const Event& other) const
-        {
-            return std::pair { other.at, other.number } < std::pair { this->at, this->number };
-        }
-    };
-
     static constexpr Instant start { 100s };
     static constexpr Duration storeAnswer = 4ms;
     static constexpr Duration storeTimeout = 700ms;
@@ -112,11 +93,6 @@
 
     static bool isStrong(std::size_t vm) { return vm % 20 == 0; }
 
-    void schedule(Instant at, std::function<void()> run)
-    {
-        this->events.push({ .at = at, .number = ++this->lastEvent, .run = std::move(run) });
-    }
-
     void setRoster(const std::vector<std::size_t>& vms)
     {
         this->roster.vms.clear();
@@ -129,7 +105,7 @@
     void recordRoster()
     {
         ++this->roster.revision;
-        this->history.emplace_back(this->now, this->roster);
+        this->history.emplace_back(this->events.now(), this->roster);
     }
 
     /// The roster as the store answers it to a read.
@@ -137,7 +113,7 @@
     {
         ReaderRoster seen;
         for (const auto& [at, written] : this->history) {
-            if (at <= this->now - lag)
+            if (at <= this->events.now() - lag)
                 seen = written;
         }
         return seen;
@@ -146,17 +122,17 @@
     void step(std::size_t vm)
     {
         auto& join = this->joins.at(vm);
-        const auto next = join.next(this->now);
+        const auto next = join.next(this->events.now());
         const auto again = [this, vm] { this->step(vm); };
         if (const auto* done = std::get_if<FleetJoin::Joined>(&next)) {
             ++this->joined;
-            this->lastJoinedAfter = this->now - start;
+            this->lastJoinedAfter = this->events.now() - start;
             // A VM that got the lists can send them to others.
-            this->servesFrom.try_emplace(vm, this->now);
+            this->servesFrom.try_emplace(vm, this->events.now());
             if (done->asReader)
                 this->becomeReader(vm);
         } else if (const auto* wait = std::get_if<FleetJoin::Wait>(&next)) {
-            this->schedule(wait->until, again);
+            this->events.schedule(wait->until, again);
         } else if (const auto* ask = std::get_if<FleetJoin::AskReader>(&next)) {
             this->ask(vm, ask->reader);
         } else {
@@ -170,9 +146,10 @@
         ++(write != nullptr ? this->rosterWrites : this->rosterReads);
         if (write != nullptr)
             ++this->writesOf[vm];
-        if (this->now < start + this->options.storeSilentFor || this->options.withoutStore.contains(vm)) {
-            this->schedule(this->now + storeTimeout, [this, vm] {
-                this->joins.at(vm).attemptFailed(this->now);
+        if (this->events.now() < start + this->options.storeSilentFor
+            || this->options.withoutStore.contains(vm)) {
+            this->events.schedule(this->events.now() + storeTimeout, [this, vm] {
+                this->joins.at(vm).attemptFailed(this->events.now());
                 this->step(vm);
             });
             return;
@@ -186,13 +163,14 @@
         const auto* read = std::get_if<FleetJoin::ReadRoster>(&step);
         const bool reads = read != nullptr;
         const auto lag = reads && !read->mayLag ? Duration {} : this->options.storeLag;
-        this->schedule(this->now + storeAnswer, [this, vm, reads, seen = this->rosterSeen(lag)] {
-            if (reads)
-                this->joins.at(vm).rosterRead(seen, this->now);
-            else
-                this->joins.at(vm).rosterWritten(this->now);
-            this->step(vm);
-        });
+        this->events.schedule(
+            this->events.now() + storeAnswer, [this, vm, reads, seen = this->rosterSeen(lag)] {
+                if (reads)
+                    this->joins.at(vm).rosterRead(seen, this->events.now());
+                else
+                    this->joins.at(vm).rosterWritten(this->events.now());
+                this->step(vm);
+            });
     }
 
     void ask(std::size_t vm, const VmName& reader)
@@ -201,20 +179,22 @@
         const auto asked = this->index.at(reader);
         const bool reachable = !this->options.unreachable.contains(asked);
         const auto serves = this->servesFrom.find(asked);
-        const auto answer = !reachable                                        ? FleetJoin::Answer::None
-            : serves != this->servesFrom.end() && this->now >= serves->second ? FleetJoin::Answer::Lists
-                                                                              : FleetJoin::Answer::NotYet;
-        this->schedule(this->now + (reachable ? siblingAnswer : siblingTimeout), [this, vm, reader, answer] {
-            this->joins.at(vm).readerAnswered(reader, answer);
-            this->step(vm);
-        });
+        const auto answer = !reachable ? FleetJoin::Answer::None
+            : serves != this->servesFrom.end() && this->events.now() >= serves->second
+            ? FleetJoin::Answer::Lists
+            : FleetJoin::Answer::NotYet;
+        this->events.schedule(
+            this->events.now() + (reachable ? siblingAnswer : siblingTimeout), [this, vm, reader, answer] {
+                this->joins.at(vm).readerAnswered(reader, answer);
+                this->step(vm);
+            });
     }
 
     void becomeReader(std::size_t vm)
     {
         this->listReaders.insert(vm);
-        this->servesFrom[vm] = this->now + listTime;
-        this->schedule(this->now + rosterUpdateDelay, [this] {
+        this->servesFrom[vm] = this->events.now() + listTime;
+        this->events.schedule(this->events.now() + rosterUpdateDelay, [this] {
             std::vector<std::size_t> ranked;
             for (std::size_t other = 0; other < this->options.vms; ++other) {
                 if (!this->options.unreachable.contains(other))
@@ -236,9 +216,7 @@
     std::map<std::size_t, std::size_t> writesOf;
     /// Since when a VM can send the lists to others.
     std::map<std::size_t, Instant> servesFrom;
-    std::priority_queue<Event> events;
-    std::size_t lastEvent = 0;
-    Instant now = start;
+    VirtualEvents events { start };
 };
 
 std::set<std::size_t> range(std::size_t begin, std::size_t end)
--- a/tests/session_proxy/configuration_fetch_test.cpp
+++ b/tests/session_proxy/configuration_fetch_test.cpp
@@ -1,4 +1,5 @@
 #include "../membership/vm_names.h"
+#include "../virtual_events.h"
 
 #include <cyclamendrift/core/random_source.h>
 #include <cyclamendrift/membership/configuration_fetch.h>
@@ -8,10 +9,8 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <functional>
 #include <map>
 #include <optional>
-#include <queue>
 #include <set>
 #include <utility>
 #include <vector>
@@ -52,20 +51,12 @@
             this->holds.insert(vm);
         for (auto vm = this->options.readers; vm < this->options.vms; ++vm) {
             const auto toldAfter = askInterval * static_cast<int>(vm) / static_cast<int>(this->options.vms);
-            this->schedule(start + toldAfter, [this, vm] { this->hear(vm, vm); });
+            this->events.schedule(start + toldAfter, [this, vm] { this->hear(vm, vm); });
         }
     }
 
     /// Runs until every VM has the configuration, or for that long.
-    void run(Duration limit)
-    {
-        while (!this->events.empty() && this->events.top().at <= start + limit) {
-            auto event = this->events.top();
-            this->events.pop();
-            this->now = event.at;
-            event.run();
-        }
-    }
+    void run(Duration limit) { this->events.runUntil(start + limit); }
 
     [[nodiscard]] std::size_t holders() const { return this->holds.size(); }
 
@@ -73,16 +64,6 @@
     std::size_t requests = 0;
 
 private:
-    struct Event {
-        Instant at;
-        std::size_t number;
-        std::function<void()> run;
-        bool operator<(const Event& other) const
-        {
-            return std::pair { other.at, other.number } < std::pair { this->at, this->number };
-        }
-    };
-
     static constexpr Instant start { 100s };
     static constexpr Duration askInterval = 600ms;
     static constexpr Duration roundTrip = 3ms;
@@ -95,11 +76,6 @@
         return vm < this->options.readers ? this->options.readerLink : this->options.link;
     }
 
-    void schedule(Instant at, std::function<void()> run)
-    {
-        this->events.push({ .at = at, .number = ++this->lastEvent, .run = std::move(run) });
-    }
-
     /// A VM asks a reader for its readings, another one each time, and learns of the configuration.
     void hear(std::size_t vm, std::size_t turn)
     {
@@ -107,8 +83,9 @@
             return;
         auto& fetch = this->fetches[vm];
         const bool first = !fetch.isLacking();
-        fetch.announced(this->names[turn % this->options.readers], revision, this->now);
-        this->schedule(this->now + askInterval, [this, vm, turn] { this->hear(vm, turn + 1); });
+        fetch.announced(this->names[turn % this->options.readers], revision, this->events.now());
+        this->events.schedule(
+            this->events.now() + askInterval, [this, vm, turn] { this->hear(vm, turn + 1); });
         if (first)
             this->step(vm);
     }
@@ -117,9 +94,9 @@
     {
         if (!this->fetches[vm].isLacking())
             return;
-        const auto sibling = this->fetches[vm].next(this->now);
+        const auto sibling = this->fetches[vm].next(this->events.now());
         if (!sibling)
-            return this->schedule(this->now + retryPause, [this, vm] { this->step(vm); });
+            return this->events.schedule(this->events.now() + retryPause, [this, vm] { this->step(vm); });
         ++this->requests;
         this->request(vm, this->index.at(*sibling));
     }
@@ -127,21 +104,21 @@
     void request(std::size_t vm, std::size_t sibling)
     {
         if (this->options.silentReaders.contains(sibling)) {
-            return this->schedule(this->now + timeLimit, [this, vm, sibling] {
-                this->fetches[vm].failed(this->names[sibling], this->now);
+            return this->events.schedule(this->events.now() + timeLimit, [this, vm, sibling] {
+                this->fetches[vm].failed(this->names[sibling], this->events.now());
                 this->step(vm);
             });
         }
         const bool has = this->holds.contains(sibling);
-        if (has && this->budgets[sibling].take(this->options.documentBytes, this->now)) {
+        if (has && this->budgets[sibling].take(this->options.documentBytes, this->events.now())) {
             const std::chrono::duration<double> transfer { static_cast<double>(this->options.documentBytes)
                 / std::min(this->linkOf(vm), this->linkOf(sibling)) };
             this->sentTo[sibling].push_back(vm);
-            return this->schedule(
-                this->now + roundTrip + std::chrono::duration_cast<Duration>(transfer), [this, vm] {
+            return this->events.schedule(
+                this->events.now() + roundTrip + std::chrono::duration_cast<Duration>(transfer), [this, vm] {
                     this->fetches[vm].taken(revision);
                     this->holds.insert(vm);
-                    this->lastTakenAfter = this->now - start;
+                    this->lastTakenAfter = this->events.now() - start;
                 });
         }
         std::vector<VmName> named;
@@ -152,8 +129,8 @@
             for (const auto holder : chosen)
                 named.push_back(this->names[holder]);
         }
-        this->schedule(this->now + roundTrip, [this, vm, sibling, named] {
-            this->fetches[vm].busy(this->names[sibling], named, this->now);
+        this->events.schedule(this->events.now() + roundTrip, [this, vm, sibling, named] {
+            this->fetches[vm].busy(this->names[sibling], named, this->events.now());
             this->step(vm);
         });
     }
@@ -166,9 +143,7 @@
     std::set<std::size_t> holds;
     std::map<std::size_t, std::vector<std::size_t>> sentTo;
     RandomSource random;
-    std::priority_queue<Event> events;
-    std::size_t lastEvent = 0;
-    Instant now = start;
+    VirtualEvents events { start };
 };
 
 } // namespace
