Share the surroundings of the session proxy between its tests and the soak

The soak had written the store, the upstreams and the search for free ports again. Both use tests/adapter/surroundings.h now; the soak's VMs take single free ports in place of blocks.

--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -1,5 +1,4 @@
-#include "kv_server.h"
-#include "line_upstreams.h"
+#include "surroundings.h"
 
 #include <platform/caller_listener.h>
 #include <platform/kv_store.h>
@@ -20,7 +19,6 @@
 
 #include <doctest/doctest.h>
 #include <leadership.pb.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
@@ -72,74 +70,6 @@
     return text.replace(text.find(version), version.size(), R"("version":2)");
 }
 
-/// Returns a free port below the range that the kernel assigns to outgoing connections, so that none of these
-/// takes the port before the proxy does.
-std::uint16_t freePort()
-{
-    constexpr int first = 20000;
-    constexpr int range = 10000;
-    static int next = static_cast<int>(getpid()) * 64 % range;
-    while (true) {
-        const auto port = static_cast<std::uint16_t>(first + next++ % range);
-        asio::io_context context;
-        asio::ip::tcp::acceptor acceptor { context, asio::ip::tcp::v4() };
-        asio::error_code taken;
-        acceptor.bind({ asio::ip::make_address("127.0.0.1"), port }, taken);
-        if (!taken)
-            return port;
-    }
-}
-
-/// The platform on a separate thread: store, promotion and one group of three upstreams.
-class Surroundings {
-public:
-    Surroundings()
-        : kv(context)
-        , upstreams(context, "register", 3)
-    {
-        this->kv.onPromotion
-            = [this](const std::string&, const std::string& id) { return this->upstreams.promote(id); };
-        this->kv.put("op/config", configuration);
-        for (std::size_t index = 0; index < 3; ++index)
-            this->tellEntry(index);
-        this->kv.put("servers/i-foreign", "not for us");
-        this->thread = std::thread { [this] {
-            const auto guard = asio::make_work_guard(this->context);
-            this->context.run();
-        } };
-    }
-    ~Surroundings()
-    {
-        this->context.stop();
-        this->thread.join();
-    }
-    Surroundings(const Surroundings&) = delete;
-    Surroundings& operator=(const Surroundings&) = delete;
-
-    void tellEntry(std::size_t index)
-    {
-        this->kv.put("servers/" + this->upstreams.node(index).id, this->upstreams.entryOf(index));
-    }
-
-    /// Runs something on the platform's thread and waits for it.
-    void perform(const std::function<void()>& work)
-    {
-        std::promise<void> done;
-        asio::post(this->context, [&] {
-            work();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
-    asio::io_context context { 1 };
-    KvServer kv;
-    LineUpstreams upstreams;
-
-private:
-    std::thread thread;
-};
-
 /// One session proxy on separate threads.
 class Running {
 public:
@@ -323,7 +253,7 @@
 {
     TEST_CASE("statements, transactions, prepared statements and values are served over sockets")
     {
-        Surroundings surroundings;
+        Surroundings surroundings { configuration };
         const Running proxy { surroundings, "vm-1" };
         Caller caller { proxy };
         CHECK(caller.run("WRITE bed-1 taken") == "DONE proof.1");
@@ -345,7 +275,7 @@
     {
         // Guards against a process that does not end by itself while siblings, store and upstreams are
         // connected, and is killed with sessions still open.
-        Surroundings surroundings;
+        Surroundings surroundings { configuration };
         auto first = std::make_unique<Running>(surroundings, "vm-1");
         const Running second { surroundings, "vm-2" };
         Caller caller { *first };
@@ -361,7 +291,7 @@
     TEST_CASE("a failed primary is replaced without loss of acknowledged writes")
     {
         // Guards against a failover that needs an operator, or that promotes a replica without all writes.
-        Surroundings surroundings;
+        Surroundings surroundings { configuration };
         const Running first { surroundings, "vm-1" };
         const Running second { surroundings, "vm-2" };
         Caller caller { first };
@@ -378,7 +308,7 @@
     {
         // Guards against a record that expires after the restart, and against new leases and records of all
         // VMs when all restart.
-        Surroundings surroundings;
+        Surroundings surroundings { configuration };
         auto& store = surroundings.kv.store();
         const std::string key { "cyclamendrift/vms/vm-1" };
         const auto onPlatform = [&surroundings](auto call) {
@@ -404,7 +334,7 @@
     TEST_CASE("a VM that starts joins although a read of the store forgets the roster that it has seen")
     {
         // Guards against a VM that starts and never joins: its answers to siblings are refusals from then on.
-        Surroundings surroundings;
+        Surroundings surroundings { configuration };
         const auto onPlatform = [&surroundings](auto call) {
             return asio::co_spawn(surroundings.context, std::move(call), asio::use_future).get();
         };
@@ -432,7 +362,7 @@
     {
         // Guards against a watch that starts again from the configuration's last change. The store no longer
         // has that revision and refuses each attempt, which makes a hundred calls a second.
-        Surroundings surroundings;
+        Surroundings surroundings { configuration };
         const Running proxy { surroundings, "vm-1" };
         Caller caller { proxy };
         surroundings.perform([&] { surroundings.kv.refuseWith = 503; });
@@ -457,7 +387,7 @@
         // Fourteen VMs share 28 connections to each upstream, so three owners hold them. The VMs are stopped
         // one after the other, owners included. Guards against failures at callers of the remaining VMs.
         constexpr std::size_t vms = 14;
-        Surroundings surroundings;
+        Surroundings surroundings { configuration };
         RunningFleet fleet;
         std::vector<std::unique_ptr<Caller>> callers;
         for (std::size_t vm = 0; vm < vms; ++vm)
@@ -493,7 +423,7 @@
         // Guards against a VM that waits for upstreams and leadership records, which it does not get, before
         // it serves callers.
         constexpr std::size_t vms = 24;
-        Surroundings surroundings;
+        Surroundings surroundings { configuration };
         surroundings.perform([&] { surroundings.kv.put("op/config", configurationWithServices(70)); });
         RunningFleet fleet;
         for (std::size_t vm = 0; vm < vms; ++vm)
@@ -513,7 +443,7 @@
     {
         // Guards against a document that travels in the answers which renew the views of primaries: it delays
         // them, or the whole answer is given up, and the VM keeps the older configuration.
-        Surroundings surroundings;
+        Surroundings surroundings { configuration };
         RunningFleet fleet;
         for (int vm = 1; vm <= 5; ++vm)
             fleet.push_back(std::make_unique<Running>(surroundings, "vm-" + std::to_string(vm)));
@@ -534,7 +464,7 @@
     {
         // Guards against a primary that stays in the zone, against a VM that starts without the request, and
         // against a malformed request that hides the others.
-        Surroundings surroundings;
+        Surroundings surroundings { configuration };
         surroundings.perform([&] {
             for (std::size_t index = 1; index < 3; ++index)
                 surroundings.upstreams.node(index).zone = "catania";
@@ -579,7 +509,7 @@
 
     TEST_CASE("a withdrawn key stops working on an open session, and a store that refuses calls stops nobody")
     {
-        Surroundings surroundings;
+        Surroundings surroundings { configuration };
         const Running proxy { surroundings, "vm-1" };
         Caller caller { proxy };
         CHECK(caller.run("WRITE bed-1 taken") == "DONE proof.1");
--- a/tests/soak/session_soak.cpp
+++ b/tests/soak/session_soak.cpp
@@ -1,11 +1,6 @@
-#include "../adapter/kv_server.h"
-#include "../adapter/line_upstreams.h"
+#include "../adapter/surroundings.h"
 
 #include <arpa/inet.h>
-#include <asio/executor_work_guard.hpp>
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-#include <asio/post.hpp>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <spawn.h>
@@ -23,7 +18,6 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
-#include <future>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -200,50 +194,6 @@
         [&](const std::string& text) { return answer->back().starts_with(text); });
 }
 
-/// Store, promotion and one group of three upstreams, on a thread of their own.
-class Surroundings {
-public:
-    Surroundings()
-        : kv(context)
-        , upstreams(context, "register", 3)
-    {
-        this->kv.onPromotion
-            = [this](const std::string&, const std::string& id) { return this->upstreams.promote(id); };
-        this->kv.put("op/config", configurationOf(1, 0));
-        for (std::size_t index = 0; index < 3; ++index)
-            this->kv.put("servers/" + this->upstreams.node(index).id, this->upstreams.entryOf(index));
-        this->thread = std::thread { [this] {
-            const auto guard = asio::make_work_guard(this->context);
-            this->context.run();
-        } };
-    }
-    ~Surroundings()
-    {
-        this->context.stop();
-        this->thread.join();
-    }
-    Surroundings(const Surroundings&) = delete;
-    Surroundings& operator=(const Surroundings&) = delete;
-
-    /// Runs something on the thread and waits for it.
-    void perform(const std::function<void()>& work)
-    {
-        std::promise<void> done;
-        asio::post(this->context, [&] {
-            work();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
-    asio::io_context context { 1 };
-    KvServer kv;
-    LineUpstreams upstreams;
-
-private:
-    std::thread thread;
-};
-
 /// One VM: its settings, and the process that runs on it, if any.
 class Vm {
 public:
@@ -251,25 +201,25 @@
         std::string program;
         std::filesystem::path folder;
         std::string name;
-        std::uint16_t firstPort = 0;
+        /// Where callers connect.
+        std::uint16_t port = 0;
         std::string storeAddress;
     };
 
     explicit Vm(Options given)
         : options(std::move(given))
     {
-        const auto listen = [this](int offset) {
-            return "listen = \"127.0.0.1:" + std::to_string(this->options.firstPort + offset) + "\"\n";
-        };
+        const auto listen
+            = [](std::uint16_t port) { return "listen = \"127.0.0.1:" + std::to_string(port) + "\"\n"; };
         std::ofstream file { this->settingsPath() };
         file << "[vm]\nname = \"" << this->options.name << "\"\navailability_zone = \"palermo\"\n"
              << "[processor]\nshare = 0.5\ncores = 1\n[link]\nmegabits_per_second = 200.0\n"
              << "[callers]\n"
-             << listen(0) << "[readiness]\n"
-             << listen(1) << "path = \"/ready\"\n"
+             << listen(this->options.port) << "[readiness]\n"
+             << listen(freePort()) << "path = \"/ready\"\n"
              << "[metrics]\n"
-             << listen(2) << "[siblings]\n"
-             << listen(3) << "[store]\naddress = \"" << this->options.storeAddress
+             << listen(freePort()) << "[siblings]\n"
+             << listen(freePort()) << "[store]\naddress = \"" << this->options.storeAddress
              << "\"\n[promotion]\naddress = \"" << this->options.storeAddress
              << "\"\n[shutdown]\ngrace_ms = 2000\n[log]\nlevel = \"info\"\n";
     }
@@ -277,7 +227,7 @@
     Vm(const Vm&) = delete;
     Vm& operator=(const Vm&) = delete;
 
-    [[nodiscard]] std::uint16_t port() const noexcept { return this->options.firstPort; }
+    [[nodiscard]] std::uint16_t port() const noexcept { return this->options.port; }
     [[nodiscard]] const std::string& name() const noexcept { return this->options.name; }
     [[nodiscard]] bool isRunning() const noexcept { return this->process != 0; }
 
@@ -329,38 +279,6 @@
     pid_t process = 0;
 };
 
-/// Assigns each VM a block of ports that are free, below those that the kernel gives to outgoing connections.
-class PortBlocks {
-public:
-    std::uint16_t next()
-    {
-        constexpr int firstPort = 20000;
-        constexpr int blocks = 2500;
-        while (true) {
-            const auto first = static_cast<std::uint16_t>(firstPort + this->block++ % blocks * portsPerVm);
-            int free = 0;
-            while (free < portsPerVm && isFree(static_cast<std::uint16_t>(first + free)))
-                ++free;
-            if (free == portsPerVm)
-                return first;
-        }
-    }
-
-private:
-    static constexpr int portsPerVm = 4;
-
-    static bool isFree(std::uint16_t port)
-    {
-        asio::io_context context;
-        asio::ip::tcp::acceptor acceptor { context, asio::ip::tcp::v4() };
-        asio::error_code taken;
-        acceptor.bind({ asio::ip::make_address("127.0.0.1"), port }, taken);
-        return !taken;
-    }
-
-    int block = getpid() * 64;
-};
-
 /// The VMs and the series of faults.
 class Soak {
 public:
@@ -429,12 +347,11 @@
 
     void addVm()
     {
-        const auto port = this->ports.next();
         const std::lock_guard guard { this->mutex };
         this->vms.push_back(std::make_unique<Vm>(Vm::Options { .program = this->options.program,
             .folder = this->folder,
             .name = "vm-" + std::to_string(++this->added),
-            .firstPort = port,
+            .port = freePort(),
             .storeAddress = this->surroundings.kv.address() }));
         this->vms.back()->start();
     }
@@ -592,8 +509,7 @@
     Options options;
     std::mt19937_64 random;
     std::filesystem::path folder;
-    PortBlocks ports;
-    Surroundings surroundings;
+    Surroundings surroundings { configurationOf(1, 0) };
     Ledger ledger;
     /// Guards the list of VMs, which callers read.
     std::mutex mutex;
