Find running and idle connections and waiting statements by index

Each event counted and scanned the connections of every upstream and tried all waiting statements, and each tick visited all sessions and connections. An event now looks up what it needs: counts and idle connections of an upstream, waiting statements by priority and arrival for each freshness, by team and by deadline, and timers by time. A pass ends when no upstream can take a statement, or after 16 statements in a row that suit none of those with capacity; each tick makes a whole pass.

--- a/src/pooling/caller_session.h
+++ b/src/pooling/caller_session.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "waiting_statements.h"
+
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
 #include <cyclamendrift/core/passed_over.h>
@@ -33,6 +35,8 @@
     /// Abandoned when it has not been answered by then.
     Instant deadline;
     std::size_t attempts = 0;
+    /// Its entry among the statements that wait for a connection.
+    std::optional<WaitingStatement> waiting;
     /// The connection that is being opened for it, or that runs it.
     std::optional<ConnectionId> connection;
     /// The owner VM that it was forwarded to, and when.
--- a/src/pooling/engine_answers.cpp
+++ b/src/pooling/engine_answers.cpp
@@ -73,7 +73,7 @@
             return this->failTransaction(connection, session, *reply.failure, reply.phase);
         // The upstream was at its maximum concurrency, and the transaction is still open.
         ++work.attempts;
-        work.retryAt = this->now + this->options.settings.busyBackoff;
+        this->scheduleRetry(session, this->now + this->options.settings.busyBackoff);
         return;
     }
     // The read may have missed commits of the newer primary. Nothing has been committed yet, so the whole
@@ -173,6 +173,7 @@
         .upstream = place.upstream,
         .term = term,
         .until = this->now + maxUnconfirmedTime });
+    this->unconfirmedSessions.insert(session.id);
     session.work.reset();
     this->resolveUnconfirmed(session);
 }
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -387,10 +387,8 @@
 {
     if (session.remoteSession)
         return this->answerRemoteSession(session, std::move(reply));
-    session.work.reset();
-    session.unconfirmed.reset();
+    this->finishWork(session);
     session.waiting.reset();
-    session.lastActive = this->now;
     reply.phase = session.phase;
     ++this->counters.answered;
     this->actions.emplace_back(AnswerCaller { .caller = session.id, .reply = std::move(reply) });
@@ -398,6 +396,16 @@
         this->runNextStatement(session);
 }
 
+void SessionEngine::State::finishWork(CallerSession& session)
+{
+    this->stopWaiting(session);
+    session.work.reset();
+    session.unconfirmed.reset();
+    session.lastActive = this->now;
+    if (session.phase == SessionPhase::InTransaction)
+        this->idleTransactions.emplace(this->now, session.id);
+}
+
 bool SessionEngine::State::closeIfDraining(CallerSession& session)
 {
     if (this->now < this->closeIdleFrom || !session.isIdle())
@@ -434,8 +442,7 @@
         if (connection->sent.empty() && connection->phase == PooledConnection::Phase::Working)
             this->sendNext(*connection);
     }
-    if (const auto group = this->groups.find(session->route.service); group != this->groups.end())
-        std::erase(group->second.waiting, id);
+    this->stopWaiting(*session);
     this->callers.erase(static_cast<std::uint64_t>(id));
 }
 
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -194,6 +194,7 @@
     auto step = std::move(connection.steps.front());
     connection.steps.pop_front();
     connection.sent.push_back(step.kind);
+    this->reindex(connection);
     this->actions.emplace_back(
         SendStatement { .connection = connection.id, .statement = std::move(step.statement) });
 }
@@ -279,6 +280,7 @@
         return;
     }
     connection->sent.pop_front();
+    this->reindex(*connection);
     switch (kind) {
     case StepKind::Setup:
         break;
@@ -335,12 +337,11 @@
 
 void SessionEngine::State::release(PooledConnection& connection)
 {
-    if (connection.phase != PooledConnection::Phase::Idle)
-        --this->upstreamOf(connection).connectionsInUse;
     connection.phase = PooledConnection::Phase::Idle;
     connection.idleSince = this->now;
     connection.user.reset();
     connection.inTransaction = false;
+    this->reindex(connection);
     auto& upstream = this->upstreamOf(connection);
     const bool beyondShare = upstream.connections.size() > this->connectionShareOf(upstream);
     const bool mustShrink = beyondShare && this->now < upstream.noBorrowingUntil;
@@ -363,14 +364,31 @@
     auto* connection = this->findConnection(id);
     auto& group = this->group(connection->service);
     auto& upstream = this->upstreamOf(*connection);
-    if (connection->phase != PooledConnection::Phase::Idle)
-        --upstream.connectionsInUse;
-    std::erase(upstream.connections, id);
+    const auto& indexed = connection->indexed.value_or(ConnectionStatus {});
+    upstream.connections.remove(id, connection->team, indexed);
+    this->answerDeadlines.erase({ indexed.answerBy, id });
     if (!upstream.listed && upstream.connections.empty())
         group.upstreams.erase(connection->upstream);
     this->connections.erase(static_cast<std::uint64_t>(id));
 }
 
+void SessionEngine::State::reindex(PooledConnection& connection)
+{
+    const auto status = connection.status();
+    if (connection.indexed == status)
+        return;
+    auto& index = this->upstreamOf(connection).connections;
+    if (connection.indexed) {
+        index.update(connection.id, connection.team, *connection.indexed, status);
+        this->answerDeadlines.erase({ connection.indexed->answerBy, connection.id });
+    } else {
+        index.add(connection.id, connection.team, status);
+    }
+    if (status.answerBy != Instant::max())
+        this->answerDeadlines.emplace(status.answerBy, connection.id);
+    connection.indexed = status;
+}
+
 void SessionEngine::State::recordFullUpstream(UpstreamState& upstream)
 {
     const auto& settings = this->options.settings;
@@ -439,10 +457,10 @@
 void SessionEngine::State::checkTimeouts()
 {
     std::vector<ConnectionId> overdue;
-    for (const auto& [key, connection] : this->connections) {
-        const bool waits = connection.phase == PooledConnection::Phase::Opening || !connection.sent.empty();
-        if (waits && this->now >= connection.answerBy)
-            overdue.push_back(connection.id);
+    for (const auto& [deadline, id] : this->answerDeadlines) {
+        if (this->now < deadline)
+            break;
+        overdue.push_back(id);
     }
     for (const auto id : overdue) {
         if (this->findConnection(id) == nullptr)
@@ -455,20 +473,21 @@
 void SessionEngine::State::closeIdleConnections()
 {
     const auto& settings = this->options.settings;
-    std::vector<ConnectionId> idle;
-    for (const auto& [key, connection] : this->connections) {
-        if (connection.phase == PooledConnection::Phase::Idle)
-            idle.push_back(connection.id);
-    }
-    for (const auto id : idle) {
-        auto& connection = this->connections.at(static_cast<std::uint64_t>(id));
-        const auto& upstream = this->upstreamOf(connection);
-        const bool hasOwners = this->ownersFor(this->connectionCapOf(connection.service)) != nullptr;
+    std::vector<ConnectionId> due;
+    for (const auto& [service, group] : this->groups) {
+        const bool hasOwners = this->ownersFor(this->connectionCapOf(service)) != nullptr;
         const auto timeout = hasOwners ? settings.ownerIdleTimeout : settings.idleTimeout;
-        const bool idleTooLong = this->now - connection.idleSince >= timeout;
-        if (idleTooLong || !this->acceptsStatements(upstream))
-            this->close(connection);
+        for (const auto& [name, upstream] : group.upstreams) {
+            const bool closesAll = !this->acceptsStatements(upstream);
+            for (const auto& [since, id] : upstream.connections.idle()) {
+                if (!closesAll && this->now - since < timeout)
+                    break;
+                due.push_back(id);
+            }
+        }
     }
+    for (const auto id : due)
+        this->close(this->connections.at(static_cast<std::uint64_t>(id)));
 }
 
 } // namespace cyclamendrift
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <optional>
+#include <string>
 #include <utility>
 
 namespace cyclamendrift {
@@ -22,6 +24,10 @@
 // upstream.
 constexpr double laggingReplicaCost = 0.6;
 
+// Statements that a pass over the waiting ones may find unsuitable for every upstream before it ends, for
+// example because each has skipped the upstreams that have capacity. A tick makes a pass without this limit.
+constexpr std::size_t maxPassFailures = 16;
+
 // One connection is reserved for status queries.
 std::size_t usableConnections(std::uint32_t connectionCap)
 {
@@ -34,19 +40,57 @@
 {
     auto& group = this->group(session.route.service);
     this->trackIfDue(group);
-    if (group.view.phase == LeaderView::Phase::Changing && this->isLeaderless(group, session)) {
+    const auto demand = this->demandOf(session);
+    if (group.view.phase == LeaderView::Phase::Changing && this->isLeaderless(group, demand)) {
         this->refuse(session, StatementError::Busy,
             adviceText("the primary is being replaced", this->options.settings.primaryChangeRetryAfter));
         return;
     }
-    if (const auto* reason = this->stopReason(group, session)) {
+    if (const auto* reason = this->stopReason(group, demand)) {
         this->refuse(
             session, StatementError::Busy, adviceText(reason, this->options.settings.stoppedRetryAfter));
         return;
     }
-    group.waiting.push_back(session.id);
+    const auto& work = *session.work;
+    const WaitingPosition position {
+        .priority = session.route.priority, .arrivedAt = work.arrivedAt, .caller = session.id
+    };
+    session.work->waiting = group.waiting.add(
+        { .position = position, .demand = demand, .team = session.team, .deadline = work.dispatchDeadline });
     this->groupsWithWaiting.insert(group.name);
-    this->dispatchWaiting(group);
+    const auto id = session.id;
+    this->dispatchWaiting(group, DispatchScope::FirstStatements);
+    // The pass may have ended before it reached this statement, whose team may have an idle connection.
+    auto* added = this->findCaller(id);
+    if (added != nullptr && added->work && added->work->waiting)
+        this->assignUpstream(group, *added);
+}
+
+void SessionEngine::State::stopWaiting(CallerSession& session)
+{
+    if (!session.work || !session.work->waiting)
+        return;
+    this->group(session.route.service).waiting.remove(*session.work->waiting);
+    session.work->waiting.reset();
+}
+
+CallerSession* SessionEngine::State::findWaiting(GroupState& group, const WaitingStatement& statement)
+{
+    auto* session = this->findCaller(statement.position.caller);
+    if (session != nullptr && session->work && session->work->waiting
+        && session->work->waiting->position == statement.position)
+        return session;
+    // The session has been given another statement meanwhile.
+    group.waiting.remove(WaitingStatement { statement });
+    return nullptr;
+}
+
+UpstreamDemand SessionEngine::State::demandOf(const CallerSession& session) const
+{
+    if (session.work->needsPrimary)
+        return {};
+    const auto staleness = maxStalenessOf(session.route.freshness) - this->options.settings.stalenessMargin;
+    return { .staleness = std::max(staleness, Duration {}) };
 }
 
 void SessionEngine::State::trackIfDue(GroupState& group)
@@ -57,60 +101,96 @@
     this->actions.emplace_back(TrackService { group.name });
 }
 
-bool SessionEngine::State::isLeaderless(const GroupState& group, const CallerSession& session) const
+bool SessionEngine::State::isLeaderless(const GroupState& group, const UpstreamDemand& demand) const
 {
     // A read on a replica needs a position that was observed under a valid view of the primary. After a
     // restart there is none, and reads depend on the primary just as writes do.
-    return !group.hasLeader(this->now) && !this->replicaRequirement(group, session);
+    return !group.hasLeader(this->now) && !this->replicaRequirement(group, demand);
 }
 
-void SessionEngine::State::dispatchWaiting(GroupState& group)
+void SessionEngine::State::dispatchWaiting(GroupState& group, DispatchScope scope)
 {
-    if (group.waiting.empty())
-        return;
-    std::stable_sort(group.waiting.begin(), group.waiting.end(), [this](CallerId left, CallerId right) {
-        const auto* one = this->findCaller(left);
-        const auto* other = this->findCaller(right);
-        if (one->route.priority != other->route.priority)
-            return one->route.priority < other->route.priority;
-        return one->work->arrivedAt < other->work->arrivedAt;
-    });
-    // Serving a statement may end sessions and add new waiting ones, so this iterates over a copy.
-    const auto waiting = group.waiting;
-    for (const auto id : waiting) {
-        auto* session = this->findCaller(id);
-        if (session == nullptr || !session->work || session->work->connection)
-            continue;
-        this->assignUpstream(group, *session);
+    // Serving a statement may end sessions and add new waiting ones, so each step looks up the next position.
+    std::optional<WaitingPosition> last;
+    for (std::size_t failures = 0; scope == DispatchScope::AllStatements || failures < maxPassFailures;) {
+        const auto* statement = group.waiting.next(
+            last, [&](const UpstreamDemand& demand) { return this->canTakeAny(group, demand); });
+        if (statement == nullptr)
+            return;
+        last = statement->position;
+        auto* session = this->findWaiting(group, *statement);
+        if (session != nullptr && !this->assignUpstream(group, *session))
+            ++failures;
     }
 }
 
+bool SessionEngine::State::canTakeAny(const GroupState& group, const UpstreamDemand& demand) const
+{
+    const auto requirement = this->replicaRequirement(group, demand);
+    return std::any_of(group.upstreams.begin(), group.upstreams.end(), [&](const auto& item) {
+        const auto& upstream = item.second;
+        return this->hasCapacity(upstream) && this->isSuitable(group, upstream, requirement)
+            && (upstream.connections.hasIdle() || this->canOpenConnection(upstream));
+    });
+}
+
 void SessionEngine::State::serveSameTeam(PooledConnection& connection)
 {
     auto& group = this->group(connection.service);
-    const auto& upstream = this->upstreamOf(connection);
-    const CallerSession* first = nullptr;
-    CallerSession* sameTeam = nullptr;
-    for (const auto id : group.waiting) {
-        auto* session = this->findCaller(id);
-        if (session == nullptr || !session->work || session->work->connection
-            || !this->canServe(group, upstream, *session, this->replicaRequirement(group, *session)))
-            continue;
-        if (first == nullptr)
-            first = session;
-        if (sameTeam == nullptr && session->team == connection.team)
-            sameTeam = session;
-    }
-    if (sameTeam == nullptr || first->route.priority < sameTeam->route.priority)
+    auto& upstream = this->upstreamOf(connection);
+    const auto mayServe = [&](const CallerSession& session) {
+        return this->canServe(group, upstream, session, this->replicaRequirement(group, session));
+    };
+    auto* sameTeam = this->firstWaitingOf(group, connection.team, mayServe);
+    if (sameTeam == nullptr)
+        return;
+    const CallerSession* first = this->firstWaitingBefore(group, *sameTeam->work->waiting, mayServe);
+    if (first == nullptr)
+        first = sameTeam;
+    if (first->route.priority < sameTeam->route.priority)
         return;
     if (sameTeam->work->arrivedAt > first->work->arrivedAt + this->options.settings.teamAffinityWindow)
         return;
-    std::erase(group.waiting, sameTeam->id);
-    this->upstreamOf(connection).coldStart.recordStart(this->now);
+    this->stopWaiting(*sameTeam);
+    upstream.coldStart.recordStart(this->now);
     this->runOn(connection, *sameTeam);
 }
 
-void SessionEngine::State::assignUpstream(GroupState& group, CallerSession& session)
+template <class Accepts>
+CallerSession* SessionEngine::State::firstWaitingOf(
+    GroupState& group, const TeamName& team, const Accepts& accepts)
+{
+    std::optional<WaitingPosition> last;
+    for (std::size_t failures = 0; failures < maxPassFailures; ++failures) {
+        const auto* statement = group.waiting.nextOf(team, last);
+        if (statement == nullptr)
+            return nullptr;
+        last = statement->position;
+        auto* session = this->findWaiting(group, *statement);
+        if (session != nullptr && accepts(*session))
+            return session;
+    }
+    return nullptr;
+}
+
+template <class Accepts>
+CallerSession* SessionEngine::State::firstWaitingBefore(
+    GroupState& group, const WaitingStatement& end, const Accepts& accepts)
+{
+    std::optional<WaitingPosition> last;
+    for (std::size_t failures = 0; failures < maxPassFailures; ++failures) {
+        const auto* statement = group.waiting.next(last, [](const UpstreamDemand&) { return true; });
+        if (statement == nullptr || !(statement->position < end.position))
+            return nullptr;
+        last = statement->position;
+        auto* session = this->findWaiting(group, *statement);
+        if (session != nullptr && accepts(*session))
+            return session;
+    }
+    return nullptr;
+}
+
+bool SessionEngine::State::assignUpstream(GroupState& group, CallerSession& session)
 {
     const auto requirement = this->replicaRequirement(group, session);
     UpstreamState* best = nullptr;
@@ -129,26 +209,36 @@
         }
     }
     if (best == nullptr)
-        return;
+        return false;
     best->coldStart.recordStart(this->now);
-    std::erase(group.waiting, session.id);
+    this->stopWaiting(session);
     if (auto* connection = this->idleConnection(*best, session.team))
         this->runOn(*connection, session);
     else
         this->openConnectionFor(group, *best, session);
+    return true;
 }
 
 bool SessionEngine::State::canServe(const GroupState& group, const UpstreamState& upstream,
     const CallerSession& session, const std::optional<ReplicaRequirement>& requirement) const
+{
+    return this->hasCapacity(upstream) && !session.work->skipped.contains(upstream.entry.name, this->now)
+        && this->isSuitable(group, upstream, requirement);
+}
+
+bool SessionEngine::State::hasCapacity(const UpstreamState& upstream) const
 {
     if (!this->acceptsStatements(upstream))
         return false;
     if (this->now < upstream.unreachableUntil || this->now < upstream.busyUntil)
         return false;
-    if (this->runningAt(upstream) >= upstream.limit.current() || !upstream.coldStart.mayStart(this->now))
-        return false;
-    if (session.work->skipped.contains(upstream.entry.name, this->now))
-        return false;
+    return upstream.connections.running() < upstream.limit.current()
+        && upstream.coldStart.mayStart(this->now);
+}
+
+bool SessionEngine::State::isSuitable(const GroupState& group, const UpstreamState& upstream,
+    const std::optional<ReplicaRequirement>& requirement) const
+{
     if (group.isLedBy(upstream.entry.name, this->now))
         return true;
     if (!requirement)
@@ -158,15 +248,6 @@
     return this->hasCaughtUp(upstream, *requirement) || this->now >= upstream.laggingUntil;
 }
 
-std::size_t SessionEngine::State::runningAt(const UpstreamState& upstream) const
-{
-    return static_cast<std::size_t>(
-        std::count_if(upstream.connections.begin(), upstream.connections.end(), [this](ConnectionId id) {
-            const auto& connection = this->connections.at(static_cast<std::uint64_t>(id));
-            return connection.phase == PooledConnection::Phase::Opening || !connection.sent.empty();
-        }));
-}
-
 bool SessionEngine::State::hasCaughtUp(
     const UpstreamState& upstream, const ReplicaRequirement& requirement) const
 {
@@ -179,15 +260,10 @@
 std::optional<ReplicaRequirement> SessionEngine::State::replicaRequirement(
     const GroupState& group, const CallerSession& session) const
 {
-    if (session.work->needsPrimary)
-        return std::nullopt;
-    const auto staleness = maxStalenessOf(session.route.freshness) - this->options.settings.stalenessMargin;
-    if (staleness <= Duration {})
-        return std::nullopt;
-    const auto fresh = group.history.oldestCovering(this->now - staleness);
-    if (!fresh)
+    const auto common = this->replicaRequirement(group, this->demandOf(session));
+    if (!common)
         return std::nullopt;
-    const ReplicaRequirement requirement { .progress = fresh->progress, .at = fresh->seenAt };
+    const auto& requirement = *common;
     const bool ownWrites = std::holds_alternative<ReadOwnWritesRoute>(session.route.freshness);
     if (!ownWrites || !session.requiredProgress || session.requiredProgressService != session.route.service)
         return requirement;
@@ -199,10 +275,21 @@
     return ReplicaRequirement { .progress = *session.requiredProgress, .at = session.requiredProgressAt };
 }
 
+std::optional<ReplicaRequirement> SessionEngine::State::replicaRequirement(
+    const GroupState& group, const UpstreamDemand& demand) const
+{
+    if (demand.staleness <= Duration {})
+        return std::nullopt;
+    const auto fresh = group.history.oldestCovering(this->now - demand.staleness);
+    if (!fresh)
+        return std::nullopt;
+    return ReplicaRequirement { .progress = fresh->progress, .at = fresh->seenAt };
+}
+
 double SessionEngine::State::costOf(const GroupState& group, const UpstreamState& upstream,
     const CallerSession& session, const std::optional<ReplicaRequirement>& requirement) const
 {
-    double cost = upstream.connectionsInUse;
+    auto cost = static_cast<double>(upstream.connections.inUse());
     if (upstream.entry.zone != this->options.zone)
         cost += crossZoneCost;
     if (!session.work->needsPrimary && group.view.primary == upstream.entry.name)
@@ -214,49 +301,25 @@
     return cost;
 }
 
-PooledConnection* SessionEngine::State::idleConnection(UpstreamState& upstream, const TeamName& team)
+PooledConnection* SessionEngine::State::idleConnection(const UpstreamState& upstream, const TeamName& team)
 {
-    for (const auto id : upstream.connections) {
-        auto* connection = this->findConnection(id);
-        if (connection != nullptr && connection->phase == PooledConnection::Phase::Idle
-            && connection->team == team)
-            return connection;
-    }
-    return nullptr;
+    const auto id = upstream.connections.idleOf(team);
+    return id ? this->findConnection(*id) : nullptr;
 }
 
-PooledConnection* SessionEngine::State::longestIdleConnection(const UpstreamState& upstream)
+bool SessionEngine::State::canOpenConnection(const UpstreamState& upstream) const
 {
-    PooledConnection* longestIdle = nullptr;
-    for (const auto id : upstream.connections) {
-        auto* candidate = this->findConnection(id);
-        const bool idle = candidate != nullptr && candidate->phase == PooledConnection::Phase::Idle;
-        if (idle && (longestIdle == nullptr || candidate->idleSince < longestIdle->idleSince))
-            longestIdle = candidate;
-    }
-    return longestIdle;
-}
-
-bool SessionEngine::State::canOpenConnection(const UpstreamState& upstream)
-{
-    const bool hasIdle = this->longestIdleConnection(upstream) != nullptr;
+    const bool hasIdle = upstream.connections.hasIdle();
     // A connection that replaces an idle one takes its place at a full upstream.
     const bool replacesIdle = hasIdle && upstream.connections.size() >= this->connectionsKeptAt(upstream);
     // After a refusal a single attempt shows whether the upstream has connections again.
     const bool isFull
-        = this->now < upstream.fullUntil || (upstream.fullCount > 0 && this->isOpening(upstream));
+        = this->now < upstream.fullUntil || (upstream.fullCount > 0 && upstream.connections.opening() > 0);
     if (isFull && !replacesIdle)
         return false;
     return hasIdle || upstream.connections.size() < this->maxConnectionsAt(upstream);
 }
 
-bool SessionEngine::State::isOpening(const UpstreamState& upstream) const
-{
-    return std::any_of(upstream.connections.begin(), upstream.connections.end(), [this](ConnectionId id) {
-        return this->connections.at(static_cast<std::uint64_t>(id)).phase == PooledConnection::Phase::Opening;
-    });
-}
-
 std::size_t SessionEngine::State::maxConnectionsAt(const UpstreamState& upstream) const
 {
     const bool borrows = this->now >= upstream.noBorrowingUntil;
@@ -296,9 +359,9 @@
 void SessionEngine::State::openConnectionFor(
     GroupState& group, UpstreamState& upstream, CallerSession& session)
 {
-    if (upstream.connections.size() >= this->connectionsKeptAt(upstream)) {
-        if (auto* longestIdle = this->longestIdleConnection(upstream))
-            this->close(*longestIdle);
+    if (upstream.connections.size() >= this->connectionsKeptAt(upstream) && upstream.connections.hasIdle()) {
+        const auto longestIdle = upstream.connections.idle().begin()->second;
+        this->close(this->connections.at(static_cast<std::uint64_t>(longestIdle)));
     }
     const ConnectionId id { ++this->lastConnection };
     auto& connection = this->connections[static_cast<std::uint64_t>(id)];
@@ -309,8 +372,7 @@
     connection.user = session.id;
     connection.sentAt = this->now;
     connection.answerBy = this->now + this->options.settings.openTimeout;
-    upstream.connections.push_back(id);
-    ++upstream.connectionsInUse;
+    this->reindex(connection);
     session.work->connection = id;
     ++this->counters.connectionsOpened;
     this->actions.emplace_back(
@@ -320,10 +382,9 @@
 void SessionEngine::State::runOn(PooledConnection& connection, CallerSession& session)
 {
     auto& work = *session.work;
-    if (connection.phase == PooledConnection::Phase::Idle)
-        ++this->upstreamOf(connection).connectionsInUse;
     connection.phase = PooledConnection::Phase::Working;
     connection.user = session.id;
+    this->reindex(connection);
     work.connection = connection.id;
     for (auto& step : connection.state.stepsToMatch(session.state, work.shape ? &*work.shape : nullptr)) {
         auto statement = std::visit([](auto& what) { return UpstreamStatement { std::move(what) }; }, step);
@@ -350,7 +411,7 @@
     if (!coldStart.mayStart(this->now)) {
         if (coldStart.startAt() >= session.work->deadline)
             return this->dropTransaction(session, "the upstream is cold");
-        session.work->retryAt = coldStart.startAt();
+        this->scheduleRetry(session, coldStart.startAt());
         return;
     }
     session.work->retryAt = Instant::max();
@@ -358,6 +419,12 @@
     this->runOn(*connection, session);
 }
 
+void SessionEngine::State::scheduleRetry(CallerSession& session, Instant at)
+{
+    session.work->retryAt = at;
+    this->retries.emplace(at, session.id);
+}
+
 void SessionEngine::State::updateColdStartLimits()
 {
     for (auto& [service, group] : this->groups) {
@@ -393,31 +460,40 @@
 
 void SessionEngine::State::refuseOverdueStatements(GroupState& group)
 {
-    const auto waiting = group.waiting;
-    for (const auto id : waiting) {
+    for (const auto& [id, text] : this->unservableStatements(group)) {
         auto* session = this->findCaller(id);
-        if (session == nullptr || !session->work || session->work->connection)
-            continue;
-        const auto& work = *session->work;
-        const bool leaderless = this->isLeaderless(group, *session);
-        const auto maxWait
-            = (work.dispatchDeadline - work.arrivedAt) / this->options.settings.leaderlessWaitDivisor;
-        const auto* stopped = this->stopReason(group, *session);
-        const bool cannotBeServed = leaderless
-            && (group.view.phase == LeaderView::Phase::Changing || this->now >= work.arrivedAt + maxWait);
-        if (!cannotBeServed && stopped == nullptr && this->now < work.dispatchDeadline)
-            continue;
-        std::erase(group.waiting, id);
-        if (stopped != nullptr)
-            this->refuse(*session, StatementError::Busy,
-                adviceText(stopped, this->options.settings.stoppedRetryAfter));
-        else if (leaderless)
-            this->refuse(*session, StatementError::Busy,
-                adviceText("no primary is known to lead", this->options.settings.primaryChangeRetryAfter));
-        else
+        if (session != nullptr && session->work && session->work->waiting)
+            this->refuse(*session, StatementError::Busy, text);
+    }
+    for (const auto* overdue = group.waiting.mostOverdue();
+         overdue != nullptr && this->now >= overdue->deadline; overdue = group.waiting.mostOverdue()) {
+        if (auto* session = this->findWaiting(group, *overdue))
             this->refuse(*session, StatementError::Busy,
                 adviceText("all connections are taken", this->options.settings.overloadRetryAfter));
     }
 }
 
+std::vector<std::pair<CallerId, std::string>> SessionEngine::State::unservableStatements(
+    const GroupState& group) const
+{
+    const auto& settings = this->options.settings;
+    std::vector<std::pair<CallerId, std::string>> found;
+    for (const auto& [demand, queue] : group.waiting.byDemand()) {
+        const bool leaderless = this->isLeaderless(group, demand);
+        const auto* stopped = this->stopReason(group, demand);
+        if (!leaderless && stopped == nullptr)
+            continue;
+        const auto text = stopped != nullptr
+            ? adviceText(stopped, settings.stoppedRetryAfter)
+            : adviceText("no primary is known to lead", settings.primaryChangeRetryAfter);
+        for (const auto& [position, statement] : queue) {
+            const auto maxWait = (statement.deadline - position.arrivedAt) / settings.leaderlessWaitDivisor;
+            if (stopped != nullptr || group.view.phase == LeaderView::Phase::Changing
+                || this->now >= position.arrivedAt + maxWait)
+                found.emplace_back(position.caller, text);
+        }
+    }
+    return found;
+}
+
 } // namespace cyclamendrift
--- a/src/pooling/engine_evacuation.cpp
+++ b/src/pooling/engine_evacuation.cpp
@@ -24,11 +24,11 @@
     return upstream.isInService() && !this->isEvacuated(upstream);
 }
 
-const char* SessionEngine::State::stopReason(const GroupState& group, const CallerSession& session) const
+const char* SessionEngine::State::stopReason(const GroupState& group, const UpstreamDemand& demand) const
 {
     if (this->evacuatedSince.empty() && this->routes->coldStartRates.empty())
         return nullptr;
-    const auto requirement = this->replicaRequirement(group, session);
+    const auto requirement = this->replicaRequirement(group, demand);
     const char* reason = nullptr;
     for (const auto& item : group.upstreams) {
         const auto& upstream = item.second;
--- a/src/pooling/engine_forwarding.cpp
+++ b/src/pooling/engine_forwarding.cpp
@@ -67,6 +67,7 @@
     auto& work = *session.work;
     work.forwardedTo = owner;
     work.forwardedAt = this->now;
+    this->forwardedWork[owner].emplace(this->now, session.id);
     if (!session.owner)
         session.sessionAtOwner = CallerId { this->remoteSessionNumbers() | remoteSessionBit };
     ForwardedStatement forwarded;
@@ -143,19 +144,27 @@
 
 void SessionEngine::State::checkSilentOwners()
 {
+    // Entries of statements that have been answered are dropped here, once they are the oldest.
     std::map<VmName, Instant> oldest;
-    for (const auto& [id, session] : this->callers) {
-        const auto* owner = session.work ? session.work->owner() : nullptr;
-        if (owner == nullptr)
-            continue;
-        auto& since = oldest.try_emplace(*owner, session.work->forwardedAt).first->second;
-        since = std::min(since, session.work->forwardedAt);
+    for (auto& [owner, statements] : this->forwardedWork) {
+        while (!statements.empty() && !this->isForwarded(owner, *statements.begin()))
+            statements.erase(statements.begin());
+        if (!statements.empty())
+            oldest.emplace(owner, statements.begin()->first);
     }
+    std::erase_if(this->forwardedWork, [](const auto& item) { return item.second.empty(); });
     this->ownerHealth.recordWaiting(oldest);
     for (auto& owner : this->ownerHealth.beginDueChecks(this->now))
         this->actions.emplace_back(CheckOwnerLiveness { std::move(owner) });
 }
 
+bool SessionEngine::State::isForwarded(const VmName& owner, const std::pair<Instant, CallerId>& statement)
+{
+    const auto* session = this->findCaller(statement.second);
+    const auto* at = session != nullptr && session->work ? session->work->owner() : nullptr;
+    return at != nullptr && *at == owner && session->work->forwardedAt == statement.first;
+}
+
 void SessionEngine::State::ownerLivenessChecked(const VmName& owner, bool alive)
 {
     const bool wasUnreachable = this->ownerHealth.isUnreachable(owner);
@@ -241,9 +250,7 @@
 
 void SessionEngine::State::answerRemoteSession(CallerSession& session, Reply reply)
 {
-    session.work.reset();
-    session.unconfirmed.reset();
-    session.lastActive = this->now;
+    this->finishWork(session);
     reply.phase = session.phase;
     this->actions.emplace_back(
         AnswerRemoteSession { .remoteSession = session.id, .reply = std::move(reply) });
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -16,6 +16,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cyclamendrift {
@@ -44,6 +45,13 @@
     std::optional<Term> viewTerm;
 };
 
+/// How much of a pass over waiting statements is made.
+enum class DispatchScope : std::uint8_t {
+    /// The pass ends early when many statements suit no upstream that has capacity.
+    FirstStatements,
+    AllStatements,
+};
+
 /// State of a SessionEngine. Its functions are defined in engine_callers (statements of callers),
 /// engine_dispatch (selection of upstreams), engine_evacuation (evacuated availability zones),
 /// engine_forwarding (statements forwarded to owner VMs, and statements of siblings), engine_connections
@@ -59,7 +67,13 @@
 
     // session_engine
     void tickGroups();
+    /// Visits the sessions whose time limits may have ended.
+    void tickSessions();
     void tickSession(CallerSession& session);
+    void abortIdleTransactions();
+    void abortEvacuatedTransactions();
+    /// Resolves withheld replies, of one service unless it is null.
+    void resolveAllUnconfirmed(const ServiceName* service);
     void resumeIfDue(CallerSession& session);
 
     // engine_callers
@@ -69,6 +83,8 @@
     void answer(CallerSession& session, Reply reply);
     void refuse(CallerSession& session, StatementError error, std::string text);
     void closeSession(CallerId id, std::optional<StatementFailure> failure);
+    /// Ends the session's current statement.
+    void finishWork(CallerSession& session);
     /// Refunds the current operation's token to its team's limit, unless an upstream has run part of it.
     void refundToken(CallerSession& session);
     /// Records the progress of the session's write, which the primary had reached at that time.
@@ -82,8 +98,13 @@
     void enqueue(CallerSession& session);
     /// Requests the view of the group's primary, unless that was done recently.
     void trackIfDue(GroupState& group);
-    void dispatchWaiting(GroupState& group);
+    /// Runs waiting statements as long as an upstream can take any of them.
+    void dispatchWaiting(GroupState& group, DispatchScope scope = DispatchScope::FirstStatements);
+    /// Removes the session's statement from those that wait for a connection.
+    void stopWaiting(CallerSession& session);
     void runPinned(CallerSession& session);
+    /// Sends the statement of the session's transaction again at that time.
+    void scheduleRetry(CallerSession& session, Instant at);
     void serveSameTeam(PooledConnection& connection);
     /// Divides the rates of cold upstreams among the VMs that hold connections to them.
     void updateColdStartLimits();
@@ -94,9 +115,9 @@
     [[nodiscard]] bool isEvacuated(const UpstreamState& upstream) const;
     /// True when new statements may be sent to the upstream: it is in service, and its zone is not evacuated.
     [[nodiscard]] bool acceptsStatements(const UpstreamState& upstream) const;
-    /// Why no upstream may get the session's statement from this VM, however long it waits; null when one
-    /// may.
-    [[nodiscard]] const char* stopReason(const GroupState& group, const CallerSession& session) const;
+    /// Why no upstream may get a statement with this demand from this VM, however long it waits; null when
+    /// one may.
+    [[nodiscard]] const char* stopReason(const GroupState& group, const UpstreamDemand& demand) const;
     /// True when no statement may be sent on a connection that holds a transaction, because the zone of its
     /// upstream has been under evacuation for too long.
     [[nodiscard]] bool hasEvacuationGraceEnded(const PooledConnection& connection) const;
@@ -110,6 +131,8 @@
     void ownerLivenessChecked(const VmName& owner, bool alive);
     /// Starts liveness checks of owner VMs that have not answered for a while.
     void checkSilentOwners();
+    /// True while the session's statement that was forwarded at that time awaits the owner's answer.
+    [[nodiscard]] bool isForwarded(const VmName& owner, const std::pair<Instant, CallerId>& statement);
     /// Ends a remote session whose transaction is lost; its next statement is refused.
     void endRemoteSession(CallerSession& session, const char* reason);
 
@@ -118,6 +141,8 @@
     void refusedToOpen(ConnectionId id, StatementError error);
     void lost(ConnectionId id);
     void replied(ConnectionId id, Reply reply);
+    /// Brings the indexes up to date with the connection; to be called after each change of its status.
+    void reindex(PooledConnection& connection);
     void checkTimeouts();
     void closeIdleConnections();
     void abortTransaction(CallerSession& session, const char* reason);
@@ -142,6 +167,16 @@
     std::set<ServiceName> groupsWithWaiting;
     std::unordered_map<std::uint64_t, CallerSession> callers;
     std::unordered_map<std::uint64_t, PooledConnection> connections;
+    /// Connections with something unanswered, by deadline.
+    std::set<std::pair<Instant, ConnectionId>> answerDeadlines;
+    /// Sessions that may have a withheld reply.
+    std::set<CallerId> unconfirmedSessions;
+    // Timers are not cancelled: an entry whose session has moved on is ignored when it is due.
+    std::set<std::pair<Instant, CallerId>> retries;
+    /// Sessions that may be idle in a transaction, by the time of their last answer.
+    std::set<std::pair<Instant, CallerId>> idleTransactions;
+    /// Forwarded statements that may be unanswered, by owner and time.
+    std::map<VmName, std::set<std::pair<Instant, CallerId>>> forwardedWork;
     std::map<TeamName, Budget> budgets;
     std::map<TeamName, std::uint64_t> demand;
     FleetPlace place;
@@ -191,31 +226,55 @@
     [[nodiscard]] std::uint32_t connectionCapOf(const ServiceName& service) const;
 
     // engine_dispatch
-    void assignUpstream(GroupState& group, CallerSession& session);
-    /// True when no upstream may run the session's statement before a valid view of the primary is available.
-    [[nodiscard]] bool isLeaderless(const GroupState& group, const CallerSession& session) const;
+    /// Runs the session's waiting statement if an upstream can take it; returns true when one has.
+    bool assignUpstream(GroupState& group, CallerSession& session);
+    [[nodiscard]] UpstreamDemand demandOf(const CallerSession& session) const;
+    /// The session of a waiting statement; null, and the statement removed, when it no longer waits.
+    [[nodiscard]] CallerSession* findWaiting(GroupState& group, const WaitingStatement& statement);
+    /// The first waiting statement of the team among those that `accepts` returns true for; null when there
+    /// is none.
+    template <class Accepts>
+    [[nodiscard]] CallerSession* firstWaitingOf(
+        GroupState& group, const TeamName& team, const Accepts& accepts);
+    /// The same among the statements of all teams that come before `end`.
+    template <class Accepts>
+    [[nodiscard]] CallerSession* firstWaitingBefore(
+        GroupState& group, const WaitingStatement& end, const Accepts& accepts);
+    /// Statements that no upstream will be able to run in time, with the text of their refusal.
+    [[nodiscard]] std::vector<std::pair<CallerId, std::string>> unservableStatements(
+        const GroupState& group) const;
+    /// True when an upstream has capacity for some statement with this demand.
+    [[nodiscard]] bool canTakeAny(const GroupState& group, const UpstreamDemand& demand) const;
+    /// True when no upstream may run a statement with this demand before a valid view of the primary is
+    /// available.
+    [[nodiscard]] bool isLeaderless(const GroupState& group, const UpstreamDemand& demand) const;
     /// `requirement` is the result of replicaRequirement() for the session.
     [[nodiscard]] bool canServe(const GroupState& group, const UpstreamState& upstream,
         const CallerSession& session, const std::optional<ReplicaRequirement>& requirement) const;
     /// What a replica must have reached to run the session's statement; empty when no replica may run it.
     [[nodiscard]] std::optional<ReplicaRequirement> replicaRequirement(
         const GroupState& group, const CallerSession& session) const;
-    [[nodiscard]] std::size_t runningAt(const UpstreamState& upstream) const;
+    /// The same without regard to the session's own writes.
+    [[nodiscard]] std::optional<ReplicaRequirement> replicaRequirement(
+        const GroupState& group, const UpstreamDemand& demand) const;
+    /// True when the upstream may be sent another statement now.
+    [[nodiscard]] bool hasCapacity(const UpstreamState& upstream) const;
+    /// True when the upstream is the primary, or a replica that may meet the requirement.
+    [[nodiscard]] bool isSuitable(const GroupState& group, const UpstreamState& upstream,
+        const std::optional<ReplicaRequirement>& requirement) const;
     [[nodiscard]] bool hasCaughtUp(
         const UpstreamState& upstream, const ReplicaRequirement& requirement) const;
     [[nodiscard]] double costOf(const GroupState& group, const UpstreamState& upstream,
         const CallerSession& session, const std::optional<ReplicaRequirement>& requirement) const;
-    [[nodiscard]] PooledConnection* idleConnection(UpstreamState& upstream, const TeamName& team);
-    [[nodiscard]] PooledConnection* longestIdleConnection(const UpstreamState& upstream);
+    [[nodiscard]] PooledConnection* idleConnection(const UpstreamState& upstream, const TeamName& team);
     /// Each VM's share of an upstream's connections if they were divided evenly among all VMs.
     [[nodiscard]] std::size_t evenShareOf(std::uint32_t connectionCap) const;
     /// This VM's share of an upstream's connections, including what it may borrow from other VMs.
     [[nodiscard]] std::size_t maxConnectionsAt(const UpstreamState& upstream) const;
     /// From this number of connections on, an idle one is closed for each one that is opened.
     [[nodiscard]] std::size_t connectionsKeptAt(const UpstreamState& upstream) const;
-    [[nodiscard]] bool isOpening(const UpstreamState& upstream) const;
     /// True when a connection can be opened, possibly in place of an idle one.
-    [[nodiscard]] bool canOpenConnection(const UpstreamState& upstream);
+    [[nodiscard]] bool canOpenConnection(const UpstreamState& upstream) const;
     void openConnectionFor(GroupState& group, UpstreamState& upstream, CallerSession& session);
     void runOn(PooledConnection& connection, CallerSession& session);
 
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "upstream_connections.h"
+#include "waiting_statements.h"
+
 #include <cyclamendrift/connections/concurrency_limit.h>
 #include <cyclamendrift/core/instant.h>
 #include <cyclamendrift/core/progress.h>
@@ -15,7 +18,8 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <vector>
+#include <set>
+#include <utility>
 
 namespace cyclamendrift {
 
@@ -58,6 +62,20 @@
     /// The term of the view on which the last statement or the open transaction relies for its freshness;
     /// empty when the statement names a position instead.
     std::optional<Term> viewTerm;
+    /// What the indexes hold of this connection; empty until they do.
+    std::optional<ConnectionStatus> indexed;
+
+    [[nodiscard]] ConnectionStatus status() const noexcept
+    {
+        const bool opening = this->phase == Phase::Opening;
+        const bool idle = this->phase == Phase::Idle;
+        const bool running = opening || !this->sent.empty();
+        return { .running = running,
+            .opening = opening,
+            .idle = idle,
+            .idleSince = idle ? this->idleSince : Instant::min(),
+            .answerBy = running ? this->answerBy : Instant::max() };
+    }
 
     /// True when the answer comes from a later term than the view on which its freshness relies. The upstream
     /// may then already follow the next primary and lack some of its commits.
@@ -72,9 +90,7 @@
     UpstreamEntry entry;
     /// False once it has left the directory; its open transactions may still be finished.
     bool listed = true;
-    std::vector<ConnectionId> connections;
-    /// Connections that are being opened, run a statement or hold a transaction.
-    int connectionsInUse = 0;
+    UpstreamConnections connections;
     Instant unreachableUntil = Instant::min();
     int failures = 0;
     Instant busyUntil = Instant::min();
@@ -128,8 +144,7 @@
     LeaderView view;
     ProgressHistory history;
     std::map<UpstreamName, UpstreamState> upstreams;
-    /// Sessions whose statement waits for a connection.
-    std::vector<CallerId> waiting;
+    WaitingStatements waiting;
     /// Highest term in any reported position.
     Term newestTerm {};
     std::optional<LeadRefusal> leadRefusal;
--- a/src/pooling/progress_history.cpp
+++ b/src/pooling/progress_history.cpp
@@ -22,7 +22,12 @@
     if (!this->observations.empty()
         && observation.seenAt < this->observations.back().seenAt + minObservationInterval)
         return;
-    this->observations.push_back(observation);
+    // A position that was reached earlier is still reached. Positions therefore never decrease, which allows
+    // a binary search.
+    auto recorded = observation;
+    if (!this->observations.empty())
+        recorded.progress = std::max(recorded.progress, this->observations.back().progress);
+    this->observations.push_back(recorded);
     while (this->observations.front().seenAt + maxObservationAge < observation.seenAt)
         this->observations.pop_front();
 }
@@ -36,8 +41,8 @@
 
 Duration ProgressHistory::lagOf(const Progress& progress, Instant now) const
 {
-    const auto beyond = std::find_if(this->observations.begin(), this->observations.end(),
-        [&progress](const Observation& observation) { return observation.progress > progress; });
+    const auto beyond = std::partition_point(this->observations.begin(), this->observations.end(),
+        [&progress](const Observation& observation) { return observation.progress <= progress; });
     return beyond == this->observations.end() ? Duration {} : now - beyond->seenAt;
 }
 
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -5,6 +5,21 @@
 
 namespace cyclamendrift {
 
+namespace {
+
+/// Removes the entries up to `until` and returns their sessions.
+std::vector<CallerId> takeDue(std::set<std::pair<Instant, CallerId>>& timers, Instant until)
+{
+    std::vector<CallerId> due;
+    while (!timers.empty() && timers.begin()->first <= until) {
+        due.push_back(timers.begin()->second);
+        timers.erase(timers.begin());
+    }
+    return due;
+}
+
+} // namespace
+
 SessionEngine::SessionEngine(Options options)
     : state(std::make_unique<State>(std::move(options)))
 {
@@ -172,15 +187,7 @@
     if (changed)
         group.history.clear();
     group.view = view;
-    std::vector<CallerId> unconfirmed;
-    for (const auto& [id, session] : engine.callers) {
-        if (session.unconfirmed && session.route.service == service)
-            unconfirmed.push_back(session.id);
-    }
-    for (const auto id : unconfirmed) {
-        if (auto* session = engine.findCaller(id); session != nullptr && session->unconfirmed)
-            engine.resolveUnconfirmed(*session);
-    }
+    engine.resolveAllUnconfirmed(&service);
     engine.dispatchWaiting(group);
 }
 
@@ -241,14 +248,7 @@
     engine.tickGroups();
     engine.closeIdleConnections();
     engine.checkSilentOwners();
-    std::vector<CallerId> ids;
-    ids.reserve(engine.callers.size());
-    for (const auto& entry : engine.callers)
-        ids.push_back(entry.second.id);
-    for (const auto id : ids) {
-        if (auto* session = engine.findCaller(id))
-            engine.tickSession(*session);
-    }
+    engine.tickSessions();
 }
 
 bool SessionEngine::isIdle() const
@@ -266,13 +266,86 @@
     const auto services = this->groupsWithWaiting;
     for (const auto& service : services) {
         auto& group = this->group(service);
-        this->dispatchWaiting(group);
+        this->dispatchWaiting(group, DispatchScope::AllStatements);
         this->refuseOverdueStatements(group);
         if (group.waiting.empty())
             this->groupsWithWaiting.erase(service);
     }
-    for (auto& entry : this->budgets)
-        this->admitWaiting(entry.first, entry.second);
+    for (auto& [team, budget] : this->budgets) {
+        if (!budget.waiting.empty())
+            this->admitWaiting(team, budget);
+    }
+}
+
+void SessionEngine::State::tickSessions()
+{
+    // A shutdown ends sessions that nothing else would visit.
+    if (this->now >= this->closeIdleFrom || this->now >= this->abortAt) {
+        std::vector<CallerId> ids;
+        ids.reserve(this->callers.size());
+        for (const auto& entry : this->callers)
+            ids.push_back(entry.second.id);
+        for (const auto id : ids) {
+            if (auto* session = this->findCaller(id))
+                this->tickSession(*session);
+        }
+        return;
+    }
+    this->resolveAllUnconfirmed(nullptr);
+    for (const auto id : takeDue(this->retries, this->now)) {
+        if (auto* session = this->findCaller(id); session != nullptr && session->work)
+            this->resumeIfDue(*session);
+    }
+    this->abortIdleTransactions();
+    this->abortEvacuatedTransactions();
+}
+
+void SessionEngine::State::abortIdleTransactions()
+{
+    for (const auto id : takeDue(this->idleTransactions, this->now - this->routes->maxTransactionIdleTime)) {
+        // Most of these transactions have ended or run a statement since; the next answer adds them again.
+        auto* session = this->findCaller(id);
+        if (session != nullptr && !session->work && !session->unconfirmed)
+            this->tickSession(*session);
+    }
+}
+
+void SessionEngine::State::abortEvacuatedTransactions()
+{
+    if (this->evacuatedSince.empty())
+        return;
+    std::vector<CallerId> users;
+    for (const auto& [service, group] : this->groups) {
+        for (const auto& [name, upstream] : group.upstreams) {
+            if (!this->isEvacuated(upstream))
+                continue;
+            for (const auto id : upstream.connections.ids()) {
+                if (const auto* connection = this->findConnection(id); connection->user)
+                    users.push_back(*connection->user);
+            }
+        }
+    }
+    for (const auto id : users) {
+        auto* session = this->findCaller(id);
+        if (session != nullptr && !session->work && !session->unconfirmed)
+            this->tickSession(*session);
+    }
+}
+
+void SessionEngine::State::resolveAllUnconfirmed(const ServiceName* service)
+{
+    const auto ids = this->unconfirmedSessions;
+    for (const auto id : ids) {
+        auto* session = this->findCaller(id);
+        if (session != nullptr && session->unconfirmed && service != nullptr
+            && session->route.service != *service)
+            continue;
+        if (session != nullptr && session->unconfirmed)
+            this->resolveUnconfirmed(*session);
+        session = this->findCaller(id);
+        if (session == nullptr || !session->unconfirmed)
+            this->unconfirmedSessions.erase(id);
+    }
 }
 
 void SessionEngine::State::tickSession(CallerSession& session)
--- a/tests/pooling/overload_test.cpp
+++ b/tests/pooling/overload_test.cpp
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
 #include <string>
+#include <vector>
 
 using namespace cyclamendrift;
 using namespace std::chrono_literals;
@@ -130,6 +132,55 @@
         CHECK(simulation.openingsAt("primary") == 1);
     }
 
+    TEST_CASE("a read that a replica can take does not wait for a thousand statements of the primary")
+    {
+        // A burst of all teams' writes at one primary. Guards against a pass over the waiting statements that
+        // ends, or takes milliseconds, because the first of them can only run at the saturated primary.
+        PoolSimulation simulation { { .replicas = 1, .freshness = BoundedStalenessRoute { 1500ms } } };
+        simulation.routes->routes["orders"] = simulation.routes->routes["beds"];
+        simulation.routes->routes["orders"].freshness = PrimaryRoute {};
+        simulation.publishRoutes();
+        const auto reader = simulation.connect("key-b");
+        CHECK_FALSE(simulation.run(simulation.connect(), "first", "WRITE 1 x").failure);
+        simulation.holdUpstreamActions = true;
+        for (int number = 0; number < 1000; ++number)
+            simulation.submit(
+                simulation.connect("key-a", "orders"), "w/" + std::to_string(number), "WRITE 1 x");
+        const auto busy = simulation.engine.connections();
+        simulation.submit(reader, "r/1", "READ 1");
+        CHECK(simulation.engine.connections() == busy + 1);
+        simulation.holdUpstreamActions = false;
+        simulation.deliverHeldActions();
+        CHECK_FALSE(simulation.takeReply(reader).failure);
+        CHECK(simulation.executionsAt("replica-1") == 1);
+        CHECK(simulation.executionsAt("primary") == 1001);
+    }
+
+    TEST_CASE("waiting statements are served by priority, then in the order of their arrival")
+    {
+        // A burst of the least urgent class arrives before urgent statements. Guards against an order of
+        // insertion that lets the burst go first.
+        PoolSimulation simulation { { .replicas = 0, .connectionCap = 2 } };
+        simulation.routes->routes["history"] = simulation.routes->routes["beds"];
+        simulation.routes->routes["history"].priority = 2;
+        simulation.publishRoutes();
+        simulation.holdUpstreamActions = true;
+        simulation.submit(simulation.connect(), "first", "READ 1");
+        simulation.submit(simulation.connect(), "second", "READ 1");
+        for (const auto* id : { "late/1", "late/2" })
+            simulation.submit(simulation.connect("key-a", "history"), id, "READ 1");
+        for (const auto* id : { "urgent/1", "urgent/2" })
+            simulation.submit(simulation.connect(), id, "READ 1");
+        simulation.holdUpstreamActions = false;
+        simulation.deliverHeldActions();
+        std::vector<std::string> order;
+        for (const auto& statement : simulation.executed())
+            order.push_back(statement.id);
+        REQUIRE(order.size() == 6);
+        CHECK(std::vector<std::string>(order.begin() + 2, order.end())
+            == std::vector<std::string> { "urgent/1", "urgent/2", "late/1", "late/2" });
+    }
+
     TEST_CASE("concurrent statements use more than half of a VM's connections")
     {
         PoolSimulation simulation { { .replicas = 0, .connectionCap = 9 } };
