Place owners of services by availability zone

Where a round trip to another zone takes 5 ms or more longer than one within the zone, each zone has its own owners of a service. Reads stay in a zone with an upstream, everything else goes to an owner in the primary's zone. Owners report the zones of the upstreams, the primary's zone and their expected wait with their answers. Setting: [placement] by_zone.

--- a/include/cyclamendrift/pooling/reply.h
+++ b/include/cyclamendrift/pooling/reply.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cyclamendrift/core/progress.h>
+#include <cyclamendrift/pooling/placement_hint.h>
 
 #include <cstdint>
 #include <optional>
@@ -49,6 +50,8 @@
     SessionPhase phase = SessionPhase::Idle;
     /// Progress of the upstream's log; empty when it was not reported.
     std::optional<Progress> progress;
+    /// Set in answers of an owner VM while owners are placed by availability zone.
+    std::optional<PlacementHint> placement;
 };
 
 /// True when an upstream that replies with this error has not run the statement.
--- a/include/cyclamendrift/pooling/session_engine.h
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -43,6 +43,8 @@
     std::size_t rank = 0;
     /// The owners of each service; null while every VM holds a share of the connections.
     std::shared_ptr<ServiceOwners> owners;
+    /// How much longer a round trip to another availability zone takes than one within this VM's zone.
+    Duration zoneRoundTrip = std::chrono::milliseconds { 5 };
 };
 
 /// Why an owner VM has given no answer.
@@ -66,6 +68,8 @@
     /// Statements forwarded to owner VMs, and statements accepted from siblings.
     std::uint64_t forwarded = 0;
     std::uint64_t acceptedFromSiblings = 0;
+    /// Those of `forwarded` that went to an owner in another availability zone.
+    std::uint64_t forwardedAcrossZones = 0;
 };
 
 /// Serves callers' sessions from a pool of upstream connections. It checks keys and limits, keeps the
@@ -147,6 +151,9 @@
     /// Operations that each team has asked for since the last call, whether admitted or not.
     [[nodiscard]] std::map<TeamName, std::uint64_t> takeDemand();
 
+    /// The longest time that a statement which arrives now is expected to wait at this VM for an upstream.
+    [[nodiscard]] Duration longestExpectedWait() const;
+
     [[nodiscard]] const EngineCounters& counters() const noexcept;
     [[nodiscard]] std::size_t callers() const noexcept;
     [[nodiscard]] std::size_t connections() const noexcept;
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -22,6 +22,8 @@
     std::map<TeamName, std::uint64_t> demand;
     EngineCounters counters;
     SiblingTraffic siblingTraffic;
+    SiblingExchange::ZonePlacement zonePlacement;
+    Duration longestExpectedWait {};
     std::size_t callers = 0;
     std::size_t connections = 0;
 };
@@ -35,6 +37,8 @@
         asio::io_context& context;
         VmName vm;
         ZoneName zone;
+        /// When owners are placed by availability zone.
+        PlacementByZone placementByZone = PlacementByZone::Auto;
         /// Number that identifies this process.
         std::uint64_t process = 0;
         /// Address at which siblings reach this VM.
@@ -69,7 +73,8 @@
     void setShares(std::map<TeamName, TeamShare::Rule> shares);
     /// Starts to serve siblings, which must present the secret.
     void openSiblings(std::string secret);
-    void setSiblings(SiblingList siblings);
+    /// `placedByZone` tells whether owners are placed by availability zone.
+    void setSiblings(SiblingList siblings, bool placedByZone);
     /// Requests a sibling's readings of the store; throws SiblingError or RequestError.
     [[nodiscard]] asio::awaitable<std::string> requestReadings(
         SiblingAddress sibling, std::string request, Duration timeLimit);
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cyclamendrift/limits/donor_selector.h>
+#include <cyclamendrift/membership/zone_distance.h>
 #include <cyclamendrift/pooling/session_engine.h>
 #include <cyclamendrift/siblings/sibling_client.h>
 #include <cyclamendrift/siblings/sibling_server.h>
@@ -12,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -28,6 +30,9 @@
 /// The capacities in the VMs' records.
 [[nodiscard]] std::map<VmName, VmCapacity> capacitiesOf(const SiblingList& siblings);
 
+/// The VMs that hold the teams' limits. `placedByZone` tells whether owners are placed by availability zone.
+[[nodiscard]] LimitHolders limitHoldersAmong(const std::map<VmName, VmCapacity>& listed, bool placedByZone);
+
 /// A method of sibling calls, and whether the calls cross availability zones.
 struct SiblingTrafficKind {
     std::string method;
@@ -46,6 +51,7 @@
         asio::io_context& context;
         VmName self;
         ZoneName zone;
+        PlacementByZone placementByZone = PlacementByZone::Auto;
         std::string listenHost;
         std::uint16_t listenPort = 0;
         /// Deducts tokens from this VM's share for a sibling; on the traffic thread.
@@ -68,7 +74,17 @@
     /// Starts to listen; before that no sibling can be called and no call is answered.
     void open(const std::string& secret);
     [[nodiscard]] bool isOpen() const noexcept;
-    void setSiblings(SiblingList siblings);
+    /// `placedByZone` tells whether owners are placed by availability zone.
+    void setSiblings(SiblingList siblings, bool placedByZone);
+    /// Measures the round trips to a VM of each availability zone when that is due; on the traffic thread.
+    void measureZones(Instant now);
+    /// Whether owners are to be placed by availability zone, and the difference between round trips to other
+    /// zones and those within this VM's zone as far as it is known.
+    struct ZonePlacement {
+        bool byZone = false;
+        std::optional<Duration> difference;
+    };
+    [[nodiscard]] ZonePlacement zonePlacement() const;
     /// Bytes of this VM's calls so far; on the traffic thread.
     [[nodiscard]] const SiblingTraffic& traffic() const noexcept;
 
--- a/include/cyclamendrift/settings/session_settings.h
+++ b/include/cyclamendrift/settings/session_settings.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
+#include <cyclamendrift/membership/zone_distance.h>
 #include <cyclamendrift/settings/settings.h>
 #include <cyclamendrift/telemetry/event_log.h>
 
@@ -34,6 +35,8 @@
     std::string promotionAddress;
     /// `[shutdown] grace_ms`: from SIGTERM to the end at the latest.
     Duration grace = std::chrono::seconds { 6 };
+    /// `[placement] by_zone`: "auto", "always" or "never".
+    PlacementByZone placementByZone = PlacementByZone::Auto;
     /// `[log]`
     LogOptions log;
 };
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -18,6 +18,9 @@
 constexpr double primaryReadCost = 0.8;
 // Another availability zone adds a round trip of 2 ms, little against the 10 to 40 ms of a statement.
 constexpr double crossZoneCost = 0.1;
+// Where owners are placed by availability zone, the round trip takes about as long as a statement. An
+// upstream in this VM's zone is preferred unless it runs at least two more statements.
+constexpr double farZoneCost = 1.9;
 // A refusal by a lagging replica costs a round trip, and the statement has to queue again at the next
 // upstream.
 constexpr double laggingReplicaCost = 0.6;
@@ -204,7 +207,7 @@
 {
     double cost = upstream.connectionsInUse;
     if (upstream.entry.zone != this->options.zone)
-        cost += crossZoneCost;
+        cost += this->placesByZone() ? farZoneCost : crossZoneCost;
     if (!session.work->needsPrimary && group.view.primary == upstream.entry.name)
         cost += primaryReadCost;
     // A replica that is known to lag is asked last, as it would only refuse.
@@ -267,7 +270,7 @@
 {
     const auto cap = this->connectionCapOf(upstream.entry.service);
     if (auto* owners = this->ownersFor(cap))
-        return owners->connectionShareOf(upstream.entry.service, cap);
+        return owners->connectionShareOf(upstream.entry.service, cap, upstream.entry.zone);
     if (this->place.vms == 0)
         return 1;
     const auto vms = this->place.vms;
@@ -374,13 +377,15 @@
     const auto turn = static_cast<std::size_t>(stableHash(upstream.entry.name.view()));
     const auto cap = this->connectionCapOf(upstream.entry.service);
     if (auto* owners = this->ownersFor(cap)) {
-        const auto& all = owners->ownersOf(upstream.entry.service, cap);
+        const auto all = owners->holdersAt(upstream.entry.zone, upstream.entry.service, cap);
         const auto own = std::find(all.begin(), all.end(), owners->self());
         // A VM that is no owner holds a single connection for the case that it reaches no owner.
         if (own == all.end())
             return {};
         const auto index = static_cast<std::size_t>(std::distance(all.begin(), own));
-        return { .rank = (index + turn % all.size()) % all.size(), .holders = all.size() };
+        // The owners in the upstream's zone get most of its statements, so they come first.
+        const auto shift = owners->areByZone() ? 0 : turn % all.size();
+        return { .rank = (index + shift) % all.size(), .holders = all.size() };
     }
     const auto vms = this->place.vms;
     if (vms == 0)
--- a/src/pooling/engine_forwarding.cpp
+++ b/src/pooling/engine_forwarding.cpp
@@ -13,6 +13,11 @@
 // A second owner is tried when the first one cannot be reached. After that the statement runs on this VM,
 // over the one connection that every VM may open.
 constexpr std::size_t maxOwnersTried = 2;
+// The same with owners in every availability zone: two in the zone of choice and two in the next one.
+constexpr std::size_t maxOwnersTriedByZone = 4;
+
+// Time of one statement at an upstream, for the expected wait.
+constexpr Duration expectedStatementTime = std::chrono::milliseconds { 10 };
 
 } // namespace
 
@@ -48,6 +53,8 @@
     auto* owners = session.remoteSession ? nullptr : this->ownersFor(cap);
     if (owners == nullptr)
         return std::nullopt;
+    if (owners->areByZone())
+        return this->selectOwnerByZone(session, *owners);
     std::size_t tried = 0;
     for (const auto& vm : owners->rankedOwners(service, session.team, cap)) {
         if (vm == owners->self())
@@ -62,6 +69,76 @@
     return std::nullopt;
 }
 
+bool SessionEngine::State::placesByZone() const
+{
+    return this->place.owners != nullptr && this->place.owners->areByZone();
+}
+
+std::optional<VmName> SessionEngine::State::selectOwnerByZone(
+    const CallerSession& session, ServiceOwners& owners) const
+{
+    const auto& service = session.route.service;
+    const auto cap = this->connectionCapOf(service);
+    const auto placement = this->placementOf(service);
+    const ZonePreference preference {
+        .ownZone = this->options.zone, .team = session.team, .needsPrimary = session.work->needsPrimary
+    };
+    std::vector<ZoneOwners> zones;
+    for (auto& zone : rankZones(owners.zones(), preference, placement ? &*placement : nullptr)) {
+        const auto& ranked = owners.rankedOwnersIn(zone, service, session.team, cap);
+        zones.push_back({ .zone = std::move(zone), .owners = ranked });
+    }
+    const auto group = this->groups.find(service);
+    const OwnerLoad::Self self { .vm = owners.self(),
+        .ownWait = group == this->groups.end() ? Duration {} : ownerWait(group->second) };
+    std::size_t tried = 0;
+    const auto isUsable = [this, &tried](const VmName& vm) {
+        if (this->ownerHealth.isUnreachable(vm))
+            return false;
+        const bool skipped = this->skippedOwners.contains(vm, this->now);
+        tried += skipped ? 1 : 0;
+        return !skipped && tried < maxOwnersTriedByZone;
+    };
+    auto owner = this->ownerLoad.choose(service, zones, self, this->place.zoneRoundTrip, isUsable, this->now);
+    return owner == owners.self() ? std::nullopt : std::move(owner);
+}
+
+PlacementHint SessionEngine::State::ownPlacementOf(const GroupState& group) const
+{
+    PlacementHint placement { .expectedWait = ownerWait(group) };
+    for (const auto& [name, upstream] : group.upstreams) {
+        if (!this->acceptsStatements(upstream))
+            continue;
+        const auto zone = zoneKeyOf(upstream.entry.zone);
+        if (std::find(placement.zonesInService.begin(), placement.zonesInService.end(), zone)
+            == placement.zonesInService.end())
+            placement.zonesInService.push_back(zone);
+        if (group.isLedBy(name, this->now))
+            placement.primaryZone = zone;
+    }
+    return placement;
+}
+
+std::optional<PlacementHint> SessionEngine::State::placementOf(const ServiceName& service) const
+{
+    const auto* hint = this->ownerLoad.placementOf(service, this->now);
+    const auto group = this->groups.find(service);
+    auto own = group == this->groups.end() ? PlacementHint {} : this->ownPlacementOf(group->second);
+    if (own.zonesInService.empty())
+        return hint == nullptr ? std::nullopt : std::optional { *hint };
+    if (!own.primaryZone && hint != nullptr)
+        own.primaryZone = hint->primaryZone;
+    return own;
+}
+
+Duration SessionEngine::State::ownerWait(const GroupState& group)
+{
+    std::size_t concurrency = 0;
+    for (const auto& [name, upstream] : group.upstreams)
+        concurrency += upstream.isInService() ? upstream.entry.maxConcurrency : 0;
+    return expectedStatementTime * group.waiting.size() / std::max<std::size_t>(concurrency, 1);
+}
+
 void SessionEngine::State::forwardTo(CallerSession& session, const VmName& owner)
 {
     auto& work = *session.work;
@@ -88,6 +165,9 @@
     }
     forwarded.waited = this->now - work.arrivedAt;
     ++this->counters.forwarded;
+    const auto* zone = this->place.owners ? this->place.owners->zoneOf(owner) : nullptr;
+    if (zone != nullptr && *zone != this->options.zone)
+        ++this->counters.forwardedAcrossZones;
     const auto timeLimit = work.deadline - this->now + this->options.settings.ownerReplyGrace;
     this->actions.emplace_back(ForwardStatement {
         .caller = session.id, .owner = owner, .work = std::move(forwarded), .timeLimit = timeLimit });
@@ -103,6 +183,9 @@
     if (remoteSession != session->sessionAtOwner)
         return;
     this->ownerHealth.answered(*owner, this->now);
+    if (reply.placement && this->placesByZone())
+        this->ownerLoad.answered(session->route.service, *owner, *reply.placement, this->now);
+    reply.placement.reset();
     const auto kind = session->work->kind;
     const bool inTransaction = session->phase == SessionPhase::InTransaction;
     if (reply.progress)
@@ -245,6 +328,8 @@
     session.unconfirmed.reset();
     session.lastActive = this->now;
     reply.phase = session.phase;
+    if (this->placesByZone())
+        reply.placement = this->ownPlacementOf(this->group(session.route.service));
     this->actions.emplace_back(
         AnswerRemoteSession { .remoteSession = session.id, .reply = std::move(reply) });
     // Only within an open transaction does the sibling's next statement have to come to this VM.
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -5,6 +5,7 @@
 
 #include <cyclamendrift/core/duration_text.h>
 #include <cyclamendrift/pooling/owner_health.h>
+#include <cyclamendrift/pooling/owner_load.h>
 #include <cyclamendrift/pooling/session_engine.h>
 
 #include <cstdint>
@@ -110,6 +111,8 @@
     void ownerLivenessChecked(const VmName& owner, bool alive);
     /// Starts liveness checks of owner VMs that have not answered for a while.
     void checkSilentOwners();
+    /// How long a statement of the group that arrives now is expected to wait for an upstream.
+    [[nodiscard]] static Duration ownerWait(const GroupState& group);
     /// Ends a remote session whose transaction is lost; its next statement is refused.
     void endRemoteSession(CallerSession& session, const char* reason);
 
@@ -148,6 +151,8 @@
     /// Owner VMs that did not answer.
     PassedOver<VmName> skippedOwners;
     OwnerHealth ownerHealth;
+    /// What answers have told about owner VMs; used while owners are placed by availability zone.
+    OwnerLoad ownerLoad;
     std::mt19937_64 remoteSessionNumbers;
     EngineCounters counters;
     std::uint64_t lastConnection = 0;
@@ -180,6 +185,15 @@
     /// Runs the session's statement on this VM, or forwards it to an owner VM of its service.
     void dispatch(CallerSession& session);
     [[nodiscard]] std::optional<VmName> selectOwner(const CallerSession& session) const;
+    /// The same while owners are placed by availability zone.
+    [[nodiscard]] std::optional<VmName> selectOwnerByZone(
+        const CallerSession& session, ServiceOwners& owners) const;
+    /// What this VM knows of the service's upstreams and primary, from the directory and its view or else
+    /// from answers of owners.
+    [[nodiscard]] std::optional<PlacementHint> placementOf(const ServiceName& service) const;
+    /// What this VM knows of them by itself.
+    [[nodiscard]] PlacementHint ownPlacementOf(const GroupState& group) const;
+    [[nodiscard]] bool placesByZone() const;
     void forwardTo(CallerSession& session, const VmName& owner);
     void releaseRemoteSession(CallerSession& session);
     void finishForwardedInTransaction(CallerSession& session);
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -324,6 +324,14 @@
     return std::exchange(this->state->demand, {});
 }
 
+Duration SessionEngine::longestExpectedWait() const
+{
+    Duration longest {};
+    for (const auto& service : this->state->groupsWithWaiting)
+        longest = std::max(longest, State::ownerWait(this->state->groups.at(service)));
+    return longest;
+}
+
 const EngineCounters& SessionEngine::counters() const noexcept { return this->state->counters; }
 
 std::size_t SessionEngine::callers() const noexcept { return this->state->callers.size(); }
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -164,6 +164,8 @@
     this->siblingTraffic = report.siblingTraffic;
     this->callers = report.callers;
     this->connections = report.connections;
+    this->longestExpectedWait = report.longestExpectedWait;
+    this->applyZonePlacement(report.zonePlacement);
     // A share grows only some time after the list of VMs from which it is computed.
     auto shares = this->shares.current();
     if (shares == this->publishedShares)
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -1,5 +1,6 @@
 #include "control_state.h"
 
+#include <cyclamendrift/core/duration_text.h>
 #include <cyclamendrift/platform/store_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/telemetry/event_log.h>
@@ -260,7 +261,6 @@
         logEvent(LogLevel::Info, "vms_changed", { { "vms", std::to_string(next.size()) } });
     this->siblings = std::move(next);
     const auto capacities = capacitiesOf(this->siblings);
-    this->holders = LimitHolders { capacities };
     this->chooseReaders(capacities);
     this->updateTracked(bootNow());
     const auto own = this->siblings.find(this->options.vm);
@@ -270,11 +270,34 @@
     this->place.rank = listed ? static_cast<std::size_t>(std::distance(this->siblings.begin(), own))
                               : this->siblings.size();
     this->place.vms = this->siblings.size() + (listed ? 0 : 1);
+    this->publishPlace(capacities);
+    this->divideLimits();
+}
+
+void SessionControl::State::publishPlace(const std::map<VmName, VmCapacity>& capacities)
+{
+    this->holders = limitHoldersAmong(capacities, this->ownerPlan.byZone);
     this->place.owners = ServiceOwners::areUseful(capacities.size())
-        ? std::make_shared<ServiceOwners>(this->options.vm, capacities)
+        ? std::make_shared<ServiceOwners>(this->options.vm, capacities, this->ownerPlan)
         : nullptr;
     this->options.traffic.setPlace(this->place);
-    this->options.traffic.setSiblings(this->siblings);
+    this->options.traffic.setSiblings(this->siblings, this->ownerPlan.byZone);
+}
+
+void SessionControl::State::applyZonePlacement(const SiblingExchange::ZonePlacement& measured)
+{
+    if (measured.byZone == this->ownerPlan.byZone)
+        return;
+    this->ownerPlan.byZone = measured.byZone;
+    if (measured.difference)
+        this->place.zoneRoundTrip = *measured.difference;
+    logEvent(LogLevel::Info, "placement_by_zone",
+        { { "now", measured.byZone ? "yes" : "no" },
+            { "difference_ms",
+                measured.difference ? millisecondsText(*measured.difference) : std::string { "unknown" } } });
+    if (this->siblings.empty())
+        return;
+    this->publishPlace(capacitiesOf(this->siblings));
     this->divideLimits();
 }
 
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -8,6 +8,7 @@
 #include <cyclamendrift/membership/missing_vms.h>
 #include <cyclamendrift/membership/store_call_throttle.h>
 #include <cyclamendrift/membership/store_reader_selector.h>
+#include <cyclamendrift/pooling/owner_load.h>
 #include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/session_proxy/byte_budget.h>
 #include <cyclamendrift/session_proxy/metered_store.h>
@@ -149,6 +150,9 @@
     std::size_t callers = 0;
     std::size_t connections = 0;
     SiblingTraffic siblingTraffic;
+    Duration longestExpectedWait {};
+    /// What the owners of services are selected by, besides the list of VMs.
+    OwnerPlan ownerPlan;
 
 private:
     template <class Work> void spawn(Work work)
@@ -312,6 +316,10 @@
     [[nodiscard]] asio::awaitable<void> publishOwnRecord();
     void openSiblings(const std::string& secret);
     void applyVms();
+    /// Takes over whether owners are placed by availability zone.
+    void applyZonePlacement(const SiblingExchange::ZonePlacement& measured);
+    /// Selects the owners again after a change of the VMs or of the plan, and passes on what depends on them.
+    void publishPlace(const std::map<VmName, VmCapacity>& capacities);
     /// Keeps VMs listed whose records expired together with many others.
     void retainMissingVms(SiblingList& next);
     void chooseReaders(const std::map<VmName, VmCapacity>& capacities);
@@ -329,6 +337,7 @@
     std::map<UpstreamName, Instant> missingSince;
     std::map<std::string, std::string> unreadable;
     FleetPlace place;
+    OwnerCount ownerCount;
     Dependency configurationSource;
     Dependency directorySource;
     Dependency leadershipSource;
--- a/src/session_proxy/forwarding_codec.cpp
+++ b/src/session_proxy/forwarding_codec.cpp
@@ -6,6 +6,8 @@
 
 #include <homes.pb.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace cyclamendrift::forwarding_codec {
@@ -91,6 +93,37 @@
     return MalformedStatement {};
 }
 
+// Longer waits are all the same to a VM that chooses an owner.
+constexpr std::uint32_t maxWaitMs = 10'000;
+// Above the number of upstreams of any service. A message with more zones is not from an owner.
+constexpr int maxPlacementZones = 64;
+
+wire::HandedPlacement wirePlacement(const PlacementHint& placement)
+{
+    wire::HandedPlacement message;
+    for (const auto zone : placement.zonesInService) {
+        message.add_zones(static_cast<std::uint32_t>(zone));
+        if (zone == placement.primaryZone)
+            message.set_primary(static_cast<std::uint32_t>(message.zones_size()));
+    }
+    const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(placement.expectedWait).count();
+    message.set_wait_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(waitMs, 0, maxWaitMs)));
+    return message;
+}
+
+PlacementHint placementFrom(const wire::HandedPlacement& message)
+{
+    PlacementHint placement { .expectedWait
+        = std::chrono::milliseconds { std::min(message.wait_ms(), maxWaitMs) } };
+    if (message.zones_size() > maxPlacementZones)
+        return placement;
+    for (const auto zone : message.zones())
+        placement.zonesInService.push_back(ZoneKey { zone });
+    if (message.primary() > 0 && message.primary() <= placement.zonesInService.size())
+        placement.primaryZone = placement.zonesInService[message.primary() - 1];
+    return placement;
+}
+
 } // namespace
 
 std::string encode(const ForwardedStatement& work)
@@ -159,6 +192,8 @@
     message.set_phase(static_cast<std::uint32_t>(reply.phase));
     if (reply.progress)
         *message.mutable_progress() = wireProgress(*reply.progress);
+    if (reply.placement)
+        *message.mutable_placement() = wirePlacement(*reply.placement);
     return message.SerializeAsString();
 }
 
@@ -179,6 +214,8 @@
     }
     if (message.has_progress())
         reply.progress = progressFrom(message.progress());
+    if (message.has_placement())
+        reply.placement = placementFrom(message.placement());
     return reply;
 }
 
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -251,6 +251,11 @@
     count("retried_total", "Times a statement was offered to an upstream anew.", own.counters.retried);
     count("connections_opened_total", "Connections to upstreams opened.", own.counters.connectionsOpened);
     count("handed_on_total", "Statements handed to the home of their service.", own.counters.forwarded);
+    constexpr auto zonesHelp = "Statements handed to the home of their service, by its availability zone.";
+    count("handed_on_by_zone_total", zonesHelp, own.counters.forwarded - own.counters.forwardedAcrossZones,
+        { { "availability_zone", "own" } });
+    count("handed_on_by_zone_total", zonesHelp, own.counters.forwardedAcrossZones,
+        { { "availability_zone", "other" } });
     count("taken_for_siblings_total", "Statements run here as the home of their service.",
         own.counters.acceptedFromSiblings);
     constexpr auto readsHelp = "Reads answered, by the kind of upstream.";
@@ -258,6 +263,12 @@
     count("reads_total", readsHelp, own.counters.readsOnPrimary, { { "at", "primary" } });
     show("evacuated_availability_zones", "Availability zones that operators evacuate.",
         own.evacuatedZones.size());
+    show("placed_by_zone", "1 while homes of services are placed by availability zone.",
+        own.ownerPlan.byZone ? 1 : 0);
+    show("expected_wait_milliseconds",
+        "The longest time that a statement of any service is expected to wait here for an upstream.",
+        static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(own.longestExpectedWait).count()));
     show("sessions", "Callers' sessions that are open.", own.callers);
     show("upstream_connections", "Connections to upstreams that are open.", own.connections);
     show("vms", "VMs that are listed.", own.siblings.size());
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -58,6 +58,7 @@
         , traffic({ .context = trafficContext,
               .vm = options.settings.vm.name,
               .zone = options.settings.vm.zone,
+              .placementByZone = options.settings.placementByZone,
               .process = process,
               .siblingHost = options.settings.siblings.address,
               .siblingPort = options.settings.siblings.port,
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -52,6 +52,7 @@
         , exchange({ .context = options.context,
               .self = options.vm,
               .zone = options.zone,
+              .placementByZone = options.placementByZone,
               .listenHost = options.siblingHost,
               .listenPort = options.siblingPort,
               .giveTokens
@@ -129,6 +130,7 @@
     const auto now = bootNow();
     this->state->engine.tick(now);
     this->performAll();
+    this->state->exchange.measureZones(now);
     if (!this->state->ticksAreIdle && this->state->engine.isIdle())
         this->state->startTicks(true);
     this->drainTick(now);
@@ -381,10 +383,10 @@
         [this, secret = std::move(secret)] { this->state->exchange.open(secret); });
 }
 
-void SessionTraffic::setSiblings(SiblingList siblings)
+void SessionTraffic::setSiblings(SiblingList siblings, bool placedByZone)
 {
-    asio::post(this->state->options.context, [this, siblings = std::move(siblings)]() mutable {
-        this->state->exchange.setSiblings(std::move(siblings));
+    asio::post(this->state->options.context, [this, siblings = std::move(siblings), placedByZone]() mutable {
+        this->state->exchange.setSiblings(std::move(siblings), placedByZone);
     });
 }
 
@@ -412,6 +414,8 @@
             .demand = engine.takeDemand(),
             .counters = engine.counters(),
             .siblingTraffic = this->state->exchange.traffic(),
+            .zonePlacement = this->state->exchange.zonePlacement(),
+            .longestExpectedWait = engine.longestExpectedWait(),
             .callers = engine.callers(),
             .connections = engine.connections() });
     });
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -1,6 +1,7 @@
 #include <cyclamendrift/session_proxy/sibling_exchange.h>
 
 #include <cyclamendrift/core/request_error.h>
+#include <cyclamendrift/membership/owner_selection.h>
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/siblings/sibling_error.h>
 #include <cyclamendrift/telemetry/event_log.h>
@@ -32,6 +33,13 @@
 constexpr Duration connectTimeout = std::chrono::milliseconds { 120 };
 // Each further request costs the waiting operation a round trip.
 constexpr std::size_t maxDonorsAsked = 4;
+// Round trips between zones change rarely. The first ones are measured in quick succession, because placement
+// by zone stays off until the distance is known.
+constexpr Duration zoneMeasurementInterval = std::chrono::seconds { 5 };
+constexpr Duration firstMeasurementInterval = std::chrono::milliseconds { 500 };
+constexpr std::size_t firstMeasurements = 8;
+// The VMs of a zone with the most cores are owners of most services, so this VM keeps links to them anyway.
+constexpr std::size_t measuredVmsPerZone = 4;
 
 [[noreturn]] void refuse(const char* message) { throw notRun(RefusalReason::BadRequest, message); }
 
@@ -40,6 +48,7 @@
 struct SiblingExchange::State : std::enable_shared_from_this<State> {
     explicit State(Options given)
         : options(std::move(given))
+        , zoneDistance(this->options.zone, this->options.placementByZone)
     {
     }
 
@@ -135,10 +144,12 @@
         }
     }
 
+    /// Reports the round trip of a call that does nothing, or nothing when there was no answer.
     [[nodiscard]] static asio::awaitable<void> checkLiveness(
-        std::shared_ptr<State> self, VmName owner, std::function<void(bool)> done)
+        std::shared_ptr<State> self, VmName owner, std::function<void(std::optional<Duration>)> done)
     {
         bool alive = false;
+        const auto startedAt = bootNow();
         const auto sibling = self->siblings.find(owner);
         if (sibling != self->siblings.end() && self->client) {
             SiblingCall call { .method = livenessMethod,
@@ -153,7 +164,54 @@
                 alive = false;
             }
         }
-        done(alive);
+        done(alive ? std::optional { bootNow() - startedAt } : std::nullopt);
+    }
+
+    /// Sets the VMs to which round trips are measured.
+    void setMeasuredVms()
+    {
+        std::map<ZoneName, std::size_t> otherVms;
+        this->measuredVms.clear();
+        for (const auto& vm : rankByCores(capacitiesOf(this->siblings))) {
+            if (vm == this->options.self)
+                continue;
+            const auto& zone = this->siblings.at(vm).capacity.zone;
+            ++otherVms[zone];
+            if (auto& measured = this->measuredVms[zone]; measured.size() < measuredVmsPerZone)
+                measured.push_back(vm);
+        }
+        // Each VM measures the distance to another one, so that none of them gets the calls of the whole
+        // fleet.
+        for (auto& [zone, vms] : this->measuredVms)
+            rankByRendezvous(vms, "distance/" + this->options.self.string());
+        this->zoneDistance.setZones(otherVms);
+    }
+
+    static void measureZones(const std::shared_ptr<State>& self, Instant now)
+    {
+        if (!self->client || now < self->measureZonesAt
+            || self->options.placementByZone == PlacementByZone::Never || self->measuredVms.empty()
+            || !ServiceOwners::areUseful(self->siblings.size()))
+            return;
+        const bool first = self->zoneMeasurements++ < firstMeasurements;
+        self->measureZonesAt = now + (first ? firstMeasurementInterval : zoneMeasurementInterval);
+        for (const auto& [zone, vms] : self->measuredVms) {
+            // A VM that has not answered is replaced by the next one of its zone.
+            const auto& vm = vms[self->unansweredMeasurements[zone] % vms.size()];
+            const std::weak_ptr<State> weak = self;
+            auto done = [weak, zone = zone](std::optional<Duration> roundTrip) {
+                const auto alive = weak.lock();
+                if (!alive)
+                    return;
+                if (roundTrip)
+                    alive->zoneDistance.sampled(zone, *roundTrip);
+                else
+                    ++alive->unansweredMeasurements[zone];
+                alive->placedByZone = alive->zoneDistance.update();
+            };
+            asio::co_spawn(
+                self->options.context, State::checkLiveness(self, vm, std::move(done)), asio::detached);
+        }
     }
 
     [[nodiscard]] static asio::awaitable<void> forward(
@@ -192,6 +250,13 @@
     SiblingTraffic traffic;
     LimitHolders holders;
     DonorSelector donors;
+    ZoneDistance zoneDistance;
+    bool placedByZone = this->zoneDistance.update();
+    /// By availability zone.
+    std::map<ZoneName, std::vector<VmName>> measuredVms;
+    std::map<ZoneName, std::size_t> unansweredMeasurements;
+    Instant measureZonesAt = Instant::min();
+    std::size_t zoneMeasurements = 0;
     std::unique_ptr<SiblingClient> client;
     std::unique_ptr<SiblingServer> server;
 };
@@ -204,6 +269,11 @@
     return capacities;
 }
 
+LimitHolders limitHoldersAmong(const std::map<VmName, VmCapacity>& listed, [[maybe_unused]] bool placedByZone)
+{
+    return LimitHolders { listed };
+}
+
 SiblingExchange::SiblingExchange(Options options)
     : state(std::make_shared<State>(std::move(options)))
 {
@@ -242,10 +312,18 @@
 
 bool SiblingExchange::isOpen() const noexcept { return this->state->client != nullptr; }
 
-void SiblingExchange::setSiblings(SiblingList siblings)
+void SiblingExchange::setSiblings(SiblingList siblings, bool placedByZone)
 {
-    this->state->holders = LimitHolders { capacitiesOf(siblings) };
+    this->state->holders = limitHoldersAmong(capacitiesOf(siblings), placedByZone);
     this->state->siblings = std::move(siblings);
+    this->state->setMeasuredVms();
+}
+
+void SiblingExchange::measureZones(Instant now) { State::measureZones(this->state, now); }
+
+SiblingExchange::ZonePlacement SiblingExchange::zonePlacement() const
+{
+    return { .byZone = this->state->placedByZone, .difference = this->state->zoneDistance.difference() };
 }
 
 const SiblingTraffic& SiblingExchange::traffic() const noexcept { return this->state->traffic; }
@@ -285,7 +363,9 @@
 
 void SiblingExchange::checkLiveness(const VmName& owner, std::function<void(bool)> done)
 {
-    asio::co_spawn(this->state->options.context, State::checkLiveness(this->state, owner, std::move(done)),
+    asio::co_spawn(this->state->options.context,
+        State::checkLiveness(this->state, owner,
+            [done = std::move(done)](std::optional<Duration> roundTrip) { done(roundTrip.has_value()); }),
         asio::detached);
 }
 
--- a/src/settings/session_settings.cpp
+++ b/src/settings/session_settings.cpp
@@ -59,6 +59,17 @@
     return megabits * bytesOfMegabit;
 }
 
+/// Reads `[placement]`.
+PlacementByZone readPlacement(SettingsReader& reader)
+{
+    std::string mode = "auto";
+    reader.enter("placement");
+    reader.word("by_zone", mode, { "auto", "always", "never" });
+    if (mode == "always")
+        return PlacementByZone::Always;
+    return mode == "never" ? PlacementByZone::Never : PlacementByZone::Auto;
+}
+
 SessionSettings readAll(SettingsReader& reader)
 {
     SessionSettings settings;
@@ -78,6 +89,7 @@
     readAddress(reader, "promotion", settings.promotionAddress);
     reader.enter("shutdown");
     reader.milliseconds("grace_ms", settings.grace);
+    settings.placementByZone = readPlacement(reader);
     readLog(reader, settings.log);
     reader.finish();
     return settings;
--- a/tests/pooling/service_owners_test.cpp
+++ b/tests/pooling/service_owners_test.cpp
@@ -22,6 +22,18 @@
     return listed;
 }
 
+/// Four zones of equal VMs, two of 0.5 cores and `weakVms` of 0.12 cores each.
+std::map<VmName, VmCapacity> zonedFleet(std::size_t weakVms = 14)
+{
+    std::map<VmName, VmCapacity> listed;
+    for (const std::string zone : { "agrigento", "catania", "palermo", "ragusa" }) {
+        for (std::size_t index = 0; index < weakVms + 2; ++index)
+            listed[VmName { zone + "-" + std::to_string(index) }]
+                = { .zone = ZoneName { zone }, .cores = index < 2 ? 0.5 : 0.12 };
+    }
+    return listed;
+}
+
 TeamName numberedTeam(int number) { return TeamName { "team-" + std::to_string(number) }; }
 
 } // namespace
@@ -133,4 +145,82 @@
         }
         CHECK(contactedOwners.size() == 50);
     }
+
+    TEST_CASE("by zone, every VM selects the same two to four owners in each zone")
+    {
+        // Guards against VMs that forward one team's statements to different owners, which would open its
+        // connections twice.
+        const OwnerPlan byZone { .byZone = true };
+        for (const std::uint32_t cap : { 21U, 70U, 240U }) {
+            ServiceOwners one { VmName { "catania-1" }, zonedFleet(), byZone };
+            ServiceOwners other { VmName { "ragusa-9" }, zonedFleet(), byZone };
+            REQUIRE(one.zones().size() == 4);
+            for (const auto& zone : one.zones()) {
+                const auto& owners = one.rankedOwnersIn(zone, service, numberedTeam(1), cap);
+                CHECK(owners.size() >= 2);
+                CHECK(owners.size() <= 4);
+                CHECK(owners == other.rankedOwnersIn(zone, service, numberedTeam(1), cap));
+                for (const auto& vm : owners)
+                    CHECK(*one.zoneOf(vm) == zone);
+            }
+        }
+    }
+
+    TEST_CASE("by zone, the owners near an upstream share three quarters of its connections")
+    {
+        // Guards against more connections than the upstream accepts, and against owners far from it that hold
+        // the connections which statements of its zone need.
+        const OwnerPlan byZone { .byZone = true };
+        const ZoneName near { "palermo" };
+        for (const std::uint32_t cap : { 34U, 70U, 240U }) {
+            std::size_t forNear = 0;
+            std::size_t forFar = 0;
+            ServiceOwners any { VmName { "ragusa-9" }, zonedFleet(), byZone };
+            for (const auto& vm : any.ownersOf(service, cap)) {
+                ServiceOwners owners { vm, zonedFleet(), byZone };
+                const auto share = owners.connectionShareOf(service, cap, near);
+                CHECK(share >= 1);
+                (*owners.zoneOf(vm) == near ? forNear : forFar) += share;
+            }
+            CHECK(forNear + forFar <= cap - cap / 8);
+            CHECK(forNear >= cap / 2);
+            CHECK(any.connectionShareOf(service, cap, near) == 1);
+        }
+    }
+
+    TEST_CASE("by zone, an upstream in a zone without VMs is shared by all owners")
+    {
+        ServiceOwners any { VmName { "none" }, zonedFleet(), { .byZone = true } };
+        const auto owners = any.ownersOf(service, 70);
+        ServiceOwners one { owners.front(), zonedFleet(), { .byZone = true } };
+        CHECK(one.connectionShareOf(service, 70, ZoneName { "enna" }) == 62 / owners.size());
+        CHECK(one.holdersAt(ZoneName { "enna" }, service, 70) == owners);
+    }
+
+    TEST_CASE("by zone, the VMs beside an owner are the candidates of its zone")
+    {
+        // Guards against statements that wait for each owner of a lost zone in turn.
+        ServiceOwners owners { VmName { "catania-1" }, zonedFleet(), { .byZone = true } };
+        const auto inZone = owners.rankedOwnersIn(ZoneName { "ragusa" }, service, numberedTeam(1), 70);
+        const auto beside = owners.candidatesBeside(inZone.front());
+        CHECK(std::find(beside.begin(), beside.end(), inZone.back()) != beside.end());
+        for (const auto& vm : beside)
+            CHECK(*owners.zoneOf(vm) == ZoneName { "ragusa" });
+    }
+
+    TEST_CASE("an owner that fails leaves the teams of the other owners of its zone where they are")
+    {
+        auto listed = zonedFleet();
+        ServiceOwners before { VmName { "catania-1" }, listed, { .byZone = true } };
+        const ZoneName zone { "ragusa" };
+        const auto owners = before.rankedOwnersIn(zone, service, numberedTeam(0), 70);
+        listed.erase(owners.front());
+        ServiceOwners after { VmName { "catania-1" }, listed, { .byZone = true } };
+        for (int team = 0; team < 75; ++team) {
+            const auto ownerBefore = before.rankedOwnersIn(zone, service, numberedTeam(team), 70).front();
+            const auto ownerAfter = after.rankedOwnersIn(zone, service, numberedTeam(team), 70).front();
+            const bool isNew = std::find(owners.begin(), owners.end(), ownerAfter) == owners.end();
+            CHECK((ownerBefore == ownerAfter || ownerBefore == owners.front() || isNew));
+        }
+    }
 }
--- a/tests/settings/session_settings_test.cpp
+++ b/tests/settings/session_settings_test.cpp
@@ -79,6 +79,20 @@
             != std::string::npos);
     }
 
+    TEST_CASE("placement by zone is automatic unless the file says otherwise")
+    {
+        CHECK(parseSessionSettings(whole, "node.toml").placementByZone == PlacementByZone::Auto);
+        const auto modeOf = [](const std::string& mode) {
+            return parseSessionSettings(whole + "[placement]\nby_zone = \"" + mode + "\"\n", "node.toml")
+                .placementByZone;
+        };
+        CHECK(modeOf("auto") == PlacementByZone::Auto);
+        CHECK(modeOf("always") == PlacementByZone::Always);
+        CHECK(modeOf("never") == PlacementByZone::Never);
+        CHECK(
+            problemsOf(whole + "[placement]\nby_zone = \"perhaps\"\n").find("by_zone") != std::string::npos);
+    }
+
     TEST_CASE("each mistake is told with its line and column, all at once")
     {
         auto text = whole;
