Refuse what begins once the configuration is no longer valid

The engine compares setConfigurationValidUntil() with its own clock at each session start and operation, so that it refuses with BUSY also right after a suspension, before the control thread has run. It never says then that a database or key is not known. Open transactions go on. One line is logged when the state begins and one when it ends, and the refusals are counted.

setMaxConnections() bounds the connections to upstreams, for the reserve of file descriptors.

Test: test_pooling, "a VM whose configuration nobody confirms answers busy, and never that a name is not known" and "a VM opens no more connections to upstreams than its descriptors allow".

--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -59,7 +59,8 @@
     /// earlier by more than this. A connection is bound to its team, and opening one for another team takes
     /// the upstream as long as a short statement.
     Duration teamAffinityWindow = std::chrono::milliseconds { 80 };
-    /// Retry advice while this VM lacks a later configuration; another VM has it.
+    /// Retry advice while this VM lacks a later configuration, or nobody has confirmed the one that it has;
+    /// another VM has the latest.
     Duration outdatedRetryAfter = std::chrono::milliseconds { 200 };
     /// Retry advice while a primary is being replaced; about the duration of a replacement.
     Duration primaryChangeRetryAfter = std::chrono::milliseconds { 1000 };
--- a/include/cyclamendrift/pooling/session_engine.h
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -57,6 +57,8 @@
 struct EngineCounters {
     std::uint64_t answered = 0;
     std::uint64_t refused = 0;
+    /// Of the refused sessions and operations, those that met an unconfirmed configuration.
+    std::uint64_t refusedUnconfirmed = 0;
     std::uint64_t failed = 0;
     std::uint64_t inDoubt = 0;
     std::uint64_t retried = 0;
@@ -116,6 +118,11 @@
     /// While the routes are known to be outdated, sessions and operations that begin are refused; open
     /// transactions go on.
     void setConfigurationOutdated(bool outdated, Instant now);
+    /// From this instant on, sessions and operations that begin are refused, because nobody has confirmed the
+    /// routes for too long; open transactions go on. There is no such instant until this is called.
+    void setConfigurationValidUntil(Instant until);
+    /// Limits the connections to upstreams in total; idle ones may still be replaced.
+    void setMaxConnections(std::size_t connections);
     void setDirectory(const UpstreamDirectory& directory, Instant now);
     void setLeader(const ServiceName& service, const LeaderView& view, Instant now);
     /// Operators evacuate these availability zones: their upstreams get no new statements, and transactions
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -41,8 +41,8 @@
     auto& session = this->callers[static_cast<std::uint64_t>(id)];
     session.id = id;
     session.lastActive = this->now;
-    if (this->configurationOutdated) {
-        this->closeSession(id, StatementFailure { StatementError::Busy, this->outdatedText() });
+    if (auto text = this->refusalByConfiguration()) {
+        this->closeSession(id, StatementFailure { StatementError::Busy, *std::move(text) });
         return;
     }
     const auto* route = this->routes->findRoute(start.database);
@@ -153,15 +153,32 @@
     this->answer(session, failureReply(StatementError::Malformed, "the statement cannot be read"));
 }
 
-std::string SessionEngine::State::outdatedText() const
+std::optional<std::string> SessionEngine::State::refusalByConfiguration()
 {
-    return adviceText("this VM lacks a later configuration", this->options.settings.outdatedRetryAfter);
+    const auto retryAfter = this->options.settings.outdatedRetryAfter;
+    if (this->configurationOutdated)
+        return adviceText("this VM lacks a later configuration", retryAfter);
+    this->checkConfigurationValidity();
+    if (!this->configurationExpired)
+        return std::nullopt;
+    ++this->counters.refusedUnconfirmed;
+    return adviceText("nobody has confirmed this VM's configuration", retryAfter);
+}
+
+void SessionEngine::State::checkConfigurationValidity()
+{
+    const bool expired = this->now >= this->configurationValidUntil;
+    if (expired == this->configurationExpired)
+        return;
+    this->configurationExpired = expired;
+    this->log(expired ? "configuration_unconfirmed" : "configuration_valid",
+        { { "version", std::to_string(this->routes->version) } });
 }
 
 bool SessionEngine::State::checkPermission(CallerSession& session)
 {
-    if (this->configurationOutdated) {
-        this->refuse(session, StatementError::Busy, this->outdatedText());
+    if (auto text = this->refusalByConfiguration()) {
+        this->refuse(session, StatementError::Busy, *std::move(text));
         return false;
     }
     const auto* route = this->routes->findRoute(session.database);
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -245,7 +245,7 @@
     // After a refusal a single attempt shows whether the upstream has connections again.
     const bool isFull
         = this->now < upstream.fullUntil || (upstream.fullCount > 0 && this->isOpening(upstream));
-    if (isFull && !replacesIdle)
+    if ((isFull || this->connections.size() >= this->maxConnections) && !replacesIdle)
         return false;
     return hasIdle || upstream.connections.size() < this->maxConnectionsAt(upstream);
 }
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -64,6 +65,8 @@
 
     // engine_callers
     void startSession(CallerId id, const SessionStart& start);
+    /// Logs when the time for which the configuration is valid ends, and when it is valid again.
+    void checkConfigurationValidity();
     void receiveStatement(CallerId id, CallerQuery query);
     void removeSession(CallerId id);
     void answer(CallerSession& session, Reply reply);
@@ -137,6 +140,10 @@
     Instant now;
     std::shared_ptr<const RouteTable> routes = std::make_shared<const RouteTable>();
     bool configurationOutdated = false;
+    Instant configurationValidUntil = Instant::max();
+    /// True once it was logged that the configuration is no longer valid.
+    bool configurationExpired = false;
+    std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
     std::map<ServiceName, GroupState> groups;
     /// Groups with statements that wait for a connection, so that a tick does not visit all groups.
     std::set<ServiceName> groupsWithWaiting;
@@ -160,7 +167,8 @@
 
 private:
     // engine_callers
-    [[nodiscard]] std::string outdatedText() const;
+    /// The text of the refusal of what begins now; empty when the configuration may be acted on.
+    [[nodiscard]] std::optional<std::string> refusalByConfiguration();
     void runNextStatement(CallerSession& session);
     void runStatement(CallerSession& session, CallerQuery query);
     void startOperation(CallerSession& session, CallerQuery query);
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -139,6 +139,13 @@
     this->state->configurationOutdated = outdated;
 }
 
+void SessionEngine::setConfigurationValidUntil(Instant until)
+{
+    this->state->configurationValidUntil = until;
+}
+
+void SessionEngine::setMaxConnections(std::size_t connections) { this->state->maxConnections = connections; }
+
 void SessionEngine::setDirectory(const UpstreamDirectory& directory, Instant now)
 {
     auto& engine = *this->state;
@@ -237,6 +244,7 @@
 {
     auto& engine = *this->state;
     engine.now = now;
+    engine.checkConfigurationValidity();
     engine.checkTimeouts();
     engine.tickGroups();
     engine.closeIdleConnections();
--- a/tests/pooling/session_engine_test.cpp
+++ b/tests/pooling/session_engine_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <utility>
+
 using namespace cyclamendrift;
 using namespace std::chrono_literals;
 
@@ -158,6 +160,54 @@
         simulation.engine.setConfigurationOutdated(false, simulation.now);
         CHECK_FALSE(simulation.run(caller, "c/2", "READ 1").failure);
     }
+
+    TEST_CASE("a VM whose configuration nobody confirms answers busy, and never that a name is not known")
+    {
+        // Guards against a VM that is cut off, or wakes from a suspension, and tells callers by a replaced
+        // configuration that their database or key does not exist. No message of the control thread and no
+        // tick comes before the callers' messages.
+        PoolSimulation simulation { {} };
+        const auto caller = simulation.connect();
+        const auto inTransaction = simulation.connect();
+        CHECK_FALSE(simulation.run(inTransaction, "t/1", "BEGIN").failure);
+        CHECK_FALSE(simulation.run(inTransaction, "t/2", "WRITE 1 x").failure);
+        simulation.engine.setConfigurationValidUntil(simulation.now + 1s);
+        CHECK_FALSE(simulation.run(caller, "c/1", "READ 1").failure);
+        simulation.now += 1s;
+        const auto refused = simulation.run(caller, "c/2", "READ 1");
+        CHECK(errorOf(refused) == StatementError::Busy);
+        CHECK(refused.failure->text.find("retry after 200 ms") != std::string::npos);
+        CHECK(simulation.executionCount("c/2") == 0);
+        for (const auto& [key, database] : { std::pair { "key-a", "nothing" }, { "nobody", "beds" } }) {
+            const auto closed = simulation.closeFailure(simulation.connect(key, database));
+            REQUIRE(closed);
+            CHECK(closed->error == StatementError::Busy);
+        }
+        CHECK(simulation.engine.counters().refusedUnconfirmed == 3);
+        simulation.renewView();
+        CHECK_FALSE(simulation.run(inTransaction, "t/3", "COMMIT").failure);
+        simulation.engine.setConfigurationValidUntil(simulation.now + 1s);
+        CHECK_FALSE(simulation.run(caller, "c/3", "READ 1").failure);
+        CHECK(simulation.loggedEvents("configuration_unconfirmed").size() == 1);
+        CHECK(simulation.loggedEvents("configuration_valid").size() == 1);
+    }
+
+    TEST_CASE("a VM opens no more connections to upstreams than its descriptors allow")
+    {
+        // Guards against a VM that uses up its file descriptors and can reach neither siblings nor the store.
+        PoolSimulation simulation { {} };
+        simulation.engine.setMaxConnections(1);
+        const auto first = simulation.connect();
+        const auto second = simulation.connect();
+        CHECK_FALSE(simulation.run(first, "a/1", "BEGIN").failure);
+        CHECK_FALSE(simulation.run(first, "a/2", "WRITE 1 x").failure);
+        simulation.submit(second, "b/1", "WRITE 2 x");
+        CHECK(simulation.takeReplies(second).empty());
+        CHECK(simulation.openConnections() == 1);
+        CHECK_FALSE(simulation.run(first, "a/3", "COMMIT").failure);
+        CHECK_FALSE(simulation.takeReply(second).failure);
+        CHECK(simulation.openConnections() == 1);
+    }
 }
 
 TEST_SUITE("transactions")
