--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -318,7 +318,7 @@
     // After a refusal a single attempt shows whether the upstream has connections again.
     const bool isFull
         = this->now < upstream.fullUntil || (upstream.fullCount > 0 && upstream.connections.opening() > 0);
-    if (isFull && !replacesIdle)
+    if ((isFull || this->connections.size() >= this->maxConnections) && !replacesIdle)
         return false;
     return hasIdle || upstream.connections.size() < this->maxConnectionsAt(upstream);
 }
