--- a/include/cyclamendrift/settings/session_settings.h
+++ b/include/cyclamendrift/settings/session_settings.h
@@ -32,6 +32,11 @@
     std::string storeAddress;
     /// `[promotion] address`: host and port at which primaries are named.
     std::string promotionAddress;
+    /// `[configuration] apply_limit_ms`: time within which a change of the configuration must be in force.
+    Duration configurationApplyLimit = std::chrono::milliseconds { 3000 };
+    /// `[configuration] outage_extension_ms`: for how much longer this VM acts on a configuration that nobody
+    /// confirms while the store serves nobody.
+    Duration configurationOutageExtension = std::chrono::milliseconds { 12000 };
     /// `[shutdown] grace_ms`: from SIGTERM to the end at the latest.
     Duration grace = std::chrono::seconds { 6 };
     /// `[log]`
--- a/src/settings/session_settings.cpp
+++ b/src/settings/session_settings.cpp
@@ -2,6 +2,8 @@
 
 #include "settings_sections.h"
 
+#include <cyclamendrift/core/duration_text.h>
+
 #include <asio/ip/address.hpp>
 
 #include <charconv>
@@ -59,6 +61,18 @@
     return megabits * bytesOfMegabit;
 }
 
+/// Reads `[configuration]`: how long this VM acts on a configuration that nobody confirms.
+void readConfigurationLimits(SettingsReader& reader, SessionSettings& settings)
+{
+    // Confirmations are normally more than a second apart; a VM with less time could serve nothing.
+    constexpr Duration leastApplyLimit = std::chrono::milliseconds { 1000 };
+    reader.enter("configuration");
+    reader.milliseconds("apply_limit_ms", settings.configurationApplyLimit);
+    if (settings.configurationApplyLimit < leastApplyLimit)
+        reader.report("apply_limit_ms", "must be at least " + millisecondsText(leastApplyLimit));
+    reader.milliseconds("outage_extension_ms", settings.configurationOutageExtension);
+}
+
 SessionSettings readAll(SettingsReader& reader)
 {
     SessionSettings settings;
@@ -76,6 +90,7 @@
     readEndpoint(reader, settings.siblings);
     readAddress(reader, "store", settings.storeAddress);
     readAddress(reader, "promotion", settings.promotionAddress);
+    readConfigurationLimits(reader, settings);
     reader.enter("shutdown");
     reader.milliseconds("grace_ms", settings.grace);
     readLog(reader, settings.log);
--- a/tests/settings/session_settings_test.cpp
+++ b/tests/settings/session_settings_test.cpp
@@ -79,6 +79,23 @@
             != std::string::npos);
     }
 
+    TEST_CASE("the limits of an unconfirmed configuration have defaults and are checked")
+    {
+        // Guards against a VM that refuses operations between two confirmations, and against a platform
+        // without these bounds whose VMs do not start.
+        const auto defaults = parseSessionSettings(whole, "node.toml");
+        CHECK(defaults.configurationApplyLimit == 3s);
+        CHECK(defaults.configurationOutageExtension == 12s);
+        const auto given = parseSessionSettings(
+            whole + "[configuration]\napply_limit_ms = 5000\noutage_extension_ms = 15000\n", "node.toml");
+        CHECK(given.configurationApplyLimit == 5s);
+        CHECK(given.configurationOutageExtension == 15s);
+        CHECK(problemsOf(whole + "[configuration]\napply_limit_ms = 900\n").find("at least 1000")
+            != std::string::npos);
+        CHECK(problemsOf(whole + "[configuration]\noutage_extension_ms = 0\n").find("outage_extension_ms")
+            != std::string::npos);
+    }
+
     TEST_CASE("each mistake is told with its line and column, all at once")
     {
         auto text = whole;
