Refuse operations at a VM whose configuration nobody confirms

The control thread passes the confirmations and the reports of an outage of the store to ConfigurationValidity and its result to the engine. An outage is believed when more VMs than there are store readers answer that the store does not serve them, or when this VM's own call fails while its event loop is on time, it can open a file descriptor, and a sibling was heard within 2 s (or there is none). A store reader whose calls fail now asks a sibling too, besides the store, so that it learns of a later configuration when the store refuses just this reader.

An answer of a watch that was handled after a suspension counted as a confirmation of that moment; it counts from the last time at which the event loop was on time now.

Readings and the configuration are requested over connections of the control thread, so that these requests do not queue behind statements.

Ticks of both threads that are more than 100 ms late are counted and logged. configuration_age_seconds has fractions now.

--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -3,6 +3,7 @@
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/leadership/leader_coordinator.h>
 #include <cyclamendrift/limits/limit_shares.h>
+#include <cyclamendrift/membership/configuration_validity.h>
 #include <cyclamendrift/membership/fleet_join.h>
 #include <cyclamendrift/platform/store.h>
 #include <cyclamendrift/session_proxy/ports.h>
@@ -90,6 +91,8 @@
     Duration tickInterval = std::chrono::milliseconds { 50 };
     /// Interval of reports from the traffic thread; delays the detection of a failed primary by as much.
     Duration reportInterval = std::chrono::milliseconds { 150 };
+    /// Interval of the checks that the event loop of the control thread is on time.
+    Duration latenessInterval = std::chrono::milliseconds { 100 };
 };
 
 /// Keeps the shared state of the fleet current on the control thread: the operators' configuration, the
@@ -111,6 +114,7 @@
         std::string siblingHost;
         std::uint16_t siblingPort = 0;
         ControlSettings settings;
+        ConfigurationValidity::Options configurationLimits;
         Store& store;
         LeadershipPort& leadership;
         const PlatformFormat& format;
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -6,7 +6,10 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -24,6 +27,8 @@
     SiblingTraffic siblingTraffic;
     std::size_t callers = 0;
     std::size_t connections = 0;
+    /// Ticks of the traffic thread that were late.
+    std::uint64_t lateTicks = 0;
 };
 
 /// Drives one SessionEngine on the traffic thread: passes on the events of callers and upstreams and the
@@ -42,6 +47,8 @@
         std::uint16_t siblingPort = 0;
         CallerPort& callers;
         UpstreamPort& upstreams;
+        /// Maximum number of connections to upstreams.
+        std::size_t maxUpstreamConnections = std::numeric_limits<std::size_t>::max();
         /// Called on the traffic thread when a shutdown has closed all sessions.
         std::function<void()> onDrained;
         /// Answers a sibling's request for this VM's readings of the store.
@@ -62,6 +69,8 @@
     void listen();
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     void setConfigurationOutdated(bool outdated);
+    /// No session or operation begins from this instant on; none does before the first call either.
+    void setConfigurationValidUntil(Instant until);
     void setDirectory(UpstreamDirectory directory);
     void setLeader(ServiceName service, const LeaderView& view);
     void setEvacuatedZones(std::set<ZoneName> zones);
@@ -70,12 +79,6 @@
     /// Starts to serve siblings, which must present the secret.
     void openSiblings(std::string secret);
     void setSiblings(SiblingList siblings);
-    /// Requests a sibling's readings of the store; throws SiblingError or RequestError.
-    [[nodiscard]] asio::awaitable<std::string> requestReadings(
-        SiblingAddress sibling, std::string request, Duration timeLimit);
-    /// Requests the configuration from a sibling; throws SiblingError or RequestError.
-    [[nodiscard]] asio::awaitable<std::string> requestConfiguration(
-        SiblingAddress sibling, std::string request, Duration timeLimit);
     /// Requests a report; `take` is called on the traffic thread.
     void report(std::function<void(TrafficReport)> take);
     /// Starts a graceful shutdown.
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -38,8 +38,8 @@
 /// Bytes of requests and answers, without frames.
 using SiblingTraffic = std::map<SiblingTrafficKind, std::uint64_t>;
 
-/// Calls between session proxies: requests for tokens of limits and for readings of the store, and statements
-/// that are forwarded to owner VMs. Used on the traffic thread.
+/// Calls between session proxies: requests for tokens of limits, and statements that are forwarded to owner
+/// VMs; also answers requests for readings of the store. Used on the traffic thread.
 class SiblingExchange {
 public:
     struct Options {
@@ -75,14 +75,6 @@
     /// Requests tokens from siblings, one after the other, and reports their sum; on the traffic thread.
     void requestTokens(const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done);
 
-    /// Requests a sibling's readings of the store; throws SiblingError or RequestError.
-    [[nodiscard]] asio::awaitable<std::string> requestReadings(
-        SiblingAddress sibling, std::string request, Duration timeLimit);
-
-    /// Requests the configuration from a sibling; throws SiblingError or RequestError.
-    [[nodiscard]] asio::awaitable<std::string> requestConfiguration(
-        SiblingAddress sibling, std::string request, Duration timeLimit);
-
     /// Forwards a statement to an owner VM and reports its answer; on the traffic thread.
     void forward(
         const VmName& owner, std::string work, Duration timeLimit, std::function<void(OwnerAnswer)> done);
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -171,6 +171,9 @@
     if (expired == this->configurationExpired)
         return;
     this->configurationExpired = expired;
+    // A VM that starts has not been confirmed yet, which is no event.
+    if (this->configurationValidUntil == Instant::min())
+        return;
     this->log(expired ? "configuration_unconfirmed" : "configuration_valid",
         { { "version", std::to_string(this->routes->version) } });
 }
--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -3,6 +3,7 @@
 #include <cyclamendrift/core/duration_text.h>
 #include <cyclamendrift/platform/store_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
+#include <cyclamendrift/runtime/descriptor_limit.h>
 #include <cyclamendrift/telemetry/event_log.h>
 
 #include <asio/bind_cancellation_slot.hpp>
@@ -15,6 +16,13 @@
 
 namespace cyclamendrift {
 
+namespace {
+
+// A VM that no sibling has asked or answered for this long may be cut off.
+constexpr Duration maxSiblingSilence = std::chrono::seconds { 2 };
+
+} // namespace
+
 void SessionControl::State::applyConfiguration(const std::string& value, std::uint64_t revision)
 {
     if (revision <= this->configurationRevision)
@@ -43,11 +51,49 @@
     }
 }
 
+void SessionControl::State::confirmConfiguration(Instant at)
+{
+    this->configurationValidity.confirmed(at, bootNow());
+    this->publishConfigurationValidity();
+}
+
+void SessionControl::State::recordStoreOutage(Instant at)
+{
+    this->configurationValidity.storeUnavailable(at, bootNow());
+    this->publishConfigurationValidity();
+}
+
+void SessionControl::State::recordStoreFailure(const StoreError& error)
+{
+    // With these errors the store has answered.
+    if (error.kind() == StoreError::Kind::LeaseGone || error.kind() == StoreError::Kind::Compacted)
+        return;
+    // A VM that is late, or has no file descriptors, fails to reach a store that serves the others.
+    const auto now = bootNow();
+    const auto tickDueBy
+        = this->lateness.onTimeAt() + this->options.settings.latenessInterval + LoopLateness::tolerance;
+    if (now > tickDueBy || !hasFreeDescriptor())
+        return;
+    // So does a VM that the network has cut off.
+    const auto others = this->siblings.size() - this->siblings.count(this->options.vm);
+    if (others > 0 && now > this->siblingHeardAt + maxSiblingSilence)
+        return;
+    this->recordStoreOutage(now);
+}
+
+void SessionControl::State::publishConfigurationValidity()
+{
+    const auto until = this->configurationValidity.validUntil();
+    if (until == std::exchange(this->publishedValidUntil, until))
+        return;
+    this->options.traffic.setConfigurationValidUntil(until);
+}
+
 void SessionControl::State::reportConfigurationAge(Instant now)
 {
     if (!this->routes)
         return;
-    const auto age = now - this->configurationConfirmedAt;
+    const auto age = now - std::max(this->configurationValidity.confirmedAt(), this->startedAt);
     const bool overdue = age >= this->options.settings.maxConfigurationAge;
     if (overdue == this->configurationOverdue)
         return;
@@ -104,13 +150,13 @@
     const auto key = this->options.format.configurationKey();
     try {
         const auto [listing, provenAt] = co_await this->readProven(this->options.format.operatorPrefix());
-        this->configurationConfirmedAt = std::max(this->configurationConfirmedAt, provenAt);
         this->configurationSource.succeeded();
         const auto entry = std::find_if(listing.entries.begin(), listing.entries.end(),
             [&key](const StoreEntry& candidate) { return candidate.key == key; });
         const bool found = entry != listing.entries.end();
         if (found)
             this->applyConfiguration(entry->value, entry->revision);
+        this->confirmConfiguration(provenAt);
         this->configurationLatestUntil = std::max(this->configurationLatestUntil, listing.revision);
         this->configurationWatchable = true;
         StoreListing requests { .revision = listing.revision };
@@ -121,7 +167,7 @@
             this->applyEvacuations();
         co_return found;
     } catch (const StoreError& error) {
-        this->configurationBackoff = this->backoffAfter(this->configurationSource, error.what());
+        this->configurationBackoff = this->backoffAfter(this->configurationSource, error);
         co_return false;
     }
 }
@@ -129,9 +175,10 @@
 void SessionControl::State::applyOperatorChange(const StoreChange& change)
 {
     const auto now = bootNow();
-    this->configurationConfirmedAt = now;
     if (change.key == this->options.format.configurationKey() && change.value)
         this->applyConfiguration(*change.value, change.revision);
+    // After a suspension, answers that arrived before it are handled now.
+    this->confirmConfiguration(std::min(now, this->lateness.onTimeAt()));
     this->configurationLatestUntil = std::max(this->configurationLatestUntil, change.revision);
     const auto prefix = this->options.format.evacuationPrefix();
     if (this->evacuations.takeChange(change, prefix, now) == SharedListing::Change::Entries)
@@ -206,7 +253,8 @@
         return true;
     const auto now = bootNow();
     const auto& settings = this->options.settings;
-    const auto confirmedAt = std::min(this->configurationConfirmedAt, this->evacuations.confirmedAt());
+    const auto confirmedAt
+        = std::min(this->configurationValidity.confirmedAt(), this->evacuations.confirmedAt());
     if (now < confirmedAt + settings.maxConfigurationAge)
         return false;
     // Siblings that have the document send it as soon as their links have capacity. If every VM that waits
@@ -287,7 +335,7 @@
             this->applyDirectory();
         co_return std::nullopt;
     } catch (const StoreError& error) {
-        co_return this->backoffAfter(this->directorySource, error.what());
+        co_return this->backoffAfter(this->directorySource, error);
     }
 }
 
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -29,7 +29,7 @@
         this->applyLeadership(ViewSource::Store);
         co_return std::nullopt;
     } catch (const StoreError& error) {
-        co_return this->backoffAfter(this->leadershipSource, error.what());
+        co_return this->backoffAfter(this->leadershipSource, error);
     }
 }
 
@@ -164,6 +164,7 @@
     this->siblingTraffic = report.siblingTraffic;
     this->callers = report.callers;
     this->connections = report.connections;
+    this->lateTrafficTicks = report.lateTicks;
     // A share grows only some time after the list of VMs from which it is computed.
     auto shares = this->shares.current();
     if (shares == this->publishedShares)
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -84,7 +84,7 @@
                     coordinator.onVmLeaseExpired(bootNow());
                 pause = settings.minBackoff;
             } else {
-                pause = self->backoffAfter(self->leaseSource, error.what());
+                pause = self->backoffAfter(self->leaseSource, error);
             }
         }
         co_await self->sleep(pause);
@@ -124,7 +124,7 @@
             co_await self->publishOwnRecord();
             self->recordSource.succeeded();
         } catch (const StoreError& error) {
-            pause = self->backoffAfter(self->recordSource, error.what());
+            pause = self->backoffAfter(self->recordSource, error);
             if (error.kind() == StoreError::Kind::LeaseGone) {
                 self->recordLease = LeaseId::None;
                 pause = settings.minBackoff;
@@ -213,8 +213,10 @@
 
 void SessionControl::State::openSiblings(const std::string& secret)
 {
-    if (!std::exchange(this->siblingsOpen, true))
-        this->options.traffic.openSiblings(secret);
+    if (std::exchange(this->siblingsOpen, true))
+        return;
+    this->options.traffic.openSiblings(secret);
+    this->readingsClient.open(secret);
 }
 
 asio::awaitable<void> SessionControl::State::followVms(std::shared_ptr<State> self)
@@ -229,7 +231,7 @@
                 if (self->vms.takeReading(std::move(listing), provenAt) == SharedListing::Change::Entries)
                     self->applyVms();
             } catch (const StoreError& error) {
-                pause = std::max(pause, self->backoffAfter(self->vmSource, error.what()));
+                pause = std::max(pause, self->backoffAfter(self->vmSource, error));
             }
         }
         if (self->missingVms.hasPending())
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -25,6 +25,9 @@
 // difficulty with the store, and further VMs of the order have no readings of their own.
 constexpr int readersAsked = 6;
 
+// Upper bound of the age of a configuration that was confirmed.
+constexpr Duration maxPlausibleAge = std::chrono::hours { 1 };
+
 // Size up to which the configuration is sent together with the lists, as one packet or a few.
 constexpr std::size_t maxConfigurationInReadings = 4096;
 
@@ -124,8 +127,11 @@
     for (int asked = 0; asked < readersAsked && silent < silentReadersAsked; ++asked) {
         // A store reader must not rely on siblings, which rely on its readings.
         auto reader = this->readerToAsk();
-        if (!reader)
+        if (!reader) {
+            if (this->isReaderWithoutStore())
+                co_await this->askInsteadOfStore();
             co_return false;
+        }
         if (away) {
             const auto turn = this->place.rank + this->readerTurn++;
             reader = this->readerSelector.candidateToAsk(this->options.vm, turn, bootNow());
@@ -133,28 +139,67 @@
                 break;
         }
         const auto address = this->siblings.at(*reader).address;
+        const auto askedAt = bootNow();
         const auto answer = co_await this->askReader(address);
-        const auto now = bootNow();
+        this->recordReaderAnswer(*reader, answer, askedAt, pause);
         if (answer == ReaderAnswer::Fresh) {
-            this->readerSelector.recordStoreRead(*reader);
             this->listThrottle.served();
             co_return true;
         }
-        if (answer == ReaderAnswer::WithoutStore) {
-            this->readerSelector.skipWithoutStore(*reader, now + settings.storelessReaderBackoff);
-        } else if (answer == ReaderAnswer::Old) {
-            this->readerSelector.skipUntil(*reader, now + settings.leadershipInterval);
-        } else {
-            this->readerSelector.skipWithBackoff(*reader, pause, now);
+        if (answer == ReaderAnswer::None)
             ++silent;
-        }
-        if (away || this->readerSelector.storeSeemsUnavailable(now))
+        if (away || this->readerSelector.storeSeemsUnavailable(bootNow()))
             break;
     }
     // Readers that cannot reach the store pass on views that replicas have confirmed.
     co_return this->viewsAreFresh(settings.maxReadingsAge);
 }
 
+bool SessionControl::State::isReaderWithoutStore() const
+{
+    return this->leadershipSource.isLost()
+        || bootNow() > this->configurationValidity.confirmedAt() + this->options.settings.maxConfigurationAge;
+}
+
+asio::awaitable<void> SessionControl::State::askInsteadOfStore()
+{
+    // The store may refuse just this VM; then its siblings know of a later configuration. A store reader goes
+    // on to call the store itself, so two readers never rely on each other alone.
+    const auto askedAt = bootNow();
+    const auto turn = this->place.rank + this->readerTurn++;
+    const auto sibling = this->readerSelector.candidateToAsk(this->options.vm, turn, askedAt);
+    const auto listed = sibling ? this->siblings.find(*sibling) : this->siblings.end();
+    if (!this->siblingsOpen || listed == this->siblings.end())
+        co_return;
+    const auto address = listed->second.address;
+    const auto answer = co_await this->askReader(address);
+    this->recordReaderAnswer(address.vm, answer, askedAt, this->options.settings.silentReaderBackoff);
+}
+
+void SessionControl::State::recordReaderAnswer(
+    const VmName& reader, ReaderAnswer answer, Instant askedAt, Duration pause)
+{
+    const auto now = bootNow();
+    const auto& settings = this->options.settings;
+    switch (answer) {
+    case ReaderAnswer::Fresh:
+        this->readerSelector.recordStoreRead(reader);
+        break;
+    case ReaderAnswer::WithoutStore:
+        this->readerSelector.skipWithoutStore(reader, now + settings.storelessReaderBackoff);
+        // A single reader without the store may be overloaded itself.
+        if (this->readerSelector.storeSeemsUnavailable(now))
+            this->recordStoreOutage(askedAt);
+        break;
+    case ReaderAnswer::Old:
+        this->readerSelector.skipUntil(reader, now + settings.leadershipInterval);
+        break;
+    case ReaderAnswer::None:
+        this->readerSelector.skipWithBackoff(reader, pause, now);
+        break;
+    }
+}
+
 asio::awaitable<SessionControl::State::ReaderAnswer> SessionControl::State::askReader(SiblingAddress address)
 {
     wire::ReadingsRequest request;
@@ -171,11 +216,13 @@
     wire::ReadingsAnswer answer;
     try {
         const auto body
-            = co_await this->options.traffic.requestReadings(address, request.SerializeAsString(), timeLimit);
+            = co_await this->readingsClient.requestReadings(address, request.SerializeAsString(), timeLimit);
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
+        this->siblingHeardAt = std::max(this->siblingHeardAt, askedAt);
         this->applyReadings(address.vm, answer, askedAt);
     } catch (const RequestError& error) {
+        this->siblingHeardAt = std::max(this->siblingHeardAt, askedAt);
         logEvent(this->bootstrapped ? LogLevel::Info : LogLevel::Debug, "reader_not_ready",
             { { "vm", address.vm.string() }, { "reason", error.what() } });
         co_return ReaderAnswer::Old;
@@ -237,14 +284,15 @@
             document.packed() ? unpack(document.value()) : document.value(), configuration.revision());
     }
     if (configuration.revision() == this->configurationRevision) {
-        this->configurationConfirmedAt
-            = std::max(this->configurationConfirmedAt, askedAt - durationFrom(configuration.age_us()));
+        // A greater age stands for a configuration that was never confirmed.
+        if (configuration.age_us() < wireMicroseconds(maxPlausibleAge))
+            this->confirmConfiguration(askedAt - durationFrom(configuration.age_us()));
         if (answer.configuration_latest_until() > this->configurationLatestUntil) {
             this->configurationLatestUntil = answer.configuration_latest_until();
             this->configurationWatchable = true;
         }
     }
-    if (bootNow() < this->configurationConfirmedAt + this->options.settings.maxConfigurationAge)
+    if (bootNow() < this->configurationValidity.confirmedAt() + this->options.settings.maxConfigurationAge)
         this->configurationThrottle.served();
 }
 
@@ -291,6 +339,7 @@
         throw notRun(RefusalReason::StoreUnavailable, "nothing was read here yet");
     }
     const auto now = bootNow();
+    self->siblingHeardAt = std::max(self->siblingHeardAt, self->lateness.onTimeAt());
     wire::ReadingsAnswer answer;
     answer.set_store_age_us(wireAge(self->storeThrottle.lastAnswer(), now));
     const SharedListing::AnswerOptions how { .now = now, .packed = request.takes_packed() };
@@ -305,7 +354,7 @@
     if (!request.without_upstreams())
         self->writeViews(answer);
     auto& configuration = *answer.mutable_configuration();
-    configuration.set_age_us(wireAge(self->configurationConfirmedAt, now));
+    configuration.set_age_us(wireAge(self->configurationValidity.confirmedAt(), now));
     configuration.set_revision(self->configurationRevision);
     answer.set_configuration_latest_until(self->configurationLatestUntil);
     const bool lacking = self->configurationRevision > request.configuration_revision();
--- a/src/session_proxy/control_spread.cpp
+++ b/src/session_proxy/control_spread.cpp
@@ -38,6 +38,7 @@
     wire::ConfigurationRequest request;
     if (!request.ParseFromString(body))
         throw notRun(RefusalReason::BadRequest, "the message cannot be read");
+    self->siblingHeardAt = std::max(self->siblingHeardAt, self->lateness.onTimeAt());
     wire::ConfigurationAnswer answer;
     answer.set_revision(self->configurationRevision);
     if (self->configurationRevision <= request.revision())
@@ -95,7 +96,7 @@
     request.set_revision(this->configurationRevision);
     wire::ConfigurationAnswer answer;
     try {
-        const auto body = co_await this->options.traffic.requestConfiguration(
+        const auto body = co_await this->readingsClient.requestConfiguration(
             listed->second.address, request.SerializeAsString(), this->options.settings.configurationTimeout);
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cyclamendrift/core/loop_lateness.h>
 #include <cyclamendrift/core/random_source.h>
 #include <cyclamendrift/leadership/tracked_services.h>
 #include <cyclamendrift/membership/configuration_fetch.h>
+#include <cyclamendrift/membership/configuration_validity.h>
 #include <cyclamendrift/membership/fleet_join.h>
 #include <cyclamendrift/membership/list_read_throttle.h>
 #include <cyclamendrift/membership/missing_vms.h>
@@ -11,6 +13,7 @@
 #include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/session_proxy/byte_budget.h>
 #include <cyclamendrift/session_proxy/metered_store.h>
+#include <cyclamendrift/session_proxy/readings_client.h>
 #include <cyclamendrift/session_proxy/session_control.h>
 #include <cyclamendrift/session_proxy/shared_listing.h>
 #include <cyclamendrift/telemetry/bounded_log.h>
@@ -38,6 +41,8 @@
 
 namespace cyclamendrift {
 
+class StoreError;
+
 /// Keys of the store that the VMs share.
 namespace store_key {
 inline constexpr auto leadershipPrefix = "cyclamendrift/leadership/";
@@ -109,7 +114,7 @@
 
     // Configuration and upstreams.
     std::shared_ptr<const RouteTable> routes;
-    Instant configurationConfirmedAt = Instant::min();
+    ConfigurationValidity configurationValidity;
     ConfigurationFetch configurationFetch;
     /// Cancelled when this VM learns of a configuration that it lacks.
     asio::steady_timer configurationLacking;
@@ -146,9 +151,13 @@
     BoundedLog log { linesPerSecond };
     MissingVms missingVms;
     EngineCounters counters;
+    LoopLateness lateness;
+    /// Ticks of the traffic thread that were late.
+    std::uint64_t lateTrafficTicks = 0;
     std::size_t callers = 0;
     std::size_t connections = 0;
     SiblingTraffic siblingTraffic;
+    ReadingsClient readingsClient;
 
 private:
     template <class Work> void spawn(Work work)
@@ -162,7 +171,8 @@
     [[nodiscard]] std::string_view purposeOf(std::string_view key) const;
     /// Notes that a call of that dependency failed and returns the backoff before the next attempt. Where
     /// many VMs could call an overloaded store, it grows with the fleet.
-    [[nodiscard]] Duration backoffAfter(Dependency& dependency, const char* reason);
+    [[nodiscard]] Duration backoffAfter(Dependency& dependency, const StoreError& error);
+    void checkLateness();
 
     // control_configuration
     struct ProvenListing {
@@ -181,6 +191,13 @@
     [[nodiscard]] static asio::awaitable<void> followConfiguration(std::shared_ptr<State> self);
     [[nodiscard]] static asio::awaitable<void> followDirectory(std::shared_ptr<State> self);
     void applyConfiguration(const std::string& value, std::uint64_t revision);
+    /// The configuration in force was the latest one at that time.
+    void confirmConfiguration(Instant at);
+    /// The store served nobody at that time.
+    void recordStoreOutage(Instant at);
+    /// Takes a failed call of this VM for an outage of the store unless the cause may be this VM itself.
+    void recordStoreFailure(const StoreError& error);
+    void publishConfigurationValidity();
     /// Logs when the configuration was not confirmed for too long, and when it is again.
     void reportConfigurationAge(Instant now);
     /// Refuses callers' operations while this VM lacks a later configuration for too long.
@@ -237,6 +254,12 @@
         Old,
         None,
     };
+    /// True when this VM, a store reader, has not been answered by the store for too long.
+    [[nodiscard]] bool isReaderWithoutStore() const;
+    /// Requests the readings of one store reader or standby.
+    [[nodiscard]] asio::awaitable<void> askInsteadOfStore();
+    /// Applies the outcome of a request for readings to the selection of readers.
+    void recordReaderAnswer(const VmName& reader, ReaderAnswer answer, Instant askedAt, Duration pause);
     /// False when siblings report that the store is unavailable and it is not this VM's turn to probe it.
     [[nodiscard]] bool mayCallStore();
     /// Requests the readings of store readers; returns false when none of them has recent ones. A reader that
@@ -319,6 +342,11 @@
 
     std::unique_ptr<TimerService::Subscription> ticks;
     std::unique_ptr<TimerService::Subscription> reports;
+    std::unique_ptr<TimerService::Subscription> latenessTicks;
+    /// The instant that the traffic thread was told last.
+    Instant publishedValidUntil = Instant::min();
+    /// When a sibling last answered this VM, or asked it for something.
+    Instant siblingHeardAt = Instant::min();
     std::uint64_t configurationRevision = 0;
     /// The store's revision up to which the configuration in force is known to be the latest.
     std::uint64_t configurationLatestUntil = 0;
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -2,6 +2,7 @@
 
 #include "control_state.h"
 
+#include <cyclamendrift/core/duration_text.h>
 #include <cyclamendrift/core/random_duration.h>
 #include <cyclamendrift/platform/store_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
@@ -59,9 +60,17 @@
           .purposeOf = [this](std::string_view key) { return this->purposeOf(key); },
           .onListing = [this] { this->storeThrottle.answered(bootNow()); } })
     , timers(options.context.get_executor())
+    , configurationValidity(options.configurationLimits)
     , configurationLacking(options.context)
     , tracked(options.vm)
     , leadershipWanted(options.context)
+    , readingsClient({ .context = options.context,
+          .self = options.vm,
+          .crossesZones =
+              [this](const VmName& vm) {
+                  const auto listed = this->siblings.find(vm);
+                  return listed == this->siblings.end() || listed->second.capacity.zone != this->options.zone;
+              } })
     , configurationSource("configuration", options.settings)
     , directorySource("directory", options.settings)
     , leadershipSource("leadership", options.settings)
@@ -88,14 +97,15 @@
     return key == this->options.format.operatorPrefix() ? "configuration" : "directory";
 }
 
-Duration SessionControl::State::backoffAfter(Dependency& dependency, const char* reason)
+Duration SessionControl::State::backoffAfter(Dependency& dependency, const StoreError& error)
 {
+    this->recordStoreFailure(error);
     const auto& settings = this->options.settings;
     auto maxBackoff = settings.maxBackoff;
     // Store readers and their standbys have to notice soon that the store answers again.
     if (!this->readerSelector.isReaderOrStandby(this->options.vm, bootNow()))
         maxBackoff = std::max(maxBackoff, this->storeThrottle.fairPause());
-    const auto backoff = dependency.failed(reason, maxBackoff);
+    const auto backoff = dependency.failed(error.what(), maxBackoff);
     return backoff - randomDuration(backoff / 4, this->random);
 }
 
@@ -128,10 +138,24 @@
     this->startTimers();
 }
 
+void SessionControl::State::checkLateness()
+{
+    if (const auto late = this->lateness.record(bootNow(), this->options.settings.latenessInterval))
+        logEvent(LogLevel::Warn, "event_loop_late",
+            { { "thread", "control" }, { "late_ms", millisecondsText(*late) } });
+}
+
 void SessionControl::State::startTimers()
 {
     const auto& settings = this->options.settings;
     const std::weak_ptr<State> weak = this->weak_from_this();
+    if (!this->latenessTicks) {
+        this->checkLateness();
+        this->latenessTicks = this->timers.every(settings.latenessInterval, [weak](Instant) {
+            if (const auto alive = weak.lock())
+                alive->checkLateness();
+        });
+    }
     this->ticks = this->timers.every(
         this->forwardsOnly ? settings.idleInterval : settings.tickInterval, [weak](Instant) {
             if (const auto alive = weak.lock())
@@ -154,7 +178,7 @@
 
 bool SessionControl::State::isReady() const
 {
-    if (!this->routes)
+    if (!this->routes || this->configurationValidity.confirmedAt() == Instant::min())
         return false;
     if (this->needsUpstreams(bootNow()) && (!this->directoryRead || !this->leadershipRead))
         return false;
@@ -176,6 +200,7 @@
     this->leadershipWanted.cancel();
     this->ticks.reset();
     this->reports.reset();
+    this->latenessTicks.reset();
 }
 
 asio::awaitable<void> SessionControl::State::leave()
@@ -241,11 +266,20 @@
                            const MetricsRegistry::Labels& labels = {}) {
         registry.counter(metricPrefix + std::string { name }, help, labels).add(value);
     };
-    const auto show = [&registry](std::string_view name, std::string_view help, std::uint64_t value) {
-        registry.gauge(metricPrefix + std::string { name }, help).set(static_cast<double>(value));
+    const auto showReal = [&registry](std::string_view name, std::string_view help, double value) {
+        registry.gauge(metricPrefix + std::string { name }, help).set(value);
+    };
+    const auto show = [&showReal](std::string_view name, std::string_view help, std::uint64_t value) {
+        showReal(name, help, static_cast<double>(value));
     };
     count("answered_total", "Statements answered, failures included.", own.counters.answered);
     count("refused_total", "Statements given up on before any upstream ran them.", own.counters.refused);
+    count("refused_unconfirmed_total",
+        "Sessions and operations refused because nobody had confirmed the configuration.",
+        own.counters.refusedUnconfirmed);
+    constexpr auto lateHelp = "Ticks of an event loop that were more than 100 ms late.";
+    count("event_loop_late_total", lateHelp, own.lateTrafficTicks, { { "thread", "traffic" } });
+    count("event_loop_late_total", lateHelp, own.lateness.lateTicks(), { { "thread", "control" } });
     count("failed_total", "Statements that an upstream answered with a failure.", own.counters.failed);
     count("in_doubt_total", "Writes and commits whose effect is not known.", own.counters.inDoubt);
     count("retried_total", "Times a statement was offered to an upstream anew.", own.counters.retried);
@@ -261,12 +295,12 @@
     show("sessions", "Callers' sessions that are open.", own.callers);
     show("upstream_connections", "Connections to upstreams that are open.", own.connections);
     show("vms", "VMs that are listed.", own.siblings.size());
-    show("configuration_age_seconds",
+    const auto confirmedAt = own.configurationValidity.confirmedAt();
+    const std::chrono::duration<double> configurationAge
+        = confirmedAt == Instant::min() ? Duration {} : bootNow() - confirmedAt;
+    showReal("configuration_age_seconds",
         "Seconds since the configuration was last confirmed; 0 before any was read.",
-        own.routes
-            ? std::chrono::duration_cast<std::chrono::seconds>(bootNow() - own.configurationConfirmedAt)
-                  .count()
-            : 0);
+        configurationAge.count());
     show("services_tracked", "Services whose primary this VM tracks.", own.coordinators.size());
     show("configuration_version", "Version of the routes in force; 0 before any were read.",
         own.routes ? own.routes->version : 0);
@@ -281,7 +315,10 @@
     for (const auto& [kind, calls] : own.store.counts())
         count("store_calls_total", "Calls to the store, failed ones too, by what they do and for what.",
             calls, { { "call", std::string { kind.first } }, { "purpose", std::string { kind.second } } });
-    for (const auto& [kind, bytes] : own.siblingTraffic)
+    auto siblingTraffic = own.siblingTraffic;
+    for (const auto& [kind, bytes] : own.readingsClient.traffic())
+        siblingTraffic[kind] += bytes;
+    for (const auto& [kind, bytes] : siblingTraffic)
         count("sibling_bytes_total", "Bytes of questions to siblings and their answers, without frames.",
             bytes, { { "call", kind.method }, { "availability_zone", kind.crossesZones ? "other" : "own" } });
     return registry.prometheusText();
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/callers/http_server.h>
 #include <cyclamendrift/runtime/boot_clock.h>
+#include <cyclamendrift/runtime/descriptor_limit.h>
 #include <cyclamendrift/session_proxy/session_control.h>
 #include <cyclamendrift/session_proxy/session_traffic.h>
 #include <cyclamendrift/telemetry/event_log.h>
@@ -63,6 +64,7 @@
               .siblingPort = options.settings.siblings.port,
               .callers = *ports.callers,
               .upstreams = *ports.upstreams,
+              .maxUpstreamConnections = descriptorShares().upstreams,
               .onDrained = [this] { asio::post(this->controlContext, [this] { this->onDrained(); }); },
               .shareReadings
               = [this](std::string request) { return this->control.shareReadings(std::move(request)); },
@@ -79,6 +81,8 @@
               .process = process,
               .siblingHost = options.settings.siblings.address,
               .siblingPort = options.settings.siblings.port,
+              .configurationLimits = { .applyLimit = options.settings.configurationApplyLimit,
+                  .outageExtension = options.settings.configurationOutageExtension },
               .store = *ports.store,
               .leadership = *ports.leadership,
               .format = *ports.format,
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -2,13 +2,14 @@
 
 #include "forwarding_codec.h"
 
+#include <cyclamendrift/core/duration_text.h>
+#include <cyclamendrift/core/loop_lateness.h>
 #include <cyclamendrift/core/request_error.h>
 #include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/telemetry/bounded_log.h>
 #include <cyclamendrift/telemetry/event_log.h>
 
-#include <asio/co_spawn.hpp>
 #include <asio/post.hpp>
 #include <asio/redirect_error.hpp>
 #include <asio/steady_timer.hpp>
@@ -68,6 +69,8 @@
                       this->performAll();
                   } })
     {
+        this->engine.setConfigurationValidUntil(Instant::min());
+        this->engine.setMaxConnections(options.maxUpstreamConnections);
     }
 
     /// Performs all actions that the engine has requested.
@@ -94,6 +97,7 @@
     std::unique_ptr<TimerService::Subscription> ticks;
     std::function<void(bool idle)> startTicks;
     bool ticksAreIdle = false;
+    LoopLateness lateness;
     DrainTimes drain;
     BoundedLog log { linesPerSecond };
     std::map<CallerId, std::shared_ptr<RemoteStatementWait>> remoteWaits;
@@ -113,6 +117,7 @@
     this->state->options.upstreams.setEvents(*this);
     this->state->startTicks = [this](bool idle) {
         this->state->ticksAreIdle = idle;
+        this->state->lateness.restarted(bootNow());
         this->state->ticks = this->state->timers.every(
             idle ? idleTickInterval : tickInterval, [this](Instant) { this->tick(); });
     };
@@ -127,6 +132,10 @@
 void SessionTraffic::tick()
 {
     const auto now = bootNow();
+    const auto interval = this->state->ticksAreIdle ? idleTickInterval : tickInterval;
+    if (const auto late = this->state->lateness.record(now, interval))
+        logEvent(LogLevel::Warn, "event_loop_late",
+            { { "thread", "traffic" }, { "late_ms", millisecondsText(*late) } });
     this->state->engine.tick(now);
     this->performAll();
     if (!this->state->ticksAreIdle && this->state->engine.isIdle())
@@ -339,6 +348,12 @@
         [this, outdated] { this->state->engine.setConfigurationOutdated(outdated, bootNow()); });
 }
 
+void SessionTraffic::setConfigurationValidUntil(Instant until)
+{
+    asio::post(this->state->options.context,
+        [this, until] { this->state->engine.setConfigurationValidUntil(until); });
+}
+
 void SessionTraffic::setDirectory(UpstreamDirectory directory)
 {
     asio::post(this->state->options.context, [this, directory = std::move(directory)] {
@@ -388,22 +403,6 @@
     });
 }
 
-asio::awaitable<std::string> SessionTraffic::requestReadings(
-    SiblingAddress sibling, std::string request, Duration timeLimit)
-{
-    // The exchange is used on the traffic thread only.
-    auto started = this->state->exchange.requestReadings(std::move(sibling), std::move(request), timeLimit);
-    co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
-}
-
-asio::awaitable<std::string> SessionTraffic::requestConfiguration(
-    SiblingAddress sibling, std::string request, Duration timeLimit)
-{
-    auto started
-        = this->state->exchange.requestConfiguration(std::move(sibling), std::move(request), timeLimit);
-    co_return co_await asio::co_spawn(this->state->options.context, std::move(started), asio::use_awaitable);
-}
-
 void SessionTraffic::report(std::function<void(TrafficReport)> take)
 {
     asio::post(this->state->options.context, [this, take = std::move(take)] {
@@ -413,7 +412,8 @@
             .counters = engine.counters(),
             .siblingTraffic = this->state->exchange.traffic(),
             .callers = engine.callers(),
-            .connections = engine.connections() });
+            .connections = engine.connections(),
+            .lateTicks = this->state->lateness.lateTicks() });
     });
 }
 
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -1,5 +1,7 @@
 #include <cyclamendrift/session_proxy/sibling_exchange.h>
 
+#include "sibling_methods.h"
+
 #include <cyclamendrift/core/request_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/siblings/sibling_error.h>
@@ -18,8 +20,6 @@
 namespace {
 
 constexpr auto giveTokensMethod = "GiveTokens";
-constexpr auto shareReadingsMethod = "ShareReadings";
-constexpr auto shareConfigurationMethod = "ShareConfiguration";
 constexpr auto runForSiblingMethod = "RunForSibling";
 constexpr auto releaseMethod = "LetGuestGo";
 constexpr auto livenessMethod = "SignOfLife";
@@ -43,22 +43,11 @@
     {
     }
 
-    [[nodiscard]] static asio::awaitable<std::string> request(std::shared_ptr<State> self,
-        SiblingAddress sibling, const char* method, std::string body, Duration timeLimit)
-    {
-        if (!self->client)
-            throw SiblingError { SiblingError::Kind::Unreachable, "siblings are not served yet" };
-        SiblingCall call { .method = method,
-            .body = std::move(body),
-            .deadline = std::chrono::steady_clock::now() + timeLimit };
-        co_return co_await self->ask(std::move(sibling), std::move(call));
-    }
-
     [[nodiscard]] asio::awaitable<std::string> handle(IncomingSiblingCall call)
     {
-        if (call.method == shareReadingsMethod)
+        if (call.method == sibling_method::shareReadings)
             co_return co_await this->options.shareReadings(std::move(call.body));
-        if (call.method == shareConfigurationMethod)
+        if (call.method == sibling_method::shareConfiguration)
             co_return co_await this->options.shareConfiguration(std::move(call.from), std::move(call.body));
         if (call.method == runForSiblingMethod)
             co_return co_await this->options.runForSibling(std::move(call.body), call.deadline);
@@ -259,20 +248,6 @@
         State::requestFromDonors(this->state, team, wanted, std::move(done)), asio::detached);
 }
 
-asio::awaitable<std::string> SiblingExchange::requestReadings(
-    SiblingAddress sibling, std::string request, Duration timeLimit)
-{
-    return State::request(
-        this->state, std::move(sibling), shareReadingsMethod, std::move(request), timeLimit);
-}
-
-asio::awaitable<std::string> SiblingExchange::requestConfiguration(
-    SiblingAddress sibling, std::string request, Duration timeLimit)
-{
-    return State::request(
-        this->state, std::move(sibling), shareConfigurationMethod, std::move(request), timeLimit);
-}
-
 void SiblingExchange::forward(
     const VmName& owner, std::string work, Duration timeLimit, std::function<void(OwnerAnswer)> done)
 {
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -507,6 +507,66 @@
         surroundings.perform([&] { CHECK(surroundings.upstreams.node(0).statements > before); });
     }
 
+    TEST_CASE("an outage of the store for all VMs makes none of them refuse operations")
+    {
+        // Guards against a fleet that takes an outage of some seconds for a configuration that was replaced.
+        Surroundings surroundings { configuration };
+        RunningFleet fleet;
+        std::vector<std::unique_ptr<Caller>> callers;
+        for (int vm = 1; vm <= 4; ++vm)
+            fleet.push_back(std::make_unique<Running>(surroundings, "vm-" + std::to_string(vm)));
+        for (const auto& proxy : fleet) {
+            callers.push_back(std::make_unique<Caller>(*proxy));
+            for (int tries = 0; tries < 400 && metricOf(*proxy, "cyclamendrift_vms") < 4; ++tries)
+                std::this_thread::sleep_for(20ms);
+        }
+        surroundings.perform([&] { surroundings.kv.refuseWith = 503; });
+        const auto until = std::chrono::steady_clock::now() + 6s;
+        while (std::chrono::steady_clock::now() < until) {
+            for (const auto& caller : callers)
+                CHECK(caller->run("READ bed-1").find("nobody has confirmed") == std::string::npos);
+            std::this_thread::sleep_for(50ms);
+        }
+        for (const auto& proxy : fleet) {
+            CHECK(metricOf(*proxy, "cyclamendrift_configuration_age_seconds") > 4);
+            CHECK(metricOf(*proxy, "cyclamendrift_refused_unconfirmed_total") == 0);
+        }
+    }
+
+    TEST_CASE("a VM that neither the store nor a sibling answers refuses operations until it is confirmed")
+    {
+        // Guards against a VM that is cut off and serves by a configuration which operators have replaced.
+        Surroundings surroundings { configuration };
+        wire::VmRecord silent;
+        silent.set_name("vm-9");
+        silent.set_sibling_host("127.0.0.1");
+        silent.set_sibling_port(freePort());
+        silent.set_availability_zone("palermo");
+        silent.set_cores(0.1);
+        surroundings.perform([&] {
+            surroundings.kv.put("cyclamendrift/sibling-secret", "secret");
+            surroundings.kv.put("cyclamendrift/vms/vm-9", silent.SerializeAsString());
+        });
+        const Running proxy { surroundings, "vm-1" };
+        Caller caller { proxy };
+        CHECK(caller.runUntilDone("READ bed-1"));
+        for (int tries = 0; tries < 200 && metricOf(proxy, "cyclamendrift_vms") < 2; ++tries)
+            std::this_thread::sleep_for(20ms);
+        REQUIRE(metricOf(proxy, "cyclamendrift_vms") == 2);
+        surroundings.perform([&] { surroundings.kv.refuseWith = 503; });
+        // A watch that is under way is still answered, and its answer, up to 1.2 s later, is a confirmation.
+        std::this_thread::sleep_for(1200ms + proxy.settings.configurationApplyLimit);
+        const auto refused = caller.run("READ bed-1");
+        CHECK(refused.starts_with("ERROR BUSY"));
+        CHECK(refused.find("nobody has confirmed") != std::string::npos);
+        const auto counted = [&proxy] { return metricOf(proxy, "cyclamendrift_refused_unconfirmed_total"); };
+        for (int tries = 0; tries < 100 && counted() < 1; ++tries)
+            std::this_thread::sleep_for(20ms);
+        CHECK(counted() == 1);
+        surroundings.perform([&] { surroundings.kv.refuseWith = 0; });
+        CHECK(caller.runUntilDone("READ bed-1"));
+    }
+
     TEST_CASE("a withdrawn key stops working on an open session, and a store that refuses calls stops nobody")
     {
         Surroundings surroundings { configuration };
