Let the number of owners of a service follow the load

Records of VMs in a large fleet tell the load only where it requires more owners than the connection cap allows, as a power of two with hysteresis, so that a low load changes neither records nor owners.

--- a/include/cyclamendrift/pooling/owner_load.h
+++ b/include/cyclamendrift/pooling/owner_load.h
@@ -5,6 +5,7 @@
 #include <cyclamendrift/pooling/placement_hint.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -92,6 +93,16 @@
     std::size_t count = 0;
 };
 
+/// The load that a VM of a large fleet publishes in its record, in operations per second; 0 while a fleet of
+/// VMs with that load needs no more owners than the connection cap allows. It is a power of two and is kept
+/// while the measured load is between half and twice of it, because each change is sent to all VMs.
+struct LoadMeasurement {
+    double operationsPerSecond = 0;
+    std::size_t vms = 0;
+    std::size_t services = 0;
+};
+[[nodiscard]] std::uint32_t loadToPublish(std::uint32_t published, const LoadMeasurement& measured);
+
 /// Processor cores of an owner VM for which the number of owners is computed.
 inline constexpr double coresPerOwner = 0.5;
 
--- a/include/cyclamendrift/pooling/service_owners.h
+++ b/include/cyclamendrift/pooling/service_owners.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -47,6 +48,9 @@
     [[nodiscard]] const std::vector<VmName>& ownersOf(
         const ServiceName& service, std::uint32_t connectionCap);
 
+    /// The VMs among which owners are selected.
+    [[nodiscard]] std::set<VmName> candidateVms() const;
+
     /// True when each availability zone has its own owners.
     [[nodiscard]] bool areByZone() const noexcept { return this->plan.byZone; }
     /// The availability zones that have VMs.
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -9,6 +9,7 @@
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -24,6 +25,11 @@
     SiblingAddress address;
     VmCapacity capacity;
     DemandByTeam demand;
+    /// In a large fleet, where records contain no demand by team; 0 while the load is low.
+    std::uint32_t operationsPerSecond = 0;
+
+    /// The operations that the VM is asked for per second, as far as its record tells.
+    [[nodiscard]] double load() const;
 };
 using SiblingList = std::map<VmName, SiblingInfo>;
 
--- a/src/pooling/owner_load.cpp
+++ b/src/pooling/owner_load.cpp
@@ -152,6 +152,20 @@
     return zones;
 }
 
+std::uint32_t loadToPublish(std::uint32_t published, const LoadMeasurement& measured)
+{
+    // Above any load that a VM can serve.
+    constexpr double maxLoad = 1 << 20;
+    const auto load = std::clamp(measured.operationsPerSecond, 0.0, maxLoad);
+    if (published != 0 && load >= published / 2.0 && load <= published * 2.0)
+        return published;
+    const auto fleetLoad = load * static_cast<double>(measured.vms);
+    if (measured.services == 0
+        || fleetLoad <= minOwnersByLoad * operationsPerOwner * static_cast<double>(measured.services))
+        return 0;
+    return static_cast<std::uint32_t>(std::exp2(std::max(std::round(std::log2(load)), 0.0)));
+}
+
 std::size_t OwnerCount::update(double operationsPerSecond)
 {
     const auto needed = ownersNeeded(operationsPerSecond);
--- a/src/pooling/service_owners.cpp
+++ b/src/pooling/service_owners.cpp
@@ -121,6 +121,20 @@
 
 bool ServiceOwners::areUseful(std::size_t vms) noexcept { return vms > minOwners; }
 
+std::set<VmName> ServiceOwners::candidateVms() const
+{
+    std::set<VmName> found;
+    if (!this->plan.byZone) {
+        for (const auto& [vm, capacity] : this->candidates)
+            found.insert(vm);
+    }
+    for (const auto& [zone, vms] : this->zoneCandidates) {
+        for (const auto& [vm, capacity] : vms)
+            found.insert(vm);
+    }
+    return found;
+}
+
 std::vector<ZoneName> ServiceOwners::zones() const
 {
     std::vector<ZoneName> found;
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -8,6 +8,7 @@
 #include <leadership.pb.h>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 #include <vector>
@@ -37,6 +38,7 @@
     sibling.capacity = { .zone = ZoneName { record.availability_zone() }, .cores = record.cores() };
     for (const auto& team : record.demand())
         sibling.demand[TeamName { team.team() }] = team.operations_per_second();
+    sibling.operationsPerSecond = record.operations_per_second();
     return sibling;
 }
 
@@ -140,19 +142,31 @@
     // The list is read first, because it may contain the demand that an earlier process of this VM measured.
     if (this->vms.confirmedAt() == Instant::min() && !this->isFirstStart)
         co_return;
-    // In a large fleet shares do not depend on demand, and records that change with it would be most of the
-    // traffic to the store and to siblings.
-    const auto rates = this->holders.includesAllVms() ? this->demand.rates() : DemandByTeam {};
+    const auto load = this->currentLoad();
     const bool told = this->publishedUnder == this->recordLease;
-    if (told
-        && (!this->holders.includesAllVms()
-            || !DemandMeter::differsSignificantly(this->publishedDemand, rates)))
+    const bool demandDiffers = this->holders.includesAllVms()
+        && DemandMeter::differsSignificantly(this->publishedDemand, load.demand);
+    if (told && !demandDiffers && load.operationsPerSecond == this->publishedLoad)
         co_return;
-    co_await this->writeOwnRecord(rates);
+    co_await this->writeOwnRecord(load);
     // The first attempt conflicts with the record of an earlier process, or with a write of this one whose
     // answer was lost.
     if (this->publishedUnder != this->recordLease)
-        co_await this->writeOwnRecord(rates);
+        co_await this->writeOwnRecord(load);
+}
+
+SessionControl::State::RecordedLoad SessionControl::State::currentLoad() const
+{
+    const auto& rates = this->demand.rates();
+    if (this->holders.includesAllVms())
+        return { .demand = rates };
+    // In a large fleet shares do not depend on demand, and records that change with it would be most of the
+    // traffic to the store and to siblings.
+    LoadMeasurement measured { .vms = this->siblings.size(),
+        .services = this->routes ? this->routes->connectionCaps.size() : 0 };
+    for (const auto& [team, rate] : rates)
+        measured.operationsPerSecond += rate;
+    return { .operationsPerSecond = loadToPublish(this->publishedLoad, measured) };
 }
 
 asio::awaitable<void> SessionControl::State::adoptEarlierRecord()
@@ -182,11 +196,12 @@
     return own;
 }
 
-std::string SessionControl::State::ownRecord(const DemandByTeam& rates) const
+std::string SessionControl::State::ownRecord(const RecordedLoad& load) const
 {
     wire::VmRecord record;
     writeSibling(this->ownSibling(), record);
-    for (const auto& [team, rate] : rates) {
+    record.set_operations_per_second(load.operationsPerSecond);
+    for (const auto& [team, rate] : load.demand) {
         auto& entry = *record.add_demand();
         entry.set_team(team.string());
         entry.set_operations_per_second(rate);
@@ -194,18 +209,19 @@
     return record.SerializeAsString();
 }
 
-asio::awaitable<void> SessionControl::State::writeOwnRecord(const DemandByTeam& rates)
+asio::awaitable<void> SessionControl::State::writeOwnRecord(const RecordedLoad& load)
 {
     const auto lease = this->recordLease;
     SwapOptions swap { .key = store_key::vmPrefix + this->options.vm.string(),
         .expectedRevision = this->ownRecordRevision,
-        .value = this->ownRecord(rates),
+        .value = this->ownRecord(load),
         .lease = lease };
     const auto outcome = co_await this->store.compareAndSwap(std::move(swap));
     if (const auto* swapped = std::get_if<Swapped>(&outcome)) {
         this->ownRecordRevision = swapped->revision;
         this->publishedUnder = lease;
-        this->publishedDemand = rates;
+        this->publishedDemand = load.demand;
+        this->publishedLoad = load.operationsPerSecond;
         co_return;
     }
     const auto& current = std::get<SwapConflict>(outcome).current;
@@ -276,14 +292,46 @@
 
 void SessionControl::State::publishPlace(const std::map<VmName, VmCapacity>& capacities)
 {
+    this->updateOwnerCount();
     this->holders = limitHoldersAmong(capacities, this->ownerPlan.byZone);
     this->place.owners = ServiceOwners::areUseful(capacities.size())
         ? std::make_shared<ServiceOwners>(this->options.vm, capacities, this->ownerPlan)
         : nullptr;
+    this->reportOwners();
     this->options.traffic.setPlace(this->place);
     this->options.traffic.setSiblings(this->siblings, this->ownerPlan.byZone);
 }
 
+void SessionControl::State::updateOwnerCount()
+{
+    const auto services = this->routes ? this->routes->connectionCaps.size() : 0;
+    double load = 0;
+    for (const auto& [vm, sibling] : this->siblings)
+        load += sibling.load();
+    this->ownerPlan.services = services;
+    this->ownerPlan.ownersByLoad
+        = this->ownerCount.update(services == 0 ? 0 : load / static_cast<double>(services));
+}
+
+void SessionControl::State::reportOwners()
+{
+    auto current = this->place.owners ? this->place.owners->candidateVms() : std::set<VmName> {};
+    std::vector<VmName> added;
+    std::vector<VmName> removed;
+    std::set_difference(current.begin(), current.end(), this->reportedCandidates.begin(),
+        this->reportedCandidates.end(), std::back_inserter(added));
+    std::set_difference(this->reportedCandidates.begin(), this->reportedCandidates.end(), current.begin(),
+        current.end(), std::back_inserter(removed));
+    if (added.empty() && removed.empty())
+        return;
+    this->log.write("owners_changed",
+        { { "vms", std::to_string(current.size()) }, { "added", std::to_string(added.size()) },
+            { "removed", std::to_string(removed.size()) },
+            { "by_load", std::to_string(this->ownerPlan.ownersByLoad) } },
+        bootNow());
+    this->reportedCandidates = std::move(current);
+}
+
 void SessionControl::State::applyZonePlacement(const SiblingExchange::ZonePlacement& measured)
 {
     if (measured.byZone == this->ownerPlan.byZone)
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -137,6 +137,8 @@
     std::map<TeamName, TeamShare::Rule> publishedShares;
     DemandMeter demand;
     DemandByTeam publishedDemand;
+    /// In a large fleet, in operations per second.
+    std::uint32_t publishedLoad = 0;
     SiblingList siblings;
     LimitHolders holders;
     /// Selects the VMs that read the store for the others.
@@ -305,11 +307,18 @@
     [[nodiscard]] static asio::awaitable<void> keepLease(std::shared_ptr<State> self);
     [[nodiscard]] bool needsLease(Instant now) const;
     [[nodiscard]] static asio::awaitable<void> keepRecord(std::shared_ptr<State> self);
-    [[nodiscard]] asio::awaitable<void> writeOwnRecord(const DemandByTeam& told);
+    /// What this VM's record tells of its callers' operations.
+    struct RecordedLoad {
+        DemandByTeam demand;
+        std::uint32_t operationsPerSecond = 0;
+    };
+    [[nodiscard]] asio::awaitable<void> writeOwnRecord(const RecordedLoad& told);
+    /// What the record is to tell now.
+    [[nodiscard]] RecordedLoad currentLoad() const;
     /// This VM as its siblings see it.
     [[nodiscard]] SiblingInfo ownSibling() const;
     /// The value of this VM's record.
-    [[nodiscard]] std::string ownRecord(const DemandByTeam& told) const;
+    [[nodiscard]] std::string ownRecord(const RecordedLoad& told) const;
     /// Adopts the record and the lease of an earlier process of this VM if they still exist.
     [[nodiscard]] asio::awaitable<void> adoptEarlierRecord();
     [[nodiscard]] static asio::awaitable<void> followVms(std::shared_ptr<State> self);
@@ -320,6 +329,10 @@
     void applyZonePlacement(const SiblingExchange::ZonePlacement& measured);
     /// Selects the owners again after a change of the VMs or of the plan, and passes on what depends on them.
     void publishPlace(const std::map<VmName, VmCapacity>& capacities);
+    /// Sets the number of owners that the load of all VMs requires.
+    void updateOwnerCount();
+    /// Logs when owners are selected among other VMs than before.
+    void reportOwners();
     /// Keeps VMs listed whose records expired together with many others.
     void retainMissingVms(SiblingList& next);
     void chooseReaders(const std::map<VmName, VmCapacity>& capacities);
@@ -338,6 +351,7 @@
     std::map<std::string, std::string> unreadable;
     FleetPlace place;
     OwnerCount ownerCount;
+    std::set<VmName> reportedCandidates;
     Dependency configurationSource;
     Dependency directorySource;
     Dependency leadershipSource;
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -261,6 +261,14 @@
     std::unique_ptr<SiblingServer> server;
 };
 
+double SiblingInfo::load() const
+{
+    double sum = this->operationsPerSecond;
+    for (const auto& [team, rate] : this->demand)
+        sum += rate;
+    return sum;
+}
+
 std::map<VmName, VmCapacity> capacitiesOf(const SiblingList& siblings)
 {
     std::map<VmName, VmCapacity> capacities;
