Keep the position of a primary in another zone known to owners

Reads on a replica need a recent position of the primary. An owner in a zone without the primary runs few statements there, so it requests the position over an idle connection before the last known one becomes too old.

--- a/src/pooling/engine_forwarding.cpp
+++ b/src/pooling/engine_forwarding.cpp
@@ -16,6 +16,9 @@
 // The same with owners in every availability zone: two in the zone of choice and two in the next one.
 constexpr std::size_t maxOwnersTriedByZone = 4;
 
+// Above the round trip to another availability zone, so that only one request is under way.
+constexpr Duration positionRequestInterval = std::chrono::milliseconds { 100 };
+
 // Time of one statement at an upstream, for the expected wait.
 constexpr Duration expectedStatementTime = std::chrono::milliseconds { 10 };
 
@@ -29,6 +32,7 @@
         return this->forwardTo(session, *session.owner);
     if (const auto owner = this->selectOwner(session))
         return this->forwardTo(session, *owner);
+    this->refreshPosition(session);
     this->enqueue(session);
 }
 
@@ -103,6 +107,36 @@
     return owner == owners.self() ? std::nullopt : std::move(owner);
 }
 
+void SessionEngine::State::refreshPosition(const CallerSession& session)
+{
+    if (!this->placesByZone() || session.work->needsPrimary)
+        return;
+    auto& group = this->group(session.route.service);
+    const auto primary = group.upstreams.find(group.view.primary);
+    if (!group.hasLeader(this->now) || primary == group.upstreams.end())
+        return;
+    auto& upstream = primary->second;
+    if (upstream.entry.zone == this->options.zone || !this->acceptsStatements(upstream))
+        return;
+    // A replica may run a read only when a position of the primary is known that is recent enough. Owners in
+    // zones without the primary run few statements there, and without this every read that comes after the
+    // last known position has become too old would cross zones.
+    const auto staleness = maxStalenessOf(session.route.freshness) - this->options.settings.stalenessMargin;
+    if (staleness <= Duration {} || this->now < group.positionRequestAgainAt
+        || group.history.oldestCovering(this->now - staleness / 2))
+        return;
+    auto* connection = this->longestIdleConnection(upstream);
+    if (connection == nullptr)
+        return;
+    group.positionRequestAgainAt = this->now + positionRequestInterval;
+    // A reset takes none of the upstream's concurrency, and its answer reports the position.
+    connection->state = {};
+    connection->phase = PooledConnection::Phase::Working;
+    ++upstream.connectionsInUse;
+    connection->steps.push_back({ .kind = StepKind::Setup, .statement = ResetConnection {} });
+    this->sendNext(*connection);
+}
+
 PlacementHint SessionEngine::State::ownPlacementOf(const GroupState& group) const
 {
     PlacementHint placement { .expectedWait = ownerWait(group) };
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -194,6 +194,9 @@
     /// What this VM knows of them by itself.
     [[nodiscard]] PlacementHint ownPlacementOf(const GroupState& group) const;
     [[nodiscard]] bool placesByZone() const;
+    /// Requests the position of a primary in another availability zone when reads on replicas need a newer
+    /// one soon.
+    void refreshPosition(const CallerSession& session);
     void forwardTo(CallerSession& session, const VmName& owner);
     void releaseRemoteSession(CallerSession& session);
     void finishForwardedInTransaction(CallerSession& session);
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -137,6 +137,8 @@
     Instant contradictedAt = Instant::min();
     /// When a statement that is to run here requests the view of the primary again.
     Instant trackAgainAt = Instant::min();
+    /// When the position of the primary in another availability zone may be requested again.
+    Instant positionRequestAgainAt = Instant::min();
 
     /// True when recent answers have shown that the view's primary has been replaced. Renewing the view does
     /// not clear this; a view of another primary or of a later term does.
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -73,9 +73,11 @@
 /// One session proxy on separate threads.
 class Running {
 public:
-    Running(const Surroundings& surroundings, const std::string& vm)
+    Running(const Surroundings& surroundings, const std::string& vm, const std::string& zone = "palermo",
+        PlacementByZone placement = PlacementByZone::Auto)
     {
-        this->settings.vm = { .name = VmName { vm }, .zone = ZoneName { "palermo" } };
+        this->settings.vm = { .name = VmName { vm }, .zone = ZoneName { zone } };
+        this->settings.placementByZone = placement;
         for (auto* listen : { &this->settings.callers, &this->settings.readiness, &this->settings.metrics,
                  &this->settings.siblings })
             listen->port = freePort();
@@ -418,6 +420,38 @@
         }
     }
 
+    TEST_CASE("by zone, statements go to owners in the zone of the primary once answers have told it")
+    {
+        // Guards against hints that are lost between two VMs: statements would cross zones twice.
+        constexpr std::size_t vmsPerZone = 5;
+        const std::string crossing = "cyclamendrift_handed_on_by_zone_total{availability_zone=\"other\"}";
+        Surroundings surroundings { configuration };
+        RunningFleet fleet;
+        std::vector<std::unique_ptr<Caller>> callers;
+        for (std::size_t vm = 0; vm < vmsPerZone; ++vm) {
+            for (const std::string zone : { "palermo", "catania" })
+                fleet.push_back(std::make_unique<Running>(
+                    surroundings, zone + '-' + std::to_string(vm), zone, PlacementByZone::Always));
+        }
+        for (const auto& proxy : fleet)
+            callers.push_back(std::make_unique<Caller>(*proxy));
+        const auto allCross = [&fleet, &crossing] {
+            return std::all_of(fleet.begin(), fleet.end(), [&crossing](const auto& proxy) {
+                return proxy->settings.vm.zone == ZoneName { "palermo" } || metricOf(*proxy, crossing) > 0;
+            });
+        };
+        for (int tries = 0; tries < 100 && !allCross(); ++tries) {
+            for (auto& caller : callers)
+                CHECK(caller->runUntilDone("WRITE bed-1 taken"));
+        }
+        CHECK(allCross());
+        for (const auto& proxy : fleet) {
+            CHECK(metricOf(*proxy, "cyclamendrift_placed_by_zone") == 1);
+            if (proxy->settings.vm.zone == ZoneName { "palermo" })
+                CHECK(metricOf(*proxy, crossing) == 0);
+        }
+    }
+
     TEST_CASE("a VM that tracks no service forwards its callers' statements")
     {
         // Guards against a VM that waits for upstreams and leadership records, which it does not get, before
--- a/tests/pooling/owner_load_test.cpp
+++ b/tests/pooling/owner_load_test.cpp
@@ -69,4 +69,21 @@
         }
         CHECK(connections <= 62);
     }
+
+    TEST_CASE("records tell a load only where it matters, and change only when it has doubled or halved")
+    {
+        // Guards against records of all VMs that change with the load: each change is sent to all VMs.
+        const auto published = [](std::uint32_t before, double load) {
+            return loadToPublish(before, { .operationsPerSecond = load, .vms = 65, .services = 8 });
+        };
+        CHECK(published(0, 1200.0 / 65) == 0);
+        CHECK(published(0, 3600.0 / 65) == 0);
+        CHECK(published(0, 70) == 64);
+        CHECK(published(64, 33) == 64);
+        CHECK(published(64, 127) == 64);
+        CHECK(published(64, 130) == 128);
+        CHECK(published(64, 10) == 0);
+        CHECK(published(0, std::numeric_limits<double>::infinity()) == 1U << 20U);
+        CHECK(loadToPublish(0, { .operationsPerSecond = 70, .vms = 65 }) == 0);
+    }
 }
--- a/tests/pooling/placement_by_zone_test.cpp
+++ b/tests/pooling/placement_by_zone_test.cpp
@@ -113,6 +113,8 @@
                 this->remoteReplies.push_back(std::move(answer->reply));
             if (auto* open = std::get_if<OpenConnection>(&action))
                 this->opened.push_back(std::move(*open));
+            if (auto* sent = std::get_if<SendStatement>(&action))
+                this->sent.push_back(std::move(*sent));
             if (auto* check = std::get_if<CheckOwnerLiveness>(&action))
                 this->checked.push_back(std::move(check->owner));
         }
@@ -181,6 +183,7 @@
     std::shared_ptr<ServiceOwners> owners;
     std::vector<Reply> remoteReplies;
     std::vector<OpenConnection> opened;
+    std::vector<SendStatement> sent;
     std::vector<VmName> checked;
     std::uint64_t callers = 0;
     int statements = 0;
@@ -301,6 +304,49 @@
         CHECK(vm.opened[3].upstream.name == UpstreamName { "far" });
     }
 
+    TEST_CASE("an owner far from the primary asks for its position before reads need a newer one")
+    {
+        // Guards against reads that cross zones although the zone has a replica: each time the last known
+        // position became too old, the next read would go to the primary.
+        Vm vm { VmName { "catania-0" } };
+        vm.engine.setDirectory({ upstreamIn("primary", palermo), upstreamIn("near", catania) }, vm.now);
+        vm.setPrimary("primary");
+        const Progress position { .term = Term { 1 }, .position = LogPosition { 100 } };
+        vm.receive(1, ReadItem {}, StatementKind::Read);
+        REQUIRE(vm.opened.size() == 1);
+        CHECK(vm.opened[0].upstream.name == UpstreamName { "primary" });
+        const auto toPrimary = vm.opened[0].connection;
+        vm.engine.connectionOpened(toPrimary, position, vm.now);
+        vm.engine.upstreamReplied(toPrimary, { .proof = "proof", .progress = position }, vm.now);
+        vm.collect();
+        std::uint64_t number = 1;
+        std::size_t requests = 0;
+        for (int round = 0; round < 50; ++round) {
+            vm.now += 200ms;
+            vm.setPrimary("primary");
+            vm.opened.clear();
+            vm.sent.clear();
+            vm.receive(++number, ReadItem {}, StatementKind::Read);
+            for (const auto& open : vm.opened) {
+                CHECK(open.upstream.name == UpstreamName { "near" });
+                vm.engine.connectionOpened(open.connection, position, vm.now);
+                vm.collect();
+            }
+            for (const auto& statement : std::exchange(vm.sent, {})) {
+                const bool reset = std::holds_alternative<ResetConnection>(statement.statement);
+                requests += reset ? 1 : 0;
+                // No statement of a caller goes to the primary.
+                CHECK(reset == (statement.connection == toPrimary));
+                vm.engine.upstreamReplied(
+                    statement.connection, { .proof = "proof", .progress = position }, vm.now);
+                vm.collect();
+            }
+        }
+        // In ten seconds, with half of 2.4 seconds between two requests.
+        CHECK(requests >= 7);
+        CHECK(requests <= 10);
+    }
+
     TEST_CASE("the second owner of a zone gets a statement when the first one's queue is 20 ms longer")
     {
         Vm vm { weakInCatania };
