Open connections sparingly at saturated upstreams and refuse what would be late

Opening a connection takes one of the upstream's places for 12 ms, as long as a short statement. For 200 ms after a refusal for lack of capacity, one connection at a time is opened, none for a team whose running statement frees one, and idle connections are replaced only beyond the whole share. A full upstream gets one attempt in place of an idle connection at a time. A refused opening counts as a refusal of a statement. VMs without a share no longer borrow a connection.

A statement whose expected wait exceeds one and a half times the time left until its target latency is refused at once, with that wait as its retry advice; other refusals for lack of connections advise the observed drain, between 50 ms and 1 s with jitter. SessionEngine::expectedWait tells the wait of a service.

--- a/include/cyclamendrift/connections/concurrency_limit.h
+++ b/include/cyclamendrift/connections/concurrency_limit.h
@@ -21,6 +21,13 @@
     /// Returns the number of statements allowed now, at least one.
     [[nodiscard]] std::size_t current() const noexcept { return static_cast<std::size_t>(this->limit); }
 
+    /// Smoothed time until an answer; zero before the first one.
+    [[nodiscard]] Duration recentLatency() const noexcept
+    {
+        return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli> { this->recentLatencyMs });
+    }
+
     /// Adjusts the limit to the latency of an answered statement.
     void onAnswer(Duration elapsed);
 
--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -64,7 +64,15 @@
     Duration outdatedRetryAfter = std::chrono::milliseconds { 200 };
     /// Retry advice while a primary is being replaced; about the duration of a replacement.
     Duration primaryChangeRetryAfter = std::chrono::milliseconds { 1000 };
-    /// Retry advice when all connections are in use.
+    /// For this long after an upstream refused something for lack of capacity, connections to it are opened
+    /// one at a time, and none for a team whose running statement is about to free one.
+    Duration saturationHold = std::chrono::milliseconds { 200 };
+    /// Time for which opening a connection takes one of the upstream's places, as long as a short statement.
+    Duration connectionOpeningTime = std::chrono::milliseconds { 12 };
+    /// Bounds of the retry advice that is derived from the observed drain of the upstreams.
+    Duration minDrainRetryAfter = std::chrono::milliseconds { 50 };
+    Duration maxDrainRetryAfter = std::chrono::milliseconds { 1000 };
+    /// Retry advice when all connections are in use and no drain has been observed.
     Duration overloadRetryAfter = std::chrono::milliseconds { 100 };
     /// An operation beyond this VM's share of its team's limit waits for tokens of siblings for this fraction
     /// (1/n) of its target latency. A round trip to the siblings takes 2 to 4 ms.
--- a/include/cyclamendrift/pooling/session_engine.h
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -144,6 +144,10 @@
     /// Observations for the control plane, which decides on primaries.
     [[nodiscard]] std::vector<UpstreamHealth> upstreamHealth() const;
 
+    /// Time for which a statement of the service that arrives now is expected to wait: the number of waiting
+    /// statements, times the observed duration of one, over the concurrency. Zero while that is unknown.
+    [[nodiscard]] Duration expectedWait(const ServiceName& service) const;
+
     /// Operations that each team has asked for since the last call, whether admitted or not.
     [[nodiscard]] std::map<TeamName, std::uint64_t> takeDemand();
 
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -42,6 +42,8 @@
     upstream.failingSince.reset();
     if (error == StatementError::TooManyConnections)
         this->recordFullUpstream(upstream);
+    if (error == StatementError::Busy)
+        this->recordSaturation(upstream);
     if (error == StatementError::WrongInstance)
         this->recordConnectFailure(upstream);
     auto* session = connection->user ? this->findCaller(*connection->user) : nullptr;
@@ -145,7 +147,7 @@
             { { "id", work.query.id }, { "upstream", skipped.string() },
                 { "error", std::to_string(static_cast<int>(reason)) } });
         this->refuse(session, StatementError::Busy,
-            adviceText("no upstream could run the statement", this->options.settings.overloadRetryAfter));
+            adviceText("no upstream could run the statement", this->drainAdvice(session)));
         return;
     }
     this->dispatch(session);
@@ -345,12 +347,17 @@
     auto& upstream = this->upstreamOf(connection);
     const bool beyondShare = upstream.connections.size() > this->connectionShareOf(upstream);
     const bool mustShrink = beyondShare && this->now < upstream.noBorrowingUntil;
+    const auto id = connection.id;
     const auto service = connection.service;
     if (mustShrink || !this->acceptsStatements(upstream))
         this->close(connection);
     else
         this->serveSameTeam(connection);
     this->dispatchWaiting(this->group(service));
+    // The statements that come before those of its team may be unable to open a connection now.
+    auto* remaining = this->findConnection(id);
+    if (remaining != nullptr && remaining->phase == PooledConnection::Phase::Idle)
+        this->serveSameTeam(*remaining, TeamAffinity::Unlimited);
 }
 
 void SessionEngine::State::close(PooledConnection& connection)
@@ -440,10 +447,8 @@
 void SessionEngine::State::recordNotRun(PooledConnection& connection, StatementError error)
 {
     auto& upstream = this->upstreamOf(connection);
-    if (error == StatementError::Busy) {
-        upstream.busyUntil = this->now + this->options.settings.busyBackoff;
-        upstream.limit.onCapacityRefusal(this->now);
-    }
+    if (error == StatementError::Busy)
+        this->recordSaturation(upstream);
     if (error == StatementError::Lagging) {
         upstream.laggingUntil = this->now
             + exponentialBackoff(this->options.settings.laggingBackoff, upstream.laggingCount,
@@ -454,6 +459,13 @@
         this->recordLeadRefusal(connection);
 }
 
+void SessionEngine::State::recordSaturation(UpstreamState& upstream)
+{
+    upstream.busyUntil = this->now + this->options.settings.busyBackoff;
+    upstream.saturatedUntil = this->now + this->options.settings.saturationHold;
+    upstream.limit.onCapacityRefusal(this->now);
+}
+
 void SessionEngine::State::checkTimeouts()
 {
     std::vector<ConnectionId> overdue;
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -26,7 +26,13 @@
 
 // Statements that a pass over the waiting ones may find unsuitable for every upstream before it ends, for
 // example because each has skipped the upstreams that have capacity. A tick makes a pass without this limit.
-constexpr std::size_t maxPassFailures = 16;
+constexpr std::size_t maxPassFailures = 8;
+
+// Statements behind a waiting one that are counted to find out how many are ahead of it.
+constexpr std::size_t maxCountedBehind = 32;
+constexpr int maxJitterPercent = 25;
+// Longest expected wait, which keeps it within the range of a Duration.
+constexpr std::chrono::hours maxDrainTime { 1 };
 
 // One connection is reserved for status queries.
 std::size_t usableConnections(std::uint32_t connectionCap)
@@ -62,8 +68,104 @@
     this->dispatchWaiting(group, DispatchScope::FirstStatements);
     // The pass may have ended before it reached this statement, whose team may have an idle connection.
     auto* added = this->findCaller(id);
-    if (added != nullptr && added->work && added->work->waiting)
-        this->assignUpstream(group, *added);
+    if (added == nullptr || !added->work || !added->work->waiting || this->assignUpstream(group, *added))
+        return;
+    this->refuseIfTooLate(group, *added);
+}
+
+void SessionEngine::State::refuseIfTooLate(const GroupState& group, CallerSession& session)
+{
+    const auto& statement = *session.work->waiting;
+    // A statement that is tried again waits before those that arrived after it.
+    const auto behind = group.waiting.countBehind(statement, maxCountedBehind);
+    if (behind == maxCountedBehind)
+        return;
+    // The statement itself is among those that are counted.
+    const auto ahead = this->waitingBeside(group, statement.demand, statement.position.priority) - 1 - behind;
+    const auto wait = this->drainTime(group, statement.demand, ahead);
+    const auto left
+        = std::max(session.work->arrivedAt + session.route.targetLatency - this->now, Duration {});
+    if (!wait || *wait <= left + left / 2)
+        return;
+    this->refuse(session, StatementError::Busy, adviceText("the statement would wait for too long", *wait));
+}
+
+std::size_t SessionEngine::State::waitingBeside(
+    const GroupState& group, const UpstreamDemand& demand, std::uint32_t priority) const
+{
+    // Reads that replicas may run do not wait for statements that only the primary can run.
+    if (demand.staleness <= Duration {})
+        return group.waiting.count(demand, priority);
+    std::size_t sum = 0;
+    for (const auto& [other, queue] : group.waiting.byDemand())
+        sum += other.staleness > Duration {} ? group.waiting.count(other, priority) : 0;
+    return sum;
+}
+
+std::optional<Duration> SessionEngine::State::drainTime(
+    const GroupState& group, const UpstreamDemand& demand, std::size_t statements) const
+{
+    if (statements == 0)
+        return std::nullopt;
+    const bool primaryIsShared
+        = demand.staleness > Duration {} && group.waiting.byDemand().contains(UpstreamDemand {});
+    const auto requirement = this->replicaRequirement(group, demand);
+    double perSecond = 0;
+    for (const auto& [name, upstream] : group.upstreams) {
+        const bool competes = group.isLedBy(name, this->now) ? !primaryIsShared : requirement.has_value();
+        if (!competes || !this->acceptsStatements(upstream) || this->now < upstream.unreachableUntil)
+            continue;
+        const auto rate = this->drainRateOf(upstream);
+        if (!rate)
+            return std::nullopt;
+        perSecond += *rate;
+    }
+    if (perSecond <= 0)
+        return std::nullopt;
+    const std::chrono::duration<double> time { static_cast<double>(statements) / perSecond };
+    return std::chrono::duration_cast<Duration>(
+        std::min(time, std::chrono::duration<double> { maxDrainTime }));
+}
+
+std::optional<double> SessionEngine::State::drainRateOf(const UpstreamState& upstream) const
+{
+    const auto& connections = upstream.connections;
+    // Connections of idle transactions run nothing for others.
+    const auto inUse = connections.inUse();
+    const auto held = inUse - std::min(connections.running(), inUse);
+    const auto max = this->maxConnectionsAt(upstream);
+    const auto places = std::min(upstream.limit.current(), max - std::min(held, max));
+    auto duration = upstream.limit.recentLatency();
+    // A VM without a share opens its only connection again for the next team.
+    if (this->hasNoShareOf(upstream))
+        duration += this->options.settings.connectionOpeningTime;
+    if (duration <= Duration {})
+        return std::nullopt;
+    return static_cast<double>(places) / std::chrono::duration<double> { duration }.count();
+}
+
+Duration SessionEngine::State::expectedWait(const GroupState& group) const
+{
+    Duration longest {};
+    for (const auto& [demand, queue] : group.waiting.byDemand()) {
+        const auto beside = this->waitingBeside(group, demand, std::numeric_limits<std::uint32_t>::max());
+        longest = std::max(longest, this->drainTime(group, demand, beside).value_or(Duration {}));
+    }
+    return longest;
+}
+
+Duration SessionEngine::State::drainAdvice(const CallerSession& session)
+{
+    const auto& settings = this->options.settings;
+    const auto& group = this->group(session.route.service);
+    const auto demand = this->demandOf(session);
+    const auto beside = std::max<std::size_t>(this->waitingBeside(group, demand, session.route.priority), 1);
+    const auto drain = this->drainTime(group, demand, beside).value_or(settings.overloadRetryAfter);
+    // The jitter spreads the next attempts of callers that are refused together.
+    const auto longest = settings.maxDrainRetryAfter * 100 / (100 + maxJitterPercent);
+    const auto base = std::clamp<Duration>(drain, settings.minDrainRetryAfter, longest);
+    std::uniform_int_distribution<int> jitter { 0, maxJitterPercent };
+    return base + base * jitter(this->jitterNumbers) / 100;
 }
 
 void SessionEngine::State::stopWaiting(CallerSession& session)
@@ -134,7 +236,7 @@
     });
 }
 
-void SessionEngine::State::serveSameTeam(PooledConnection& connection)
+void SessionEngine::State::serveSameTeam(PooledConnection& connection, TeamAffinity affinity)
 {
     auto& group = this->group(connection.service);
     auto& upstream = this->upstreamOf(connection);
@@ -144,7 +246,9 @@
     auto* sameTeam = this->firstWaitingOf(group, connection.team, mayServe);
     if (sameTeam == nullptr)
         return;
-    const CallerSession* first = this->firstWaitingBefore(group, *sameTeam->work->waiting, mayServe);
+    const CallerSession* first = affinity == TeamAffinity::Limited
+        ? this->firstWaitingBefore(group, *sameTeam->work->waiting, mayServe)
+        : nullptr;
     if (first == nullptr)
         first = sameTeam;
     if (first->route.priority < sameTeam->route.priority)
@@ -199,7 +303,7 @@
         if (!this->canServe(group, upstream, session, requirement))
             continue;
         const bool idle = this->idleConnection(upstream, session.team) != nullptr;
-        if (!idle && !this->canOpenConnection(upstream))
+        if (!idle && !this->canOpenConnectionFor(upstream, session))
             continue;
         const auto cost
             = this->costOf(group, upstream, session, requirement) + (idle ? 0 : connectionOpeningCost);
@@ -312,17 +416,39 @@
     const bool hasIdle = upstream.connections.hasIdle();
     // A connection that replaces an idle one takes its place at a full upstream.
     const bool replacesIdle = hasIdle && upstream.connections.size() >= this->connectionsKeptAt(upstream);
-    // After a refusal a single attempt shows whether the upstream has connections again.
-    const bool isFull
-        = this->now < upstream.fullUntil || (upstream.fullCount > 0 && upstream.connections.opening() > 0);
-    if (isFull && !replacesIdle)
+    // After a refusal a single attempt shows whether the upstream has connections or capacity again.
+    const bool isOpening = upstream.connections.opening() > 0;
+    const bool isFull = this->now < upstream.fullUntil || (upstream.fullCount > 0 && isOpening);
+    if (isFull && (!replacesIdle || isOpening))
+        return false;
+    if (isOpening && this->now < upstream.saturatedUntil)
         return false;
     return hasIdle || upstream.connections.size() < this->maxConnectionsAt(upstream);
 }
 
+bool SessionEngine::State::canOpenConnectionFor(
+    const UpstreamState& upstream, const CallerSession& session) const
+{
+    const bool saturated = this->now < upstream.saturatedUntil;
+    if (saturated && upstream.connections.willBeFreedFor(session.team))
+        return false;
+    return this->canOpenConnection(upstream);
+}
+
+bool SessionEngine::State::hasNoShareOf(const UpstreamState& upstream) const
+{
+    const auto cap = this->connectionCapOf(upstream.entry.service);
+    auto* owners = this->ownersFor(cap);
+    if (owners == nullptr)
+        return false;
+    const auto& all = owners->ownersOf(upstream.entry.service, cap);
+    return std::find(all.begin(), all.end(), owners->self()) == all.end();
+}
+
 std::size_t SessionEngine::State::maxConnectionsAt(const UpstreamState& upstream) const
 {
-    const bool borrows = this->now >= upstream.noBorrowingUntil;
+    // VMs without a share are many. If each borrowed a connection, the owners would lack them.
+    const bool borrows = this->now >= upstream.noBorrowingUntil && !this->hasNoShareOf(upstream);
     return this->connectionShareOf(upstream) + (borrows ? this->options.settings.maxBorrowedConnections : 0);
 }
 
@@ -351,6 +477,9 @@
     // part that is kept free in quiet times serves the callers of the restarted VMs meanwhile; without it
     // they would be refused for lack of connections.
     const auto share = this->connectionShareOf(upstream);
+    // Replacing connections of teams that come back in a moment would take places that statements need.
+    if (this->now < upstream.saturatedUntil)
+        return share;
     // Owners keep more, as they serve the statements of all VMs and their teams come back within seconds.
     const bool hasOwners = this->ownersFor(this->connectionCapOf(upstream.entry.service)) != nullptr;
     return std::max<std::size_t>(hasOwners ? share * 3 / 4 : share / 2, 1);
@@ -370,6 +499,7 @@
     connection.service = group.name;
     connection.team = session.team;
     connection.user = session.id;
+    connection.keptAfterAnswer = session.work->opensTransaction;
     connection.sentAt = this->now;
     connection.answerBy = this->now + this->options.settings.openTimeout;
     this->reindex(connection);
@@ -384,6 +514,8 @@
     auto& work = *session.work;
     connection.phase = PooledConnection::Phase::Working;
     connection.user = session.id;
+    const bool continuesTransaction = session.pinned && work.kind != StatementKind::Commit;
+    connection.keptAfterAnswer = work.opensTransaction || continuesTransaction;
     this->reindex(connection);
     work.connection = connection.id;
     for (auto& step : connection.state.stepsToMatch(session.state, work.shape ? &*work.shape : nullptr)) {
@@ -469,7 +601,7 @@
          overdue != nullptr && this->now >= overdue->deadline; overdue = group.waiting.mostOverdue()) {
         if (auto* session = this->findWaiting(group, *overdue))
             this->refuse(*session, StatementError::Busy,
-                adviceText("all connections are taken", this->options.settings.overloadRetryAfter));
+                adviceText("all connections are taken", this->drainAdvice(*session)));
     }
 }
 
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -52,6 +52,13 @@
     AllStatements,
 };
 
+/// Whether statements of other teams may come before one of a connection's own team.
+enum class TeamAffinity : std::uint8_t {
+    /// More urgent ones may, and those that arrived earlier by more than EngineSettings::teamAffinityWindow.
+    Limited,
+    Unlimited,
+};
+
 /// State of a SessionEngine. Its functions are defined in engine_callers (statements of callers),
 /// engine_dispatch (selection of upstreams), engine_evacuation (evacuated availability zones),
 /// engine_forwarding (statements forwarded to owner VMs, and statements of siblings), engine_connections
@@ -62,6 +69,7 @@
     explicit State(Options options)
         : options(std::move(options))
         , remoteSessionNumbers(this->options.seed)
+        , jitterNumbers(this->options.seed)
     {
     }
 
@@ -105,10 +113,15 @@
     void runPinned(CallerSession& session);
     /// Sends the statement of the session's transaction again at that time.
     void scheduleRetry(CallerSession& session, Instant at);
-    void serveSameTeam(PooledConnection& connection);
+    /// Runs the first waiting statement of the connection's team on it.
+    void serveSameTeam(PooledConnection& connection, TeamAffinity affinity = TeamAffinity::Limited);
     /// Divides the rates of cold upstreams among the VMs that hold connections to them.
     void updateColdStartLimits();
     void refuseOverdueStatements(GroupState& group);
+    /// Time that the waiting statements of the service need at the observed rate; zero while it is unknown.
+    [[nodiscard]] Duration expectedWait(const GroupState& group) const;
+    /// Retry advice from the observed rate at which the upstreams answer, with jitter.
+    [[nodiscard]] Duration drainAdvice(const CallerSession& session);
 
     // engine_evacuation
     void setEvacuatedZones(const std::set<ZoneName>& zones);
@@ -184,6 +197,7 @@
     PassedOver<VmName> skippedOwners;
     OwnerHealth ownerHealth;
     std::mt19937_64 remoteSessionNumbers;
+    std::mt19937_64 jitterNumbers;
     EngineCounters counters;
     std::uint64_t lastConnection = 0;
     /// Instant::max() unless this VM is shutting down.
@@ -240,6 +254,18 @@
     template <class Accepts>
     [[nodiscard]] CallerSession* firstWaitingBefore(
         GroupState& group, const WaitingStatement& end, const Accepts& accepts);
+    /// Refuses a waiting statement when those ahead of it need too long for its target latency.
+    void refuseIfTooLate(const GroupState& group, CallerSession& session);
+    /// Number of waiting statements that compete for the same upstreams and are at least as urgent.
+    [[nodiscard]] std::size_t waitingBeside(
+        const GroupState& group, const UpstreamDemand& demand, std::uint32_t priority) const;
+    /// Time in which upstreams answer so many statements; empty for none, or while that is unknown.
+    [[nodiscard]] std::optional<Duration> drainTime(
+        const GroupState& group, const UpstreamDemand& demand, std::size_t statements) const;
+    /// Statements that an upstream answers this VM in a second; empty before its first answer.
+    [[nodiscard]] std::optional<double> drainRateOf(const UpstreamState& upstream) const;
+    /// True when the service has owners and this VM is none of them.
+    [[nodiscard]] bool hasNoShareOf(const UpstreamState& upstream) const;
     /// Statements that no upstream will be able to run in time, with the text of their refusal.
     [[nodiscard]] std::vector<std::pair<CallerId, std::string>> unservableStatements(
         const GroupState& group) const;
@@ -275,6 +301,9 @@
     [[nodiscard]] std::size_t connectionsKeptAt(const UpstreamState& upstream) const;
     /// True when a connection can be opened, possibly in place of an idle one.
     [[nodiscard]] bool canOpenConnection(const UpstreamState& upstream) const;
+    /// The same for this session's statement, which may instead wait for a connection of its team.
+    [[nodiscard]] bool canOpenConnectionFor(
+        const UpstreamState& upstream, const CallerSession& session) const;
     void openConnectionFor(GroupState& group, UpstreamState& upstream, CallerSession& session);
     void runOn(PooledConnection& connection, CallerSession& session);
 
@@ -292,6 +321,8 @@
     void erase(ConnectionId id);
     /// Records that the upstream had no connection left for this VM.
     void recordFullUpstream(UpstreamState& upstream);
+    /// Records that the upstream refused something for lack of capacity.
+    void recordSaturation(UpstreamState& upstream);
     void recordConnectFailure(UpstreamState& upstream);
     void recordAnswer(PooledConnection& connection, const Reply& reply);
     void recordNotRun(PooledConnection& connection, StatementError error);
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -55,6 +55,8 @@
     std::deque<Step> steps;
     std::deque<StepKind> sent;
     bool inTransaction = false;
+    /// True while its statement opens or continues a transaction, so that the answer does not make it idle.
+    bool keptAfterAnswer = false;
     Instant sentAt;
     Instant idleSince;
     /// Deadline for the answer to what was sent last.
@@ -73,6 +75,7 @@
         return { .running = running,
             .opening = opening,
             .idle = idle,
+            .freedByAnswer = running && !this->keptAfterAnswer,
             .idleSince = idle ? this->idleSince : Instant::min(),
             .answerBy = running ? this->answerBy : Instant::max() };
     }
@@ -94,6 +97,8 @@
     Instant unreachableUntil = Instant::min();
     int failures = 0;
     Instant busyUntil = Instant::min();
+    /// Until then connections are opened sparingly, because it has refused something for lack of capacity.
+    Instant saturatedUntil = Instant::min();
     Instant laggingUntil = Instant::min();
     int laggingCount = 0;
     Instant noBorrowingUntil = Instant::min();
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -392,6 +392,12 @@
     return all;
 }
 
+Duration SessionEngine::expectedWait(const ServiceName& service) const
+{
+    const auto group = this->state->groups.find(service);
+    return group == this->state->groups.end() ? Duration {} : this->state->expectedWait(group->second);
+}
+
 std::map<TeamName, std::uint64_t> SessionEngine::takeDemand()
 {
     return std::exchange(this->state->demand, {});
--- a/src/pooling/upstream_connections.cpp
+++ b/src/pooling/upstream_connections.cpp
@@ -33,6 +33,8 @@
 {
     this->runningCount += status.running ? 1 : 0;
     this->openingCount += status.opening ? 1 : 0;
+    if (status.freedByAnswer)
+        ++this->freedByAnswer[team];
     if (!status.idle)
         return;
     this->idleByTime.emplace(status.idleSince, id);
@@ -43,6 +45,8 @@
 {
     this->runningCount -= status.running ? 1 : 0;
     this->openingCount -= status.opening ? 1 : 0;
+    if (const auto count = this->freedByAnswer.find(team); status.freedByAnswer && --count->second == 0)
+        this->freedByAnswer.erase(count);
     if (!status.idle)
         return;
     this->idleByTime.erase({ status.idleSince, id });
--- a/src/pooling/upstream_connections.h
+++ b/src/pooling/upstream_connections.h
@@ -18,6 +18,8 @@
     bool running = false;
     bool opening = false;
     bool idle = false;
+    /// True while it runs something whose answer makes it idle.
+    bool freedByAnswer = false;
     Instant idleSince = Instant::min();
     /// Deadline of what it waits for; Instant::max() when it waits for nothing.
     Instant answerBy = Instant::max();
@@ -47,6 +49,11 @@
     [[nodiscard]] const IdleSet& idle() const noexcept { return this->idleByTime; }
     /// The oldest idle connection of a team.
     [[nodiscard]] std::optional<ConnectionId> idleOf(const TeamName& team) const;
+    /// True when an awaited answer makes a connection of the team idle.
+    [[nodiscard]] bool willBeFreedFor(const TeamName& team) const
+    {
+        return this->freedByAnswer.contains(team);
+    }
 
 private:
     void count(ConnectionId id, const TeamName& team, const ConnectionStatus& status);
@@ -57,6 +64,7 @@
     std::size_t openingCount = 0;
     IdleSet idleByTime;
     std::set<std::pair<TeamName, ConnectionId>> idleByTeam;
+    std::map<TeamName, std::size_t> freedByAnswer;
 };
 
 } // namespace cyclamendrift
--- a/src/pooling/waiting_statements.cpp
+++ b/src/pooling/waiting_statements.cpp
@@ -8,6 +8,7 @@
     const auto& stored = this->queues[statement.demand].emplace(statement.position, statement).first->second;
     this->teams.emplace(std::pair { stored.team, stored.position }, &stored);
     this->deadlines.emplace(std::pair { stored.deadline, stored.position.number }, &stored);
+    ++this->counts[{ stored.demand, stored.position.priority }];
     return statement;
 }
 
@@ -21,6 +22,9 @@
         return;
     this->teams.erase({ stored->second.team, stored->first });
     this->deadlines.erase({ stored->second.deadline, stored->first.number });
+    const auto count = this->counts.find({ statement.demand, stored->first.priority });
+    if (--count->second == 0)
+        this->counts.erase(count);
     queue->second.erase(stored);
     if (queue->second.empty())
         this->queues.erase(queue);
@@ -34,6 +38,28 @@
     return found == this->teams.end() || found->first.first != team ? nullptr : found->second;
 }
 
+std::size_t WaitingStatements::count(const UpstreamDemand& demand, std::uint32_t priority) const
+{
+    std::size_t sum = 0;
+    for (auto item = this->counts.lower_bound({ demand, 0 });
+         item != this->counts.end() && item->first.first == demand && item->first.second <= priority; ++item)
+        sum += item->second;
+    return sum;
+}
+
+std::size_t WaitingStatements::countBehind(const WaitingStatement& statement, std::size_t maximum) const
+{
+    const auto queue = this->queues.find(statement.demand);
+    if (queue == this->queues.end())
+        return 0;
+    std::size_t behind = 0;
+    for (auto other = queue->second.upper_bound(statement.position); other != queue->second.end()
+         && other->first.priority == statement.position.priority && behind < maximum;
+         ++other)
+        ++behind;
+    return behind;
+}
+
 const WaitingStatement* WaitingStatements::mostOverdue() const
 {
     return this->deadlines.empty() ? nullptr : this->deadlines.begin()->second;
--- a/src/pooling/waiting_statements.h
+++ b/src/pooling/waiting_statements.h
@@ -68,6 +68,10 @@
         }
         return first;
     }
+    /// Number of statements with this demand that are at least as urgent as `priority`.
+    [[nodiscard]] std::size_t count(const UpstreamDemand& demand, std::uint32_t priority) const;
+    /// Number of statements with the same demand and priority that come after this one, up to `maximum`.
+    [[nodiscard]] std::size_t countBehind(const WaitingStatement& statement, std::size_t maximum) const;
     /// The first statement of a team after a position; null when there is none.
     [[nodiscard]] const WaitingStatement* nextOf(
         const TeamName& team, const std::optional<WaitingPosition>& after) const;
@@ -78,6 +82,7 @@
     std::map<UpstreamDemand, Queue> queues;
     std::map<std::pair<TeamName, WaitingPosition>, const WaitingStatement*> teams;
     std::map<std::pair<Instant, std::uint64_t>, const WaitingStatement*> deadlines;
+    std::map<std::pair<UpstreamDemand, std::uint32_t>, std::size_t> counts;
     std::uint64_t lastNumber = 0;
 };
 
