Abort an idle transaction only when other statements wait for its connection

The code aborted each transaction that was idle for txnIdleMs, also on the VM that had forwarded it to an owner. Now the VM that holds the connection aborts the longest idle ones, no more than there are statements that lack a connection to their upstream. A transaction that holds no connection here is left alone.

A failed VM does not release the transactions that it has at an owner, so an owner still aborts a sibling's transaction after ten times txnIdleMs.

--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -89,6 +89,9 @@
     Duration ownerReplyGrace = std::chrono::milliseconds { 50 };
     /// While this VM shuts down, a caller that has connected gets this much time to start its session.
     Duration sessionStartTimeout = std::chrono::milliseconds { 300 };
+    /// The transaction of a sibling's caller is aborted after this multiple of the configured idle time, even
+    /// if no other statement waits for its connection.
+    int remoteTransactionIdleFactor = 10;
     /// Interval at which this VM reports that it runs statements of a service.
     Duration trackInterval = std::chrono::seconds { 10 };
     /// Pause between attempts to open a connection to an upstream that had none left; doubles with each
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -402,8 +402,6 @@
     session.work.reset();
     session.unconfirmed.reset();
     session.lastActive = this->now;
-    if (session.phase == SessionPhase::InTransaction)
-        this->idleTransactions.emplace(this->now, session.id);
 }
 
 bool SessionEngine::State::closeIfDraining(CallerSession& session)
--- a/src/pooling/engine_connections.cpp
+++ b/src/pooling/engine_connections.cpp
@@ -282,6 +282,7 @@
         return;
     }
     connection->sent.pop_front();
+    connection->answeredAt = this->now;
     this->reindex(*connection);
     switch (kind) {
     case StepKind::Setup:
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -154,6 +154,22 @@
     return longest;
 }
 
+std::size_t SessionEngine::State::waitingForConnections(
+    const GroupState& group, const UpstreamState& upstream) const
+{
+    const auto& connections = upstream.connections;
+    const bool hasNone
+        = connections.size() >= this->maxConnectionsAt(upstream) || this->now < upstream.fullUntil;
+    if (group.waiting.empty() || !this->hasCapacity(upstream) || connections.hasIdle() || !hasNone)
+        return 0;
+    std::size_t sum = 0;
+    for (const auto& [demand, queue] : group.waiting.byDemand()) {
+        if (this->isSuitable(group, upstream, this->replicaRequirement(group, demand)))
+            sum += queue.size();
+    }
+    return sum;
+}
+
 Duration SessionEngine::State::drainAdvice(const CallerSession& session)
 {
     const auto& settings = this->options.settings;
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -78,6 +78,7 @@
     /// Visits the sessions whose time limits may have ended.
     void tickSessions();
     void tickSession(CallerSession& session);
+    /// Aborts transactions that are idle for too long and hold connections that other statements wait for.
     void abortIdleTransactions();
     void abortEvacuatedTransactions();
     /// Resolves withheld replies, of one service unless it is null.
@@ -120,6 +121,9 @@
     void refuseOverdueStatements(GroupState& group);
     /// Time that the waiting statements of the service need at the observed rate; zero while it is unknown.
     [[nodiscard]] Duration expectedWait(const GroupState& group) const;
+    /// Number of waiting statements that the upstream could run if it had connections left for them.
+    [[nodiscard]] std::size_t waitingForConnections(
+        const GroupState& group, const UpstreamState& upstream) const;
     /// Retry advice from the observed rate at which the upstreams answer, with jitter.
     [[nodiscard]] Duration drainAdvice(const CallerSession& session);
 
@@ -184,10 +188,8 @@
     std::set<std::pair<Instant, ConnectionId>> answerDeadlines;
     /// Sessions that may have a withheld reply.
     std::set<CallerId> unconfirmedSessions;
-    // Timers are not cancelled: an entry whose session has moved on is ignored when it is due.
+    /// Sessions with a statement to be sent again, by time. An entry whose session has moved on is ignored.
     std::set<std::pair<Instant, CallerId>> retries;
-    /// Sessions that may be idle in a transaction, by the time of their last answer.
-    std::set<std::pair<Instant, CallerId>> idleTransactions;
     /// Forwarded statements that may be unanswered, by owner and time.
     std::map<VmName, std::set<std::pair<Instant, CallerId>>> forwardedWork;
     std::map<TeamName, Budget> budgets;
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -59,6 +59,8 @@
     bool keptAfterAnswer = false;
     Instant sentAt;
     Instant idleSince;
+    /// When the last answer arrived on it.
+    Instant answeredAt;
     /// Deadline for the answer to what was sent last.
     Instant answerBy;
     /// The term of the view on which the last statement or the open transaction relies for its freshness;
@@ -76,6 +78,7 @@
             .opening = opening,
             .idle = idle,
             .freedByAnswer = running && !this->keptAfterAnswer,
+            .transactionIdleSince = this->inTransaction && !running ? this->answeredAt : Instant::max(),
             .idleSince = idle ? this->idleSince : Instant::min(),
             .answerBy = running ? this->answerBy : Instant::max() };
     }
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -279,6 +279,7 @@
 
 void SessionEngine::State::tickSessions()
 {
+    this->abortIdleTransactions();
     // A shutdown ends sessions that nothing else would visit.
     if (this->now >= this->closeIdleFrom || this->now >= this->abortAt) {
         std::vector<CallerId> ids;
@@ -296,17 +297,37 @@
         if (auto* session = this->findCaller(id); session != nullptr && session->work)
             this->resumeIfDue(*session);
     }
-    this->abortIdleTransactions();
     this->abortEvacuatedTransactions();
 }
 
 void SessionEngine::State::abortIdleTransactions()
 {
-    for (const auto id : takeDue(this->idleTransactions, this->now - this->routes->maxTransactionIdleTime)) {
-        // Most of these transactions have ended or run a statement since; the next answer adds them again.
-        auto* session = this->findCaller(id);
-        if (session != nullptr && !session->work && !session->unconfirmed)
-            this->tickSession(*session);
+    const auto maxIdle = this->routes->maxTransactionIdleTime;
+    const auto maxRemoteIdle = maxIdle * this->options.settings.remoteTransactionIdleFactor;
+    std::vector<CallerId> due;
+    for (const auto& [service, group] : this->groups) {
+        for (const auto& [name, upstream] : group.upstreams) {
+            auto needed = this->waitingForConnections(group, upstream);
+            for (const auto& [since, id] : upstream.connections.idleTransactions()) {
+                if (this->now < since + (needed > 0 ? maxIdle : maxRemoteIdle))
+                    break;
+                const auto* connection = this->findConnection(id);
+                const auto* session = connection->user ? this->findCaller(*connection->user) : nullptr;
+                if (session == nullptr || session->work || session->unconfirmed
+                    || this->now < session->lastActive + maxIdle)
+                    continue;
+                // A sibling that fails does not release its transactions, which hold locks at the upstream.
+                const bool abandoned = session->remoteSession && this->now >= since + maxRemoteIdle;
+                if (needed == 0 && !abandoned)
+                    continue;
+                due.push_back(session->id);
+                needed -= needed > 0 ? 1 : 0;
+            }
+        }
+    }
+    for (const auto id : due) {
+        if (auto* session = this->findCaller(id))
+            this->abortTransaction(*session, "idle for too long");
     }
 }
 
@@ -356,11 +377,8 @@
         return this->resumeIfDue(session);
     if (this->isTransactionEvacuated(session))
         return this->abortTransaction(session, "the upstream's availability zone is evacuated");
-    const bool idleTooLong = this->now >= session.lastActive + this->routes->maxTransactionIdleTime;
-    const bool stopping = this->now >= this->abortAt;
-    if (session.phase == SessionPhase::InTransaction && (idleTooLong || stopping))
-        return this->abortTransaction(
-            session, idleTooLong ? "the caller rested too long" : "this VM is shutting down");
+    if (session.phase == SessionPhase::InTransaction && this->now >= this->abortAt)
+        return this->abortTransaction(session, "this VM is shutting down");
     static_cast<void>(this->closeIfDraining(session));
 }
 
--- a/src/pooling/upstream_connections.cpp
+++ b/src/pooling/upstream_connections.cpp
@@ -35,6 +35,8 @@
     this->openingCount += status.opening ? 1 : 0;
     if (status.freedByAnswer)
         ++this->freedByAnswer[team];
+    if (status.transactionIdleSince != Instant::max())
+        this->transactions.emplace(status.transactionIdleSince, id);
     if (!status.idle)
         return;
     this->idleByTime.emplace(status.idleSince, id);
@@ -47,6 +49,7 @@
     this->openingCount -= status.opening ? 1 : 0;
     if (const auto count = this->freedByAnswer.find(team); status.freedByAnswer && --count->second == 0)
         this->freedByAnswer.erase(count);
+    this->transactions.erase({ status.transactionIdleSince, id });
     if (!status.idle)
         return;
     this->idleByTime.erase({ status.idleSince, id });
--- a/src/pooling/upstream_connections.h
+++ b/src/pooling/upstream_connections.h
@@ -20,6 +20,8 @@
     bool idle = false;
     /// True while it runs something whose answer makes it idle.
     bool freedByAnswer = false;
+    /// Since when it holds a transaction in which nothing runs; Instant::max() when it holds none.
+    Instant transactionIdleSince = Instant::max();
     Instant idleSince = Instant::min();
     /// Deadline of what it waits for; Instant::max() when it waits for nothing.
     Instant answerBy = Instant::max();
@@ -47,6 +49,8 @@
     [[nodiscard]] const std::set<ConnectionId>& ids() const noexcept { return this->all; }
     /// The idle connections by the time since when they are idle, the longest first.
     [[nodiscard]] const IdleSet& idle() const noexcept { return this->idleByTime; }
+    /// The connections whose transaction is idle, the longest first.
+    [[nodiscard]] const IdleSet& idleTransactions() const noexcept { return this->transactions; }
     /// The oldest idle connection of a team.
     [[nodiscard]] std::optional<ConnectionId> idleOf(const TeamName& team) const;
     /// True when an awaited answer makes a connection of the team idle.
@@ -63,6 +67,7 @@
     std::size_t runningCount = 0;
     std::size_t openingCount = 0;
     IdleSet idleByTime;
+    IdleSet transactions;
     std::set<std::pair<TeamName, ConnectionId>> idleByTeam;
     std::map<TeamName, std::size_t> freedByAnswer;
 };
--- a/tests/pooling/forwarded_statement_test.cpp
+++ b/tests/pooling/forwarded_statement_test.cpp
@@ -160,6 +160,21 @@
         CHECK(simulation.executionCount("c/3") == 0);
     }
 
+    TEST_CASE("an owner ends a sibling's idle transaction some time after its idle time")
+    {
+        // The forwarding VM fails and releases nothing. Its transactions would hold rows locked for ever.
+        PoolSimulation simulation { forwardToOwner };
+        const auto caller = simulation.connect();
+        CHECK_FALSE(simulation.run(caller, "c/1", "BEGIN").failure);
+        CHECK_FALSE(simulation.run(caller, "c/2", "WRITE 1 x").failure);
+        simulation.advanceTime(10s);
+        CHECK(simulation.engine.callers() == 1);
+        simulation.advanceTime(21s);
+        CHECK(simulation.engine.callers() == 0);
+        CHECK(errorOf(simulation.run(caller, "c/3", "COMMIT")) == StatementError::Aborted);
+        CHECK_FALSE(simulation.committed("c/2"));
+    }
+
     TEST_CASE("a session reads its own write through the owner wherever the read runs")
     {
         // The owner may read at a replica that lags and has not seen this session before. Without the
