--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -55,8 +55,12 @@
     std::deque<Step> steps;
     std::deque<StepKind> sent;
     bool inTransaction = false;
+    /// True while its statement opens or continues a transaction, so that the answer does not make it idle.
+    bool keptAfterAnswer = false;
     Instant sentAt;
     Instant idleSince;
+    /// When the last answer arrived on it.
+    Instant answeredAt;
     /// Deadline for the answer to what was sent last.
     Instant answerBy;
     /// The term of the view on which the last statement or the open transaction relies for its freshness;
@@ -73,6 +77,8 @@
         return { .running = running,
             .opening = opening,
             .idle = idle,
+            .freedByAnswer = running && !this->keptAfterAnswer,
+            .transactionIdleSince = this->inTransaction && !running ? this->answeredAt : Instant::max(),
             .idleSince = idle ? this->idleSince : Instant::min(),
             .answerBy = running ? this->answerBy : Instant::max() };
     }
@@ -94,6 +100,8 @@
     Instant unreachableUntil = Instant::min();
     int failures = 0;
     Instant busyUntil = Instant::min();
+    /// Until then connections are opened sparingly, because it has refused something for lack of capacity.
+    Instant saturatedUntil = Instant::min();
     Instant laggingUntil = Instant::min();
     int laggingCount = 0;
     Instant noBorrowingUntil = Instant::min();
--- a/src/pooling/upstream_connections.h
+++ b/src/pooling/upstream_connections.h
@@ -18,6 +18,10 @@
     bool running = false;
     bool opening = false;
     bool idle = false;
+    /// True while it runs something whose answer makes it idle.
+    bool freedByAnswer = false;
+    /// Since when it holds a transaction in which nothing runs; Instant::max() when it holds none.
+    Instant transactionIdleSince = Instant::max();
     Instant idleSince = Instant::min();
     /// Deadline of what it waits for; Instant::max() when it waits for nothing.
     Instant answerBy = Instant::max();
@@ -45,8 +49,15 @@
     [[nodiscard]] const std::set<ConnectionId>& ids() const noexcept { return this->all; }
     /// The idle connections by the time since when they are idle, the longest first.
     [[nodiscard]] const IdleSet& idle() const noexcept { return this->idleByTime; }
+    /// The connections whose transaction is idle, the longest first.
+    [[nodiscard]] const IdleSet& idleTransactions() const noexcept { return this->transactions; }
     /// The oldest idle connection of a team.
     [[nodiscard]] std::optional<ConnectionId> idleOf(const TeamName& team) const;
+    /// True when an awaited answer makes a connection of the team idle.
+    [[nodiscard]] bool willBeFreedFor(const TeamName& team) const
+    {
+        return this->freedByAnswer.contains(team);
+    }
 
 private:
     void count(ConnectionId id, const TeamName& team, const ConnectionStatus& status);
@@ -56,7 +67,9 @@
     std::size_t runningCount = 0;
     std::size_t openingCount = 0;
     IdleSet idleByTime;
+    IdleSet transactions;
     std::set<std::pair<TeamName, ConnectionId>> idleByTeam;
+    std::map<TeamName, std::size_t> freedByAnswer;
 };
 
 } // namespace cyclamendrift
