Admit urgent operations of a team first across the fleet

Cause: the VMs that hold a team's limit give tokens to whoever asks first, and most VMs have one waiting operation of a team at a time. Urgent operations, which wait at most 37 ms, lose to less urgent ones of other VMs. A VM also pauses requests for all priorities after one was refused.

Change: with [admission] urgent_first, requests for tokens carry a priority and wait at all holders of the limit until the operation's time is over. Tokens that are not needed go back. Pauses hold for the priority that was refused and less urgent ones. Without the setting everything stays as it was. LimitHolders can spread the holders of a team over zones.

--- a/include/cyclamendrift/limits/donor_selector.h
+++ b/include/cyclamendrift/limits/donor_selector.h
@@ -4,9 +4,14 @@
 #include <cyclamendrift/core/instant.h>
 #include <cyclamendrift/core/passed_over.h>
 #include <cyclamendrift/limits/limit_shares.h>
+#include <cyclamendrift/limits/token_queue.h>
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -20,6 +25,10 @@
     /// of a few operations per second accrues one more operation.
     static constexpr Duration shortfallPause = std::chrono::milliseconds { 150 };
 
+    /// All VMs but `self`, those with the highest demand for the team first.
+    [[nodiscard]] static std::vector<VmName> rankByDemand(
+        const TeamName& team, const VmName& self, const std::map<VmName, DemandByTeam>& listed);
+
     /// Selects up to `count` VMs, those with the highest demand for the team first.
     [[nodiscard]] std::vector<VmName> select(const TeamName& team, const VmName& self,
         const std::map<VmName, DemandByTeam>& listed, std::size_t count, Instant now) const;
@@ -28,8 +37,18 @@
     [[nodiscard]] std::vector<VmName> select(
         const TeamName& team, const std::vector<VmName>& candidates, std::size_t count, Instant now) const;
 
-    /// Skips a VM that gave fewer tokens than requested, for this team.
-    void recordShortfall(const TeamName& team, const VmName& vm, Instant now);
+    /// The holders that a request may wait at: those that answer, without those that refuse at once what they
+    /// cannot give and did so a moment ago for this priority or a more urgent one.
+    [[nodiscard]] std::vector<VmName> selectWaiting(const TeamName& team,
+        const std::vector<VmName>& candidates, std::uint32_t priority, Instant now) const;
+    /// The first of `candidates` that is not known to be short of tokens for this priority.
+    [[nodiscard]] std::optional<VmName> selectFirst(const TeamName& team,
+        const std::vector<VmName>& candidates, std::uint32_t priority, Instant now) const;
+
+    /// Skips a VM that gave fewer tokens than requested, for this team, the priority and less urgent ones.
+    void recordShortfall(const TeamName& team, const VmName& vm, Instant now, std::uint32_t priority = 0);
+    /// Records whether requests wait at a VM until it has tokens.
+    void recordWaits(const VmName& vm, bool waits);
     /// Skips a VM that did not answer, for all teams.
     void recordNoAnswer(const VmName& vm, Instant now)
     {
@@ -41,7 +60,15 @@
     static constexpr Duration noAnswerPause = std::chrono::milliseconds { 300 };
 
     PassedOver<VmName> unresponsiveDonors;
-    PassedOver<std::pair<TeamName, VmName>> skippedDonors;
+    /// Until when a VM is skipped, by priority.
+    using SkippedUntil = std::array<Instant, tokenPriorities>;
+
+    [[nodiscard]] bool isSkipped(
+        const TeamName& team, const VmName& vm, std::uint32_t priority, Instant now) const;
+
+    std::map<std::pair<TeamName, VmName>, SkippedUntil> skippedDonors;
+    /// VMs that answer at once whether they have tokens or not, as earlier builds do.
+    std::set<VmName> donorsWithoutQueue;
 };
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/limits/limit_holders.h
+++ b/include/cyclamendrift/limits/limit_holders.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace cyclamendrift {
@@ -24,8 +25,17 @@
 ///         shares.updateByHolders(limits, self, holders, now);
 class LimitHolders {
 public:
+    struct Options {
+        /// The holders of a team are in different availability zones where there are enough candidates.
+        bool spreadOverZones = false;
+    };
+
     LimitHolders() = default;
-    explicit LimitHolders(std::map<VmName, VmCapacity> listed);
+    explicit LimitHolders(std::map<VmName, VmCapacity> listed)
+        : LimitHolders(std::move(listed), Options {})
+    {
+    }
+    LimitHolders(std::map<VmName, VmCapacity> listed, Options options);
 
     /// True when every VM holds a share of each limit.
     [[nodiscard]] bool includesAllVms() const noexcept;
@@ -42,6 +52,11 @@
     [[nodiscard]] std::vector<VmName> donorsFor(const TeamName& team, const VmName& asker) const;
 
 private:
+    void addCandidatesOfZones(const std::vector<VmName>& ranked);
+    /// Puts the best candidates of different zones first, in the same order otherwise.
+    void preferDifferentZones(std::vector<VmName>& ranked) const;
+
+    Options options;
     std::map<VmName, VmCapacity> listed;
     /// The VMs with the most cores, from which the holders are selected.
     std::vector<VmName> holderCandidates;
--- a/include/cyclamendrift/limits/team_share.h
+++ b/include/cyclamendrift/limits/team_share.h
@@ -39,12 +39,21 @@
     /// the other VM's share.
     void receive(std::uint32_t given, Instant now);
 
+    /// Adds operations that another VM got from this share and returns; what exceeds the burst is dropped.
+    void takeBack(std::uint32_t returned, Instant now);
+
+    /// Deducts the whole operations beyond the burst and returns their number. Only tokens that were received
+    /// exceed it.
+    [[nodiscard]] std::uint32_t takeSurplus(Instant now);
+
     /// Operations that may be admitted at once.
     [[nodiscard]] double availableTokens(Instant now);
 
     /// Rate of the share in operations per second.
     [[nodiscard]] double rate() const noexcept { return this->rule.ratePerSecond; }
 
+    [[nodiscard]] double burst() const noexcept { return this->rule.burst; }
+
     /// Time until an operation can be admitted, at most one second.
     [[nodiscard]] Duration timeToNext(Instant now);
 
--- a/include/cyclamendrift/pooling/engine_actions.h
+++ b/include/cyclamendrift/pooling/engine_actions.h
@@ -73,6 +73,21 @@
 struct RequestTokens {
     TeamName team;
     std::uint32_t wanted = 0;
+    /// Set with EngineSettings::urgentFirst only, as is the end of the wait; the result is then reported to
+    /// tokenRequestEnded().
+    std::uint32_t priority = 0;
+    Instant until = Instant::min();
+};
+/// Answers a sibling's request for tokens.
+struct AnswerTokenRequest {
+    TeamName team;
+    std::uint64_t request = 0;
+    std::uint32_t given = 0;
+};
+/// Gives tokens of other VMs' shares back that this VM does not need.
+struct ReturnTokens {
+    TeamName team;
+    std::uint32_t count = 0;
 };
 /// Forwards a caller's statement to an owner VM of its service. The result is reported to
 /// forwardedStatementAnswered() or forwardingFailed().
@@ -109,7 +124,7 @@
 };
 /// Any action of a SessionEngine.
 using EngineAction = std::variant<OpenConnection, SendStatement, CloseConnection, AcceptCaller, AnswerCaller,
-    CloseCaller, RequestTokens, ForwardStatement, CheckOwnerLiveness, ReleaseRemoteSession,
-    AnswerRemoteSession, TrackService, LogEvent>;
+    CloseCaller, RequestTokens, AnswerTokenRequest, ReturnTokens, ForwardStatement, CheckOwnerLiveness,
+    ReleaseRemoteSession, AnswerRemoteSession, TrackService, LogEvent>;
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/pooling/engine_settings.h
+++ b/include/cyclamendrift/pooling/engine_settings.h
@@ -68,6 +68,9 @@
     /// An operation beyond this VM's share of its team's limit waits for tokens of siblings for this fraction
     /// (1/n) of its target latency. A round trip to the siblings takes 2 to 4 ms.
     int admissionWaitDivisor = 4;
+    /// Operations of a team get its tokens in the order of their priority across the fleet: requests for
+    /// tokens wait at the VMs that hold the limit.
+    bool urgentFirst = false;
     /// Backoff after siblings had no tokens to give.
     Duration tokenRequestBackoff = std::chrono::milliseconds { 60 };
     /// Maximum attempts of a statement that no upstream has run, including the first.
--- a/include/cyclamendrift/pooling/session_engine.h
+++ b/include/cyclamendrift/pooling/session_engine.h
@@ -3,6 +3,7 @@
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
 #include <cyclamendrift/limits/team_share.h>
+#include <cyclamendrift/limits/token_queue.h>
 #include <cyclamendrift/pooling/caller_statement.h>
 #include <cyclamendrift/pooling/engine_actions.h>
 #include <cyclamendrift/pooling/engine_settings.h>
@@ -12,6 +13,7 @@
 #include <cyclamendrift/pooling/service_owners.h>
 #include <cyclamendrift/pooling/upstream_directory.h>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -53,6 +55,25 @@
     Lost,
 };
 
+/// A sibling's request for tokens that waits at this VM.
+struct SiblingTokenRequest {
+    std::uint64_t number = 0;
+    TeamName team;
+    std::uint32_t priority = 0;
+    std::uint32_t wanted = 0;
+    /// When the sibling stops waiting; a request that ends now is answered at once.
+    Instant until;
+};
+
+/// Operations of one priority by what became of them, and the tokens given to siblings for it.
+struct AdmissionCounts {
+    std::uint64_t admitted = 0;
+    std::uint64_t refused = 0;
+    /// The part of those that was refused because the team was over its rate.
+    std::uint64_t overRate = 0;
+    std::uint64_t tokensGiven = 0;
+};
+
 /// Counts since the engine was created.
 struct EngineCounters {
     std::uint64_t answered = 0;
@@ -66,6 +87,7 @@
     /// Statements forwarded to owner VMs, and statements accepted from siblings.
     std::uint64_t forwarded = 0;
     std::uint64_t acceptedFromSiblings = 0;
+    std::array<AdmissionCounts, tokenPriorities> admissions {};
 };
 
 /// Serves callers' sessions from a pool of upstream connections. It checks keys and limits, keeps the
@@ -129,6 +151,18 @@
     /// Deducts up to `wanted` tokens from this VM's share for a sibling and returns their number.
     [[nodiscard]] std::uint32_t giveTokens(const TeamName& team, std::uint32_t wanted, Instant now);
 
+    // With EngineSettings::urgentFirst, in place of the two above.
+    /// Reports the end of a request for tokens, with the number that siblings gave; may be zero.
+    void tokenRequestEnded(const RequestTokens& request, std::uint32_t given, Instant now);
+    /// Queues a sibling's request, which an AnswerTokenRequest answers.
+    void siblingRequestedTokens(const SiblingTokenRequest& request, Instant now);
+    void siblingWithdrewRequest(const TeamName& team, std::uint64_t number, Instant now);
+    /// A sibling does not need tokens that this VM gave.
+    void siblingReturnedTokens(const TeamName& team, std::uint32_t count, Instant now);
+    /// When serveWaitingRequests() has something to do; Instant::max() when nothing waits for tokens.
+    [[nodiscard]] Instant nextTokenDue() const;
+    void serveWaitingRequests(Instant now);
+
     /// Starts a graceful shutdown: idle sessions are closed from `closeIdleFrom` on, and open transactions
     /// are aborted at `abortAt`.
     void drain(Instant closeIdleFrom, Instant abortAt);
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -40,6 +40,8 @@
         /// Address at which siblings reach this VM.
         std::string siblingHost;
         std::uint16_t siblingPort = 0;
+        /// Operations of a team get its tokens in the order of their priority.
+        bool urgentFirst = false;
         CallerPort& callers;
         UpstreamPort& upstreams;
         /// Called on the traffic thread when a shutdown has closed all sessions.
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -38,6 +38,18 @@
 /// Bytes of requests and answers, without frames.
 using SiblingTraffic = std::map<SiblingTrafficKind, std::uint64_t>;
 
+/// A sibling's request for tokens of a team's limit.
+struct IncomingTokenRequest {
+    VmName from;
+    TeamName team;
+    std::uint32_t wanted = 0;
+    std::uint32_t priority = 0;
+    /// How long the request may wait for tokens.
+    Duration wait {};
+    /// The sibling's number for the request.
+    std::uint64_t number = 0;
+};
+
 /// Calls between session proxies: requests for tokens of limits and for readings of the store, and statements
 /// that are forwarded to owner VMs. Used on the traffic thread.
 class SiblingExchange {
@@ -48,8 +60,14 @@
         ZoneName zone;
         std::string listenHost;
         std::uint16_t listenPort = 0;
+        /// Requests for tokens wait at the VMs that hold the limit, by priority.
+        bool urgentFirst = false;
         /// Deducts tokens from this VM's share for a sibling; on the traffic thread.
-        std::function<std::uint32_t(const TeamName&, std::uint32_t)> giveTokens;
+        std::function<asio::awaitable<std::uint32_t>(IncomingTokenRequest)> giveTokens;
+        /// A sibling's request need not wait any longer; on the traffic thread.
+        std::function<void(const VmName&, const TeamName&, std::uint64_t)> withdrawRequest;
+        /// A sibling does not need tokens that it got; on the traffic thread.
+        std::function<void(const TeamName&, std::uint32_t)> takeBackTokens;
         /// Answers a sibling's request for this VM's readings of the store; may resume on any thread.
         std::function<asio::awaitable<std::string>(std::string)> shareReadings;
         /// Answers a sibling's request for the configuration; may resume on any thread.
@@ -75,6 +93,12 @@
     /// Requests tokens from siblings, one after the other, and reports their sum; on the traffic thread.
     void requestTokens(const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done);
 
+    /// Requests tokens from siblings until the end of the request's time and reports how many it got; on the
+    /// traffic thread.
+    void searchTokens(const RequestTokens& request, std::function<void(std::uint32_t)> done);
+    /// Gives tokens that are not needed back to a sibling that holds the limit; on the traffic thread.
+    void returnTokens(const TeamName& team, std::uint32_t count);
+
     /// Requests a sibling's readings of the store; throws SiblingError or RequestError.
     [[nodiscard]] asio::awaitable<std::string> requestReadings(
         SiblingAddress sibling, std::string request, Duration timeLimit);
--- a/include/cyclamendrift/settings/session_settings.h
+++ b/include/cyclamendrift/settings/session_settings.h
@@ -32,6 +32,8 @@
     std::string storeAddress;
     /// `[promotion] address`: host and port at which primaries are named.
     std::string promotionAddress;
+    /// `[admission] urgent_first`: operations of a team get its tokens in the order of their priority.
+    bool urgentFirst = false;
     /// `[shutdown] grace_ms`: from SIGTERM to the end at the latest.
     Duration grace = std::chrono::seconds { 6 };
     /// `[log]`
--- a/src/limits/donor_selector.cpp
+++ b/src/limits/donor_selector.cpp
@@ -4,8 +4,19 @@
 
 namespace cyclamendrift {
 
-std::vector<VmName> DonorSelector::select(const TeamName& team, const VmName& self,
-    const std::map<VmName, DemandByTeam>& listed, std::size_t count, Instant now) const
+namespace {
+
+std::array<Instant, tokenPriorities> neverSkipped()
+{
+    std::array<Instant, tokenPriorities> until {};
+    until.fill(Instant::min());
+    return until;
+}
+
+} // namespace
+
+std::vector<VmName> DonorSelector::rankByDemand(
+    const TeamName& team, const VmName& self, const std::map<VmName, DemandByTeam>& listed)
 {
     std::vector<std::pair<double, VmName>> candidates;
     for (const auto& [vm, demand] : listed) {
@@ -20,7 +31,13 @@
     ordered.reserve(candidates.size());
     for (auto& [rate, vm] : candidates)
         ordered.push_back(std::move(vm));
-    return this->select(team, ordered, count, now);
+    return ordered;
+}
+
+std::vector<VmName> DonorSelector::select(const TeamName& team, const VmName& self,
+    const std::map<VmName, DemandByTeam>& listed, std::size_t count, Instant now) const
+{
+    return this->select(team, rankByDemand(team, self, listed), count, now);
 }
 
 std::vector<VmName> DonorSelector::select(
@@ -28,16 +45,58 @@
 {
     std::vector<VmName> selected;
     for (const auto& vm : candidates) {
-        const bool isSkipped = this->skippedDonors.contains({ team, vm }, now);
-        if (selected.size() < count && !isSkipped && !this->unresponsiveDonors.contains(vm, now))
+        const bool skipped = this->isSkipped(team, vm, 0, now) || this->unresponsiveDonors.contains(vm, now);
+        if (selected.size() < count && !skipped)
             selected.push_back(vm);
     }
     return selected;
 }
 
-void DonorSelector::recordShortfall(const TeamName& team, const VmName& vm, Instant now)
+std::vector<VmName> DonorSelector::selectWaiting(
+    const TeamName& team, const std::vector<VmName>& candidates, std::uint32_t priority, Instant now) const
+{
+    std::vector<VmName> selected;
+    for (const auto& vm : candidates) {
+        const bool refuses
+            = this->donorsWithoutQueue.contains(vm) && this->isSkipped(team, vm, priority, now);
+        if (!refuses && !this->unresponsiveDonors.contains(vm, now))
+            selected.push_back(vm);
+    }
+    return selected;
+}
+
+std::optional<VmName> DonorSelector::selectFirst(
+    const TeamName& team, const std::vector<VmName>& candidates, std::uint32_t priority, Instant now) const
+{
+    const auto match = std::find_if(candidates.begin(), candidates.end(), [&](const VmName& vm) {
+        return !this->unresponsiveDonors.contains(vm, now) && !this->isSkipped(team, vm, priority, now);
+    });
+    return match == candidates.end() ? std::nullopt : std::optional { *match };
+}
+
+void DonorSelector::recordShortfall(
+    const TeamName& team, const VmName& vm, Instant now, std::uint32_t priority)
+{
+    // A VM that lacks tokens for a priority keeps none for less urgent ones, but may have kept some for more
+    // urgent ones.
+    auto& until = this->skippedDonors.try_emplace({ team, vm }, neverSkipped()).first->second;
+    for (auto skipped = clampPriority(priority); skipped < tokenPriorities; ++skipped)
+        until.at(skipped) = now + shortfallPause;
+}
+
+void DonorSelector::recordWaits(const VmName& vm, bool waits)
+{
+    if (waits)
+        this->donorsWithoutQueue.erase(vm);
+    else
+        this->donorsWithoutQueue.insert(vm);
+}
+
+bool DonorSelector::isSkipped(
+    const TeamName& team, const VmName& vm, std::uint32_t priority, Instant now) const
 {
-    this->skippedDonors.add({ team, vm }, now + shortfallPause);
+    const auto match = this->skippedDonors.find({ team, vm });
+    return match != this->skippedDonors.end() && now < match->second.at(clampPriority(priority));
 }
 
 } // namespace cyclamendrift
--- a/src/limits/limit_holders.cpp
+++ b/src/limits/limit_holders.cpp
@@ -3,6 +3,8 @@
 #include <cyclamendrift/membership/owner_selection.h>
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace cyclamendrift {
@@ -35,12 +37,43 @@
     return order;
 }
 
-LimitHolders::LimitHolders(std::map<VmName, VmCapacity> listed)
-    : listed(std::move(listed))
+LimitHolders::LimitHolders(std::map<VmName, VmCapacity> listed, Options options)
+    : options(options)
+    , listed(std::move(listed))
 {
-    this->holderCandidates = rankByCores(this->listed);
-    const auto candidates = std::max(this->listed.size() / vmsPerCandidate, minCandidates);
-    this->holderCandidates.resize(std::min(this->holderCandidates.size(), candidates));
+    const auto ranked = rankByCores(this->listed);
+    const auto candidates
+        = std::min(ranked.size(), std::max(this->listed.size() / vmsPerCandidate, minCandidates));
+    this->holderCandidates.assign(
+        ranked.begin(), std::next(ranked.begin(), static_cast<std::ptrdiff_t>(candidates)));
+    if (this->options.spreadOverZones)
+        this->addCandidatesOfZones(ranked);
+}
+
+void LimitHolders::addCandidatesOfZones(const std::vector<VmName>& ranked)
+{
+    std::set<ZoneName> zones;
+    for (const auto& [vm, capacity] : this->listed)
+        zones.insert(capacity.zone);
+    const auto perZone = std::max<std::size_t>(minCandidates / std::max<std::size_t>(zones.size(), 1), 1);
+    std::map<ZoneName, std::size_t> counts;
+    for (const auto& vm : ranked) {
+        if (++counts[this->listed.at(vm).zone] <= perZone && !this->mayHold(vm))
+            this->holderCandidates.push_back(vm);
+    }
+}
+
+void LimitHolders::preferDifferentZones(std::vector<VmName>& ranked) const
+{
+    std::set<ZoneName> zones;
+    std::vector<VmName> order;
+    std::vector<VmName> others;
+    for (const auto& vm : ranked) {
+        const bool isFirstOfZone = zones.insert(this->listed.at(vm).zone).second;
+        (isFirstOfZone ? order : others).push_back(vm);
+    }
+    order.insert(order.end(), others.begin(), others.end());
+    ranked = std::move(order);
 }
 
 bool LimitHolders::includesAllVms() const noexcept { return this->listed.size() <= maxVmsThatAllHold; }
@@ -55,6 +88,8 @@
 {
     auto holders = this->holderCandidates;
     rankByRendezvous(holders, "limit/" + team.string());
+    if (this->options.spreadOverZones)
+        this->preferDifferentZones(holders);
     holders.resize(std::min(holders.size(), holdersPerTeam));
     return holders;
 }
--- a/src/limits/team_share.cpp
+++ b/src/limits/team_share.cpp
@@ -49,6 +49,21 @@
     this->level += given;
 }
 
+void TeamShare::takeBack(std::uint32_t returned, Instant now)
+{
+    this->accrue(now);
+    if (this->level < this->rule.burst)
+        this->level = std::min(this->rule.burst, this->level + returned);
+}
+
+std::uint32_t TeamShare::takeSurplus(Instant now)
+{
+    this->accrue(now);
+    const auto surplus = static_cast<std::uint32_t>(std::max(this->level - this->rule.burst, 0.0));
+    this->level -= surplus;
+    return surplus;
+}
+
 double TeamShare::availableTokens(Instant now)
 {
     this->accrue(now);
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -189,8 +189,11 @@
     if (!this->routes->limits.contains(session.team))
         return this->runOperation(session, std::move(query));
     auto& budget = this->budgets[session.team];
+    if (this->options.settings.urgentFirst)
+        return this->queueByPriority(session, budget, std::move(query));
     if (budget.waiting.empty() && budget.share.tryAcquire(this->now)) {
         session.tokenSpent = true;
+        this->countAdmission(session);
         return this->runOperation(session, std::move(query));
     }
     this->queueForToken(session, budget, std::move(query));
@@ -206,7 +209,7 @@
     const auto ownWait = budget.share.timeToNext(this->now) * static_cast<int>(ahead + 1);
     const bool siblingsHaveNone = !budget.requestingTokens && this->now < budget.nextTokenRequestAt;
     if (siblingsHaveNone && ownWait > maxWait) {
-        this->refuse(session, StatementError::Busy, adviceText("the team is over its rate", ownWait));
+        this->refuseOverRate(session, ownWait);
         return;
     }
     session.waiting = std::make_unique<WaitingOperation>(
@@ -239,6 +242,7 @@
         auto query = std::move(session->waiting->query);
         session->waiting.reset();
         session->tokenSpent = true;
+        this->countAdmission(*session);
         this->runOperation(*session, std::move(query));
     }
     this->refuseOverdueOperations(budget);
@@ -266,11 +270,21 @@
         if (session == nullptr || !session->waiting)
             continue;
         session->waiting.reset();
-        this->refuse(*session, StatementError::Busy,
-            adviceText("the team is over its rate", budget.share.timeToNext(this->now)));
+        this->refuseOverRate(*session, budget.share.timeToNext(this->now));
     }
 }
 
+void SessionEngine::State::countAdmission(const CallerSession& session)
+{
+    ++this->counters.admissions.at(clampPriority(session.route.priority)).admitted;
+}
+
+void SessionEngine::State::refuseOverRate(CallerSession& session, Duration retryAfter)
+{
+    ++this->counters.admissions.at(clampPriority(session.route.priority)).overRate;
+    this->refuse(session, StatementError::Busy, adviceText("the team is over its rate", retryAfter));
+}
+
 void SessionEngine::State::runOperation(CallerSession& session, CallerQuery query)
 {
     if (const auto* wanted = std::get_if<BeginTransaction>(&query.statement))
@@ -350,6 +364,7 @@
 void SessionEngine::State::refuse(CallerSession& session, StatementError error, std::string text)
 {
     ++this->counters.refused;
+    ++this->counters.admissions.at(clampPriority(session.route.priority)).refused;
     this->refundToken(session);
     if (session.work) {
         this->log("refused",
@@ -372,8 +387,12 @@
 {
     // An operation that no upstream has run does not count against the limit; otherwise a caller that retries
     // would be charged twice.
-    if (std::exchange(session.tokenSpent, false))
-        this->budgets[session.team].share.receive(1, this->now);
+    if (!std::exchange(session.tokenSpent, false))
+        return;
+    auto& budget = this->budgets[session.team];
+    budget.share.receive(1, this->now);
+    if (this->options.settings.urgentFirst)
+        this->setTokensDue(session.team, budget, this->now);
 }
 
 void SessionEngine::State::recordOwnWrite(CallerSession& session, const Progress& progress, Instant at)
@@ -434,6 +453,8 @@
         if (connection->sent.empty() && connection->phase == PooledConnection::Phase::Working)
             this->sendNext(*connection);
     }
+    if (session->waiting && this->options.settings.urgentFirst)
+        this->budgets[session->team].queue.remove({ .number = static_cast<std::uint64_t>(id) });
     if (const auto group = this->groups.find(session->route.service); group != this->groups.end())
         std::erase(group->second.waiting, id);
     this->callers.erase(static_cast<std::uint64_t>(id));
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -7,6 +7,7 @@
 #include <cyclamendrift/pooling/owner_health.h>
 #include <cyclamendrift/pooling/session_engine.h>
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -16,6 +17,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cyclamendrift {
@@ -27,6 +29,16 @@
     std::deque<CallerId> waiting;
     bool requestingTokens = false;
     Instant nextTokenRequestAt = Instant::min();
+
+    // With EngineSettings::urgentFirst, in place of the three above.
+    TokenQueue queue;
+    /// Tokens requested from siblings by requests that have not ended, and the number of these, by priority.
+    TokenQueue::CountByPriority requested {};
+    TokenQueue::CountByPriority openRequests {};
+    /// When the next request may be sent, by priority.
+    std::array<Instant, tokenPriorities> requestAllowedAt {};
+    /// When the queue is served next.
+    Instant due = Instant::max();
 };
 
 /// The answer from which a term was learned.
@@ -45,6 +57,7 @@
 };
 
 /// State of a SessionEngine. Its functions are defined in engine_callers (statements of callers),
+/// engine_admission (tokens by priority),
 /// engine_dispatch (selection of upstreams), engine_evacuation (evacuated availability zones),
 /// engine_forwarding (statements forwarded to owner VMs, and statements of siblings), engine_connections
 /// (connections, sending and connection losses), engine_contradictions (answers that contradict the view of
@@ -75,6 +88,14 @@
     static void recordOwnWrite(CallerSession& session, const Progress& progress, Instant at);
     /// Admits waiting operations while tokens last, and requests missing tokens from siblings.
     void admitWaiting(const TeamName& team, Budget& budget);
+
+    // engine_admission
+    /// Hands out the team's tokens by priority, and requests missing ones from siblings.
+    void serveTokens(const TeamName& team, Budget& budget);
+    void serveDueTokens();
+    void setTokensDue(const TeamName& team, Budget& budget, Instant due);
+
+    // engine_callers
     /// Closes the session if it is idle and this VM is shutting down; returns true when it did.
     bool closeIfDraining(CallerSession& session);
 
@@ -143,6 +164,8 @@
     std::unordered_map<std::uint64_t, CallerSession> callers;
     std::unordered_map<std::uint64_t, PooledConnection> connections;
     std::map<TeamName, Budget> budgets;
+    /// Teams for which requests wait, by the time when the queue is served next.
+    std::set<std::pair<Instant, TeamName>> tokensDue;
     std::map<TeamName, std::uint64_t> demand;
     FleetPlace place;
     /// Owner VMs that did not answer.
@@ -171,11 +194,20 @@
     /// Refuses operations that have waited for a token for the maximum time.
     void refuseOverdueOperations(Budget& budget);
     void runOperation(CallerSession& session, CallerQuery query);
+    void countAdmission(const CallerSession& session);
+    void refuseOverRate(CallerSession& session, Duration retryAfter);
     void begin(CallerSession& session, const BeginTransaction& wanted);
     void rollback(CallerSession& session);
     void runOnUpstream(CallerSession& session, CallerQuery query, StatementKind kind);
     void endTransaction(CallerSession& session);
 
+    // engine_admission
+    void queueByPriority(CallerSession& session, Budget& budget, CallerQuery query);
+    void finishWait(const TeamName& team, Budget& budget, const TokenQueue::Outcome& outcome);
+    /// Lets the operations of a team that has no limit any more go on, and refuses siblings' requests.
+    void releaseWaiting(const TeamName& team, Budget& budget);
+    void requestMissingTokens(const TeamName& team, Budget& budget);
+
     // engine_forwarding
     /// Runs the session's statement on this VM, or forwards it to an owner VM of its service.
     void dispatch(CallerSession& session);
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -271,6 +271,8 @@
         if (group.waiting.empty())
             this->groupsWithWaiting.erase(service);
     }
+    if (this->options.settings.urgentFirst)
+        return this->serveDueTokens();
     for (auto& entry : this->budgets)
         this->admitWaiting(entry.first, entry.second);
 }
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -253,6 +253,20 @@
     count("handed_on_total", "Statements handed to the home of their service.", own.counters.forwarded);
     count("taken_for_siblings_total", "Statements run here as the home of their service.",
         own.counters.acceptedFromSiblings);
+    for (std::uint32_t priority = 0; priority < tokenPriorities; ++priority) {
+        const auto& counts = own.counters.admissions.at(priority);
+        const auto label = std::to_string(priority);
+        if (counts.admitted + counts.refused + counts.tokensGiven == 0)
+            continue;
+        constexpr auto help = "Operations admitted and refused, by priority and cause.";
+        count("admissions_total", help, counts.admitted, { { "priority", label }, { "result", "admitted" } });
+        count(
+            "admissions_total", help, counts.overRate, { { "priority", label }, { "result", "over_rate" } });
+        count("admissions_total", help, counts.refused - counts.overRate,
+            { { "priority", label }, { "result", "not_run" } });
+        count("tokens_given_total", "Tokens of limits given to siblings, by priority.", counts.tokensGiven,
+            { { "priority", label } });
+    }
     constexpr auto readsHelp = "Reads answered, by the kind of upstream.";
     count("reads_total", readsHelp, own.counters.readsOnReplicas, { { "at", "replica" } });
     count("reads_total", readsHelp, own.counters.readsOnPrimary, { { "at", "primary" } });
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -61,6 +61,7 @@
               .process = process,
               .siblingHost = options.settings.siblings.address,
               .siblingPort = options.settings.siblings.port,
+              .urgentFirst = options.settings.urgentFirst,
               .callers = *ports.callers,
               .upstreams = *ports.upstreams,
               .onDrained = [this] { asio::post(this->controlContext, [this] { this->onDrained(); }); },
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -42,21 +42,46 @@
     std::optional<Reply> reply;
 };
 
+/// A sibling's request for tokens that waits for its answer.
+struct TokenRequestWait {
+    TokenRequestWait(asio::io_context& context, Instant deadline)
+        : timer(context, deadline)
+    {
+    }
+
+    asio::steady_timer timer;
+    std::optional<std::uint32_t> given;
+};
+/// A sibling and its number for a request.
+using SiblingRequestKey = std::pair<VmName, std::uint64_t>;
+
+// The engine ends a request at its time; this covers a late tick.
+constexpr Duration tokenAnswerGrace = std::chrono::milliseconds { 20 };
+
 } // namespace
 
 struct SessionTraffic::State {
     explicit State(Options given)
         : options(std::move(given))
-        , engine({ .zone = options.zone, .seed = options.process })
+        , engine({ .zone = options.zone,
+              .settings = { .urgentFirst = options.urgentFirst },
+              .seed = options.process })
         , timers(options.context.get_executor())
         , exchange({ .context = options.context,
               .self = options.vm,
               .zone = options.zone,
               .listenHost = options.siblingHost,
               .listenPort = options.siblingPort,
+              .urgentFirst = options.urgentFirst,
               .giveTokens
-              = [this](const TeamName& team,
-                    std::uint32_t wanted) { return this->engine.giveTokens(team, wanted, bootNow()); },
+              = [this](IncomingTokenRequest request) { return this->giveTokens(std::move(request)); },
+              .withdrawRequest = [this](const VmName& from, const TeamName& team,
+                                     std::uint64_t number) { this->withdrawRequest(from, team, number); },
+              .takeBackTokens =
+                  [this](const TeamName& team, std::uint32_t count) {
+                      this->engine.siblingReturnedTokens(team, count, bootNow());
+                      this->performAll();
+                  },
               .shareReadings = options.shareReadings,
               .shareConfiguration = options.shareConfiguration,
               .runForSibling
@@ -79,6 +104,8 @@
     void perform(const AnswerCaller& action);
     void perform(const CloseCaller& action);
     void perform(const RequestTokens& action);
+    void perform(const AnswerTokenRequest& action);
+    void perform(const ReturnTokens& action);
     void perform(const ForwardStatement& action);
     void perform(const CheckOwnerLiveness& action);
     void perform(const ReleaseRemoteSession& action);
@@ -86,6 +113,10 @@
     void perform(const TrackService& action);
     void perform(const LogEvent& action);
     [[nodiscard]] asio::awaitable<std::string> runForSibling(std::string body, Instant deadline);
+    [[nodiscard]] asio::awaitable<std::uint32_t> giveTokens(IncomingTokenRequest request);
+    void withdrawRequest(const VmName& from, const TeamName& team, std::uint64_t number);
+    /// Serves waiting requests for tokens when the next token accrues, which may be between two ticks.
+    void scheduleTokens();
 
     Options options;
     SessionEngine engine;
@@ -97,6 +128,11 @@
     DrainTimes drain;
     BoundedLog log { linesPerSecond };
     std::map<CallerId, std::shared_ptr<RemoteStatementWait>> remoteWaits;
+    std::map<std::uint64_t, std::shared_ptr<TokenRequestWait>> tokenWaits;
+    std::map<SiblingRequestKey, std::uint64_t> waitingRequests;
+    std::uint64_t lastTokenWait = 0;
+    asio::steady_timer tokenTimer { options.context };
+    Instant tokenTimerAt = Instant::max();
     bool listening = true;
     bool performing = false;
 };
@@ -165,6 +201,7 @@
             std::visit([this](const auto& wanted) { this->perform(wanted); }, action);
     }
     this->performing = false;
+    this->scheduleTokens();
     if (this->ticksAreIdle && this->startTicks && !this->engine.isIdle())
         this->startTicks(false);
 }
@@ -201,12 +238,38 @@
 
 void SessionTraffic::State::perform(const RequestTokens& action)
 {
+    if (this->options.urgentFirst) {
+        this->exchange.searchTokens(action, [this, action](std::uint32_t given) {
+            this->engine.tokenRequestEnded(action, given, bootNow());
+            this->performAll();
+        });
+        return;
+    }
     this->exchange.requestTokens(action.team, action.wanted, [this, team = action.team](std::uint32_t given) {
         this->engine.tokensReceived(team, given, bootNow());
         this->performAll();
     });
 }
 
+void SessionTraffic::State::perform(const AnswerTokenRequest& action)
+{
+    const auto wait = this->tokenWaits.find(action.request);
+    if (wait == this->tokenWaits.end()) {
+        // Nobody waits for the answer any more.
+        if (action.given > 0)
+            this->engine.siblingReturnedTokens(action.team, action.given, bootNow());
+        return;
+    }
+    wait->second->given = action.given;
+    wait->second->timer.cancel();
+    this->tokenWaits.erase(wait);
+}
+
+void SessionTraffic::State::perform(const ReturnTokens& action)
+{
+    this->exchange.returnTokens(action.team, action.count);
+}
+
 void SessionTraffic::State::perform(const ForwardStatement& action)
 {
     const auto done = [this, caller = action.caller, remoteSession = action.work.remoteSession](
@@ -281,6 +344,64 @@
         RefusalReason::DeadlineExceeded, "the statement goes on, but its caller's time is over");
 }
 
+asio::awaitable<std::uint32_t> SessionTraffic::State::giveTokens(IncomingTokenRequest request)
+{
+    const auto now = bootNow();
+    if (!this->options.urgentFirst)
+        co_return this->engine.giveTokens(request.team, request.wanted, now);
+    const auto id = ++this->lastTokenWait;
+    const SiblingRequestKey key { request.from, request.number };
+    const auto wait = std::make_shared<TokenRequestWait>(
+        this->options.context, std::chrono::steady_clock::now() + request.wait + tokenAnswerGrace);
+    this->tokenWaits[id] = wait;
+    this->waitingRequests[key] = id;
+    this->engine.siblingRequestedTokens({ .number = id,
+                                            .team = request.team,
+                                            .priority = request.priority,
+                                            .wanted = request.wanted,
+                                            .until = now + request.wait },
+        now);
+    this->performAll();
+    if (!wait->given) {
+        std::error_code ignored;
+        co_await wait->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    this->tokenWaits.erase(id);
+    if (const auto entry = this->waitingRequests.find(key);
+        entry != this->waitingRequests.end() && entry->second == id)
+        this->waitingRequests.erase(entry);
+    co_return wait->given.value_or(0);
+}
+
+void SessionTraffic::State::withdrawRequest(const VmName& from, const TeamName& team, std::uint64_t number)
+{
+    const auto entry = this->waitingRequests.find({ from, number });
+    if (entry == this->waitingRequests.end())
+        return;
+    this->engine.siblingWithdrewRequest(team, entry->second, bootNow());
+    this->performAll();
+}
+
+void SessionTraffic::State::scheduleTokens()
+{
+    const auto due = this->engine.nextTokenDue();
+    if (due == this->tokenTimerAt)
+        return;
+    this->tokenTimerAt = due;
+    if (due == Instant::max()) {
+        this->tokenTimer.cancel();
+        return;
+    }
+    this->tokenTimer.expires_after(std::max(due - bootNow(), Duration {}));
+    this->tokenTimer.async_wait([this](const asio::error_code& error) {
+        if (error)
+            return;
+        this->tokenTimerAt = Instant::max();
+        this->engine.serveWaitingRequests(bootNow());
+        this->performAll();
+    });
+}
+
 void SessionTraffic::connected(CallerId caller) { this->state->engine.callerConnected(caller, bootNow()); }
 
 void SessionTraffic::started(CallerId caller, SessionStart start)
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -1,6 +1,7 @@
 #include <cyclamendrift/session_proxy/sibling_exchange.h>
 
 #include <cyclamendrift/core/request_error.h>
+#include <cyclamendrift/limits/token_search.h>
 #include <cyclamendrift/runtime/boot_clock.h>
 #include <cyclamendrift/siblings/sibling_error.h>
 #include <cyclamendrift/telemetry/event_log.h>
@@ -10,6 +11,8 @@
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -33,6 +36,12 @@
 // Each further request costs the waiting operation a round trip.
 constexpr std::size_t maxDonorsAsked = 4;
 
+// Requests that wait at a sibling share the streams of one connection with forwarded statements. Beyond this
+// number, requests do not wait.
+constexpr std::size_t maxWaitingCalls = 96;
+// An operation waits for a fraction of its target latency; a request that asks for more is mistaken.
+constexpr Duration maxTokenWait = std::chrono::seconds { 1 };
+
 [[noreturn]] void refuse(const char* message) { throw notRun(RefusalReason::BadRequest, message); }
 
 } // namespace
@@ -73,11 +82,33 @@
         wire::TokenRequest request;
         if (!request.ParseFromString(call.body))
             refuse("the message cannot be read");
+        const auto given = co_await this->giveTokens(std::move(call.from), request);
         wire::TokenAnswer answer;
-        answer.set_given(this->options.giveTokens(TeamName { request.team() }, request.wanted()));
+        answer.set_waits(this->options.urgentFirst);
+        answer.set_given(given);
         co_return answer.SerializeAsString();
     }
 
+    [[nodiscard]] asio::awaitable<std::uint32_t> giveTokens(VmName from, const wire::TokenRequest& request)
+    {
+        const TeamName team { request.team() };
+        if (request.withdrawn() != 0)
+            this->options.withdrawRequest(from, team, request.withdrawn());
+        if (request.returned() != 0)
+            this->options.takeBackTokens(team, request.returned());
+        if (request.wanted() == 0)
+            co_return 0;
+        const Duration wait = std::chrono::microseconds { request.wait_us() };
+        // GCC destroys a temporary aggregate in an awaited expression twice.
+        IncomingTokenRequest incoming { .from = std::move(from),
+            .team = team,
+            .wanted = request.wanted(),
+            .priority = request.has_priority() ? request.priority() : tokenPriorities - 1,
+            .wait = std::min(wait, maxTokenWait),
+            .number = request.number() };
+        co_return co_await this->options.giveTokens(std::move(incoming));
+    }
+
     /// Calls a sibling and counts the bytes in both directions.
     [[nodiscard]] asio::awaitable<std::string> ask(SiblingAddress address, SiblingCall call)
     {
@@ -187,11 +218,134 @@
         done(given);
     }
 
+    /// A search for tokens with the numbers of its calls.
+    struct Search {
+        RequestTokens request;
+        TokenSearch logic;
+        std::uint64_t number = 0;
+        std::function<void(std::uint32_t)> done;
+    };
+
+    /// All VMs that hold the team's limit, in the order in which this VM prefers them.
+    [[nodiscard]] std::vector<VmName> holdersFor(const TeamName& team) const
+    {
+        if (!this->holders.includesAllVms())
+            return this->holders.donorsFor(team, this->options.self);
+        std::map<VmName, DemandByTeam> listed;
+        for (const auto& [vm, sibling] : this->siblings)
+            listed[vm] = sibling.demand;
+        return DonorSelector::rankByDemand(team, this->options.self, listed);
+    }
+
+    void searchTokens(const RequestTokens& request, std::function<void(std::uint32_t)> done)
+    {
+        const auto now = bootNow();
+        const auto candidates = this->holdersFor(request.team);
+        TokenSearch logic { { .wanted = request.wanted,
+            .until = request.until,
+            .donors = this->donors.selectWaiting(request.team, candidates, request.priority, now),
+            .first = this->donors.selectFirst(request.team, candidates, request.priority, now) } };
+        const auto search = std::make_shared<Search>(Search { .request = request,
+            .logic = std::move(logic),
+            .number = ++this->lastTokenRequest,
+            .done = std::move(done) });
+        this->carryOut(search, search->logic.begin(now));
+    }
+
+    void carryOut(const std::shared_ptr<Search>& search, const TokenSearch::Step& step)
+    {
+        const auto& team = search->request.team;
+        for (const auto& call : step.calls)
+            asio::co_spawn(this->options.context, State::callHolder(this->shared_from_this(), search, call),
+                asio::detached);
+        for (const auto& vm : step.withdrawn) {
+            wire::TokenRequest message;
+            message.set_team(team.string());
+            message.set_withdrawn(search->number);
+            this->notifyHolder(vm, message);
+        }
+        if (step.result)
+            search->done(*step.result);
+    }
+
+    [[nodiscard]] static asio::awaitable<void> callHolder(
+        std::shared_ptr<State> self, std::shared_ptr<Search> search, TokenSearch::Call call)
+    {
+        const auto given = co_await self->requestByPriority(*search, call);
+        const auto step = search->logic.answered(call.vm, given, bootNow());
+        if (step.unused > 0)
+            self->returnTokensTo(call.vm, search->request.team, step.unused);
+        self->carryOut(search, step);
+    }
+
+    /// Asks a holder; empty when it did not answer. Tokens that it gave in a lost answer are lost.
+    [[nodiscard]] asio::awaitable<std::optional<std::uint32_t>> requestByPriority(
+        const Search& search, TokenSearch::Call call)
+    {
+        const auto sibling = this->siblings.find(call.vm);
+        if (sibling == this->siblings.end())
+            co_return std::nullopt;
+        auto& waiting = this->waitingCalls[call.vm];
+        if (waiting >= maxWaitingCalls)
+            call.wait = {};
+        wire::TokenRequest request;
+        request.set_team(search.request.team.string());
+        request.set_wanted(call.wanted);
+        request.set_priority(search.request.priority);
+        request.set_wait_us(static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(call.wait).count()));
+        request.set_number(search.number);
+        SiblingCall message { .method = giveTokensMethod,
+            .body = request.SerializeAsString(),
+            .deadline = std::chrono::steady_clock::now() + call.wait + call.transit };
+        const std::size_t counted = call.wait > Duration {} ? 1 : 0;
+        waiting += counted;
+        std::optional<std::uint32_t> given;
+        try {
+            const auto body = co_await this->ask(sibling->second.address, std::move(message));
+            wire::TokenAnswer answer;
+            if (!answer.ParseFromString(body))
+                answer.Clear();
+            given = answer.given();
+            this->donors.recordWaits(call.vm, answer.waits());
+            if (*given < call.wanted)
+                this->donors.recordShortfall(
+                    search.request.team, call.vm, bootNow(), search.request.priority);
+        } catch (const Error&) {
+            this->donors.recordNoAnswer(call.vm, bootNow());
+        }
+        this->waitingCalls[call.vm] -= counted;
+        co_return given;
+    }
+
+    void returnTokensTo(const VmName& vm, const TeamName& team, std::uint32_t count)
+    {
+        wire::TokenRequest message;
+        message.set_team(team.string());
+        message.set_returned(count);
+        this->notifyHolder(vm, message);
+    }
+
+    /// Sends a message whose answer does not matter.
+    void notifyHolder(const VmName& vm, const wire::TokenRequest& message)
+    {
+        SiblingCall call { .method = giveTokensMethod,
+            .body = message.SerializeAsString(),
+            .deadline = std::chrono::steady_clock::now() + releaseTimeout };
+        asio::co_spawn(this->options.context,
+            State::forward(this->shared_from_this(), vm, std::move(call), [](const OwnerAnswer&) {}),
+            asio::detached);
+    }
+
     Options options;
     SiblingList siblings;
     SiblingTraffic traffic;
     LimitHolders holders;
     DonorSelector donors;
+    /// Requests for tokens that wait at siblings.
+    std::map<VmName, std::size_t> waitingCalls;
+    /// Begins at a number that an earlier process of this VM has not used for requests that still wait.
+    std::uint64_t lastTokenRequest = static_cast<std::uint64_t>(bootNow().time_since_epoch().count());
     std::unique_ptr<SiblingClient> client;
     std::unique_ptr<SiblingServer> server;
 };
@@ -259,6 +413,20 @@
         State::requestFromDonors(this->state, team, wanted, std::move(done)), asio::detached);
 }
 
+void SiblingExchange::searchTokens(const RequestTokens& request, std::function<void(std::uint32_t)> done)
+{
+    if (!this->isOpen())
+        return done(0);
+    this->state->searchTokens(request, std::move(done));
+}
+
+void SiblingExchange::returnTokens(const TeamName& team, std::uint32_t count)
+{
+    const auto holders = this->state->holdersFor(team);
+    if (this->isOpen() && !holders.empty())
+        this->state->returnTokensTo(holders.front(), team, count);
+}
+
 asio::awaitable<std::string> SiblingExchange::requestReadings(
     SiblingAddress sibling, std::string request, Duration timeLimit)
 {
--- a/src/settings/session_settings.cpp
+++ b/src/settings/session_settings.cpp
@@ -76,6 +76,8 @@
     readEndpoint(reader, settings.siblings);
     readAddress(reader, "store", settings.storeAddress);
     readAddress(reader, "promotion", settings.promotionAddress);
+    reader.enter("admission");
+    reader.flag("urgent_first", settings.urgentFirst);
     reader.enter("shutdown");
     reader.milliseconds("grace_ms", settings.grace);
     readLog(reader, settings.log);
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -71,6 +71,17 @@
         this->report(key, "must be a number above 0 and up to " + std::to_string(std::lround(most)));
 }
 
+void SettingsReader::flag(std::string_view key, bool& value)
+{
+    const auto* node = this->find(key);
+    if (node == nullptr)
+        return;
+    if (const auto read = node->value_exact<bool>())
+        value = *read;
+    else
+        this->reportAt(node->source(), this->qualified(key) + " must be true or false");
+}
+
 void SettingsReader::milliseconds(std::string_view key, Duration& value)
 {
     if (const auto read = this->numberAt(key, { 1, millisecondsOfDay }))
--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -46,6 +46,9 @@
     /// Reads a number above 0 and up to `most`; a missing key keeps what is there.
     void positive(std::string_view key, double& value, double most);
 
+    /// Reads `true` or `false`; a missing key keeps what is there.
+    void flag(std::string_view key, bool& value);
+
     /// Reads a length of time in milliseconds, at least 1 and at most a day.
     void milliseconds(std::string_view key, Duration& value);
 
--- a/tests/limits/limit_holders_test.cpp
+++ b/tests/limits/limit_holders_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 
 using namespace cyclamendrift;
@@ -153,4 +154,30 @@
         limitShares.updateByHolders(limits, added, LimitHolders { listed }, Instant { 8s });
         CHECK(limitShares.current().at(team).ratePerSecond == doctest::Approx(10));
     }
+
+    TEST_CASE("the holders of a team are in different zones where there are enough candidates")
+    {
+        // Guards against VMs that cross a zone for every token. The strongest VMs are all in one zone.
+        auto listed = fleetOf(70);
+        for (auto& [vm, capacity] : listed) {
+            if (capacity.cores > 0.4)
+                capacity.zone = ZoneName { "zone-0" };
+        }
+        const LimitHolders spread { listed, { .spreadOverZones = true } };
+        const LimitHolders unspread { listed };
+        for (int index = 0; index < 50; ++index) {
+            const TeamName some { "team-" + std::to_string(index) };
+            std::set<ZoneName> zones;
+            const auto holders = spread.holdersOf(some);
+            REQUIRE(holders.size() == 4);
+            for (const auto& holder : holders) {
+                zones.insert(listed.at(holder).zone);
+                CHECK(spread.mayHold(holder));
+            }
+            CHECK(zones.size() == 3);
+            CHECK(std::set<VmName>(holders.begin(), holders.end()).size() == 4);
+            CHECK(listed.at(unspread.holdersOf(some).front()).zone == ZoneName { "zone-0" });
+        }
+        CHECK(LimitHolders { {}, { .spreadOverZones = true } }.holdersOf(team).empty());
+    }
 }
--- a/tests/settings/session_settings_test.cpp
+++ b/tests/settings/session_settings_test.cpp
@@ -91,4 +91,13 @@
         CHECK(problemsOf("[vm").find("this is not TOML") != std::string::npos);
         CHECK(problemsOf("").find("store") != std::string::npos);
     }
+
+    TEST_CASE("the order of admission is read and is off unless set")
+    {
+        // Guards against a VM that orders requests by priority while the operators did not ask for it.
+        CHECK_FALSE(parseSessionSettings(whole, "node.toml").urgentFirst);
+        CHECK(parseSessionSettings(whole + "[admission]\nurgent_first = true\n", "node.toml").urgentFirst);
+        CHECK(problemsOf(whole + "[admission]\nurgent_first = 1\n").find("must be true or false")
+            != std::string::npos);
+    }
 }
