--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -49,6 +49,8 @@
         /// Address at which siblings reach this VM.
         std::string siblingHost;
         std::uint16_t siblingPort = 0;
+        /// Operations of a team get its tokens in the order of their priority.
+        bool urgentFirst = false;
         CallerPort& callers;
         UpstreamPort& upstreams;
         /// Maximum number of connections to upstreams.
--- a/include/cyclamendrift/settings/session_settings.h
+++ b/include/cyclamendrift/settings/session_settings.h
@@ -38,6 +38,8 @@
     /// `[configuration] outage_extension_ms`: for how much longer this VM acts on a configuration that nobody
     /// confirms while the store serves nobody.
     Duration configurationOutageExtension = std::chrono::milliseconds { 12000 };
+    /// `[admission] urgent_first`: operations of a team get its tokens in the order of their priority.
+    bool urgentFirst = false;
     /// `[shutdown] grace_ms`: from SIGTERM to the end at the latest.
     Duration grace = std::chrono::seconds { 6 };
     /// `[placement] by_zone`: "auto", "always" or "never".
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -37,6 +37,18 @@
 // Longest expected wait, which keeps it within the range of a Duration.
 constexpr std::chrono::hours maxDrainTime { 1 };
 
+// Time that a statement is assumed to take while no upstream of its service has answered.
+constexpr Duration assumedStatementTime = std::chrono::milliseconds { 10 };
+
+/// Statements that the upstreams of a group that are in service run at a time.
+std::size_t concurrencyOf(const GroupState& group)
+{
+    std::size_t sum = 0;
+    for (const auto& [name, upstream] : group.upstreams)
+        sum += upstream.isInService() ? upstream.entry.maxConcurrency : 0;
+    return sum;
+}
+
 // One connection is reserved for status queries.
 std::size_t usableConnections(std::uint32_t connectionCap)
 {
@@ -152,7 +164,9 @@
     Duration longest {};
     for (const auto& [demand, queue] : group.waiting.byDemand()) {
         const auto beside = this->waitingBeside(group, demand, std::numeric_limits<std::uint32_t>::max());
-        longest = std::max(longest, this->drainTime(group, demand, beside).value_or(Duration {}));
+        // Nothing is known of upstreams that have not answered yet.
+        const auto assumed = assumedStatementTime * beside / std::max<std::size_t>(concurrencyOf(group), 1);
+        longest = std::max(longest, this->drainTime(group, demand, beside).value_or(assumed));
     }
     return longest;
 }
--- a/src/pooling/engine_forwarding.cpp
+++ b/src/pooling/engine_forwarding.cpp
@@ -19,9 +19,6 @@
 // Above the round trip to another availability zone, so that only one request is under way.
 constexpr Duration positionRequestInterval = std::chrono::milliseconds { 100 };
 
-// Time of one statement at an upstream, for the expected wait.
-constexpr Duration expectedStatementTime = std::chrono::milliseconds { 10 };
-
 } // namespace
 
 void SessionEngine::State::dispatch(CallerSession& session)
@@ -94,7 +91,7 @@
     }
     const auto group = this->groups.find(service);
     const OwnerLoad::Self self { .vm = owners.self(),
-        .ownWait = group == this->groups.end() ? Duration {} : ownerWait(group->second) };
+        .ownWait = group == this->groups.end() ? Duration {} : this->expectedWait(group->second) };
     std::size_t tried = 0;
     const auto isUsable = [this, &tried](const VmName& vm) {
         if (this->ownerHealth.isUnreachable(vm))
@@ -125,21 +122,21 @@
     if (staleness <= Duration {} || this->now < group.positionRequestAgainAt
         || group.history.oldestCovering(this->now - staleness / 2))
         return;
-    auto* connection = this->longestIdleConnection(upstream);
-    if (connection == nullptr)
+    if (!upstream.connections.hasIdle())
         return;
+    auto* connection = this->findConnection(upstream.connections.idle().begin()->second);
     group.positionRequestAgainAt = this->now + positionRequestInterval;
     // A reset takes none of the upstream's concurrency, and its answer reports the position.
     connection->state = {};
     connection->phase = PooledConnection::Phase::Working;
-    ++upstream.connectionsInUse;
     connection->steps.push_back({ .kind = StepKind::Setup, .statement = ResetConnection {} });
+    this->reindex(*connection);
     this->sendNext(*connection);
 }
 
 PlacementHint SessionEngine::State::ownPlacementOf(const GroupState& group) const
 {
-    PlacementHint placement { .expectedWait = ownerWait(group) };
+    PlacementHint placement { .expectedWait = this->expectedWait(group) };
     for (const auto& [name, upstream] : group.upstreams) {
         if (!this->acceptsStatements(upstream))
             continue;
@@ -165,14 +162,6 @@
     return own;
 }
 
-Duration SessionEngine::State::ownerWait(const GroupState& group)
-{
-    std::size_t concurrency = 0;
-    for (const auto& [name, upstream] : group.upstreams)
-        concurrency += upstream.isInService() ? upstream.entry.maxConcurrency : 0;
-    return expectedStatementTime * group.waiting.size() / std::max<std::size_t>(concurrency, 1);
-}
-
 void SessionEngine::State::forwardTo(CallerSession& session, const VmName& owner)
 {
     auto& work = *session.work;
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -279,6 +279,8 @@
         if (group.waiting.empty())
             this->groupsWithWaiting.erase(service);
     }
+    if (this->options.settings.urgentFirst)
+        return this->serveDueTokens();
     for (auto& [team, budget] : this->budgets) {
         if (!budget.waiting.empty())
             this->admitWaiting(team, budget);
@@ -433,7 +435,7 @@
 {
     Duration longest {};
     for (const auto& service : this->state->groupsWithWaiting)
-        longest = std::max(longest, State::ownerWait(this->state->groups.at(service)));
+        longest = std::max(longest, this->state->expectedWait(this->state->groups.at(service)));
     return longest;
 }
 
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -63,6 +63,7 @@
               .process = process,
               .siblingHost = options.settings.siblings.address,
               .siblingPort = options.settings.siblings.port,
+              .urgentFirst = options.settings.urgentFirst,
               .callers = *ports.callers,
               .upstreams = *ports.upstreams,
               .maxUpstreamConnections = descriptorShares().upstreams,
--- a/src/settings/session_settings.cpp
+++ b/src/settings/session_settings.cpp
@@ -102,6 +102,8 @@
     readAddress(reader, "store", settings.storeAddress);
     readAddress(reader, "promotion", settings.promotionAddress);
     readConfigurationLimits(reader, settings);
+    reader.enter("admission");
+    reader.flag("urgent_first", settings.urgentFirst);
     reader.enter("shutdown");
     reader.milliseconds("grace_ms", settings.grace);
     settings.placementByZone = readPlacement(reader);
