Ask more often while a VM's configuration is overdue

A VM that forwards all statements asked its reader every 600 ms also when the reader had failed; its configuration could become invalid between two requests. While the store seems unavailable the longer interval stays.

Test: test_adapter, 42 cases.

--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -114,8 +114,12 @@
 {
     // Two VMs may use the same share of a limit for as long as their lists of VMs differ.
     const bool mayHoldLimits = this->holders.includesAllVms() || this->holders.mayHold(this->options.vm);
-    return this->forwardsOnly && !mayHoldLimits ? this->options.settings.idleInterval
-                                                : this->options.settings.leadershipInterval;
+    // The reader may have failed; at the longer interval the configuration could become invalid before
+    // another one has confirmed it.
+    const bool mustConfirm
+        = this->configurationOverdue && !this->readerSelector.storeSeemsUnavailable(bootNow());
+    return this->forwardsOnly && !mayHoldLimits && !mustConfirm ? this->options.settings.idleInterval
+                                                                : this->options.settings.leadershipInterval;
 }
 
 asio::awaitable<bool> SessionControl::State::askReaders(Duration pause)
