--- a/bench/bench_engine.cpp
+++ b/bench/bench_engine.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t upstreams = 3;
 constexpr std::size_t eventsPerRun = 20'000;
 constexpr std::size_t eventsPerTick = 40;
+constexpr std::size_t ticksPerRun = eventsPerRun / eventsPerTick;
 // The fastest run is reported: others share the machine.
 constexpr int runs = 5;
 
@@ -88,7 +89,7 @@
     }
 
     /// Processor time of each tick of the last measurement, in microseconds.
-    [[nodiscard]] double tickCost() const { return this->tickTime / (eventsPerRun / eventsPerTick); }
+    [[nodiscard]] double tickCost() const { return this->tickTime / ticksPerRun; }
 
 private:
     void runEvents(std::size_t count)
