--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -73,8 +73,9 @@
 /// One session proxy on separate threads.
 class Running {
 public:
-    Running(const Surroundings& surroundings, const std::string& vm)
+    Running(const Surroundings& surroundings, const std::string& vm, bool urgentFirst = false)
     {
+        this->settings.urgentFirst = urgentFirst;
         this->settings.vm = { .name = VmName { vm }, .zone = ZoneName { "palermo" } };
         for (auto* listen : { &this->settings.callers, &this->settings.readiness, &this->settings.metrics,
                  &this->settings.siblings })
@@ -418,6 +419,47 @@
         }
     }
 
+    TEST_CASE("requests for tokens wait at the VMs that hold a limit, over the real protocol")
+    {
+        // A caller asks for several times its team's rate at a VM of a large fleet. Guards against tokens
+        // that are lost or doubled between VMs, and against VMs that differ in the setting. The last VM has
+        // it off.
+        constexpr std::size_t vms = 14;
+        constexpr double rate = 20;
+        constexpr double burst = 4;
+        std::string limited { configuration };
+        limited.replace(limited.find(R"("ratePerS":1000,"burst":1000)"), 28, R"("ratePerS":20,"burst":4)");
+        Surroundings surroundings { limited };
+        RunningFleet fleet;
+        for (std::size_t vm = 0; vm < vms; ++vm)
+            fleet.push_back(
+                std::make_unique<Running>(surroundings, "vm-" + std::to_string(vm), vm + 1 < vms));
+        const auto given = [&fleet] {
+            double sum = 0;
+            for (const auto& proxy : fleet)
+                sum += metricOf(*proxy, R"(cyclamendrift_tokens_given_total{priority="1"})");
+            return sum;
+        };
+        std::vector<std::unique_ptr<Caller>> callers;
+        for (const std::size_t vm : { std::size_t { 0 }, vms / 2, vms - 1 })
+            callers.push_back(std::make_unique<Caller>(*fleet[vm]));
+        for (int tries = 0; tries < 100 && given() < 1; ++tries) {
+            for (auto& caller : callers)
+                static_cast<void>(caller->run("READ bed-1"));
+        }
+        REQUIRE(given() >= 1);
+        std::size_t served = 0;
+        const auto begun = std::chrono::steady_clock::now();
+        std::chrono::duration<double> elapsed {};
+        while (elapsed < 3s) {
+            for (auto& caller : callers)
+                served += caller->run("READ bed-1").starts_with("ERR") ? 0 : 1;
+            elapsed = std::chrono::steady_clock::now() - begun;
+        }
+        CHECK(static_cast<double>(served) <= burst + rate * (elapsed.count() + 0.2) + 4);
+        CHECK(static_cast<double>(served) >= rate * elapsed.count() / 2);
+    }
+
     TEST_CASE("a VM that tracks no service forwards its callers' statements")
     {
         // Guards against a VM that waits for upstreams and leadership records, which it does not get, before
--- a/tests/pooling/token_fleet.cpp
+++ b/tests/pooling/token_fleet.cpp
@@ -347,7 +347,7 @@
             return;
         }
         const auto id = ++holder.lastNumber;
-        holder.waits[id] = [this, from, to, answered](std::uint32_t given) {
+        holder.waits[id] = [this, from, answered](std::uint32_t given) {
             this->send(from, [answered, given] { answered(given, true); });
         };
         if (number != 0)
