--- a/tests/pooling/urgent_first_test.cpp
+++ b/tests/pooling/urgent_first_test.cpp
@@ -107,9 +107,6 @@
         // time.
         HotTeam load { {} };
         load.fleet.runUntil(load.fleet.now() + HotTeam::length + 1s);
-        MESSAGE("urgent ", servedPart(load.fleet, hot, 0), ", next ", servedPart(load.fleet, hot, 1),
-            ", least ", servedPart(load.fleet, hot, 2), ", admitted ", admittedOf(load.fleet, hot),
-            ", messages ", load.fleet.messages());
         CHECK(servedPart(load.fleet, hot, 0) >= 0.95);
         // The limit is used up, though not by urgent operations alone.
         CHECK(admittedOf(load.fleet, hot) >= 130 * 0.95);
