Ask replicas later where readings of the leadership records take long

Cause (by reading): a reader of the store asks the replicas of all services as soon as its last reading is 400 ms old. With the records of hundreds of services each reading is older than that before the next one arrives, so replicas are asked all the time.

Change: the age at which replicas are asked follows from the time that readings take, up to 250 ms before the view expires. Validity of views is unchanged.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -31,6 +31,9 @@
     /// The same for a VM that relies on its siblings for replicas' confirmations. Status requests occupy the
     /// upstreams' concurrency, so only a few VMs ask while siblings can be reached.
     Duration siblingConfirmationMaxAge = std::chrono::milliseconds { 850 };
+    /// Both are extended to the age that a snapshot normally reaches, but not beyond the lifetime of a view
+    /// less this time, in which a replica can still confirm it.
+    Duration confirmationTime = std::chrono::milliseconds { 250 };
     /// Between two status requests to the same upstream.
     Duration askInterval = std::chrono::milliseconds { 150 };
     /// From a replica's confirmation to the next request to it while the store cannot be read; a replica that
--- a/include/cyclamendrift/leadership/leadership_events.h
+++ b/include/cyclamendrift/leadership/leadership_events.h
@@ -59,6 +59,9 @@
     Instant askedAt;
     /// Who read the store: `Store` or `Sibling`.
     ViewSource source = ViewSource::Store;
+    /// How old this snapshot is expected to be when the next one arrives; zero when that is unknown. The
+    /// records of many services take several calls to the store.
+    Duration expectedMaxAge {};
 };
 
 /// Ask an upstream for its status.
--- a/src/leadership/view_renewal.cpp
+++ b/src/leadership/view_renewal.cpp
@@ -120,8 +120,12 @@
         return now >= std::max(this->latestSnapshot.askedAt, this->siblingConfirmedAt)
             + settings.siblingConfirmationMaxAge;
     const bool ownReading = this->latestSnapshot.source == ViewSource::Store;
-    return now >= this->latestSnapshot.askedAt
-        + (ownReading ? settings.ownSnapshotMaxAge : settings.siblingSnapshotMaxAge);
+    const auto maxAge = ownReading ? settings.ownSnapshotMaxAge : settings.siblingSnapshotMaxAge;
+    // With the records of many services each reading takes longer than `maxAge`. If that alone made replicas
+    // be asked, the requests to the replicas of all services would delay the readings further.
+    const auto latest = std::max(maxAge, settings.viewLifetime - settings.confirmationTime);
+    return now
+        >= this->latestSnapshot.askedAt + std::clamp(this->latestSnapshot.expectedMaxAge, maxAge, latest);
 }
 
 void LeaderCoordinator::renewFromReplicas(Instant now)
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -25,6 +25,7 @@
     try {
         auto listing = co_await this->store.listing(store_key::leadershipPrefix, ReadFreshness::Linearizable);
         this->leadershipSource.succeeded();
+        this->leadershipReadingTime.record(bootNow() - askedAt);
         static_cast<void>(this->leadership.takeReading(std::move(listing), askedAt));
         this->applyLeadership(ViewSource::Store);
         co_return std::nullopt;
@@ -71,6 +72,9 @@
         auto& snapshot = snapshots[service];
         snapshot.askedAt = this->leadership.confirmedAt();
         snapshot.source = this->leadershipReadFrom;
+        if (this->leadershipReadFrom == ViewSource::Store)
+            snapshot.expectedMaxAge
+                = this->leadershipReadingTime.expectedMaxAge(this->options.settings.leadershipInterval);
     }
     for (const auto& entry : this->leadership.current().entries) {
         const bool isRecord = entry.key.starts_with(store_key::recordPrefix);
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/core/loop_lateness.h>
 #include <cyclamendrift/core/random_source.h>
+#include <cyclamendrift/leadership/reading_time.h>
 #include <cyclamendrift/leadership/tracked_services.h>
 #include <cyclamendrift/membership/configuration_fetch.h>
 #include <cyclamendrift/membership/configuration_validity.h>
@@ -390,6 +391,7 @@
     /// Latest readings of the store, by this VM or by a sibling, which are passed on to siblings.
     SharedListing leadership;
     ViewSource leadershipReadFrom = ViewSource::Store;
+    ReadingTime leadershipReadingTime;
     SharedListing vms;
     SharedListing directoryListing;
     SharedListing evacuations;
