--- a/include/cyclamendrift/membership/zone_distance.h
+++ b/include/cyclamendrift/membership/zone_distance.h
@@ -19,10 +19,11 @@
     Never,
 };
 
-/// Decides from round trips to other VMs whether owners are placed by availability zone.
+/// Decides from round trips to other VMs whether availability zones are far enough apart for owners to be
+/// placed by zone.
 ///
 ///     distance.sampled(zone, roundTrip);
-///     if (distance.isOn()) placeByZone();
+///     placement.measured(distance.update());
 class ZoneDistance {
 public:
     ZoneDistance(ZoneName ownZone, PlacementByZone mode);
@@ -33,7 +34,11 @@
     /// one of its zone. Its zone then counts as at no distance.
     void setZones(const std::map<ZoneName, std::size_t>& otherVms);
 
-    /// True when owners are placed by zone; decides again with hysteresis.
+    /// Until the distance is measured, decides as if the zones had been found far apart, or not far apart,
+    /// before.
+    void assume(bool farApart);
+
+    /// True when the zones are far enough apart; decides again with hysteresis.
     [[nodiscard]] bool update();
 
     /// True once enough round trips are known to decide.
--- a/src/membership/zone_distance.cpp
+++ b/src/membership/zone_distance.cpp
@@ -64,12 +64,18 @@
 
 bool ZoneDistance::isMeasured() const { return this->difference().has_value(); }
 
+void ZoneDistance::assume(bool farApart)
+{
+    if (!this->isMeasured())
+        this->on = farApart;
+}
+
 bool ZoneDistance::update()
 {
     if (this->mode != PlacementByZone::Auto)
         return this->mode == PlacementByZone::Always;
-    const auto measured = this->difference();
-    this->on = measured && *measured >= (this->on ? stayOnDifference : switchOnDifference);
+    if (const auto measured = this->difference())
+        this->on = *measured >= (this->on ? stayOnDifference : switchOnDifference);
     return this->on;
 }
 
--- a/tests/membership/zone_distance_test.cpp
+++ b/tests/membership/zone_distance_test.cpp
@@ -66,6 +66,23 @@
         CHECK_FALSE(distance.update());
     }
 
+    TEST_CASE("a VM that restarts in a fleet placed by zone stays on down to 3 ms")
+    {
+        // Guards against a restart of all VMs that ends placement by zone at a distance of 4 ms.
+        for (const bool farApart : { true, false }) {
+            ZoneDistance distance { own, PlacementByZone::Auto };
+            distance.setZones({ { own, 3 }, { other, 4 } });
+            distance.assume(farApart);
+            CHECK(distance.update() == farApart);
+            for (int round = 0; round < 3; ++round) {
+                distance.sampled(own, 0ms);
+                distance.sampled(other, 4ms);
+            }
+            distance.assume(!farApart);
+            CHECK(distance.update() == farApart);
+        }
+    }
+
     TEST_CASE("busy VMs do not look far away")
     {
         auto distance = measured(400us, 2ms);
