Publish in a VM's record whether the zones are far apart

VMs take the mode from the list of VMs when they read it, also when they start. A VM that adopts its earlier record keeps what it told until it has measured. Records of fleets that do not place by zone are unchanged.

--- a/include/cyclamendrift/session_proxy/session_control.h
+++ b/include/cyclamendrift/session_proxy/session_control.h
@@ -104,6 +104,7 @@
         asio::io_context& context;
         VmName vm;
         ZoneName zone;
+        PlacementByZone placementByZone = PlacementByZone::Auto;
         /// Processor cores that this VM may use.
         double cores = 1;
         /// Bandwidth of this VM's link in bytes per second.
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -25,7 +25,7 @@
     std::map<TeamName, std::uint64_t> demand;
     EngineCounters counters;
     SiblingTraffic siblingTraffic;
-    SiblingExchange::ZonePlacement zonePlacement;
+    SiblingExchange::MeasuredZones measuredZones;
     Duration longestExpectedWait {};
     std::size_t callers = 0;
     std::size_t connections = 0;
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/limits/donor_selector.h>
 #include <cyclamendrift/membership/zone_distance.h>
+#include <cyclamendrift/membership/zone_placement.h>
 #include <cyclamendrift/pooling/session_engine.h>
 #include <cyclamendrift/siblings/sibling_client.h>
 #include <cyclamendrift/siblings/sibling_server.h>
@@ -27,6 +28,7 @@
     DemandByTeam demand;
     /// In a large fleet, where records contain no demand by team; 0 while the load is low.
     std::uint32_t operationsPerSecond = 0;
+    ZonePlacementRecord zonePlacement;
 
     /// The operations that the VM is asked for per second, as far as its record tells.
     [[nodiscard]] double load() const;
@@ -102,13 +104,13 @@
     void setSiblings(SiblingList siblings, bool placedByZone);
     /// Measures the round trips to a VM of each availability zone when that is due; on the traffic thread.
     void measureZones(Instant now);
-    /// Whether owners are to be placed by availability zone, and the difference between round trips to other
-    /// zones and those within this VM's zone as far as it is known.
-    struct ZonePlacement {
-        bool byZone = false;
+    /// The difference between round trips to other zones and those within this VM's zone, empty until it is
+    /// measured, and whether the zones are far apart by it.
+    struct MeasuredZones {
+        bool farApart = false;
         std::optional<Duration> difference;
     };
-    [[nodiscard]] ZonePlacement zonePlacement() const;
+    [[nodiscard]] MeasuredZones measuredZones() const;
     /// Bytes of this VM's calls so far; on the traffic thread.
     [[nodiscard]] const SiblingTraffic& traffic() const noexcept;
 
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -165,7 +165,7 @@
     this->callers = report.callers;
     this->connections = report.connections;
     this->longestExpectedWait = report.longestExpectedWait;
-    this->applyZonePlacement(report.zonePlacement);
+    this->applyMeasuredZones(report.measuredZones);
     this->lateTrafficTicks = report.lateTicks;
     // A share grows only some time after the list of VMs from which it is computed.
     auto shares = this->shares.current();
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -39,6 +39,8 @@
     for (const auto& team : record.demand())
         sibling.demand[TeamName { team.team() }] = team.operations_per_second();
     sibling.operationsPerSecond = record.operations_per_second();
+    sibling.zonePlacement
+        = { .zonesFarApart = record.zones_far_apart(), .placedByZone = record.placed_by_zone() };
     return sibling;
 }
 
@@ -146,7 +148,8 @@
     const bool told = this->publishedUnder == this->recordLease;
     const bool demandDiffers = this->holders.includesAllVms()
         && DemandMeter::differsSignificantly(this->publishedDemand, load.demand);
-    if (told && !demandDiffers && load.operationsPerSecond == this->publishedLoad)
+    const bool placementDiffers = this->publishedPlacement != this->zonePlacement.record();
+    if (told && !demandDiffers && !placementDiffers && load.operationsPerSecond == this->publishedLoad)
         co_return;
     co_await this->writeOwnRecord(load);
     // The first attempt conflicts with the record of an earlier process, or with a write of this one whose
@@ -183,8 +186,13 @@
     }
     this->recordLease = earlier.lease;
     this->ownRecordRevision = earlier.revision;
-    if (earlier.value == this->ownRecord({}))
-        this->publishedUnder = earlier.lease;
+    wire::VmRecord record;
+    if (record.ParseFromString(earlier.value))
+        this->zonePlacement.adoptEarlier(siblingFrom(record).zonePlacement);
+    if (earlier.value != this->ownRecord({}))
+        co_return;
+    this->publishedUnder = earlier.lease;
+    this->publishedPlacement = this->zonePlacement.record();
 }
 
 SiblingInfo SessionControl::State::ownSibling() const
@@ -201,6 +209,8 @@
     wire::VmRecord record;
     writeSibling(this->ownSibling(), record);
     record.set_operations_per_second(load.operationsPerSecond);
+    record.set_zones_far_apart(this->zonePlacement.record().zonesFarApart);
+    record.set_placed_by_zone(this->zonePlacement.record().placedByZone);
     for (const auto& [team, rate] : load.demand) {
         auto& entry = *record.add_demand();
         entry.set_team(team.string());
@@ -212,6 +222,7 @@
 asio::awaitable<void> SessionControl::State::writeOwnRecord(const RecordedLoad& load)
 {
     const auto lease = this->recordLease;
+    const auto placement = this->zonePlacement.record();
     SwapOptions swap { .key = store_key::vmPrefix + this->options.vm.string(),
         .expectedRevision = this->ownRecordRevision,
         .value = this->ownRecord(load),
@@ -222,6 +233,7 @@
         this->publishedUnder = lease;
         this->publishedDemand = load.demand;
         this->publishedLoad = load.operationsPerSecond;
+        this->publishedPlacement = placement;
         co_return;
     }
     const auto& current = std::get<SwapConflict>(outcome).current;
@@ -283,11 +295,14 @@
     this->updateTracked(bootNow());
     const auto own = this->siblings.find(this->options.vm);
     const bool listed = own != this->siblings.end();
-    if (listed && this->publishedUnder == LeaseId::None)
+    if (listed && this->publishedUnder == LeaseId::None) {
         this->demand.begin(own->second.demand);
+        this->zonePlacement.adoptEarlier(own->second.zonePlacement);
+    }
     this->place.rank = listed ? static_cast<std::size_t>(std::distance(this->siblings.begin(), own))
                               : this->siblings.size();
     this->place.vms = this->siblings.size() + (listed ? 0 : 1);
+    this->updateZonePlacement();
     this->publishPlace(capacities);
     this->divideLimits();
 }
@@ -334,21 +349,38 @@
     this->reportedCandidates = std::move(current);
 }
 
-void SessionControl::State::applyZonePlacement(const SiblingExchange::ZonePlacement& measured)
+void SessionControl::State::applyMeasuredZones(const SiblingExchange::MeasuredZones& measured)
 {
-    if (measured.byZone == this->ownerPlan.byZone)
+    if (!measured.difference)
         return;
-    this->ownerPlan.byZone = measured.byZone;
-    if (measured.difference)
-        this->place.zoneRoundTrip = *measured.difference;
-    logEvent(LogLevel::Info, "placement_by_zone",
-        { { "now", measured.byZone ? "yes" : "no" },
-            { "difference_ms",
-                measured.difference ? millisecondsText(*measured.difference) : std::string { "unknown" } } });
-    if (this->siblings.empty())
+    this->zonePlacement.measured(measured.farApart);
+    const auto before = std::exchange(this->zoneDifference, measured.difference);
+    if (before || !this->ownerPlan.byZone)
         return;
-    this->publishPlace(capacitiesOf(this->siblings));
-    this->divideLimits();
+    // A VM that starts knows the mode before the distance.
+    this->place.zoneRoundTrip = *measured.difference;
+    this->options.traffic.setPlace(this->place);
+}
+
+void SessionControl::State::updateZonePlacement()
+{
+    std::vector<ZonePlacementRecord> listed;
+    listed.reserve(this->siblings.size());
+    for (const auto& [vm, sibling] : this->siblings)
+        listed.push_back(sibling.zonePlacement);
+    const bool byZone = this->zonePlacement.update(listed);
+    const bool before = std::exchange(this->ownerPlan.byZone, byZone);
+    if (before != byZone)
+        this->onZonePlacementChanged(this->zoneDifference);
+}
+
+void SessionControl::State::onZonePlacementChanged(const std::optional<Duration>& difference)
+{
+    if (difference)
+        this->place.zoneRoundTrip = *difference;
+    logEvent(LogLevel::Info, "placement_by_zone",
+        { { "now", this->ownerPlan.byZone ? "yes" : "no" },
+            { "difference_ms", difference ? millisecondsText(*difference) : std::string { "unknown" } } });
 }
 
 void SessionControl::State::chooseReaders(const std::map<VmName, VmCapacity>& capacities)
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -144,6 +144,7 @@
     DemandByTeam publishedDemand;
     /// In a large fleet, in operations per second.
     std::uint32_t publishedLoad = 0;
+    ZonePlacementRecord publishedPlacement;
     SiblingList siblings;
     LimitHolders holders;
     /// Selects the VMs that read the store for the others.
@@ -163,6 +164,9 @@
     Duration longestExpectedWait {};
     /// What the owners of services are selected by, besides the list of VMs.
     OwnerPlan ownerPlan;
+    ZonePlacement zonePlacement;
+    /// As this VM has measured it last.
+    std::optional<Duration> zoneDifference;
     ReadingsClient readingsClient;
 
 private:
@@ -348,8 +352,11 @@
     [[nodiscard]] asio::awaitable<void> publishOwnRecord();
     void openSiblings(const std::string& secret);
     void applyVms();
-    /// Takes over whether owners are placed by availability zone.
-    void applyZonePlacement(const SiblingExchange::ZonePlacement& measured);
+    /// Records whether the availability zones are far apart, for this VM's record.
+    void applyMeasuredZones(const SiblingExchange::MeasuredZones& measured);
+    /// Decides from the listed VMs whether owners are placed by availability zone.
+    void updateZonePlacement();
+    void onZonePlacementChanged(const std::optional<Duration>& difference);
     /// Selects the owners again after a change of the VMs or of the plan, and passes on what depends on them.
     void publishPlace(const std::map<VmName, VmCapacity>& capacities);
     /// Sets the number of owners that the load of all VMs requires.
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -64,6 +64,7 @@
     , configurationLacking(options.context)
     , tracked(options.vm)
     , leadershipWanted(options.context)
+    , zonePlacement(options.placementByZone)
     , readingsClient({ .context = options.context,
           .self = options.vm,
           .crossesZones =
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -78,6 +78,7 @@
         , control({ .context = controlContext,
               .vm = options.settings.vm.name,
               .zone = options.settings.vm.zone,
+              .placementByZone = options.settings.placementByZone,
               .cores = options.settings.cores,
               .linkBytesPerSecond = options.settings.linkBytesPerSecond,
               .process = process,
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -534,7 +534,7 @@
             .demand = engine.takeDemand(),
             .counters = engine.counters(),
             .siblingTraffic = this->state->exchange.traffic(),
-            .zonePlacement = this->state->exchange.zonePlacement(),
+            .measuredZones = this->state->exchange.measuredZones(),
             .longestExpectedWait = engine.longestExpectedWait(),
             .callers = engine.callers(),
             .connections = engine.connections(),
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -227,7 +227,7 @@
                     alive->zoneDistance.sampled(zone, *roundTrip);
                 else
                     ++alive->unansweredMeasurements[zone];
-                alive->placedByZone = alive->zoneDistance.update();
+                alive->zonesFarApart = alive->zoneDistance.update();
             };
             asio::co_spawn(
                 self->options.context, State::checkLiveness(self, vm, std::move(done)), asio::detached);
@@ -390,7 +390,7 @@
     LimitHolders holders;
     DonorSelector donors;
     ZoneDistance zoneDistance;
-    bool placedByZone = this->zoneDistance.update();
+    bool zonesFarApart = this->zoneDistance.update();
     /// By availability zone.
     std::map<ZoneName, std::vector<VmName>> measuredVms;
     std::map<ZoneName, std::size_t> unansweredMeasurements;
@@ -467,14 +467,15 @@
 {
     this->state->holders = limitHoldersAmong(capacitiesOf(siblings), placedByZone);
     this->state->siblings = std::move(siblings);
+    this->state->zoneDistance.assume(placedByZone);
     this->state->setMeasuredVms();
 }
 
 void SiblingExchange::measureZones(Instant now) { State::measureZones(this->state, now); }
 
-SiblingExchange::ZonePlacement SiblingExchange::zonePlacement() const
+SiblingExchange::MeasuredZones SiblingExchange::measuredZones() const
 {
-    return { .byZone = this->state->placedByZone, .difference = this->state->zoneDistance.difference() };
+    return { .farApart = this->state->zonesFarApart, .difference = this->state->zoneDistance.difference() };
 }
 
 const SiblingTraffic& SiblingExchange::traffic() const noexcept { return this->state->traffic; }
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -333,6 +333,64 @@
         CHECK(record->lease == lease);
     }
 
+    TEST_CASE(
+        "a VM that restarts places by zone at once if its fleet does, and its record goes on telling so")
+    {
+        // Guards against holders of limits that differ between VMs until a VM that restarted has measured.
+        Surroundings surroundings { configuration };
+        auto& store = surroundings.kv.store();
+        const auto onPlatform = [&surroundings](auto call) {
+            return asio::co_spawn(surroundings.context, std::move(call), asio::use_future).get();
+        };
+        const auto recordOf = [](const std::string& vm) {
+            wire::VmRecord record;
+            record.set_name(vm);
+            record.set_sibling_host("127.0.0.1");
+            record.set_sibling_port(freePort());
+            record.set_availability_zone("palermo");
+            record.set_cores(0.1);
+            record.set_zones_far_apart(true);
+            record.set_placed_by_zone(true);
+            return record;
+        };
+        const std::string key { "cyclamendrift/vms/vm-1" };
+        const auto lease = onPlatform(store.grantLease(12s));
+        SwapOptions left { .key = key, .value = recordOf("vm-1").SerializeAsString(), .lease = lease };
+        const auto outcome = onPlatform(store.compareAndSwap(std::move(left)));
+        REQUIRE(std::holds_alternative<Swapped>(outcome));
+        surroundings.perform([&] {
+            surroundings.kv.put("cyclamendrift/sibling-secret", "secret");
+            surroundings.kv.put("cyclamendrift/vms/vm-9", recordOf("vm-9").SerializeAsString());
+        });
+        const Running proxy { surroundings, "vm-1" };
+        for (int tries = 0; tries < 200 && metricOf(proxy, "cyclamendrift_vms") < 2; ++tries)
+            std::this_thread::sleep_for(20ms);
+        REQUIRE(metricOf(proxy, "cyclamendrift_vms") == 2);
+        CHECK(metricOf(proxy, "cyclamendrift_placed_by_zone") == 1);
+        // Its addresses differ from those of the earlier process, so that it writes the record.
+        const auto isWritten = [&](const std::optional<StoreEntry>& entry) {
+            return entry && entry->revision != std::get<Swapped>(outcome).revision;
+        };
+        auto entry = onPlatform(store.get(key));
+        for (int tries = 0; tries < 200 && !isWritten(entry); ++tries) {
+            std::this_thread::sleep_for(20ms);
+            entry = onPlatform(store.get(key));
+        }
+        REQUIRE(isWritten(entry));
+        wire::VmRecord written;
+        REQUIRE(written.ParseFromString(entry->value));
+        CHECK(written.zones_far_apart());
+        CHECK(written.placed_by_zone());
+        // One VM of two is not more than half.
+        auto near = recordOf("vm-9");
+        near.clear_zones_far_apart();
+        near.clear_placed_by_zone();
+        surroundings.perform(
+            [&] { surroundings.kv.put("cyclamendrift/vms/vm-9", near.SerializeAsString()); });
+        std::this_thread::sleep_for(1500ms);
+        CHECK(metricOf(proxy, "cyclamendrift_placed_by_zone") == 0);
+    }
+
     TEST_CASE("a VM that starts joins although a read of the store forgets the roster that it has seen")
     {
         // Guards against a VM that starts and never joins: its answers to siblings are refusals from then on.
