--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -420,9 +420,9 @@
     return capacities;
 }
 
-LimitHolders limitHoldersAmong(const std::map<VmName, VmCapacity>& listed, [[maybe_unused]] bool placedByZone)
+LimitHolders limitHoldersAmong(const std::map<VmName, VmCapacity>& listed, bool placedByZone)
 {
-    return LimitHolders { listed };
+    return LimitHolders { listed, { .spreadOverZones = placedByZone } };
 }
 
 SiblingExchange::SiblingExchange(Options options)
