Encode calls between siblings in binary and keep repeated fields in the HPACK table

The MAC travels as 32 bytes and the time left as 4 at the end of the body, in place of header fields in text; the method is a header field that HPACK repeats in a byte, which it does not do for a path; content-length is not sent, nor an empty DATA frame. The hello offers the encoding, so earlier builds are called and answered as before. The input to the MAC and its length are unchanged.

SiblingClient reports the bytes that its connections read and write.

--- a/include/cyclamendrift/siblings/sibling_client.h
+++ b/include/cyclamendrift/siblings/sibling_client.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -54,6 +55,11 @@
         std::size_t maxMessageBytes = std::size_t { 32 } << 20U;
         /// Maximum number of open calls to one sibling; further calls fail with Unreachable.
         std::size_t maxConcurrentCalls = 4096;
+        /// False: offers only the text encoding of calls, as earlier builds do.
+        bool binaryEncoding = true;
+        /// Receives the number of bytes, headers and frames included, that were read from or written to the
+        /// connection to a sibling; on the client's executor. May be empty.
+        std::function<void(const VmName&, std::size_t)> onWireBytes;
     };
 
     SiblingClient(const asio::any_io_executor& executor, Options options);
--- a/include/cyclamendrift/siblings/sibling_server.h
+++ b/include/cyclamendrift/siblings/sibling_server.h
@@ -51,6 +51,8 @@
         std::uint32_t maxConcurrentStreams = 256;
         /// Further connections are closed when they are accepted.
         std::size_t maxConnections = 8192;
+        /// False: accepts only the text encoding of calls, as earlier builds do.
+        bool binaryEncoding = true;
     };
 
     SiblingServer(const asio::any_io_executor& executor, Options options);
--- a/src/siblings/client_connection.cpp
+++ b/src/siblings/client_connection.cpp
@@ -54,13 +54,17 @@
     const auto self = this->shared_from_this();
     const auto nonce = makeNonce();
     Message hello;
-    hello.method = std::string { protocol::helloPath };
-    hello.fields.push_back({ std::string { protocol::nonceField }, nonce });
+    hello.path = std::string { protocol::helloPath };
+    hello.fields.push_back({ std::string { protocol::nonceField }, nonce, true });
+    if (this->options.offersBinary)
+        hello.fields.push_back(
+            { std::string { protocol::encodingField }, std::string { protocol::binaryEncoding } });
     const auto answer = co_await this->exchange(std::move(hello), deadline);
     if (!secretKey.verify(answer->mac, { protocol::helloLabel, nonce, answer->nonce }))
         throwSiblingError(SiblingError::Kind::NotAuthenticated,
             "the other end did not prove that it knows the shared secret");
     this->connectionKey = secretKey.derive(nonce, answer->nonce);
+    this->binary = this->options.offersBinary && answer->encoding == protocol::binaryEncoding;
 }
 
 asio::awaitable<std::shared_ptr<ClientStream>> ClientConnection::exchange(Message message, Instant deadline)
@@ -83,14 +87,11 @@
 
 std::shared_ptr<ClientStream> ClientConnection::submit(Message message)
 {
-    if (message.body.size() > this->options.maxMessageBytes)
-        throwSiblingError(SiblingError::Kind::Unreachable, "the call exceeds the maximum message size");
     if (!this->canOpenStream() || this->streams.size() >= this->options.maxConcurrentCalls)
         throwSiblingError(
             SiblingError::Kind::Unreachable, "the connection to the sibling accepts no further calls");
     std::vector<HeaderField> fields { { ":method", "POST" }, { ":scheme", "http" },
-        { ":authority", "sibling" }, { ":path", std::move(message.method) },
-        { "content-length", std::to_string(message.body.size()) } };
+        { ":authority", "sibling" }, { ":path", std::move(message.path) } };
     fields.insert(fields.end(), message.fields.begin(), message.fields.end());
     auto stream = std::make_shared<ClientStream>(this->executor());
     stream->id = this->submitRequest(fields, std::move(message.body));
@@ -120,6 +121,8 @@
         found->nonce = value;
     else if (name == protocol::macField)
         found->mac = value;
+    else if (name == protocol::encodingField)
+        found->encoding = value;
 }
 
 void ClientConnection::onData(StreamId stream, std::string_view data)
@@ -127,7 +130,8 @@
     const auto found = this->find(stream);
     if (!found || found->bodyTooLong)
         return;
-    found->bodyTooLong = found->body.size() + data.size() > this->options.maxMessageBytes;
+    found->bodyTooLong
+        = found->body.size() + data.size() > this->options.maxMessageBytes + protocol::maxTrailerBytes;
     if (found->bodyTooLong)
         this->resetStream(stream, NGHTTP2_CANCEL);
     else
--- a/src/siblings/client_connection.h
+++ b/src/siblings/client_connection.h
@@ -24,6 +24,7 @@
     std::string result;
     std::string nonce;
     std::string mac;
+    std::string encoding;
     std::string body;
     std::uint32_t errorCode = 0;
     /// The end of the call was written, so the other end may have received the whole call.
@@ -42,10 +43,11 @@
         Http2Connection::Options connection;
         std::size_t maxMessageBytes = 0;
         std::size_t maxConcurrentCalls = 0;
+        bool offersBinary = true;
         std::function<void()> onClosed;
     };
     struct Message {
-        std::string method;
+        std::string path;
         std::vector<HeaderField> fields;
         std::string body;
     };
@@ -62,6 +64,8 @@
     /// HTTP/2 stream id that the next message will use.
     [[nodiscard]] StreamId upcomingStreamId() const { return this->nextStreamId(); }
     [[nodiscard]] const MessageKey& key() const noexcept { return this->connectionKey; }
+    /// The other end accepts calls in the binary encoding.
+    [[nodiscard]] bool acceptsBinary() const noexcept { return this->binary; }
 
 private:
     void onHeader(StreamId stream, std::string_view name, std::string_view value) override;
@@ -77,6 +81,7 @@
 
     Options options;
     MessageKey connectionKey;
+    bool binary = false;
     std::map<StreamId, std::shared_ptr<ClientStream>> streams;
 };
 
--- a/src/siblings/http2_connection.cpp
+++ b/src/siblings/http2_connection.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
@@ -31,19 +32,6 @@
     return { reinterpret_cast<const char*>(bytes), size };
 }
 
-std::vector<nghttp2_nv> fieldsOf(std::span<const HeaderField> fields)
-{
-    std::vector<nghttp2_nv> result;
-    result.reserve(fields.size());
-    const auto bytes = [](const std::string& text) {
-        return reinterpret_cast<std::uint8_t*>(const_cast<char*>(text.data()));
-    };
-    for (const auto& field : fields)
-        result.push_back({ bytes(field.name), bytes(field.value), field.name.size(), field.value.size(),
-            NGHTTP2_NV_FLAG_NONE });
-    return result;
-}
-
 } // namespace
 
 /// Callbacks for nghttp2. Exceptions must not propagate through its C code, so each one is turned into the
@@ -207,13 +195,40 @@
     return provider;
 }
 
+/// The first value of a variable field is put into the compression table all the same, because that also
+/// puts the field's name there.
+std::vector<nghttp2_nv> Http2Connection::fieldsOf(std::span<const HeaderField> fields)
+{
+    std::vector<nghttp2_nv> result;
+    result.reserve(fields.size());
+    const auto bytes = [](const std::string& text) {
+        return reinterpret_cast<std::uint8_t*>(const_cast<char*>(text.data()));
+    };
+    for (const auto& field : fields) {
+        const bool nameInTable = field.variable && !this->namesInTable.insert(field.name).second;
+        const auto flags = nameInTable ? NGHTTP2_NV_FLAG_NO_INDEX : NGHTTP2_NV_FLAG_NONE;
+        result.push_back({ bytes(field.name), bytes(field.value), field.name.size(), field.value.size(),
+            static_cast<std::uint8_t>(flags) });
+    }
+    return result;
+}
+
+void Http2Connection::countWireBytes(std::size_t size) const
+{
+    if (this->options.onWireBytes)
+        this->options.onWireBytes(size);
+}
+
 StreamId Http2Connection::submitRequest(std::span<const HeaderField> fields, std::string body)
 {
-    const auto values = fieldsOf(fields);
+    const auto values = this->fieldsOf(fields);
     const auto expected = this->nextStreamId();
-    const auto provider = this->storeBody(expected, std::move(body));
-    const auto stream
-        = nghttp2_submit_request(this->session, nullptr, values.data(), values.size(), &provider, nullptr);
+    // Without a provider the HEADERS frame ends the message, which saves an empty DATA frame.
+    std::optional<nghttp2_data_provider> provider;
+    if (!body.empty())
+        provider = this->storeBody(expected, std::move(body));
+    const auto stream = nghttp2_submit_request(
+        this->session, nullptr, values.data(), values.size(), provider ? &*provider : nullptr, nullptr);
     if (stream < 0) {
         this->bodies.erase(expected);
         return stream;
@@ -227,9 +242,13 @@
 {
     if (this->closed)
         return;
-    const auto values = fieldsOf(fields);
-    const auto provider = this->storeBody(stream, std::move(body));
-    if (nghttp2_submit_response(this->session, stream, values.data(), values.size(), &provider) != 0)
+    const auto values = this->fieldsOf(fields);
+    std::optional<nghttp2_data_provider> provider;
+    if (!body.empty())
+        provider = this->storeBody(stream, std::move(body));
+    if (nghttp2_submit_response(
+            this->session, stream, values.data(), values.size(), provider ? &*provider : nullptr)
+        != 0)
         this->bodies.erase(stream);
     this->flush();
 }
@@ -260,6 +279,7 @@
 {
     this->pingOutstanding = false;
     this->timeSinceActivity = {};
+    this->countWireBytes(bytes.size());
     this->insideNghttp2 = true;
     const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
     const auto consumed = nghttp2_session_mem_recv(this->session, data, bytes.size());
@@ -305,8 +325,9 @@
         return;
     this->writeInProgress = true;
     asio::async_write(this->socket, asio::buffer(this->writeBuffer),
-        [self = this->shared_from_this()](const std::error_code& error, std::size_t) {
+        [self = this->shared_from_this()](const std::error_code& error, std::size_t size) {
             self->writeInProgress = false;
+            self->countWireBytes(size);
             if (self->writeBuffer.capacity() > maxIdleWriteBufferBytes)
                 std::vector<std::uint8_t> {}.swap(self->writeBuffer);
             if (error)
--- a/src/siblings/http2_connection.h
+++ b/src/siblings/http2_connection.h
@@ -11,8 +11,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -24,6 +26,9 @@
 struct HeaderField {
     std::string name;
     std::string value;
+    /// The value differs in each message, so it is kept out of the compression table (HPACK). Otherwise such
+    /// values would push the repeated ones out of the table.
+    bool variable = false;
 };
 
 using StreamId = std::int32_t;
@@ -39,6 +44,8 @@
         Duration pingTimeout {};
         /// Closes the connection after this time without an open stream; zero disables the limit.
         Duration idleTimeout {};
+        /// Receives the number of bytes that were read from or written to the socket; may be empty.
+        std::function<void(std::size_t)> onWireBytes;
     };
 
     virtual ~Http2Connection();
@@ -90,6 +97,8 @@
     void checkLiveness();
     [[nodiscard]] bool hasOpenStreams() const noexcept { return this->openStreams > 0; }
     [[nodiscard]] nghttp2_data_provider storeBody(StreamId stream, std::string body);
+    [[nodiscard]] std::vector<nghttp2_nv> fieldsOf(std::span<const HeaderField> fields);
+    void countWireBytes(std::size_t size) const;
 
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
@@ -97,6 +106,8 @@
     nghttp2_session* session = nullptr;
     std::map<StreamId, OutgoingBody> bodies;
     std::vector<std::uint8_t> writeBuffer;
+    /// Names of the variable fields that are in the compression table of this direction.
+    std::set<std::string, std::less<>> namesInTable;
     std::size_t openStreams = 0;
     Duration timeSinceActivity {};
     Duration idleTime {};
--- a/src/siblings/message_key.cpp
+++ b/src/siblings/message_key.cpp
@@ -23,6 +23,11 @@
     return text;
 }
 
+bool areEqual(std::string_view mac, std::string_view expected)
+{
+    return mac.size() == expected.size() && sodium_memcmp(mac.data(), expected.data(), expected.size()) == 0;
+}
+
 } // namespace
 
 MessageKey MessageKey::fromSecret(std::string_view secret)
@@ -45,10 +50,20 @@
     return hexOf(this->digest(fields));
 }
 
+std::string MessageKey::computeBinaryMac(std::initializer_list<std::string_view> fields) const
+{
+    const auto mac = this->digest(fields);
+    return { mac.begin(), mac.end() };
+}
+
 bool MessageKey::verify(std::string_view mac, std::initializer_list<std::string_view> fields) const
 {
-    const auto expected = this->computeMac(fields);
-    return mac.size() == expected.size() && sodium_memcmp(mac.data(), expected.data(), expected.size()) == 0;
+    return areEqual(mac, this->computeMac(fields));
+}
+
+bool MessageKey::verifyBinary(std::string_view mac, std::initializer_list<std::string_view> fields) const
+{
+    return areEqual(mac, this->computeBinaryMac(fields));
 }
 
 /// Each field is hashed with its length before it. Otherwise "ab" + "c" and "a" + "bc" would have the same
--- a/src/siblings/message_key.h
+++ b/src/siblings/message_key.h
@@ -3,6 +3,7 @@
 #include <sodium.h>
 
 #include <array>
+#include <cstddef>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -23,9 +24,18 @@
     /// Computes the message authentication code (MAC) of the fields, in hexadecimal.
     [[nodiscard]] std::string computeMac(std::initializer_list<std::string_view> fields) const;
 
+    /// Computes the MAC of the fields as macBytes bytes.
+    [[nodiscard]] std::string computeBinaryMac(std::initializer_list<std::string_view> fields) const;
+
     /// Returns whether the MAC is that of the fields; compares in constant time.
     [[nodiscard]] bool verify(std::string_view mac, std::initializer_list<std::string_view> fields) const;
 
+    /// As verify(), for a MAC in bytes.
+    [[nodiscard]] bool verifyBinary(
+        std::string_view mac, std::initializer_list<std::string_view> fields) const;
+
+    static constexpr std::size_t macBytes = crypto_generichash_KEYBYTES;
+
 private:
     using Bytes = std::array<unsigned char, crypto_generichash_KEYBYTES>;
 
--- a/src/siblings/server_connection.cpp
+++ b/src/siblings/server_connection.cpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <exception>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace cyclamendrift {
@@ -20,8 +21,6 @@
 
 /// Unauthenticated connections are closed after this time so that they do not hold resources.
 constexpr auto authenticationTimeout = std::chrono::seconds { 5 };
-/// Longer timeouts requested by a caller are reduced to this.
-constexpr auto maxCallTimeout = std::chrono::hours { 1 };
 /// Bound on the bytes of incomplete messages on one connection, in messages of the maximum size.
 constexpr std::size_t maxBufferedMessages = 4;
 
@@ -32,7 +31,8 @@
     const auto [rest, error] = std::from_chars(text.data(), end, microseconds);
     if (error != std::errc {} || rest != end)
         return std::nullopt;
-    const auto maxMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(maxCallTimeout);
+    const auto maxMicroseconds
+        = std::chrono::duration_cast<std::chrono::microseconds>(protocol::maxCallTimeout);
     const auto bounded = std::min(microseconds, static_cast<std::uint64_t>(maxMicroseconds.count()));
     return std::chrono::microseconds { bounded };
 }
@@ -78,6 +78,10 @@
         message.nonce = value;
     else if (name == protocol::macField)
         message.mac = value;
+    else if (name == protocol::methodField)
+        message.method = value;
+    else if (name == protocol::encodingField)
+        message.encoding = value;
 }
 
 void ServerConnection::onData(StreamId stream, std::string_view data)
@@ -85,7 +89,8 @@
     const auto found = this->incoming.find(stream);
     if (found == this->incoming.end())
         return;
-    const bool messageTooLong = found->second.body.size() + data.size() > this->options.maxMessageBytes;
+    const bool messageTooLong
+        = found->second.body.size() + data.size() > this->options.maxMessageBytes + protocol::maxTrailerBytes;
     const bool bufferFull
         = this->bufferedBytes + data.size() > maxBufferedMessages * this->options.maxMessageBytes;
     if (messageTooLong || bufferFull) {
@@ -105,9 +110,19 @@
         return;
     auto message = std::exchange(found->second, {});
     this->bufferedBytes -= message.body.size();
-    if (message.path == protocol::helloPath)
+    if (message.path == protocol::helloPath) {
         this->answerHello(stream, message);
-    else if (this->isAuthentic(stream, message))
+        return;
+    }
+    found->second.binary = this->options.acceptsBinary && message.path == protocol::binaryPath;
+    message.binary = found->second.binary;
+    const bool complete = !message.binary || unwrapBinary(message);
+    if (message.body.size() > this->options.maxMessageBytes) {
+        this->onStreamClosed(stream, NGHTTP2_REFUSED_STREAM);
+        this->resetStream(stream, NGHTTP2_REFUSED_STREAM);
+        return;
+    }
+    if (complete && this->isAuthentic(stream, message))
         this->dispatch(stream, std::move(message));
     else
         this->rejectUnauthenticated(stream);
@@ -139,17 +154,36 @@
     const auto nonce = makeNonce();
     const auto mac = this->options.secretKey.computeMac({ protocol::helloLabel, hello.nonce, nonce });
     this->connectionKey = this->options.secretKey.derive(hello.nonce, nonce);
-    const std::vector<HeaderField> fields { { ":status", "200" },
-        { std::string { protocol::nonceField }, nonce }, { std::string { protocol::macField }, mac } };
+    std::vector<HeaderField> fields { { ":status", "200" },
+        { std::string { protocol::nonceField }, nonce, true },
+        { std::string { protocol::macField }, mac, true } };
+    if (this->options.acceptsBinary && hello.encoding == protocol::binaryEncoding)
+        fields.push_back(
+            { std::string { protocol::encodingField }, std::string { protocol::binaryEncoding } });
     this->submitResponse(stream, fields, {});
 }
 
+bool ServerConnection::unwrapBinary(IncomingMessage& message)
+{
+    message.path = '/' + message.method;
+    message.mac = protocol::takeMac(message.body);
+    const auto timeout = protocol::takeTimeout(message.body);
+    if (timeout)
+        message.timeout = std::to_string(*timeout);
+    return timeout.has_value();
+}
+
 bool ServerConnection::isAuthentic(StreamId stream, const IncomingMessage& message) const
 {
-    return this->helloReceived
-        && this->connectionKey.verify(message.mac,
-            { protocol::callLabel, std::to_string(stream), message.from, message.path, message.timeout,
-                message.traceparent, message.body });
+    if (!this->helloReceived)
+        return false;
+    const auto streamId = std::to_string(stream);
+    const auto macInput
+        = { protocol::callLabel, std::string_view { streamId }, std::string_view { message.from },
+              std::string_view { message.path }, std::string_view { message.timeout },
+              std::string_view { message.traceparent }, std::string_view { message.body } };
+    return message.binary ? this->connectionKey.verifyBinary(message.mac, macInput)
+                          : this->connectionKey.verify(message.mac, macInput);
 }
 
 void ServerConnection::rejectUnauthenticated(StreamId stream)
@@ -208,12 +242,17 @@
 
 void ServerConnection::sendReply(StreamId stream, Reply reply)
 {
-    const auto mac = this->connectionKey.computeMac(
-        { protocol::answerLabel, std::to_string(stream), reply.result, reply.body });
-    const std::vector<HeaderField> fields { { ":status", "200" },
-        { "content-length", std::to_string(reply.body.size()) },
-        { std::string { protocol::resultField }, std::move(reply.result) },
-        { std::string { protocol::macField }, mac } };
+    const auto streamId = std::to_string(stream);
+    const auto macInput = { protocol::answerLabel, std::string_view { streamId },
+        std::string_view { reply.result }, std::string_view { reply.body } };
+    std::vector<HeaderField> fields { { ":status", "200" },
+        { std::string { protocol::resultField }, reply.result } };
+    const auto answered = this->incoming.find(stream);
+    if (answered != this->incoming.end() && answered->second.binary)
+        reply.body += this->connectionKey.computeBinaryMac(macInput);
+    else
+        fields.push_back(
+            { std::string { protocol::macField }, this->connectionKey.computeMac(macInput), true });
     this->submitResponse(stream, fields, std::move(reply.body));
 }
 
--- a/src/siblings/server_connection.h
+++ b/src/siblings/server_connection.h
@@ -17,6 +17,7 @@
         Http2Connection::Options connection;
         MessageKey secretKey;
         std::size_t maxMessageBytes = 0;
+        bool acceptsBinary = true;
         /// Executor that the handlers run on.
         asio::any_io_executor handlerExecutor;
         SiblingServer::Handler handler;
@@ -31,11 +32,15 @@
 private:
     struct IncomingMessage {
         std::string path;
+        /// In the binary encoding, which has no method in the path.
+        std::string method;
+        bool binary = false;
         std::string from;
         std::string timeout;
         std::string traceparent;
         std::string nonce;
         std::string mac;
+        std::string encoding;
         std::string body;
     };
     struct Reply {
@@ -52,6 +57,9 @@
 
     void answerHello(StreamId stream, const IncomingMessage& hello);
     void dispatch(StreamId stream, IncomingMessage incoming);
+    /// Brings a message in the binary encoding into the form of one in the text encoding, with its MAC in
+    /// bytes. Returns false if it is too short.
+    [[nodiscard]] static bool unwrapBinary(IncomingMessage& message);
     [[nodiscard]] bool isAuthentic(StreamId stream, const IncomingMessage& incoming) const;
     void rejectUnauthenticated(StreamId stream);
     void sendReply(StreamId stream, Reply reply);
--- a/src/siblings/sibling_client.cpp
+++ b/src/siblings/sibling_client.cpp
@@ -18,8 +18,10 @@
 #include <algorithm>
 #include <chrono>
 #include <compare>
+#include <cstdint>
 #include <exception>
 #include <map>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -121,23 +123,36 @@
     const ClientConnection& connection, SiblingCall& call) const
 {
     const auto remaining = call.deadline - std::chrono::steady_clock::now();
-    const auto timeout = std::chrono::duration_cast<std::chrono::microseconds>(remaining);
+    const auto timeout = std::min<std::chrono::microseconds>(
+        std::chrono::duration_cast<std::chrono::microseconds>(remaining), protocol::maxCallTimeout);
     if (timeout <= timeout.zero())
         throwSiblingError(SiblingError::Kind::Unreachable, "the deadline passed before the call was sent");
+    if (call.body.size() > this->options.maxMessageBytes)
+        throwSiblingError(SiblingError::Kind::Unreachable, "the call exceeds the maximum message size");
     const auto timeoutText = std::to_string(timeout.count());
     const auto streamId = std::to_string(connection.upcomingStreamId());
+    const auto path = '/' + call.method;
+    const auto macInput = { protocol::callLabel, std::string_view { streamId }, this->options.self.view(),
+        std::string_view { path }, std::string_view { timeoutText }, std::string_view { call.traceparent },
+        std::string_view { call.body } };
     ClientConnection::Message message;
-    message.method = '/' + call.method;
-    const auto mac = connection.key().computeMac({ protocol::callLabel, streamId, this->options.self.view(),
-        message.method, timeoutText, call.traceparent, call.body });
-    message.fields = {
-        { std::string { protocol::fromField }, this->options.self.string() },
-        { std::string { protocol::timeoutField }, timeoutText },
-        { std::string { protocol::macField }, mac },
-    };
+    message.fields.push_back({ std::string { protocol::fromField }, this->options.self.string() });
     if (!call.traceparent.empty())
-        message.fields.push_back({ std::string { protocol::traceField }, call.traceparent });
+        message.fields.push_back({ std::string { protocol::traceField }, call.traceparent, true });
+    if (!connection.acceptsBinary()) {
+        message.path = path;
+        message.fields.push_back({ std::string { protocol::timeoutField }, timeoutText, true });
+        message.fields.push_back(
+            { std::string { protocol::macField }, connection.key().computeMac(macInput), true });
+        message.body = std::move(call.body);
+        return message;
+    }
+    const auto mac = connection.key().computeBinaryMac(macInput);
+    message.path = std::string { protocol::binaryPath };
+    message.fields.push_back({ std::string { protocol::methodField }, call.method });
     message.body = std::move(call.body);
+    message.body += protocol::encodeTimeout(static_cast<std::uint32_t>(timeout.count()));
+    message.body += mac;
     return message;
 }
 
@@ -150,9 +165,17 @@
     if (answer->status == "401")
         throwSiblingError(
             SiblingError::Kind::NotAuthenticated, "the sibling rejected the call's authentication code");
+    if (connection->acceptsBinary())
+        answer->mac = protocol::takeMac(answer->body);
+    if (answer->body.size() > self->options.maxMessageBytes)
+        throwSiblingError(
+            SiblingError::Kind::BadAnswer, "the sibling's answer exceeds the maximum message size");
     const auto streamId = std::to_string(answer->id);
-    if (!connection->key().verify(
-            answer->mac, { protocol::answerLabel, streamId, answer->result, answer->body }))
+    const auto macInput = { protocol::answerLabel, std::string_view { streamId },
+        std::string_view { answer->result }, std::string_view { answer->body } };
+    const bool authentic = connection->acceptsBinary() ? connection->key().verifyBinary(answer->mac, macInput)
+                                                       : connection->key().verify(answer->mac, macInput);
+    if (!authentic)
         throwSiblingError(SiblingError::Kind::BadAnswer, "the answer's authentication code is wrong");
     if (answer->result == protocol::refusedResult)
         throw protocol::decodeRefusal(answer->body);
@@ -223,8 +246,13 @@
     connectionOptions.connection.pingInterval = self->options.pingInterval;
     connectionOptions.connection.pingTimeout = self->options.pingTimeout;
     connectionOptions.connection.idleTimeout = self->options.idleTimeout;
+    if (self->options.onWireBytes)
+        connectionOptions.connection.onWireBytes
+            = [counter = self->options.onWireBytes, vm = VmName { key.vm }](
+                  std::size_t size) { counter(vm, size); };
     connectionOptions.maxMessageBytes = self->options.maxMessageBytes;
     connectionOptions.maxConcurrentCalls = self->options.maxConcurrentCalls;
+    connectionOptions.offersBinary = self->options.binaryEncoding;
     connectionOptions.onClosed = [weak = self->weak_from_this(), key] {
         if (const auto state = weak.lock())
             state->removeClosedPeer(key);
--- a/src/siblings/sibling_protocol.cpp
+++ b/src/siblings/sibling_protocol.cpp
@@ -1,5 +1,6 @@
 #include "sibling_protocol.h"
 
+#include <cyclamendrift/core/little_endian.h>
 #include <cyclamendrift/schema/outcome_codec.h>
 #include <cyclamendrift/siblings/sibling_error.h>
 
@@ -9,6 +10,32 @@
 
 namespace cyclamendrift::sibling_protocol {
 
+std::string encodeTimeout(std::uint32_t microseconds)
+{
+    return littleEndian(microseconds).substr(0, timeoutBytes);
+}
+
+std::optional<std::uint32_t> takeTimeout(std::string& body)
+{
+    if (body.size() < timeoutBytes)
+        return std::nullopt;
+    std::uint32_t microseconds = 0;
+    for (std::size_t index = 0; index < timeoutBytes; ++index) {
+        microseconds = microseconds << 8U | static_cast<std::uint8_t>(body.back());
+        body.pop_back();
+    }
+    return microseconds;
+}
+
+std::string takeMac(std::string& body)
+{
+    if (body.size() < MessageKey::macBytes)
+        return {};
+    auto mac = body.substr(body.size() - MessageKey::macBytes);
+    body.resize(body.size() - mac.size());
+    return mac;
+}
+
 std::string encodeRefusal(const RequestError& error)
 {
     api::Error message;
--- a/src/siblings/sibling_protocol.h
+++ b/src/siblings/sibling_protocol.h
@@ -1,7 +1,13 @@
 #pragma once
 
+#include "message_key.h"
+
 #include <cyclamendrift/core/request_error.h>
 
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +22,16 @@
 constexpr std::string_view resultField = "cyclamendrift-result";
 constexpr std::string_view traceField = "traceparent";
 
+// Earlier builds know only the text encoding: the path of a call is its method, and the MAC and the time left
+// are header fields. In the binary encoding the path is "/", a header field contains the method, and a
+// trailer at the end of the body contains the MAC and the time left. HPACK encodes "/" and the repeated
+// method in a byte each; a path is never put into its table. Both encodings have the same input to the MAC.
+// An attacker who removes the offer from a hello therefore gains nothing.
+constexpr std::string_view encodingField = "cyclamendrift-encoding";
+constexpr std::string_view binaryEncoding = "binary";
+constexpr std::string_view binaryPath = "/";
+constexpr std::string_view methodField = "cyclamendrift-method";
+
 /// The body is the handler's answer.
 constexpr std::string_view answeredResult = "answered";
 /// The body is an api.Error.
@@ -27,6 +43,23 @@
 constexpr std::string_view callLabel = "call";
 constexpr std::string_view answerLabel = "answer";
 
+/// Longer time-outs of a call are reduced to this.
+constexpr auto maxCallTimeout = std::chrono::hours { 1 };
+
+/// Bytes of the time left at the end of a call; enough for maxCallTimeout in microseconds.
+constexpr std::size_t timeoutBytes = 4;
+/// Bytes that the binary encoding adds to the body of a call at most.
+constexpr std::size_t maxTrailerBytes = MessageKey::macBytes + timeoutBytes;
+
+/// Encodes the time left of a call.
+[[nodiscard]] std::string encodeTimeout(std::uint32_t microseconds);
+
+/// Removes the time left from the end of a body; empty if the body is too short.
+[[nodiscard]] std::optional<std::uint32_t> takeTimeout(std::string& body);
+
+/// Removes the MAC from the end of a body; empty if the body is too short.
+[[nodiscard]] std::string takeMac(std::string& body);
+
 /// Encodes a refusal as the body of an answer.
 [[nodiscard]] std::string encodeRefusal(const RequestError& error);
 
--- a/src/siblings/sibling_server.cpp
+++ b/src/siblings/sibling_server.cpp
@@ -75,6 +75,7 @@
         connectionOptions.connection.pingTimeout = this->options.pingTimeout;
         connectionOptions.secretKey = this->secretKey;
         connectionOptions.maxMessageBytes = this->options.maxMessageBytes;
+        connectionOptions.acceptsBinary = this->options.binaryEncoding;
         connectionOptions.handlerExecutor = this->handlerExecutor;
         connectionOptions.handler = this->options.handler;
         connectionOptions.onClosed = [weak = this->weak_from_this(), connectionId] {
--- a/tests/siblings/sibling_test.cpp
+++ b/tests/siblings/sibling_test.cpp
@@ -24,14 +24,16 @@
 
 /// Server and client of two siblings, connected through a relay, on one thread.
 struct SiblingPair {
-    explicit SiblingPair(SiblingServer::Handler handler, const char* serverSecret = secret)
+    explicit SiblingPair(SiblingServer::Handler handler, const char* serverSecret = secret,
+        bool serverBinary = true, bool clientBinary = true)
         : server(std::in_place, context.get_executor(),
             SiblingServer::Options { .host = "127.0.0.1",
                 .secret = serverSecret,
                 .handler = std::move(handler),
                 .pingInterval = 1h,
                 .pingTimeout = 10h,
-                .maxMessageBytes = maxBytes })
+                .maxMessageBytes = maxBytes,
+                .binaryEncoding = serverBinary })
         , relay(context, server->port())
         , client(std::in_place, context.get_executor(),
               SiblingClient::Options { .self = VmName { "vm-1" },
@@ -39,7 +41,8 @@
                   .connectTimeout = 20s,
                   .pingInterval = 50ms,
                   .pingTimeout = 200ms,
-                  .maxMessageBytes = maxBytes })
+                  .maxMessageBytes = maxBytes,
+                  .binaryEncoding = clientBinary })
     {
     }
 
@@ -232,6 +235,71 @@
         CHECK_THROWS_AS(pair.call("much"), RequestError);
         CHECK(pair.call("little") == "x");
     }
+
+    TEST_CASE("siblings that know only the text encoding and those that know both call each other")
+    {
+        // During an update VMs of both builds run. Guards against calls that only one build understands.
+        for (const bool serverBinary : { false, true }) {
+            for (const bool clientBinary : { false, true }) {
+                CAPTURE(serverBinary);
+                CAPTURE(clientBinary);
+                std::optional<IncomingSiblingCall> received;
+                const auto handler = [&](IncomingSiblingCall call) -> asio::awaitable<std::string> {
+                    received = call;
+                    if (call.body == "refuse")
+                        throw notRun(RefusalReason::BadRequest, "refused");
+                    co_return std::move(call.body);
+                };
+                SiblingPair pair { handler, secret, serverBinary, clientBinary };
+                const std::string large(SiblingPair::maxBytes, 'x');
+                for (const auto& body : { std::string {}, std::string { "order" }, large }) {
+                    const auto deadline = SiblingPair::farDeadline();
+                    CHECK(pair.call({ .method = "Execute",
+                              .body = body,
+                              .deadline = deadline,
+                              .traceparent = "00-ab-cd-01" })
+                        == body);
+                    REQUIRE(received.has_value());
+                    CHECK(received->from == VmName { "vm-1" });
+                    CHECK(received->method == "Execute");
+                    CHECK(received->traceparent == "00-ab-cd-01");
+                    CHECK(received->deadline > deadline - 30s);
+                    CHECK(received->deadline < deadline + 30s);
+                }
+                CHECK_THROWS_AS(pair.call("refuse"), RequestError);
+                CHECK(errorKindOf([&] { pair.call(large + "x"); }) == SiblingError::Kind::Unreachable);
+                CHECK(pair.call("after that") == "after that");
+            }
+        }
+    }
+
+    TEST_CASE("the bytes of a connection that are reported are those on the wire")
+    {
+        // Guards against a metric that omits headers, frames or one direction.
+        std::size_t relayed = 0;
+        std::size_t reported = 0;
+        SiblingPair pair { echo };
+        pair.client.emplace(pair.context.get_executor(),
+            SiblingClient::Options { .self = VmName { "vm-1" },
+                .secret = secret,
+                .connectTimeout = 20s,
+                .onWireBytes = [&reported](const VmName& vm, std::size_t size) {
+                    CHECK(vm == VmName { "vm-2" });
+                    reported += size;
+                } });
+        const auto count = [&relayed](std::string& bytes) {
+            relayed += bytes.size();
+            return true;
+        };
+        pair.relay.toServer = count;
+        pair.relay.toClient = count;
+        for (int index = 0; index < 20; ++index)
+            pair.call("order");
+        pair.context.restart();
+        pair.context.run_for(50ms);
+        CHECK(reported > 20 * 2 * 5);
+        CHECK(reported == relayed);
+    }
 }
 
 TEST_SUITE("failures of connections between siblings")
@@ -400,6 +468,29 @@
         CHECK(sent.find("an order") == std::string::npos);
     }
 
+    TEST_CASE("a call that is changed on the way is rejected, whichever of its bytes is changed")
+    {
+        // Guards against a body, a time left or a MAC that is not authenticated. The trailer of a call is 4
+        // bytes of time left and 32 bytes of MAC.
+        for (const std::size_t fromEnd : { 1U, 32U, 33U, 36U, 37U }) {
+            CAPTURE(fromEnd);
+            int handled = 0;
+            SiblingPair pair { [&](IncomingSiblingCall) -> asio::awaitable<std::string> {
+                ++handled;
+                co_return "";
+            } };
+            pair.call("first");
+            pair.relay.toServer = [fromEnd](std::string& bytes) {
+                constexpr std::size_t longerThanControlFrames = 50;
+                if (bytes.size() > longerThanControlFrames)
+                    bytes[bytes.size() - fromEnd] = static_cast<char>(bytes[bytes.size() - fromEnd] ^ 1);
+                return true;
+            };
+            CHECK(errorKindOf([&] { pair.call("order"); }) == SiblingError::Kind::NotAuthenticated);
+            CHECK(handled == 1);
+        }
+    }
+
     TEST_CASE("recorded bytes of a connection run no call when they are replayed")
     {
         // Guards against a replay attack: a recorded call sent again would make a reservation twice.
