--- a/include/cyclamendrift/session_proxy/readings_client.h
+++ b/include/cyclamendrift/session_proxy/readings_client.h
@@ -37,6 +37,8 @@
 
     /// Bytes of these calls so far.
     [[nodiscard]] const SiblingTraffic& traffic() const noexcept { return this->bytes; }
+    /// Bytes on the connections for these calls so far.
+    [[nodiscard]] const SiblingWireBytes& wireBytes() const noexcept { return *this->counted; }
 
 private:
     [[nodiscard]] asio::awaitable<std::string> request(
@@ -45,6 +47,8 @@
     Options options;
     std::unique_ptr<SiblingClient> client;
     SiblingTraffic bytes;
+    /// Shared with the connections, which may outlive this object.
+    std::shared_ptr<SiblingWireBytes> counted = std::make_shared<SiblingWireBytes>();
 };
 
 } // namespace cyclamendrift
--- a/include/cyclamendrift/session_proxy/session_traffic.h
+++ b/include/cyclamendrift/session_proxy/session_traffic.h
@@ -25,6 +25,7 @@
     std::map<TeamName, std::uint64_t> demand;
     EngineCounters counters;
     SiblingTraffic siblingTraffic;
+    SiblingWireBytes siblingWireBytes;
     SiblingExchange::ZonePlacement zonePlacement;
     Duration longestExpectedWait {};
     std::size_t callers = 0;
--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -49,6 +49,10 @@
 /// Bytes of requests and answers, without frames.
 using SiblingTraffic = std::map<SiblingTrafficKind, std::uint64_t>;
 
+/// Bytes, headers and frames included, that were read from and written to the connections that this VM has
+/// opened to siblings, by whether they cross availability zones.
+using SiblingWireBytes = std::map<bool, std::uint64_t>;
+
 /// A sibling's request for tokens of a team's limit.
 struct IncomingTokenRequest {
     VmName from;
@@ -111,6 +115,8 @@
     [[nodiscard]] ZonePlacement zonePlacement() const;
     /// Bytes of this VM's calls so far; on the traffic thread.
     [[nodiscard]] const SiblingTraffic& traffic() const noexcept;
+    /// Bytes on the connections for these calls so far; on the traffic thread.
+    [[nodiscard]] const SiblingWireBytes& wireBytes() const noexcept;
 
     /// Requests tokens from siblings, one after the other, and reports their sum; on the traffic thread.
     void requestTokens(const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done);
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -162,6 +162,7 @@
     this->demand.note(report.demand, bootNow());
     this->counters = report.counters;
     this->siblingTraffic = report.siblingTraffic;
+    this->siblingWireBytes = report.siblingWireBytes;
     this->callers = report.callers;
     this->connections = report.connections;
     this->longestExpectedWait = report.longestExpectedWait;
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -160,6 +160,7 @@
     std::size_t callers = 0;
     std::size_t connections = 0;
     SiblingTraffic siblingTraffic;
+    SiblingWireBytes siblingWireBytes;
     Duration longestExpectedWait {};
     /// What the owners of services are selected by, besides the list of VMs.
     OwnerPlan ownerPlan;
--- a/src/session_proxy/readings_client.cpp
+++ b/src/session_proxy/readings_client.cpp
@@ -23,8 +23,14 @@
 void ReadingsClient::open(const std::string& secret)
 {
     this->client = std::make_unique<SiblingClient>(this->options.context.get_executor(),
-        SiblingClient::Options {
-            .self = this->options.self, .secret = secret, .connectTimeout = connectTimeout });
+        SiblingClient::Options { .self = this->options.self,
+            .secret = secret,
+            .connectTimeout = connectTimeout,
+            .onWireBytes = [weak = std::weak_ptr { this->counted }, crosses = this->options.crossesZones](
+                               const VmName& vm, std::size_t size) {
+                if (const auto counted = weak.lock())
+                    (*counted)[crosses(vm)] += size;
+            } });
 }
 
 asio::awaitable<std::string> ReadingsClient::requestReadings(
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -346,6 +346,13 @@
     for (const auto& [kind, bytes] : siblingTraffic)
         count("sibling_bytes_total", "Bytes of questions to siblings and their answers, without frames.",
             bytes, { { "call", kind.method }, { "availability_zone", kind.crossesZones ? "other" : "own" } });
+    auto wireBytes = own.siblingWireBytes;
+    for (const auto& [crosses, bytes] : own.readingsClient.wireBytes())
+        wireBytes[crosses] += bytes;
+    for (const auto& [crosses, bytes] : wireBytes)
+        count("sibling_wire_bytes_total",
+            "Bytes on the connections that this VM opened to siblings, with headers and frames.", bytes,
+            { { "availability_zone", crosses ? "other" : "own" } });
     return registry.prometheusText();
 }
 
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -534,6 +534,7 @@
             .demand = engine.takeDemand(),
             .counters = engine.counters(),
             .siblingTraffic = this->state->exchange.traffic(),
+            .siblingWireBytes = this->state->exchange.wireBytes(),
             .zonePlacement = this->state->exchange.zonePlacement(),
             .longestExpectedWait = engine.longestExpectedWait(),
             .callers = engine.callers(),
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -107,13 +107,17 @@
         co_return co_await this->options.giveTokens(std::move(incoming));
     }
 
+    [[nodiscard]] bool crossesZones(const VmName& vm) const
+    {
+        const auto listed = this->siblings.find(vm);
+        return listed == this->siblings.end() || listed->second.capacity.zone != this->options.zone;
+    }
+
     /// Calls a sibling and counts the bytes in both directions.
     [[nodiscard]] asio::awaitable<std::string> ask(SiblingAddress address, SiblingCall call)
     {
-        const auto listed = this->siblings.find(address.vm);
-        const bool crosses
-            = listed == this->siblings.end() || listed->second.capacity.zone != this->options.zone;
-        auto& bytes = this->traffic[{ .method = call.method, .crossesZones = crosses }];
+        auto& bytes
+            = this->traffic[{ .method = call.method, .crossesZones = this->crossesZones(address.vm) }];
         bytes += call.body.size();
         auto answer = co_await this->client->call(std::move(address), std::move(call));
         bytes += answer.size();
@@ -387,6 +391,7 @@
     Options options;
     SiblingList siblings;
     SiblingTraffic traffic;
+    SiblingWireBytes wireBytes;
     LimitHolders holders;
     DonorSelector donors;
     ZoneDistance zoneDistance;
@@ -456,8 +461,13 @@
         return;
     }
     own.client = std::make_unique<SiblingClient>(executor,
-        SiblingClient::Options {
-            .self = own.options.self, .secret = secret, .connectTimeout = connectTimeout });
+        SiblingClient::Options { .self = own.options.self,
+            .secret = secret,
+            .connectTimeout = connectTimeout,
+            .onWireBytes = [weak](const VmName& vm, std::size_t size) {
+                if (const auto alive = weak.lock())
+                    alive->wireBytes[alive->crossesZones(vm)] += size;
+            } });
     logEvent(LogLevel::Info, "siblings_served", { { "port", std::to_string(own.server->port()) } });
 }
 
@@ -479,6 +489,8 @@
 
 const SiblingTraffic& SiblingExchange::traffic() const noexcept { return this->state->traffic; }
 
+const SiblingWireBytes& SiblingExchange::wireBytes() const noexcept { return this->state->wireBytes; }
+
 void SiblingExchange::requestTokens(
     const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done)
 {
