Leave out digests of unchanged listings and bound the wire size of typical calls

An asker that sets takes_unchanged gets a mark in place of the digest of each listing that has not changed, and the revision only if it differs. Earlier builds set no mark and get what they got before.

--- a/include/cyclamendrift/session_proxy/shared_listing.h
+++ b/include/cyclamendrift/session_proxy/shared_listing.h
@@ -50,9 +50,13 @@
         Instant now;
         /// True when the sibling can read packed entries.
         bool packed = false;
+        /// True when the sibling can read a listing that is marked as unchanged.
+        bool marksUnchanged = false;
     };
     void writeAnswer(
         const wire::KnownListing& known, const AnswerOptions& options, wire::StoredListing& answer) const;
+    /// Sets what an unchanged listing in the answer to a request leaves out.
+    static void completeUnchanged(const wire::KnownListing& known, wire::StoredListing& answer);
     /// Removes the entries from an answer; the sibling gets them with a later request.
     static void withhold(wire::StoredListing& answer);
 
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -34,6 +34,14 @@
 // Size up to which a listing is sent regardless of the budget: one without entries, or a small difference.
 constexpr std::size_t smallListing = 256;
 
+void completeUnchanged(const wire::ReadingsRequest& request, wire::ReadingsAnswer& answer)
+{
+    SharedListing::completeUnchanged(request.leadership(), *answer.mutable_leadership());
+    SharedListing::completeUnchanged(request.vms(), *answer.mutable_vms());
+    SharedListing::completeUnchanged(request.directory(), *answer.mutable_directory());
+    SharedListing::completeUnchanged(request.evacuations(), *answer.mutable_evacuations());
+}
+
 } // namespace
 
 std::optional<VmName> SessionControl::State::readerToAsk() const
@@ -210,6 +218,7 @@
     request.set_configuration_revision(this->configurationRevision);
     request.set_takes_packed(true);
     request.set_requests_configuration(true);
+    request.set_takes_unchanged(true);
     request.set_without_upstreams(!this->needsUpstreams(bootNow()));
     this->leadership.writeKnown(*request.mutable_leadership());
     this->vms.writeKnown(*request.mutable_vms());
@@ -223,6 +232,7 @@
             = co_await this->readingsClient.requestReadings(address, request.SerializeAsString(), timeLimit);
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
+        completeUnchanged(request, answer);
         this->siblingHeardAt = std::max(this->siblingHeardAt, askedAt);
         this->applyReadings(address.vm, answer, askedAt);
     } catch (const RequestError& error) {
@@ -346,7 +356,9 @@
     self->siblingHeardAt = std::max(self->siblingHeardAt, self->lateness.onTimeAt());
     wire::ReadingsAnswer answer;
     answer.set_store_age_us(wireAge(self->storeThrottle.lastAnswer(), now));
-    const SharedListing::AnswerOptions how { .now = now, .packed = request.takes_packed() };
+    const SharedListing::AnswerOptions how {
+        .now = now, .packed = request.takes_packed(), .marksUnchanged = request.takes_unchanged()
+    };
     if (request.without_upstreams()) {
         answer.mutable_leadership()->set_age_us(wireAge(self->leadership.confirmedAt(), now));
     } else {
--- a/src/session_proxy/shared_listing.cpp
+++ b/src/session_proxy/shared_listing.cpp
@@ -157,6 +157,16 @@
     known.set_digest(this->digest);
 }
 
+/// The request's digest and revision are used because the listing here may have changed since the request.
+void SharedListing::completeUnchanged(const wire::KnownListing& known, wire::StoredListing& answer)
+{
+    if (!answer.unchanged())
+        return;
+    answer.set_digest(known.digest());
+    if (answer.revision() == 0)
+        answer.set_revision(known.revision());
+}
+
 void SharedListing::withhold(wire::StoredListing& answer)
 {
     answer.clear_entries();
@@ -189,6 +199,13 @@
     answer.set_age_us(wireAge(this->confirmed, options.now));
     answer.set_revision(this->listing.revision);
     answer.set_digest(this->digest);
+    if (this->digest == known.digest() && this->digest != 0 && options.marksUnchanged) {
+        answer.set_unchanged(true);
+        answer.clear_digest();
+        if (this->listing.revision == known.revision())
+            answer.clear_revision();
+        return;
+    }
     if (this->digest == known.digest() || this->listing.revision < known.revision())
         return;
     const auto base = std::find_if(this->earlier.begin(), this->earlier.end(),
--- a/tests/session_proxy/shared_listing_test.cpp
+++ b/tests/session_proxy/shared_listing_test.cpp
@@ -57,6 +57,56 @@
         CHECK(asker.current().entries.size() == 195);
     }
 
+    TEST_CASE("a listing that is marked as unchanged confirms the entries of the request")
+    {
+        // The digests and revisions were half of an answer in which nothing has changed.
+        SharedListing reader;
+        SharedListing asker;
+        static_cast<void>(reader.takeReading(listingOf(195, 1000), start));
+        static_cast<void>(asker.takeReading(listingOf(195, 1000), start));
+        wire::KnownListing known;
+        asker.writeKnown(known);
+        for (const std::uint64_t revision : { 1000U, 1400U }) {
+            static_cast<void>(reader.takeReading(listingOf(195, revision), start + 1s));
+            wire::StoredListing answer;
+            reader.writeAnswer(known, { .now = start + 1100ms, .marksUnchanged = true }, answer);
+            CHECK(answer.digest() == 0);
+            CHECK(answer.ByteSizeLong() <= (revision == 1000 ? 6 : 9));
+            SharedListing::completeUnchanged(known, answer);
+            CHECK(asker.takeAnswer(answer, start + 1100ms) == Change::Confirmed);
+            CHECK(asker.confirmedAt() == start + 1s);
+            CHECK(asker.current().revision == revision);
+            CHECK(asker.current().entries.size() == 195);
+        }
+    }
+
+    TEST_CASE("a mark as unchanged is not applied to entries that have changed since the request")
+    {
+        // Guards against confirming entries that the sibling has not seen, for which the request's digest is
+        // used and not that of the entries here.
+        SharedListing reader;
+        SharedListing asker;
+        static_cast<void>(reader.takeReading(listingOf(10, 1000), start));
+        static_cast<void>(asker.takeReading(listingOf(10, 1000), start));
+        wire::KnownListing known;
+        asker.writeKnown(known);
+        wire::StoredListing answer;
+        reader.writeAnswer(known, { .now = start + 1s, .marksUnchanged = true }, answer);
+        static_cast<void>(asker.takeReading(listingOf(11, 1200), start + 500ms));
+        SharedListing::completeUnchanged(known, answer);
+        CHECK(asker.takeAnswer(answer, start + 2s) == Change::None);
+        CHECK(asker.confirmedAt() == start + 500ms);
+        CHECK(asker.current().entries.size() == 11);
+    }
+
+    TEST_CASE("a listing that was never read is not marked as unchanged")
+    {
+        const SharedListing reader;
+        wire::StoredListing answer;
+        reader.writeAnswer({}, { .now = start, .marksUnchanged = true }, answer);
+        CHECK_FALSE(answer.unchanged());
+    }
+
     TEST_CASE("a removed entry is passed on although no entry is new")
     {
         SharedListing reader;
--- a/tests/session_proxy/wire_size_test.cpp
+++ b/tests/session_proxy/wire_size_test.cpp
@@ -5,6 +5,8 @@
 #include <cyclamendrift/siblings/sibling_client.h>
 #include <cyclamendrift/siblings/sibling_server.h>
 
+#include <cyclamendrift/session_proxy/shared_listing.h>
+
 #include <sharing.pb.h>
 
 #include <doctest/doctest.h>
@@ -117,6 +119,25 @@
     line("answer", size.answerBody, size.answer);
 }
 
+/// Checks what a call costs beyond its message: the headers of a HEADERS and a DATA frame, the MAC, the time
+/// left of a call, and a byte for each header field, two for some. The opening of the connection is spread
+/// over all calls.
+void checkOverhead(const CallSize& size)
+{
+    constexpr std::size_t macBytes = 32;
+    constexpr std::size_t timeoutBytes = 4;
+    // Method, scheme, authority, path, sending VM, and the method of the sibling protocol.
+    constexpr std::size_t callFieldBytes = 6;
+    // Status and result.
+    constexpr std::size_t answerFieldBytes = 2;
+    // Preface, SETTINGS, WINDOW_UPDATE, the hello, and the first values of repeated header fields.
+    constexpr std::size_t openingBytes = 400;
+    CHECK(size.request.total() <= openingBytes
+            + calls * (size.requestBody + 2 * frameHeaderBytes + macBytes + timeoutBytes + callFieldBytes));
+    CHECK(size.answer.total()
+        <= openingBytes + calls * (size.answerBody + 2 * frameHeaderBytes + macBytes + answerFieldBytes));
+}
+
 ForwardedStatement typicalRead()
 {
     ForwardedStatement work;
@@ -149,10 +170,17 @@
     return size;
 }
 
-void writeKnown(std::uint64_t revision, wire::KnownListing& known)
+constexpr Instant readAt { 100s };
+constexpr std::uint64_t knownRevision = 73'209;
+
+SharedListing listingAt(std::uint64_t revision)
 {
-    known.set_revision(revision);
-    known.set_digest(0x9B1F'07C4'6E25'A3D8);
+    SharedListing listing;
+    static_cast<void>(listing.takeReading(
+        { .entries = { { .key = "vms/vm-1", .value = std::string(60, 'r'), .revision = 7 } },
+            .revision = revision },
+        readAt));
+    return listing;
 }
 
 std::string readingsRequest()
@@ -161,26 +189,29 @@
     request.set_configuration_revision(21'400);
     request.set_takes_packed(true);
     request.set_requests_configuration(true);
-    writeKnown(73'211, *request.mutable_leadership());
-    writeKnown(73'214, *request.mutable_vms());
-    writeKnown(73'209, *request.mutable_directory());
-    writeKnown(73'209, *request.mutable_evacuations());
+    request.set_takes_unchanged(true);
+    const auto listing = listingAt(knownRevision);
+    for (auto* known : { request.mutable_leadership(), request.mutable_vms(), request.mutable_directory(),
+             request.mutable_evacuations() })
+        listing.writeKnown(*known);
     return request.SerializeAsString();
 }
 
+/// The answer of a reader of the store in which other keys have been written since the asker's last request.
 std::string unchangedReadings()
 {
+    wire::KnownListing known;
+    listingAt(knownRevision).writeKnown(known);
+    const auto reader = listingAt(knownRevision + 5);
     wire::ReadingsAnswer answer;
     for (auto* listing : { answer.mutable_leadership(), answer.mutable_vms(), answer.mutable_directory(),
-             answer.mutable_evacuations() }) {
-        listing->set_age_us(312'000);
-        listing->set_revision(73'214);
-        listing->set_digest(0x9B1F'07C4'6E25'A3D8);
-    }
+             answer.mutable_evacuations() })
+        reader.writeAnswer(
+            known, { .now = readAt + 312ms, .packed = true, .marksUnchanged = true }, *listing);
     answer.mutable_configuration()->set_age_us(1'800'000);
     answer.mutable_configuration()->set_revision(21'400);
     answer.set_store_age_us(312'000);
-    answer.set_configuration_latest_until(73'214);
+    answer.set_configuration_latest_until(knownRevision + 5);
     return answer.SerializeAsString();
 }
 
@@ -188,8 +219,10 @@
 
 TEST_SUITE("bytes of calls between siblings")
 {
-    TEST_CASE("sizes of typical calls")
+    TEST_CASE("typical calls cost no more than their messages and a stated overhead")
     {
+        // Guards against headers, frames and fields that make each call larger unnoticed: traffic between
+        // availability zones is paid by the byte.
         const auto work = typicalRead();
         const auto body = forwarding_codec::encode(work);
         const auto answer = forwarding_codec::encode(Reply { .rows = { std::string(500, 'r') },
@@ -197,6 +230,13 @@
         const auto statement = measureCalls("RunForSibling", body, answer);
         std::cout << "texts of the statement: " << textsOf(work) << '\n';
         print("forwarded read", statement);
+        // Each of 11 texts has a tag and a length, as have the 3 messages that contain some of them; two
+        // lengths are over 127 and take a byte more. The other fields are the session's id (9 bytes), the
+        // freshness (2), the priority (2) and four durations (18).
+        CHECK(body.size() <= textsOf(work) + 11 * 2 + 3 * 2 + 2 + 31);
+        // The row's and the progress's tags, lengths and numbers.
+        CHECK(answer.size() <= 500 + 3 + 10);
+        checkOverhead(statement);
 
         wire::TokenRequest request;
         request.set_team("checkout");
@@ -209,10 +249,18 @@
         const auto tokens
             = measureCalls("GiveTokens", request.SerializeAsString(), given.SerializeAsString());
         print("request for tokens", tokens);
+        checkOverhead(tokens);
 
         const auto readings = measureCalls("ShareReadings", readingsRequest(), unchangedReadings());
         print("unchanged request for readings", readings);
+        // Four digests and revisions in the request, as the reader has to know what the asker has; only
+        // revisions and ages in the answer.
+        CHECK(readings.requestBody <= 4 * (2 + 9 + 4) + 12);
+        CHECK(readings.answerBody <= 4 * (2 + 2 + 4 + 4) + 2 + 5 + 4 + 4 + 4);
+        checkOverhead(readings);
 
-        print("liveness check", measureCalls("SignOfLife", {}, {}));
+        const auto liveness = measureCalls("SignOfLife", {}, {});
+        print("liveness check", liveness);
+        checkOverhead(liveness);
     }
 }
