Give each test process ports of its own

Cause: two test processes that ran at the same time drew ports from the same range; a port is not bound while its proxy is down, so the other one took it. Seen with ctest -j 3: adapter ended by "bind: Address already in use", and the soak's proxies were not started for the same reason. A process now claims blocks of ports for as long as it runs.

--- a/tests/adapter/surroundings.h
+++ b/tests/adapter/surroundings.h
@@ -7,34 +7,71 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
-#include <unistd.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <future>
+#include <stdexcept>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 /// What a session proxy runs among in the tests, on loopback.
 namespace cyclamendrift {
 
-/// Returns a free port below the range that the kernel assigns to outgoing connections, so that none of these
-/// takes the port before the proxy does.
-inline std::uint16_t freePort()
-{
-    constexpr int first = 20000;
-    constexpr int range = 10000;
-    static int next = static_cast<int>(getpid()) * 64 % range;
-    while (true) {
-        const auto port = static_cast<std::uint16_t>(first + next++ % range);
-        asio::io_context context;
-        asio::ip::tcp::acceptor acceptor { context, asio::ip::tcp::v4() };
+/// Ports that no other test process uses, below the range that the kernel assigns to outgoing connections. A
+/// port is not bound while its proxy is down, so a process keeps the first port of each of its blocks bound
+/// for as long as it runs, and others skip the block.
+class PortBlocks {
+public:
+    std::uint16_t nextPort()
+    {
+        while (true) {
+            if (this->next % blockSize == 0)
+                this->claimBlock();
+            const auto port = static_cast<std::uint16_t>(this->next++);
+            asio::ip::tcp::acceptor probe { this->context, asio::ip::tcp::v4() };
+            if (isFree(probe, port))
+                return port;
+        }
+    }
+
+private:
+    static constexpr int firstPort = 20000;
+    static constexpr int endPort = 32700;
+    static constexpr int blockSize = 100;
+
+    static bool isFree(asio::ip::tcp::acceptor& acceptor, std::uint16_t port)
+    {
         asio::error_code taken;
         acceptor.bind({ asio::ip::make_address("127.0.0.1"), port }, taken);
-        if (!taken)
-            return port;
+        return !taken;
     }
+
+    void claimBlock()
+    {
+        for (int block = firstPort; block < endPort; block += blockSize) {
+            asio::ip::tcp::acceptor claim { this->context, asio::ip::tcp::v4() };
+            if (!isFree(claim, static_cast<std::uint16_t>(block)))
+                continue;
+            this->claims.push_back(std::move(claim));
+            this->next = block + 1;
+            return;
+        }
+        throw std::runtime_error { "no block of ports is free" };
+    }
+
+    asio::io_context context;
+    std::vector<asio::ip::tcp::acceptor> claims;
+    int next = 0;
+};
+
+inline std::uint16_t freePort()
+{
+    static PortBlocks blocks;
+    return blocks.nextPort();
 }
 
 /// The platform on a separate thread: store, promotion and one group of three upstreams.
