--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -450,7 +450,11 @@
             CHECK(watches < 10);
         });
     }
+}
 
+// Runs as a test of its own, because starting many proxies takes most of the time.
+TEST_SUITE("large fleets of session proxies")
+{
     TEST_CASE("in a large fleet statements run at the owners of their service, or elsewhere when the owners "
               "are down")
     {
@@ -540,8 +544,8 @@
         Surroundings surroundings { limited };
         RunningFleet fleet;
         for (std::size_t vm = 0; vm < vms; ++vm)
-            fleet.push_back(std::make_unique<Running>(surroundings, "vm-" + std::to_string(vm),
-                Running::Options { .urgentFirst = vm + 1 < vms }));
+            fleet.push_back(std::make_unique<Running>(
+                surroundings, "vm-" + std::to_string(vm), Running::Options { .urgentFirst = vm + 1 < vms }));
         const auto given = [&fleet] {
             double sum = 0;
             for (const auto& proxy : fleet)
@@ -608,7 +612,10 @@
             CHECK(caller.run("READ bed-1").starts_with("ROW"));
         }
     }
+}
 
+TEST_SUITE("session proxy over the users' protocols, during outages and changes")
+{
     TEST_CASE("an evacuated zone gets no statements until the request is withdrawn, not even from a VM that "
               "starts later")
     {
