Limit the rate at which a VM asks replicas to confirm views

At most 500 such requests a second are sent; requests that watch or replace a primary are not limited. view_confirmations_not_requested_total counts the others. With twenty services the rate is 200 a second, as before.

--- a/include/cyclamendrift/leadership/leadership_events.h
+++ b/include/cyclamendrift/leadership/leadership_events.h
@@ -67,6 +67,8 @@
 /// Ask an upstream for its status.
 struct AskStatus {
     UpstreamName upstream;
+    /// True when a replica is asked only to confirm the view of the primary.
+    bool confirmsView = false;
 };
 /// Make a replica stop receiving from primaries of a term below `term`, and return its status.
 struct PauseReplica {
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -267,7 +267,7 @@
 void LeaderCoordinator::askStatus(Member& member, Instant now)
 {
     if (markAskedIfDue(member, this->options.settings.askInterval, now))
-        this->actions.emplace_back(AskStatus { member.entry.name });
+        this->actions.emplace_back(AskStatus { .upstream = member.entry.name });
 }
 
 bool LeaderCoordinator::markAskedIfDue(Member& member, Duration interval, Instant now)
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -152,7 +152,7 @@
         const bool mayCatchUp = this->replacement->planned && now < this->replacement->claimedAt + timeout;
         const bool caughtUp = demoted && member.status && member.status->received >= *demoted;
         if (mayCatchUp && !caughtUp)
-            this->actions.emplace_back(AskStatus { member.entry.name });
+            this->actions.emplace_back(AskStatus { .upstream = member.entry.name });
         else
             this->actions.emplace_back(
                 PauseReplica { .upstream = member.entry.name, .term = this->replacement->term });
@@ -221,7 +221,7 @@
         if (!markAskedIfDue(member, this->options.settings.reconcileInterval, now))
             continue;
         if (!member.status)
-            this->actions.emplace_back(AskStatus { member.entry.name });
+            this->actions.emplace_back(AskStatus { .upstream = member.entry.name });
         else if (oldPrimary)
             this->actions.emplace_back(DemotePrimary { .upstream = member.entry.name, .term = record->term });
         else
--- a/src/leadership/view_renewal.cpp
+++ b/src/leadership/view_renewal.cpp
@@ -136,8 +136,8 @@
         return;
     for (auto& member : this->members) {
         const bool due = now >= member.confirmedAt + settings.confirmationInterval;
-        if (due && !this->isPrimary(member.entry.name))
-            this->askStatus(member, now);
+        if (due && !this->isPrimary(member.entry.name) && markAskedIfDue(member, settings.askInterval, now))
+            this->actions.emplace_back(AskStatus { .upstream = member.entry.name, .confirmsView = true });
     }
 }
 
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -188,7 +188,13 @@
         const std::shared_ptr<State>& self;
         const ServiceName& service;
 
-        void operator()(const AskStatus& ask) const { this->send(ask.upstream, ReportStatus {}); }
+        void operator()(const AskStatus& ask) const
+        {
+            if (this->control.confirmationThrottle.allow(ask, bootNow()))
+                this->send(ask.upstream, ReportStatus {});
+            else
+                ++this->control.confirmationsNotRequested;
+        }
         void operator()(const PauseReplica& pause) const
         {
             this->send(pause.upstream, PauseReplication { pause.term });
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/core/loop_lateness.h>
 #include <cyclamendrift/core/random_source.h>
+#include <cyclamendrift/leadership/confirmation_throttle.h>
 #include <cyclamendrift/leadership/reading_time.h>
 #include <cyclamendrift/leadership/tracked_services.h>
 #include <cyclamendrift/membership/configuration_fetch.h>
@@ -162,6 +163,7 @@
     std::size_t callers = 0;
     std::size_t connections = 0;
     SiblingTraffic siblingTraffic;
+    std::uint64_t confirmationsNotRequested = 0;
     SiblingWireBytes siblingWireBytes;
     Duration longestExpectedWait {};
     /// What the owners of services are selected by, besides the list of VMs.
@@ -400,6 +402,7 @@
     SharedListing leadership;
     ViewSource leadershipReadFrom = ViewSource::Store;
     ReadingTime leadershipReadingTime;
+    ConfirmationThrottle confirmationThrottle;
     SharedListing vms;
     SharedListing directoryListing;
     SharedListing evacuations;
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -337,6 +337,9 @@
     }
     count("view_confirmations_total", "Times a replica confirmed who leads while the store was silent.",
         views.replicaConfirmations);
+    count("view_confirmations_not_requested_total",
+        "Requests to replicas to confirm a view that were left out, as there were too many.",
+        own.confirmationsNotRequested);
     count("views_ended_total", "Times a view of who leads ended before it was renewed.", views.viewsExpired);
     for (const auto& [kind, calls] : own.store.counts())
         count("store_calls_total", "Calls to the store, failed ones too, by what they do and for what.",
--- a/tests/leadership/reading_time_test.cpp
+++ b/tests/leadership/reading_time_test.cpp
@@ -1,9 +1,12 @@
+#include <cyclamendrift/leadership/confirmation_throttle.h>
 #include <cyclamendrift/leadership/leader_coordinator.h>
 #include <cyclamendrift/leadership/reading_time.h>
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <variant>
+#include <vector>
 
 using namespace cyclamendrift;
 using namespace std::chrono_literals;
@@ -13,7 +16,7 @@
 constexpr Instant start { 1000s };
 
 /// A VM that reads the store itself and has just read that "primary" leads.
-LeaderCoordinator makeReader(Duration expectedMaxAge)
+LeaderCoordinator makeReader(Duration expectedMaxAge, const VmName& holder = VmName { "vm-1" })
 {
     LeaderCoordinator coordinator { { .vm = VmName { "vm-0" } } };
     UpstreamDirectory directory;
@@ -24,10 +27,10 @@
     snapshot.record = LeadershipRecord { .term = Term { 1 },
         .primary = UpstreamName { "primary" },
         .claimedTerm = Term { 1 },
-        .author = VmName { "vm-1" },
+        .author = holder,
         .changeId = "first" };
     snapshot.recordRevision = 20;
-    snapshot.coordinatorLease = CoordinatorLease { .holder = VmName { "vm-1" }, .token = 15, .revision = 15 };
+    snapshot.coordinatorLease = CoordinatorLease { .holder = holder, .token = 15, .revision = 15 };
     snapshot.askedAt = start;
     snapshot.expectedMaxAge = expectedMaxAge;
     coordinator.onSnapshot(snapshot, start);
@@ -57,6 +60,36 @@
         CHECK(asksReplicas(coordinator, start + 550ms));
     }
 
+    TEST_CASE(
+        "a reader asks the replicas of 1,400 services at a bounded rate and watches primaries all the same")
+    {
+        // The load: readings of the records of 1,400 services are always too old, so 2,800 replicas are due
+        // every 200 ms. The reader is also the coordinator of one service.
+        constexpr int services = 1400;
+        std::vector<LeaderCoordinator> coordinators;
+        for (int service = 1; service < services; ++service)
+            coordinators.push_back(makeReader({}));
+        coordinators.push_back(makeReader({}, VmName { "vm-0" }));
+        coordinators.back().setVmLeaseExpiry(start + 10s);
+        const UpstreamName primary { "primary" };
+        ConfirmationThrottle throttle;
+        int confirmations = 0;
+        int watched = 0;
+        for (auto now = start + 500ms; now < start + 1500ms; now += 50ms) {
+            for (auto& coordinator : coordinators) {
+                for (const auto& action : coordinator.tick(now)) {
+                    const auto* asked = std::get_if<AskStatus>(&action);
+                    if (asked == nullptr || !throttle.allow(*asked, now))
+                        continue;
+                    (asked->upstream == primary ? watched : confirmations) += 1;
+                }
+            }
+        }
+        CHECK(confirmations > 0);
+        CHECK(confirmations <= ConfirmationThrottle::requestsPerSecond + ConfirmationThrottle::burst);
+        CHECK(watched > 0);
+    }
+
     TEST_CASE("replicas are asked while the view is still valid, however long readings take")
     {
         // Guards against views that expire in an outage of the store because readings were slow before it.
