--- a/src/pooling/caller_session.h
+++ b/src/pooling/caller_session.h
@@ -37,6 +37,11 @@
     std::size_t attempts = 0;
     /// Its entry among the statements that wait for a connection.
     std::optional<WaitingStatement> waiting;
+    /// The same, or null.
+    [[nodiscard]] const WaitingStatement* waitingStatement() const
+    {
+        return this->waiting ? &*this->waiting : nullptr;
+    }
     /// The connection that is being opened for it, or that runs it.
     std::optional<ConnectionId> connection;
     /// The owner VM that it was forwarded to, and when.
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -90,7 +90,10 @@
 
 void SessionEngine::State::refuseIfTooLate(const GroupState& group, CallerSession& session)
 {
-    const auto& statement = *session.work->waiting;
+    const auto* waiting = session.work->waitingStatement();
+    if (waiting == nullptr)
+        return;
+    const auto& statement = *waiting;
     // A statement that is tried again waits before those that arrived after it.
     const auto behind = group.waiting.countBehind(statement, maxCountedBehind);
     if (behind == maxCountedBehind)
@@ -124,16 +127,19 @@
         return std::nullopt;
     const bool primaryIsShared
         = demand.staleness > Duration {} && group.waiting.byDemand().contains(UpstreamDemand {});
-    const auto requirement = this->replicaRequirement(group, demand);
+    const bool replicasCompete = this->replicaRequirement(group, demand).has_value();
+    constexpr double unknownRate = -1;
     double perSecond = 0;
-    for (const auto& [name, upstream] : group.upstreams) {
-        const bool competes = group.isLedBy(name, this->now) ? !primaryIsShared : requirement.has_value();
+    for (const auto& entry : group.upstreams) {
+        const auto& upstream = entry.second;
+        const bool leads = group.isLedBy(upstream.entry.name, this->now);
+        const bool competes = leads ? !primaryIsShared : replicasCompete;
         if (!competes || !this->acceptsStatements(upstream) || this->now < upstream.unreachableUntil)
             continue;
-        const auto rate = this->drainRateOf(upstream);
-        if (!rate)
+        const auto rate = this->drainRateOf(upstream).value_or(unknownRate);
+        if (rate < 0)
             return std::nullopt;
-        perSecond += *rate;
+        perSecond += rate;
     }
     if (perSecond <= 0)
         return std::nullopt;
@@ -203,17 +209,18 @@
 
 void SessionEngine::State::stopWaiting(CallerSession& session)
 {
-    if (!session.work || !session.work->waiting)
+    const auto* waiting = session.work ? session.work->waitingStatement() : nullptr;
+    if (waiting == nullptr)
         return;
-    this->group(session.route.service).waiting.remove(*session.work->waiting);
+    this->group(session.route.service).waiting.remove(*waiting);
     session.work->waiting.reset();
 }
 
 CallerSession* SessionEngine::State::findWaiting(GroupState& group, const WaitingStatement& statement)
 {
     auto* session = this->findCaller(statement.position.caller);
-    if (session != nullptr && session->work && session->work->waiting
-        && session->work->waiting->position == statement.position)
+    const auto* waiting = session != nullptr && session->work ? session->work->waitingStatement() : nullptr;
+    if (waiting != nullptr && waiting->position == statement.position)
         return session;
     // The session has been given another statement meanwhile.
     group.waiting.remove(WaitingStatement { statement });
@@ -279,8 +286,9 @@
     auto* sameTeam = this->firstWaitingOf(group, connection.team, mayServe);
     if (sameTeam == nullptr)
         return;
-    const CallerSession* first = affinity == TeamAffinity::Limited
-        ? this->firstWaitingBefore(group, *sameTeam->work->waiting, mayServe)
+    const auto* waiting = sameTeam->work->waitingStatement();
+    const CallerSession* first = affinity == TeamAffinity::Limited && waiting != nullptr
+        ? this->firstWaitingBefore(group, *waiting, mayServe)
         : nullptr;
     if (first == nullptr)
         first = sameTeam;
--- a/src/pooling/engine_forwarding.cpp
+++ b/src/pooling/engine_forwarding.cpp
@@ -136,17 +136,23 @@
 
 PlacementHint SessionEngine::State::ownPlacementOf(const GroupState& group) const
 {
-    PlacementHint placement { .expectedWait = this->expectedWait(group) };
-    for (const auto& [name, upstream] : group.upstreams) {
+    std::vector<ZoneKey> zones;
+    const UpstreamEntry* primary = nullptr;
+    for (const auto& item : group.upstreams) {
+        const auto& upstream = item.second;
         if (!this->acceptsStatements(upstream))
             continue;
         const auto zone = zoneKeyOf(upstream.entry.zone);
-        if (std::find(placement.zonesInService.begin(), placement.zonesInService.end(), zone)
-            == placement.zonesInService.end())
-            placement.zonesInService.push_back(zone);
-        if (group.isLedBy(name, this->now))
-            placement.primaryZone = zone;
+        if (std::find(zones.begin(), zones.end(), zone) == zones.end())
+            zones.push_back(zone);
+        if (group.isLedBy(upstream.entry.name, this->now))
+            primary = &upstream.entry;
     }
+    PlacementHint placement;
+    placement.zonesInService = std::move(zones);
+    placement.expectedWait = this->expectedWait(group);
+    if (primary != nullptr)
+        placement.primaryZone = zoneKeyOf(primary->zone);
     return placement;
 }
 
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -94,6 +94,11 @@
     void tickSession(CallerSession& session);
     /// Aborts transactions that are idle for too long and hold connections that other statements wait for.
     void abortIdleTransactions();
+    /// Appends the sessions whose idle transactions at the upstream are to be aborted.
+    void findIdleTransactions(
+        const GroupState& group, const UpstreamState& upstream, std::vector<CallerId>& due);
+    /// The session that uses the connection, or null.
+    [[nodiscard]] const CallerSession* userOf(ConnectionId id);
     void abortEvacuatedTransactions();
     /// Resolves withheld replies, of one service unless it is null.
     void resolveAllUnconfirmed(const ServiceName* service);
--- a/src/pooling/session_engine.cpp
+++ b/src/pooling/session_engine.cpp
@@ -312,28 +312,11 @@
 
 void SessionEngine::State::abortIdleTransactions()
 {
-    const auto maxIdle = this->routes->maxTransactionIdleTime;
-    const auto maxRemoteIdle = maxIdle * this->options.settings.remoteTransactionIdleFactor;
     std::vector<CallerId> due;
-    for (const auto& [service, group] : this->groups) {
-        for (const auto& [name, upstream] : group.upstreams) {
-            auto needed = this->waitingForConnections(group, upstream);
-            for (const auto& [since, id] : upstream.connections.idleTransactions()) {
-                if (this->now < since + (needed > 0 ? maxIdle : maxRemoteIdle))
-                    break;
-                const auto* connection = this->findConnection(id);
-                const auto* session = connection->user ? this->findCaller(*connection->user) : nullptr;
-                if (session == nullptr || session->work || session->unconfirmed
-                    || this->now < session->lastActive + maxIdle)
-                    continue;
-                // A sibling that fails does not release its transactions, which hold locks at the upstream.
-                const bool abandoned = session->remoteSession && this->now >= since + maxRemoteIdle;
-                if (needed == 0 && !abandoned)
-                    continue;
-                due.push_back(session->id);
-                needed -= needed > 0 ? 1 : 0;
-            }
-        }
+    for (const auto& item : this->groups) {
+        const auto& group = item.second;
+        for (const auto& member : group.upstreams)
+            this->findIdleTransactions(group, member.second, due);
     }
     for (const auto id : due) {
         if (auto* session = this->findCaller(id))
@@ -341,18 +324,51 @@
     }
 }
 
+void SessionEngine::State::findIdleTransactions(
+    const GroupState& group, const UpstreamState& upstream, std::vector<CallerId>& due)
+{
+    const auto maxIdle = this->routes->maxTransactionIdleTime;
+    const auto maxRemoteIdle = maxIdle * this->options.settings.remoteTransactionIdleFactor;
+    auto needed = this->waitingForConnections(group, upstream);
+    for (const auto& entry : upstream.connections.idleTransactions()) {
+        const auto since = entry.first;
+        if (this->now < since + (needed > 0 ? maxIdle : maxRemoteIdle))
+            break;
+        const auto* session = this->userOf(entry.second);
+        if (session == nullptr || session->work || session->unconfirmed
+            || this->now < session->lastActive + maxIdle)
+            continue;
+        // A sibling that fails does not release its transactions, which hold locks at the upstream.
+        const bool abandoned = session->remoteSession && this->now >= since + maxRemoteIdle;
+        if (needed == 0 && !abandoned)
+            continue;
+        due.push_back(session->id);
+        needed -= needed > 0 ? 1 : 0;
+    }
+}
+
+const CallerSession* SessionEngine::State::userOf(ConnectionId id)
+{
+    const auto* connection = this->findConnection(id);
+    if (connection == nullptr || !connection->user)
+        return nullptr;
+    return this->findCaller(*connection->user);
+}
+
 void SessionEngine::State::abortEvacuatedTransactions()
 {
     if (this->evacuatedSince.empty())
         return;
     std::vector<CallerId> users;
-    for (const auto& [service, group] : this->groups) {
-        for (const auto& [name, upstream] : group.upstreams) {
+    for (const auto& item : this->groups) {
+        const auto& group = item.second;
+        for (const auto& member : group.upstreams) {
+            const auto& upstream = member.second;
             if (!this->isEvacuated(upstream))
                 continue;
             for (const auto id : upstream.connections.ids()) {
-                if (const auto* connection = this->findConnection(id); connection->user)
-                    users.push_back(*connection->user);
+                if (const auto* user = this->userOf(id))
+                    users.push_back(user->id);
             }
         }
     }
