Compute the expected wait of an owner once, and share two loops of the engine

selectOwnerByZone computed the wait of the own group twice for each statement, once within a hint whose wait nobody read; the wait now goes into answers alone. The concurrency of a group was summed again for each kind of waiting statement. firstWaitingOf and firstWaitingBefore were the same loop, the rankings of owners by service and by zone the same cache, and refreshPosition repeated demandOf.

--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -167,11 +167,14 @@
 
 Duration SessionEngine::State::expectedWait(const GroupState& group) const
 {
+    if (group.waiting.empty())
+        return {};
+    const auto concurrency = std::max<std::size_t>(concurrencyOf(group), 1);
     Duration longest {};
     for (const auto& [demand, queue] : group.waiting.byDemand()) {
         const auto beside = this->waitingBeside(group, demand, std::numeric_limits<std::uint32_t>::max());
         // Nothing is known of upstreams that have not answered yet.
-        const auto assumed = assumedStatementTime * beside / std::max<std::size_t>(concurrencyOf(group), 1);
+        const auto assumed = assumedStatementTime * beside / concurrency;
         longest = std::max(longest, this->drainTime(group, demand, beside).value_or(assumed));
     }
     return longest;
@@ -283,12 +286,18 @@
     const auto mayServe = [&](const CallerSession& session) {
         return this->canServe(group, upstream, session, this->replicaRequirement(group, session));
     };
-    auto* sameTeam = this->firstWaitingOf(group, connection.team, mayServe);
+    auto* sameTeam = this->firstWaiting(group, mayServe, [&](const std::optional<WaitingPosition>& after) {
+        return group.waiting.nextOf(connection.team, after);
+    });
     if (sameTeam == nullptr)
         return;
-    const auto* waiting = sameTeam->work->waitingStatement();
-    const CallerSession* first = affinity == TeamAffinity::Limited && waiting != nullptr
-        ? this->firstWaitingBefore(group, *waiting, mayServe)
+    const auto* end = sameTeam->work->waitingStatement();
+    const auto nextBefore = [&](const std::optional<WaitingPosition>& after) {
+        const auto* next = group.waiting.next(after, [](const UpstreamDemand&) { return true; });
+        return next != nullptr && next->position < end->position ? next : nullptr;
+    };
+    const CallerSession* first = affinity == TeamAffinity::Limited && end != nullptr
+        ? this->firstWaiting(group, mayServe, nextBefore)
         : nullptr;
     if (first == nullptr)
         first = sameTeam;
@@ -301,13 +310,13 @@
     this->runOn(connection, *sameTeam);
 }
 
-template <class Accepts>
-CallerSession* SessionEngine::State::firstWaitingOf(
-    GroupState& group, const TeamName& team, const Accepts& accepts)
+template <class Accepts, class Next>
+CallerSession* SessionEngine::State::firstWaiting(
+    GroupState& group, const Accepts& accepts, const Next& nextAfter)
 {
     std::optional<WaitingPosition> last;
     for (std::size_t failures = 0; failures < maxPassFailures; ++failures) {
-        const auto* statement = group.waiting.nextOf(team, last);
+        const WaitingStatement* statement = nextAfter(last);
         if (statement == nullptr)
             return nullptr;
         last = statement->position;
@@ -318,23 +327,6 @@
     return nullptr;
 }
 
-template <class Accepts>
-CallerSession* SessionEngine::State::firstWaitingBefore(
-    GroupState& group, const WaitingStatement& end, const Accepts& accepts)
-{
-    std::optional<WaitingPosition> last;
-    for (std::size_t failures = 0; failures < maxPassFailures; ++failures) {
-        const auto* statement = group.waiting.next(last, [](const UpstreamDemand&) { return true; });
-        if (statement == nullptr || !(statement->position < end.position))
-            return nullptr;
-        last = statement->position;
-        auto* session = this->findWaiting(group, *statement);
-        if (session != nullptr && accepts(*session))
-            return session;
-    }
-    return nullptr;
-}
-
 bool SessionEngine::State::assignUpstream(GroupState& group, CallerSession& session)
 {
     const auto requirement = this->replicaRequirement(group, session);
--- a/src/pooling/engine_forwarding.cpp
+++ b/src/pooling/engine_forwarding.cpp
@@ -118,7 +118,7 @@
     // A replica may run a read only when a position of the primary is known that is recent enough. Owners in
     // zones without the primary run few statements there, and without this every read that comes after the
     // last known position has become too old would cross zones.
-    const auto staleness = maxStalenessOf(session.route.freshness) - this->options.settings.stalenessMargin;
+    const auto staleness = this->demandOf(session).staleness;
     if (staleness <= Duration {} || this->now < group.positionRequestAgainAt
         || group.history.oldestCovering(this->now - staleness / 2))
         return;
@@ -150,7 +150,6 @@
     }
     PlacementHint placement;
     placement.zonesInService = std::move(zones);
-    placement.expectedWait = this->expectedWait(group);
     if (primary != nullptr)
         placement.primaryZone = zoneKeyOf(primary->zone);
     return placement;
@@ -364,8 +363,12 @@
 {
     this->finishWork(session);
     reply.phase = session.phase;
-    if (this->placesByZone())
-        reply.placement = this->ownPlacementOf(this->group(session.route.service));
+    if (this->placesByZone()) {
+        const auto& group = this->group(session.route.service);
+        auto placement = this->ownPlacementOf(group);
+        placement.expectedWait = this->expectedWait(group);
+        reply.placement = std::move(placement);
+    }
     this->actions.emplace_back(
         AnswerRemoteSession { .remoteSession = session.id, .reply = std::move(reply) });
     // Only within an open transaction does the sibling's next statement have to come to this VM.
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -284,7 +284,7 @@
     /// What this VM knows of the service's upstreams and primary, from the directory and its view or else
     /// from answers of owners.
     [[nodiscard]] std::optional<PlacementHint> placementOf(const ServiceName& service) const;
-    /// What this VM knows of them by itself.
+    /// What this VM knows of them by itself, without the expected wait.
     [[nodiscard]] PlacementHint ownPlacementOf(const GroupState& group) const;
     [[nodiscard]] bool placesByZone() const;
     /// Requests the position of a primary in another availability zone when reads on replicas need a newer
@@ -306,15 +306,11 @@
     [[nodiscard]] UpstreamDemand demandOf(const CallerSession& session) const;
     /// The session of a waiting statement; null, and the statement removed, when it no longer waits.
     [[nodiscard]] CallerSession* findWaiting(GroupState& group, const WaitingStatement& statement);
-    /// The first waiting statement of the team among those that `accepts` returns true for; null when there
-    /// is none.
-    template <class Accepts>
-    [[nodiscard]] CallerSession* firstWaitingOf(
-        GroupState& group, const TeamName& team, const Accepts& accepts);
-    /// The same among the statements of all teams that come before `end`.
-    template <class Accepts>
-    [[nodiscard]] CallerSession* firstWaitingBefore(
-        GroupState& group, const WaitingStatement& end, const Accepts& accepts);
+    /// The first waiting statement that `accepts` returns true for, of those that `nextAfter` returns for the
+    /// position of the last one; null when there is none.
+    template <class Accepts, class Next>
+    [[nodiscard]] CallerSession* firstWaiting(
+        GroupState& group, const Accepts& accepts, const Next& nextAfter);
     /// Refuses a waiting statement when those ahead of it need too long for its target latency.
     void refuseIfTooLate(const GroupState& group, CallerSession& session);
     /// Number of waiting statements that compete for the same upstreams and are at least as urgent.
--- a/src/pooling/service_owners.cpp
+++ b/src/pooling/service_owners.cpp
@@ -88,6 +88,16 @@
     return owners;
 }
 
+/// Fills in the order in which a team's statements prefer the owners, unless that was done before.
+void rankForTeam(std::vector<VmName>& ranking, const std::vector<VmName>& owners, const ServiceName& service,
+    const TeamName& team)
+{
+    if (!ranking.empty())
+        return;
+    ranking = owners;
+    rankByRendezvous(ranking, "home/" + service.string() + '/' + team.string());
+}
+
 std::size_t ownersByConnections(std::uint32_t connectionCap)
 {
     return std::clamp(connectionCap / connectionsPerOwner, minOwners, maxOwners);
@@ -194,11 +204,8 @@
 {
     auto& selection = this->selectionFor(service, connectionCap);
     auto& ranking = selection.zoneRankings[{ zone, team }];
-    const auto owners = selection.zoneOwners.find(zone);
-    if (!ranking.empty() || owners == selection.zoneOwners.end())
-        return ranking;
-    ranking = owners->second;
-    rankByRendezvous(ranking, "home/" + service.string() + '/' + team.string());
+    if (const auto owners = selection.zoneOwners.find(zone); owners != selection.zoneOwners.end())
+        rankForTeam(ranking, owners->second, service, team);
     return ranking;
 }
 
@@ -222,10 +229,7 @@
 {
     auto& selection = this->selectionFor(service, connectionCap);
     auto& ranking = selection.rankings[team];
-    if (!ranking.empty())
-        return ranking;
-    ranking = selection.owners;
-    rankByRendezvous(ranking, "home/" + service.string() + '/' + team.string());
+    rankForTeam(ranking, selection.owners, service, team);
     return ranking;
 }
 
