--- a/include/cyclamendrift/leadership/confirmation_throttle.h
+++ b/include/cyclamendrift/leadership/confirmation_throttle.h
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/core/instant.h>
 #include <cyclamendrift/leadership/leadership_events.h>
+#include <cyclamendrift/limits/team_share.h>
 
 namespace cyclamendrift {
 
@@ -17,12 +18,13 @@
     static constexpr double requestsPerSecond = 500;
     static constexpr double burst = 100;
 
+    ConfirmationThrottle();
+
     /// False for a request that is not sent; the coordinator repeats it.
     [[nodiscard]] bool allow(const AskStatus& request, Instant now);
 
 private:
-    double level = burst;
-    Instant accruedAt = Instant::min();
+    TeamShare bucket;
 };
 
 } // namespace cyclamendrift
