Call siblings through one client that counts bytes

The client of the control thread and the exchange of the traffic thread each opened a SiblingClient, counted bodies and wire bytes by zone, and had a time limit for connecting and a test for crossing zones of their own. Both now use CountedSiblingClient; readings_client is gone. donorsFor listed the demand that holdersFor lists, and two kinds of waits for the engine's answer were one template.

--- a/include/cyclamendrift/session_proxy/sibling_exchange.h
+++ b/include/cyclamendrift/session_proxy/sibling_exchange.h
@@ -4,7 +4,7 @@
 #include <cyclamendrift/membership/zone_distance.h>
 #include <cyclamendrift/membership/zone_placement.h>
 #include <cyclamendrift/pooling/session_engine.h>
-#include <cyclamendrift/siblings/sibling_client.h>
+#include <cyclamendrift/session_proxy/counted_sibling_client.h>
 #include <cyclamendrift/siblings/sibling_server.h>
 
 #include <asio/awaitable.hpp>
@@ -41,19 +41,8 @@
 /// The VMs that hold the teams' limits. `placedByZone` tells whether owners are placed by availability zone.
 [[nodiscard]] LimitHolders limitHoldersAmong(const std::map<VmName, VmCapacity>& listed, bool placedByZone);
 
-/// A method of sibling calls, and whether the calls cross availability zones.
-struct SiblingTrafficKind {
-    std::string method;
-    bool crossesZones = false;
-
-    friend auto operator<=>(const SiblingTrafficKind&, const SiblingTrafficKind&) = default;
-};
-/// Bytes of requests and answers, without frames.
-using SiblingTraffic = std::map<SiblingTrafficKind, std::uint64_t>;
-
-/// Bytes, headers and frames included, that were read from and written to the connections that this VM has
-/// opened to siblings, by whether they cross availability zones.
-using SiblingWireBytes = std::map<bool, std::uint64_t>;
+/// True when the VM is in another availability zone, or is not listed.
+[[nodiscard]] bool crossesZones(const SiblingList& siblings, const VmName& vm, const ZoneName& ownZone);
 
 /// A sibling's request for tokens of a team's limit.
 struct IncomingTokenRequest {
--- a/src/session_proxy/control_membership.cpp
+++ b/src/session_proxy/control_membership.cpp
@@ -245,7 +245,7 @@
     if (std::exchange(this->siblingsOpen, true))
         return;
     this->options.traffic.openSiblings(secret);
-    this->readingsClient.open(secret);
+    this->siblingClient.open(secret);
 }
 
 asio::awaitable<void> SessionControl::State::followVms(std::shared_ptr<State> self)
--- a/src/session_proxy/control_readings.cpp
+++ b/src/session_proxy/control_readings.cpp
@@ -1,4 +1,5 @@
 #include "control_state.h"
+#include "sibling_methods.h"
 
 #include <cyclamendrift/core/duration_text.h>
 #include <cyclamendrift/core/request_error.h>
@@ -227,9 +228,11 @@
     const auto askedAt = bootNow();
     const auto timeLimit = this->readingsTimeLimit();
     wire::ReadingsAnswer answer;
+    SiblingCall call { .method = sibling_method::shareReadings,
+        .body = request.SerializeAsString(),
+        .deadline = std::chrono::steady_clock::now() + timeLimit };
     try {
-        const auto body
-            = co_await this->readingsClient.requestReadings(address, request.SerializeAsString(), timeLimit);
+        const auto body = co_await this->siblingClient.call(address, std::move(call));
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
         completeUnchanged(request, answer);
--- a/src/session_proxy/control_spread.cpp
+++ b/src/session_proxy/control_spread.cpp
@@ -1,4 +1,5 @@
 #include "control_state.h"
+#include "sibling_methods.h"
 
 #include <cyclamendrift/core/request_error.h>
 #include <cyclamendrift/runtime/boot_clock.h>
@@ -95,9 +96,11 @@
     wire::ConfigurationRequest request;
     request.set_revision(this->configurationRevision);
     wire::ConfigurationAnswer answer;
+    SiblingCall call { .method = sibling_method::shareConfiguration,
+        .body = request.SerializeAsString(),
+        .deadline = std::chrono::steady_clock::now() + this->options.settings.configurationTimeout };
     try {
-        const auto body = co_await this->readingsClient.requestConfiguration(
-            listed->second.address, request.SerializeAsString(), this->options.settings.configurationTimeout);
+        const auto body = co_await this->siblingClient.call(listed->second.address, std::move(call));
         if (!answer.ParseFromString(body))
             throw Error { "the answer cannot be read" };
         if (answer.has_configuration()) {
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -15,8 +15,8 @@
 #include <cyclamendrift/pooling/owner_load.h>
 #include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/session_proxy/byte_budget.h>
+#include <cyclamendrift/session_proxy/counted_sibling_client.h>
 #include <cyclamendrift/session_proxy/metered_store.h>
-#include <cyclamendrift/session_proxy/readings_client.h>
 #include <cyclamendrift/session_proxy/session_control.h>
 #include <cyclamendrift/session_proxy/shared_listing.h>
 #include <cyclamendrift/telemetry/bounded_log.h>
@@ -171,7 +171,9 @@
     ZonePlacement zonePlacement;
     /// As this VM has measured it last.
     std::optional<Duration> zoneDifference;
-    ReadingsClient readingsClient;
+    /// Requests readings and the configuration, over connections of its own, so that these requests do not
+    /// wait behind statements.
+    CountedSiblingClient siblingClient;
 
 private:
     template <class Work> void spawn(Work work)
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -65,13 +65,10 @@
     , tracked(options.vm)
     , leadershipWanted(options.context)
     , zonePlacement(options.placementByZone)
-    , readingsClient({ .context = options.context,
+    , siblingClient({ .context = options.context,
           .self = options.vm,
-          .crossesZones =
-              [this](const VmName& vm) {
-                  const auto listed = this->siblings.find(vm);
-                  return listed == this->siblings.end() || listed->second.capacity.zone != this->options.zone;
-              } })
+          .crossesZones
+          = [this](const VmName& vm) { return crossesZones(this->siblings, vm, this->options.zone); } })
     , configurationSource("configuration", options.settings)
     , directorySource("directory", options.settings)
     , leadershipSource("leadership", options.settings)
@@ -345,13 +342,13 @@
         count("store_calls_total", "Calls to the store, failed ones too, by what they do and for what.",
             calls, { { "call", std::string { kind.first } }, { "purpose", std::string { kind.second } } });
     auto siblingTraffic = own.siblingTraffic;
-    for (const auto& [kind, bytes] : own.readingsClient.traffic())
+    for (const auto& [kind, bytes] : own.siblingClient.traffic())
         siblingTraffic[kind] += bytes;
     for (const auto& [kind, bytes] : siblingTraffic)
         count("sibling_bytes_total", "Bytes of questions to siblings and their answers, without frames.",
             bytes, { { "call", kind.method }, { "availability_zone", kind.crossesZones ? "other" : "own" } });
     auto wireBytes = own.siblingWireBytes;
-    for (const auto& [crosses, bytes] : own.readingsClient.wireBytes())
+    for (const auto& [crosses, bytes] : own.siblingClient.wireBytes())
         wireBytes[crosses] += bytes;
     for (const auto& [crosses, bytes] : wireBytes)
         count("sibling_wire_bytes_total",
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -32,27 +32,35 @@
 // time as a statement.
 constexpr std::uint64_t linesPerSecond = 20;
 
-/// A forwarded statement that waits for its reply.
-struct RemoteStatementWait {
-    RemoteStatementWait(asio::io_context& context, Instant deadline)
+/// A sibling's call that waits for the engine's answer, until a deadline at most.
+template <class Answer> struct AnswerWait {
+    AnswerWait(asio::io_context& context, Instant deadline)
         : timer(context, deadline)
     {
     }
 
-    asio::steady_timer timer;
-    std::optional<Reply> reply;
-};
-
-/// A sibling's request for tokens that waits for its answer.
-struct TokenRequestWait {
-    TokenRequestWait(asio::io_context& context, Instant deadline)
-        : timer(context, deadline)
+    void finish(Answer given)
     {
+        this->answer = std::move(given);
+        this->timer.cancel();
     }
 
     asio::steady_timer timer;
-    std::optional<std::uint32_t> given;
+    std::optional<Answer> answer;
 };
+
+/// Returns once the wait has its answer or its deadline has passed.
+template <class Answer> asio::awaitable<void> finished(std::shared_ptr<AnswerWait<Answer>> wait)
+{
+    if (wait->answer)
+        co_return;
+    std::error_code ignored;
+    co_await wait->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+using RemoteStatementWait = AnswerWait<Reply>;
+using TokenRequestWait = AnswerWait<std::uint32_t>;
+
 /// A sibling and its number for a request.
 using SiblingRequestKey = std::pair<VmName, std::uint64_t>;
 
@@ -271,8 +279,7 @@
             this->engine.siblingReturnedTokens(action.team, action.given, bootNow());
         return;
     }
-    wait->second->given = action.given;
-    wait->second->timer.cancel();
+    wait->second->finish(action.given);
     this->tokenWaits.erase(wait);
 }
 
@@ -320,8 +327,7 @@
     const auto wait = this->remoteWaits.find(action.remoteSession);
     if (wait == this->remoteWaits.end())
         return;
-    wait->second->reply = action.reply;
-    wait->second->timer.cancel();
+    wait->second->finish(action.reply);
 }
 
 void SessionTraffic::State::perform(const TrackService& action)
@@ -342,14 +348,11 @@
     this->remoteWaits[remoteSession] = wait;
     this->engine.forwardedStatementReceived(std::move(work), bootNow());
     this->performAll();
-    if (!wait->reply) {
-        std::error_code ignored;
-        co_await wait->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
+    co_await finished(wait);
     const auto entry = this->remoteWaits.find(remoteSession);
     if (entry != this->remoteWaits.end() && entry->second == wait)
         this->remoteWaits.erase(entry);
-    if (const auto reply = wait->reply)
+    if (const auto reply = wait->answer)
         co_return forwarding_codec::encode(*reply);
     throw outcomeUnknown(
         RefusalReason::DeadlineExceeded, "the statement goes on, but its caller's time is over");
@@ -373,15 +376,12 @@
                                             .until = now + request.wait },
         now);
     this->performAll();
-    if (!wait->given) {
-        std::error_code ignored;
-        co_await wait->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
+    co_await finished(wait);
     this->tokenWaits.erase(id);
     if (const auto entry = this->waitingRequests.find(key);
         entry != this->waitingRequests.end() && entry->second == id)
         this->waitingRequests.erase(entry);
-    co_return wait->given.value_or(0);
+    co_return wait->answer.value_or(0);
 }
 
 void SessionTraffic::State::withdrawRequest(const VmName& from, const TeamName& team, std::uint64_t number)
--- a/src/session_proxy/sibling_exchange.cpp
+++ b/src/session_proxy/sibling_exchange.cpp
@@ -33,7 +33,6 @@
 constexpr Duration releaseTimeout = std::chrono::milliseconds { 200 };
 // A fraction of the time for which an operation waits for tokens, so that several siblings can be asked.
 constexpr Duration tokenTimeout = std::chrono::milliseconds { 25 };
-constexpr Duration connectTimeout = std::chrono::milliseconds { 120 };
 // Each further request costs the waiting operation a round trip.
 constexpr std::size_t maxDonorsAsked = 4;
 // Round trips between zones change rarely. The first ones are measured in quick succession, because placement
@@ -57,6 +56,12 @@
 struct SiblingExchange::State : std::enable_shared_from_this<State> {
     explicit State(Options given)
         : options(std::move(given))
+        , client({ .context = options.context,
+              .self = options.self,
+              .crossesZones =
+                  [this](const VmName& vm) {
+                      return cyclamendrift::crossesZones(this->siblings, vm, this->options.zone);
+                  } })
         , zoneDistance(this->options.zone, this->options.placementByZone)
     {
     }
@@ -107,23 +112,6 @@
         co_return co_await this->options.giveTokens(std::move(incoming));
     }
 
-    [[nodiscard]] bool crossesZones(const VmName& vm) const
-    {
-        const auto listed = this->siblings.find(vm);
-        return listed == this->siblings.end() || listed->second.capacity.zone != this->options.zone;
-    }
-
-    /// Calls a sibling and counts the bytes in both directions.
-    [[nodiscard]] asio::awaitable<std::string> ask(SiblingAddress address, SiblingCall call)
-    {
-        auto& bytes
-            = this->traffic[{ .method = call.method, .crossesZones = this->crossesZones(address.vm) }];
-        bytes += call.body.size();
-        auto answer = co_await this->client->call(std::move(address), std::move(call));
-        bytes += answer.size();
-        co_return answer;
-    }
-
     [[nodiscard]] asio::awaitable<std::uint32_t> requestFromDonor(
         TeamName team, VmName vm, std::uint32_t wanted)
     {
@@ -138,7 +126,7 @@
             .deadline = std::chrono::steady_clock::now() + tokenTimeout };
         std::uint32_t given = 0;
         try {
-            const auto body = co_await this->ask(sibling->second.address, std::move(call));
+            const auto body = co_await this->client.call(sibling->second.address, std::move(call));
             wire::TokenAnswer answer;
             if (answer.ParseFromString(body))
                 given = answer.given();
@@ -156,10 +144,10 @@
     [[nodiscard]] asio::awaitable<OwnerAnswer> callOwner(VmName owner, SiblingCall call)
     {
         const auto sibling = this->siblings.find(owner);
-        if (sibling == this->siblings.end() || !this->client)
+        if (sibling == this->siblings.end() || !this->client.isOpen())
             co_return ForwardFailure::NotAccepted;
         try {
-            co_return co_await this->ask(sibling->second.address, std::move(call));
+            co_return co_await this->client.call(sibling->second.address, std::move(call));
         } catch (const RequestError& error) {
             co_return error.outcome() == Outcome::NotRun ? ForwardFailure::NotAccepted : ForwardFailure::Lost;
         } catch (const SiblingError& error) {
@@ -175,11 +163,11 @@
         bool alive = false;
         const auto startedAt = bootNow();
         const auto sibling = self->siblings.find(owner);
-        if (sibling != self->siblings.end() && self->client) {
+        if (sibling != self->siblings.end() && self->client.isOpen()) {
             SiblingCall call { .method = livenessMethod,
                 .deadline = std::chrono::steady_clock::now() + livenessTimeout };
             try {
-                static_cast<void>(co_await self->ask(sibling->second.address, std::move(call)));
+                static_cast<void>(co_await self->client.call(sibling->second.address, std::move(call)));
                 alive = true;
             } catch (const RequestError&) {
                 // A refusal shows that the owner VM is alive.
@@ -213,7 +201,7 @@
 
     static void measureZones(const std::shared_ptr<State>& self, Instant now)
     {
-        if (!self->client || now < self->measureZonesAt
+        if (!self->client.isOpen() || now < self->measureZonesAt
             || self->options.placementByZone == PlacementByZone::Never || self->measuredVms.empty()
             || !ServiceOwners::areUseful(self->siblings.size()))
             return;
@@ -245,22 +233,10 @@
         done(std::move(answer));
     }
 
-    [[nodiscard]] std::vector<VmName> donorsFor(const TeamName& team) const
-    {
-        const auto now = bootNow();
-        if (!this->holders.includesAllVms())
-            return this->donors.select(
-                team, this->holders.donorsFor(team, this->options.self), maxDonorsAsked, now);
-        std::map<VmName, DemandByTeam> listed;
-        for (const auto& [vm, sibling] : this->siblings)
-            listed[vm] = sibling.demand;
-        return this->donors.select(team, this->options.self, listed, maxDonorsAsked, now);
-    }
-
     [[nodiscard]] static asio::awaitable<void> requestFromDonors(std::shared_ptr<State> self, TeamName team,
         std::uint32_t wanted, std::function<void(std::uint32_t)> done)
     {
-        const auto chosen = self->donorsFor(team);
+        const auto chosen = self->donors.select(team, self->holdersFor(team), maxDonorsAsked, bootNow());
         std::uint32_t given = 0;
         for (const auto& vm : chosen) {
             if (given < wanted)
@@ -353,7 +329,7 @@
         waiting += counted;
         std::optional<std::uint32_t> given;
         try {
-            const auto body = co_await this->ask(sibling->second.address, std::move(message));
+            const auto body = co_await this->client.call(sibling->second.address, std::move(message));
             wire::TokenAnswer answer;
             if (!answer.ParseFromString(body))
                 answer.Clear();
@@ -390,8 +366,7 @@
 
     Options options;
     SiblingList siblings;
-    SiblingTraffic traffic;
-    SiblingWireBytes wireBytes;
+    CountedSiblingClient client;
     LimitHolders holders;
     DonorSelector donors;
     ZoneDistance zoneDistance;
@@ -405,7 +380,6 @@
     std::map<VmName, std::size_t> waitingCalls;
     /// Begins at a number that an earlier process of this VM has not used for requests that still wait.
     std::uint64_t lastTokenRequest = static_cast<std::uint64_t>(bootNow().time_since_epoch().count());
-    std::unique_ptr<SiblingClient> client;
     std::unique_ptr<SiblingServer> server;
 };
 
@@ -425,6 +399,12 @@
     return capacities;
 }
 
+bool crossesZones(const SiblingList& siblings, const VmName& vm, const ZoneName& ownZone)
+{
+    const auto listed = siblings.find(vm);
+    return listed == siblings.end() || listed->second.capacity.zone != ownZone;
+}
+
 LimitHolders limitHoldersAmong(const std::map<VmName, VmCapacity>& listed, bool placedByZone)
 {
     return LimitHolders { listed, { .spreadOverZones = placedByZone } };
@@ -460,18 +440,11 @@
         logEvent(LogLevel::Error, "siblings_not_served", { { "reason", error.what() } });
         return;
     }
-    own.client = std::make_unique<SiblingClient>(executor,
-        SiblingClient::Options { .self = own.options.self,
-            .secret = secret,
-            .connectTimeout = connectTimeout,
-            .onWireBytes = [weak](const VmName& vm, std::size_t size) {
-                if (const auto alive = weak.lock())
-                    alive->wireBytes[alive->crossesZones(vm)] += size;
-            } });
+    own.client.open(secret);
     logEvent(LogLevel::Info, "siblings_served", { { "port", std::to_string(own.server->port()) } });
 }
 
-bool SiblingExchange::isOpen() const noexcept { return this->state->client != nullptr; }
+bool SiblingExchange::isOpen() const noexcept { return this->state->client.isOpen(); }
 
 void SiblingExchange::setSiblings(SiblingList siblings, bool placedByZone)
 {
@@ -488,9 +461,12 @@
     return { .farApart = this->state->zonesFarApart, .difference = this->state->zoneDistance.difference() };
 }
 
-const SiblingTraffic& SiblingExchange::traffic() const noexcept { return this->state->traffic; }
+const SiblingTraffic& SiblingExchange::traffic() const noexcept { return this->state->client.traffic(); }
 
-const SiblingWireBytes& SiblingExchange::wireBytes() const noexcept { return this->state->wireBytes; }
+const SiblingWireBytes& SiblingExchange::wireBytes() const noexcept
+{
+    return this->state->client.wireBytes();
+}
 
 void SiblingExchange::requestTokens(
     const TeamName& team, std::uint32_t wanted, std::function<void(std::uint32_t)> done)
