Add case 1 of the review: a line feed in a client's data splits its message

A message of the wire ends with CR LF, so a line feed alone is part of its last field. The session proxy ends a line at every line feed. A write whose data contains one runs with its data cut off and is acknowledged, and what follows the line feed runs as a statement that no client sent.

--- /dev/null
+++ b/review/standin/cases.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "world.h"
+
+namespace review {
+
+// Each returns 0 when the rule held, 1 when it was broken, 2 when the case could not run. Without trouble it does the
+// same and leaves the disruption out.
+
+/// A client's data contains a line feed.
+int runLineFeed(World& world, Record& record, bool trouble);
+
+} // namespace review
