Add case 2 of the review: a planned stop cuts answers that are being sent

After SIGTERM the session proxy ends as soon as its engine holds no session. Bytes of an answer that the client's connection has not taken yet are not counted and are lost with the process, although most of the grace period is left. Six clients on lines of 16 Mbit/s read 3 MB each within the route's timeout; the process exits 2.5 s after SIGTERM of a grace period of 6 s.

--- a/review/standin/cases.h
+++ b/review/standin/cases.h
@@ -9,5 +9,7 @@
 
 /// A client's data contains a line feed.
 int runLineFeed(World& world, Record& record, bool trouble);
+/// A machine gets SIGTERM while clients receive large answers.
+int runPlannedStop(World& world, Record& record, bool trouble);
 
 } // namespace review
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -31,6 +31,8 @@
             record.line("the machines did not become ready");
         else if (name == "line_feed")
             result = review::runLineFeed(world, record, trouble);
+        else if (name == "planned_stop")
+            result = review::runPlannedStop(world, record, trouble);
         record.line(result == 0 ? "result: the rule held"
                 : result == 1   ? "result: the rule was broken"
                                 : "result: the case could not run");
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -242,6 +242,10 @@
         const auto size = recv(this->descriptor, chunk, sizeof chunk, 0);
         if (size <= 0)
             return std::nullopt;
+        this->total += static_cast<std::size_t>(size);
+        if (this->bytesPerSecond > 0)
+            std::this_thread::sleep_for(std::chrono::duration<double> {
+                static_cast<double>(size) / static_cast<double>(this->bytesPerSecond) });
         const auto from = this->received.empty() ? 0 : this->received.size() - 1;
         this->received.append(chunk, static_cast<std::size_t>(size));
         end = this->received.find("\r\n", from);
@@ -709,7 +713,9 @@
     const auto readOnly = "ERROR READONLY " + database.id + "\r\n";
     std::string rows;
     if (verb == "READ") {
-        rows = "ROW " + database.values[rest] + "\r\n";
+        const bool large = rest == largeItem;
+        for (std::size_t row = 0; row < (large ? largeItemRows : 1); ++row)
+            rows += "ROW " + (large ? std::string(largeRowBytes, 'v') : database.values[rest]) + "\r\n";
     } else if (verb == "WRITE") {
         if (!database.primary || session.readOnly) {
             session.state = session.state == 'T' ? 'E' : session.state;
@@ -790,6 +796,7 @@
 void Machine::start()
 {
     const auto log = this->options.folder + '/' + this->options.node + ".log";
+    pid_t started = 0;
     posix_spawn_file_actions_t actions {};
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -797,8 +804,9 @@
     std::string words[] = { this->options.program, "--config",
         this->options.folder + '/' + this->options.node + ".toml" };
     char* arguments[] = { words[0].data(), words[1].data(), words[2].data(), nullptr };
-    if (posix_spawn(&this->process, words[0].c_str(), &actions, nullptr, arguments, environ) != 0)
-        this->process = 0;
+    if (posix_spawn(&started, words[0].c_str(), &actions, nullptr, arguments, environ) != 0)
+        started = 0;
+    this->process = started;
     posix_spawn_file_actions_destroy(&actions);
     this->startAt.reset();
     this->record.line(this->options.node + " process started");
@@ -823,6 +831,11 @@
     int how = 0;
     if (this->process != 0 && waitpid(this->process, &how, WNOHANG) == this->process) {
         this->process = 0;
+        if (this->stopped) {
+            this->record.line(this->options.node + " process ended after SIGTERM, exit " + std::to_string(WEXITSTATUS(how)));
+            this->ready = false;
+            return;
+        }
         ++this->ends;
         this->startAt = Clock::now() + restartDelay;
         this->record.line(this->options.node + " process ended by itself, "
@@ -854,6 +867,13 @@
     return good;
 }
 
+void Machine::terminate()
+{
+    this->stopped = true;
+    this->record.line(this->options.node + " gets SIGTERM");
+    ::kill(this->process, SIGTERM);
+}
+
 void Machine::kill()
 {
     if (this->process == 0)
@@ -863,11 +883,19 @@
     this->process = 0;
 }
 
-Client::Client(const std::string& ip, std::uint16_t port, const std::string& database, const std::string& key)
+Client::Client(const std::string& ip, std::uint16_t port, const std::string& database, const std::string& key,
+    std::size_t bytesPerSecond)
     : descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    , stream(descriptor)
+    , stream(descriptor, bytesPerSecond)
 {
     setTimeouts(this->descriptor, 3000ms);
+    if (bytesPerSecond > 0) {
+        // Segments and windows of an ordinary network instead of those of loopback.
+        const int segment = 1400;
+        const int window = 32768;
+        setsockopt(this->descriptor, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+        setsockopt(this->descriptor, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    }
     const auto address = addressOf(ip, port);
     this->open = connect(this->descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0
         && this->stream.send("START " + database + ' ' + key + "\r\n");
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -67,16 +67,21 @@
 /// Reads and writes lines that end with CR LF.
 class LineStream {
 public:
-    explicit LineStream(int descriptor)
+    /// With `bytesPerSecond`, it takes what arrives no faster than that.
+    explicit LineStream(int descriptor, std::size_t bytesPerSecond = 0)
         : descriptor(descriptor)
+        , bytesPerSecond(bytesPerSecond)
     {
     }
     /// Empty at the end of the stream, or after the receive timeout of the socket.
     std::optional<std::string> line();
     bool send(const std::string& bytes);
+    std::size_t receivedBytes() const { return this->total; }
 
 private:
     int descriptor;
+    std::size_t bytesPerSecond;
+    std::size_t total = 0;
     std::string received;
 };
 
@@ -131,6 +136,12 @@
     std::unique_ptr<Listener> listener;
 };
 
+/// An item of every database that is read as so many rows of so many bytes. A message may have 1 MiB, and an answer any
+/// number of rows.
+inline constexpr auto largeItem = "yearbook";
+inline constexpr std::size_t largeItemRows = 3;
+inline constexpr std::size_t largeRowBytes = 1000000;
+
 /// What a database ran for a client.
 struct Run {
     std::string id;
@@ -213,6 +224,9 @@
     const std::string& name() const { return this->options.node; }
     std::uint16_t frontPort() const { return this->front; }
     int ownEnds() const { return this->ends; }
+    /// Sends SIGTERM, as the platform does to stop a machine. The process is not started again.
+    void terminate();
+    bool isRunning() const { return this->process != 0; }
     /// Ends the process by SIGKILL and waits for it.
     void kill();
 
@@ -226,7 +240,8 @@
     std::uint16_t front = 0;
     std::uint16_t readiness = 0;
     std::uint16_t internal = 0;
-    pid_t process = 0;
+    std::atomic<pid_t> process { 0 };
+    std::atomic<bool> stopped { false };
     std::atomic<int> ends { 0 };
     std::atomic<bool> ready { false };
     int misses = 0;
@@ -246,9 +261,13 @@
         std::string error;
         char state = 'I';
     };
-    Client(const std::string& ip, std::uint16_t port, const std::string& database, const std::string& key);
+    /// With `bytesPerSecond`, the client receives its answers over a slow line.
+    Client(const std::string& ip, std::uint16_t port, const std::string& database, const std::string& key,
+        std::size_t bytesPerSecond = 0);
     ~Client();
     bool isOpen() const { return this->open; }
+    /// Bytes received so far.
+    std::size_t received() const { return this->stream.receivedBytes(); }
     /// Sends `QUERY id text` and reads the answer.
     Answer run(const std::string& id, const std::string& text);
     /// Closes the session in order.
