Add case 3 of the review: another writer's entry makes the processes crash

An entry under the databases' prefix with missing fields and the address 127.1 is taken for a replica that has caught up. Opening a connection to it throws an exception that nothing on the traffic thread catches, and the process aborts. Every machine that runs a read of that service there crashes, and crashes again after its restart.

--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -29,6 +29,8 @@
         const bool trouble = std::string { argv[5] } != "0";
         if (!world.begin())
             record.line("the machines did not become ready");
+        else if (name == "unusable_address")
+            result = review::runUnusableAddress(world, record, trouble);
         else if (name == "line_feed")
             result = review::runLineFeed(world, record, trouble);
         else if (name == "planned_stop")
