--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -869,6 +869,8 @@
 
 void Machine::terminate()
 {
+    if (this->process == 0)
+        return;
     this->stopped = true;
     this->record.line(this->options.node + " gets SIGTERM");
     ::kill(this->process, SIGTERM);
