--- a/review/standin/line_feed.cpp
+++ b/review/standin/line_feed.cpp
@@ -51,8 +51,8 @@
             return 2;
         const auto inner = world.newId();
         send(second, world.newId(),
-            "WRITE log-" + machine->name() + " copied:" + (trouble ? "\n" : " ") + "QUERY " + inner + " WRITE balance-"
-                + machine->name() + " 0");
+            "WRITE log-" + machine->name() + " copied:" + (trouble ? "\n" : " ") + "QUERY " + inner
+                + " WRITE balance-" + machine->name() + " 0");
     }
     std::this_thread::sleep_for(500ms);
     int breaks = 0;
@@ -60,7 +60,7 @@
         const auto found = sent.find(run.id);
         const bool asked = found != sent.end() && found->second.text == run.text;
         record.line(run.database + " ran QUERY " + run.id + ' ' + visible(run.text) + " for " + run.tenant
-            + (asked                    ? ""
+            + (asked                      ? ""
                     : found == sent.end() ? ": NO CLIENT SENT THIS ID"
                                           : ": THE TEXT WAS CHANGED"));
         breaks += asked ? 0 : 1;
--- a/review/standin/load.cpp
+++ b/review/standin/load.cpp
@@ -31,7 +31,8 @@
     while (!this->stopping) {
         auto* machine = this->world.select(random());
         const auto kind = random() % 3;
-        const auto database = kinds[kind] + this->world.services[random() % this->world.services.size()]->name();
+        const auto database
+            = kinds[kind] + this->world.services[random() % this->world.services.size()]->name();
         const auto& tenant = this->world.tenants[random() % this->world.tenants.size()];
         if (machine == nullptr) {
             ++this->failed;
@@ -60,12 +61,13 @@
 bool Load::operate(Client& client, const std::string& label, bool writes, std::size_t item)
 {
     const auto id = this->world.newId();
-    const auto text = writes ? "WRITE item" + std::to_string(item) + " data" + id : "READ item" + std::to_string(item);
+    const auto text
+        = writes ? "WRITE item" + std::to_string(item) + " data" + id : "READ item" + std::to_string(item);
     const auto sentAt = this->record.seconds();
     const auto answer = client.run(id, text);
     const bool good = answer.complete && answer.signature.size() > 1;
     this->record.line(label + ": QUERY " + id + ' ' + text + " sent at " + std::to_string(sentAt) + " -> "
-        + (good                 ? "DONE " + answer.signature
+        + (good                   ? "DONE " + answer.signature
                 : answer.complete ? "ERROR " + answer.error
                                   : "no complete answer"));
     return good;
--- a/review/standin/planned_stop.cpp
+++ b/review/standin/planned_stop.cpp
@@ -29,8 +29,8 @@
     const auto& service = *world.services.front();
     std::vector<std::unique_ptr<Client>> sessions;
     for (std::size_t number = 0; number < clients; ++number) {
-        sessions.push_back(std::make_unique<Client>(machine.ip(), machine.frontPort(), "view-" + service.name(),
-            world.tenants[number % world.tenants.size()].second, bytesPerSecond));
+        sessions.push_back(std::make_unique<Client>(machine.ip(), machine.frontPort(),
+            "view-" + service.name(), world.tenants[number % world.tenants.size()].second, bytesPerSecond));
         // A short read first: the session is in use, and the proxy knows the databases.
         if (!sessions.back()->isOpen() || !sessions.back()->run(world.newId(), "READ item1").complete)
             return 2;
@@ -50,12 +50,14 @@
             const auto answer = sessions[number]->run(id, std::string { "READ " } + largeItem);
             outcome.endedAt = record.seconds();
             outcome.bytes = sessions[number]->received() - before;
-            outcome.complete = answer.complete && (!answer.error.empty()
-                || (answer.signature.size() > 1 && answer.rows.size() == largeItemRows && answer.rows.back().size() == largeRowBytes));
-            record.line("client " + std::to_string(number) + " sent QUERY " + id + " READ " + largeItem + " at "
-                + std::to_string(outcome.sentAt) + ", got " + std::to_string(outcome.bytes) + " bytes in "
-                + std::to_string(outcome.endedAt - outcome.sentAt) + " s -> "
-                + (!outcome.complete        ? "THE CONNECTION ENDED WITHOUT A COMPLETE ANSWER"
+            outcome.complete = answer.complete
+                && (!answer.error.empty()
+                    || (answer.signature.size() > 1 && answer.rows.size() == largeItemRows
+                        && answer.rows.back().size() == largeRowBytes));
+            record.line("client " + std::to_string(number) + " sent QUERY " + id + " READ " + largeItem
+                + " at " + std::to_string(outcome.sentAt) + ", got " + std::to_string(outcome.bytes)
+                + " bytes in " + std::to_string(outcome.endedAt - outcome.sentAt) + " s -> "
+                + (!outcome.complete           ? "THE CONNECTION ENDED WITHOUT A COMPLETE ANSWER"
                         : answer.error.empty() ? "DONE " + answer.signature
                                                : "ERROR " + answer.error));
         });
--- a/review/standin/unusable_address.cpp
+++ b/review/standin/unusable_address.cpp
@@ -18,13 +18,14 @@
     Load load { world, record, 24 };
     std::this_thread::sleep_for(calmTime);
     const auto [servedBefore, failedBefore] = load.takeCounts();
-    record.line("calm: " + std::to_string(servedBefore) + " served, " + std::to_string(failedBefore) + " not");
+    record.line(
+        "calm: " + std::to_string(servedBefore) + " served, " + std::to_string(failedBefore) + " not");
     if (servedBefore == 0)
         return 2;
-    // Fields are missing, so the entry names no database to use. 127.1 is the short form of 127.0.0.1, and no database
-    // listens there.
-    const Json entry { { "service", world.services.front()->name() }, { "address", "127.1:9" }, { "slots", 5 },
-        { "state", "ready" } };
+    // Fields are missing, so the entry names no database to use. 127.1 is the short form of 127.0.0.1, and no
+    // database listens there.
+    const Json entry { { "service", world.services.front()->name() }, { "address", "127.1:9" },
+        { "slots", 5 }, { "state", "ready" } };
     const auto until = Clock::now() + troubleTime;
     for (bool first = true; Clock::now() < until; first = false) {
         if (trouble) {
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -290,8 +290,10 @@
                 line.pop_back();
             const auto colon = line.find(':');
             auto name = line.substr(0, colon);
-            std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return std::tolower(letter); });
-            headers[name] = colon == std::string::npos ? "" : line.substr(line.find_first_not_of(' ', colon + 1));
+            std::transform(name.begin(), name.end(), name.begin(),
+                [](unsigned char letter) { return std::tolower(letter); });
+            headers[name]
+                = colon == std::string::npos ? "" : line.substr(line.find_first_not_of(' ', colon + 1));
         }
         const auto length = headers.contains("content-length") ? std::stoul(headers["content-length"]) : 0;
         received.erase(0, end + 4);
@@ -307,7 +309,8 @@
         std::this_thread::sleep_for(4ms);
         const auto answer = this->handle(method, target, body, headers);
         if (!sendAll(descriptor,
-                "HTTP/1.1 " + std::to_string(answer.status) + " -\r\nContent-Type: application/json\r\nContent-Length: "
+                "HTTP/1.1 " + std::to_string(answer.status)
+                    + " -\r\nContent-Type: application/json\r\nContent-Length: "
                     + std::to_string(answer.body.size()) + "\r\n\r\n" + answer.body))
             return;
     }
@@ -345,7 +348,8 @@
     if (path == "/cyclamendrift/kv-txn")
         return this->transaction(Json::parse(body));
     if (path == "/cyclamendrift/kv-lease") {
-        const std::chrono::milliseconds time { std::max<std::int64_t>(Json::parse(body).at("ttlMs").get<std::int64_t>(), 1000) };
+        const std::chrono::milliseconds time { std::max<std::int64_t>(
+            Json::parse(body).at("ttlMs").get<std::int64_t>(), 1000) };
         this->leases[++this->lastLease] = { Clock::now() + time, time };
         return { .body = Json { { "lease", this->lastLease }, { "ttlMs", time.count() } }.dump() };
     }
@@ -369,8 +373,8 @@
     const auto after = query.contains("after") ? query.at("after") : std::string {};
     Json items = Json::array();
     bool more = false;
-    for (auto item = this->items.lower_bound(prefix); item != this->items.end() && item->first.starts_with(prefix);
-         ++item) {
+    for (auto item = this->items.lower_bound(prefix);
+         item != this->items.end() && item->first.starts_with(prefix); ++item) {
         if (item->first <= after)
             continue;
         more = items.size() == pageItems;
@@ -394,8 +398,9 @@
         for (const auto& event : this->history) {
             if (event.revision <= after || !event.key.starts_with(prefix))
                 continue;
-            events.push_back(event.item ? this->itemOf(event.key, *event.item)
-                                        : Json { { "key", event.key }, { "rev", event.revision }, { "tombstone", true } });
+            events.push_back(event.item
+                    ? this->itemOf(event.key, *event.item)
+                    : Json { { "key", event.key }, { "rev", event.revision }, { "tombstone", true } });
         }
         if (!events.empty() || Clock::now() >= until || this->stopping)
             return { .body = Json { { "events", events }, { "storeRevision", this->revision } }.dump() };
@@ -631,9 +636,10 @@
 
 std::string Service::status(const Database& database) const
 {
-    return std::string { "ROW " } + (database.primary ? "primary " : "replica ") + std::to_string(database.term) + ' '
-        + std::to_string(database.term) + '.' + std::to_string(database.position) + ' '
-        + std::to_string(database.heldTerm) + " 0 0 " + std::to_string(database.connections) + "\r\nDONE -\r\n";
+    return std::string { "ROW " } + (database.primary ? "primary " : "replica ")
+        + std::to_string(database.term) + ' ' + std::to_string(database.term) + '.'
+        + std::to_string(database.position) + ' ' + std::to_string(database.heldTerm) + " 0 0 "
+        + std::to_string(database.connections) + "\r\nDONE -\r\n";
 }
 
 std::string Service::answer(Database& database, Session& session, const std::string& id, std::string text)
@@ -699,8 +705,8 @@
     return this->data(database, session, id, text, original);
 }
 
-std::string Service::data(Database& database, Session& session, const std::string& id, const std::string& text,
-    const std::string&)
+std::string Service::data(
+    Database& database, Session& session, const std::string& id, const std::string& text, const std::string&)
 {
     auto rest = text;
     auto verb = cutWord(rest);
@@ -728,7 +734,8 @@
         if (failed || (!database.primary && !session.writes.empty())) {
             session.state = 'I';
             session.writes.clear();
-            return (failed ? "ERROR ABORTED " + database.id + "\r\n" : readOnly) + this->ready(database, session);
+            return (failed ? "ERROR ABORTED " + database.id + "\r\n" : readOnly)
+                + this->ready(database, session);
         }
         session.state = 'I';
     } else {
@@ -773,10 +780,11 @@
 std::string Machine::settings() const
 {
     const auto at = [this](std::uint16_t port) { return this->options.ip + ':' + std::to_string(port); };
-    const std::map<std::string, std::string> values { { "node", this->options.node }, { "zone", this->options.zone },
-        { "ip", this->options.ip }, { "limits.cpuShare", "0.25" }, { "limits.cores", "1" },
-        { "limits.linkMbps", "1000.0" }, { "listen.front", at(this->front) }, { "listen.ready", at(this->readiness) },
-        { "internalPorts.0", std::to_string(this->internal) }, { "platform.address", this->options.storeAddress },
+    const std::map<std::string, std::string> values { { "node", this->options.node },
+        { "zone", this->options.zone }, { "ip", this->options.ip }, { "limits.cpuShare", "0.25" },
+        { "limits.cores", "1" }, { "limits.linkMbps", "1000.0" }, { "listen.front", at(this->front) },
+        { "listen.ready", at(this->readiness) }, { "internalPorts.0", std::to_string(this->internal) },
+        { "platform.address", this->options.storeAddress },
         { "cloudApi.address", this->options.storeAddress }, { "bounds.configApplyMs", "3000" },
         { "bounds.maxSkewMs", "12000" }, { "bounds.graceS", "6" },
         { "contracts|json",
@@ -801,8 +809,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    std::string words[] = { this->options.program, "--config",
-        this->options.folder + '/' + this->options.node + ".toml" };
+    std::string words[]
+        = { this->options.program, "--config", this->options.folder + '/' + this->options.node + ".toml" };
     char* arguments[] = { words[0].data(), words[1].data(), words[2].data(), nullptr };
     if (posix_spawn(&started, words[0].c_str(), &actions, nullptr, arguments, environ) != 0)
         started = 0;
@@ -832,14 +840,16 @@
     if (this->process != 0 && waitpid(this->process, &how, WNOHANG) == this->process) {
         this->process = 0;
         if (this->stopped) {
-            this->record.line(this->options.node + " process ended after SIGTERM, exit " + std::to_string(WEXITSTATUS(how)));
+            this->record.line(this->options.node + " process ended after SIGTERM, exit "
+                + std::to_string(WEXITSTATUS(how)));
             this->ready = false;
             return;
         }
         ++this->ends;
         this->startAt = Clock::now() + restartDelay;
         this->record.line(this->options.node + " process ended by itself, "
-            + (WIFSIGNALED(how) ? "signal " + std::to_string(WTERMSIG(how)) : "exit " + std::to_string(WEXITSTATUS(how)))
+            + (WIFSIGNALED(how) ? "signal " + std::to_string(WTERMSIG(how))
+                                : "exit " + std::to_string(WEXITSTATUS(how)))
             + ", number " + std::to_string(this->ends));
     }
     if (this->process == 0 && this->startAt && Clock::now() >= *this->startAt)
@@ -859,7 +869,8 @@
     setTimeouts(descriptor, 500ms);
     const auto address = addressOf(this->options.ip, this->readiness);
     bool good = connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0
-        && sendAll(descriptor, "GET /cyclamendrift/readiness HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n\r\n");
+        && sendAll(descriptor,
+            "GET /cyclamendrift/readiness HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n\r\n");
     char answer[64] = {};
     good = good && recv(descriptor, answer, sizeof answer - 1, 0) > 0
         && std::string { answer }.find(" 200 ") != std::string::npos;
@@ -953,8 +964,10 @@
     , record(record)
 {
     std::random_device source;
-    // Every machine has a loopback address of its own, as the template gives all machines the same port for metrics.
-    const auto network = "127." + std::to_string(1 + source() % 250) + '.' + std::to_string(1 + source() % 250) + '.';
+    // Every machine has a loopback address of its own, as the template gives all machines the same port for
+    // metrics.
+    const auto network
+        = "127." + std::to_string(1 + source() % 250) + '.' + std::to_string(1 + source() % 250) + '.';
     this->ip = network + "1";
     this->idSeed = (std::uint64_t { source() } << 32U) | source();
     this->store = std::make_unique<Store>(this->ip);
@@ -998,8 +1011,8 @@
 std::string World::configuration() const
 {
     Json routes = Json::array();
-    const auto add = [&routes](const std::string& host, const std::string& service, const char* kind, int timeoutMs,
-                         int targetLatencyMs, int maxStalenessMs) {
+    const auto add = [&routes](const std::string& host, const std::string& service, const char* kind,
+                         int timeoutMs, int targetLatencyMs, int maxStalenessMs) {
         Json route { { "name", "r-" + host }, { "host", host }, { "prefix", "/" }, { "kind", kind },
             { "timeoutMs", timeoutMs }, { "targetLatencyMs", targetLatencyMs }, { "priority", 1 },
             { "service", service }, { "maxAttempts", 2 }, { "public", false } };
@@ -1013,19 +1026,20 @@
         add("sale-" + name, name, "primary", 1000, 200, 0);
         add("view-" + name, name, "bounded_staleness", 2000, 800, 1500);
         add("redeem-" + name, name, "read_own_writes", 1000, 400, 2500);
-        listed.push_back({ { "name", name }, { "healthPath", "/health" }, { "maxConns", 32 }, { "protocol", "h1" },
-            { "tls", false }, { "syncReplicas", 0 } });
+        listed.push_back({ { "name", name }, { "healthPath", "/health" }, { "maxConns", 32 },
+            { "protocol", "h1" }, { "tls", false }, { "syncReplicas", 0 } });
     }
     Json teams = Json::array();
     for (const auto& [name, key] : this->tenants)
-        teams.push_back(
-            { { "name", name }, { "apiKeys", { key } }, { "priority", 1 }, { "ratePerS", 500 }, { "burst", 500 } });
-    return Json { { "version", 7 }, { "routes", routes }, { "services", listed },
+        teams.push_back({ { "name", name }, { "apiKeys", { key } }, { "priority", 1 }, { "ratePerS", 500 },
+            { "burst", 500 } });
+    return Json {
+        { "version", 7 }, { "routes", routes }, { "services", listed },
         { "limits",
             { { "maxHeaderBytes", 16384 }, { "maxBodyBytes", 262144 }, { "headerTimeoutMs", 3000 },
                 { "idleTimeoutMs", 15000 }, { "txnIdleMs", 3000 } } },
-        { "tenants", teams } }
-        .dump();
+        { "tenants", teams }
+    }.dump();
 }
 
 bool World::begin()
@@ -1072,7 +1086,8 @@
 std::string World::newId()
 {
     char text[32];
-    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(this->idSeed + ++this->lastId * 0x9E3779B97F4A7C15ULL));
+    std::snprintf(text, sizeof text, "%016llx",
+        static_cast<unsigned long long>(this->idSeed + ++this->lastId * 0x9E3779B97F4A7C15ULL));
     return text;
 }
 
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Stand-ins for the platform around the session proxy: its store, its databases, its promotion interface, its clients
-// and its process manager. They follow the users' pages; where a page is silent they behave soundly.
+// Stand-ins for the platform around the session proxy: its store, its databases, its promotion interface, its
+// clients and its process manager. They follow the users' pages; where a page is silent they behave soundly.
 
 #include <nlohmann/json.hpp>
 
@@ -136,8 +136,8 @@
     std::unique_ptr<Listener> listener;
 };
 
-/// An item of every database that is read as so many rows of so many bytes. A message may have 1 MiB, and an answer any
-/// number of rows.
+/// An item of every database that is read as so many rows of so many bytes. A message may have 1 MiB, and an
+/// answer any number of rows.
 inline constexpr auto largeItem = "yearbook";
 inline constexpr std::size_t largeItemRows = 3;
 inline constexpr std::size_t largeRowBytes = 1000000;
