--- a/review/standin/planned_stop.cpp
+++ b/review/standin/planned_stop.cpp
@@ -64,10 +64,7 @@
     }
     for (auto& thread : threads)
         thread.join();
-    for (const auto& run : world.services.front()->runs()) {
-        if (run.text.ends_with(largeItem))
-            record.line(run.database + " ran QUERY " + run.id + ' ' + run.text);
-    }
+    world.recordRuns();
     std::size_t lost = 0;
     for (const auto& outcome : outcomes) {
         // A request that reached the route's timeout is not counted.
--- a/review/standin/unusable_address.cpp
+++ b/review/standin/unusable_address.cpp
@@ -38,6 +38,7 @@
         const auto [served, failed] = load.takeCounts();
         record.line("load: " + std::to_string(served) + " served, " + std::to_string(failed) + " not");
     }
+    world.recordRuns();
     const auto failing = std::count_if(world.machines.begin(), world.machines.end(),
         [](const auto& machine) { return machine->ownEnds() >= endsOfFault; });
     for (const auto& machine : world.machines)
--- a/review/standin/world.cpp
+++ b/review/standin/world.cpp
@@ -1083,6 +1083,14 @@
     return ready.empty() ? nullptr : ready[hash % ready.size()];
 }
 
+void World::recordRuns()
+{
+    for (auto& service : this->services) {
+        for (const auto& run : service->runs())
+            this->record.line(run.database + " ran QUERY " + run.id + ' ' + run.text + " for " + run.tenant);
+    }
+}
+
 std::string World::newId()
 {
     char text[32];
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -292,6 +292,8 @@
     /// The machine that the platform's balancer selects for a client.
     Machine* select(std::size_t hash);
     std::string newId();
+    /// Writes what the databases ran for clients into the record.
+    void recordRuns();
 
     std::vector<std::unique_ptr<Service>> services;
     std::vector<std::unique_ptr<Machine>> machines;
