Use no entry of the directory that lacks a field or has an invalid one

What callers saw: all sessions of a VM were cut at once, again and again, and came back after half a second. One entry of another writer under the upstreams' prefix sufficed: the processes of all VMs ended by SIGABRT.

Cause: `OperatorFormat::readUpstream` filled in what was missing (zone, version, role, counters), converted numbers of other types, and took every text of digits and dots for an IP number. An entry with "127.1:9" became a replica that is up to date. The first read that needed one more connection opened it; `endpointOf` threw on the traffic thread, where nothing catches it.

Hypothesis: an entry that has every field as the platform documents it, with valid values, cannot raise an exception further on.

Change: each documented field is required, with its type and range; the address is an IPv4 number that a connection can be opened to, with a whole port; names have no blanks or control characters, which would end a field or a line on an upstream's connection; a role other than primary and replica is not taken for a replica. A service that no configuration names gets no group. Whatever is set aside is logged once for each reason and counted (directory_entries_set_aside_total). A connection or an order to an address that is not an IP number fails like any other one.

--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -41,10 +41,14 @@
                 { "routes", std::to_string(table->routes.size()) },
                 { "keys", std::to_string(table->keys.size()) } });
         this->routes = std::move(table);
+        this->directoryReader.addServices(*this->routes);
         this->options.traffic.setRoutes(this->routes);
         this->checkConfigurationLag(bootNow());
         this->updateTracked(bootNow());
         this->divideLimits();
+        // Entries of a service may have been read before the configuration that names it.
+        if (this->directoryRead)
+            this->applyDirectory();
     } catch (const FormatError& error) {
         logEvent(LogLevel::Error, "configuration_unreadable",
             { { "revision", std::to_string(revision) }, { "reason", error.what() } });
@@ -342,21 +346,12 @@
 void SessionControl::State::applyDirectory()
 {
     const auto now = bootNow();
-    UpstreamDirectory next;
+    auto [next, setAside] = this->directoryReader.read(this->directoryListing.current().entries);
+    for (const auto& [key, reason] : setAside)
+        this->log.write("upstream_entry_set_aside", { { "key", key }, { "reason", reason } }, now);
     std::set<UpstreamName> present;
-    for (const auto& entry : this->directoryListing.current().entries) {
-        try {
-            auto upstream = this->options.format.readUpstream(entry.key, entry.value);
-            present.insert(upstream.name);
-            next.push_back(std::move(upstream));
-            this->unreadable.erase(entry.key);
-        } catch (const FormatError& error) {
-            // Logged once for each value, because the listing is read every second.
-            if (std::exchange(this->unreadable[entry.key], entry.value) != entry.value)
-                logEvent(LogLevel::Warn, "upstream_entry_set_aside",
-                    { { "key", entry.key }, { "reason", error.what() } });
-        }
-    }
+    for (const auto& upstream : next)
+        present.insert(upstream.name);
     for (const auto& known : this->directory) {
         if (present.contains(known.name)) {
             this->missingSince.erase(known.name);
--- a/src/session_proxy/control_services.cpp
+++ b/src/session_proxy/control_services.cpp
@@ -84,7 +84,6 @@
     this->directory.clear();
     this->services.clear();
     this->missingSince.clear();
-    this->unreadable.clear();
     this->directoryRead = false;
     this->leadershipRead = false;
     this->options.traffic.setDirectory({});
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -16,6 +16,7 @@
 #include <cyclamendrift/runtime/asio_timer_service.h>
 #include <cyclamendrift/session_proxy/byte_budget.h>
 #include <cyclamendrift/session_proxy/counted_sibling_client.h>
+#include <cyclamendrift/session_proxy/directory_reader.h>
 #include <cyclamendrift/session_proxy/metered_store.h>
 #include <cyclamendrift/session_proxy/session_control.h>
 #include <cyclamendrift/session_proxy/shared_listing.h>
@@ -121,6 +122,7 @@
     ConfigurationFetch configurationFetch;
     /// Cancelled when this VM learns of a configuration that it lacks.
     asio::steady_timer configurationLacking;
+    DirectoryReader directoryReader;
     UpstreamDirectory directory;
     bool directoryRead = false;
     std::set<ZoneName> evacuatedZones;
@@ -389,7 +391,6 @@
     /// True when this VM has ended the latest watch itself.
     bool configurationWatchEnded = false;
     std::map<UpstreamName, Instant> missingSince;
-    std::map<std::string, std::string> unreadable;
     FleetPlace place;
     OwnerCount ownerCount;
     std::set<VmName> reportedCandidates;
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -62,6 +62,7 @@
     , timers(options.context.get_executor())
     , configurationValidity(options.configurationLimits)
     , configurationLacking(options.context)
+    , directoryReader(options.format)
     , tracked(options.vm)
     , leadershipWanted(options.context)
     , zonePlacement(options.placementByZone)
@@ -307,6 +308,9 @@
     constexpr auto readsHelp = "Reads answered, by the kind of upstream.";
     count("reads_total", readsHelp, own.counters.readsOnReplicas, { { "at", "replica" } });
     count("reads_total", readsHelp, own.counters.readsOnPrimary, { { "at", "primary" } });
+    count("directory_entries_set_aside_total",
+        "Entries of the directory that named no upstream to use, each counted once for each reason.",
+        own.directoryReader.setAsideTotal());
     show("evacuated_availability_zones", "Availability zones that operators evacuate.",
         own.evacuatedZones.size());
     show("placed_by_zone", "1 while homes of services are placed by availability zone.",
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -1,4 +1,5 @@
 #include "surroundings.h"
+#include "unusable_entries.h"
 
 #include <platform/caller_listener.h>
 #include <platform/kv_store.h>
@@ -170,14 +171,25 @@
         return text;
     }
 
-    /// Sends a statement and returns the lines of its answer but the last, joined by " | ".
-    std::string run(const std::string& text)
+    void send(const std::string& statement)
     {
-        this->write("QUERY " + std::to_string(++this->statements) + ' ' + text);
-        std::string answer;
+        this->write("QUERY " + std::to_string(++this->statements) + ' ' + statement);
+    }
+
+    /// Returns the lines of the next answer but the last, joined by " | ".
+    std::string answer()
+    {
+        std::string text;
         for (auto next = this->line(); !next.starts_with("READY") && next != "closed"; next = this->line())
-            answer += (answer.empty() ? "" : " | ") + next;
-        return answer;
+            text += (text.empty() ? "" : " | ") + next;
+        return text;
+    }
+
+    /// Sends a statement and returns its answer.
+    std::string run(const std::string& statement)
+    {
+        this->send(statement);
+        return this->answer();
     }
 
     /// Tries until the answer is a success or the tries are over.
@@ -316,6 +328,40 @@
         CHECK(other.run("READ bed-2").starts_with("ROW taken"));
     }
 
+    TEST_CASE("entries of another writer neither end a process nor take statements from callers")
+    {
+        // Guards against an entry in the directory that ends each process that reads it.
+        Surroundings surroundings { configuration };
+        const Running first { surroundings, "vm-1" };
+        const Running second { surroundings, "vm-2" };
+        Caller caller { first, "lists" };
+        Caller other { second, "lists" };
+        CHECK(caller.run("WRITE bed-1 taken").starts_with("DONE"));
+        const auto entries = unusableEntries("register");
+        surroundings.perform([&] {
+            for (const auto& [key, value] : entries)
+                surroundings.kv.put(key, value);
+        });
+        const auto allSetAside = [&entries](const Running& proxy) {
+            return metricOf(proxy, "cyclamendrift_directory_entries_set_aside_total")
+                > static_cast<double>(entries.size());
+        };
+        for (int tries = 0; tries < 250 && !(allSetAside(first) && allSetAside(second)); ++tries)
+            std::this_thread::sleep_for(20ms);
+        CHECK(allSetAside(first));
+        CHECK(allSetAside(second));
+        // Reads at once need more upstreams than the one that suffices for reads in turn.
+        std::vector<std::unique_ptr<Caller>> readers;
+        for (int reader = 0; reader < 12; ++reader)
+            readers.push_back(std::make_unique<Caller>(reader % 2 == 0 ? first : second, "lists"));
+        for (int round = 0; round < 50; ++round) {
+            for (const auto& reader : readers)
+                reader->send("READ bed-1");
+            for (const auto& reader : readers)
+                CHECK(reader->answer().starts_with("ROW taken"));
+        }
+    }
+
     TEST_CASE("a VM that was killed adopts its record and the record's lease")
     {
         // Guards against a record that expires after the restart, and against new leases and records of all
--- a/tests/adapter/operator_format_test.cpp
+++ b/tests/adapter/operator_format_test.cpp
@@ -1,3 +1,5 @@
+#include "unusable_entries.h"
+
 #include <platform/operator_format.h>
 
 #include <doctest/doctest.h>
@@ -124,4 +126,15 @@
             CHECK_THROWS_AS(static_cast<void>(format.readUpstream("servers/i-1", text)), FormatError);
         CHECK_THROWS_AS(static_cast<void>(format.readUpstream("servers/", upstream)), FormatError);
     }
+
+    TEST_CASE("an entry with a missing, mistyped or invalid field names no upstream")
+    {
+        // Guards against an entry of another writer that is taken for an upstream and ends the process.
+        CHECK_NOTHROW(static_cast<void>(format.readUpstream("servers/i-1", upstream)));
+        for (const auto& [key, value] : unusableEntries("register")) {
+            CAPTURE(key);
+            CAPTURE(value);
+            CHECK_THROWS_AS(static_cast<void>(format.readUpstream(key, value)), FormatError);
+        }
+    }
 }
