Go on after an event or an action that fails

Cause: an exception in a handler left `io_context::run` on the traffic thread and ended the process, whatever it concerned. A sibling's call catches exceptions, but `SessionTraffic::State::performing` stayed true, so no action was performed any more.

Hypothesis: a failure needs to cost only what it concerns: the action, the connection, or the one event.

Change: each action of the engine is performed by itself; one that fails is logged, and the engine is told where it waits for the outcome (a connection is lost, a statement was not accepted by its owner). What still reaches an event loop is logged (handler_failed), and the loop goes on, in both daemons. A timer whose tick fails goes on ticking.

--- a/src/proxy/proxy_context.h
+++ b/src/proxy/proxy_context.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cyclamendrift/runtime/context_runner.h>
+
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 
@@ -23,7 +25,7 @@
 
     void start()
     {
-        this->thread = std::thread { [this] { this->context.run(); } };
+        this->thread = std::thread { [this] { runContext(this->context, "proxy"); } };
     }
 
     void join()
--- a/src/runtime/asio_timer_service.cpp
+++ b/src/runtime/asio_timer_service.cpp
@@ -32,13 +32,25 @@
             const auto self = weak.lock();
             if (!self || error)
                 return;
-            self->options.tick(std::chrono::steady_clock::now());
-            if (self->options.repeat)
-                self->wait();
+            self->tick();
         });
     }
 
 private:
+    void tick()
+    {
+        try {
+            this->options.tick(std::chrono::steady_clock::now());
+        } catch (...) {
+            // What the subscriber does periodically must not end with one failure.
+            if (this->options.repeat)
+                this->wait();
+            throw;
+        }
+        if (this->options.repeat)
+            this->wait();
+    }
+
     asio::steady_timer timer;
     Options options;
 };
--- a/src/session_proxy/session_daemon.cpp
+++ b/src/session_proxy/session_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <cyclamendrift/callers/http_server.h>
 #include <cyclamendrift/runtime/boot_clock.h>
+#include <cyclamendrift/runtime/context_runner.h>
 #include <cyclamendrift/runtime/descriptor_limit.h>
 #include <cyclamendrift/session_proxy/session_control.h>
 #include <cyclamendrift/session_proxy/session_traffic.h>
@@ -115,8 +116,8 @@
             logEvent(LogLevel::Info, "ready");
             this->traffic.listen();
         });
-        std::thread trafficThread { [this] { this->trafficContext.run(); } };
-        this->controlContext.run();
+        std::thread trafficThread { [this] { runContext(this->trafficContext, "traffic"); } };
+        runContext(this->controlContext, "control");
         this->trafficContext.stop();
         trafficThread.join();
         return this->exit;
@@ -233,7 +234,7 @@
         , signals(context, SIGTERM, SIGINT, SIGHUP)
     {
         this->wait();
-        this->thread = std::thread { [this] { this->context.run(); } };
+        this->thread = std::thread { [this] { runContext(this->context, "signals"); } };
     }
     ~SignalThread()
     {
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -16,6 +16,7 @@
 #include <asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <optional>
 
 namespace cyclamendrift {
@@ -107,8 +108,14 @@
         this->engine.setMaxConnections(options.maxUpstreamConnections);
     }
 
-    /// Performs all actions that the engine has requested.
+    /// Performs all actions that the engine has requested. An action that fails does not keep the others from
+    /// being performed.
     void performAll();
+    /// Reports to the engine that an action failed, where the engine waits for its outcome.
+    template <class Action> void onFailed(const Action&) { }
+    void onFailed(const OpenConnection& action);
+    void onFailed(const SendStatement& action);
+    void onFailed(const ForwardStatement& action);
     void perform(const OpenConnection& action);
     void perform(const SendStatement& action);
     void perform(const CloseConnection& action);
@@ -215,9 +222,17 @@
     if (this->performing)
         return;
     this->performing = true;
+    const auto performOne = [this](const auto& action) {
+        try {
+            this->perform(action);
+        } catch (const std::exception& error) {
+            this->log.write("action_failed", { { "reason", error.what() } }, bootNow());
+            this->onFailed(action);
+        }
+    };
     for (auto actions = this->engine.takeActions(); !actions.empty(); actions = this->engine.takeActions()) {
         for (const auto& action : actions)
-            std::visit([this](const auto& wanted) { this->perform(wanted); }, action);
+            std::visit(performOne, action);
     }
     this->performing = false;
     this->scheduleTokens();
@@ -225,6 +240,24 @@
         this->startTicks(false);
 }
 
+void SessionTraffic::State::onFailed(const OpenConnection& action)
+{
+    this->engine.connectionLost(action.connection, bootNow());
+}
+
+void SessionTraffic::State::onFailed(const SendStatement& action)
+{
+    // Part of the statement may have been sent.
+    this->options.upstreams.close(action.connection);
+    this->engine.connectionLost(action.connection, bootNow());
+}
+
+void SessionTraffic::State::onFailed(const ForwardStatement& action)
+{
+    this->engine.forwardingFailed(
+        action.caller, action.work.remoteSession, ForwardFailure::NotAccepted, bootNow());
+}
+
 void SessionTraffic::State::perform(const OpenConnection& action)
 {
     this->options.upstreams.open(action.connection, action.upstream, action.team);
