Record the old primary again only after a promotion of its own

Cause: a coordinator promotes its choice and fails; the choice leads for less than a second and fails too. The next coordinator finds the claim with that choice, waits until a promotion can no longer take effect (4 s), and took the silence of the choice for a proof that none had taken effect. The old primary, which does not know of its successor, answers as a primary, so it was written into the record again. `PendingPromotions` tells when a promotion is no longer under way. It cannot tell that it was never carried out.

Hypothesis: what a promotion of the old primary itself leaves is the same in both cases, the old primary as the one that leads. If it was the primary all along, the platform changes nothing; otherwise it starts the next term.

Change: once the record names a choice, the old primary is never just kept. When it answers as a primary it is a candidate like the replicas, and has everything that was acknowledged. It is recorded when it leads a newer term, or in its old term two seconds after the platform has accepted its promotion. A claim without a choice is cancelled at once, as before: no promotion can have been sent under it.

The simulation follows the platform more closely: it knows the upstream that was promoted last, promotes one that considers itself a primary and is not that one, answers promotions, and counts a view as old from the moment a promotion takes effect, also while the promoted upstream is away.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -69,6 +69,8 @@
     /// By this time a promotion that was sent has taken effect or never will; covers the time limit of that
     /// call and the change itself.
     Duration promotionSettleTime = std::chrono::milliseconds { 4000 };
+    /// An accepted promotion has taken effect by this time, or was of the upstream that already leads.
+    Duration promotionEffectTime = std::chrono::milliseconds { 2000 };
     /// A VM that released the coordinator lease does not acquire it again for this long.
     Duration leaseReacquireDelay = std::chrono::seconds { 4 };
     /// Between two attempts to acquire the coordinator lease or to write the record.
@@ -93,7 +95,9 @@
 ///
 /// At most one promotion at a time: the record names the replica that is to lead before the platform is asked
 /// to promote it, so the next coordinator continues with the same replica. Another replica is chosen, or
-/// written as the primary, only when no promotion of the first one can take effect any more.
+/// written as the primary, only when no promotion of the first one can take effect any more. That none can
+/// does not mean that none has: once the record names a replica, the old primary becomes the primary again
+/// only by a promotion of its own.
 ///
 ///     coordinator.onSnapshot(snapshot, now);
 ///     for (const auto& action : coordinator.tick(now)) begin(action);
@@ -141,6 +145,8 @@
     void onStatusFailed(const UpstreamName& upstream, Instant now);
     /// The store accepted a change of the record that this VM had requested.
     void onRecordWritten(const LeadershipRecord& record, std::uint64_t revision, Instant now);
+    /// The platform accepted a promotion that was sent at `sentAt`.
+    void onPromotionAccepted(const UpstreamName& upstream, Instant sentAt, Instant now);
     /// The platform refused a promotion because the upstream is not running.
     void onPromotionRefused(const UpstreamName& upstream);
 
@@ -203,6 +209,11 @@
         /// after it.
         Instant lastSeen;
     };
+    struct AcceptedPromotion {
+        UpstreamName upstream;
+        /// When the platform first accepted it.
+        Instant at;
+    };
     /// State of a replacement of the primary.
     struct Replacement {
         Term term {};
@@ -217,10 +228,12 @@
         UpstreamName inheritedChoice;
         std::map<UpstreamName, Pause> paused;
         std::optional<Progress> demotedProgress;
-        /// The replica that this VM promotes, and since when.
+        /// The upstream that this VM promotes, and since when.
         UpstreamName promoted;
         Instant promotedSince;
         Instant lastPromotionAt = Instant::min();
+        /// The latest promotion that the platform accepted, if no other upstream was chosen since.
+        std::optional<AcceptedPromotion> accepted;
         std::vector<UpstreamName> refused;
     };
     /// An upstream that reports that it leads.
@@ -230,7 +243,7 @@
         /// When this VM first received that report.
         Instant since;
     };
-    /// A replica that may be promoted.
+    /// An upstream that may be promoted.
     struct Candidate {
         UpstreamName name;
         Progress received;
@@ -266,7 +279,11 @@
     [[nodiscard]] bool isReplicaLogGrowing(Instant now);
     void claimNextTerm(bool planned, std::string_view reason, Instant now);
     void continueReplacement(Instant now);
-    [[nodiscard]] bool hasPrimaryReturned(Instant now);
+    /// The old primary if it has reported since the claim that it is a primary; null otherwise. It may not
+    /// know that another upstream was promoted.
+    [[nodiscard]] const Member* findReturnedPrimary(Instant now);
+    /// True when nothing was promoted under this claim, or the returned primary last.
+    [[nodiscard]] bool isStillPrimary(const Member& returned, Instant now) const;
     void cancelReplacement(Instant now);
     void onClaimWritten(const LeadershipRecord& record, Instant now);
     void demoteOldPrimary(Instant now);
@@ -283,12 +300,12 @@
     [[nodiscard]] bool areAllReplicasPaused() const;
     /// The upstream that leads the highest term, if that is `minTerm` or above.
     [[nodiscard]] std::optional<Leader> newestLeader(Term minTerm) const;
-    /// The replicas that may be promoted, as far as this VM knows.
+    /// The upstreams that may be promoted, as far as this VM knows.
     [[nodiscard]] std::vector<Candidate> findCandidates(Instant now);
     /// The candidate that has received most of the log, among those for which no promotion of another
     /// upstream can still take effect.
     [[nodiscard]] std::optional<Candidate> selectCandidate(Instant now);
-    /// Writes the chosen replica into the record and, when every view of the old primary has expired, starts
+    /// Writes the chosen upstream into the record and, when every view of the old primary has expired, starts
     /// its promotion.
     void startPromotion(Instant now);
     void sendPromotion(Instant now);
--- a/src/leadership/leader_coordinator.cpp
+++ b/src/leadership/leader_coordinator.cpp
@@ -209,6 +209,16 @@
     this->publishViewIfChanged(now);
 }
 
+void LeaderCoordinator::onPromotionAccepted(const UpstreamName& upstream, Instant sentAt, Instant now)
+{
+    if (!this->replacement)
+        return;
+    auto& current = *this->replacement;
+    const bool isCurrent = current.promoted == upstream && sentAt >= current.promotedSince;
+    if (isCurrent && !current.accepted)
+        current.accepted = AcceptedPromotion { .upstream = upstream, .at = now };
+}
+
 void LeaderCoordinator::onPromotionRefused(const UpstreamName& upstream)
 {
     this->pendingPromotions.recordOutcome(upstream);
--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -40,14 +40,20 @@
     const bool viewsExpired = std::any_of(paused.begin(), paused.end(),
         [this](const auto& item) { return this->isPausedForViewLifetime(item.second); });
     std::vector<Candidate> found;
+    const auto isEligible = [&](const Member& member) {
+        return std::find(refused.begin(), refused.end(), member.entry.name) == refused.end()
+            && this->mayLead(member.entry);
+    };
+    // The old primary has everything that was acknowledged, and views of it do no harm once it leads.
+    const auto* returned = this->findReturnedPrimary(now);
+    if (returned != nullptr && returned->status && isEligible(*returned))
+        found.push_back({ .name = returned->entry.name, .received = returned->status->received });
     if (!viewsExpired && now >= this->oldViewsExpireAt(now))
         return found;
     for (const auto& [name, pause] : paused) {
         const auto* member = this->find(name);
-        const bool wasRefused = std::find(refused.begin(), refused.end(), name) != refused.end();
-        if (member == nullptr || wasRefused || !this->mayLead(member->entry))
-            continue;
-        found.push_back({ .name = name, .received = pause.received });
+        if (member != nullptr && isEligible(*member))
+            found.push_back({ .name = name, .received = pause.received });
     }
     return found;
 }
@@ -88,6 +94,8 @@
         return;
     replacement.promoted = best->name;
     replacement.promotedSince = now;
+    if (replacement.accepted && replacement.accepted->upstream != best->name)
+        replacement.accepted.reset();
     this->logEvent(
         "primary_chosen", { { "upstream", best->name.string() }, { "received", textOf(best->received) } });
     this->sendPromotion(now);
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -56,7 +56,8 @@
     }
     if (const auto leader = this->newestLeader(record.claimedTerm))
         return this->completeReplacement(*leader, now);
-    if (this->hasPrimaryReturned(now)) {
+    const auto* returned = this->findReturnedPrimary(now);
+    if (returned != nullptr && this->isStillPrimary(*returned, now)) {
         this->cancelReplacement(now);
         return;
     }
@@ -88,24 +89,36 @@
         this->pendingPromotions.recordInherited(record.chosen, now);
 }
 
-bool LeaderCoordinator::hasPrimaryReturned(Instant now)
+const LeaderCoordinator::Member* LeaderCoordinator::findReturnedPrimary(Instant now)
 {
-    const auto& record = this->record();
     const auto& replacement = *this->replacement;
-    auto* primary = this->find(record.primary);
-    const bool promotionSent = replacement.lastPromotionAt != Instant::min();
-    if (primary == nullptr || replacement.planned || promotionSent
-        || this->pendingPromotions.isOtherPending(record.primary, now))
-        return false;
+    auto* primary = this->find(this->record().primary);
+    if (primary == nullptr || replacement.planned)
+        return nullptr;
     this->askStatus(*primary, now);
-    return primary->status && primary->status->isPrimary && primary->statusAt > replacement.claimedAt
+    const bool reported = primary->status && primary->status->isPrimary
+        && primary->statusAt > replacement.claimedAt
         && now < primary->statusAt + this->options.settings.viewLifetime;
+    return reported ? primary : nullptr;
+}
+
+bool LeaderCoordinator::isStillPrimary(const Member& returned, Instant now) const
+{
+    const auto& replacement = *this->replacement;
+    if (replacement.accepted && replacement.accepted->upstream == returned.entry.name) {
+        // Its promotion changes nothing if it was the primary all along, and otherwise starts a newer term.
+        return returned.status && returned.status->term == this->record().term
+            && returned.statusAt >= replacement.accepted->at + this->options.settings.promotionEffectTime;
+    }
+    // A former coordinator may have promoted its choice, however long that upstream has been silent.
+    const bool promotionSent
+        = replacement.lastPromotionAt != Instant::min() || !replacement.inheritedChoice.empty();
+    return !promotionSent && !this->pendingPromotions.isOtherPending(returned.entry.name, now);
 }
 
 void LeaderCoordinator::cancelReplacement(Instant now)
 {
-    // No replica was promoted under this claim, and the old primary is running with its whole log, so keeping
-    // it loses nothing.
+    // The old primary leads and is running with its whole log, so keeping it loses nothing.
     const auto& record = this->record();
     if (std::exchange(this->replacement->attemptedPrimary, record.primary) != record.primary)
         this->logEvent("primary_is_back", { { "primary", record.primary.string() } });
--- a/src/session_proxy/control_leadership.cpp
+++ b/src/session_proxy/control_leadership.cpp
@@ -330,6 +330,7 @@
     if (bootNow() >= self->leaseUntil)
         co_return;
     using Answer = LeadershipPort::PromotionAnswer;
+    const auto sentAt = bootNow();
     const auto answer
         = co_await self->options.leadership.promote(service, change.upstream, self->options.vm, change.token);
     logEvent(LogLevel::Info, "promotion_sent",
@@ -340,7 +341,11 @@
                     : answer == Answer::NotRunning ? "not running"
                                                    : "none" } });
     auto* coordinator = self->coordinatorOf(service);
-    if (answer == Answer::NotRunning && coordinator != nullptr)
+    if (coordinator == nullptr)
+        co_return;
+    if (answer == Answer::Accepted)
+        coordinator->onPromotionAccepted(change.upstream, sentAt, bootNow());
+    if (answer == Answer::NotRunning)
         coordinator->onPromotionRefused(change.upstream);
 }
 
--- a/tests/leadership/leader_coordinator_test.cpp
+++ b/tests/leadership/leader_coordinator_test.cpp
@@ -665,6 +665,43 @@
         CHECK(simulation.violations.empty());
     }
 
+    TEST_CASE(
+        "the old primary does not lead again after a promotion whose coordinator and choice both failed")
+    {
+        // Guards against a successor that takes the silence of its predecessor's choice for a proof that it
+        // was not promoted.
+        LeadershipSimulation simulation { {} };
+        awaitLeader(simulation);
+        simulation.member("primary").running = false;
+        REQUIRE(simulation.advanceUntil(4s, [&] { return simulation.logged("primary_chosen") == 1; }));
+        simulation.vm(0).frozenUntil = simulation.now + 20s;
+        const auto* leader = simulation.leader();
+        REQUIRE(simulation.advanceUntil(2s, [&] {
+            leader = simulation.leader();
+            return leader != nullptr;
+        }));
+        const auto promoted = leader->entry.name.string();
+        simulation.member(promoted).running = false;
+        simulation.member("primary").running = true;
+        simulation.advance(10s);
+        CHECK(simulation.violations.empty());
+        simulation.recover(promoted);
+        simulation.advance(12s);
+        CHECK(simulation.violations.empty());
+        CHECK(simulation.allFollowLeader());
+    }
+
+    TEST_CASE("the old primary does not lead again with a sibling's view for a seed that failed before")
+    {
+        // Guards against the sequence in which the property with siblings found a view of the old primary.
+        constexpr std::uint64_t seed = 3075940953376U;
+        LeadershipSimulation simulation { { .seed = seed, .siblingsShareViews = true } };
+        simulation.vm(2).coordinator.setConfirmsForSiblings(false);
+        runWithLaggingReplicas(simulation, seed);
+        CHECK(simulation.violations.empty());
+        CHECK(simulation.allFollowLeader());
+    }
+
     TEST_CASE("two promotions are never in progress at once for seeds that failed before")
     {
         // Guards against the sequences in which the property tests found two primaries.
--- a/tests/leadership/leadership_simulation.cpp
+++ b/tests/leadership/leadership_simulation.cpp
@@ -15,6 +15,7 @@
 constexpr Duration leaseDuration = std::chrono::milliseconds { 1800 };
 constexpr Duration leaseMargin = std::chrono::milliseconds { 150 };
 constexpr Duration promotionDuration = std::chrono::milliseconds { 300 };
+constexpr Duration promotionAnswerTime = std::chrono::milliseconds { 10 };
 
 } // namespace
 
@@ -86,6 +87,8 @@
     if (source == nullptr)
         return this->replicateFromDemoted();
     this->member(source->entry.name.string()).received += 1;
+    if (source->cutOff)
+        return;
     for (auto& [name, member] : this->members) {
         if (member.primary || !member.running || member.pausedBelowTerm > source->term)
             continue;
@@ -126,17 +129,24 @@
     member.canReceiveSince = this->now;
 }
 
+void LeadershipSimulation::recover(const std::string& name)
+{
+    auto& member = this->member(name);
+    member.running = true;
+    member.primary = this->isPresentPrimary(member);
+}
+
 void LeadershipSimulation::becomePrimary(const std::string& name)
 {
     auto& member = this->member(name);
-    if (member.primary || !member.running)
+    if (this->isPresentPrimary(member) || !member.running)
         return;
-    std::uint64_t newest = 0;
     for (const auto& [_, other] : this->members)
-        newest = std::max(newest, other.term);
+        this->newestTerm = std::max(this->newestTerm, other.term);
     member.primary = true;
     member.demoted = false;
-    member.term = newest + 1;
+    member.term = ++this->newestTerm;
+    this->presentPrimary = member.entry.name;
     // A promotion ends the pause of all replicas of the group.
     for (auto& [_, other] : this->members) {
         this->endPause(other);
@@ -144,6 +154,11 @@
     }
 }
 
+bool LeadershipSimulation::isPresentPrimary(const SimulatedUpstream& member) const
+{
+    return member.primary && member.entry.name == this->presentPrimary;
+}
+
 void LeadershipSimulation::setEvacuatedZones(const std::set<ZoneName>& zones, Duration maxTime)
 {
     for (auto& vm : this->vms) {
@@ -199,6 +214,11 @@
     return !this->storeDown && this->now >= vm.storeUnreachableUntil;
 }
 
+bool LeadershipSimulation::isReached(const SimulatedVm& vm, const SimulatedUpstream& member) const
+{
+    return member.running && !member.cutOff && !vm.unreachableUpstreams.contains(member.entry.name);
+}
+
 void LeadershipSimulation::schedule(std::function<void()> run, Duration maxTime, Duration minTime)
 {
     const auto maxMs = std::chrono::duration_cast<std::chrono::milliseconds>(maxTime).count();
@@ -213,7 +233,7 @@
     if (this->now >= vm.nextRead)
         this->readStore(vm);
     for (const auto& [name, member] : this->members) {
-        const bool reached = member.running && !vm.unreachableUpstreams.contains(name);
+        const bool reached = this->isReached(vm, member);
         const auto failing = reached || vm.idle ? std::nullopt : std::optional { this->now };
         const auto answered = reached && !vm.idle ? this->now : Instant::min();
         vm.coordinator.onTraffic(name, answered, failing, false);
@@ -288,7 +308,7 @@
     this->schedule(
         [this, &vm, upstream, order, askedAt] {
             auto& member = this->members.at(upstream);
-            const bool reached = member.running && !vm.unreachableUpstreams.contains(upstream);
+            const bool reached = this->isReached(vm, member);
             if (reached)
                 order(member);
             const auto status = this->statusOf(member);
@@ -380,12 +400,19 @@
         this->violations.push_back("a promotion was sent for an upstream that the record does not name");
     if (this->knownEvacuations[vm.name].contains(ZoneName { change.upstream.string() }))
         this->violations.push_back("a promotion was sent into an evacuated availability zone");
-    const auto accept = [this, change] {
+    const auto accept = [this, change, &vm, sentAt = this->now] {
         if (!this->tokens.empty() && change.token < this->tokens.back())
             this->violations.push_back("a promotion had a lower fencing token than an earlier one");
         this->tokens.push_back(change.token);
         auto& named = this->members.at(change.upstream);
-        if (named.primary || !named.running)
+        if (!named.running)
+            return;
+        this->events.push_back({ .at = this->now + promotionAnswerTime, .run = [this, &vm, change, sentAt] {
+                                    if (this->now >= vm.frozenUntil)
+                                        vm.coordinator.onPromotionAccepted(
+                                            change.upstream, sentAt, this->now);
+                                } });
+        if (this->isPresentPrimary(named))
             return;
         this->events.push_back({ .at = this->now + promotionDuration,
             .run = [this, upstream = change.upstream] { this->becomePrimary(upstream.string()); } });
@@ -402,12 +429,9 @@
 
 void LeadershipSimulation::checkInvariants()
 {
-    const auto* leader = this->leader();
-    if (leader == nullptr)
-        return;
     for (const auto& vm : this->vms) {
         const auto view = vm.coordinator.view();
-        const bool old = view.isValid(this->now) && static_cast<std::uint64_t>(view.term) < leader->term;
+        const bool old = view.isValid(this->now) && static_cast<std::uint64_t>(view.term) < this->newestTerm;
         if (old)
             this->violations.push_back(vm.name.string() + " may still act on term "
                 + std::to_string(static_cast<std::uint64_t>(view.term)) + " while another upstream leads");
--- a/tests/leadership/leadership_simulation.h
+++ b/tests/leadership/leadership_simulation.h
@@ -19,6 +19,8 @@
 struct SimulatedUpstream {
     UpstreamEntry entry;
     bool running = true;
+    /// It keeps running, but neither VMs nor other upstreams reach it.
+    bool cutOff = false;
     bool primary = false;
     /// It was told to step down. Replicas still receive what it has written.
     bool demoted = false;
@@ -60,6 +62,8 @@
 
     /// A replica restarts with its log; its pause is forgotten.
     void restart(const std::string& name);
+    /// An upstream that crashed comes back with its log, as a replica if another one was promoted meanwhile.
+    void recover(const std::string& name);
     /// A running upstream starts to lead the next term, as after a promotion that no VM waits for.
     void becomePrimary(const std::string& name);
     /// Operators evacuate these availability zones from now on; every VM learns of it within `maxTime`. The
@@ -83,6 +87,11 @@
     /// How often VMs have logged the event.
     [[nodiscard]] std::size_t logged(const std::string& event) const;
     [[nodiscard]] std::size_t promotions() const { return this->tokens.size(); }
+    /// The upstream that the record names to lead the claimed term; empty when there is none.
+    [[nodiscard]] UpstreamName chosen() const
+    {
+        return this->record ? this->record->record.chosen : UpstreamName {};
+    }
 
     Instant now { std::chrono::seconds { 1000 } };
     bool storeDown = false;
@@ -94,9 +103,9 @@
     Duration maxAnswerTime = std::chrono::milliseconds { 30 };
     Duration maxPromotionTime = std::chrono::milliseconds { 30 };
     Duration minPromotionTime = std::chrono::milliseconds { 2 };
-    /// Violations found: a view of an old primary that was still valid after a newer one led, a fencing token
-    /// that decreased, or a promotion of an upstream that the record does not name or whose availability zone
-    /// the coordinator knows to be evacuated.
+    /// Violations found: a view of an old primary that was still valid after a promotion had taken effect, a
+    /// fencing token that decreased, or a promotion of an upstream that the record does not name or whose
+    /// availability zone the coordinator knows to be evacuated.
     std::vector<std::string> violations;
 
 private:
@@ -131,6 +140,9 @@
     void endPause(SimulatedUpstream& member) const;
     void checkInvariants();
     [[nodiscard]] bool storeReachable(const SimulatedVm& vm) const;
+    [[nodiscard]] bool isReached(const SimulatedVm& vm, const SimulatedUpstream& member) const;
+    /// True for the upstream that was promoted last, or the initial primary. Promoting it changes nothing.
+    [[nodiscard]] bool isPresentPrimary(const SimulatedUpstream& member) const;
     [[nodiscard]] UpstreamStatus statusOf(const SimulatedUpstream& member) const;
 
     std::mt19937_64 random;
@@ -143,6 +155,9 @@
     std::map<VmName, std::set<ZoneName>> knownEvacuations;
     std::uint64_t revision = 10;
     std::vector<std::uint64_t> tokens;
+    UpstreamName presentPrimary { "primary" };
+    /// The highest term that an upstream has led.
+    std::uint64_t newestTerm = 1;
 };
 
 /// Waits until all VMs follow the leader; the test fails when that takes more than five seconds.
--- a/tests/leadership/replacement_steps_test.cpp
+++ b/tests/leadership/replacement_steps_test.cpp
@@ -76,6 +76,8 @@
     bool storeUnreachable = false;
     /// Upstreams that do not answer.
     std::vector<UpstreamName> unresponsive;
+    /// What the old primary answers; nothing while it is not set.
+    std::optional<UpstreamStatus> oldPrimaryStatus;
     LeadershipRecord stored;
     std::vector<WriteLeadershipRecord> writes;
     std::vector<UpstreamName> promoted;
@@ -101,8 +103,12 @@
     {
         const bool answers = std::find(this->unresponsive.begin(), this->unresponsive.end(), upstream)
             == this->unresponsive.end();
-        if (answers && upstream != oldPrimary)
+        if (upstream == oldPrimary) {
+            if (this->oldPrimaryStatus)
+                this->answerStatus(upstream, *this->oldPrimaryStatus);
+        } else if (answers) {
             this->answerStatus(upstream, { .term = Term { 1 }, .pausedBelowTerm = Term { 2 } });
+        }
     }
 
     std::uint64_t revision = 1;
@@ -127,6 +133,7 @@
         .chosen = chosen };
 }
 
+constexpr UpstreamStatus leadsTerm1 { .isPrimary = true, .term = Term { 1 } };
 constexpr UpstreamStatus leadsTerm2 { .isPrimary = true, .term = Term { 2 } };
 
 } // namespace
@@ -207,6 +214,86 @@
         }
     }
 
+    TEST_CASE("the old primary that is back stays the primary while no promotion can have been sent")
+    {
+        // Guards against a failover that a primary which was away for a moment does not need.
+        LeaseHolder holder;
+        holder.oldPrimaryStatus = leadsTerm1;
+        holder.readRecord(claimRecord("theirs"));
+        holder.advance(600ms);
+        CHECK(holder.stored.isSettled());
+        CHECK(holder.stored.primary == oldPrimary);
+        CHECK(holder.promoted.empty());
+    }
+
+    TEST_CASE("the old primary that is back is not recorded while a former coordinator's choice may have led")
+    {
+        // Guards against writes that are acknowledged at the old primary and missing at the one that was
+        // promoted.
+        LeaseHolder holder;
+        holder.unresponsive = { first, second };
+        holder.oldPrimaryStatus = leadsTerm1;
+        holder.readRecord(claimRecord("theirs", second));
+        holder.advance(30s);
+        CHECK_FALSE(holder.stored.isSettled());
+        REQUIRE_FALSE(holder.promoted.empty());
+        CHECK(std::count(holder.promoted.begin(), holder.promoted.end(), oldPrimary)
+            == static_cast<std::ptrdiff_t>(holder.promoted.size()));
+    }
+
+    TEST_CASE("the old primary that is back is promoted once its predecessor's choice stays silent")
+    {
+        // Guards against a group that waits for a failed replica while its old primary has everything.
+        LeaseHolder holder;
+        holder.unresponsive = { second };
+        holder.oldPrimaryStatus = leadsTerm1;
+        holder.oldPrimaryStatus->received = { .term = Term { 1 }, .position = LogPosition { 7 } };
+        holder.readRecord(claimRecord("theirs", second));
+        holder.advance(4s);
+        CHECK(holder.promoted.empty());
+        holder.advance(1s);
+        REQUIRE_FALSE(holder.promoted.empty());
+        CHECK(holder.promoted.front() == oldPrimary);
+        CHECK(holder.stored.chosen == oldPrimary);
+        holder.oldPrimaryStatus = UpstreamStatus { .isPrimary = true, .term = Term { 3 } };
+        holder.advance(1s);
+        CHECK(holder.stored.isSettled());
+        CHECK(holder.stored.primary == oldPrimary);
+        CHECK(holder.stored.term == Term { 3 });
+    }
+
+    TEST_CASE("the old primary is recorded again when its own promotion was accepted and changed nothing")
+    {
+        // Guards against a group without a primary although no promotion took effect.
+        LeaseHolder holder;
+        holder.unresponsive = { first, second };
+        holder.oldPrimaryStatus = leadsTerm1;
+        holder.readRecord(claimRecord("theirs", second));
+        holder.advance(6s);
+        REQUIRE_FALSE(holder.promoted.empty());
+        holder.coordinator.onPromotionAccepted(oldPrimary, holder.now, holder.now);
+        holder.advance(1900ms);
+        CHECK_FALSE(holder.stored.isSettled());
+        holder.advance(500ms);
+        CHECK(holder.stored.isSettled());
+        CHECK(holder.stored.primary == oldPrimary);
+        CHECK(holder.stored.term == Term { 1 });
+    }
+
+    TEST_CASE("an accepted promotion of a replica does not make the old primary the primary again")
+    {
+        // Guards against the acceptance of one promotion that is taken for that of another.
+        LeaseHolder holder;
+        holder.readRecord(claimRecord("theirs"));
+        holder.advance(1300ms);
+        REQUIRE(holder.promoted == std::vector { first });
+        holder.coordinator.onPromotionAccepted(first, holder.now, holder.now);
+        holder.unresponsive = { first, second };
+        holder.oldPrimaryStatus = leadsTerm1;
+        holder.advance(10s);
+        CHECK_FALSE(holder.stored.isSettled());
+    }
+
     TEST_CASE("an unexpected leader is recorded only after the view lifetime since it was first reported")
     {
         // Guards against views that all replicas extended, one of them until it became the leader.
