Never take an earlier set of evacuations for the latest one in the simulation

With every zone evacuated and the primary demoted, no upstream may lead, and the group refuses work as it should. The product cannot get into this: `SharedListing` takes no listing older than its own.

Change: the simulation numbers the changes, and a VM ignores one that is older than what it knows. The checks are unchanged.

--- a/tests/leadership/leadership_simulation.cpp
+++ b/tests/leadership/leadership_simulation.cpp
@@ -161,10 +161,15 @@
 
 void LeadershipSimulation::setEvacuatedZones(const std::set<ZoneName>& zones, Duration maxTime)
 {
+    ++this->evacuationChanges;
     for (auto& vm : this->vms) {
         this->schedule(
-            [this, &vm, zones] {
-                this->knownEvacuations[vm.name] = zones;
+            [this, &vm, zones, change = this->evacuationChanges] {
+                auto& known = this->knownEvacuations[vm.name];
+                // A VM never goes back to an earlier listing.
+                if (change < known.change)
+                    return;
+                known = { .change = change, .zones = zones };
                 vm.coordinator.setEvacuatedZones(zones);
             },
             maxTime);
@@ -398,7 +403,7 @@
         return;
     if (!this->record || this->record->record.chosen != change.upstream)
         this->violations.push_back("a promotion was sent for an upstream that the record does not name");
-    if (this->knownEvacuations[vm.name].contains(ZoneName { change.upstream.string() }))
+    if (this->knownEvacuations[vm.name].zones.contains(ZoneName { change.upstream.string() }))
         this->violations.push_back("a promotion was sent into an evacuated availability zone");
     const auto accept = [this, change, &vm, sentAt = this->now] {
         if (!this->tokens.empty() && change.token < this->tokens.back())
--- a/tests/leadership/leadership_simulation.h
+++ b/tests/leadership/leadership_simulation.h
@@ -113,6 +113,11 @@
         Instant at;
         std::function<void()> run;
     };
+    struct KnownEvacuations {
+        /// The number of the latest change that the VM has read.
+        std::uint64_t change = 0;
+        std::set<ZoneName> zones;
+    };
     struct StoredRecord {
         LeadershipRecord record;
         std::uint64_t revision = 0;
@@ -152,7 +157,8 @@
     std::deque<Event> events;
     std::optional<StoredRecord> record;
     std::optional<StoredLease> coordinatorLease;
-    std::map<VmName, std::set<ZoneName>> knownEvacuations;
+    std::map<VmName, KnownEvacuations> knownEvacuations;
+    std::uint64_t evacuationChanges = 0;
     std::uint64_t revision = 10;
     std::vector<std::uint64_t> tokens;
     UpstreamName presentPrimary { "primary" };
