Start work on the control thread again when it fails

An unexpected exception ended one of the loops on the control thread (directory, leadership records, leases, list of VMs, configuration, roster) for the life of the process. The VM went on with what it had, or never became ready, after a single log line.

Cause: each loop catches the errors of the store, and `spawn` logged any other one and let the loop end. A configuration or an entry that fails in an unexpected way had been noted as taken before it was read, so it was not read again.

An entry of the directory that cannot be read is set aside whatever the reason; a configuration likewise leaves the one in force. The directory is applied until it was once, not only when its listing changes.

Evidence: "work on the control thread that fails is done again" failed before (the VM never listened) and passes.

--- a/src/session_proxy/control_configuration.cpp
+++ b/src/session_proxy/control_configuration.cpp
@@ -11,8 +11,11 @@
 #include <asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <iterator>
+#include <memory>
 #include <set>
+#include <utility>
 
 namespace cyclamendrift {
 
@@ -32,27 +35,29 @@
     this->configurationPacked.clear();
     this->configurationHolders.clear();
     this->configurationFetch.taken(revision);
+    std::shared_ptr<const RouteTable> table;
     try {
-        auto table = std::make_shared<const RouteTable>(this->options.format.readRoutes(value));
-        if (this->routes && table->version <= this->routes->version)
-            return;
-        logEvent(LogLevel::Info, "configuration_taken",
-            { { "version", std::to_string(table->version) }, { "revision", std::to_string(revision) },
-                { "routes", std::to_string(table->routes.size()) },
-                { "keys", std::to_string(table->keys.size()) } });
-        this->routes = std::move(table);
-        this->directoryReader.addServices(*this->routes);
-        this->options.traffic.setRoutes(this->routes);
-        this->checkConfigurationLag(bootNow());
-        this->updateTracked(bootNow());
-        this->divideLimits();
-        // Entries of a service may have been read before the configuration that names it.
-        if (this->directoryRead)
-            this->applyDirectory();
-    } catch (const FormatError& error) {
+        table = std::make_shared<const RouteTable>(this->options.format.readRoutes(value));
+    } catch (const std::exception& error) {
         logEvent(LogLevel::Error, "configuration_unreadable",
             { { "revision", std::to_string(revision) }, { "reason", error.what() } });
+        return;
     }
+    if (this->routes && table->version <= this->routes->version)
+        return;
+    logEvent(LogLevel::Info, "configuration_taken",
+        { { "version", std::to_string(table->version) }, { "revision", std::to_string(revision) },
+            { "routes", std::to_string(table->routes.size()) },
+            { "keys", std::to_string(table->keys.size()) } });
+    this->routes = std::move(table);
+    this->directoryReader.addServices(*this->routes);
+    this->options.traffic.setRoutes(this->routes);
+    this->checkConfigurationLag(bootNow());
+    this->updateTracked(bootNow());
+    this->divideLimits();
+    // Entries of a service may have been read before the configuration that names it.
+    if (this->directoryRead)
+        this->applyDirectory();
 }
 
 void SessionControl::State::confirmConfiguration(Instant at)
@@ -335,7 +340,7 @@
         }
         const bool changed = change == SharedListing::Change::Entries;
         this->directorySource.succeeded();
-        if (changed || !this->missingSince.empty())
+        if (changed || !this->directoryRead || !this->missingSince.empty())
             this->applyDirectory();
         co_return std::nullopt;
     } catch (const StoreError& error) {
--- a/src/session_proxy/control_join.cpp
+++ b/src/session_proxy/control_join.cpp
@@ -151,7 +151,7 @@
     this->isFirstStart = !this->siblingsOpen;
     if (!this->isFirstStart)
         co_await this->findEarlierRecord();
-    this->spawn(keepRecord(this->shared_from_this()));
+    this->spawnLoop(keepRecord);
 }
 
 asio::awaitable<void> SessionControl::State::findEarlierRecord()
@@ -230,13 +230,13 @@
     self->joinAnswers.clear();
     self->bootstrapped = true;
     self->updateTracked(bootNow());
-    self->spawn(followLeadership(self));
-    self->spawn(fetchConfiguration(self));
-    self->spawn(followConfiguration(self));
-    self->spawn(followDirectory(self));
-    self->spawn(keepLease(self));
-    self->spawn(followVms(self));
-    self->spawn(followRoster(self));
+    self->spawnLoop(followLeadership);
+    self->spawnLoop(fetchConfiguration);
+    self->spawnLoop(followConfiguration);
+    self->spawnLoop(followDirectory);
+    self->spawnLoop(keepLease);
+    self->spawnLoop(followVms);
+    self->spawnLoop(followRoster);
 }
 
 asio::awaitable<void> SessionControl::State::followRoster(std::shared_ptr<State> self)
--- a/src/session_proxy/control_state.h
+++ b/src/session_proxy/control_state.h
@@ -184,6 +184,11 @@
     }
     /// Logs an error that has ended work on the control thread; nothing would show it otherwise.
     static void reportLoopEnd(const std::exception_ptr& error);
+    /// Work that goes on until this VM stops.
+    using Loop = asio::awaitable<void> (*)(std::shared_ptr<State>);
+    /// Runs a loop, and starts it again when it fails.
+    void spawnLoop(Loop loop);
+    [[nodiscard]] static asio::awaitable<void> keepRunning(std::shared_ptr<State> self, Loop loop);
     [[nodiscard]] asio::awaitable<void> sleep(Duration duration);
     /// The purpose of a key or prefix of the store, as a label of the metrics.
     [[nodiscard]] std::string_view purposeOf(std::string_view key) const;
--- a/src/session_proxy/directory_reader.cpp
+++ b/src/session_proxy/directory_reader.cpp
@@ -1,5 +1,6 @@
 #include <cyclamendrift/session_proxy/directory_reader.h>
 
+#include <exception>
 #include <utility>
 
 namespace cyclamendrift {
@@ -32,7 +33,8 @@
                 reading.upstreams.push_back(std::move(upstream));
             else
                 setAside(entry, "its service is not configured");
-        } catch (const FormatError& error) {
+        } catch (const std::exception& error) {
+            // Whatever is wrong with an entry, it must not hide the others.
             setAside(entry, error.what());
         }
     }
--- a/src/session_proxy/session_control.cpp
+++ b/src/session_proxy/session_control.cpp
@@ -119,6 +119,21 @@
     }
 }
 
+void SessionControl::State::spawnLoop(Loop loop) { this->spawn(keepRunning(this->shared_from_this(), loop)); }
+
+asio::awaitable<void> SessionControl::State::keepRunning(std::shared_ptr<State> self, Loop loop)
+{
+    while (!self->stopped) {
+        try {
+            co_await loop(self);
+            co_return;
+        } catch (const std::exception& error) {
+            self->log.write("control_work_failed", { { "reason", error.what() } }, bootNow());
+        }
+        co_await self->sleep(self->options.settings.maxBackoff);
+    }
+}
+
 asio::awaitable<void> SessionControl::State::sleep(Duration duration)
 {
     if (duration <= Duration {})
@@ -130,10 +145,9 @@
 
 void SessionControl::State::start(std::function<void()> ready)
 {
-    const auto self = this->shared_from_this();
     this->whenReady = std::move(ready);
     this->startedAt = bootNow();
-    this->spawn(bootstrap(self));
+    this->spawnLoop(bootstrap);
     this->startTimers();
 }
 
--- a/tests/adapter/daemon_test.cpp
+++ b/tests/adapter/daemon_test.cpp
@@ -22,12 +22,14 @@
 #include <leadership.pb.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <future>
 #include <map>
 #include <memory>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -71,6 +73,42 @@
     return text.replace(text.find(version), version.size(), R"("version":2)");
 }
 
+/// Fails at first in a way that no caller expects.
+class FailingFormat final : public PlatformFormat {
+public:
+    explicit FailingFormat(int failures)
+        : failures(failures)
+    {
+    }
+
+    [[nodiscard]] std::string operatorPrefix() const override { return this->format.operatorPrefix(); }
+    [[nodiscard]] std::string configurationKey() const override { return this->format.configurationKey(); }
+    [[nodiscard]] std::string evacuationPrefix() const override { return this->format.evacuationPrefix(); }
+    [[nodiscard]] std::string upstreamPrefix() const override
+    {
+        if (this->failures-- > 0)
+            throw std::runtime_error { "the directory cannot be read" };
+        return this->format.upstreamPrefix();
+    }
+    [[nodiscard]] RouteTable readRoutes(std::string_view value) const override
+    {
+        return this->format.readRoutes(value);
+    }
+    [[nodiscard]] EvacuationRequest readEvacuation(
+        std::string_view key, std::string_view value) const override
+    {
+        return this->format.readEvacuation(key, value);
+    }
+    [[nodiscard]] UpstreamEntry readUpstream(std::string_view key, std::string_view value) const override
+    {
+        return this->format.readUpstream(key, value);
+    }
+
+private:
+    platform::OperatorFormat format;
+    mutable std::atomic<int> failures;
+};
+
 /// One session proxy on separate threads.
 class Running {
 public:
@@ -78,6 +116,8 @@
         std::string zone = "palermo";
         PlacementByZone placement = PlacementByZone::Auto;
         bool urgentFirst = false;
+        /// How many attempts to read the directory fail at first.
+        int directoryFailures = 0;
     };
 
     Running(const Surroundings& surroundings, const std::string& vm)
@@ -96,18 +136,18 @@
         this->settings.storeAddress = surroundings.kv.address();
         this->settings.promotionAddress = surroundings.kv.address();
         this->settings.grace = 2s;
-        const auto makePorts
-            = [](asio::io_context& traffic, asio::io_context& control, const SessionSettings& given) {
-                  SessionPorts ports;
-                  ports.callers = std::make_unique<platform::CallerListener>(traffic, given.callers);
-                  ports.upstreams = std::make_unique<platform::UpstreamConnector>(traffic);
-                  ports.store = std::make_unique<platform::KvStore>(
-                      control.get_executor(), platform::KvStore::Options { .address = given.storeAddress });
-                  ports.leadership = std::make_unique<platform::LeadershipClient>(control,
-                      platform::LeadershipClient::Options { .promotionAddress = given.promotionAddress });
-                  ports.format = std::make_unique<platform::OperatorFormat>();
-                  return ports;
-              };
+        const auto makePorts = [failures = options.directoryFailures](asio::io_context& traffic,
+                                   asio::io_context& control, const SessionSettings& given) {
+            SessionPorts ports;
+            ports.callers = std::make_unique<platform::CallerListener>(traffic, given.callers);
+            ports.upstreams = std::make_unique<platform::UpstreamConnector>(traffic);
+            ports.store = std::make_unique<platform::KvStore>(
+                control.get_executor(), platform::KvStore::Options { .address = given.storeAddress });
+            ports.leadership = std::make_unique<platform::LeadershipClient>(
+                control, platform::LeadershipClient::Options { .promotionAddress = given.promotionAddress });
+            ports.format = std::make_unique<FailingFormat>(failures);
+            return ports;
+        };
         this->daemon = std::make_unique<SessionDaemon>(SessionDaemonOptions { .settings = this->settings,
             .reload = [this] { return this->settings; },
             .makePorts = makePorts });
@@ -362,6 +402,15 @@
         }
     }
 
+    TEST_CASE("work on the control thread that fails is done again")
+    {
+        // Guards against a VM that never learns of its upstreams because reading them failed once.
+        Surroundings surroundings { configuration };
+        const Running proxy { surroundings, "vm-1", { .directoryFailures = 3 } };
+        Caller caller { proxy };
+        CHECK(caller.run("WRITE bed-1 taken").starts_with("DONE"));
+    }
+
     TEST_CASE("a VM that was killed adopts its record and the record's lease")
     {
         // Guards against a record that expires after the restart, and against new leases and records of all
--- a/tests/session_proxy/directory_reader_test.cpp
+++ b/tests/session_proxy/directory_reader_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -10,7 +11,7 @@
 
 namespace {
 
-/// Values are "service" or "! reason"; keys are names of upstreams.
+/// Values are "service", "! reason" or "!! unexpected error"; keys are names of upstreams.
 class PlainFormat final : public PlatformFormat {
 public:
     [[nodiscard]] std::string operatorPrefix() const override { return {}; }
@@ -24,6 +25,8 @@
     }
     [[nodiscard]] UpstreamEntry readUpstream(std::string_view key, std::string_view value) const override
     {
+        if (value.starts_with("!! "))
+            throw std::runtime_error { std::string { value.substr(3) } };
         if (value.starts_with("! "))
             throw FormatError { std::string { value.substr(2) } };
         return { .name = UpstreamName { std::string { key } },
@@ -49,14 +52,15 @@
     {
         // Guards against an entry of another writer that hides the upstreams.
         DirectoryReader reader { format };
-        const auto entries
-            = entriesFrom({ { "i-1", "register" }, { "i-2", "! no address" }, { "i-3", "register" } });
+        const auto entries = entriesFrom({ { "i-1", "register" }, { "i-2", "! no address" },
+            { "i-3", "!! not expected" }, { "i-4", "register" } });
         const auto reading = reader.read(entries);
         REQUIRE(reading.upstreams.size() == 2);
-        CHECK(reading.upstreams.back().name == UpstreamName { "i-3" });
-        REQUIRE(reading.setAside.size() == 1);
+        CHECK(reading.upstreams.back().name == UpstreamName { "i-4" });
+        REQUIRE(reading.setAside.size() == 2);
         CHECK(reading.setAside.front().key == "i-2");
         CHECK(reading.setAside.front().reason == "no address");
+        CHECK(reading.setAside.back().reason == "not expected");
     }
 
     TEST_CASE("an entry that stays unusable is reported once, and again for another reason")
