--- a/tests/adapter/line_socket_test.cpp
+++ b/tests/adapter/line_socket_test.cpp
@@ -50,4 +50,23 @@
         CHECK(closed);
         other->close();
     }
+
+    TEST_CASE("only a carriage return with a line feed ends a line, however it arrives")
+    {
+        // Guards against data that is cut at a line feed, and runs as a statement that no caller has sent.
+        asio::io_context context { 1 };
+        tcp::acceptor acceptor { context, { asio::ip::make_address("127.0.0.1"), 0 } };
+        tcp::socket peer { context };
+        peer.connect(acceptor.local_endpoint());
+        std::vector<std::string> lines;
+        const auto line = std::make_shared<platform::LineSocket>(acceptor.accept());
+        line->start({ .onLine = [&lines](std::string_view text) { lines.emplace_back(text); } });
+        for (const std::string part :
+            { "WRITE a one\ntwo", "\r", "\n", "WRITE b one\rtwo\n\r", "\n\r", "\nWRITE c\r\n" }) {
+            asio::write(peer, asio::buffer(part));
+            context.run_one();
+        }
+        CHECK(lines == std::vector<std::string> { "WRITE a one\ntwo", "WRITE b one\rtwo\n", "", "WRITE c" });
+        line->close();
+    }
 }
