Finish sending replies before a planned stop ends the process

Cause: `drainTick` ended the stop when the engine had no sessions. A closed session leaves the engine at once, while its connection may hold megabytes that the kernel has not taken.

Change: the port for callers tells whether it is still sending, and a stop waits for that until the end of the grace time.

The two new tests need the new function.

--- a/include/cyclamendrift/session_proxy/ports.h
+++ b/include/cyclamendrift/session_proxy/ports.h
@@ -41,6 +41,8 @@
     virtual void close(CallerId caller, const std::optional<StatementFailure>& failure) = 0;
     /// Accepts no further callers; open sessions continue.
     virtual void stopListening() = 0;
+    /// True while replies of closed sessions are still being sent.
+    [[nodiscard]] virtual bool isSending() const = 0;
 };
 
 /// Receives events of connections; on the traffic thread. Not called for a connection after close().
--- a/src/session_proxy/session_traffic.cpp
+++ b/src/session_proxy/session_traffic.cpp
@@ -203,12 +203,14 @@
         this->state->options.callers.stopListening();
         this->state->exchange.close();
     }
-    const bool done = !this->state->listening && this->state->engine.callers() == 0;
+    const bool sending = this->state->options.callers.isSending();
+    const bool done = !this->state->listening && this->state->engine.callers() == 0 && !sending;
     if (!done && now < this->state->drain.endAt)
         return;
     if (!done)
         logEvent(LogLevel::Warn, "stop_cut_short",
-            { { "callers", std::to_string(this->state->engine.callers()) } });
+            { { "callers", std::to_string(this->state->engine.callers()) },
+                { "sending", sending ? "yes" : "no" } });
     this->state->ticks.reset();
     this->state->options.onDrained();
 }
--- a/tests/adapter/caller_listener_test.cpp
+++ b/tests/adapter/caller_listener_test.cpp
@@ -48,6 +48,43 @@
 
 TEST_SUITE("listener for callers")
 {
+    TEST_CASE("replies of a closed session count as being sent until the caller has read them")
+    {
+        // Guards against a stop that cuts answers which a slow caller is still reading.
+        asio::io_context context { 1 };
+        const ListenSettings listen { .address = "127.0.0.1", .port = freePort() };
+        platform::CallerListener listener { context, listen, 1 };
+        Greeter greeter { listener };
+        listener.listen(greeter);
+        asio::ip::tcp::socket caller { context, asio::ip::tcp::v4() };
+        constexpr int receiveBufferBytes = 4096;
+        caller.set_option(asio::socket_base::receive_buffer_size { receiveBufferBytes });
+        caller.connect({ asio::ip::make_address("127.0.0.1"), listen.port });
+        asio::write(caller, asio::buffer(std::string { "START beds k1\r\n" }));
+        std::string received;
+        while (received.empty()) {
+            context.run_one();
+            if (caller.available() > 0)
+                asio::read_until(caller, asio::dynamic_buffer(received), "\r\n");
+        }
+        // More than the kernel takes for a caller that does not read.
+        constexpr std::size_t rowBytes = 3'900'000;
+        listener.answer(CallerId { 1 }, Reply { .rows = { std::string(rowBytes, 'r') }, .proof = "p" });
+        listener.close(CallerId { 1 }, std::nullopt);
+        REQUIRE(listener.isSending());
+        received.clear();
+        asio::error_code end;
+        while (!end) {
+            context.poll();
+            std::string part(65536, '\0');
+            part.resize(caller.read_some(asio::buffer(part), end));
+            received += part;
+        }
+        CHECK(received.size() > rowBytes);
+        CHECK(received.ends_with("READY I -\r\n"));
+        CHECK_FALSE(listener.isSending());
+    }
+
     TEST_CASE("a caller beyond the limit is told to come back, and one is accepted once another has left")
     {
         // Guards against callers that use up the file descriptors which siblings and the store need.
--- a/tests/session_proxy/session_traffic_test.cpp
+++ b/tests/session_proxy/session_traffic_test.cpp
@@ -34,8 +34,10 @@
     void answer(CallerId, const Reply&) override { }
     void close(CallerId, const std::optional<StatementFailure>&) override { }
     void stopListening() override { }
+    [[nodiscard]] bool isSending() const override { return this->sending; }
 
     CallerEvents* events = nullptr;
+    bool sending = false;
     std::vector<CallerId> accepted;
 
 private:
@@ -67,6 +69,7 @@
               .zone = ZoneName { "palermo" },
               .callers = callers,
               .upstreams = upstreams,
+              .onDrained = [this] { this->drained = true; },
               .onServiceUsed = [](const ServiceName&) {} })
     {
         auto routes = std::make_shared<RouteTable>();
@@ -93,6 +96,7 @@
     asio::io_context context { 1 };
     FailingCallers callers;
     FailingUpstreams upstreams;
+    bool drained = false;
     SessionTraffic traffic;
 };
 
@@ -138,4 +142,25 @@
         failing.context.run();
         CHECK(connections == 0);
     }
+
+    TEST_CASE("a stop waits for replies that are still being sent, and not beyond its time")
+    {
+        // Guards against answers that are cut off by a planned stop although there is time to send them.
+        for (const bool readsInTime : { true, false }) {
+            CAPTURE(readsInTime);
+            FailingTraffic stopping { CallerId { 9 } };
+            stopping.callers.sending = true;
+            stopping.traffic.start();
+            const auto now = bootNow();
+            stopping.traffic.drain(now, now, now + 400ms);
+            stopping.context.restart();
+            stopping.context.run_for(150ms);
+            CHECK_FALSE(stopping.drained);
+            stopping.callers.sending = !readsInTime;
+            stopping.context.run_for(100ms);
+            CHECK(stopping.drained == readsInTime);
+            stopping.context.run_for(400ms);
+            CHECK(stopping.drained);
+        }
+    }
 }
