Move the old primary's candidacy to where its return is found

Change: `addReturnedPrimary` stands beside `findReturnedPrimary`, and `isEligible` is a function of its own. Same behaviour.

--- a/include/cyclamendrift/leadership/leader_coordinator.h
+++ b/include/cyclamendrift/leadership/leader_coordinator.h
@@ -282,6 +282,9 @@
     /// The old primary if it has reported since the claim that it is a primary; null otherwise. It may not
     /// know that another upstream was promoted.
     [[nodiscard]] const Member* findReturnedPrimary(Instant now);
+    /// Adds the returned primary to the upstreams that may be promoted. It has everything that was
+    /// acknowledged, and views of it do no harm once it leads.
+    void addReturnedPrimary(std::vector<Candidate>& candidates, Instant now);
     /// True when nothing was promoted under this claim, or the returned primary last.
     [[nodiscard]] bool isStillPrimary(const Member& returned, Instant now) const;
     void cancelReplacement(Instant now);
@@ -300,6 +303,8 @@
     [[nodiscard]] bool areAllReplicasPaused() const;
     /// The upstream that leads the highest term, if that is `minTerm` or above.
     [[nodiscard]] std::optional<Leader> newestLeader(Term minTerm) const;
+    /// True for a listed upstream that may lead and whose promotion was not given up.
+    [[nodiscard]] bool isEligible(const UpstreamName& name);
     /// The upstreams that may be promoted, as far as this VM knows.
     [[nodiscard]] std::vector<Candidate> findCandidates(Instant now);
     /// The candidate that has received most of the log, among those for which no promotion of another
--- a/src/leadership/promotion.cpp
+++ b/src/leadership/promotion.cpp
@@ -31,28 +31,27 @@
     return newest;
 }
 
-std::vector<LeaderCoordinator::Candidate> LeaderCoordinator::findCandidates(Instant now)
+bool LeaderCoordinator::isEligible(const UpstreamName& name)
 {
     const auto& refused = this->replacement->refused;
+    const auto* member = this->find(name);
+    return member != nullptr && this->mayLead(member->entry)
+        && std::find(refused.begin(), refused.end(), name) == refused.end();
+}
+
+std::vector<LeaderCoordinator::Candidate> LeaderCoordinator::findCandidates(Instant now)
+{
     const auto& paused = this->replacement->paused;
     // One replica that is known to have been paused for the whole view lifetime is enough for every view to
     // have expired; it need not be the one that is promoted.
     const bool viewsExpired = std::any_of(paused.begin(), paused.end(),
         [this](const auto& item) { return this->isPausedForViewLifetime(item.second); });
     std::vector<Candidate> found;
-    const auto isEligible = [&](const Member& member) {
-        return std::find(refused.begin(), refused.end(), member.entry.name) == refused.end()
-            && this->mayLead(member.entry);
-    };
-    // The old primary has everything that was acknowledged, and views of it do no harm once it leads.
-    const auto* returned = this->findReturnedPrimary(now);
-    if (returned != nullptr && returned->status && isEligible(*returned))
-        found.push_back({ .name = returned->entry.name, .received = returned->status->received });
+    this->addReturnedPrimary(found, now);
     if (!viewsExpired && now >= this->oldViewsExpireAt(now))
         return found;
     for (const auto& [name, pause] : paused) {
-        const auto* member = this->find(name);
-        if (member != nullptr && isEligible(*member))
+        if (this->isEligible(name))
             found.push_back({ .name = name, .received = pause.received });
     }
     return found;
--- a/src/leadership/replacement.cpp
+++ b/src/leadership/replacement.cpp
@@ -116,6 +116,14 @@
     return !promotionSent && !this->pendingPromotions.isOtherPending(returned.entry.name, now);
 }
 
+void LeaderCoordinator::addReturnedPrimary(std::vector<Candidate>& candidates, Instant now)
+{
+    const auto* returned = this->findReturnedPrimary(now);
+    if (returned == nullptr || !returned->status || !this->isEligible(returned->entry.name))
+        return;
+    candidates.push_back({ .name = returned->entry.name, .received = returned->status->received });
+}
+
 void LeaderCoordinator::cancelReplacement(Instant now)
 {
     // The old primary leads and is running with its whole log, so keeping it loses nothing.
