--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -163,81 +163,108 @@
     co_return late > 0 ? broken : held;
 }
 
-/// A commit that only one replica received, and a failover while that replica is silent.
-awaitable<int> syncLost(bool trouble)
+/// A session's statement at a machine that stands still, and a value that the session sets meanwhile.
+awaitable<int> lateValues(bool trouble)
 {
-    World world { trouble, { "huvo" }, true };
+    World world { trouble, { "huvo" } };
     auto& group = world.group("huvo");
-    world.configure({ { .host = "main", .kind = "primary", .service = "huvo", .targetMs = 200, .priority = 1 } }, { { "nypu", { "key1" } } });
+    world.configure({ { .host = "main", .kind = "read_own_writes", .service = "huvo", .staleness = 2500 } },
+        { { "nypu", { "key1" } } });
     const bool started = co_await world.start();
     if (!started)
         co_return couldNotRun;
+    for (std::size_t machine = 0; machine < 3; ++machine)
+        spawn(world.traffic("main", "key1", machine, 150));
     co_await sleepMs(3000);
-    Client client { "writer" };
     const std::string host = "main";
     const std::string key = "key1";
-    std::map<std::string, std::pair<Position, double>> acknowledged;
-    auto write = [&](int number) -> awaitable<void> {
-        if (!client.isOpen()) {
-            const auto front = world.machines.at(static_cast<std::size_t>(number) % 8)->front();
-            const bool open = co_await client.start(front, host, key);
+    const std::string read = "READ t1";
+    int checked = 0;
+    int wrong = 0;
+    std::size_t turn = 0;
+    // Each machine stands still once: which of them runs the statements of the others isn't known from outside.
+    for (auto& still : world.machines) {
+        struct Caller {
+            std::unique_ptr<Client> client;
+            std::string value;
+            std::vector<std::pair<double, std::string>> acknowledged;
+            std::vector<std::string> ids;
+        };
+        std::vector<Caller> callers;
+        const std::string before = "SET lang before" + std::to_string(turn);
+        const std::string after = "SET lang after" + std::to_string(turn);
+        for (auto& machine : world.machines) {
+            if (machine == still)
+                continue;
+            auto& caller = callers.emplace_back(Caller { .client = std::make_unique<Client>("at-" + machine->name()) });
+            const auto front = machine->front();
+            const bool open = co_await caller.client->start(front, host, key);
             if (!open)
-                co_return;
+                co_return couldNotRun;
+            const auto setId = world.nextId();
+            const auto set = co_await caller.client->query(setId, before);
+            caller.acknowledged.emplace_back(set.at, "before" + std::to_string(turn));
+            const auto id = world.nextId();
+            co_await caller.client->query(id, read);
         }
-        const auto id = world.nextId();
-        const auto text = "WRITE bed" + std::to_string(number) + " taken";
-        const auto answer = co_await client.query(id, text);
-        const auto* run = world.runOf(id);
-        if (answer.succeeded() && run != nullptr)
-            acknowledged[id] = { run->position, answer.at };
-    };
-    int number = 0;
-    for (; number < 10; ++number) {
-        co_await write(number);
-        co_await sleepMs(100);
-    }
-    if (trouble) {
-        group.node(1).deaf = true;
-        record("replica " + group.node(1).id + " receives nothing for 6 s");
-    }
-    for (; number < 30; ++number) {
-        co_await write(number);
-        co_await sleepMs(100);
-    }
-    if (trouble) {
-        record("primary " + group.node(0).id + " and replica " + group.node(2).id + " crash for 5 s");
-        group.crash(group.node(0));
-        group.crash(group.node(2));
-    }
-    for (int part = 0; part < 50; ++part) {
-        co_await sleepMs(100);
-        if (trouble && part == 35)
-            group.hearAgain(group.node(1));
-    }
-    if (trouble) {
-        group.restart(group.node(2));
-        group.restart(group.node(0));
-        record("both are back with their logs");
-    }
-    co_await sleepMs(6000);
-    for (; number < 36; ++number) {
-        co_await write(number);
-        co_await sleepMs(200);
-    }
-    int lost = 0;
-    for (const auto& commit : group.rolledBack) {
-        const auto found = acknowledged.find(commit.id);
-        if (found == acknowledged.end())
-            continue;
-        ++lost;
-        record("LOST: " + commit.id + " was acknowledged at " + numberText(found->second.second) + " as "
-            + found->second.first.text() + " and is not in the log of the database that was promoted");
+        if (trouble)
+            still->stop();
+        std::size_t waiting = callers.size();
+        for (auto& caller : callers) {
+            spawn([](World& world, Caller& caller, std::string read, std::string after, std::size_t turn,
+                      std::size_t& waiting) -> awaitable<void> {
+                const auto id = world.nextId();
+                caller.ids.push_back(id);
+                co_await caller.client->query(id, read);
+                if (caller.client->isOpen()) {
+                    const auto setId = world.nextId();
+                    const auto set = co_await caller.client->query(setId, after);
+                    if (set.succeeded())
+                        caller.acknowledged.emplace_back(set.at, "after" + std::to_string(turn));
+                }
+                --waiting;
+            }(world, caller, read, after, turn, waiting));
+        }
+        co_await sleepMs(1700);
+        if (trouble)
+            still->resume();
+        co_await sleepMs(1300);
+        while (waiting > 0)
+            co_await sleepMs(50);
+        for (const auto& caller : callers) {
+            for (const auto& run : group.runs) {
+                if (run.id != caller.ids.front())
+                    continue;
+                ++checked;
+                std::string value;
+                double since = 0;
+                for (const auto& [at, text] : caller.acknowledged) {
+                    if (at < run.reachedAt) {
+                        value = text;
+                        since = at;
+                    }
+                }
+                const auto found = run.values.find("lang");
+                const auto present = found == run.values.end() ? std::string { "none" } : found->second;
+                if (present == value)
+                    continue;
+                ++wrong;
+                record("PINNED: request " + run.id + " reached " + run.database + " at " + numberText(run.reachedAt)
+                    + " and ran with lang = " + present + "; its client had had lang = " + value
+                    + " acknowledged at " + numberText(since));
+            }
+        }
+        for (auto& caller : callers)
+            caller.client->close();
+        ++turn;
+        co_await sleepMs(4000);
     }
-    record(std::to_string(acknowledged.size()) + " writes were acknowledged, " + std::to_string(lost) + " of them lost");
-    if (acknowledged.size() < 25)
+    world.stopping = true;
+    record(std::to_string(checked) + " statements ran, " + std::to_string(wrong) + " of them with other values than those that were acknowledged");
+    if (checked < 20)
         co_return couldNotRun;
-    co_return lost > 0 ? broken : held;
+    co_return wrong > 0 ? broken : held;
 }
 
 const std::map<std::string, Case> cases { { "own-writes", &ownWrites }, { "dropped-key", &droppedKey },
-    { "sync-lost", &syncLost } };
+    { "late-values", &lateValues } };
--- a/review/standin-2/databases.h
+++ b/review/standin-2/databases.h
@@ -34,6 +34,10 @@
     Position position;
     double at = 0;
     std::string outcome;
+    /// When it reached the database.
+    double reachedAt = 0;
+    /// The values of the connection's session.
+    std::map<std::string, std::string> values;
 };
 
 /// The databases of one service: a primary and its replicas, with the line protocol of PROTOCOL.md.
@@ -103,6 +107,7 @@
         bool readOnly = false;
         std::size_t snapshot = 0;
         std::map<std::string, std::pair<bool, std::string>> prepared;
+        std::map<std::string, std::string> values;
         std::vector<std::pair<std::string, std::string>> writes;
     };
 
@@ -399,7 +404,9 @@
             co_return "ERROR MALFORMED failed\r\n" + ready(node, session);
         if (verb == "RESET") {
             session.prepared.clear();
+            session.values.clear();
         } else if (verb == "SET") {
+            session.values[one] = two;
         } else if (verb == "PREPARE") {
             session.prepared[one] = { two == "WRITE", text };
         } else if (verb == "BEGIN") {
@@ -455,6 +462,7 @@
         }
         if (verb != "READ" && verb != "WRITE" && verb != "COMMIT")
             co_return this->fail(node, session, "MALFORMED");
+        const auto reachedAt = nowMs();
         const bool wrote = verb == "WRITE" || !session.writes.empty();
         const bool plain = session.state == 'T' && !session.readOnly;
         if (!node.primary && (verb == "WRITE" || (plain && (verb != "COMMIT" || wrote))))
@@ -480,7 +488,8 @@
         if (commits)
             session.state = 'I';
         this->runs.push_back({ .id = id, .database = node.id, .service = this->settings.service,
-            .tenant = session.tenant, .text = text, .position = position, .at = nowMs(), .outcome = outcome });
+            .tenant = session.tenant, .text = text, .position = position, .at = nowMs(), .outcome = outcome,
+            .reachedAt = reachedAt, .values = session.values });
         record("database " + node.id + " (" + this->settings.service + ", " + (node.primary ? "primary" : "replica")
             + ") runs " + id + " " + text + " for " + session.tenant + " on " + position.text() + ": " + outcome);
         co_return rows + "DONE sig." + node.id + '.' + id + "\r\n" + ready(node, session);
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -120,6 +120,15 @@
             kill(this->process, number);
     }
 
+    void stop()
+    {
+        this->signal(SIGSTOP, "stands still");
+    }
+    void resume()
+    {
+        this->signal(SIGCONT, "goes on");
+    }
+
     /// True when the process has ended; reports how.
     bool hasEnded()
     {
