--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -22,10 +22,9 @@
 public:
     Ground()
     {
-        char name[] = "/tmp/review-XXXXXX";
-        if (mkdtemp(name) == nullptr)
+        this->folder = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+        if (mkdtemp(this->folder.data()) == nullptr)
             throw std::runtime_error { "no temporary folder" };
-        this->folder = name;
         for (int attempt = 0; attempt < 50; ++attempt) {
             const auto number = (static_cast<int>(getpid()) * 7 + attempt * 131) % 60000;
             this->network = "127." + std::to_string(16 + number / 254 % 200) + '.'
