Keep the positions of a session's own writes for each service

What callers saw: a session wrote on a read_own_writes route and got its success. A version of the configuration moved the route to another service, the session read there, and the next version moved the route back.

Cause: a session kept one position, of its last write, together with the write's service. `checkPermission` forgot it as soon as an operation began under another service, and a write to that service would have replaced it. Both halves give stale reads.

Hypotheses told apart by the tests below: the position is dropped at the caller's VM (yes, with and without forwarding), it is recorded for the wrong service when the route moves before the answer (no), an owner VM takes it from its own version (no).

Change: `OwnWrites` keeps the position of the last write to each of the eight services written to last. A position that is discarded to make room leaves its time behind; until a read covers that time by its maxStaleness, reads of a service without a position run at the primary. So memory is bounded and nothing that is still owed is forgotten.

--- a/src/pooling/caller_session.h
+++ b/src/pooling/caller_session.h
@@ -5,9 +5,9 @@
 #include <cyclamendrift/core/identifier.h>
 #include <cyclamendrift/core/instant.h>
 #include <cyclamendrift/core/passed_over.h>
-#include <cyclamendrift/core/progress.h>
 #include <cyclamendrift/pooling/caller_statement.h>
 #include <cyclamendrift/pooling/engine_actions.h>
+#include <cyclamendrift/pooling/own_writes.h>
 #include <cyclamendrift/pooling/reply.h>
 #include <cyclamendrift/pooling/route_table.h>
 #include <cyclamendrift/pooling/session_state.h>
@@ -108,10 +108,7 @@
     /// True when the transaction was aborted between two statements and the caller has not been told yet.
     bool abortUnreported = false;
 
-    /// Progress of the session's last write, with its time and service.
-    std::optional<Progress> requiredProgress;
-    Instant requiredProgressAt;
-    ServiceName requiredProgressService;
+    OwnWrites ownWrites;
     Instant lastActive;
 
     [[nodiscard]] bool isIdle() const noexcept
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -194,9 +194,12 @@
         this->refuse(session, StatementError::UnknownKey, "the key was withdrawn");
         return false;
     }
-    if (route->service != session.route.service)
-        session.requiredProgress.reset();
     session.route = *route;
+    const auto* ownWritesRoute = std::get_if<ReadOwnWritesRoute>(&route->freshness);
+    // A write of unknown progress is certain to be visible only at the primary, until every read covers it.
+    if (ownWritesRoute != nullptr
+        && session.ownWrites.mayLack(route->service, this->now - ownWritesRoute->maxStaleness))
+        session.route.freshness = PrimaryRoute {};
     return true;
 }
 
@@ -415,11 +418,9 @@
         this->setTokensDue(session.team, budget, this->now);
 }
 
-void SessionEngine::State::recordOwnWrite(CallerSession& session, const Progress& progress, Instant at)
+void SessionEngine::State::recordOwnWrite(CallerSession& session, const Progress& progress, Instant sentAt)
 {
-    session.requiredProgress = progress;
-    session.requiredProgressAt = at;
-    session.requiredProgressService = session.route.service;
+    session.ownWrites.record(session.route.service, { .progress = progress, .sentAt = sentAt }, this->now);
 }
 
 void SessionEngine::State::answer(CallerSession& session, Reply reply)
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -401,15 +401,16 @@
     if (!common)
         return std::nullopt;
     const auto& requirement = *common;
-    const bool ownWrites = std::holds_alternative<ReadOwnWritesRoute>(session.route.freshness);
-    if (!ownWrites || !session.requiredProgress || session.requiredProgressService != session.route.service)
+    if (!std::holds_alternative<ReadOwnWritesRoute>(session.route.freshness))
+        return requirement;
+    const auto* written = session.ownWrites.latestTo(session.route.service);
+    if (written == nullptr)
         return requirement;
     // A write of an earlier term is either in the log of every upstream of the newer term or was lost in the
     // promotion. The position in the newer term therefore covers it.
-    if (session.requiredProgress->term < requirement.progress.term
-        || *session.requiredProgress <= requirement.progress)
+    if (written->progress.term < requirement.progress.term || written->progress <= requirement.progress)
         return requirement;
-    return ReplicaRequirement { .progress = *session.requiredProgress, .at = session.requiredProgressAt };
+    return ReplicaRequirement { .progress = written->progress, .at = written->sentAt };
 }
 
 std::optional<ReplicaRequirement> SessionEngine::State::replicaRequirement(
--- a/src/pooling/engine_forwarding.cpp
+++ b/src/pooling/engine_forwarding.cpp
@@ -188,9 +188,9 @@
         forwarded.state.prepared.emplace(execute->name, *work.shape);
     forwarded.inTransaction = session.phase == SessionPhase::InTransaction;
     forwarded.readOnly = session.transactionReadOnly;
-    if (session.requiredProgress && session.requiredProgressService == session.route.service) {
-        forwarded.requiredProgress = session.requiredProgress;
-        forwarded.requiredProgressAge = this->now - session.requiredProgressAt;
+    if (const auto* written = session.ownWrites.latestTo(session.route.service)) {
+        forwarded.requiredProgress = written->progress;
+        forwarded.requiredProgressAge = this->now - written->sentAt;
     }
     forwarded.waited = this->now - work.arrivedAt;
     ++this->counters.forwarded;
@@ -236,7 +236,7 @@
     const bool commitsWrite = inTransaction ? kind == StatementKind::Commit && session->transactionWrote
                                             : kind == StatementKind::Write;
     if (commitsWrite && reply.progress)
-        recordOwnWrite(*session, *reply.progress, session->work->forwardedAt);
+        this->recordOwnWrite(*session, *reply.progress, session->work->forwardedAt);
     if (inTransaction)
         this->finishForwardedInTransaction(*session);
     this->answer(*session, std::move(reply));
@@ -346,9 +346,9 @@
     session.state = std::move(work.state);
     session.phase = work.inTransaction ? SessionPhase::InTransaction : SessionPhase::Idle;
     session.transactionReadOnly = work.readOnly;
-    session.requiredProgress.reset();
+    session.ownWrites.clear();
     if (work.requiredProgress) {
-        recordOwnWrite(session, *work.requiredProgress, this->now - work.requiredProgressAge);
+        this->recordOwnWrite(session, *work.requiredProgress, this->now - work.requiredProgressAge);
         // The write was committed in this term, so a primary of it leads or has led.
         this->recordTerm(this->group(session.route.service),
             { .source = "a sibling", .statementId = work.query.id }, work.requiredProgress->term);
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -117,8 +117,8 @@
     void finishWork(CallerSession& session);
     /// Refunds the current operation's token to its team's limit, unless an upstream has run part of it.
     void refundToken(CallerSession& session);
-    /// Records the progress of the session's write, which the primary had reached at that time.
-    static void recordOwnWrite(CallerSession& session, const Progress& progress, Instant at);
+    /// Records the progress of the session's write to its route's service.
+    void recordOwnWrite(CallerSession& session, const Progress& progress, Instant sentAt);
     /// Admits waiting operations while tokens last, and requests missing tokens from siblings.
     void admitWaiting(const TeamName& team, Budget& budget);
 
--- a/tests/pooling/pool_simulation.cpp
+++ b/tests/pooling/pool_simulation.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-const ServiceName service { "register" };
-
 CallerStatement parseStatement(const std::string& text)
 {
     std::vector<std::string> words;
@@ -58,25 +56,28 @@
 
 PoolSimulation::PoolSimulation(Options options)
     : engine({ .zone = ZoneName { "palermo" } })
-{
-    for (std::size_t index = 0; index <= options.replicas; ++index) {
-        ModelUpstream model;
-        model.entry = { .name = UpstreamName { index == 0 ? "primary" : "replica-" + std::to_string(index) },
-            .service = service,
-            .host = "10.0.0.1",
-            .port = static_cast<std::uint16_t>(8000 + index),
-            .zone = ZoneName { "palermo" },
-            .maxConcurrency = 3 };
-        model.primary = index == 0;
-        this->upstreams.emplace(model.entry.name, model);
+    , services(options.services)
+{
+    for (std::size_t serviceIndex = 0; serviceIndex < this->services; ++serviceIndex) {
+        for (std::size_t index = 0; index <= options.replicas; ++index) {
+            ModelUpstream model;
+            model.entry = { .name = UpstreamName { upstreamName(serviceIndex, index) },
+                .service = serviceName(serviceIndex),
+                .host = "10.0.0.1",
+                .port = static_cast<std::uint16_t>(8000 + 10 * serviceIndex + index),
+                .zone = ZoneName { "palermo" },
+                .maxConcurrency = 3 };
+            model.primary = index == 0;
+            this->upstreams.emplace(model.entry.name, model);
+        }
+        this->routes->connectionCaps[serviceName(serviceIndex)] = options.connectionCap;
     }
-    this->routes->routes["beds"] = { .service = service,
+    this->routes->routes["beds"] = { .service = serviceName(0),
         .freshness = options.freshness,
         .statementTimeout = std::chrono::seconds { 1 },
         .targetLatency = std::chrono::milliseconds { 200 } };
     this->routes->keys = { { "key-a", TeamName { "a" } }, { "key-b", TeamName { "b" } } };
     this->routes->limits = options.limits;
-    this->routes->connectionCaps[service] = options.connectionCap;
     if (options.forwardToOwner)
         this->entryEngine = std::make_unique<SessionEngine>(
             SessionEngine::Options { .zone = ZoneName { "catania" }, .seed = 1 });
@@ -101,6 +102,29 @@
     });
 }
 
+void PoolSimulation::publishRoutesToCallersVm()
+{
+    ++this->routes->version;
+    this->callerEngine().setRoutes(std::make_shared<RouteTable>(*this->routes), this->now);
+}
+
+ServiceName PoolSimulation::serviceName(std::size_t index)
+{
+    return ServiceName { index == 0 ? "register" : "register-" + std::to_string(index) };
+}
+
+std::string PoolSimulation::upstreamName(std::size_t serviceIndex, std::size_t index)
+{
+    const auto name = index == 0 ? "primary" : "replica-" + std::to_string(index);
+    return serviceIndex == 0 ? name : serviceName(serviceIndex).string() + '/' + name;
+}
+
+void PoolSimulation::moveRoute(std::size_t serviceIndex)
+{
+    this->routes->routes["beds"].service = serviceName(serviceIndex);
+    this->publishRoutes();
+}
+
 void PoolSimulation::publishDirectory()
 {
     UpstreamDirectory directory;
@@ -135,6 +159,8 @@
 void PoolSimulation::promote(const std::string& upstream)
 {
     for (auto& [name, model] : this->upstreams) {
+        if (model.entry.service != serviceName(0))
+            continue;
         ++model.term;
         model.primary = name == UpstreamName { upstream };
     }
@@ -143,8 +169,16 @@
 void PoolSimulation::renewView()
 {
     this->view.expiresAt = this->now + std::chrono::seconds { 1 };
-    this->forEachEngine(
-        [this](SessionEngine& sessionEngine) { sessionEngine.setLeader(service, this->view, this->now); });
+    this->forEachEngine([this](SessionEngine& sessionEngine) {
+        sessionEngine.setLeader(serviceName(0), this->view, this->now);
+        for (std::size_t index = 1; index < this->services; ++index)
+            sessionEngine.setLeader(serviceName(index),
+                { .phase = LeaderView::Phase::Settled,
+                    .primary = UpstreamName { upstreamName(index, 0) },
+                    .term = Term { 1 },
+                    .expiresAt = this->view.expiresAt },
+                this->now);
+    });
     this->performActions();
 }
 
@@ -473,6 +507,8 @@
         .after = statement.after,
         .term = upstream.term,
         .atPrimary = upstream.primary,
+        .service = upstream.entry.service,
+        .logPosition = upstream.logPosition,
         .dependsOnView = !(connection.inTransaction ? connection.after : statement.after) };
     if (statement.execute)
         run.shape = connection.prepared.at(statement.execute->name);
--- a/tests/pooling/pool_simulation.h
+++ b/tests/pooling/pool_simulation.h
@@ -55,6 +55,9 @@
     /// The upstream's term at that time, and whether it was the primary of it.
     std::uint64_t term = 0;
     bool atPrimary = false;
+    ServiceName service;
+    /// The end of the upstream's log at that time.
+    std::uint64_t logPosition = 0;
     /// True when neither the statement nor its transaction required a position.
     bool dependsOnView = false;
 };
@@ -75,6 +78,8 @@
         bool forwardToOwner = false;
         /// Number of VMs that share the upstreams' connections, as the forwarding VM knows it.
         std::size_t vms = 4;
+        /// Every service has its own upstreams; those after the first one keep their primary.
+        std::size_t services = 1;
     };
 
     explicit PoolSimulation(Options options);
@@ -105,6 +110,13 @@
     void setEvacuatedZones(const std::set<ZoneName>& zones);
     /// Passes `routes` to the engines as their next version.
     void publishRoutes();
+    /// Passes `routes` as the next version to the VM that callers connect to; the owner keeps its version.
+    void publishRoutesToCallersVm();
+    [[nodiscard]] static ServiceName serviceName(std::size_t index);
+    /// Name of a service's primary or, from 1 on, of one of its replicas.
+    [[nodiscard]] static std::string upstreamName(std::size_t serviceIndex, std::size_t index);
+    /// Sets the service of the route of "beds" and publishes the routes.
+    void moveRoute(std::size_t serviceIndex);
 
     ModelUpstream& upstream(const std::string& name) { return this->upstreams.at(UpstreamName { name }); }
     [[nodiscard]] std::size_t openConnections() const { return this->connections.size(); }
@@ -193,6 +205,7 @@
     std::vector<LogEvent> logDecisions;
     std::set<std::string> committedWrites;
     std::uint64_t lastCallerId = 0;
+    std::size_t services = 1;
     LeaderView view;
 };
 
