Read at the primary after a write whose answer reported no position

A session whose write was answered without a position ("READY I -") read at replicas that lacked the write.

Cause: a position was recorded only if the answer had one. The position of an earlier write stayed and stood in for it.

Change: such a write discards the position of the earlier one and is treated like a write that was discarded to make room: reads of the service run at the primary until their maxStaleness covers it.

--- a/include/cyclamendrift/pooling/own_writes.h
+++ b/include/cyclamendrift/pooling/own_writes.h
@@ -29,6 +29,9 @@
     /// Records a write that is acknowledged now. The progress of a service never decreases.
     void record(const ServiceName& service, const Write& write, Instant now);
 
+    /// Records a write that is acknowledged now and whose progress is not known.
+    void recordUnknown(const ServiceName& service, Instant now);
+
     /// The session's latest write to the service; null when none is kept.
     [[nodiscard]] const Write* latestTo(const ServiceName& service) const noexcept;
 
@@ -48,8 +51,8 @@
 
     /// In the order of their latest write.
     std::vector<Entry> entries;
-    /// The latest acknowledgement of a write whose progress was discarded to make room.
-    Instant lastDiscarded = Instant::min();
+    /// The latest acknowledgement of a write whose progress was not known or was discarded to make room.
+    Instant lastWithoutProgress = Instant::min();
 };
 
 } // namespace cyclamendrift
--- a/src/pooling/engine_answers.cpp
+++ b/src/pooling/engine_answers.cpp
@@ -161,8 +161,7 @@
     }
     if (!commitsWrite)
         return this->answer(session, std::move(reply));
-    if (reply.progress)
-        this->recordOwnWrite(session, *reply.progress, place.sentAt);
+    this->recordOwnWrite(session, reply.progress, place.sentAt);
     // An answer without a position belongs to the term of the view under which its statement was sent.
     const auto term = reply.progress ? reply.progress->term : place.viewTerm.value_or(Term {});
     if (group.isLedBy(place.upstream, this->now) && group.view.term == term)
--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -196,7 +196,8 @@
     }
     session.route = *route;
     const auto* ownWritesRoute = std::get_if<ReadOwnWritesRoute>(&route->freshness);
-    // A write of unknown progress is certain to be visible only at the primary, until every read covers it.
+    // Until every read covers it, a write without known progress is certain to be visible only at the
+    // primary.
     if (ownWritesRoute != nullptr
         && session.ownWrites.mayLack(route->service, this->now - ownWritesRoute->maxStaleness))
         session.route.freshness = PrimaryRoute {};
@@ -418,9 +419,14 @@
         this->setTokensDue(session.team, budget, this->now);
 }
 
-void SessionEngine::State::recordOwnWrite(CallerSession& session, const Progress& progress, Instant sentAt)
+void SessionEngine::State::recordOwnWrite(
+    CallerSession& session, const std::optional<Progress>& progress, Instant sentAt)
 {
-    session.ownWrites.record(session.route.service, { .progress = progress, .sentAt = sentAt }, this->now);
+    const auto& service = session.route.service;
+    if (progress)
+        session.ownWrites.record(service, { .progress = *progress, .sentAt = sentAt }, this->now);
+    else
+        session.ownWrites.recordUnknown(service, this->now);
 }
 
 void SessionEngine::State::answer(CallerSession& session, Reply reply)
--- a/src/pooling/engine_forwarding.cpp
+++ b/src/pooling/engine_forwarding.cpp
@@ -235,8 +235,8 @@
     session->tokenSpent = false;
     const bool commitsWrite = inTransaction ? kind == StatementKind::Commit && session->transactionWrote
                                             : kind == StatementKind::Write;
-    if (commitsWrite && reply.progress)
-        this->recordOwnWrite(*session, *reply.progress, session->work->forwardedAt);
+    if (commitsWrite)
+        this->recordOwnWrite(*session, reply.progress, session->work->forwardedAt);
     if (inTransaction)
         this->finishForwardedInTransaction(*session);
     this->answer(*session, std::move(reply));
@@ -348,7 +348,7 @@
     session.transactionReadOnly = work.readOnly;
     session.ownWrites.clear();
     if (work.requiredProgress) {
-        this->recordOwnWrite(session, *work.requiredProgress, this->now - work.requiredProgressAge);
+        this->recordOwnWrite(session, work.requiredProgress, this->now - work.requiredProgressAge);
         // The write was committed in this term, so a primary of it leads or has led.
         this->recordTerm(this->group(session.route.service),
             { .source = "a sibling", .statementId = work.query.id }, work.requiredProgress->term);
--- a/src/pooling/engine_state.h
+++ b/src/pooling/engine_state.h
@@ -117,8 +117,8 @@
     void finishWork(CallerSession& session);
     /// Refunds the current operation's token to its team's limit, unless an upstream has run part of it.
     void refundToken(CallerSession& session);
-    /// Records the progress of the session's write to its route's service.
-    void recordOwnWrite(CallerSession& session, const Progress& progress, Instant sentAt);
+    /// Records a write of the session to its route's service, with the progress that its answer reported.
+    void recordOwnWrite(CallerSession& session, const std::optional<Progress>& progress, Instant sentAt);
     /// Admits waiting operations while tokens last, and requests missing tokens from siblings.
     void admitWaiting(const TeamName& team, Budget& budget);
 
--- a/src/pooling/own_writes.cpp
+++ b/src/pooling/own_writes.cpp
@@ -14,12 +14,19 @@
         entry.write.progress = std::max(write.progress, known->write.progress);
         this->entries.erase(known);
     } else if (this->entries.size() == maxServices) {
-        this->lastDiscarded = std::max(this->lastDiscarded, this->entries.front().acknowledgedAt);
+        this->lastWithoutProgress = std::max(this->lastWithoutProgress, this->entries.front().acknowledgedAt);
         this->entries.erase(this->entries.begin());
     }
     this->entries.push_back(std::move(entry));
 }
 
+void OwnWrites::recordUnknown(const ServiceName& service, Instant now)
+{
+    // The progress of an earlier write does not cover this one.
+    std::erase_if(this->entries, [&service](const Entry& entry) { return entry.service == service; });
+    this->lastWithoutProgress = std::max(this->lastWithoutProgress, now);
+}
+
 const OwnWrites::Write* OwnWrites::latestTo(const ServiceName& service) const noexcept
 {
     const auto known = std::find_if(this->entries.begin(), this->entries.end(),
@@ -29,13 +36,13 @@
 
 bool OwnWrites::mayLack(const ServiceName& service, Instant since) const noexcept
 {
-    return this->lastDiscarded >= since && this->latestTo(service) == nullptr;
+    return this->lastWithoutProgress >= since && this->latestTo(service) == nullptr;
 }
 
 void OwnWrites::clear() noexcept
 {
     this->entries.clear();
-    this->lastDiscarded = Instant::min();
+    this->lastWithoutProgress = Instant::min();
 }
 
 } // namespace cyclamendrift
--- a/tests/pooling/moved_route_test.cpp
+++ b/tests/pooling/moved_route_test.cpp
@@ -383,6 +383,29 @@
         }
     }
 
+    TEST_CASE("a session reads its own write although the answer to it reported no position")
+    {
+        // Guards against a stale read at a replica after an answer without a position, and against the
+        // position of an earlier write that stands in for it.
+        for (const bool forwardToOwner : { false, true }) {
+            CAPTURE(forwardToOwner);
+            MovedRoute session { forwardToOwner };
+            session.write();
+            session.simulation.interceptStatement
+                = [&session](const ModelConnection&, const UpstreamStatement& statement) {
+                      const auto* relayed = std::get_if<RelayStatement>(&statement);
+                      if (relayed == nullptr || !relayed->text.starts_with("WRITE"))
+                          return std::optional<Reply> {};
+                      ++session.simulation.upstream("primary").logPosition;
+                      return std::optional { Reply { .proof = "proof" } };
+                  };
+            session.write();
+            for (const auto* replica : { "replica-1", "replica-2" })
+                session.simulation.upstream(replica).logPosition = positionAfter(1);
+            session.checkReads(0, 2);
+        }
+    }
+
     TEST_CASE("reads of a service whose write is not kept return to replicas once they cover it")
     {
         // Guards against a session whose reads all run at the primary from its ninth service on.
--- a/tests/pooling/own_writes_test.cpp
+++ b/tests/pooling/own_writes_test.cpp
@@ -33,6 +33,17 @@
         CHECK(writes.latestTo(serviceAt(1)) == nullptr);
     }
 
+    TEST_CASE("a write of unknown progress replaces a known one and is reported as lacking")
+    {
+        // Guards against the progress of an earlier write that is taken for that of the latest one.
+        OwnWrites writes;
+        writes.record(serviceAt(0), writeAt(1, 50), start);
+        writes.recordUnknown(serviceAt(0), start + 10ms);
+        CHECK(writes.latestTo(serviceAt(0)) == nullptr);
+        CHECK(writes.mayLack(serviceAt(0), start + 10ms));
+        CHECK_FALSE(writes.mayLack(serviceAt(0), start + 11ms));
+    }
+
     TEST_CASE("the service that was written to longest ago makes room, and is reported as lacking")
     {
         // Guards against a session that grows without bound, and against a write that is forgotten silently.
