--- a/tests/pooling/moved_route_test.cpp
+++ b/tests/pooling/moved_route_test.cpp
@@ -20,9 +20,10 @@
 constexpr std::uint64_t positionAfter(std::uint64_t commits) { return 100 + commits; }
 
 /// One caller whose route changes, at a VM that runs its statements or forwards them to the owner.
-class MovedRoute {
+class RoutedSession {
 public:
-    explicit MovedRoute(bool forwardToOwner, RouteFreshness freshness = ownWrites, std::size_t services = 2)
+    explicit RoutedSession(
+        bool forwardToOwner, RouteFreshness freshness = ownWrites, std::size_t services = 2)
         : simulation(
             { .freshness = std::move(freshness), .forwardToOwner = forwardToOwner, .services = services })
         , caller(this->simulation.connect())
@@ -38,8 +39,7 @@
         this->simulation.publishRoutes();
     }
 
-    /// Checks that the session's reads run on logs of the service that have so many commits, while none of
-    /// its replicas has any.
+    /// Checks that the session's next reads run at the service, on logs with at least so many commits.
     void checkReads(std::size_t serviceIndex, std::uint64_t commits)
     {
         for (int read = 0; read < 4; ++read) {
@@ -102,10 +102,10 @@
         std::string statementId;
         std::string text;
         bool wroteInTransaction = false;
-        /// The service of the current operation, and the log that its reads must have.
+        /// The service of the current operation, and the position that its reads require of the log.
         ServiceName service;
         std::uint64_t required = 0;
-        /// The logs that had all acknowledged writes of this session.
+        /// The position that covers this session's acknowledged writes, by service.
         std::map<ServiceName, std::uint64_t> acknowledged;
     };
 
@@ -224,7 +224,7 @@
         // Guards against a stale read at a replica, as the position of the write was kept for one service.
         for (const bool forwardToOwner : { false, true }) {
             CAPTURE(forwardToOwner);
-            MovedRoute session { forwardToOwner };
+            RoutedSession session { forwardToOwner };
             session.write();
             session.simulation.moveRoute(1);
             session.readOnce();
@@ -238,7 +238,7 @@
         // Guards against a write to one service that replaces the position of the write to another.
         for (const bool forwardToOwner : { false, true }) {
             CAPTURE(forwardToOwner);
-            MovedRoute session { forwardToOwner };
+            RoutedSession session { forwardToOwner };
             session.write();
             session.simulation.moveRoute(1);
             session.write();
@@ -255,7 +255,7 @@
         // arrives.
         for (const bool forwardToOwner : { false, true }) {
             CAPTURE(forwardToOwner);
-            MovedRoute session { forwardToOwner };
+            RoutedSession session { forwardToOwner };
             session.simulation.holdUpstreamActions = true;
             session.simulation.submit(session.caller, session.nextId(), "WRITE 1 x");
             session.simulation.moveRoute(1);
@@ -273,7 +273,7 @@
         // Guards against a write that is confirmed by the view of another service's primary.
         for (const bool forwardToOwner : { false, true }) {
             CAPTURE(forwardToOwner);
-            MovedRoute session { forwardToOwner };
+            RoutedSession session { forwardToOwner };
             session.readOnce();
             session.simulation.holdUpstreamActions = true;
             session.simulation.submit(session.caller, session.nextId(), "WRITE 1 x");
@@ -295,7 +295,7 @@
         // Guards against a commit whose position is recorded for another service.
         for (const bool forwardToOwner : { false, true }) {
             CAPTURE(forwardToOwner);
-            MovedRoute session { forwardToOwner };
+            RoutedSession session { forwardToOwner };
             CHECK_FALSE(session.run("BEGIN").failure);
             session.write();
             session.simulation.moveRoute(1);
@@ -311,7 +311,7 @@
         // Guards against session state that is kept for one service.
         for (const bool forwardToOwner : { false, true }) {
             CAPTURE(forwardToOwner);
-            MovedRoute session { forwardToOwner };
+            RoutedSession session { forwardToOwner };
             CHECK_FALSE(session.run("SET zone palermo").failure);
             CHECK_FALSE(session.run("PREPARE s1 READ shape").failure);
             for (const std::size_t service : { 0, 1, 0 }) {
@@ -328,7 +328,7 @@
     TEST_CASE("a session reads its own write after its route was dropped and restored")
     {
         // Guards against a position that is forgotten when the session's next operation is refused.
-        MovedRoute session { false };
+        RoutedSession session { false };
         session.write();
         const auto route = session.simulation.routes->routes.at("beds");
         session.simulation.routes->routes.erase("beds");
@@ -344,7 +344,7 @@
         // Guards against positions that are recorded on read_own_writes routes alone.
         const std::array<RouteFreshness, 2> kinds { PrimaryRoute {}, BoundedStalenessRoute { 1500ms } };
         for (const auto& kind : kinds) {
-            MovedRoute session { false, kind };
+            RoutedSession session { false, kind };
             session.write();
             session.setFreshness(ownWrites);
             session.checkReads(0, 1);
@@ -354,7 +354,7 @@
     TEST_CASE("an owner VM with another version in force is told what the session wrote")
     {
         // Guards against an owner VM that takes the service or the own write from its own configuration.
-        MovedRoute session { true };
+        RoutedSession session { true };
         session.write();
         session.simulation.routes->routes["beds"].service = PoolSimulation::serviceName(1);
         session.simulation.publishRoutesToCallersVm();
@@ -371,7 +371,7 @@
         constexpr auto services = OwnWrites::maxServices + 2;
         for (const bool forwardToOwner : { false, true }) {
             CAPTURE(forwardToOwner);
-            MovedRoute session { forwardToOwner, ownWrites, services };
+            RoutedSession session { forwardToOwner, ownWrites, services };
             for (std::size_t service = 0; service < services; ++service) {
                 session.simulation.moveRoute(service);
                 session.write();
@@ -389,7 +389,7 @@
         // position of an earlier write that stands in for it.
         for (const bool forwardToOwner : { false, true }) {
             CAPTURE(forwardToOwner);
-            MovedRoute session { forwardToOwner };
+            RoutedSession session { forwardToOwner };
             session.write();
             session.simulation.interceptStatement
                 = [&session](const ModelConnection&, const UpstreamStatement& statement) {
@@ -410,7 +410,7 @@
     {
         // Guards against a session whose reads all run at the primary from its ninth service on.
         constexpr auto services = OwnWrites::maxServices + 1;
-        MovedRoute session { false, ownWrites, services };
+        RoutedSession session { false, ownWrites, services };
         for (std::size_t service = 0; service < services; ++service) {
             session.simulation.moveRoute(service);
             session.write();
