Use one type for a position and when it was seen

Cause: `OwnWrites::Write` and `ReplicaRequirement` had the same two fields with the same meaning as `ProgressHistory::Observation`, which was there before, and results were copied from one to the other. `OwnWrites` searched for a service in three places, had a function that only assigning an empty value needs, and took a maximum of two times of which the second is always the later one.

Change: `OwnWrites` keeps observations, a `ReplicaRequirement` is one, and one function finds a service. Behaviour stays as it is.

--- a/src/pooling/engine_callers.cpp
+++ b/src/pooling/engine_callers.cpp
@@ -424,7 +424,7 @@
 {
     const auto& service = session.route.service;
     if (progress)
-        session.ownWrites.record(service, { .progress = *progress, .sentAt = sentAt }, this->now);
+        session.ownWrites.record(service, { .progress = *progress, .seenAt = sentAt }, this->now);
     else
         session.ownWrites.recordUnknown(service, this->now);
 }
--- a/src/pooling/engine_dispatch.cpp
+++ b/src/pooling/engine_dispatch.cpp
@@ -391,7 +391,7 @@
     if (upstream.knownProgress >= requirement.progress)
         return true;
     const bool refusedLately = this->now < upstream.laggingUntil;
-    return !refusedLately && this->now - upstream.lag >= requirement.at;
+    return !refusedLately && this->now - upstream.lag >= requirement.seenAt;
 }
 
 std::optional<ReplicaRequirement> SessionEngine::State::replicaRequirement(
@@ -410,7 +410,7 @@
     // promotion. The position in the newer term therefore covers it.
     if (written->progress.term < requirement.progress.term || written->progress <= requirement.progress)
         return requirement;
-    return ReplicaRequirement { .progress = written->progress, .at = written->sentAt };
+    return *written;
 }
 
 std::optional<ReplicaRequirement> SessionEngine::State::replicaRequirement(
@@ -418,10 +418,7 @@
 {
     if (demand.staleness <= Duration {})
         return std::nullopt;
-    const auto fresh = group.history.oldestCovering(this->now - demand.staleness);
-    if (!fresh)
-        return std::nullopt;
-    return ReplicaRequirement { .progress = fresh->progress, .at = fresh->seenAt };
+    return group.history.oldestCovering(this->now - demand.staleness);
 }
 
 double SessionEngine::State::costOf(const GroupState& group, const UpstreamState& upstream,
--- a/src/pooling/engine_forwarding.cpp
+++ b/src/pooling/engine_forwarding.cpp
@@ -190,7 +190,7 @@
     forwarded.readOnly = session.transactionReadOnly;
     if (const auto* written = session.ownWrites.latestTo(session.route.service)) {
         forwarded.requiredProgress = written->progress;
-        forwarded.requiredProgressAge = this->now - written->sentAt;
+        forwarded.requiredProgressAge = this->now - written->seenAt;
     }
     forwarded.waited = this->now - work.arrivedAt;
     ++this->counters.forwarded;
@@ -346,7 +346,7 @@
     session.state = std::move(work.state);
     session.phase = work.inTransaction ? SessionPhase::InTransaction : SessionPhase::Idle;
     session.transactionReadOnly = work.readOnly;
-    session.ownWrites.clear();
+    session.ownWrites = {};
     if (work.requiredProgress) {
         this->recordOwnWrite(session, work.requiredProgress, this->now - work.requiredProgressAge);
         // The write was committed in this term, so a primary of it leads or has led.
--- a/src/pooling/own_writes.cpp
+++ b/src/pooling/own_writes.cpp
@@ -5,11 +5,20 @@
 
 namespace cyclamendrift {
 
-void OwnWrites::record(const ServiceName& service, const Write& write, Instant now)
+namespace {
+
+template <class Entries> auto findService(Entries& entries, const ServiceName& service)
+{
+    return std::find_if(
+        entries.begin(), entries.end(), [&service](const auto& entry) { return entry.service == service; });
+}
+
+} // namespace
+
+void OwnWrites::record(const ServiceName& service, const ProgressHistory::Observation& write, Instant now)
 {
     Entry entry { .service = service, .write = write, .acknowledgedAt = now };
-    const auto known = std::find_if(this->entries.begin(), this->entries.end(),
-        [&service](const Entry& candidate) { return candidate.service == service; });
+    const auto known = findService(this->entries, service);
     if (known != this->entries.end()) {
         entry.write.progress = std::max(write.progress, known->write.progress);
         this->entries.erase(known);
@@ -23,14 +32,15 @@
 void OwnWrites::recordUnknown(const ServiceName& service, Instant now)
 {
     // The progress of an earlier write does not cover this one.
-    std::erase_if(this->entries, [&service](const Entry& entry) { return entry.service == service; });
-    this->lastWithoutProgress = std::max(this->lastWithoutProgress, now);
+    const auto known = findService(this->entries, service);
+    if (known != this->entries.end())
+        this->entries.erase(known);
+    this->lastWithoutProgress = now;
 }
 
-const OwnWrites::Write* OwnWrites::latestTo(const ServiceName& service) const noexcept
+const ProgressHistory::Observation* OwnWrites::latestTo(const ServiceName& service) const noexcept
 {
-    const auto known = std::find_if(this->entries.begin(), this->entries.end(),
-        [&service](const Entry& candidate) { return candidate.service == service; });
+    const auto known = findService(this->entries, service);
     return known == this->entries.end() ? nullptr : &known->write;
 }
 
@@ -39,10 +49,4 @@
     return this->lastWithoutProgress >= since && this->latestTo(service) == nullptr;
 }
 
-void OwnWrites::clear() noexcept
-{
-    this->entries.clear();
-    this->lastWithoutProgress = Instant::min();
-}
-
 } // namespace cyclamendrift
--- a/src/pooling/pooled_connection.h
+++ b/src/pooling/pooled_connection.h
@@ -130,10 +130,7 @@
 };
 
 /// A position that a read needs, and when the primary had reached it.
-struct ReplicaRequirement {
-    Progress progress;
-    Instant at;
-};
+using ReplicaRequirement = ProgressHistory::Observation;
 
 /// Time for which an answer that contradicts the view counts. The coordinator needs about three seconds to
 /// find and record a newer primary. If it finds none by then, the group uses the recorded primary again
--- a/tests/pooling/own_writes_test.cpp
+++ b/tests/pooling/own_writes_test.cpp
@@ -13,9 +13,9 @@
 
 ServiceName serviceAt(std::size_t index) { return ServiceName { "service-" + std::to_string(index) }; }
 
-OwnWrites::Write writeAt(std::uint64_t term, std::uint64_t position)
+ProgressHistory::Observation writeAt(std::uint64_t term, std::uint64_t position)
 {
-    return { .progress = { Term { term }, LogPosition { position } }, .sentAt = start };
+    return { .progress = { Term { term }, LogPosition { position } }, .seenAt = start };
 }
 
 } // namespace
