Share what the randomized scenarios of the pooling tests have in common

Cause: the scenario of moved routes repeated the random choices of the one of sessions, and its search for the last execution of a statement. Eight of its cases repeated the loop over a VM with and without forwarding, four of them the same three closing steps.

Change: `RandomChoices`, `PoolSimulation::lastExecution`, `atEachVm` and `returnAndCheckReads`. The order of the random draws, and so what a seed plays, is the same, and every assertion stays.

Evidence: test_pooling runs 189 cases and 100,069 assertions, as before.

--- a/tests/pooling/moved_route_test.cpp
+++ b/tests/pooling/moved_route_test.cpp
@@ -1,12 +1,11 @@
 #include "pool_simulation.h"
+#include "random_choices.h"
 
 #include <cyclamendrift/pooling/own_writes.h>
 
 #include <property.h>
 
-#include <algorithm>
 #include <array>
-#include <random>
 #include <variant>
 
 using namespace cyclamendrift;
@@ -51,6 +50,14 @@
         }
     }
 
+    /// Reads where the route leads now, moves it to the first service and checks the reads there.
+    void returnAndCheckReads(std::uint64_t commits)
+    {
+        this->readOnce();
+        this->simulation.moveRoute(0);
+        this->checkReads(0, commits);
+    }
+
     std::string nextId() { return "c/" + std::to_string(++this->statements); }
 
     PoolSimulation simulation;
@@ -58,11 +65,21 @@
     int statements = 0;
 };
 
+/// Runs a case at a VM that runs its callers' statements, and at one that forwards them to the owner.
+template <class Case> void atEachVm(Case&& check, std::size_t services = 2)
+{
+    for (const bool forwardToOwner : { false, true }) {
+        CAPTURE(forwardToOwner);
+        RoutedSession session { forwardToOwner, ownWrites, services };
+        check(session);
+    }
+}
+
 /// Random sessions on a route that is moved, changed, dropped and restored while statements are under way.
-class MovedRouteScenario {
+class MovedRouteScenario : RandomChoices {
 public:
     MovedRouteScenario(std::uint64_t seed, const PoolSimulation::Options& options)
-        : random(seed)
+        : RandomChoices(seed)
         , services(options.services)
         , replicas(options.replicas)
         , simulation(options)
@@ -109,12 +126,6 @@
         std::map<ServiceName, std::uint64_t> acknowledged;
     };
 
-    std::size_t randomBelow(std::size_t count)
-    {
-        return std::uniform_int_distribution<std::size_t> { 0, count - 1 }(this->random);
-    }
-    bool chance(std::size_t oneIn) { return this->randomBelow(oneIn) == 0; }
-
     void deliver()
     {
         this->simulation.holdUpstreamActions = false;
@@ -191,10 +202,8 @@
         for (const auto& reply : this->simulation.takeReplies(session.id)) {
             session.awaitsReply = false;
             session.phase = reply.phase;
-            const auto& executed = this->simulation.executed();
-            const auto last = std::find_if(executed.rbegin(), executed.rend(),
-                [&session](const ExecutedStatement& one) { return one.id == session.statementId; });
-            if (reply.failure || last == executed.rend())
+            const auto* last = this->simulation.lastExecution(session.statementId);
+            if (reply.failure || last == nullptr)
                 continue;
             RC_ASSERT(last->service == session.service);
             const bool writes = session.text.starts_with("WRITE");
@@ -206,7 +215,6 @@
         }
     }
 
-    std::mt19937_64 random;
     std::size_t services;
     std::size_t replicas;
     PoolSimulation simulation;
@@ -222,23 +230,17 @@
     TEST_CASE("a session reads its own write after its route was moved to another service and back")
     {
         // Guards against a stale read at a replica, as the position of the write was kept for one service.
-        for (const bool forwardToOwner : { false, true }) {
-            CAPTURE(forwardToOwner);
-            RoutedSession session { forwardToOwner };
+        atEachVm([](RoutedSession& session) {
             session.write();
             session.simulation.moveRoute(1);
-            session.readOnce();
-            session.simulation.moveRoute(0);
-            session.checkReads(0, 1);
-        }
+            session.returnAndCheckReads(1);
+        });
     }
 
     TEST_CASE("a session that writes to two services in turn reads its writes to both")
     {
         // Guards against a write to one service that replaces the position of the write to another.
-        for (const bool forwardToOwner : { false, true }) {
-            CAPTURE(forwardToOwner);
-            RoutedSession session { forwardToOwner };
+        atEachVm([](RoutedSession& session) {
             session.write();
             session.simulation.moveRoute(1);
             session.write();
@@ -246,34 +248,28 @@
             session.checkReads(0, 1);
             session.simulation.moveRoute(1);
             session.checkReads(1, 1);
-        }
+        });
     }
 
     TEST_CASE("a write belongs to the service that ran it although its route is moved before its answer")
     {
         // Guards against a position that is recorded for the service that the route names when the answer
         // arrives.
-        for (const bool forwardToOwner : { false, true }) {
-            CAPTURE(forwardToOwner);
-            RoutedSession session { forwardToOwner };
+        atEachVm([](RoutedSession& session) {
             session.simulation.holdUpstreamActions = true;
             session.simulation.submit(session.caller, session.nextId(), "WRITE 1 x");
             session.simulation.moveRoute(1);
             session.simulation.holdUpstreamActions = false;
             session.simulation.deliverHeldActions();
             CHECK_FALSE(session.simulation.takeReply(session.caller).failure);
-            session.readOnce();
-            session.simulation.moveRoute(0);
-            session.checkReads(0, 1);
-        }
+            session.returnAndCheckReads(1);
+        });
     }
 
     TEST_CASE("a withheld write belongs to the service that ran it although its route is moved meanwhile")
     {
         // Guards against a write that is confirmed by the view of another service's primary.
-        for (const bool forwardToOwner : { false, true }) {
-            CAPTURE(forwardToOwner);
-            RoutedSession session { forwardToOwner };
+        atEachVm([](RoutedSession& session) {
             session.readOnce();
             session.simulation.holdUpstreamActions = true;
             session.simulation.submit(session.caller, session.nextId(), "WRITE 1 x");
@@ -284,34 +280,26 @@
             CHECK(session.simulation.takeReplies(session.caller).empty());
             session.simulation.renewView();
             CHECK_FALSE(session.simulation.takeReply(session.caller).failure);
-            session.readOnce();
-            session.simulation.moveRoute(0);
-            session.checkReads(0, 1);
-        }
+            session.returnAndCheckReads(1);
+        });
     }
 
     TEST_CASE("a transaction belongs to the service that it began at although its route is moved meanwhile")
     {
         // Guards against a commit whose position is recorded for another service.
-        for (const bool forwardToOwner : { false, true }) {
-            CAPTURE(forwardToOwner);
-            RoutedSession session { forwardToOwner };
+        atEachVm([](RoutedSession& session) {
             CHECK_FALSE(session.run("BEGIN").failure);
             session.write();
             session.simulation.moveRoute(1);
             CHECK_FALSE(session.run("COMMIT").failure);
-            session.readOnce();
-            session.simulation.moveRoute(0);
-            session.checkReads(0, 1);
-        }
+            session.returnAndCheckReads(1);
+        });
     }
 
     TEST_CASE("values and prepared statements stay when the route is moved")
     {
         // Guards against session state that is kept for one service.
-        for (const bool forwardToOwner : { false, true }) {
-            CAPTURE(forwardToOwner);
-            RoutedSession session { forwardToOwner };
+        atEachVm([](RoutedSession& session) {
             CHECK_FALSE(session.run("SET zone palermo").failure);
             CHECK_FALSE(session.run("PREPARE s1 READ shape").failure);
             for (const std::size_t service : { 0, 1, 0 }) {
@@ -322,7 +310,7 @@
                 CHECK(last.values == std::map<std::string, std::string> { { "zone", "palermo" } });
                 CHECK(last.shape == PreparedShape { false, "shape" });
             }
-        }
+        });
     }
 
     TEST_CASE("a session reads its own write after its route was dropped and restored")
@@ -369,27 +357,25 @@
     {
         // Guards against a bound on the services of a session that lets a replica without the write serve it.
         constexpr auto services = OwnWrites::maxServices + 2;
-        for (const bool forwardToOwner : { false, true }) {
-            CAPTURE(forwardToOwner);
-            RoutedSession session { forwardToOwner, ownWrites, services };
-            for (std::size_t service = 0; service < services; ++service) {
-                session.simulation.moveRoute(service);
-                session.write();
-            }
-            for (std::size_t service = 0; service < services; ++service) {
-                session.simulation.moveRoute(service);
-                session.checkReads(service, 1);
-            }
-        }
+        atEachVm(
+            [](RoutedSession& session) {
+                for (std::size_t service = 0; service < services; ++service) {
+                    session.simulation.moveRoute(service);
+                    session.write();
+                }
+                for (std::size_t service = 0; service < services; ++service) {
+                    session.simulation.moveRoute(service);
+                    session.checkReads(service, 1);
+                }
+            },
+            services);
     }
 
     TEST_CASE("a session reads its own write although the answer to it reported no position")
     {
         // Guards against a stale read at a replica after an answer without a position, and against the
         // position of an earlier write that stands in for it.
-        for (const bool forwardToOwner : { false, true }) {
-            CAPTURE(forwardToOwner);
-            RoutedSession session { forwardToOwner };
+        atEachVm([](RoutedSession& session) {
             session.write();
             session.simulation.interceptStatement
                 = [&session](const ModelConnection&, const UpstreamStatement& statement) {
@@ -403,7 +389,7 @@
             for (const auto* replica : { "replica-1", "replica-2" })
                 session.simulation.upstream(replica).logPosition = positionAfter(1);
             session.checkReads(0, 2);
-        }
+        });
     }
 
     TEST_CASE("reads of a service whose write is not kept return to replicas once they cover it")
--- a/tests/pooling/pool_simulation.cpp
+++ b/tests/pooling/pool_simulation.cpp
@@ -247,6 +247,13 @@
         this->executedStatements.end(), [&id](const ExecutedStatement& run) { return run.id == id; }));
 }
 
+const ExecutedStatement* PoolSimulation::lastExecution(const std::string& id) const
+{
+    const auto last = std::find_if(this->executedStatements.rbegin(), this->executedStatements.rend(),
+        [&id](const ExecutedStatement& run) { return run.id == id; });
+    return last == this->executedStatements.rend() ? nullptr : &*last;
+}
+
 std::size_t PoolSimulation::executionsAt(const std::string& upstream) const
 {
     return static_cast<std::size_t>(std::count_if(this->executedStatements.begin(),
--- a/tests/pooling/pool_simulation.h
+++ b/tests/pooling/pool_simulation.h
@@ -124,6 +124,8 @@
     /// The engines' view of the primary.
     [[nodiscard]] const LeaderView& leader() const { return this->view; }
     [[nodiscard]] std::size_t executionCount(const std::string& id) const;
+    /// The latest execution of a statement; null when no upstream has executed it.
+    [[nodiscard]] const ExecutedStatement* lastExecution(const std::string& id) const;
     /// Number of callers' statements that an upstream has executed.
     [[nodiscard]] std::size_t executionsAt(const std::string& upstream) const;
     /// Number of connections that were opened to an upstream.
--- a/tests/pooling/session_property_test.cpp
+++ b/tests/pooling/session_property_test.cpp
@@ -1,11 +1,11 @@
 #include "pool_simulation.h"
+#include "random_choices.h"
 
 #include <property.h>
 
 #include <algorithm>
 #include <array>
 #include <map>
-#include <random>
 
 using namespace cyclamendrift;
 using namespace std::chrono_literals;
@@ -27,7 +27,7 @@
 };
 
 /// Submits random statements of several callers to the simulation, with random faults.
-class RandomizedScenario {
+class RandomizedScenario : RandomChoices {
 public:
     struct Options {
         bool forwardToOwner = false;
@@ -39,7 +39,7 @@
     };
 
     explicit RandomizedScenario(std::uint64_t seed, const Options& options)
-        : random(seed)
+        : RandomChoices(seed)
         , options(options)
         , simulation({ .connectionCap = 4,
               .freshness = options.freshness,
@@ -86,12 +86,6 @@
     }
 
 private:
-    std::size_t randomBelow(std::size_t count)
-    {
-        return std::uniform_int_distribution<std::size_t> { 0, count - 1 }(this->random);
-    }
-    bool chance(std::size_t oneIn) { return this->randomBelow(oneIn) == 0; }
-
     void changePrimary()
     {
         this->checkAllReplies();
@@ -140,10 +134,8 @@
     /// Checks that a success that depends on the view of the primary comes from the primary of that view.
     void checkSuccess(const TestCaller& testCaller, const Reply& reply)
     {
-        const auto& executed = this->simulation.executed();
-        const auto execution = std::find_if(executed.rbegin(), executed.rend(),
-            [&testCaller](const ExecutedStatement& run) { return run.id == testCaller.lastId; });
-        if (reply.failure || reply.proof != "proof" || execution == executed.rend())
+        const auto* execution = this->simulation.lastExecution(testCaller.lastId);
+        if (reply.failure || reply.proof != "proof" || execution == nullptr)
             return;
         const bool isCommit = execution->text == "COMMIT";
         const bool writes
@@ -263,7 +255,6 @@
             RC_ASSERT(this->simulation.executionCount(id) <= 1);
     }
 
-    std::mt19937_64 random;
     Options options;
     PoolSimulation simulation;
     std::string leader = "primary";
